--- /dev/null
+++ b/src/libverbenalead/base/catch_failure.h
@@ -0,0 +1,47 @@
+#ifndef VERBENALEAD_BASE_CATCH_FAILURE_H_
+#define VERBENALEAD_BASE_CATCH_FAILURE_H_
+
+#include <boost/leaf/handle_errors.hpp>
+#include <type_traits>
+#include <utility>
+
+#include "base/failure.h"
+
+namespace verbenalead {
+namespace internal {
+
+template <typename T>
+struct ResultValue;
+template <typename T>
+struct ResultValue<Result<T>> {
+  using type = T;
+};
+
+}  // namespace internal
+
+/// Calls `function`, which returns Result<T>, and carries its Failure over into
+/// an AsyncResult<T>. The bridge from LEAF to coroutines.
+template <typename Function>
+auto CatchFailure(Function&& function) {
+  using Value = typename internal::ResultValue<decltype(function())>::type;
+  using Carried = AsyncResult<Value>;
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<Carried> {
+        auto result = function();
+        if (!result)
+          return result.error();
+        if constexpr (std::is_void_v<Value>)
+          return Carried();
+        else
+          return Carried(std::move(result.value()));
+      },
+      [](const Failure& failure) { return Carried(failure); },
+      [] {
+        return Carried(
+            Failure{FailureCode::kInvalid, "unknown", "", "no detail"});
+      });
+}
+
+}  // namespace verbenalead
+
+#endif  // VERBENALEAD_BASE_CATCH_FAILURE_H_
--- /dev/null
+++ b/src/libverbenalead/base/pacer.h
@@ -0,0 +1,30 @@
+#ifndef VERBENALEAD_BASE_PACER_H_
+#define VERBENALEAD_BASE_PACER_H_
+
+#include <mutex>
+
+#include "base/awaitable.h"
+#include "base/time.h"
+
+namespace verbenalead {
+
+/// Spreads bytes over time so that they don't exceed a rate. May be used from
+/// several threads.
+class Pacer {
+ public:
+  /// `bytes_per_second` of 0: no limit.
+  explicit Pacer(uint64_t bytes_per_second) : m_rate(bytes_per_second) {}
+
+  /// Waits until `bytes` more fit. First come, first served.
+  Awaitable<void> Take(uint64_t bytes);
+
+ private:
+  const uint64_t m_rate;
+  std::mutex m_mutex;
+  /// When all that was taken so far has gone through.
+  TimePoint m_free_at{};
+};
+
+}  // namespace verbenalead
+
+#endif  // VERBENALEAD_BASE_PACER_H_
--- /dev/null
+++ b/src/libverbenalead/base/settings_schema.h
@@ -0,0 +1,84 @@
+#ifndef VERBENALEAD_BASE_SETTINGS_SCHEMA_H_
+#define VERBENALEAD_BASE_SETTINGS_SCHEMA_H_
+
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/settings.h"
+
+namespace verbenalead {
+
+enum class SettingType {
+  kFlag,
+  kInteger,
+  kText,
+  kTextList,
+  kAddress,
+  kAddressList
+};
+
+/// One declared key: what it means and what it may be.
+struct SettingKey {
+  std::string m_path;
+  SettingType m_type = SettingType::kText;
+  SettingValue m_default;
+  bool m_required = false;
+  int64_t m_min = std::numeric_limits<int64_t>::min();
+  int64_t m_max = std::numeric_limits<int64_t>::max();
+  std::string m_unit;
+  std::string m_help;
+  std::vector<std::string> m_choices;
+};
+
+/// Declares the settings of one program and checks a JSON text against them.
+///
+///     const auto schema = SettingsSchema()
+///         .Address("listen.callers", "127.0.0.1:8080", "callers' HTTP")
+///         .Integer("limits.body", 1 << 20, 1, 1 << 26, "bytes", "largest
+///         body");
+///     auto settings = schema.Parse(text);
+class SettingsSchema {
+ public:
+  SettingsSchema& Flag(std::string path, bool fallback, std::string help);
+  SettingsSchema& Integer(std::string path,
+                          int64_t fallback,
+                          int64_t min,
+                          int64_t max,
+                          std::string unit,
+                          std::string help);
+  SettingsSchema& Text(std::string path,
+                       std::string fallback,
+                       std::string help);
+  /// A text that must be present.
+  SettingsSchema& RequiredText(std::string path, std::string help);
+  /// A text that must be one of `choices`; the first is the default.
+  SettingsSchema& Choice(std::string path,
+                         std::vector<std::string> choices,
+                         std::string help);
+  SettingsSchema& TextList(std::string path, std::string help);
+  /// An "IP:port"; the empty text stands for "not set".
+  SettingsSchema& Address(std::string path,
+                          std::string fallback,
+                          std::string help);
+  SettingsSchema& AddressList(std::string path, std::string help);
+
+  /// Checks `json`. Fails with kInvalid; the reason lists the path of the
+  /// first wrong key, its value and what is allowed.
+  Result<Settings> Parse(std::string_view json) const;
+  /// Reads and checks the file at `path`.
+  Result<Settings> Load(const std::string& path) const;
+
+  /// A table for people: path, type, unit, default, range, meaning.
+  std::string Describe() const;
+  const std::vector<SettingKey>& keys() const { return m_keys; }
+
+ private:
+  std::vector<SettingKey> m_keys;
+};
+
+}  // namespace verbenalead
+
+#endif  // VERBENALEAD_BASE_SETTINGS_SCHEMA_H_
--- /dev/null
+++ b/src/libverbenalead/daemon/attempt_runner.h
@@ -0,0 +1,61 @@
+#ifndef VERBENALEAD_DAEMON_ATTEMPT_RUNNER_H_
+#define VERBENALEAD_DAEMON_ATTEMPT_RUNNER_H_
+
+#include <string>
+
+#include "decide/place.h"
+#include "decide/retry.h"
+#include "model/call.h"
+#include "wire/client.h"
+#include "wire/response_writer.h"
+
+namespace verbenalead::daemon {
+
+/// How one attempt at a target ended.
+struct AttemptReport {
+  decide::AttemptEnd m_end = decide::AttemptEnd::kDoubtful;
+  std::string m_reason;
+  /// The version that the target answered with.
+  std::string m_version;
+  /// Bytes have gone to the caller.
+  bool m_answer_begun = false;
+  /// The target did not behave: leave it alone for a while.
+  bool m_broken = false;
+  /// A whole answer that was not streamed.
+  wire::Response m_answer;
+};
+
+/// Sends one attempt to a target over HTTP/2 and judges what comes back. An
+/// answer is whole only if its length and digest agree with what the target
+/// says at its end.
+class AttemptRunner {
+ public:
+  explicit AttemptRunner(wire::Client& peers) : m_peers(peers) {}
+
+  /// A server-sent event stream goes to `writer` as it comes; any other answer
+  /// is returned whole in the report.
+  Awaitable<AttemptReport> Run(model::Call call,
+                               decide::Placement placement,
+                               uint32_t number,
+                               wire::Request request,
+                               wire::ResponseWriter& writer);
+
+ private:
+  Awaitable<AttemptReport> ReadAnswer(wire::ResponseReader& reader,
+                                      wire::ResponseHead head,
+                                      model::Call call,
+                                      decide::Placement placement,
+                                      uint32_t number,
+                                      wire::ResponseWriter& writer);
+  /// After an attempt whose fate is in doubt: asks the target, over whichever
+  /// connection works, to make it void. True: it never started, nor will it.
+  Awaitable<bool> MakeVoid(model::Call call,
+                           decide::Placement placement,
+                           uint32_t number);
+
+  wire::Client& m_peers;
+};
+
+}  // namespace verbenalead::daemon
+
+#endif  // VERBENALEAD_DAEMON_ATTEMPT_RUNNER_H_
--- /dev/null
+++ b/src/libverbenalead/daemon/attempt_server.cc
@@ -0,0 +1,204 @@
+#include "daemon/attempt_server.h"
+
+#include <cstdlib>
+
+#include "base/catch_failure.h"
+#include "base/sha256_hasher.h"
+#include "peer/header_names.h"
+
+namespace verbenalead::daemon {
+namespace {
+
+/// Longest silence of an engine in the middle of an answer.
+constexpr Duration kPieceTimeout = 60s;
+
+uint64_t NumberIn(const wire::Headers& headers, const char* name) {
+  return std::strtoull(wire::Get(headers, name).c_str(), nullptr, 10);
+}
+
+decide::Attempt AttemptOf(const wire::Request& request) {
+  return {wire::Get(request.m_headers, peer::kRequestId),
+          static_cast<uint32_t>(NumberIn(request.m_headers, peer::kAttempt))};
+}
+
+/// The empty digest where the field is absent or malformed.
+Digest DigestIn(const wire::Headers& headers) {
+  const std::string text = wire::Get(headers, peer::kDigest);
+  auto digest = CatchFailure([&] { return ParseDigest(text); });
+  return digest ? *digest : Digest();
+}
+
+wire::Request ForEngine(const wire::Request& request) {
+  wire::Request onward;
+  onward.m_method = wire::Get(request.m_headers, "x-method");
+  onward.m_path = wire::Get(request.m_headers, peer::kPath);
+  onward.m_body = request.m_body;
+  for (const char* name :
+       {"content-type", "idempotency-key", peer::kRequestId}) {
+    const std::string value = wire::Get(request.m_headers, name);
+    if (!value.empty())
+      onward.m_headers[name] = value;
+  }
+  return onward;
+}
+
+}  // namespace
+
+/// An attempt that the gate let in, and what was in force then.
+struct AttemptServer::Entered {
+  decide::Attempt m_attempt;
+  uint64_t m_generation = 0;
+  Digest m_digest;
+};
+
+Awaitable<void> AttemptServer::Serve(wire::Request request,
+                                     wire::ResponseWriter& writer) {
+  const decide::Attempt attempt = AttemptOf(request);
+  const uint64_t incarnation = NumberIn(request.m_headers, peer::kIncarnation);
+  const Digest wanted = DigestIn(request.m_headers);
+  Entered entered;
+  const decide::EnterResult result = m_gate.With([&](decide::GateState& gate) {
+    entered = {attempt, gate.m_generation, gate.m_digest};
+    return decide::Enter(gate, attempt, incarnation, wanted, Now());
+  });
+  if (result == decide::EnterResult::kRepeated) {
+    // A doubled message. The first one is being answered on its own stream;
+    // this one is left unanswered, so that nobody takes it for "not run".
+    LogLine("attempt_repeated").With("request", attempt.m_request).Warn();
+    co_return;
+  }
+  if (result != decide::EnterResult::kEntered) {
+    co_await Refuse(attempt, ToString(result), writer);
+    co_return;
+  }
+  m_journal.Record(attempt.m_request,
+                   LogLine("entered")
+                       .With("attempt", uint64_t{attempt.m_number})
+                       .With("target", m_host)
+                       .With("digest", ToString(entered.m_digest)));
+  co_await Forward(entered, std::move(request), writer);
+  m_gate.With([&](decide::GateState& gate) {
+    decide::Leave(gate, attempt, Now());
+    return 0;
+  });
+}
+
+Awaitable<void> AttemptServer::Refuse(decide::Attempt attempt,
+                                      std::string reason,
+                                      wire::ResponseWriter& writer) {
+  m_journal.Record(attempt.m_request,
+                   LogLine("gate_refused")
+                       .With("attempt", uint64_t{attempt.m_number})
+                       .With("target", m_host)
+                       .With("reason", reason));
+  wire::Response response;
+  response.m_status = 503;
+  response.m_headers[peer::kOutcome] = "refused";
+  response.m_headers[peer::kReason] = reason;
+  co_await writer.Send(std::move(response));
+}
+
+Awaitable<void> AttemptServer::Forward(Entered entered,
+                                       wire::Request request,
+                                       wire::ResponseWriter& writer) {
+  const auto wait =
+      std::chrono::milliseconds(NumberIn(request.m_headers, peer::kDeadline));
+  const TimePoint deadline = Now() + wait;
+  auto opened = co_await m_engine.Send(ForEngine(request), deadline);
+  if (!opened && opened.error().m_code == FailureCode::kUnreachable) {
+    co_await Refuse(entered.m_attempt, "engine_unreachable", writer);
+    co_return;
+  }
+  AsyncResult<wire::ResponseHead> head = wire::ResponseHead();
+  if (opened)
+    head = co_await (*opened)->ReadHead(deadline);
+  else
+    head = opened.error();
+  if (!head) {
+    m_journal.Record(entered.m_attempt.m_request,
+                     LogLine("engine_failed").With(head.error()));
+    wire::ResponseHead failed{502, {}};
+    failed.m_headers[peer::kOutcome] = "ran";
+    co_await writer.Start(std::move(failed));
+    wire::Headers trailers;
+    trailers[peer::kOutcome] = "failed";
+    trailers[peer::kReason] = "engine_failed";
+    co_await writer.Finish(std::move(trailers));
+    co_return;
+  }
+  co_await PassOn(entered, **opened, std::move(*head), writer);
+}
+
+bool AttemptServer::Passes(const Entered& entered, const Digest& reported) {
+  return m_gate.With([&](decide::GateState& gate) {
+    return decide::MayPass(gate, entered.m_generation, reported);
+  });
+}
+
+Awaitable<void> AttemptServer::PassOn(Entered entered,
+                                      wire::ResponseReader& reader,
+                                      wire::ResponseHead head,
+                                      wire::ResponseWriter& writer) {
+  const Digest reported = DigestIn(head.m_headers);
+  wire::ResponseHead onward{head.m_status, {}};
+  onward.m_headers["content-type"] = wire::Get(head.m_headers, "content-type");
+  onward.m_headers[peer::kOutcome] = "ran";
+  onward.m_headers[peer::kTarget] = m_host;
+  onward.m_headers[peer::kDigest] = ToString(reported);
+  onward.m_headers[peer::kVersion] = ToString(reported);
+  bool alive = co_await writer.Start(std::move(onward));
+  Sha256Hasher hasher;
+  uint64_t length = 0;
+  std::string reason;
+  while (alive) {
+    // Checked before each piece: a load that began meanwhile, or an engine
+    // that answers with another version, ends the answer as failed.
+    if (!Passes(entered, reported)) {
+      reason = "version_changed";
+      break;
+    }
+    auto piece = co_await reader.ReadBody(Now() + kPieceTimeout);
+    if (!piece) {
+      reason = ToString(piece.error());
+      break;
+    }
+    if (!piece->has_value())
+      break;
+    hasher.Update(**piece);
+    length += (*piece)->size();
+    alive = co_await writer.Write(std::move(**piece));
+  }
+  wire::Headers trailers;
+  trailers[peer::kLength] = std::to_string(length);
+  trailers[peer::kSha256] = ToString(hasher.Finish());
+  trailers[peer::kOutcome] = reason.empty() ? "completed" : "failed";
+  trailers[peer::kReason] = reason;
+  m_journal.Record(entered.m_attempt.m_request,
+                   LogLine("answered")
+                       .With("attempt", uint64_t{entered.m_attempt.m_number})
+                       .With("target", m_host)
+                       .With("digest", ToString(reported))
+                       .With("bytes", length)
+                       .With("caller_gone", !alive)
+                       .With("reason", reason));
+  co_await writer.Finish(std::move(trailers));
+}
+
+wire::Response AttemptServer::MakeVoid(const wire::Request& request) {
+  const decide::Attempt attempt = AttemptOf(request);
+  const uint64_t incarnation = NumberIn(request.m_headers, peer::kIncarnation);
+  const bool never = m_gate.With([&](decide::GateState& gate) {
+    // An earlier incarnation may have run it; this one can't tell.
+    return incarnation == gate.m_incarnation &&
+           decide::VoidAttempt(gate, attempt, Now()) ==
+               decide::VoidResult::kNeverStarted;
+  });
+  m_journal.Record(attempt.m_request,
+                   LogLine("void_attempt")
+                       .With("attempt", uint64_t{attempt.m_number})
+                       .With("target", m_host)
+                       .With("never_started", never));
+  return {200, {}, never ? "never_started" : "started"};
+}
+
+}  // namespace verbenalead::daemon
--- /dev/null
+++ b/src/libverbenalead/daemon/attempt_server.h
@@ -0,0 +1,54 @@
+#ifndef VERBENALEAD_DAEMON_ATTEMPT_SERVER_H_
+#define VERBENALEAD_DAEMON_ATTEMPT_SERVER_H_
+
+#include <string>
+
+#include "daemon/gate_keeper.h"
+#include "daemon/journal.h"
+#include "platform/engine.h"
+#include "wire/response_writer.h"
+
+namespace verbenalead::daemon {
+
+/// Takes entries' attempts through the gate to the engine or plain service and
+/// their answers back. May be used from several threads.
+class AttemptServer {
+ public:
+  AttemptServer(std::string host,
+                GateKeeper& gate,
+                platform::Engine& engine,
+                Journal& journal)
+      : m_host(std::move(host)),
+        m_gate(gate),
+        m_engine(engine),
+        m_journal(journal) {}
+
+  /// Answers POST /v1/attempt.
+  Awaitable<void> Serve(wire::Request request, wire::ResponseWriter& writer);
+  /// Answers POST /v1/void.
+  wire::Response MakeVoid(const wire::Request& request);
+
+ private:
+  struct Entered;
+
+  Awaitable<void> Forward(Entered entered,
+                          wire::Request request,
+                          wire::ResponseWriter& writer);
+  Awaitable<void> PassOn(Entered entered,
+                         wire::ResponseReader& reader,
+                         wire::ResponseHead head,
+                         wire::ResponseWriter& writer);
+  Awaitable<void> Refuse(decide::Attempt attempt,
+                         std::string reason,
+                         wire::ResponseWriter& writer);
+  bool Passes(const Entered& entered, const Digest& reported);
+
+  const std::string m_host;
+  GateKeeper& m_gate;
+  platform::Engine& m_engine;
+  Journal& m_journal;
+};
+
+}  // namespace verbenalead::daemon
+
+#endif  // VERBENALEAD_DAEMON_ATTEMPT_SERVER_H_
--- /dev/null
+++ b/src/libverbenalead/daemon/gate_keeper.h
@@ -0,0 +1,32 @@
+#ifndef VERBENALEAD_DAEMON_GATE_KEEPER_H_
+#define VERBENALEAD_DAEMON_GATE_KEEPER_H_
+
+#include <mutex>
+
+#include "decide/gate.h"
+
+namespace verbenalead::daemon {
+
+/// The target's gate, under its lock. May be used from several threads.
+class GateKeeper {
+ public:
+  GateKeeper(uint64_t incarnation, uint32_t capacity) {
+    m_gate.m_incarnation = incarnation;
+    m_gate.m_capacity = capacity;
+  }
+
+  /// Calls `function` with the gate while no one else touches it.
+  template <typename Function>
+  auto With(Function&& function) {
+    std::lock_guard lock(m_mutex);
+    return function(m_gate);
+  }
+
+ private:
+  std::mutex m_mutex;
+  decide::GateState m_gate;
+};
+
+}  // namespace verbenalead::daemon
+
+#endif  // VERBENALEAD_DAEMON_GATE_KEEPER_H_
--- /dev/null
+++ b/src/libverbenalead/daemon/host_directory.h
@@ -0,0 +1,34 @@
+#ifndef VERBENALEAD_DAEMON_HOST_DIRECTORY_H_
+#define VERBENALEAD_DAEMON_HOST_DIRECTORY_H_
+
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "model/host.h"
+#include "platform/host_list.h"
+
+namespace verbenalead::daemon {
+
+/// The hosts of the platform's list as last read. The list is a hint; while it
+/// can't be read the hosts known so far are kept. May be used from several
+/// threads.
+class HostDirectory {
+ public:
+  explicit HostDirectory(platform::HostList& list) : m_list(list) {}
+
+  Awaitable<void> Refresh();
+
+  std::vector<model::Host> Hosts(model::HostRole role) const;
+  std::optional<model::Host> Find(const std::string& name) const;
+
+ private:
+  platform::HostList& m_list;
+  mutable std::mutex m_mutex;
+  std::vector<model::Host> m_hosts;
+};
+
+}  // namespace verbenalead::daemon
+
+#endif  // VERBENALEAD_DAEMON_HOST_DIRECTORY_H_
--- /dev/null
+++ b/src/libverbenalead/daemon/journal.h
@@ -0,0 +1,46 @@
+#ifndef VERBENALEAD_DAEMON_JOURNAL_H_
+#define VERBENALEAD_DAEMON_JOURNAL_H_
+
+#include <array>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/log.h"
+
+namespace verbenalead::daemon {
+
+/// What this process has decided about recent requests, for `vlctl trace`.
+/// Bounded: the oldest requests are forgotten first. May be used from several
+/// threads; requests are spread over shards, each under its own lock.
+class Journal {
+ public:
+  /// Remembers `max_requests` at most; `host` is named in each line.
+  Journal(std::string host, size_t max_requests);
+
+  /// Writes `line` to the log and remembers it under `request`.
+  void Record(const std::string& request, LogLine line);
+  /// The lines of `request`, oldest first: "unix_us=... host=... event=...".
+  std::vector<std::string> Find(const std::string& request) const;
+
+ private:
+  static constexpr size_t kShards = 16;
+
+  struct Shard {
+    mutable std::mutex m_mutex;
+    std::unordered_map<std::string, std::vector<std::string>> m_lines;
+    std::deque<std::string> m_order;
+  };
+
+  const Shard& ShardOf(const std::string& request) const;
+
+  const std::string m_host;
+  const size_t m_max_per_shard;
+  std::array<Shard, kShards> m_shards;
+};
+
+}  // namespace verbenalead::daemon
+
+#endif  // VERBENALEAD_DAEMON_JOURNAL_H_
--- /dev/null
+++ b/src/libverbenalead/daemon/pool_routers.h
@@ -0,0 +1,41 @@
+#ifndef VERBENALEAD_DAEMON_POOL_ROUTERS_H_
+#define VERBENALEAD_DAEMON_POOL_ROUTERS_H_
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "daemon/pool_router.h"
+
+namespace verbenalead::daemon {
+
+/// The routers of all pools, made when first named. May be used from several
+/// threads; a router lives as long as this object.
+class PoolRouters {
+ public:
+  PoolRouter& Get(const std::string& pool) {
+    std::lock_guard lock(m_mutex);
+    auto& router = m_routers[pool];
+    if (!router)
+      router = std::make_unique<PoolRouter>();
+    return *router;
+  }
+
+  std::vector<PoolRouter*> All() {
+    std::lock_guard lock(m_mutex);
+    std::vector<PoolRouter*> routers;
+    for (auto& [pool, router] : m_routers)
+      routers.push_back(router.get());
+    return routers;
+  }
+
+ private:
+  std::mutex m_mutex;
+  std::map<std::string, std::unique_ptr<PoolRouter>> m_routers;
+};
+
+}  // namespace verbenalead::daemon
+
+#endif  // VERBENALEAD_DAEMON_POOL_ROUTERS_H_
--- /dev/null
+++ b/src/libverbenalead/daemon/program.h
@@ -0,0 +1,24 @@
+#ifndef VERBENALEAD_DAEMON_PROGRAM_H_
+#define VERBENALEAD_DAEMON_PROGRAM_H_
+
+#include <functional>
+#include <string>
+
+#include "base/settings_schema.h"
+
+namespace verbenalead::daemon {
+
+/// The command line that all daemons and stand-ins share: `-s FILE` for the
+/// settings, `--describe-settings`, `--check`. Parses it, loads the settings,
+/// starts the log and calls `run`. Returns the exit code: 0 fine, 1 could not
+/// run, 2 bad command line or settings, with one line on standard error.
+int RunProgram(int argc,
+               char** argv,
+               const std::string& name,
+               const std::string& purpose,
+               const SettingsSchema& schema,
+               const std::function<int(const Settings&)>& run);
+
+}  // namespace verbenalead::daemon
+
+#endif  // VERBENALEAD_DAEMON_PROGRAM_H_
--- /dev/null
+++ b/src/libverbenalead/daemon/request_runner.h
@@ -0,0 +1,62 @@
+#ifndef VERBENALEAD_DAEMON_REQUEST_RUNNER_H_
+#define VERBENALEAD_DAEMON_REQUEST_RUNNER_H_
+
+#include <string>
+
+#include "daemon/attempt_runner.h"
+#include "daemon/claim_keeper.h"
+#include "daemon/journal.h"
+#include "daemon/pool_routers.h"
+#include "front/call_runner.h"
+#include "front/problem.h"
+
+namespace verbenalead::daemon {
+
+/// A request's life in the entry: claimed if it may run only once, admitted,
+/// placed, attempted, perhaps retried, and told its outcome. May be used from
+/// several threads.
+class RequestRunner : public front::CallRunner {
+ public:
+  RequestRunner(PoolRouters& routers,
+                wire::Client& peers,
+                platform::Table& table,
+                Journal& journal)
+      : m_routers(routers),
+        m_attempts(peers),
+        m_claims(table),
+        m_journal(journal) {}
+
+  Awaitable<void> Run(model::Call call,
+                      wire::Request request,
+                      wire::ResponseWriter& writer) override;
+
+ private:
+  /// The end of all attempts.
+  struct Verdict {
+    model::Outcome m_outcome = model::Outcome::kRefused;
+    std::string m_reason;
+    std::string m_target;
+    uint32_t m_attempts = 0;
+    Duration m_retry_after{};
+    AttemptReport m_last;
+  };
+
+  /// False: the key is not ours, and the caller has been answered.
+  Awaitable<bool> ClaimKey(model::Call call, wire::ResponseWriter& writer);
+  Awaitable<Verdict> Attempt(model::Call call,
+                             wire::Request request,
+                             wire::ResponseWriter& writer);
+  Awaitable<void> SettleClaim(model::Call call, Verdict verdict);
+  Awaitable<void> Tell(model::Call call,
+                       Verdict verdict,
+                       wire::ResponseWriter& writer);
+
+  PoolRouters& m_routers;
+  AttemptRunner m_attempts;
+  ClaimKeeper m_claims;
+  Journal& m_journal;
+};
+
+}  // namespace verbenalead::daemon
+
+#endif  // VERBENALEAD_DAEMON_REQUEST_RUNNER_H_
--- /dev/null
+++ b/src/libverbenalead/daemon/target_daemon.cc
@@ -0,0 +1,268 @@
+#include "daemon/target_daemon.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <csignal>
+
+#include "base/io_threads.h"
+#include "base/log.h"
+#include "base/sleep.h"
+#include "daemon/config_messages.h"
+#include "daemon/target_peer_api.h"
+#include "daemon/version_keeper.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "peer/client.h"
+#include "peer/server.h"
+#include "platform/dynamo_table.h"
+
+namespace verbenalead::daemon {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kConfigTimeout = 2s;
+constexpr Duration kHostListInterval = 1s;
+constexpr Duration kHealthInterval = 250ms;
+constexpr Duration kForgetInterval = 10s;
+constexpr Duration kStopPoll = 20ms;
+constexpr char kServiceHealthPath[] = "/healthz";
+
+uint64_t UnixMilliseconds() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+uint64_t Bytes(const Settings& settings, const char* key) {
+  return static_cast<uint64_t>(settings.Integer(key));
+}
+
+}  // namespace
+
+struct TargetDaemon::Parts {
+  explicit Parts(const Settings& settings)
+      : m_settings(settings),
+        m_threads(static_cast<int>(settings.Integer("threads"))),
+        m_peers(peer::SessionLimits{}),
+        m_journal(settings.Text("host"),
+                  static_cast<size_t>(settings.Integer("journal.requests"))),
+        m_table(m_http,
+                settings.Address("platform.table"),
+                settings.Text("platform.table_name"),
+                settings.Milliseconds("platform.table_timeout")),
+        m_host_list(m_http, settings.Address("platform.host_list"), 1s),
+        m_hosts(m_host_list),
+        m_origin(m_http,
+                 settings.Address("platform.origin"),
+                 settings.Milliseconds("platform.origin_timeout")),
+        m_engine(m_http, settings.Address("backend.address")),
+        m_upload(Bytes(settings, "link.upload")),
+        m_download(Bytes(settings, "link.download")),
+        m_store(Bytes(settings, "weights.memory")),
+        m_gate(UnixMilliseconds(),
+               static_cast<uint32_t>(settings.Integer("backend.capacity"))),
+        m_config(nullptr),
+        m_fetcher(settings.Text("host"),
+                  settings.Text("pool"),
+                  m_store,
+                  m_hosts,
+                  m_peers,
+                  m_origin,
+                  m_download,
+                  m_counters),
+        m_versions(settings.Text("host"),
+                   settings.Text("pool"),
+                   settings.Address("listen.weights"),
+                   m_config,
+                   m_gate,
+                   m_store,
+                   m_fetcher,
+                   m_engine,
+                   m_table),
+        m_attempts(settings.Text("host"), m_gate, m_engine, m_journal),
+        m_peer_server(m_threads, peer::SessionLimits{}, PeerApi()),
+        m_weights_server(m_threads,
+                         http::ServerLimits{},
+                         MakeWeightsApi(m_store)),
+        m_signals(m_threads.main(), SIGTERM, SIGINT) {}
+
+  wire::Handler PeerApi() {
+    TargetPeerContext context;
+    context.m_attempts = &m_attempts;
+    context.m_store = &m_store;
+    context.m_journal = &m_journal;
+    context.m_upload = &m_upload;
+    context.m_report = [this] { return Report(); };
+    context.m_drain = [this] { StartLeaving("operator"); };
+    return MakeTargetPeerApi(std::move(context));
+  }
+
+  model::TargetReport Report() {
+    model::TargetReport report;
+    report.m_name = m_settings.Text("host");
+    report.m_pool = m_settings.Text("pool");
+    report.m_peer = m_settings.Address("listen.peers");
+    report.m_revision = m_config.current()->m_revision;
+    report.m_origin_bytes = m_counters.m_origin_bytes;
+    report.m_peer_bytes = m_counters.m_peer_bytes;
+    const VersionProgress progress = m_versions.progress();
+    report.m_version = progress.m_in_force;
+    report.m_loading = progress.m_loading;
+    if (!progress.m_loading.empty()) {
+      const auto manifest = m_store.GetManifest(progress.m_loading_digest);
+      report.m_chunks_total = manifest ? manifest->chunk_count() : 0;
+      report.m_chunks_held = m_store.HeldChunks(progress.m_loading_digest);
+    }
+    m_gate.With([&](decide::GateState& gate) {
+      report.m_incarnation = gate.m_incarnation;
+      report.m_capacity = gate.m_capacity;
+      report.m_running = gate.m_running;
+      report.m_open = gate.m_open;
+      report.m_leaving = gate.m_leaving;
+      report.m_digest = gate.m_digest;
+      return 0;
+    });
+    return report;
+  }
+
+  void StartLeaving(const char* reason) {
+    const bool news = m_gate.With([](decide::GateState& gate) {
+      return !std::exchange(gate.m_leaving, true);
+    });
+    if (news)
+      LogLine("leaving").With("reason", reason).Info();
+  }
+
+  Awaitable<void> FollowHosts() {
+    while (true) {
+      co_await m_hosts.Refresh();
+      co_await Sleep(kHostListInterval);
+    }
+  }
+
+  Awaitable<void> FollowConfig() {
+    for (size_t round = 0;; ++round) {
+      const auto entries = m_hosts.Hosts(model::HostRole::kEntry);
+      if (!entries.empty()) {
+        const model::Host& entry = entries[round % entries.size()];
+        auto done = co_await FetchConfig(m_config, m_peers, entry.peer(),
+                                         kConfigTimeout);
+        if (!done)
+          LogLine("config_unavailable").With(done.error()).Warn();
+      }
+      co_await Sleep(m_settings.Milliseconds("config.poll"));
+    }
+  }
+
+  /// A plain service has no versions: its gate is open while it is healthy.
+  Awaitable<void> FollowService() {
+    while (true) {
+      wire::Request request;
+      request.m_path = kServiceHealthPath;
+      auto response = co_await wire::Fetch(m_http, m_engine.endpoint(),
+                                           std::move(request), Now() + 1s);
+      const bool healthy = response && response->m_status == 200;
+      m_gate.With([&](decide::GateState& gate) {
+        if (healthy && !gate.m_open)
+          decide::Open(gate, Digest());
+        if (!healthy)
+          decide::Shut(gate);
+        return 0;
+      });
+      co_await Sleep(kHealthInterval);
+    }
+  }
+
+  Awaitable<void> ForgetAttempts() {
+    while (true) {
+      co_await Sleep(kForgetInterval);
+      m_gate.With([](decide::GateState& gate) {
+        decide::Forget(gate, Now());
+        return 0;
+      });
+    }
+  }
+
+  uint32_t Running() {
+    return m_gate.With([](decide::GateState& gate) { return gate.m_running; });
+  }
+
+  Awaitable<void> StopWhenAsked() {
+    co_await m_signals.async_wait(asio::use_awaitable);
+    StartLeaving("signal");
+    const TimePoint noticed = Now() + m_settings.Milliseconds("stop.notice");
+    const TimePoint give_up = Now() + m_settings.Milliseconds("stop.grace");
+    while (Now() < give_up && (Now() < noticed || Running() > 0))
+      co_await Sleep(kStopPoll);
+    LogLine("stopped").With("cut_off", uint64_t{Running()}).Info();
+    m_threads.Stop();
+  }
+
+  bool Listen() {
+    for (auto bound :
+         {m_peer_server.Listen(m_settings.Address("listen.peers")),
+          m_weights_server.Listen(m_settings.Address("listen.weights"))}) {
+      if (!bound) {
+        LogLine("start_failed").With(bound.error()).Error();
+        return false;
+      }
+    }
+    return true;
+  }
+
+  const Settings m_settings;
+  IoThreads m_threads;
+  http::Client m_http;
+  peer::Client m_peers;
+  Journal m_journal;
+  platform::DynamoTable m_table;
+  platform::HostList m_host_list;
+  HostDirectory m_hosts;
+  platform::Origin m_origin;
+  platform::Engine m_engine;
+  Pacer m_upload;
+  Pacer m_download;
+  WeightsStore m_store;
+  GateKeeper m_gate;
+  ConfigKeeper m_config;
+  TransferCounters m_counters;
+  WeightsFetcher m_fetcher;
+  VersionKeeper m_versions;
+  AttemptServer m_attempts;
+  peer::Server m_peer_server;
+  http::Server m_weights_server;
+  asio::signal_set m_signals;
+};
+
+TargetDaemon::TargetDaemon(const Settings& settings)
+    : m_parts(std::make_unique<Parts>(settings)) {}
+
+TargetDaemon::~TargetDaemon() = default;
+
+int TargetDaemon::Run() {
+  Parts& parts = *m_parts;
+  if (!parts.Listen())
+    return 1;
+  const auto executor = parts.m_threads.main();
+  auto spawn = [&](Awaitable<void> task) {
+    asio::co_spawn(executor, std::move(task), asio::detached);
+  };
+  spawn(parts.FollowHosts());
+  spawn(parts.FollowConfig());
+  spawn(parts.ForgetAttempts());
+  spawn(parts.StopWhenAsked());
+  if (parts.m_settings.Text("backend.kind") == "engine")
+    spawn(parts.m_versions.Run());
+  else
+    spawn(parts.FollowService());
+  LogLine("started").With("host", parts.m_settings.Text("host")).Info();
+  parts.m_threads.Run();
+  return 0;
+}
+
+}  // namespace verbenalead::daemon
--- /dev/null
+++ b/src/libverbenalead/daemon/target_peer_api.cc
@@ -0,0 +1,128 @@
+#include "daemon/target_peer_api.h"
+
+#include <cstdlib>
+
+#include "base/catch_failure.h"
+
+namespace verbenalead::daemon {
+namespace {
+
+using Context = std::shared_ptr<const TargetPeerContext>;
+
+constexpr std::string_view kHave = "/v1/have/";
+constexpr std::string_view kChunk = "/v1/chunk/";
+constexpr std::string_view kManifest = "/v1/manifest/";
+constexpr std::string_view kTrace = "/v1/trace/";
+constexpr std::string_view kWeights = "/weights/";
+constexpr size_t kHexDigits = 2 * Digest::kBytes;
+
+/// The digest that stands in `path` after `prefix`; empty if malformed.
+Digest DigestAfter(const std::string& path, std::string_view prefix) {
+  const std::string text = path.substr(prefix.size(), kHexDigits);
+  auto digest = CatchFailure([&] { return ParseDigest(text); });
+  return digest ? *digest : Digest();
+}
+
+Awaitable<wire::Response> ServeChunk(Context context, std::string path) {
+  const Digest whole = DigestAfter(path, kChunk);
+  const size_t slash = path.rfind('/');
+  const auto index = static_cast<uint32_t>(
+      std::strtoul(path.c_str() + slash + 1, nullptr, 10));
+  const WeightsStore::Chunk chunk = context->m_store->Get(whole, index);
+  if (!chunk)
+    co_return wire::Response{404, {}, "not here"};
+  co_await context->m_upload->Take(chunk->size());
+  co_return wire::Response{200, {}, *chunk};
+}
+
+wire::Response ServeTrace(const TargetPeerContext& context,
+                          const std::string& request) {
+  std::string body;
+  for (const std::string& line : context.m_journal->Find(request))
+    body += line + "\n";
+  return {200, {}, std::move(body)};
+}
+
+wire::Response ServeManifest(const TargetPeerContext& context,
+                             const std::string& path) {
+  std::string text =
+      context.m_store->ManifestText(DigestAfter(path, kManifest));
+  if (text.empty())
+    return {404, {}, "not here"};
+  return {200, {}, std::move(text)};
+}
+
+Awaitable<wire::Response> Respond(Context context, wire::Request request) {
+  const std::string path = wire::PathOf(request);
+  if (path == "/v1/status")
+    co_return wire::JsonResponse(200, ToJson(context->m_report()));
+  if (path == "/v1/void")
+    co_return context->m_attempts->MakeVoid(request);
+  if (path == "/v1/drain") {
+    context->m_drain();
+    co_return wire::Response{200, {}, "leaving"};
+  }
+  if (path.starts_with(kHave)) {
+    co_return wire::Response{
+        200, {}, context->m_store->HaveBits(DigestAfter(path, kHave))};
+  }
+  if (path.starts_with(kChunk))
+    co_return co_await ServeChunk(context, path);
+  if (path.starts_with(kManifest))
+    co_return ServeManifest(*context, path);
+  if (path.starts_with(kTrace))
+    co_return ServeTrace(*context, path.substr(kTrace.size()));
+  co_return wire::Response{404, {}, "unknown path"};
+}
+
+Awaitable<void> Answer(Context context,
+                       const wire::Request& request,
+                       wire::ResponseWriter& writer) {
+  if (request.m_path == "/v1/attempt") {
+    co_await context->m_attempts->Serve(request, writer);
+    co_return;
+  }
+  wire::Response response = co_await Respond(context, request);
+  co_await writer.Send(std::move(response));
+}
+
+Awaitable<void> AnswerWeights(const WeightsStore& store,
+                              const wire::Request& request,
+                              wire::ResponseWriter& writer) {
+  const std::string path = wire::PathOf(request);
+  if (!path.starts_with(kWeights)) {
+    co_await writer.Send({404, {}, "unknown path"});
+    co_return;
+  }
+  const Digest whole = DigestAfter(path, kWeights);
+  const auto manifest = store.GetManifest(whole);
+  if (!manifest || store.HeldChunks(whole) != manifest->chunk_count()) {
+    co_await writer.Send({404, {}, "not whole here"});
+    co_return;
+  }
+  bool alive = co_await writer.Start({200, {}});
+  for (uint32_t i = 0; alive && i < manifest->chunk_count(); ++i) {
+    const WeightsStore::Chunk chunk = store.Get(whole, i);
+    if (!chunk)
+      co_return;
+    alive = co_await writer.Write(*chunk);
+  }
+  co_await writer.Finish({});
+}
+
+}  // namespace
+
+wire::Handler MakeTargetPeerApi(TargetPeerContext context) {
+  auto shared = std::make_shared<const TargetPeerContext>(std::move(context));
+  return [shared](const wire::Request& request, wire::ResponseWriter& writer) {
+    return Answer(shared, request, writer);
+  };
+}
+
+wire::Handler MakeWeightsApi(const WeightsStore& store) {
+  return [&store](const wire::Request& request, wire::ResponseWriter& writer) {
+    return AnswerWeights(store, request, writer);
+  };
+}
+
+}  // namespace verbenalead::daemon
--- /dev/null
+++ b/src/libverbenalead/daemon/target_settings.h
@@ -0,0 +1,13 @@
+#ifndef VERBENALEAD_DAEMON_TARGET_SETTINGS_H_
+#define VERBENALEAD_DAEMON_TARGET_SETTINGS_H_
+
+#include "base/settings_schema.h"
+
+namespace verbenalead::daemon {
+
+/// The settings of vltarget.
+SettingsSchema TargetSettings();
+
+}  // namespace verbenalead::daemon
+
+#endif  // VERBENALEAD_DAEMON_TARGET_SETTINGS_H_
--- /dev/null
+++ b/src/libverbenalead/daemon/weights_fetcher.h
@@ -0,0 +1,70 @@
+#ifndef VERBENALEAD_DAEMON_WEIGHTS_FETCHER_H_
+#define VERBENALEAD_DAEMON_WEIGHTS_FETCHER_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "base/pacer.h"
+#include "daemon/host_directory.h"
+#include "daemon/weights_store.h"
+#include "decide/transfer.h"
+#include "model/version_spec.h"
+#include "platform/origin.h"
+#include "wire/client.h"
+
+namespace verbenalead::daemon {
+
+/// Bytes of weights that came in since the process started, by source.
+struct TransferCounters {
+  std::atomic<uint64_t> m_origin_bytes{0};
+  std::atomic<uint64_t> m_peer_bytes{0};
+};
+
+/// Brings one version's weights into the store, from other hosts and the
+/// origin, as the transfer core decides. Runs on one thread.
+class WeightsFetcher {
+ public:
+  WeightsFetcher(std::string host,
+                 std::string pool,
+                 WeightsStore& store,
+                 HostDirectory& hosts,
+                 wire::Client& peers,
+                 platform::Origin& origin,
+                 Pacer& download,
+                 TransferCounters& counters);
+
+  /// Returns true once all chunks are here; false as soon as `wanted` says no.
+  Awaitable<AsyncResult<bool>> Fetch(model::VersionSpec version,
+                                     std::function<bool()> wanted);
+
+ private:
+  struct Run;
+
+  Awaitable<AsyncResult<model::Manifest>> FetchManifest(
+      model::VersionSpec version);
+  Awaitable<AsyncResult<std::string>> ManifestFromPeers(
+      model::VersionSpec version);
+  Awaitable<void> FetchChunk(std::shared_ptr<Run> run,
+                             decide::FetchChunk fetch);
+  Awaitable<AsyncResult<std::string>> ReadChunk(std::shared_ptr<Run> run,
+                                                decide::FetchChunk fetch);
+  Awaitable<void> AskNeighbour(std::shared_ptr<Run> run, model::Host host);
+  void UpdateMembers(Run& run);
+
+  const std::string m_host;
+  const std::string m_pool;
+  WeightsStore& m_store;
+  HostDirectory& m_hosts;
+  wire::Client& m_peers;
+  platform::Origin& m_origin;
+  Pacer& m_download;
+  TransferCounters& m_counters;
+  std::mt19937_64 m_random;
+};
+
+}  // namespace verbenalead::daemon
+
+#endif  // VERBENALEAD_DAEMON_WEIGHTS_FETCHER_H_
--- /dev/null
+++ b/src/libverbenalead/front/operators_context.h
@@ -0,0 +1,37 @@
+#ifndef VERBENALEAD_FRONT_OPERATORS_CONTEXT_H_
+#define VERBENALEAD_FRONT_OPERATORS_CONTEXT_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/awaitable.h"
+#include "base/failure.h"
+#include "decide/config.h"
+#include "model/change.h"
+#include "model/resource_write.h"
+#include "model/target_report.h"
+
+namespace verbenalead::front {
+
+/// What the operators' API asks of its daemon.
+struct OperatorsContext {
+  std::function<std::shared_ptr<const decide::ConfigState>()> m_config;
+  /// Changes after a revision; nullopt if too old.
+  std::function<std::optional<std::vector<model::Change>>(uint64_t)> m_changes;
+  std::function<Awaitable<AsyncResult<model::Change>>(model::ResourceWrite)>
+      m_commit;
+  std::function<std::vector<model::TargetReport>()> m_targets;
+  /// The lines of a request's trace from all processes, in order.
+  std::function<Awaitable<std::vector<std::string>>(std::string)> m_trace;
+  /// Tells a target to leave.
+  std::function<Awaitable<AsyncResult<bool>>(std::string)> m_drain;
+  std::function<std::string()> m_new_id;
+  std::string m_host;
+};
+
+}  // namespace verbenalead::front
+
+#endif  // VERBENALEAD_FRONT_OPERATORS_CONTEXT_H_
--- /dev/null
+++ b/src/libverbenalead/model/call.h
@@ -0,0 +1,57 @@
+#ifndef VERBENALEAD_MODEL_CALL_H_
+#define VERBENALEAD_MODEL_CALL_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "base/time.h"
+
+namespace verbenalead::model {
+
+/// Lower is more urgent, as in RFC 9218.
+constexpr int kMostUrgent = 0;
+constexpr int kDefaultUrgency = 3;
+constexpr int kLeastUrgent = 7;
+
+/// A caller's request as admission, placement and retries see it.
+class Call {
+ public:
+  Call() = default;
+
+  /// Unique; the caller's own id if it sent one.
+  const std::string& id() const { return m_id; }
+  const std::string& organisation() const { return m_organisation; }
+  /// The pool of targets that answers it.
+  const std::string& pool() const { return m_pool; }
+  /// kMostUrgent to kLeastUrgent.
+  int urgency() const { return m_urgency; }
+  /// When the caller stops waiting.
+  TimePoint deadline() const { return m_deadline; }
+  /// False: at-most-once; it must carry an idempotency key.
+  bool idempotent() const { return m_idempotent; }
+  const std::string& idempotency_key() const { return m_idempotency_key; }
+  /// Hash of the start of the prompt, for reuse of a cached prefix; 0: none.
+  uint64_t prefix() const { return m_prefix; }
+  /// Expected work in tokens, for telling long from short.
+  uint32_t expected_tokens() const { return m_expected_tokens; }
+
+  friend auto operator<=>(const Call&, const Call&) = default;
+
+ private:
+  friend class CallBuilder;
+
+  std::string m_id;
+  std::string m_organisation;
+  std::string m_pool;
+  int m_urgency = kDefaultUrgency;
+  TimePoint m_deadline{};
+  bool m_idempotent = true;
+  std::string m_idempotency_key;
+  uint64_t m_prefix = 0;
+  uint32_t m_expected_tokens = 0;
+};
+
+}  // namespace verbenalead::model
+
+#endif  // VERBENALEAD_MODEL_CALL_H_
--- /dev/null
+++ b/src/libverbenalead/peer/client.cc
@@ -0,0 +1,98 @@
+#include "peer/client.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <map>
+
+namespace verbenalead::peer {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// The sessions that one thread has dialled, by peer.
+class SessionPool : public asio::execution_context::service {
+ public:
+  static inline asio::execution_context::id id;
+
+  explicit SessionPool(asio::execution_context& context)
+      : asio::execution_context::service(context) {}
+
+  std::shared_ptr<Session> Find(const Endpoint& endpoint) {
+    auto found = m_sessions.find(endpoint);
+    if (found == m_sessions.end())
+      return nullptr;
+    if (found->second->closed()) {
+      m_sessions.erase(found);
+      return nullptr;
+    }
+    return found->second;
+  }
+
+  void Add(const Endpoint& endpoint, std::shared_ptr<Session> session) {
+    m_sessions[endpoint] = std::move(session);
+  }
+
+ private:
+  void shutdown() override { m_sessions.clear(); }
+
+  std::map<Endpoint, std::shared_ptr<Session>> m_sessions;
+};
+
+Failure NotConnected(const Endpoint& endpoint, const std::string& reason) {
+  return Failure{FailureCode::kUnreachable, "connect", ToString(endpoint),
+                 reason};
+}
+
+/// Connects `socket` until `deadline`: a SYN into a dead link gets no answer.
+Awaitable<AsyncResult<bool>> Connect(tcp::socket& socket,
+                                     Endpoint endpoint,
+                                     TimePoint deadline) {
+  boost::system::error_code error;
+  const tcp::endpoint remote(asio::ip::make_address(endpoint.address(), error),
+                             endpoint.port());
+  if (error)
+    co_return NotConnected(endpoint, error.message());
+  asio::steady_timer timer(socket.get_executor(), deadline);
+  timer.async_wait([&socket](const boost::system::error_code& cancelled) {
+    boost::system::error_code ignored;
+    if (!cancelled)
+      socket.close(ignored);
+  });
+  co_await socket.async_connect(
+      remote, asio::redirect_error(asio::use_awaitable, error));
+  timer.cancel();
+  if (!error && !socket.is_open())
+    error = asio::error::timed_out;
+  if (error)
+    co_return NotConnected(endpoint, error.message());
+  co_return true;
+}
+
+}  // namespace
+
+Awaitable<AsyncResult<std::unique_ptr<wire::ResponseReader>>>
+Client::Open(Endpoint endpoint, wire::Request request, TimePoint deadline) {
+  const auto executor = co_await asio::this_coro::executor;
+  auto& pool = asio::use_service<SessionPool>(
+      asio::query(executor, asio::execution::context));
+  std::shared_ptr<Session> session = pool.Find(endpoint);
+  if (!session) {
+    auto socket = std::make_shared<tcp::socket>(executor);
+    const auto give_up = std::min(deadline, Now() + m_limits.m_silent_after);
+    auto connected = co_await Connect(*socket, endpoint, give_up);
+    if (!connected)
+      co_return connected.error();
+    // Somebody else on this thread may have dialled meanwhile.
+    session = pool.Find(endpoint);
+    if (!session) {
+      session = Session::Dial(std::move(*socket), m_limits, endpoint);
+      pool.Add(endpoint, session);
+    }
+  }
+  co_return session->Open(std::move(request));
+}
+
+}  // namespace verbenalead::peer
--- /dev/null
+++ b/src/libverbenalead/peer/header_names.h
@@ -0,0 +1,30 @@
+#ifndef VERBENALEAD_PEER_HEADER_NAMES_H_
+#define VERBENALEAD_PEER_HEADER_NAMES_H_
+
+namespace verbenalead::peer {
+
+// Header fields of an attempt, from entry to target.
+constexpr char kRequestId[] = "x-request-id";
+constexpr char kAttempt[] = "x-attempt";
+constexpr char kIncarnation[] = "x-incarnation";
+constexpr char kOrganisation[] = "x-organisation";
+constexpr char kPath[] = "x-path";
+/// Digest of the version that the attempt was placed for.
+constexpr char kDigest[] = "x-model-digest";
+/// Milliseconds that the caller still waits.
+constexpr char kDeadline[] = "x-deadline-ms";
+/// The sender's configuration revision: whoever is behind learns it here.
+constexpr char kRevision[] = "x-config-revision";
+
+// Header and trailer fields of the answer.
+constexpr char kOutcome[] = "x-outcome";
+constexpr char kReason[] = "x-reason";
+constexpr char kVersion[] = "x-model-version";
+constexpr char kTarget[] = "x-target";
+constexpr char kAttempts[] = "x-attempts";
+constexpr char kLength[] = "x-length";
+constexpr char kSha256[] = "x-sha256";
+
+}  // namespace verbenalead::peer
+
+#endif  // VERBENALEAD_PEER_HEADER_NAMES_H_
--- /dev/null
+++ b/src/libverbenalead/peer/stream.h
@@ -0,0 +1,48 @@
+#ifndef VERBENALEAD_PEER_STREAM_H_
+#define VERBENALEAD_PEER_STREAM_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <string>
+
+#include "base/awaitable.h"
+#include "base/time.h"
+#include "wire/headers.h"
+
+namespace verbenalead::peer {
+
+/// What one HTTP/2 stream has received and has yet to send.
+struct Stream {
+  explicit Stream(const boost::asio::any_io_executor& executor)
+      : m_inbound_event(executor), m_outbound_event(executor) {}
+
+  int32_t m_id = 0;
+
+  // Received.
+  wire::Headers m_headers;
+  bool m_head_done = false;
+  std::deque<std::string> m_inbound;
+  size_t m_inbound_bytes = 0;
+  wire::Headers m_trailers;
+  bool m_ended = false;
+  bool m_closed = false;
+  std::string m_closed_reason;
+  boost::asio::steady_timer m_inbound_event;
+
+  // To be sent.
+  std::deque<std::string> m_outbound;
+  size_t m_outbound_offset = 0;
+  size_t m_outbound_bytes = 0;
+  bool m_outbound_finished = false;
+  bool m_trailers_sent = false;
+  wire::Headers m_outbound_trailers;
+  boost::asio::steady_timer m_outbound_event;
+};
+
+/// Waits until somebody cancels `event` or `deadline` passes.
+Awaitable<void> WaitForEvent(boost::asio::steady_timer& event,
+                             TimePoint deadline);
+
+}  // namespace verbenalead::peer
+
+#endif  // VERBENALEAD_PEER_STREAM_H_
--- /dev/null
+++ b/src/libverbenalead/platform/host_list.h
@@ -0,0 +1,28 @@
+#ifndef VERBENALEAD_PLATFORM_HOST_LIST_H_
+#define VERBENALEAD_PLATFORM_HOST_LIST_H_
+
+#include <vector>
+
+#include "model/host.h"
+#include "wire/client.h"
+
+namespace verbenalead::platform {
+
+/// The platform's list of live and leaving hosts, in the format of Prometheus
+/// HTTP service discovery at /hosts. It lags behind reality.
+class HostList {
+ public:
+  HostList(wire::Client& client, Endpoint endpoint, Duration timeout)
+      : m_client(client), m_endpoint(std::move(endpoint)), m_timeout(timeout) {}
+
+  Awaitable<AsyncResult<std::vector<model::Host>>> Get();
+
+ private:
+  wire::Client& m_client;
+  const Endpoint m_endpoint;
+  const Duration m_timeout;
+};
+
+}  // namespace verbenalead::platform
+
+#endif  // VERBENALEAD_PLATFORM_HOST_LIST_H_
--- /dev/null
+++ b/src/libverbenalead/platform/object_store.cc
@@ -0,0 +1,84 @@
+#include "platform/object_store.h"
+
+#include <boost/property_tree/ptree.hpp>
+#include <boost/property_tree/xml_parser.hpp>
+#include <boost/url/url.hpp>
+#include <sstream>
+
+namespace verbenalead::platform {
+namespace {
+
+AsyncResult<std::string> Checked(AsyncResult<wire::Response> response,
+                                 const std::string& step,
+                                 const Endpoint& endpoint) {
+  if (!response)
+    return response.error();
+  if (response->m_status == 200)
+    return std::move(response->m_body);
+  const FailureCode code = response->m_status == 404 ? FailureCode::kNotFound
+                                                     : FailureCode::kRefused;
+  return Failure{code, step, ToString(endpoint),
+                 "status " + std::to_string(response->m_status)};
+}
+
+AsyncResult<std::vector<std::string>> ReadList(const std::string& body,
+                                               const Endpoint& endpoint) {
+  std::vector<std::string> keys;
+  try {
+    boost::property_tree::ptree document;
+    std::istringstream stream(body);
+    boost::property_tree::read_xml(stream, document);
+    for (const auto& [name, node] : document.get_child("ListBucketResult")) {
+      if (name == "Contents")
+        keys.push_back(node.get<std::string>("Key"));
+    }
+  } catch (const boost::property_tree::ptree_error& error) {
+    return Failure{FailureCode::kInvalid, "list objects", ToString(endpoint),
+                   error.what()};
+  }
+  return keys;
+}
+
+}  // namespace
+
+Awaitable<AsyncResult<bool>> ObjectStore::Put(std::string key,
+                                              std::string bytes) {
+  wire::Request request;
+  request.m_method = "PUT";
+  request.m_path = "/" + m_bucket + "/" + key;
+  request.m_body = std::move(bytes);
+  auto body =
+      Checked(co_await wire::Fetch(m_client, m_endpoint, std::move(request),
+                                   Now() + m_timeout),
+              "put object " + key, m_endpoint);
+  if (!body)
+    co_return body.error();
+  co_return true;
+}
+
+Awaitable<AsyncResult<std::string>> ObjectStore::Get(std::string key) {
+  wire::Request request;
+  request.m_path = "/" + m_bucket + "/" + key;
+  co_return Checked(co_await wire::Fetch(m_client, m_endpoint,
+                                         std::move(request), Now() + m_timeout),
+                    "get object " + key, m_endpoint);
+}
+
+Awaitable<AsyncResult<std::vector<std::string>>> ObjectStore::List(
+    std::string prefix) {
+  boost::urls::url url;
+  url.set_path("/" + m_bucket);
+  url.params().append({"list-type", "2"});
+  url.params().append({"prefix", prefix});
+  wire::Request request;
+  request.m_path = std::string(url.buffer());
+  auto body =
+      Checked(co_await wire::Fetch(m_client, m_endpoint, std::move(request),
+                                   Now() + m_timeout),
+              "list objects", m_endpoint);
+  if (!body)
+    co_return body.error();
+  co_return ReadList(*body, m_endpoint);
+}
+
+}  // namespace verbenalead::platform
--- /dev/null
+++ b/src/libverbenalead/platform/object_store.h
@@ -0,0 +1,38 @@
+#ifndef VERBENALEAD_PLATFORM_OBJECT_STORE_H_
+#define VERBENALEAD_PLATFORM_OBJECT_STORE_H_
+
+#include <string>
+#include <vector>
+
+#include "wire/client.h"
+
+namespace verbenalead::platform {
+
+/// The platform's object store, by the S3 REST protocol: PUT and GET of whole
+/// objects and ListObjectsV2 in one bucket.
+class ObjectStore {
+ public:
+  ObjectStore(wire::Client& client,
+              Endpoint endpoint,
+              std::string bucket,
+              Duration timeout)
+      : m_client(client),
+        m_endpoint(std::move(endpoint)),
+        m_bucket(std::move(bucket)),
+        m_timeout(timeout) {}
+
+  Awaitable<AsyncResult<bool>> Put(std::string key, std::string bytes);
+  Awaitable<AsyncResult<std::string>> Get(std::string key);
+  /// Keys that start with `prefix`, in order, at most 1,000.
+  Awaitable<AsyncResult<std::vector<std::string>>> List(std::string prefix);
+
+ private:
+  wire::Client& m_client;
+  const Endpoint m_endpoint;
+  const std::string m_bucket;
+  const Duration m_timeout;
+};
+
+}  // namespace verbenalead::platform
+
+#endif  // VERBENALEAD_PLATFORM_OBJECT_STORE_H_
--- /dev/null
+++ b/src/libverbenalead/platform/origin.h
@@ -0,0 +1,33 @@
+#ifndef VERBENALEAD_PLATFORM_ORIGIN_H_
+#define VERBENALEAD_PLATFORM_ORIGIN_H_
+
+#include <string>
+
+#include "wire/client.h"
+
+namespace verbenalead::platform {
+
+/// The origin of weights: HTTP GET with byte ranges. Its link is shared and
+/// paid for, so every byte drawn is counted by the caller.
+class Origin {
+ public:
+  Origin(wire::Client& client, Endpoint endpoint, Duration timeout)
+      : m_client(client), m_endpoint(std::move(endpoint)), m_timeout(timeout) {}
+
+  /// The whole object at `path`, at most `max_bytes`.
+  Awaitable<AsyncResult<std::string>> Get(std::string path, size_t max_bytes);
+  /// `length` bytes of `path` from `offset`. Fails with kRefused and the
+  /// reason "busy" where the origin limits its rate (429 or 503).
+  Awaitable<AsyncResult<std::string>> GetRange(std::string path,
+                                               uint64_t offset,
+                                               uint64_t length);
+
+ private:
+  wire::Client& m_client;
+  const Endpoint m_endpoint;
+  const Duration m_timeout;
+};
+
+}  // namespace verbenalead::platform
+
+#endif  // VERBENALEAD_PLATFORM_ORIGIN_H_
--- /dev/null
+++ b/src/libverbenalead/wire/client.cc
@@ -0,0 +1,33 @@
+#include "wire/client.h"
+
+namespace verbenalead::wire {
+
+Awaitable<AsyncResult<Response>> Fetch(Client& client,
+                                       Endpoint endpoint,
+                                       Request request,
+                                       TimePoint deadline,
+                                       size_t max_body) {
+  const std::string step = request.m_method + " " + PathOf(request);
+  auto opened = co_await client.Open(endpoint, std::move(request), deadline);
+  if (!opened)
+    co_return opened.error();
+  ResponseReader& reader = **opened;
+  auto head = co_await reader.ReadHead(deadline);
+  if (!head)
+    co_return head.error();
+  Response response{head->m_status, std::move(head->m_headers), ""};
+  while (true) {
+    auto piece = co_await reader.ReadBody(deadline);
+    if (!piece)
+      co_return piece.error();
+    if (!piece->has_value())
+      co_return response;
+    if (response.m_body.size() + (*piece)->size() > max_body) {
+      co_return Failure{FailureCode::kInvalid, step, ToString(endpoint),
+                        "the body is too long"};
+    }
+    response.m_body += **piece;
+  }
+}
+
+}  // namespace verbenalead::wire
--- /dev/null
+++ b/src/libverbenalead/wire/headers.h
@@ -0,0 +1,21 @@
+#ifndef VERBENALEAD_WIRE_HEADERS_H_
+#define VERBENALEAD_WIRE_HEADERS_H_
+
+#include <map>
+#include <string>
+
+namespace verbenalead::wire {
+
+/// Header fields by lower-case name. One value a name: the protocols between
+/// our processes repeat none.
+using Headers = std::map<std::string, std::string>;
+
+/// The value of `name` (lower case), or "" where it is absent.
+inline std::string Get(const Headers& headers, const std::string& name) {
+  auto found = headers.find(name);
+  return found == headers.end() ? std::string() : found->second;
+}
+
+}  // namespace verbenalead::wire
+
+#endif  // VERBENALEAD_WIRE_HEADERS_H_
--- /dev/null
+++ b/src/vlctl/main.cc
@@ -0,0 +1,143 @@
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+#include "base/catch_failure.h"
+#include "vlctl/commands.h"
+
+namespace {
+
+using namespace verbenalead;
+using vlctl::ExitCode;
+
+constexpr char kFooter[] =
+    "Exit codes: 0 done; 1 the entry can't be reached or failed; 2 bad command "
+    "line, file or settings; 3 not found; 4 somebody else's write came first; "
+    "5 unknown: repeat with the printed --operation.";
+
+/// What the command line says.
+struct Options {
+  std::string m_entry = "127.0.0.1:8081";
+  std::string m_output = "table";
+  std::string m_operator = "vlctl";
+  int m_timeout_ms = 10000;
+  std::string m_file;
+  std::string m_operation;
+  std::string m_kind;
+  std::string m_name;
+  std::string m_program = "vlentry";
+  std::string m_model;
+  uint64_t m_revision = 0;
+  uint64_t m_count = 0;
+  uint64_t m_chunk_size = 1 << 20;
+};
+
+void AddResourceCommands(CLI::App& app, Options& options) {
+  auto* apply = app.add_subcommand("apply", "declare resources from a file");
+  apply->add_option("-f,--file", options.m_file, "JSON file")->required();
+  apply->add_option("--operation", options.m_operation,
+                    "operation id; a repeat with the same id is harmless");
+  auto* get = app.add_subcommand("get", "show declared resources");
+  get->add_option("kind", options.m_kind, "kind, or all");
+  get->add_option("name", options.m_name, "name, or all of the kind");
+  auto* remove = app.add_subcommand("delete", "delete a resource");
+  remove->add_option("kind", options.m_kind)->required();
+  remove->add_option("name", options.m_name)->required();
+  remove->add_option("--operation", options.m_operation, "operation id");
+  auto* watch = app.add_subcommand("watch", "print changes as they come");
+  watch->add_option("--after", options.m_revision, "start after this revision");
+  watch->add_option("--count", options.m_count, "end after so many changes");
+}
+
+void AddFleetCommands(CLI::App& app, Options& options) {
+  auto* rollout = app.add_subcommand("rollout", "rollouts of versions");
+  auto* status = rollout->add_subcommand("status", "progress on each host");
+  status->add_option("pool", options.m_name, "pool")->required();
+  rollout->require_subcommand(1);
+  auto* drain = app.add_subcommand("drain", "let a target take nothing new");
+  drain->add_option("target", options.m_name)->required();
+  auto* trace = app.add_subcommand("trace", "what became of a request");
+  trace->add_option("request", options.m_name, "request id")->required();
+  app.add_subcommand("status", "what is in force on each host");
+}
+
+void AddLocalCommands(CLI::App& app, Options& options) {
+  auto* check =
+      app.add_subcommand("check-settings", "check a daemon's settings file");
+  check->add_option("program", options.m_program, "vlentry or vltarget")
+      ->required();
+  check->add_option("file", options.m_file, "settings file")->required();
+  auto* manifest =
+      app.add_subcommand("manifest", "make the manifest of a weights file");
+  manifest->add_option("file", options.m_file, "weights file")->required();
+  manifest->add_option("--model", options.m_model, "model")->required();
+  manifest->add_option("--name", options.m_name, "version name")->required();
+  manifest->add_option("--chunk-size", options.m_chunk_size, "bytes")
+      ->check(CLI::Range(uint64_t{1024}, uint64_t{16} << 20));
+}
+
+ExitCode RunCommand(const CLI::App& app, const Options& options) {
+  const std::string command = app.get_subcommands().front()->get_name();
+  if (command == "check-settings")
+    return vlctl::CheckSettings(options.m_program, options.m_file);
+  if (command == "manifest")
+    return vlctl::MakeManifest(options.m_file, options.m_model, options.m_name,
+                               options.m_chunk_size);
+  auto entry = CatchFailure([&] { return ParseEndpoint(options.m_entry); });
+  if (!entry) {
+    std::cerr << "vlctl: " << ToString(entry.error()) << "\n";
+    return vlctl::kBadUse;
+  }
+  const vlctl::Context context{
+      vlctl::OperatorClient(*entry,
+                            std::chrono::milliseconds(options.m_timeout_ms)),
+      options.m_output == "json", options.m_operator};
+  if (command == "apply")
+    return vlctl::Apply(context, options.m_file, options.m_operation);
+  if (command == "get")
+    return vlctl::Get(context, options.m_kind, options.m_name);
+  if (command == "delete")
+    return vlctl::Delete(context, options.m_kind, options.m_name,
+                         options.m_operation);
+  if (command == "watch") {
+    const bool given =
+        app.get_subcommand("watch")->get_option("--after")->count() > 0;
+    return vlctl::Watch(
+        context,
+        given ? std::optional<uint64_t>(options.m_revision) : std::nullopt,
+        options.m_count);
+  }
+  if (command == "rollout")
+    return vlctl::RolloutStatus(context, options.m_name);
+  if (command == "drain")
+    return vlctl::Drain(context, options.m_name);
+  if (command == "trace")
+    return vlctl::Trace(context, options.m_name);
+  return vlctl::Status(context);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Operators' and support engineers' client of verbenalead.",
+               "vlctl");
+  Options options;
+  app.footer(kFooter);
+  app.require_subcommand(1);
+  app.add_option("-e,--entry", options.m_entry,
+                 "operators' address of an entry, IP:port")
+      ->envname("VLCTL_ENTRY")
+      ->capture_default_str();
+  app.add_option("-o,--output", options.m_output, "table or json")
+      ->check(CLI::IsMember({"table", "json"}));
+  app.add_option("--operator", options.m_operator, "name told with writes");
+  app.add_option("--timeout", options.m_timeout_ms, "ms to wait");
+  AddResourceCommands(app, options);
+  AddFleetCommands(app, options);
+  AddLocalCommands(app, options);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? vlctl::kOk : vlctl::kBadUse;
+  }
+  return RunCommand(app, options);
+}
--- /dev/null
+++ b/src/vltarget/main.cc
@@ -0,0 +1,13 @@
+#include "daemon/program.h"
+#include "daemon/target_daemon.h"
+#include "daemon/target_settings.h"
+
+int main(int argc, char** argv) {
+  using namespace verbenalead;
+  return daemon::RunProgram(argc, argv, "vltarget",
+                            "Serves one target host: weights, gate and engine.",
+                            daemon::TargetSettings(),
+                            [](const Settings& settings) {
+                              return daemon::TargetDaemon(settings).Run();
+                            });
+}
--- /dev/null
+++ b/testsuite/cases/demo/run.py
@@ -0,0 +1,12 @@
+"""`make demo` as a case: what a newcomer sees first has to work."""
+
+import argparse
+import os
+import subprocess
+import sys
+
+parser = argparse.ArgumentParser()
+parser.add_argument("--bin", required=True)
+options = parser.parse_args()
+demo = os.path.join(os.path.dirname(__file__), "..", "..", "demo.py")
+sys.exit(subprocess.run([sys.executable, demo, "--bin", options.bin]).returncode)
--- /dev/null
+++ b/testsuite/harness.py
@@ -0,0 +1,375 @@
+"""Starts real programs and stand-ins on loopback for the demo and the cases.
+
+Only Python's standard library is used. Every process is ended by the id under
+which it was started.
+"""
+
+import http.client
+import json
+import os
+import random
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import time
+
+SEED = 20261202
+
+
+def free_ports(count):
+    """Ports that nobody listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def write_safetensors(path, size, seed=SEED):
+    """Writes a file in the safetensors layout of about `size` bytes."""
+    tensors = {}
+    offset = 0
+    tensor_bytes = 4 << 20
+    while offset < size:
+        length = min(tensor_bytes, size - offset)
+        tensors["layer.%d.weight" % len(tensors)] = {
+            "dtype": "U8", "shape": [length],
+            "data_offsets": [offset, offset + length]}
+        offset += length
+    header = json.dumps(tensors).encode()
+    source = random.Random(seed)
+    with open(path, "wb") as file:
+        file.write(struct.pack("<Q", len(header)))
+        file.write(header)
+        for tensor in tensors.values():
+            begin, end = tensor["data_offsets"]
+            file.write(source.randbytes(end - begin))
+
+
+class Reply:
+    """Status, headers and body of one HTTP answer; body None if it was cut."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self):
+        return json.loads(self.body)
+
+    @property
+    def outcome(self):
+        return self.headers.get("x-outcome", "")
+
+
+def call(address, method, path, body=None, headers=None, timeout=30):
+    """One HTTP request. Raises OSError where no connection is made."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        if isinstance(body, (dict, list)):
+            body = json.dumps(body)
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        names = {k.lower(): v for k, v in answer.getheaders()}
+        try:
+            data = answer.read()
+        except http.client.IncompleteRead:
+            data = None
+        return Reply(answer.status, names, data)
+    finally:
+        connection.close()
+
+
+def wait_for(what, condition, timeout=60, interval=0.05):
+    """Waits until `condition()` holds; fails the case at `timeout` seconds."""
+    deadline = time.monotonic() + timeout
+    while time.monotonic() < deadline:
+        if condition():
+            return
+        time.sleep(interval)
+    raise AssertionError("waited in vain: " + what)
+
+
+class Process:
+    """One program that this harness started."""
+
+    def __init__(self, name, command, log_path):
+        self.name = name
+        self.command = command
+        self.log_path = log_path
+        self.log = open(log_path, "ab")
+        self.child = subprocess.Popen(command, stdout=self.log,
+                                      stderr=self.log)
+
+    def send(self, number):
+        if self.child.poll() is None:
+            os.kill(self.child.pid, number)
+
+    def kill(self):
+        self.send(signal.SIGKILL)
+        self.child.wait()
+
+    def freeze(self):
+        self.send(signal.SIGSTOP)
+
+    def wake(self):
+        self.send(signal.SIGCONT)
+
+    def stop(self, timeout=40):
+        """Asks for a graceful stop; returns the exit code."""
+        self.wake()
+        self.send(signal.SIGTERM)
+        return self.child.wait(timeout)
+
+    def alive(self):
+        return self.child.poll() is None
+
+
+class Cluster:
+    """Stand-ins, entries and targets on loopback."""
+
+    def __init__(self, bin_folder, work_folder):
+        self.bin = bin_folder
+        self.work = work_folder
+        os.makedirs(work_folder, exist_ok=True)
+        self.processes = {}
+        self.settings = {}
+        self.hosts = []
+        self.entries = []
+        self.targets = []
+        ports = free_ports(4)
+        self.table, self.origin, self.host_list, self.object_store = [
+            "127.0.0.1:%d" % port for port in ports]
+
+    def path(self, name):
+        return os.path.join(self.work, name)
+
+    def program(self, name):
+        for folder in ("src", "testsuite"):
+            path = os.path.join(self.bin, folder, name)
+            if os.path.exists(path):
+                return path
+        raise AssertionError("no program " + name)
+
+    def start(self, name, program, settings):
+        path = self.path(name + ".json")
+        with open(path, "w") as file:
+            json.dump(settings, file, indent=1)
+        self.settings[name] = (program, settings)
+        process = Process(name, [self.program(program), "-s", path],
+                          self.path(name + ".log"))
+        self.processes[name] = process
+        return process
+
+    def restart(self, name):
+        program, settings = self.settings[name]
+        return self.start(name, program, settings)
+
+    def start_platform(self, origin_link=0):
+        self.start("table", "standin_table", {"listen": self.table})
+        self.start("object_store", "standin_object_store",
+                   {"listen": self.object_store})
+        self.start("origin", "standin_origin",
+                   {"listen": self.origin, "folder": self.work,
+                    "link": origin_link})
+
+    def start_host_list(self):
+        with open(self.path("hosts.json"), "w") as file:
+            json.dump(self.host_list_document(), file)
+        self.start("host_list", "standin_host_list",
+                   {"listen": self.host_list, "file": self.path("hosts.json")})
+        for address in (self.table, self.origin, self.host_list,
+                        self.object_store):
+            self.wait_listening(address)
+
+    def host_list_document(self):
+        return [{"targets": [host["peer"]], "labels": host["labels"]}
+                for host in self.hosts]
+
+    def publish_hosts(self):
+        call(self.host_list, "PUT", "/hosts", self.host_list_document())
+
+    def set_host_state(self, name, state):
+        for host in self.hosts:
+            if host["labels"]["host"] == name:
+                host["labels"]["state"] = state
+        self.publish_hosts()
+
+    def add_entry(self, name, region="mtl", data_center="mtl-1", **extra):
+        callers, operators, peers = [
+            "127.0.0.1:%d" % port for port in free_ports(3)]
+        self.hosts.append({"peer": peers, "labels": {
+            "host": name, "role": "entry", "region": region,
+            "data_center": data_center, "callers": callers}})
+        settings = {"host": name, "region": region,
+                    "data_center": data_center,
+                    "listen": {"callers": callers, "operators": operators,
+                               "peers": peers},
+                    "platform": {"table": self.table,
+                                 "object_store": self.object_store,
+                                 "host_list": self.host_list}}
+        settings.update(extra)
+        entry = {"name": name, "callers": callers, "operators": operators,
+                 "peers": peers, "settings": settings}
+        self.entries.append(entry)
+        return entry
+
+    def add_target(self, name, pool, kind="engine", region="mtl",
+                   data_center="mtl-1", backend=None, capacity=8, **extra):
+        peers, weights, backend_address = [
+            "127.0.0.1:%d" % port for port in free_ports(3)]
+        if backend:
+            backend_address = backend
+        self.hosts.append({"peer": peers, "labels": {
+            "host": name, "role": "target", "region": region,
+            "data_center": data_center, "pool": pool}})
+        settings = {"host": name, "pool": pool, "region": region,
+                    "data_center": data_center,
+                    "listen": {"peers": peers, "weights": weights},
+                    "backend": {"kind": kind, "address": backend_address,
+                                "capacity": capacity},
+                    "platform": {"table": self.table, "origin": self.origin,
+                                 "host_list": self.host_list}}
+        settings.update(extra)
+        target = {"name": name, "peers": peers, "backend": backend_address,
+                  "kind": kind, "settings": settings}
+        self.targets.append(target)
+        return target
+
+    def start_hosts(self, token_us=1000, work_ms=5):
+        for target in self.targets:
+            self.start_backend(target, token_us, work_ms)
+            self.start(target["name"], "vltarget", target["settings"])
+        for entry in self.entries:
+            self.start(entry["name"], "vlentry", entry["settings"])
+        for entry in self.entries:
+            self.wait_listening(entry["callers"])
+            self.wait_listening(entry["operators"])
+
+    def start_backend(self, target, token_us=1000, work_ms=5):
+        name = target["name"] + "-backend"
+        settings = {"listen": target["backend"]}
+        if target["kind"] == "engine":
+            self.start(name, "standin_engine",
+                       dict(settings, token_us=token_us))
+        else:
+            self.start(name, "standin_service",
+                       dict(settings, work_ms=work_ms))
+
+    def wait_listening(self, address):
+        host, port = address.rsplit(":", 1)
+
+        def answers():
+            try:
+                socket.create_connection((host, int(port)), 0.2).close()
+                return True
+            except OSError:
+                return False
+
+        wait_for("a listener at " + address, answers, 20)
+
+    def vlctl(self, *words, entry=0, check=True):
+        done = subprocess.run(
+            [self.program("vlctl"), "-e", self.entries[entry]["operators"],
+             *words], capture_output=True, text=True, timeout=60)
+        if check and done.returncode != 0:
+            raise AssertionError("vlctl %s: %d %s" % (
+                " ".join(words), done.returncode, done.stderr))
+        return done
+
+    def apply(self, resources, entry=0):
+        path = self.path("apply.json")
+        with open(path, "w") as file:
+            json.dump(resources, file)
+        return self.vlctl("apply", "-f", path, entry=entry)
+
+    def make_version(self, name, model, size, seed=SEED, chunk_size=1 << 20):
+        """Writes weights at the origin; returns their version resource."""
+        file_name = name + ".safetensors"
+        write_safetensors(self.path(file_name), size, seed)
+        done = self.vlctl("manifest", self.path(file_name), "--model", model,
+                          "--name", name, "--chunk-size", str(chunk_size))
+        return json.loads(done.stdout)
+
+    def status(self, entry=0):
+        return call(self.entries[entry]["operators"], "GET",
+                    "/v1/status").json()
+
+    def live(self, digest, entry=0):
+        """Names of the targets where `digest` is in force."""
+        return {target["name"] for target in self.status(entry)["targets"]
+                if target["open"] and target["digest"] == digest}
+
+    def faults(self, address, **faults):
+        call(address, "POST", "/faults", faults)
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.alive():
+                process.wake()
+                process.kill()
+
+
+def expected_text(digest, prompt, tokens):
+    """The stand-in engine's answer."""
+    import hashlib
+    words = []
+    for index in range(tokens):
+        seed = "%s|%s|%d" % (digest, prompt, index)
+        words.append(hashlib.sha256(seed.encode()).hexdigest()[:6] + " ")
+    return "".join(words)
+
+
+def completion(entry, model, prompt, tokens=8, stream=False, organisation="acme",
+               headers=None, timeout=30):
+    names = {"x-organisation": organisation, "content-type": "application/json"}
+    names.update(headers or {})
+    return call(entry["callers"], "POST", "/v1/completions",
+                {"model": model, "prompt": prompt, "max_tokens": tokens,
+                 "stream": stream}, names, timeout)
+
+
+def streamed_text(reply):
+    """The text of a whole event stream; None if it was cut."""
+    if reply.body is None:
+        return None
+    text = ""
+    lines = [line[6:] for line in reply.body.decode().split("\n")
+             if line.startswith("data: ")]
+    if not lines or lines[-1] != "[DONE]":
+        return None
+    for line in lines[:-1]:
+        text += json.loads(line)["choices"][0]["text"]
+    return text
+
+
+def run_case(body):
+    """Runs `body(cluster)` in a folder of its own and ends all it started."""
+    import argparse
+    import tempfile
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--bin", required=True)
+    parser.add_argument("--keep", action="store_true")
+    options = parser.parse_args()
+    work = tempfile.mkdtemp(prefix="verbenalead-")
+    cluster = Cluster(options.bin, work)
+    try:
+        body(cluster)
+        print("passed")
+    except BaseException:
+        for name in sorted(os.listdir(work)):
+            if name.endswith(".log"):
+                with open(os.path.join(work, name), errors="replace") as log:
+                    tail = log.readlines()[-25:]
+                print("---- " + name, *tail, sep="\n", file=sys.stderr)
+        raise
+    finally:
+        cluster.stop()
+        if not options.keep:
+            import shutil
+            shutil.rmtree(work, ignore_errors=True)
--- /dev/null
+++ b/testsuite/run_ctest.py
@@ -0,0 +1,42 @@
+"""Runs CTest, and passes over failures that KNOWN-RED.txt lists.
+
+Each line there starts with the name of a CTest test, and tells after a colon
+what was seen, the cause and the issue; three lines at most. Listed tests still
+run, and their failure is printed.
+"""
+
+import os
+import subprocess
+import sys
+
+MOST_KNOWN_RED = 3
+
+
+def known_red():
+    if not os.path.exists("KNOWN-RED.txt"):
+        return {}
+    with open("KNOWN-RED.txt") as file:
+        lines = [line.strip() for line in file]
+    lines = [line for line in lines if line and not line.startswith("#")]
+    if len(lines) > MOST_KNOWN_RED:
+        sys.exit("KNOWN-RED.txt lists more than three tests")
+    return {line.split(":", 1)[0].strip(): line for line in lines}
+
+
+def main():
+    build = sys.argv[1]
+    command = ["ctest", "--test-dir", build, "--output-on-failure"]
+    jobs = ["-j", str(max(2, (os.cpu_count() or 2) // 2))]
+    red = known_red()
+    for name, line in red.items():
+        pattern = "^%s$" % name
+        done = subprocess.run(command + ["-R", pattern])
+        print("KNOWN RED %s: %s" % (
+            "still fails" if done.returncode else "passes now", line))
+    if red:
+        command += ["-E", "^(%s)$" % "|".join(red)]
+    return subprocess.run(command + jobs).returncode
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/testsuite/standins/engine/load_weights.h
@@ -0,0 +1,19 @@
+#ifndef VERBENALEAD_STANDINS_ENGINE_LOAD_WEIGHTS_H_
+#define VERBENALEAD_STANDINS_ENGINE_LOAD_WEIGHTS_H_
+
+#include <string>
+
+#include "base/awaitable.h"
+#include "base/digest.h"
+#include "wire/client.h"
+
+namespace verbenalead::standins {
+
+/// Reads weights over HTTP from `url` ("http://IP:port/path"), checks that they
+/// have the safetensors layout, and returns their digest.
+Awaitable<AsyncResult<Digest>> LoadWeights(wire::Client& client,
+                                           std::string url);
+
+}  // namespace verbenalead::standins
+
+#endif  // VERBENALEAD_STANDINS_ENGINE_LOAD_WEIGHTS_H_
