--- a/src/libverbenalead/daemon/entry_daemon.cc
+++ b/src/libverbenalead/daemon/entry_daemon.cc
@@ -194,7 +194,7 @@
   }
 
   bool Listen() {
-    for (auto bound :
+    for (const auto& bound :
          {m_callers.Listen(m_settings.Address("listen.callers")),
           m_operators.Listen(m_settings.Address("listen.operators")),
           m_peer_server.Listen(m_settings.Address("listen.peers"))}) {
--- a/src/libverbenalead/daemon/target_daemon.cc
+++ b/src/libverbenalead/daemon/target_daemon.cc
@@ -204,7 +204,7 @@
   }
 
   bool Listen() {
-    for (auto bound :
+    for (const auto& bound :
          {m_peer_server.Listen(m_settings.Address("listen.peers")),
           m_weights_server.Listen(m_settings.Address("listen.weights"))}) {
       if (!bound) {
--- a/src/libverbenalead/model/change.cc
+++ b/src/libverbenalead/model/change.cc
@@ -11,9 +11,9 @@
 namespace json = boost::json;
 
 const std::vector<std::string>& ResourceKinds() {
-  static const std::vector<std::string> kinds = {
+  static const std::vector<std::string> kKinds = {
       "model", "version", "adapter", "pool", "route", "limits", "service"};
-  return kinds;
+  return kKinds;
 }
 
 std::string ToJson(const Change& change) {
