--- /dev/null
+++ b/src/libverbenalead/base/settings_schema_test.cc
@@ -0,0 +1,88 @@
+#include "base/settings_schema.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include "base/catch_failure.h"
+
+namespace verbenalead {
+namespace {
+
+SettingsSchema Schema() {
+  return SettingsSchema()
+      .RequiredText("host", "name")
+      .Integer("limits.body", 100, 1, 1000, "bytes", "largest body")
+      .Flag("fast", false, "speed")
+      .Choice("log.level", {"info", "warn"}, "least level")
+      .Address("listen", "127.0.0.1:1", "where")
+      .AddressList("entries", "entries");
+}
+
+AsyncResult<Settings> Parse(const std::string& text) {
+  return CatchFailure([&] { return Schema().Parse(text); });
+}
+
+/// The reason for which `text` is refused; "" if it is taken.
+std::string Refusal(const std::string& text) {
+  auto settings = Parse(text);
+  return settings ? "" : settings.error().m_reason;
+}
+
+class SettingsSchemaTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SettingsSchemaTest);
+  CPPUNIT_TEST(TakesDefaults);
+  CPPUNIT_TEST(NamesPathValueAndRange);
+  CPPUNIT_TEST(EveryIntegerOutOfRangeIsRefused);
+  CPPUNIT_TEST(AnyTextIsTakenOrRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TakesDefaults() {
+    const auto settings = Parse(R"({"host": "h1", "limits": {"body": 7}})");
+    CPPUNIT_ASSERT(settings.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("h1"), settings->Text("host"));
+    CPPUNIT_ASSERT_EQUAL(int64_t{7}, settings->Integer("limits.body"));
+    CPPUNIT_ASSERT_EQUAL(std::string("info"), settings->Text("log.level"));
+    CPPUNIT_ASSERT(settings->Address("listen") == Endpoint("127.0.0.1", 1));
+  }
+
+  void NamesPathValueAndRange() {
+    CPPUNIT_ASSERT_EQUAL(std::string("host is missing; allowed: text"),
+                         Refusal("{}"));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("limits.body is 0; allowed: integer from 1 to 1000 bytes"),
+        Refusal(R"({"host": "h", "limits": {"body": 0}})"));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("log.level is \"loud\"; allowed: one of info, warn"),
+        Refusal(R"({"host": "h", "log": {"level": "loud"}})"));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("lisen is unknown; allowed: a documented key"),
+        Refusal(R"({"host": "h", "lisen": "127.0.0.1:1"})"));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("listen is \"localhost:1\"; allowed: IP:port"),
+        Refusal(R"({"host": "h", "listen": "localhost:1"})"));
+    CPPUNIT_ASSERT_EQUAL(std::string("fast is \"yes\"; allowed: true or false"),
+                         Refusal(R"({"host": "h", "fast": "yes"})"));
+    CPPUNIT_ASSERT(!Refusal(R"({"host": "h", "entries": ["x"]})").empty());
+  }
+
+  void EveryIntegerOutOfRangeIsRefused() {
+    CPPUNIT_ASSERT(rc::check("range", [](int64_t value) {
+      const std::string text =
+          R"({"host": "h", "limits": {"body": )" + std::to_string(value) + "}}";
+      RC_ASSERT(Refusal(text).empty() == (value >= 1 && value <= 1000));
+    }));
+  }
+
+  void AnyTextIsTakenOrRefused() {
+    CPPUNIT_ASSERT(rc::check("any text", [](const std::string& text) {
+      const auto settings = Parse(text);
+      RC_ASSERT(settings.has_value() || !settings.error().m_reason.empty());
+    }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsSchemaTest);
+
+}  // namespace
+}  // namespace verbenalead
