Sign requests to the table where credentials are set

Cause: the table is the platform's and shared; whoever reaches it could have written our configuration. Ruled out: TLS with a client certificate alone, which the protocol's services don't check. A credentials file that can't be read stops the daemon at start with one line.

--- a/src/libverbenalead/daemon/entry_daemon.cc
+++ b/src/libverbenalead/daemon/entry_daemon.cc
@@ -12,6 +12,7 @@
 #include "base/new_id.h"
 #include "base/sleep.h"
 #include "daemon/config_keeper.h"
+#include "daemon/credentials.h"
 #include "daemon/entry_peer_api.h"
 #include "daemon/request_runner.h"
 #include "daemon/target_directory.h"
@@ -24,6 +25,7 @@
 #include "peer/server.h"
 #include "platform/dynamo_table.h"
 #include "platform/host_list.h"
+#include "platform/signing_client.h"
 
 namespace verbenalead::daemon {
 namespace {
@@ -72,7 +74,8 @@
         m_peers(peer::SessionLimits{}),
         m_journal(settings.Text("host"),
                   static_cast<size_t>(settings.Integer("journal.requests"))),
-        m_table(m_http,
+        m_signed_table(m_http, CredentialsIn(settings), "dynamodb"),
+        m_table(m_signed_table,
                 settings.Address("platform.table"),
                 settings.Text("platform.table_name"),
                 settings.Milliseconds("platform.table_timeout")),
@@ -212,6 +215,7 @@
   peer::Client m_peers;
   Metrics m_metrics;
   Journal m_journal;
+  platform::SigningClient m_signed_table;
   platform::DynamoTable m_table;
   platform::HostList m_host_list;
   HostDirectory m_hosts;
--- a/src/libverbenalead/daemon/entry_settings.cc
+++ b/src/libverbenalead/daemon/entry_settings.cc
@@ -20,6 +20,9 @@
                "requests whose trace is kept in memory")
       .Address("platform.table", "127.0.0.1:8100", "table service")
       .Text("platform.table_name", "verbenalead", "name of the table")
+      .Text("platform.credentials_file", "",
+            "JSON file with access_key, secret and region; empty: requests to "
+            "the platform are not signed")
       .Integer("platform.table_timeout", 1000, 10, 60000, "ms",
                "longest wait for one answer of the table")
       .Address("platform.object_store", "", "object store; empty: none")
--- a/src/libverbenalead/daemon/program.cc
+++ b/src/libverbenalead/daemon/program.cc
@@ -9,6 +9,7 @@
 namespace verbenalead::daemon {
 namespace {
 
+constexpr int kCouldNotRun = 1;
 constexpr int kBadUse = 2;
 
 }  // namespace
@@ -49,7 +50,12 @@
   if (check)
     return 0;
   StartLog(name, settings->Text("log.level"));
-  return run(*settings);
+  try {
+    return run(*settings);
+  } catch (const std::exception& error) {
+    std::cerr << name << ": " << error.what() << "\n";
+    return kCouldNotRun;
+  }
 }
 
 }  // namespace verbenalead::daemon
--- a/src/libverbenalead/daemon/target_daemon.cc
+++ b/src/libverbenalead/daemon/target_daemon.cc
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "base/sleep.h"
 #include "daemon/config_messages.h"
+#include "daemon/credentials.h"
 #include "daemon/target_peer_api.h"
 #include "daemon/version_keeper.h"
 #include "http/client.h"
@@ -18,6 +19,7 @@
 #include "peer/client.h"
 #include "peer/server.h"
 #include "platform/dynamo_table.h"
+#include "platform/signing_client.h"
 
 namespace verbenalead::daemon {
 namespace {
@@ -51,7 +53,8 @@
         m_peers(peer::SessionLimits{}),
         m_journal(settings.Text("host"),
                   static_cast<size_t>(settings.Integer("journal.requests"))),
-        m_table(m_http,
+        m_signed_table(m_http, CredentialsIn(settings), "dynamodb"),
+        m_table(m_signed_table,
                 settings.Address("platform.table"),
                 settings.Text("platform.table_name"),
                 settings.Milliseconds("platform.table_timeout")),
@@ -220,6 +223,7 @@
   http::Client m_http;
   peer::Client m_peers;
   Journal m_journal;
+  platform::SigningClient m_signed_table;
   platform::DynamoTable m_table;
   platform::HostList m_host_list;
   HostDirectory m_hosts;
--- /dev/null
+++ b/src/libverbenalead/platform/signing_client.h
@@ -0,0 +1,34 @@
+#ifndef VERBENALEAD_PLATFORM_SIGNING_CLIENT_H_
+#define VERBENALEAD_PLATFORM_SIGNING_CLIENT_H_
+
+#include <optional>
+#include <string>
+
+#include "platform/signing_key.h"
+#include "wire/client.h"
+
+namespace verbenalead::platform {
+
+/// Signs each request to one of the platform's services and hands it to another
+/// client. Without a key requests go out unsigned.
+class SigningClient : public wire::Client {
+ public:
+  SigningClient(wire::Client& client,
+                std::optional<SigningKey> key,
+                std::string service)
+      : m_client(client),
+        m_key(std::move(key)),
+        m_service(std::move(service)) {}
+
+  Awaitable<AsyncResult<std::unique_ptr<wire::ResponseReader>>>
+  Open(Endpoint endpoint, wire::Request request, TimePoint deadline) override;
+
+ private:
+  wire::Client& m_client;
+  const std::optional<SigningKey> m_key;
+  const std::string m_service;
+};
+
+}  // namespace verbenalead::platform
+
+#endif  // VERBENALEAD_PLATFORM_SIGNING_CLIENT_H_
--- /dev/null
+++ b/src/libverbenalead/platform/signing_key.h
@@ -0,0 +1,28 @@
+#ifndef VERBENALEAD_PLATFORM_SIGNING_KEY_H_
+#define VERBENALEAD_PLATFORM_SIGNING_KEY_H_
+
+#include <compare>
+#include <string>
+
+#include "base/failure.h"
+
+namespace verbenalead::platform {
+
+/// What the platform's services know us by.
+struct SigningKey {
+  std::string m_access_key;
+  std::string m_secret;
+  /// The services' own region name, e.g. "us-east-1"; it is part of the
+  /// signature.
+  std::string m_service_region;
+
+  friend auto operator<=>(const SigningKey&, const SigningKey&) = default;
+};
+
+/// Reads {"access_key": ..., "secret": ..., "region": ...} from the file at
+/// `path`. Fails with kNotFound or kInvalid; the reason never holds the secret.
+Result<SigningKey> LoadSigningKey(const std::string& path);
+
+}  // namespace verbenalead::platform
+
+#endif  // VERBENALEAD_PLATFORM_SIGNING_KEY_H_
