--- a/src/libverbenalead/base/settings_schema.cc
+++ b/src/libverbenalead/base/settings_schema.cc
@@ -28,7 +28,7 @@
              std::map<std::string, json::value>& out) {
   for (const auto& member : object) {
     std::string path = prefix + std::string(member.key());
-    if (member.value().is_object())
+    if (member.value().is_object() && !member.value().get_object().empty())
       Flatten(member.value().get_object(), path + ".", out);
     else
       out[path] = member.value();
@@ -63,6 +63,13 @@
   return TypeName(key.m_type);
 }
 
+/// Whether `path` names a group of keys, such as "listen".
+bool IsGroup(const std::vector<SettingKey>& keys, const std::string& path) {
+  return std::any_of(keys.begin(), keys.end(), [&](const SettingKey& key) {
+    return key.m_path.starts_with(path + ".");
+  });
+}
+
 bool IsAddress(const std::string& text) {
   return boost::leaf::try_handle_all(
       [&]() -> Result<bool> {
@@ -231,6 +238,9 @@
     values[key.m_path] = std::move(value);
     given.erase(found);
   }
+  std::erase_if(given, [&](const auto& left) {
+    return left.second.is_object() && IsGroup(m_keys, left.first);
+  });
   if (!given.empty())
     return BadSetting(given.begin()->first, "unknown", "a documented key");
   return Settings(std::move(values));
--- a/src/libverbenalead/base/settings_schema_test.cc
+++ b/src/libverbenalead/base/settings_schema_test.cc
@@ -64,6 +64,12 @@
     CPPUNIT_ASSERT_EQUAL(std::string("fast is \"yes\"; allowed: true or false"),
                          Refusal(R"({"host": "h", "fast": "yes"})"));
     CPPUNIT_ASSERT(!Refusal(R"({"host": "h", "entries": ["x"]})").empty());
+    // An empty group is harmless; one that nobody knows is a misspelt one.
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         Refusal(R"({"host": "h", "limits": {}})"));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("limts is unknown; allowed: a documented key"),
+        Refusal(R"({"host": "h", "limts": {}})"));
   }
 
   void EveryIntegerOutOfRangeIsRefused() {
