Roll versions out in waves by permits from the table

Cause: every host of a pool shut its gate and loaded as soon as its weights were there, so a new version could take the whole pool out of service, and nothing could pause it or stop it after a failed load.

A host that serves now takes a permit before it shuts its gate; a host that serves nothing loads at once, so a first rollout is as fast as before. Permits are one table item for each pool, written under a condition on its revision. decide/rollout holds the whole sequence without I/O; VersionKeeper does its steps. Fencing numbers name the process that minted them, so a process that was taken over while paused finds out and gives no more orders. The version before is kept while memory allows. The gate asks the engine after every doubt, and an answer in the name of another version shuts it at once; an engine's end is noticed by a connection that is kept open to it.

Ruled out: a coordinator among the entries (it may die or be doubled, and would need the same numbers besides), and leases judged by wall clocks.

--- /dev/null
+++ b/src/libverbenalead/daemon/fence_minter.cc
@@ -0,0 +1,50 @@
+#include "daemon/fence_minter.h"
+
+#include "base/new_id.h"
+
+namespace verbenalead::daemon {
+namespace {
+
+constexpr char kPartition[] = "fence";
+
+}  // namespace
+
+FenceMinter::FenceMinter(std::string host,
+                         uint64_t owner,
+                         platform::Table& table)
+    : m_host(std::move(host)),
+      // The id tells apart two processes that started in the same millisecond.
+      m_owner("{\"owner\":\"" + std::to_string(owner) + "-" + NewId() + "\"}"),
+      m_table(table) {}
+
+Awaitable<AsyncResult<uint64_t>> FenceMinter::Mint() {
+  using Condition = platform::TableWrite::Condition;
+  auto item = co_await m_table.Get(kPartition, m_host);
+  if (!item)
+    co_return item.error();
+  const bool known = item->has_value();
+  const uint64_t last = known ? (*item)->m_revision : 0;
+  const bool ours = known && (*item)->m_value == m_owner;
+  if (m_minted && !ours) {
+    co_return Failure{FailureCode::kConflict, "mint fence", m_host,
+                      "a newer process minted " + std::to_string(last)};
+  }
+  platform::TableWrite write;
+  write.m_item = {kPartition, m_host, last + 1, m_owner};
+  write.m_condition = known ? Condition::kRevisionIs : Condition::kAbsent;
+  write.m_expected_revision = last;
+  std::vector<platform::TableWrite> writes;
+  writes.push_back(std::move(write));
+  auto done = co_await m_table.Transact(std::move(writes));
+  // A lost answer costs one number: the next try reads it back as ours.
+  if (!done)
+    co_return done.error();
+  if (*done != platform::TransactResult::kCommitted) {
+    co_return Failure{FailureCode::kTimeout, "mint fence", m_host,
+                      "lost a race; trying again"};
+  }
+  m_minted = true;
+  co_return last + 1;
+}
+
+}  // namespace verbenalead::daemon
--- a/src/libverbenalead/daemon/gate_keeper.h
+++ b/src/libverbenalead/daemon/gate_keeper.h
@@ -10,11 +10,15 @@
 /// The target's gate, under its lock. May be used from several threads.
 class GateKeeper {
  public:
-  GateKeeper(uint64_t incarnation, uint32_t capacity) {
+  GateKeeper(uint64_t incarnation, uint32_t capacity)
+      : m_incarnation(incarnation) {
     m_gate.m_incarnation = incarnation;
     m_gate.m_capacity = capacity;
   }
 
+  /// This run of the target process.
+  uint64_t incarnation() const { return m_incarnation; }
+
   /// Calls `function` with the gate while no one else touches it.
   template <typename Function>
   auto With(Function&& function) {
@@ -23,6 +27,7 @@
   }
 
  private:
+  const uint64_t m_incarnation;
   std::mutex m_mutex;
   decide::GateState m_gate;
 };
--- /dev/null
+++ b/src/libverbenalead/daemon/permit_table.cc
@@ -0,0 +1,40 @@
+#include "daemon/permit_table.h"
+
+#include "base/catch_failure.h"
+
+namespace verbenalead::daemon {
+namespace {
+
+constexpr char kPartition[] = "permits";
+
+}  // namespace
+
+Awaitable<AsyncResult<decide::PermitBoard>> PermitTable::Read() {
+  auto item = co_await m_table.Get(kPartition, m_pool);
+  if (!item)
+    co_return item.error();
+  if (!item->has_value())
+    co_return decide::PermitBoard();
+  co_return CatchFailure([&] {
+    return decide::ParsePermitBoard((*item)->m_value, (*item)->m_revision);
+  });
+}
+
+Awaitable<decide::WriteResult> PermitTable::Write(decide::PermitBoard board) {
+  using Condition = platform::TableWrite::Condition;
+  const uint64_t before = board.m_revision - 1;
+  platform::TableWrite write;
+  write.m_item = {kPartition, m_pool, board.m_revision, ToJson(board)};
+  write.m_condition = before ? Condition::kRevisionIs : Condition::kAbsent;
+  write.m_expected_revision = before;
+  std::vector<platform::TableWrite> writes;
+  writes.push_back(std::move(write));
+  auto done = co_await m_table.Transact(std::move(writes));
+  if (!done)
+    co_return decide::WriteResult::kDoubt;
+  co_return *done == platform::TransactResult::kCommitted
+      ? decide::WriteResult::kCommitted
+      : decide::WriteResult::kConflict;
+}
+
+}  // namespace verbenalead::daemon
--- /dev/null
+++ b/src/libverbenalead/daemon/permit_table.h
@@ -0,0 +1,30 @@
+#ifndef VERBENALEAD_DAEMON_PERMIT_TABLE_H_
+#define VERBENALEAD_DAEMON_PERMIT_TABLE_H_
+
+#include <string>
+
+#include "decide/permit_board.h"
+#include "decide/rollout.h"
+#include "platform/table.h"
+
+namespace verbenalead::daemon {
+
+/// The permits of one pool as an item of the platform's table.
+class PermitTable {
+ public:
+  PermitTable(std::string pool, platform::Table& table)
+      : m_pool(std::move(pool)), m_table(table) {}
+
+  /// A pool whose permits were never written reads as empty, revision 0.
+  Awaitable<AsyncResult<decide::PermitBoard>> Read();
+  /// Writes `board` if the item stands at the revision before its own.
+  Awaitable<decide::WriteResult> Write(decide::PermitBoard board);
+
+ private:
+  const std::string m_pool;
+  platform::Table& m_table;
+};
+
+}  // namespace verbenalead::daemon
+
+#endif  // VERBENALEAD_DAEMON_PERMIT_TABLE_H_
--- a/src/libverbenalead/daemon/target_daemon.cc
+++ b/src/libverbenalead/daemon/target_daemon.cc
@@ -79,6 +79,7 @@
                    settings.Text("pool"),
                    settings.Address("listen.weights"),
                    m_config,
+                   m_hosts,
                    m_gate,
                    m_store,
                    m_fetcher,
@@ -113,6 +114,8 @@
     const VersionProgress progress = m_versions.progress();
     report.m_version = progress.m_in_force;
     report.m_loading = progress.m_loading;
+    report.m_stage = progress.m_stage;
+    report.m_reason = progress.m_reason;
     if (!progress.m_loading.empty()) {
       const auto manifest = m_store.GetManifest(progress.m_loading_digest);
       report.m_chunks_total = manifest ? manifest->chunk_count() : 0;
--- a/src/libverbenalead/daemon/version_keeper.cc
+++ b/src/libverbenalead/daemon/version_keeper.cc
@@ -1,18 +1,31 @@
 #include "daemon/version_keeper.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
 #include "base/log.h"
 #include "base/sleep.h"
 
 namespace verbenalead::daemon {
 namespace {
 
-constexpr Duration kStep = 50ms;
-constexpr Duration kAfterFailure = 500ms;
+using Kind = decide::RolloutAction::Kind;
+
+constexpr Duration kStep = 20ms;
+/// Between steps that did something: one that fails at once must not spin.
+constexpr Duration kAfterAction = 1ms;
+constexpr Duration kAfterMintFailure = 500ms;
 constexpr Duration kLoadTimeout = std::chrono::minutes(10);
 constexpr Duration kStatusTimeout = 2s;
 constexpr Duration kCheckInterval = 1s;
-constexpr char kFencePartition[] = "fence";
-constexpr int kMaxFenceTries = 8;
+constexpr Duration kReconnect = 50ms;
+constexpr Duration kPermitPoll = 200ms;
+
+std::optional<Digest> DigestOf(
+    const AsyncResult<platform::EngineStatus>& status) {
+  return status ? std::optional<Digest>(status->m_digest) : std::nullopt;
+}
 
 }  // namespace
 
@@ -20,6 +33,7 @@
                              std::string pool,
                              Endpoint weights_server,
                              ConfigKeeper& config,
+                             HostDirectory& hosts,
                              GateKeeper& gate,
                              WeightsStore& store,
                              WeightsFetcher& fetcher,
@@ -29,173 +43,313 @@
       m_pool(std::move(pool)),
       m_weights_server(std::move(weights_server)),
       m_config(config),
+      m_hosts(hosts),
       m_gate(gate),
       m_store(store),
       m_fetcher(fetcher),
       m_engine(engine),
-      m_table(table) {}
+      m_fences(m_host, gate.incarnation(), table),
+      m_permits(m_pool, table),
+      m_state(decide::StartRollout(m_host, gate.incarnation())) {}
 
-std::optional<model::VersionSpec> VersionKeeper::Wanted() const {
-  return decide::VersionForPool(*m_config.current(), m_pool);
+const decide::RolloutPlan& VersionKeeper::Plan() {
+  const ConfigKeeper::State config = m_config.current();
+  uint32_t hosts = 0;
+  for (const model::Host& host : m_hosts.Hosts(model::HostRole::kTarget)) {
+    if (host.pool() == m_pool && !host.leaving())
+      ++hosts;
+  }
+  m_plan.m_hosts = hosts;
+  if (config->m_revision == m_plan_of_revision)
+    return m_plan;
+  m_plan = decide::PlanForPool(*config, m_pool, hosts);
+  m_plan_of_revision = config->m_revision;
+  With([&](decide::RolloutState&, decide::GateState&) {
+    for (const auto& [digest, name] : m_plan.m_declared)
+      m_names[digest] = name;
+  });
+  return m_plan;
 }
 
 VersionProgress VersionKeeper::progress() const {
-  std::lock_guard lock(m_mutex);
-  return m_progress;
-}
-
-void VersionKeeper::SetLoading(const std::string& version,
-                               const Digest& digest) {
-  std::lock_guard lock(m_mutex);
-  m_progress.m_loading = version;
-  m_progress.m_loading_digest = digest;
+  return With([&](decide::RolloutState& state, decide::GateState& gate) {
+    auto name_of = [&](const Digest& digest) {
+      auto found = m_names.find(digest);
+      return found == m_names.end() ? std::string() : found->second;
+    };
+    VersionProgress progress;
+    progress.m_in_force = name_of(gate.m_digest);
+    progress.m_stage = decide::ToString(state.m_stage);
+    progress.m_reason = state.m_reason;
+    if (state.m_stage != decide::RolloutStage::kInForce) {
+      progress.m_loading = name_of(m_wanted);
+      progress.m_loading_digest = m_wanted;
+    }
+    return progress;
+  });
 }
 
 Awaitable<void> VersionKeeper::Run() {
-  TimePoint next_check{};
+  const auto executor = co_await boost::asio::this_coro::executor;
+  boost::asio::co_spawn(executor, KeepPermit(), boost::asio::detached);
+  boost::asio::co_spawn(executor, PollEngine(), boost::asio::detached);
+  boost::asio::co_spawn(executor, WatchEngine(), boost::asio::detached);
   while (true) {
-    const auto wanted = Wanted();
-    const bool in_force = m_gate.With([&](decide::GateState& gate) {
-      return wanted && gate.m_open && gate.m_digest == wanted->m_digest;
-    });
-    if (!wanted) {
-      co_await Sleep(kStep);
-    } else if (in_force) {
-      if (Now() >= next_check) {
-        next_check = Now() + kCheckInterval;
-        co_await CheckEngine();
-      }
+    const decide::RolloutPlan& plan = Plan();
+    decide::RolloutAction action =
+        With([&](decide::RolloutState& state, decide::GateState& gate) {
+          const decide::RolloutStage before = state.m_stage;
+          m_wanted = plan.m_digest;
+          decide::RolloutAction next =
+              decide::NextStep(state, gate, plan, Now());
+          if (state.m_stage != before) {
+            LogLine("rollout")
+                .With("digest", ToString(plan.m_digest))
+                .With("stage", decide::ToString(state.m_stage))
+                .With("reason", state.m_reason)
+                .With("gate_open", gate.m_open)
+                .Info();
+          }
+          return next;
+        });
+    if (action.m_kind == Kind::kNone) {
       co_await Sleep(kStep);
-    } else {
-      auto done = co_await BringIntoForce(*wanted);
-      if (!done) {
-        LogLine("version_failed")
-            .With("version", wanted->m_name)
-            .With(done.error())
-            .Warn();
-        co_await Sleep(kAfterFailure);
-      }
+      continue;
     }
+    co_await Do(std::move(action));
+    co_await Sleep(kAfterAction);
   }
 }
 
-Awaitable<AsyncResult<bool>> VersionKeeper::BringIntoForce(
-    model::VersionSpec version) {
-  SetLoading(version.m_name, version.m_digest);
+Awaitable<void> VersionKeeper::Do(decide::RolloutAction action) {
+  switch (action.m_kind) {
+    case Kind::kNone:
+      break;
+    case Kind::kFetch:
+      co_await Fetch(action.m_digest);
+      break;
+    case Kind::kReadPermits:
+      co_await ReadPermits();
+      break;
+    case Kind::kWritePermits:
+      co_await WritePermits(std::move(action.m_board));
+      break;
+    case Kind::kMintFence:
+      co_await MintFence();
+      break;
+    case Kind::kOrder:
+      co_await Order(action.m_digest, action.m_fence);
+      break;
+    case Kind::kAskEngine:
+      co_await AskEngine(action.m_doubt);
+      break;
+  }
+}
+
+Awaitable<void> VersionKeeper::Fetch(Digest digest) {
+  const auto version = decide::VersionForPool(*m_config.current(), m_pool);
+  if (!version || version->m_digest != digest)
+    co_return;
   LogLine("transfer_begun")
-      .With("version", version.m_name)
-      .With("digest", ToString(version.m_digest))
+      .With("version", version->m_name)
+      .With("digest", ToString(digest))
       .Info();
   // Named, not a temporary: see "Coroutines and GCC 12" in CONTRIBUTING.md.
-  std::function<bool()> still_wanted = [this, digest = version.m_digest] {
-    const auto now_wanted = Wanted();
-    return now_wanted && now_wanted->m_digest == digest;
+  // A doubt about the engine goes before the transfer: asking it takes a moment
+  // and may open the gate, and the chunks that have come are kept.
+  std::function<bool()> still_wanted = [this, digest] {
+    return Plan().m_digest == digest &&
+           With([](decide::RolloutState& state, decide::GateState& gate) {
+             return state.m_settled == gate.m_doubt;
+           });
   };
-  auto fetched = co_await m_fetcher.Fetch(version, still_wanted);
-  if (!fetched)
-    co_return fetched.error();
-  if (!*fetched) {
-    // Declared anew in mid-transfer: another identity, so what has come of the
-    // old one must not be served or mixed in.
-    LogLine("transfer_cancelled").With("version", version.m_name).Info();
-    m_store.Drop(version.m_digest);
-    co_return false;
+  auto fetched = co_await m_fetcher.Fetch(*version, still_wanted);
+  if (fetched) {
+    if (*fetched) {
+      With([&](decide::RolloutState& state, decide::GateState&) {
+        decide::Fetched(state, digest);
+      });
+    } else if (Plan().m_digest != digest) {
+      // Declared anew in mid-transfer: another identity, so what has come of
+      // the old one must not be served or mixed in.
+      LogLine("transfer_cancelled").With("version", version->m_name).Info();
+      DropUnwanted(digest);
+    }
+    co_return;
   }
-  co_return co_await Load(version);
+  // The version before is kept for a rollback only while there is room.
+  if (fetched.error().m_code == FailureCode::kRefused &&
+      DropOthers(digest, digest))
+    co_return;
+  LogLine("version_failed")
+      .With("version", version->m_name)
+      .With(fetched.error())
+      .Warn();
+  With([&](decide::RolloutState& state, decide::GateState&) {
+    decide::FetchFailed(state, ToString(fetched.error()), Now());
+  });
 }
 
-Awaitable<AsyncResult<bool>> VersionKeeper::Load(model::VersionSpec version) {
-  auto fence = co_await MintFence();
-  if (!fence)
-    co_return fence.error();
-  m_gate.With([](decide::GateState& gate) {
-    decide::Shut(gate);
-    return 0;
+Awaitable<void> VersionKeeper::ReadPermits() {
+  auto read = co_await m_permits.Read();
+  if (!read)
+    LogLine("permits_unavailable").With(read.error()).Warn();
+  With([&](decide::RolloutState& state, decide::GateState&) {
+    decide::PermitsRead(
+        state, read ? std::optional<decide::PermitBoard>(*read) : std::nullopt,
+        Now());
   });
-  while (m_gate.With([](decide::GateState& g) { return g.m_running; }) > 0)
-    co_await Sleep(kStep);
-  platform::LoadOrder order;
-  order.m_model = version.m_model;
-  order.m_version = version.m_name;
-  order.m_digest = version.m_digest;
-  order.m_fence = *fence;
-  order.m_weights_url = "http://" + ToString(m_weights_server) + "/weights/" +
-                        ToString(version.m_digest);
-  auto loaded = co_await m_engine.Load(order, Now() + kLoadTimeout);
-  // Whatever the order's answer was, only what the engine now says of itself
-  // opens the gate: the answer may be lost, or the order may have crossed
-  // with another one.
-  auto status = co_await m_engine.Status(Now() + kStatusTimeout);
-  if (!status)
-    co_return status.error();
-  if (status->m_digest != version.m_digest) {
-    co_return loaded ? Failure{FailureCode::kCorrupt, "load", m_host,
-                               "the engine serves another version"}
-                     : loaded.error();
-  }
-  m_gate.With([&](decide::GateState& gate) {
-    decide::Open(gate, version.m_digest);
-    return 0;
+}
+
+Awaitable<void> VersionKeeper::WritePermits(decide::PermitBoard board) {
+  const TimePoint sent = Now();
+  const decide::WriteResult result = co_await m_permits.Write(std::move(board));
+  With([&](decide::RolloutState& state, decide::GateState& gate) {
+    decide::PermitsWritten(state, gate, result, sent, Now());
   });
-  DropOthers(version.m_digest);
-  LogLine("version_in_force")
-      .With("version", version.m_name)
-      .With("digest", ToString(version.m_digest))
-      .With("fence", *fence)
-      .Info();
-  std::lock_guard lock(m_mutex);
-  m_progress.m_in_force = version.m_name;
-  m_progress.m_loading.clear();
-  co_return true;
 }
 
-void VersionKeeper::DropOthers(const Digest& keep) {
-  for (const Digest& digest : m_store.Versions()) {
-    if (digest != keep)
-      m_store.Drop(digest);
+Awaitable<void> VersionKeeper::MintFence() {
+  auto fence = co_await m_fences.Mint();
+  if (fence) {
+    With([&](decide::RolloutState& state, decide::GateState&) {
+      decide::FenceMinted(state, *fence);
+    });
+    co_return;
   }
+  LogLine("fence_not_minted").With(fence.error()).Warn();
+  if (fence.error().m_code == FailureCode::kConflict) {
+    With([](decide::RolloutState& state, decide::GateState& gate) {
+      decide::Deposed(state, gate);
+    });
+  }
+  co_await Sleep(kAfterMintFailure);
 }
 
-Awaitable<AsyncResult<uint64_t>> VersionKeeper::MintFence() {
-  using Condition = platform::TableWrite::Condition;
-  std::optional<Failure> last;
-  for (int tries = 0; tries < kMaxFenceTries; ++tries) {
-    auto item = co_await m_table.Get(kFencePartition, m_host);
-    if (!item) {
-      last = item.error();
-      co_await Sleep(kAfterFailure);
-      continue;
+Awaitable<void> VersionKeeper::Order(Digest digest, uint64_t fence) {
+  const auto version = decide::VersionForPool(*m_config.current(), m_pool);
+  std::string reason = "declared anew before the order";
+  if (version && version->m_digest == digest) {
+    platform::LoadOrder order;
+    order.m_model = version->m_model;
+    order.m_version = version->m_name;
+    order.m_digest = digest;
+    order.m_fence = fence;
+    order.m_weights_url =
+        "http://" + ToString(m_weights_server) + "/weights/" + ToString(digest);
+    LogLine("load_ordered")
+        .With("version", version->m_name)
+        .With("digest", ToString(digest))
+        .With("fence", fence)
+        .Info();
+    auto loaded = co_await m_engine.Load(order, Now() + kLoadTimeout);
+    reason = loaded ? std::string() : ToString(loaded.error());
+  }
+  With([&](decide::RolloutState& state, decide::GateState& gate) {
+    decide::OrderEnded(state, gate, reason);
+  });
+}
+
+Awaitable<void> VersionKeeper::AskEngine(uint64_t doubt) {
+  auto status = co_await m_engine.Status(Now() + kStatusTimeout);
+  const decide::RolloutPlan& plan = Plan();
+  const Digest previous = With([&](decide::RolloutState& state,
+                                   decide::GateState& gate) {
+    const bool was_open = gate.m_open;
+    decide::EngineAnswered(state, gate, plan, DigestOf(status), doubt, Now());
+    if (gate.m_open && !was_open) {
+      LogLine("gate_opened")
+          .With("version", m_names[gate.m_digest])
+          .With("digest", ToString(gate.m_digest))
+          .With("generation", gate.m_generation)
+          .Info();
     }
-    const uint64_t known = item->has_value() ? (*item)->m_revision : 0;
-    platform::TableWrite write{
-        {kFencePartition, m_host, known + 1, "{}"},
-        known ? Condition::kRevisionIs : Condition::kAbsent,
-        known};
-    std::vector<platform::TableWrite> writes;
-    writes.push_back(std::move(write));
-    auto done = co_await m_table.Transact(std::move(writes));
-    // A lost answer costs one number: the next try mints a higher one.
-    if (done && *done == platform::TransactResult::kCommitted)
-      co_return known + 1;
+    return state.m_last_open;
+  });
+  if (status && status->m_digest == plan.m_digest)
+    DropOthers(plan.m_digest, previous);
+}
+
+Awaitable<void> VersionKeeper::KeepPermit() {
+  while (true) {
+    const auto [due, ordered] =
+        With([](decide::RolloutState& state, decide::GateState&) {
+          return std::pair(decide::RenewalDue(state, Now()), state.m_ordered);
+        });
+    if (due)
+      co_await RenewPermit();
+    if (!ordered.empty() && ordered != Plan().m_digest)
+      DropUnwanted(ordered);
+    co_await Sleep(kPermitPoll);
   }
-  co_return last.value_or(
-      Failure{FailureCode::kConflict, "mint fence", "", "lost every race"});
 }
 
-Awaitable<void> VersionKeeper::CheckEngine() {
+Awaitable<void> VersionKeeper::RenewPermit() {
+  auto read = co_await m_permits.Read();
+  if (!read)
+    co_return;
+  std::optional<decide::PermitBoard> next =
+      With([&](decide::RolloutState& state, decide::GateState&) {
+        return decide::Renewed(state, *read);
+      });
+  if (!next)
+    co_return;
+  const TimePoint sent = Now();
+  const decide::WriteResult result = co_await m_permits.Write(std::move(*next));
+  if (result != decide::WriteResult::kCommitted)
+    co_return;
+  With([&](decide::RolloutState& state, decide::GateState&) {
+    decide::RenewalWritten(state, sent);
+  });
+}
+
+Awaitable<void> VersionKeeper::LookAtEngine() {
   auto status = co_await m_engine.Status(Now() + kStatusTimeout);
-  m_gate.With([&](decide::GateState& gate) {
-    if (status && status->m_digest == gate.m_digest)
-      return 0;
-    // The engine restarted, or somebody else gave it an order.
-    LogLine line("gate_shut");
-    if (status)
-      line.With("reason", "engine_serves_another_version").Warn();
-    else
-      line.With(status.error()).Warn();
-    decide::Shut(gate);
-    return 0;
+  With([&](decide::RolloutState& state, decide::GateState& gate) {
+    const bool was_open = gate.m_open;
+    decide::EngineSeen(state, gate, DigestOf(status));
+    if (was_open && !gate.m_open) {
+      LogLine line("gate_shut");
+      if (status)
+        line.With("reason", "engine_serves_another_version").Warn();
+      else
+        line.With(status.error()).Warn();
+    }
+  });
+}
+
+Awaitable<void> VersionKeeper::PollEngine() {
+  while (true) {
+    co_await Sleep(kCheckInterval);
+    co_await LookAtEngine();
+  }
+}
+
+Awaitable<void> VersionKeeper::WatchEngine() {
+  while (true) {
+    co_await m_engine.WaitWhileConnected();
+    co_await LookAtEngine();
+    co_await Sleep(kReconnect);
+  }
+}
+
+void VersionKeeper::DropUnwanted(const Digest& digest) {
+  m_store.Drop(digest);
+  With([&](decide::RolloutState& state, decide::GateState&) {
+    if (state.m_fetched == digest)
+      state.m_fetched = {};
   });
 }
 
+bool VersionKeeper::DropOthers(const Digest& wanted, const Digest& previous) {
+  bool dropped = false;
+  for (const Digest& digest : m_store.Versions()) {
+    if (digest == wanted || digest == previous)
+      continue;
+    DropUnwanted(digest);
+    dropped = true;
+  }
+  return dropped;
+}
+
 }  // namespace verbenalead::daemon
--- a/src/libverbenalead/daemon/version_keeper.h
+++ b/src/libverbenalead/daemon/version_keeper.h
@@ -1,37 +1,32 @@
 #ifndef VERBENALEAD_DAEMON_VERSION_KEEPER_H_
 #define VERBENALEAD_DAEMON_VERSION_KEEPER_H_
 
-#include <mutex>
+#include <map>
 #include <string>
 
 #include "daemon/config_keeper.h"
+#include "daemon/fence_minter.h"
 #include "daemon/gate_keeper.h"
+#include "daemon/permit_table.h"
+#include "daemon/version_progress.h"
 #include "daemon/weights_fetcher.h"
+#include "decide/rollout.h"
 #include "platform/engine.h"
 #include "platform/table.h"
 
 namespace verbenalead::daemon {
 
-/// What a target host has in force and on its way.
-struct VersionProgress {
-  std::string m_in_force;
-  std::string m_loading;
-  Digest m_loading_digest;
-  uint32_t m_chunks_total = 0;
-
-  friend bool operator==(const VersionProgress&,
-                         const VersionProgress&) = default;
-};
-
-/// Brings the declared version into force on this host: fetches its weights,
-/// shuts the gate, orders the engine to load, and opens the gate once the
-/// engine has confirmed the digest. The only giver of orders to the engine.
+/// Brings the declared version into force on this host, as the rollout core
+/// decides: does each of its steps and reports back. The only giver of orders
+/// to the engine. Runs on one thread; what other threads see is under the
+/// gate's lock.
 class VersionKeeper {
  public:
   VersionKeeper(std::string host,
                 std::string pool,
                 Endpoint weights_server,
                 ConfigKeeper& config,
+                HostDirectory& hosts,
                 GateKeeper& gate,
                 WeightsStore& store,
                 WeightsFetcher& fetcher,
@@ -44,25 +39,53 @@
   VersionProgress progress() const;
 
  private:
-  std::optional<model::VersionSpec> Wanted() const;
-  Awaitable<AsyncResult<bool>> BringIntoForce(model::VersionSpec version);
-  Awaitable<AsyncResult<bool>> Load(model::VersionSpec version);
-  Awaitable<AsyncResult<uint64_t>> MintFence();
-  Awaitable<void> CheckEngine();
-  void DropOthers(const Digest& keep);
-  void SetLoading(const std::string& version, const Digest& digest);
+  /// Calls `function(state, gate)` under the gate's lock.
+  template <typename Function>
+  auto With(Function&& function) const {
+    return m_gate.With(
+        [&](decide::GateState& gate) { return function(m_state, gate); });
+  }
+
+  const decide::RolloutPlan& Plan();
+  Awaitable<void> Do(decide::RolloutAction action);
+  Awaitable<void> Fetch(Digest digest);
+  Awaitable<void> ReadPermits();
+  Awaitable<void> WritePermits(decide::PermitBoard board);
+  Awaitable<void> MintFence();
+  Awaitable<void> Order(Digest digest, uint64_t fence);
+  Awaitable<void> AskEngine(uint64_t doubt);
+
+  /// Beside the steps, which may take minutes each:
+  Awaitable<void> KeepPermit();
+  Awaitable<void> RenewPermit();
+  Awaitable<void> PollEngine();
+  Awaitable<void> WatchEngine();
+  Awaitable<void> LookAtEngine();
+
+  /// Frees the memory of a version that is not wanted any more, and breaks off
+  /// an engine that is reading it.
+  void DropUnwanted(const Digest& digest);
+  /// Drops all versions but these; true if any was dropped.
+  bool DropOthers(const Digest& wanted, const Digest& previous);
 
   const std::string m_host;
   const std::string m_pool;
   const Endpoint m_weights_server;
   ConfigKeeper& m_config;
+  HostDirectory& m_hosts;
   GateKeeper& m_gate;
   WeightsStore& m_store;
   WeightsFetcher& m_fetcher;
   platform::Engine& m_engine;
-  platform::Table& m_table;
-  mutable std::mutex m_mutex;
-  VersionProgress m_progress;
+  FenceMinter m_fences;
+  PermitTable m_permits;
+  decide::RolloutPlan m_plan;
+  uint64_t m_plan_of_revision = 0;
+  mutable decide::RolloutState m_state;
+  /// What the pool declares, for progress().
+  Digest m_wanted;
+  /// Every version's name that was ever declared here, by digest.
+  std::map<Digest, std::string> m_names;
 };
 
 }  // namespace verbenalead::daemon
--- a/src/libverbenalead/decide/gate.cc
+++ b/src/libverbenalead/decide/gate.cc
@@ -60,19 +60,34 @@
 }
 
 void Open(GateState& gate, const Digest& digest) {
+  if (gate.m_digest != digest)
+    ++gate.m_generation;
   gate.m_open = true;
   gate.m_digest = digest;
-  ++gate.m_generation;
 }
 
 void Shut(GateState& gate) {
   gate.m_open = false;
 }
 
-bool MayPass(const GateState& gate,
-             uint64_t generation,
-             const Digest& reported) {
-  return gate.m_generation == generation && gate.m_digest == reported;
+void AskAgain(GateState& gate) {
+  Shut(gate);
+  ++gate.m_doubt;
+}
+
+void Doubt(GateState& gate) {
+  AskAgain(gate);
+  ++gate.m_generation;
+}
+
+bool MayPass(GateState& gate, uint64_t generation, const Digest& reported) {
+  if (gate.m_generation != generation)
+    return false;
+  if (gate.m_digest == reported)
+    return true;
+  if (!reported.empty())
+    Doubt(gate);
+  return false;
 }
 
 VoidResult VoidAttempt(GateState& gate, const Attempt& attempt, TimePoint now) {
--- a/src/libverbenalead/decide/gate.h
+++ b/src/libverbenalead/decide/gate.h
@@ -23,10 +23,13 @@
   bool m_leaving = false;
   /// What the engine has confirmed to serve; empty for a plain service.
   Digest m_digest;
-  /// Rises with each load, so that an answer that straddles a load is told
-  /// from one that doesn't.
+  /// Rises with each change of what the engine serves, so that an answer that
+  /// straddles a load is told from one that doesn't.
   uint64_t m_generation = 0;
   uint32_t m_running = 0;
+  /// Rises whenever what the engine serves becomes doubtful. The gate opens
+  /// only on an answer that the engine was asked for after the last rise.
+  uint64_t m_doubt = 1;
 
   struct Record {
     enum class State { kRunning, kDone, kVoid };
@@ -62,16 +65,28 @@
 /// The attempt has ended; its slot is free again.
 void Leave(GateState& gate, const Attempt& attempt, TimePoint now);
 
-/// Opens the gate for what the engine has confirmed.
+/// Opens the gate for what the engine has confirmed. Answers under way pass on
+/// only if it is what was in force before.
 void Open(GateState& gate, const Digest& digest);
 
 /// Shuts the gate for new attempts; running ones go on.
 void Shut(GateState& gate);
 
+/// Shuts the gate until the engine has been asked again what it serves. Answers
+/// under way go on: an engine that is merely slow to say so still runs them.
+void AskAgain(GateState& gate);
+
+/// The engine has been ordered, or serves what it should not: shuts the gate
+/// until it has been asked, and lets no answer pass that began before.
+void Doubt(GateState& gate);
+
 /// True if an answer begun under `generation` with `reported` may be passed on.
-bool MayPass(const GateState& gate,
-             uint64_t generation,
-             const Digest& reported);
+/// An answer that names another version than the one in force shuts the gate
+/// at once: the engine has restarted, or obeyed somebody else. An answer that
+/// names none isn't passed on but proves nothing, as an engine may leave the
+/// name out of an error; were it to shut the gate, one malformed request sent
+/// round could shut every gate of the pool.
+bool MayPass(GateState& gate, uint64_t generation, const Digest& reported);
 
 enum class VoidResult {
   kNeverStarted,  ///< It did not start, and now never will.
--- /dev/null
+++ b/src/libverbenalead/decide/permit_watch.cc
@@ -0,0 +1,72 @@
+#include "decide/permit_watch.h"
+
+namespace verbenalead::decide {
+namespace {
+
+bool HasLapsed(const PermitWatch& watch,
+               const std::string& host,
+               const Permit& permit,
+               TimePoint now) {
+  auto seen = watch.m_seen.find(host);
+  return seen != watch.m_seen.end() &&
+         seen->second.m_number == permit.m_number &&
+         now - seen->second.m_since > kPermitLease;
+}
+
+bool StopsPlan(const Permit& permit, const RolloutPlan& plan) {
+  return permit.m_failed && permit.m_digest == plan.m_digest &&
+         permit.m_plan == plan.m_revision;
+}
+
+}  // namespace
+
+void Observe(PermitWatch& watch, const PermitBoard& board, TimePoint now) {
+  std::erase_if(watch.m_seen, [&](const auto& seen) {
+    return !board.m_permits.contains(seen.first);
+  });
+  for (const auto& [host, permit] : board.m_permits) {
+    auto [seen, added] =
+        watch.m_seen.try_emplace(host, PermitWatch::Seen{permit.m_number, now});
+    if (!added && seen->second.m_number != permit.m_number)
+      seen->second = {permit.m_number, now};
+  }
+}
+
+void Forget(PermitWatch& watch) {
+  watch.m_seen.clear();
+}
+
+PermitDecision Decide(const PermitBoard& board,
+                      const PermitWatch& watch,
+                      const std::string& host,
+                      const RolloutPlan& plan,
+                      TimePoint now) {
+  if (plan.m_paused)
+    return {PermitAnswer::kPaused, "paused"};
+  uint32_t taken = 0;
+  for (const auto& [holder, permit] : board.m_permits) {
+    // A version that breaks one engine is likely to break the next: going on
+    // would shut gate after gate. A failure never lapses by time.
+    if (StopsPlan(permit, plan)) {
+      return {PermitAnswer::kStopped,
+              "stopped: " + holder + ": " + permit.m_reason};
+    }
+    if (holder != host && !HasLapsed(watch, holder, permit, now))
+      ++taken;
+  }
+  auto own = board.m_permits.find(host);
+  // Whoever takes a place erases what has lapsed, so a permit that still stands
+  // there has not been given to another host.
+  const bool held = own != board.m_permits.end() && !own->second.m_failed;
+  if (!held && taken >= MaxUnavailable(plan))
+    return {PermitAnswer::kFull, std::to_string(taken) + " hosts load"};
+  return {PermitAnswer::kGranted, ""};
+}
+
+void EraseLapsed(PermitBoard& board, const PermitWatch& watch, TimePoint now) {
+  std::erase_if(board.m_permits, [&](const auto& item) {
+    return HasLapsed(watch, item.first, item.second, now);
+  });
+}
+
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/model/change.cc
+++ b/src/libverbenalead/model/change.cc
@@ -52,12 +52,30 @@
   return {};
 }
 
+Result<void> CheckRollout(const json::object& spec) {
+  const json::value* rollout = spec.if_contains("rollout");
+  if (rollout == nullptr)
+    return {};
+  if (!rollout->is_object())
+    return BadField("rollout", "an object");
+  const json::object& object = rollout->get_object();
+  BOOST_LEAF_AUTO(percent,
+                  NumberFieldOr(object, "max_unavailable_percent", 25));
+  // At 100 a bad version could take down the whole pool at once.
+  if (percent < 1 || percent > 99) {
+    return BadField("rollout.max_unavailable_percent",
+                    "a whole number from 1 to 99");
+  }
+  BOOST_LEAF_CHECK(FlagFieldOr(object, "paused", false));
+  return {};
+}
+
 Result<void> CheckPool(const json::object& spec) {
   BOOST_LEAF_AUTO(version, TextFieldOr(spec, "version", ""));
   BOOST_LEAF_AUTO(service, TextFieldOr(spec, "service", ""));
   if (version.empty() == service.empty())
     return BadField("version", "set, or else 'service', and not both");
-  return {};
+  return CheckRollout(spec);
 }
 
 Result<void> CheckLimits(const json::object& spec) {
--- a/src/libverbenalead/model/target_report.cc
+++ b/src/libverbenalead/model/target_report.cc
@@ -20,6 +20,8 @@
                                       {"digest", ToString(report.m_digest)},
                                       {"version", report.m_version},
                                       {"revision", report.m_revision},
+                                      {"stage", report.m_stage},
+                                      {"reason", report.m_reason},
                                       {"loading", report.m_loading},
                                       {"chunks_held", report.m_chunks_held},
                                       {"chunks_total", report.m_chunks_total},
@@ -35,6 +37,8 @@
 }
 
 Result<void> ReadProgress(const json::object& object, TargetReport& report) {
+  BOOST_LEAF_ASSIGN(report.m_stage, TextFieldOr(object, "stage", ""));
+  BOOST_LEAF_ASSIGN(report.m_reason, TextFieldOr(object, "reason", ""));
   BOOST_LEAF_ASSIGN(report.m_loading, TextFieldOr(object, "loading", ""));
   BOOST_LEAF_ASSIGN(report.m_chunks_held, SmallNumber(object, "chunks_held"));
   BOOST_LEAF_ASSIGN(report.m_chunks_total, SmallNumber(object, "chunks_total"));
--- a/src/libverbenalead/model/target_report.h
+++ b/src/libverbenalead/model/target_report.h
@@ -27,6 +27,10 @@
   std::string m_version;
   /// The configuration revision in force there.
   uint64_t m_revision = 0;
+  /// Where the rollout stands here: fetching, waiting, loading, in force,
+  /// failed, idle or deposed; and why it waits or failed.
+  std::string m_stage;
+  std::string m_reason;
   /// The version on its way: chunks here and in all.
   std::string m_loading;
   uint32_t m_chunks_held = 0;
--- a/src/libverbenalead/platform/engine.cc
+++ b/src/libverbenalead/platform/engine.cc
@@ -1,5 +1,10 @@
 #include "platform/engine.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 #include "base/catch_failure.h"
@@ -8,6 +13,7 @@
 namespace verbenalead::platform {
 namespace {
 
+namespace asio = boost::asio;
 namespace json = boost::json;
 
 Result<EngineStatus> ReadModel(const json::object& object) {
@@ -66,6 +72,20 @@
   co_return CatchFailure([&] { return ReadStatus(response->m_body); });
 }
 
+Awaitable<void> Engine::WaitWhileConnected() {
+  boost::system::error_code error;
+  const asio::ip::tcp::endpoint remote(
+      asio::ip::make_address(m_endpoint.address(), error), m_endpoint.port());
+  asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
+  co_await socket.async_connect(
+      remote, asio::redirect_error(asio::use_awaitable, error));
+  if (error)
+    co_return;
+  char byte = 0;
+  co_await socket.async_read_some(
+      asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, error));
+}
+
 Awaitable<AsyncResult<std::unique_ptr<wire::ResponseReader>>> Engine::Send(
     wire::Request request,
     TimePoint deadline) {
--- a/src/libverbenalead/platform/engine.h
+++ b/src/libverbenalead/platform/engine.h
@@ -39,6 +39,10 @@
   Awaitable<AsyncResult<EngineStatus>> Load(LoadOrder order,
                                             TimePoint deadline);
   Awaitable<AsyncResult<EngineStatus>> Status(TimePoint deadline);
+  /// Returns when the engine process ends, told by the system as soon as it
+  /// closes an idle connection kept for this; also when the engine closes that
+  /// connection for reasons of its own, or can't be connected to.
+  Awaitable<void> WaitWhileConnected();
   /// Sends a caller's request on.
   Awaitable<AsyncResult<std::unique_ptr<wire::ResponseReader>>> Send(
       wire::Request request,
