Claim idempotency keys in groups, each claim by a writer of its own

Cause: each claim took a read and a transaction of its own, so claims alone would have passed the several hundred writes a second that the table takes. A claim's item named the request id: a caller's second call with the same x-request-id through another entry read the first one's claim as its own, and ran the key twice. A release whose answer was lost and that was sent again could free the next caller's claim, as its condition was only the stage.

Now decide/claim_batch groups up to 100 writes (1 MB) into a transaction, and entries share 300 transactions and 1,500 reads a second. The item's revision is (writer, stage); a writer is 62 random bits of one attempt to claim, so a revision never returns. A lost answer or a conflict is settled by reading each item back by writer. A claim that was given up in doubt is fenced off by a released item, so the key stays usable. After three groups without an answer new claims are refused at once. Outcomes and releases are grouped likewise; an answer waits 250 ms for its record at most. A streamed, long or binary answer is no longer shown again with an empty body: the repeated call is told "answer_not_kept" with 409.

Ruled out: bisecting a cancelled group (14 writes for one conflict among 100, and writes are scarcer than reads); a lease on claims (an entry that is paused past it runs a key that another has taken over).

entry_daemon.cc gains one line: the number of entries.

--- a/src/libverbenalead/daemon/claim_keeper.cc
+++ b/src/libverbenalead/daemon/claim_keeper.cc
@@ -1,98 +1,269 @@
 #include "daemon/claim_keeper.h"
 
+#include <algorithm>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <optional>
+
 #include "base/catch_failure.h"
+#include "base/log.h"
+#include "base/new_id.h"
 #include "base/sleep.h"
+#include "decide/rendezvous.h"
 
 namespace verbenalead::daemon {
-namespace {
 
-using platform::TableItem;
-using platform::TableWrite;
+namespace asio = boost::asio;
+
+using decide::ClaimAction;
+using decide::ClaimEnd;
+using decide::ClaimWork;
+
+namespace {
 
 constexpr char kPartition[] = "claim";
-// The revision of a claim's item is its stage.
-constexpr uint64_t kClaimed = 1;
-constexpr uint64_t kAnswered = 2;
-constexpr uint64_t kReleased = 3;
-constexpr int kMaxTries = 3;
-constexpr Duration kBetweenTries = 50ms;
-
-std::string SortOf(const model::Call& call) {
+/// A claim waits no longer than this for the table: the caller of an urgent
+/// call is better served by "not run, come back" than by silence.
+constexpr Duration kClaimPatience = 3s;
+/// For how long an answer waits until its outcome is recorded. A healthy table
+/// takes a tenth of it. Beyond, the caller gets its answer, and the record
+/// follows: until then a repeated call is told that the key is held.
+constexpr Duration kEndPatience = 250ms;
+constexpr Duration kEndDeadline = std::chrono::seconds(60);
+/// The batch itself ends each claim by its deadline, and fences it off.
+constexpr Duration kNoLimit = std::chrono::hours(1);
+constexpr size_t kEntriesAtStart = 8;
+
+std::string KeyOf(const model::Call& call) {
   return call.organisation() + "/" + call.idempotency_key();
 }
 
-/// What an item that is already there says to `call`.
-ClaimResult Read(const TableItem& item, const model::Call& call) {
-  if (item.m_revision == kClaimed) {
-    const bool ours = item.m_value == call.id();
-    return {ours ? ClaimResult::Kind::kOurs : ClaimResult::Kind::kHeld,
-            {},
-            "a call with this key is under way"};
+uint64_t NewWriter() {
+  return (decide::MixHash(NewId(), 0) >> 2) | 1;
+}
+
+decide::GroupResult Judge(const AsyncResult<platform::TransactResult>& done) {
+  using decide::GroupResult;
+  if (done) {
+    return *done == platform::TransactResult::kCommitted
+               ? GroupResult::kCommitted
+               : GroupResult::kConflict;
   }
-  auto answer = CatchFailure([&] { return ParseRecordedAnswer(item.m_value); });
-  if (!answer)
-    return {ClaimResult::Kind::kHeld, {}, "the record can't be read"};
-  return {ClaimResult::Kind::kAnswered, std::move(*answer), ""};
-}
-
-TableWrite ClaimWrite(const model::Call& call, bool after_release) {
-  TableWrite write{{kPartition, SortOf(call), kClaimed, call.id()},
-                   TableWrite::Condition::kAbsent};
-  if (after_release) {
-    write.m_condition = TableWrite::Condition::kRevisionIs;
-    write.m_expected_revision = kReleased;
+  const FailureCode code = done.error().m_code;
+  const bool nothing_done =
+      code == FailureCode::kUnreachable || code == FailureCode::kRefused;
+  return nothing_done ? GroupResult::kNotSent : GroupResult::kLost;
+}
+
+std::vector<platform::TableWrite> WritesOf(
+    const std::vector<decide::ClaimPut>& puts) {
+  using Condition = platform::TableWrite::Condition;
+  std::vector<platform::TableWrite> writes;
+  for (const decide::ClaimPut& put : puts) {
+    platform::TableWrite write;
+    write.m_item = {kPartition, put.m_key, put.m_item.m_revision,
+                    put.m_item.m_value};
+    write.m_condition =
+        put.m_expected == 0 ? Condition::kAbsent : Condition::kRevisionIs;
+    write.m_expected_revision = put.m_expected;
+    writes.push_back(std::move(write));
   }
-  return write;
+  return writes;
+}
+
+ClaimResult ResultOf(const ClaimAction& end, uint64_t writer) {
+  ClaimResult result;
+  switch (end.m_end) {
+    case ClaimEnd::kDone:
+      result.m_kind = ClaimResult::Kind::kOurs;
+      result.m_writer = writer;
+      return result;
+    case ClaimEnd::kHeld:
+      result.m_kind = ClaimResult::Kind::kHeld;
+      result.m_reason = "request " + end.m_value + " holds this key";
+      return result;
+    case ClaimEnd::kUnavailable:
+      result.m_reason = "the table did not answer";
+      return result;
+    case ClaimEnd::kAnswered:
+      break;
+  }
+  auto answer = CatchFailure([&] { return ParseRecordedAnswer(end.m_value); });
+  result.m_kind =
+      answer ? ClaimResult::Kind::kAnswered : ClaimResult::Kind::kHeld;
+  if (answer)
+    result.m_answer = std::move(*answer);
+  else
+    result.m_reason = "the record can't be read";
+  return result;
 }
 
 }  // namespace
 
+/// A coroutine that waits for its work's end on its own thread.
+struct ClaimKeeper::Waiter {
+  explicit Waiter(const asio::any_io_executor& executor) : m_event(executor) {}
+
+  asio::steady_timer m_event;
+  std::optional<ClaimAction> m_end;
+};
+
+ClaimKeeper::ClaimKeeper(platform::Table& table) : m_table(table) {
+  SetEntries(kEntriesAtStart);
+}
+
+ClaimKeeper::~ClaimKeeper() = default;
+
+void ClaimKeeper::SetEntries(size_t entries) {
+  std::lock_guard lock(m_mutex);
+  m_batch.m_interval = decide::GroupInterval(entries);
+}
+
 Awaitable<ClaimResult> ClaimKeeper::Claim(model::Call call) {
-  std::string reason = "the table did not answer";
-  for (int tries = 0; tries < kMaxTries; ++tries) {
-    if (tries > 0)
-      co_await Sleep(kBetweenTries);
-    auto item = co_await m_table.Get(kPartition, SortOf(call));
-    if (!item) {
-      reason = ToString(item.error());
-      continue;
+  const uint64_t writer = NewWriter();
+  const TimePoint deadline = std::min(call.deadline(), Now() + kClaimPatience);
+  const ClaimAction end = co_await Await(
+      decide::MakeClaim(KeyOf(call), writer, call.id(), deadline), kNoLimit);
+  co_return ResultOf(end, writer);
+}
+
+Awaitable<bool> ClaimKeeper::Record(model::Call call,
+                                    uint64_t writer,
+                                    RecordedAnswer answer) {
+  const ClaimAction end = co_await Await(
+      decide::MakeEnd(ClaimWork::Kind::kRecord, KeyOf(call), writer,
+                      ToJson(answer), Now() + kEndDeadline),
+      kEndPatience);
+  co_return end.m_end == ClaimEnd::kDone;
+}
+
+Awaitable<bool> ClaimKeeper::Release(model::Call call, uint64_t writer) {
+  const ClaimAction end =
+      co_await Await(decide::MakeEnd(ClaimWork::Kind::kRelease, KeyOf(call),
+                                     writer, call.id(), Now() + kEndDeadline),
+                     kEndPatience);
+  co_return end.m_end == ClaimEnd::kDone;
+}
+
+Awaitable<ClaimAction> ClaimKeeper::Await(ClaimWork work, Duration patience) {
+  const auto executor = co_await asio::this_coro::executor;
+  auto waiter = std::make_shared<Waiter>(executor);
+  waiter->m_event.expires_after(patience);
+  std::vector<ClaimAction> actions;
+  uint64_t id = 0;
+  {
+    std::lock_guard lock(m_mutex);
+    id = decide::Submit(m_batch, std::move(work));
+    m_waiters[id] = waiter;
+    actions = decide::Tick(m_batch, Now());
+  }
+  Perform(executor, std::move(actions));
+  boost::system::error_code cancelled;
+  if (!waiter->m_end) {
+    co_await waiter->m_event.async_wait(
+        asio::redirect_error(asio::use_awaitable, cancelled));
+  }
+  if (waiter->m_end)
+    co_return *waiter->m_end;
+  std::lock_guard lock(m_mutex);
+  m_waiters.erase(id);
+  ClaimAction late;
+  late.m_end = ClaimEnd::kUnavailable;
+  co_return late;
+}
+
+void ClaimKeeper::Perform(const asio::any_io_executor& executor,
+                          std::vector<ClaimAction> actions) {
+  for (ClaimAction& action : actions) {
+    switch (action.m_kind) {
+      case ClaimAction::Kind::kTransact:
+        asio::co_spawn(executor, Transact(std::move(action)), asio::detached);
+        break;
+      case ClaimAction::Kind::kRead:
+        asio::co_spawn(executor, Read(std::move(action)), asio::detached);
+        break;
+      case ClaimAction::Kind::kWake:
+        WakeAt(executor, action.m_at);
+        break;
+      case ClaimAction::Kind::kSettle:
+        Deliver(std::move(action));
+        break;
+    }
+  }
+}
+
+void ClaimKeeper::Deliver(ClaimAction action) {
+  std::lock_guard lock(m_mutex);
+  auto found = m_waiters.extract(action.m_id);
+  if (found.empty())
+    return;
+  const auto waiter = found.mapped();
+  asio::post(waiter->m_event.get_executor(), [waiter, action] {
+    waiter->m_end = action;
+    waiter->m_event.cancel();
+  });
+}
+
+void ClaimKeeper::WakeAt(const asio::any_io_executor& executor, TimePoint at) {
+  {
+    std::lock_guard lock(m_mutex);
+    if (m_wake_at <= at)
+      return;
+    m_wake_at = at;
+  }
+  asio::co_spawn(executor, Wake(at), asio::detached);
+}
+
+Awaitable<void> ClaimKeeper::Wake(TimePoint at) {
+  co_await Sleep(at - Now());
+  std::vector<ClaimAction> actions;
+  {
+    std::lock_guard lock(m_mutex);
+    if (m_wake_at == at)
+      m_wake_at = TimePoint::max();
+    actions = decide::Tick(m_batch, Now());
+  }
+  Perform(co_await asio::this_coro::executor, std::move(actions));
+}
+
+Awaitable<void> ClaimKeeper::Transact(ClaimAction action) {
+  auto done = co_await m_table.Transact(WritesOf(action.m_puts));
+  LogLine line("claim_group");
+  line.With("writes", uint64_t{action.m_puts.size()});
+  const decide::GroupResult result = Judge(done);
+  if (done)
+    line.With("committed", result == decide::GroupResult::kCommitted).Debug();
+  else
+    line.With(done.error()).Warn();
+  std::vector<ClaimAction> actions;
+  {
+    std::lock_guard lock(m_mutex);
+    actions = decide::GroupEnded(m_batch, action.m_id, result, Now());
+  }
+  Perform(co_await asio::this_coro::executor, std::move(actions));
+}
+
+Awaitable<void> ClaimKeeper::Read(ClaimAction action) {
+  auto item = co_await m_table.Get(kPartition, action.m_key);
+  std::vector<ClaimAction> actions;
+  {
+    std::lock_guard lock(m_mutex);
+    if (item) {
+      std::optional<decide::ClaimItem> there;
+      if (item->has_value())
+        there = decide::ClaimItem{(*item)->m_revision, (*item)->m_value};
+      actions = decide::ReadEnded(m_batch, action.m_id, there, Now());
+    } else {
+      actions = decide::ReadFailed(m_batch, action.m_id, Now());
     }
-    const bool released = item->has_value() && (*item)->m_revision == kReleased;
-    if (item->has_value() && !released)
-      co_return Read(**item, call);
-    std::vector<TableWrite> writes;
-    writes.push_back(ClaimWrite(call, released));
-    auto done = co_await m_table.Transact(std::move(writes));
-    if (done && *done == platform::TransactResult::kCommitted)
-      co_return ClaimResult{ClaimResult::Kind::kOurs, {}, ""};
-    // Lost the race, or the answer was lost: the next read tells whose it is.
-    if (!done)
-      reason = ToString(done.error());
   }
-  co_return ClaimResult{ClaimResult::Kind::kUnavailable, {}, reason};
-}
-
-Awaitable<AsyncResult<bool>> ClaimKeeper::Record(model::Call call,
-                                                 RecordedAnswer answer) {
-  std::vector<TableWrite> writes;
-  writes.push_back({{kPartition, SortOf(call), kAnswered, ToJson(answer)},
-                    TableWrite::Condition::kRevisionIs,
-                    kClaimed});
-  auto done = co_await m_table.Transact(std::move(writes));
-  if (!done)
-    co_return done.error();
-  co_return *done == platform::TransactResult::kCommitted;
-}
-
-Awaitable<AsyncResult<bool>> ClaimKeeper::Release(model::Call call) {
-  std::vector<TableWrite> writes;
-  writes.push_back({{kPartition, SortOf(call), kReleased, call.id()},
-                    TableWrite::Condition::kRevisionIs,
-                    kClaimed});
-  auto done = co_await m_table.Transact(std::move(writes));
-  if (!done)
-    co_return done.error();
-  co_return *done == platform::TransactResult::kCommitted;
+  Perform(co_await asio::this_coro::executor, std::move(actions));
 }
 
 }  // namespace verbenalead::daemon
--- a/src/libverbenalead/daemon/claim_keeper.h
+++ b/src/libverbenalead/daemon/claim_keeper.h
@@ -1,42 +1,61 @@
 #ifndef VERBENALEAD_DAEMON_CLAIM_KEEPER_H_
 #define VERBENALEAD_DAEMON_CLAIM_KEEPER_H_
 
-#include <optional>
+#include <map>
+#include <memory>
+#include <mutex>
 #include <string>
+#include <vector>
 
-#include "daemon/recorded_answer.h"
+#include "daemon/claim_result.h"
+#include "decide/claim_batch.h"
 #include "model/call.h"
 #include "platform/table.h"
 
 namespace verbenalead::daemon {
 
-/// What came of claiming a call's key.
-struct ClaimResult {
-  enum class Kind {
-    kOurs,         ///< Claimed: this call, and no other, may run.
-    kAnswered,     ///< An earlier call with the key has ended: m_answer.
-    kHeld,         ///< An earlier call with the key is under way or was lost.
-    kUnavailable,  ///< The table can't say: not run.
-  };
-  Kind m_kind = Kind::kUnavailable;
-  RecordedAnswer m_answer;
-  std::string m_reason;
-};
-
 /// Claims of non-idempotent calls in the platform's table, under (organisation,
-/// idempotency key), before they run. May be used from several threads.
+/// idempotency key), before they run. Carries out what decide::ClaimBatch says.
+/// May be used from several threads.
 class ClaimKeeper {
  public:
-  explicit ClaimKeeper(platform::Table& table) : m_table(table) {}
+  explicit ClaimKeeper(platform::Table& table);
+  ~ClaimKeeper();
+
+  /// How many entries share the table's writes.
+  void SetEntries(size_t entries);
 
   Awaitable<ClaimResult> Claim(model::Call call);
-  /// Records how the claimed call ended.
-  Awaitable<AsyncResult<bool>> Record(model::Call call, RecordedAnswer answer);
-  /// Gives the claim back: the call was certainly not run.
-  Awaitable<AsyncResult<bool>> Release(model::Call call);
+  /// Records how the call claimed by `writer` ended. False: not known to be
+  /// recorded within kEndPatience; it is tried on in the background.
+  Awaitable<bool> Record(model::Call call,
+                         uint64_t writer,
+                         RecordedAnswer answer);
+  /// Gives the claim back: the call was certainly not run. As for Record().
+  Awaitable<bool> Release(model::Call call, uint64_t writer);
 
  private:
+  struct Waiter;
+
+  /// Submits `work` and waits for its end, `patience` at most.
+  Awaitable<decide::ClaimAction> Await(decide::ClaimWork work,
+                                       Duration patience);
+  /// Carries out `actions`; m_mutex must be free.
+  void Perform(const boost::asio::any_io_executor& executor,
+               std::vector<decide::ClaimAction> actions);
+  /// Hands the end of a work to whoever waits for it.
+  void Deliver(decide::ClaimAction action);
+  void WakeAt(const boost::asio::any_io_executor& executor, TimePoint at);
+  Awaitable<void> Transact(decide::ClaimAction action);
+  Awaitable<void> Read(decide::ClaimAction action);
+  Awaitable<void> Wake(TimePoint at);
+
   platform::Table& m_table;
+  std::mutex m_mutex;
+  decide::ClaimBatchState m_batch;
+  std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;
+  /// The earliest Wake() under way; max: none.
+  TimePoint m_wake_at = TimePoint::max();
 };
 
 }  // namespace verbenalead::daemon
--- a/src/libverbenalead/daemon/entry_daemon.cc
+++ b/src/libverbenalead/daemon/entry_daemon.cc
@@ -176,6 +176,7 @@
       auto done = co_await m_config.CatchUp();
       if (!done)
         LogLine("table_unavailable").With(done.error()).Warn();
+      m_runner.SetEntries(m_hosts.Hosts(model::HostRole::kEntry).size());
       co_await Sleep(m_settings.Milliseconds("config.poll"));
     }
   }
--- a/src/libverbenalead/daemon/recorded_answer.cc
+++ b/src/libverbenalead/daemon/recorded_answer.cc
@@ -8,11 +8,18 @@
 
 namespace json = boost::json;
 
+bool IsJsonText(std::string_view text) {
+  boost::system::error_code error;
+  json::parse(json::serialize(json::string(text)), error);
+  return !error;
+}
+
 std::string ToJson(const RecordedAnswer& answer) {
   return json::serialize(json::object{{"outcome", ToString(answer.m_outcome)},
                                       {"status", answer.m_status},
                                       {"content_type", answer.m_content_type},
                                       {"body", answer.m_body},
+                                      {"whole", answer.m_whole},
                                       {"request", answer.m_request},
                                       {"target", answer.m_target},
                                       {"version", answer.m_version},
@@ -29,6 +36,7 @@
   BOOST_LEAF_ASSIGN(answer.m_content_type,
                     model::TextField(object, "content_type"));
   BOOST_LEAF_ASSIGN(answer.m_body, model::TextField(object, "body"));
+  BOOST_LEAF_ASSIGN(answer.m_whole, model::FlagFieldOr(object, "whole", false));
   BOOST_LEAF_ASSIGN(answer.m_request, model::TextField(object, "request"));
   BOOST_LEAF_ASSIGN(answer.m_target, model::TextField(object, "target"));
   BOOST_LEAF_ASSIGN(answer.m_version, model::TextField(object, "version"));
--- a/src/libverbenalead/daemon/request_runner.cc
+++ b/src/libverbenalead/daemon/request_runner.cc
@@ -12,6 +12,7 @@
 constexpr Duration kRetryAfterNoTarget = 1s;
 constexpr Duration kRetryAfterTable = 2s;
 constexpr Duration kRetryAfterHeld = 1s;
+constexpr int kConflictStatus = 409;
 /// An answer longer than this is not recorded, only its outcome.
 constexpr size_t kMaxRecordedBody = 64 * 1024;
 
@@ -35,6 +36,14 @@
     problem.m_version = answer.m_version;
     return front::ToResponse(problem);
   }
+  if (!answer.m_whole) {
+    front::Problem problem =
+        ProblemOf(call, answer.m_outcome, "answer_not_kept", {});
+    problem.m_status = kConflictStatus;
+    problem.m_target = answer.m_target;
+    problem.m_version = answer.m_version;
+    return front::ToResponse(problem);
+  }
   wire::Response response{answer.m_status, {}, answer.m_body};
   response.m_headers["content-type"] = answer.m_content_type;
   response.m_headers[peer::kOutcome] = ToString(answer.m_outcome);
@@ -56,8 +65,12 @@
                                   .With("urgency", call.urgency())
                                   .With("idempotent", call.idempotent())
                                   .With("peer", request.m_peer));
-  if (!call.idempotent() && !co_await ClaimKey(call, writer))
-    co_return;
+  std::optional<uint64_t> claim;
+  if (!call.idempotent()) {
+    claim = co_await ClaimKey(call, writer);
+    if (!claim)
+      co_return;
+  }
   PoolRouter& router = m_routers.Get(call.pool());
   const decide::AdmitAction admitted = co_await router.Admit(call);
   Verdict verdict;
@@ -68,27 +81,28 @@
     verdict = co_await Attempt(call, std::move(request), writer);
     router.Finish();
   }
-  if (!call.idempotent())
-    co_await SettleClaim(call, verdict);
+  if (claim)
+    co_await SettleClaim(call, *claim, verdict);
   co_await Tell(std::move(call), std::move(verdict), writer);
 }
 
-Awaitable<bool> RequestRunner::ClaimKey(model::Call call,
-                                        wire::ResponseWriter& writer) {
+Awaitable<std::optional<uint64_t>> RequestRunner::ClaimKey(
+    model::Call call,
+    wire::ResponseWriter& writer) {
   ClaimResult claim = co_await m_claims.Claim(call);
   using Kind = ClaimResult::Kind;
   LogLine line("claim");
   line.With("key", call.idempotency_key()).With("reason", claim.m_reason);
   if (claim.m_kind == Kind::kOurs) {
     m_journal.Record(call.id(), line.With("result", "ours"));
-    co_return true;
+    co_return claim.m_writer;
   }
   if (claim.m_kind == Kind::kAnswered) {
     m_journal.Record(call.id(),
                      line.With("result", "answered_before")
                          .With("first_request", claim.m_answer.m_request));
     co_await writer.Send(Recorded(claim.m_answer, call));
-    co_return false;
+    co_return std::nullopt;
   }
   const bool held = claim.m_kind == Kind::kHeld;
   m_journal.Record(call.id(),
@@ -98,9 +112,9 @@
            : ProblemOf(call, Outcome::kRefused, "claim_table_unavailable",
                        kRetryAfterTable);
   if (held)
-    problem.m_status = 409;
+    problem.m_status = kConflictStatus;
   co_await writer.Send(front::ToResponse(problem));
-  co_return false;
+  co_return std::nullopt;
 }
 
 Awaitable<RequestRunner::Verdict> RequestRunner::Attempt(
@@ -152,10 +166,12 @@
   }
 }
 
-Awaitable<void> RequestRunner::SettleClaim(model::Call call, Verdict verdict) {
-  AsyncResult<bool> done = true;
+Awaitable<void> RequestRunner::SettleClaim(model::Call call,
+                                           uint64_t writer,
+                                           Verdict verdict) {
+  bool settled = false;
   if (verdict.m_outcome == Outcome::kRefused) {
-    done = co_await m_claims.Release(call);
+    settled = co_await m_claims.Release(call, writer);
   } else {
     RecordedAnswer answer;
     answer.m_outcome = verdict.m_outcome;
@@ -163,17 +179,19 @@
     answer.m_target = verdict.m_target;
     answer.m_version = verdict.m_last.m_version;
     answer.m_reason = verdict.m_reason;
-    answer.m_status = verdict.m_last.m_answer.m_status;
-    answer.m_content_type =
-        wire::Get(verdict.m_last.m_answer.m_headers, "content-type");
-    if (verdict.m_last.m_answer.m_body.size() <= kMaxRecordedBody)
-      answer.m_body = verdict.m_last.m_answer.m_body;
-    done = co_await m_claims.Record(call, std::move(answer));
+    const wire::Response& last = verdict.m_last.m_answer;
+    answer.m_status = last.m_status;
+    answer.m_content_type = wire::Get(last.m_headers, "content-type");
+    answer.m_whole = !verdict.m_last.m_answer_begun &&
+                     last.m_body.size() <= kMaxRecordedBody &&
+                     IsJsonText(last.m_body);
+    if (answer.m_whole)
+      answer.m_body = last.m_body;
+    settled = co_await m_claims.Record(call, writer, std::move(answer));
   }
-  if (!done) {
-    // The claim stays as it is: a repeated call is told "held", never run.
-    m_journal.Record(call.id(),
-                     LogLine("claim_not_settled").With(done.error()));
+  if (!settled) {
+    // Until it is, a repeated call is told "held"; it never runs.
+    m_journal.Record(call.id(), LogLine("claim_not_settled_yet"));
   }
 }
 
--- a/src/libverbenalead/daemon/request_runner.h
+++ b/src/libverbenalead/daemon/request_runner.h
@@ -1,6 +1,8 @@
 #ifndef VERBENALEAD_DAEMON_REQUEST_RUNNER_H_
 #define VERBENALEAD_DAEMON_REQUEST_RUNNER_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "daemon/attempt_runner.h"
@@ -30,6 +32,10 @@
                       wire::Request request,
                       wire::ResponseWriter& writer) override;
 
+  /// How many entries there are, us included: they share what the table and
+  /// the targets can take.
+  void SetEntries(size_t entries) { m_claims.SetEntries(entries); }
+
  private:
   /// The end of all attempts.
   struct Verdict {
@@ -41,12 +47,16 @@
     AttemptReport m_last;
   };
 
-  /// False: the key is not ours, and the caller has been answered.
-  Awaitable<bool> ClaimKey(model::Call call, wire::ResponseWriter& writer);
+  /// The writer of the claim; nullopt: the key is not ours, and the caller has
+  /// been answered.
+  Awaitable<std::optional<uint64_t>> ClaimKey(model::Call call,
+                                              wire::ResponseWriter& writer);
   Awaitable<Verdict> Attempt(model::Call call,
                              wire::Request request,
                              wire::ResponseWriter& writer);
-  Awaitable<void> SettleClaim(model::Call call, Verdict verdict);
+  Awaitable<void> SettleClaim(model::Call call,
+                              uint64_t writer,
+                              Verdict verdict);
   Awaitable<void> Tell(model::Call call,
                        Verdict verdict,
                        wire::ResponseWriter& writer);
--- /dev/null
+++ b/src/libverbenalead/decide/claim_item.h
@@ -0,0 +1,22 @@
+#ifndef VERBENALEAD_DECIDE_CLAIM_ITEM_H_
+#define VERBENALEAD_DECIDE_CLAIM_ITEM_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace verbenalead::decide {
+
+/// A claim as it stands in the table.
+struct ClaimItem {
+  /// See ClaimRevision().
+  uint64_t m_revision = 0;
+  /// kClaimed: the request that holds it. kAnswered: its outcome.
+  std::string m_value;
+
+  friend auto operator<=>(const ClaimItem&, const ClaimItem&) = default;
+};
+
+}  // namespace verbenalead::decide
+
+#endif  // VERBENALEAD_DECIDE_CLAIM_ITEM_H_
--- /dev/null
+++ b/src/libverbenalead/decide/claim_put.h
@@ -0,0 +1,24 @@
+#ifndef VERBENALEAD_DECIDE_CLAIM_PUT_H_
+#define VERBENALEAD_DECIDE_CLAIM_PUT_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "decide/claim_item.h"
+
+namespace verbenalead::decide {
+
+/// One conditional write of a group.
+struct ClaimPut {
+  std::string m_key;
+  ClaimItem m_item;
+  /// The revision that must be there; 0: no item.
+  uint64_t m_expected = 0;
+
+  friend auto operator<=>(const ClaimPut&, const ClaimPut&) = default;
+};
+
+}  // namespace verbenalead::decide
+
+#endif  // VERBENALEAD_DECIDE_CLAIM_PUT_H_
