Find silent connections before a request is put on them

Cause: a device between entry and target may forget a connection; neither end sees an error. A session only began to count silence once a request was on it, so the first request after an idle time waited two seconds, its fate was in doubt, and the target was left alone as broken.

Now a session that has received nothing for 500 ms is asked for a sign of life before a stream is opened on it; without one within 250 ms a new connection is dialled and the old one retired. That covers POST /v1/void too: the question what became of an attempt never follows the attempt into the silence. Ruled out: pings on idle connections, which at 630 daemons cost more than the 8 KB/s that control may use; a probe costs one round trip, and only after a pause. The accepting side watches as well, more patiently, so that it keeps no sockets of peers that are gone.

The entry now reaches a target where the host list says, not where the target binds; the new relay stand-in stands between the two.

--- a/src/libverbenalead/daemon/target_directory.cc
+++ b/src/libverbenalead/daemon/target_directory.cc
@@ -57,6 +57,8 @@
     co_return;
   }
   report->m_leaving |= host.leaving();
+  // Reached where the host list says: a target knows only what it binds.
+  report->m_peer = host.peer();
   m_routers.Get(report->m_pool).Report(*report);
 }
 
--- a/src/libverbenalead/peer/client.cc
+++ b/src/libverbenalead/peer/client.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
 
+#include "base/log.h"
+
 namespace verbenalead::peer {
 namespace {
 
@@ -24,7 +26,7 @@
     auto found = m_sessions.find(endpoint);
     if (found == m_sessions.end())
       return nullptr;
-    if (found->second->closed()) {
+    if (!found->second->usable()) {
       m_sessions.erase(found);
       return nullptr;
     }
@@ -79,6 +81,15 @@
   auto& pool = asio::use_service<SessionPool>(
       asio::query(executor, asio::execution::context));
   std::shared_ptr<Session> session = pool.Find(endpoint);
+  // A connection that has been quiet may have been dropped by something between
+  // the two hosts, with no error at either end. A request put on it would be
+  // lost; so would the question what became of an earlier one. A PING costs one
+  // round trip, and only after a pause.
+  if (session && !session->fresh() && !co_await session->Probe()) {
+    LogLine("connection_doubtful").With("peer", ToString(endpoint)).Warn();
+    session->Retire();
+    session = pool.Find(endpoint);
+  }
   if (!session) {
     auto socket = std::make_shared<tcp::socket>(executor);
     const auto give_up = std::min(deadline, Now() + m_limits.m_silent_after);
--- a/src/libverbenalead/peer/session.cc
+++ b/src/libverbenalead/peer/session.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <cstring>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "base/log.h"
@@ -78,6 +79,9 @@
   bool m_closed = false;
   TimePoint m_last_received;
   bool m_ping_sent = false;
+  bool m_retired = false;
+  /// Cancelled when bytes come.
+  std::vector<std::shared_ptr<asio::steady_timer>> m_probes;
   asio::steady_timer m_watch_timer;
   /// Requests whose last byte has come, to be answered after mem_recv.
   std::vector<int32_t> m_ready;
@@ -444,16 +448,14 @@
                                         m_state->m_limits.m_connection_window);
   const auto executor = m_state->m_socket.get_executor();
   asio::co_spawn(executor, ReadLoop(shared_from_this()), asio::detached);
-  if (!m_state->m_handler)
-    asio::co_spawn(executor, WatchForSilence(shared_from_this()),
-                   asio::detached);
+  asio::co_spawn(executor, WatchForSilence(shared_from_this()), asio::detached);
   Flush();
 }
 
 AsyncResult<std::unique_ptr<wire::ResponseReader>> Session::Open(
     wire::Request request) {
   const std::string step = request.m_method + " " + wire::PathOf(request);
-  if (m_state->m_closed) {
+  if (m_state->m_closed || m_state->m_retired) {
     return Failure{FailureCode::kUnreachable, step, m_state->m_peer,
                    "the connection is closed"};
   }
@@ -484,10 +486,6 @@
     return Failure{FailureCode::kUnreachable, step, m_state->m_peer,
                    nghttp2_strerror(id)};
   }
-  // A connection that was idle may have been dropped meanwhile: the silence is
-  // counted from the moment that something is asked of it.
-  if (m_state->m_streams.empty())
-    m_state->m_last_received = Now();
   stream->m_id = id;
   m_state->m_streams[id] = stream;
   Flush();
@@ -499,6 +497,52 @@
   return m_state->m_closed;
 }
 
+bool Session::usable() const {
+  return !m_state->m_closed && !m_state->m_retired;
+}
+
+bool Session::fresh() const {
+  return Now() - m_state->m_last_received < m_state->m_limits.m_ping_after;
+}
+
+Awaitable<bool> Session::Probe() {
+  const auto self = shared_from_this();
+  const TimePoint asked = Now();
+  const TimePoint give_up = asked + m_state->m_limits.m_probe_timeout;
+  SendPing();
+  while (!m_state->m_closed && Now() < give_up) {
+    if (m_state->m_last_received >= asked)
+      co_return true;
+    auto event =
+        std::make_shared<asio::steady_timer>(m_state->m_socket.get_executor());
+    m_state->m_probes.push_back(event);
+    co_await WaitForEvent(*event, give_up);
+  }
+  co_return !m_state->m_closed && m_state->m_last_received >= asked;
+}
+
+void Session::Retire() {
+  m_state->m_retired = true;
+  if (m_state->m_streams.empty())
+    Close("retired");
+}
+
+void Session::SendPing() {
+  if (m_state->m_closed || std::exchange(m_state->m_ping_sent, true))
+    return;
+  nghttp2_submit_ping(m_state->m_session, NGHTTP2_FLAG_NONE, nullptr);
+  Flush();
+}
+
+Duration Session::SilenceAllowed() const {
+  const SessionLimits& limits = m_state->m_limits;
+  if (!m_state->m_handler)
+    return limits.m_silent_after;
+  return m_state->m_streams.empty()
+             ? limits.m_idle_ping + limits.m_accepted_silent_after
+             : limits.m_accepted_silent_after;
+}
+
 void Session::Drain() {
   if (m_state->m_closed)
     return;
@@ -521,6 +565,8 @@
   boost::system::error_code ignored;
   m_state->m_socket.close(ignored);
   m_state->m_watch_timer.cancel();
+  for (const auto& probe : std::exchange(m_state->m_probes, {}))
+    probe->cancel();
   auto streams = std::move(m_state->m_streams);
   m_state->m_streams.clear();
   for (auto& [id, stream] : streams) {
@@ -543,6 +589,8 @@
     }
     m_state->m_last_received = Now();
     m_state->m_ping_sent = false;
+    for (const auto& probe : std::exchange(m_state->m_probes, {}))
+      probe->cancel();
     const ssize_t taken =
         nghttp2_session_mem_recv(m_state->m_session, buffer.data(), size);
     if (taken < 0) {
@@ -590,19 +638,21 @@
   const SessionLimits& limits = m_state->m_limits;
   while (!m_state->m_closed) {
     co_await WaitForEvent(m_state->m_watch_timer, Now() + limits.m_ping_after);
-    if (m_state->m_closed || m_state->m_streams.empty())
+    const bool idle = m_state->m_streams.empty();
+    if (idle && m_state->m_retired)
+      Close("retired");
+    // The dialling side probes an idle connection when it is next used.
+    if (m_state->m_closed || (idle && !m_state->m_handler))
       continue;
     const Duration silence = Now() - m_state->m_last_received;
-    if (silence >= limits.m_silent_after) {
+    if (silence >= SilenceAllowed()) {
       LogLine("connection_silent")
           .With("peer", m_state->m_peer)
           .With("silent_ms", ToMilliseconds(silence))
           .Warn();
       Close("nothing received although pinged");
-    } else if (silence >= limits.m_ping_after && !m_state->m_ping_sent) {
-      m_state->m_ping_sent = true;
-      nghttp2_submit_ping(m_state->m_session, NGHTTP2_FLAG_NONE, nullptr);
-      Flush();
+    } else if (silence >= (idle ? limits.m_idle_ping : limits.m_ping_after)) {
+      SendPing();
     }
   }
 }
--- a/src/libverbenalead/peer/session.h
+++ b/src/libverbenalead/peer/session.h
@@ -24,6 +24,17 @@
   /// connection is given up. A device between two hosts may drop a connection
   /// without telling either; no error would ever come.
   Duration m_silent_after = 2s;
+  /// The accepting side waits longer: to end an attempt because its entry was
+  /// paused for a moment would put the outcome in doubt for nothing.
+  Duration m_accepted_silent_after = 10s;
+  /// A connection that stood idle is asked for a sign of life before a request
+  /// is put on it; this is many round trips between regions. Without it the
+  /// first request after the connection was dropped waits for m_silent_after,
+  /// and its fate is in doubt.
+  Duration m_probe_timeout = 250ms;
+  /// The accepting side pings an idle connection this seldom, so that it
+  /// doesn't keep the sockets of peers that are gone.
+  Duration m_idle_ping = 60s;
 };
 
 /// One HTTP/2 connection by nghttp2, either side of it. It belongs to one
@@ -44,6 +55,15 @@
   AsyncResult<std::unique_ptr<wire::ResponseReader>> Open(
       wire::Request request);
   bool closed() const;
+  /// True if it takes new streams.
+  bool usable() const;
+  /// True if something was received within m_ping_after.
+  bool fresh() const;
+  /// Sends a PING and waits for whatever comes; false if nothing does within
+  /// m_probe_timeout.
+  Awaitable<bool> Probe();
+  /// Takes no new stream, and closes once its streams have ended.
+  void Retire();
   /// Sends GOAWAY: streams under way are finished, no new one is taken.
   void Drain();
 
@@ -57,6 +77,9 @@
   void Begin();
   void Flush();
   void Close(const std::string& reason);
+  void SendPing();
+  /// How long the other side may be silent now.
+  Duration SilenceAllowed() const;
   // Each loop holds the session alive by `self` from before it first runs.
   Awaitable<void> ReadLoop(std::shared_ptr<Session> self);
   Awaitable<void> WriteLoop(std::shared_ptr<Session> self);
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -4,6 +4,7 @@
 which it was started.
 """
 
+import concurrent.futures
 import http.client
 import json
 import os
@@ -241,6 +242,18 @@
         self.targets.append(target)
         return target
 
+    def add_relay(self, target):
+        """Puts a relay before `target`; returns where it takes commands."""
+        commands, relay = ["127.0.0.1:%d" % port for port in free_ports(2)]
+        for host in self.hosts:
+            if host["labels"]["host"] == target["name"]:
+                host["peer"] = relay
+        self.start(target["name"] + "-relay", "standin_relay",
+                   {"listen": commands, "relay": relay,
+                    "forward": target["peers"]})
+        self.wait_listening(commands)
+        return commands
+
     def start_hosts(self, token_us=1000, work_ms=5):
         for target in self.targets:
             self.start_backend(target, token_us, work_ms)
@@ -334,6 +347,54 @@
                  "stream": stream}, names, timeout)
 
 
+def confirm(entry, key, body="{}", timeout_ms=20000, service="fee-ledger"):
+    """A non-idempotent call of the plain service."""
+    return call(entry["callers"], "POST", "/services/%s/confirm" % service,
+                body, {"x-organisation": "acme", "x-idempotent": "false",
+                       "idempotency-key": key,
+                       "x-timeout-ms": str(timeout_ms)}, 60)
+
+
+def in_parallel(count, function):
+    """Calls `function(number)` in threads of its own; returns the results."""
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        return list(pool.map(function, range(count)))
+
+
+def declare_service(cluster, pool="ledger", service="fee-ledger"):
+    cluster.apply([
+        {"kind": "limits", "name": "acme", "spec": {"weight": 1}},
+        {"kind": "pool", "name": pool, "spec": {"service": service}},
+        {"kind": "service", "name": service, "spec": {"pool": pool}}])
+
+
+def wait_open(cluster, count):
+    """Waits until every entry sees `count` targets that take requests."""
+    for entry in range(len(cluster.entries)):
+        wait_for("%d open targets" % count, lambda: sum(
+            1 for target in cluster.status(entry)["targets"]
+            if target["open"]) >= count)
+
+
+def service_runs(*targets):
+    """How often each key ran, over all `targets`."""
+    total = {}
+    for target in targets:
+        for key, runs in call(target["backend"], "GET", "/runs").json().items():
+            total[key] = total.get(key, 0) + runs
+    return total
+
+
+def check_truth(told, runs):
+    """Compares each outcome told, by key, with how often the call ran."""
+    allowed = {"completed": (1,), "failed": (1,), "refused": (0,),
+               "unknown": (0, 1)}
+    for key, outcome in told.items():
+        ran = runs.get(key, 0)
+        assert ran in allowed[outcome], "%s: told %s, ran %d times" % (
+            key, outcome, ran)
+
+
 def streamed_text(reply):
     """The text of a whole event stream; None if it was cut."""
     if reply.body is None:
--- /dev/null
+++ b/testsuite/standins/relay/main.cc
@@ -0,0 +1,71 @@
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+
+#include "base/io_threads.h"
+#include "base/log.h"
+#include "daemon/program.h"
+#include "http/server.h"
+#include "standins/common/faults.h"
+#include "standins/relay/relay.h"
+#include "wire/listener.h"
+
+namespace {
+
+using namespace verbenalead;
+
+SettingsSchema RelaySettings() {
+  return SettingsSchema()
+      .Address("listen", "127.0.0.1:8400", "where POST /faults is taken")
+      .Address("relay", "127.0.0.1:8401", "where connections are taken")
+      .Address("forward", "127.0.0.1:8402", "where they are passed on to")
+      .Choice("log.level", {"info", "debug", "warn", "error"}, "least level");
+}
+
+/// Takes {"silent": true}, {"cut": true} and {"delay_ms": N}.
+Awaitable<void> Command(standins::Relay& relay,
+                        const wire::Request& request,
+                        wire::ResponseWriter& writer) {
+  standins::Faults faults;
+  const bool good = faults.Set(request.m_body);
+  if (good && faults.Flag("silent"))
+    relay.Silence();
+  if (good && faults.Flag("cut"))
+    relay.Cut();
+  if (good)
+    relay.Delay(std::chrono::milliseconds(faults.Number("delay_ms")));
+  co_await writer.Send({good ? 200 : 400, {}, ""});
+}
+
+int Serve(const Settings& settings) {
+  // One thread, so that commands and connections need no lock.
+  IoThreads threads(1);
+  standins::Relay relay(settings.Address("forward"));
+  http::Server commands(
+      threads, http::ServerLimits{},
+      [&relay](const wire::Request& request, wire::ResponseWriter& writer) {
+        return Command(relay, request, writer);
+      });
+  wire::Listener listener(threads,
+                          [&relay](boost::asio::ip::tcp::socket socket) {
+                            relay.Take(std::move(socket));
+                          });
+  if (!commands.Listen(settings.Address("listen")) ||
+      !listener.Listen(settings.Address("relay"))) {
+    LogLine("start_failed").Error();
+    return 1;
+  }
+  boost::asio::signal_set signals(threads.main(), SIGTERM, SIGINT);
+  signals.async_wait(
+      [&](const boost::system::error_code&, int) { threads.Stop(); });
+  threads.Run();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return verbenalead::daemon::RunProgram(
+      argc, argv, "standin_relay",
+      "Stands between two hosts and loses track of their connections.",
+      RelaySettings(), &Serve);
+}
--- /dev/null
+++ b/testsuite/standins/relay/relay.cc
@@ -0,0 +1,32 @@
+#include "standins/relay/relay.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace verbenalead::standins {
+
+void Relay::Take(boost::asio::ip::tcp::socket socket) {
+  const auto executor = socket.get_executor();
+  auto connection = std::make_shared<Connection>(std::move(socket));
+  connection->m_delay = m_delay;
+  std::erase_if(m_connections, [](const auto& each) { return each.expired(); });
+  m_connections.push_back(connection);
+  boost::asio::co_spawn(executor, RunConnection(connection, m_forward),
+                        boost::asio::detached);
+}
+
+void Relay::Silence() {
+  for (const auto& each : m_connections) {
+    if (auto connection = each.lock())
+      connection->m_silent = true;
+  }
+}
+
+void Relay::Cut() {
+  for (const auto& each : m_connections) {
+    if (auto connection = each.lock())
+      connection->Close();
+  }
+}
+
+}  // namespace verbenalead::standins
