--- a/src/libverbenalead/peer/session.cc
+++ b/src/libverbenalead/peer/session.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <cstring>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "base/log.h"
@@ -68,6 +69,13 @@
     return found == m_streams.end() ? nullptr : found->second;
   }
 
+  void MarkFlushed() {
+    for (const StreamPtr& stream : std::exchange(m_sent, {})) {
+      stream->m_flushed = true;
+      stream->m_outbound_event.cancel();
+    }
+  }
+
   tcp::socket m_socket;
   const SessionLimits m_limits;
   wire::Handler m_handler;
@@ -78,9 +86,14 @@
   bool m_closed = false;
   TimePoint m_last_received;
   bool m_ping_sent = false;
+  bool m_retired = false;
+  /// Cancelled when bytes come.
+  std::vector<std::shared_ptr<asio::steady_timer>> m_probes;
   asio::steady_timer m_watch_timer;
   /// Requests whose last byte has come, to be answered after mem_recv.
   std::vector<int32_t> m_ready;
+  /// Streams whose last frame is in the buffer that is being written.
+  std::vector<StreamPtr> m_sent;
 };
 
 /// nghttp2 calls back into the session through these.
@@ -120,15 +133,21 @@
     return 0;
   }
 
-  static int OnFrame(nghttp2_session*,
+  static int OnFrame(nghttp2_session* session,
                      const nghttp2_frame* frame,
                      void* user_data) {
     State& state = *Self(user_data).m_state;
     StreamPtr stream = state.Find(frame->hd.stream_id);
     if (!stream)
       return 0;
-    if (frame->hd.type == NGHTTP2_HEADERS)
+    if (frame->hd.type == NGHTTP2_HEADERS) {
       stream->m_head_done = true;
+      if (std::exchange(stream->m_bulk, false)) {
+        nghttp2_session_set_local_window_size(session, NGHTTP2_FLAG_NONE,
+                                              stream->m_id,
+                                              state.m_limits.m_bulk_window);
+      }
+    }
     const bool carries_end =
         frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA;
     if (carries_end && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM)) {
@@ -152,10 +171,13 @@
       nghttp2_session_consume(session, id, size);
       return 0;
     }
+    // Each stream is held back by its own window only: with one for the whole
+    // connection, a few callers that read slowly would hold up all others.
+    nghttp2_session_consume_connection(session, size);
     if (state.m_handler) {
       // A request's body is taken whole, so its window opens again at once;
       // the limit on its length bounds what is held.
-      nghttp2_session_consume(session, id, size);
+      nghttp2_session_consume_stream(session, id, size);
       if (stream->m_inbound_bytes + size > state.m_limits.m_max_body) {
         nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id,
                                   NGHTTP2_ENHANCE_YOUR_CALM);
@@ -176,14 +198,11 @@
     StreamPtr stream = state.Find(id);
     if (!stream)
       return 0;
-    stream->m_closed = true;
-    stream->m_closed_reason =
-        std::string("stream closed: ") + nghttp2_http2_strerror(error_code);
-    if (error_code != NGHTTP2_NO_ERROR)
-      stream->m_ended = false;
-    stream->m_inbound_event.cancel();
-    stream->m_outbound_event.cancel();
     state.m_streams.erase(id);
+    state.m_sent.push_back(stream);
+    stream->Close(
+        std::string("stream closed: ") + nghttp2_http2_strerror(error_code),
+        error_code == NGHTTP2_NO_ERROR);
     return 0;
   }
 
@@ -243,17 +262,13 @@
         m_stream(std::move(stream)),
         m_step(std::move(step)) {}
 
-  ~Reader() override {
-    if (m_stream->m_closed || m_session->closed())
-      return;
-    nghttp2_submit_rst_stream(m_session->m_state->m_session, NGHTTP2_FLAG_NONE,
-                              m_stream->m_id, NGHTTP2_CANCEL);
-    m_session->Flush();
-  }
+  ~Reader() override { Reset(); }
 
   Awaitable<AsyncResult<wire::ResponseHead>> ReadHead(
       TimePoint deadline) override {
     while (!m_stream->m_head_done) {
+      if (m_cancelled)
+        co_return Cancelled();
       if (m_stream->m_closed)
         co_return Broken(FailureCode::kBroken, m_stream->m_closed_reason);
       if (Now() >= deadline)
@@ -272,6 +287,8 @@
     while (m_stream->m_inbound.empty()) {
       if (m_stream->m_ended)
         co_return std::optional<std::string>();
+      if (m_cancelled)
+        co_return Cancelled();
       if (m_stream->m_closed)
         co_return Broken(FailureCode::kBroken, m_stream->m_closed_reason);
       if (Now() >= deadline)
@@ -281,8 +298,8 @@
     std::string bytes = std::move(m_stream->m_inbound.front());
     m_stream->m_inbound.pop_front();
     if (!m_session->closed()) {
-      nghttp2_session_consume(m_session->m_state->m_session, m_stream->m_id,
-                              bytes.size());
+      nghttp2_session_consume_stream(m_session->m_state->m_session,
+                                     m_stream->m_id, bytes.size());
       m_session->Flush();
     }
     co_return std::optional<std::string>(std::move(bytes));
@@ -292,7 +309,26 @@
     return m_stream->m_trailers;
   }
 
+  void Cancel() override {
+    if (std::exchange(m_cancelled, true))
+      return;
+    Reset();
+    m_stream->m_inbound_event.cancel();
+  }
+
  private:
+  void Reset() {
+    if (m_stream->m_closed || m_session->closed())
+      return;
+    nghttp2_submit_rst_stream(m_session->m_state->m_session, NGHTTP2_FLAG_NONE,
+                              m_stream->m_id, NGHTTP2_CANCEL);
+    m_session->Flush();
+  }
+
+  Failure Cancelled() const {
+    return Broken(FailureCode::kCancelled, "cancelled");
+  }
+
   Failure Broken(FailureCode code, const std::string& reason) const {
     return Failure{code, m_step, m_session->m_state->m_peer, reason};
   }
@@ -300,6 +336,7 @@
   std::shared_ptr<Session> m_session;
   StreamPtr m_stream;
   std::string m_step;
+  bool m_cancelled = false;
 };
 
 /// Writes the response on a stream that the other side opened.
@@ -352,13 +389,24 @@
     m_stream->m_outbound_trailers = std::move(trailers);
     m_stream->m_outbound_finished = true;
     Resume();
-    co_return true;
+    // A process that stops ends once its attempts are answered: an answer that
+    // is still in this process's memory would be cut off.
+    while (!m_stream->m_flushed && !m_session->closed())
+      co_await WaitForEvent(m_stream->m_outbound_event, kNever);
+    co_return m_stream->m_flushed;
   }
 
   bool gone() const override {
     return m_stream->m_closed || m_session->closed();
   }
 
+  void OnGone(std::function<void()> function) override {
+    if (function && gone())
+      function();
+    else
+      m_stream->m_on_gone = std::move(function);
+  }
+
   /// Resets a stream that the handler left unfinished.
   void Abandon() {
     if (gone() || m_stream->m_outbound_finished)
@@ -444,16 +492,14 @@
                                         m_state->m_limits.m_connection_window);
   const auto executor = m_state->m_socket.get_executor();
   asio::co_spawn(executor, ReadLoop(shared_from_this()), asio::detached);
-  if (!m_state->m_handler)
-    asio::co_spawn(executor, WatchForSilence(shared_from_this()),
-                   asio::detached);
+  asio::co_spawn(executor, WatchForSilence(shared_from_this()), asio::detached);
   Flush();
 }
 
 AsyncResult<std::unique_ptr<wire::ResponseReader>> Session::Open(
     wire::Request request) {
   const std::string step = request.m_method + " " + wire::PathOf(request);
-  if (m_state->m_closed) {
+  if (m_state->m_closed || m_state->m_retired) {
     return Failure{FailureCode::kUnreachable, step, m_state->m_peer,
                    "the connection is closed"};
   }
@@ -484,11 +530,8 @@
     return Failure{FailureCode::kUnreachable, step, m_state->m_peer,
                    nghttp2_strerror(id)};
   }
-  // A connection that was idle may have been dropped meanwhile: the silence is
-  // counted from the moment that something is asked of it.
-  if (m_state->m_streams.empty())
-    m_state->m_last_received = Now();
   stream->m_id = id;
+  stream->m_bulk = request.m_priority == wire::Priority::kBulk;
   m_state->m_streams[id] = stream;
   Flush();
   return std::unique_ptr<wire::ResponseReader>(
@@ -499,6 +542,52 @@
   return m_state->m_closed;
 }
 
+bool Session::usable() const {
+  return !m_state->m_closed && !m_state->m_retired;
+}
+
+bool Session::fresh() const {
+  return Now() - m_state->m_last_received < m_state->m_limits.m_ping_after;
+}
+
+Awaitable<bool> Session::Probe() {
+  const auto self = shared_from_this();
+  const TimePoint asked = Now();
+  const TimePoint give_up = asked + m_state->m_limits.m_probe_timeout;
+  SendPing();
+  while (!m_state->m_closed && Now() < give_up) {
+    if (m_state->m_last_received >= asked)
+      co_return true;
+    auto event =
+        std::make_shared<asio::steady_timer>(m_state->m_socket.get_executor());
+    m_state->m_probes.push_back(event);
+    co_await WaitForEvent(*event, give_up);
+  }
+  co_return !m_state->m_closed && m_state->m_last_received >= asked;
+}
+
+void Session::Retire() {
+  m_state->m_retired = true;
+  if (m_state->m_streams.empty())
+    Close("retired");
+}
+
+void Session::SendPing() {
+  if (m_state->m_closed || std::exchange(m_state->m_ping_sent, true))
+    return;
+  nghttp2_submit_ping(m_state->m_session, NGHTTP2_FLAG_NONE, nullptr);
+  Flush();
+}
+
+Duration Session::SilenceAllowed() const {
+  const SessionLimits& limits = m_state->m_limits;
+  if (!m_state->m_handler)
+    return limits.m_silent_after;
+  return m_state->m_streams.empty()
+             ? limits.m_idle_ping + limits.m_accepted_silent_after
+             : limits.m_accepted_silent_after;
+}
+
 void Session::Drain() {
   if (m_state->m_closed)
     return;
@@ -521,14 +610,13 @@
   boost::system::error_code ignored;
   m_state->m_socket.close(ignored);
   m_state->m_watch_timer.cancel();
+  for (const auto& probe : std::exchange(m_state->m_probes, {}))
+    probe->cancel();
   auto streams = std::move(m_state->m_streams);
   m_state->m_streams.clear();
-  for (auto& [id, stream] : streams) {
-    stream->m_closed = true;
-    stream->m_closed_reason = reason;
-    stream->m_inbound_event.cancel();
-    stream->m_outbound_event.cancel();
-  }
+  for (auto& [id, stream] : streams)
+    stream->Close(reason, false);
+  m_state->MarkFlushed();
 }
 
 Awaitable<void> Session::ReadLoop(std::shared_ptr<Session> self) {
@@ -543,6 +631,8 @@
     }
     m_state->m_last_received = Now();
     m_state->m_ping_sent = false;
+    for (const auto& probe : std::exchange(m_state->m_probes, {}))
+      probe->cancel();
     const ssize_t taken =
         nghttp2_session_mem_recv(m_state->m_session, buffer.data(), size);
     if (taken < 0) {
@@ -571,14 +661,17 @@
       out.append(reinterpret_cast<const char*>(data),
                  static_cast<size_t>(size));
     }
-    if (out.empty())
+    if (out.empty()) {
+      m_state->MarkFlushed();
       break;
+    }
     boost::system::error_code error;
     co_await asio::async_write(
         m_state->m_socket, asio::buffer(out),
         asio::redirect_error(asio::use_awaitable, error));
     if (error)
       Close("connection lost: " + error.message());
+    m_state->MarkFlushed();
   }
   m_state->m_writing = false;
   if (!m_state->m_closed && !nghttp2_session_want_read(m_state->m_session) &&
@@ -590,19 +683,21 @@
   const SessionLimits& limits = m_state->m_limits;
   while (!m_state->m_closed) {
     co_await WaitForEvent(m_state->m_watch_timer, Now() + limits.m_ping_after);
-    if (m_state->m_closed || m_state->m_streams.empty())
+    const bool idle = m_state->m_streams.empty();
+    if (idle && m_state->m_retired)
+      Close("retired");
+    // The dialling side probes an idle connection when it is next used.
+    if (m_state->m_closed || (idle && !m_state->m_handler))
       continue;
     const Duration silence = Now() - m_state->m_last_received;
-    if (silence >= limits.m_silent_after) {
+    if (silence >= SilenceAllowed()) {
       LogLine("connection_silent")
           .With("peer", m_state->m_peer)
           .With("silent_ms", ToMilliseconds(silence))
           .Warn();
       Close("nothing received although pinged");
-    } else if (silence >= limits.m_ping_after && !m_state->m_ping_sent) {
-      m_state->m_ping_sent = true;
-      nghttp2_submit_ping(m_state->m_session, NGHTTP2_FLAG_NONE, nullptr);
-      Flush();
+    } else if (silence >= (idle ? limits.m_idle_ping : limits.m_ping_after)) {
+      SendPing();
     }
   }
 }
