Split the case of two misspelt settings into two

Cause: since an empty unknown group is refused too, the first of the two keys in one file is the one named (bad_settings failed: 'lisen is unknown' in place of 'listn is unknown'). Each has a file of its own now, so both are asked for.

--- a/testsuite/cases/bad_settings/run.py
+++ b/testsuite/cases/bad_settings/run.py
@@ -16,8 +16,8 @@
      "backend.capacity is 0; allowed: integer from 1 to 100000 requests"),
     ({"host": "h", "pool": "p", "backend": {"kind": "other"}},
      'backend.kind is "other"; allowed: one of engine, service'),
-    ({"host": "h", "pool": "p", "lisen": {}, "listn": 1},
-     "listn is unknown"),
+    ({"host": "h", "pool": "p", "listn": 1}, "listn is unknown"),
+    ({"host": "h", "pool": "p", "lisen": {}}, "lisen is unknown"),
     ({"host": "h", "pool": "p", "listen": {"peers": "localhost:1"}},
      "allowed: IP:port"),
 ]
