--- a/src/libverbenalead/daemon/target_daemon.cc
+++ b/src/libverbenalead/daemon/target_daemon.cc
@@ -1,5 +1,6 @@
 #include "daemon/target_daemon.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -42,6 +43,26 @@
   return static_cast<uint64_t>(settings.Integer(key));
 }
 
+/// Live requests use the same links, so chunks get a part of them.
+uint64_t TransferShare(const Settings& settings, const char* key) {
+  return Bytes(settings, key) * Bytes(settings, "transfer.share_percent") / 100;
+}
+
+WeightsFetcher::Options FetcherOptions(const Settings& settings) {
+  WeightsFetcher::Options options;
+  options.m_self = {settings.Text("host"), settings.Text("region"),
+                    settings.Text("data_center")};
+  options.m_pool = settings.Text("pool");
+  if (settings.Text("transfer.preference") == "origin_bytes_first")
+    options.m_preference = decide::TransferPreference::kOriginBytesFirst;
+  options.m_origin_budget_percent =
+      static_cast<uint32_t>(settings.Integer("transfer.origin_budget_percent"));
+  options.m_links.m_origin = Bytes(settings, "transfer.origin_rate");
+  options.m_links.m_host = std::min(TransferShare(settings, "link.upload"),
+                                    TransferShare(settings, "link.download"));
+  return options;
+}
+
 }  // namespace
 
 struct TargetDaemon::Parts {
@@ -61,14 +82,14 @@
                  settings.Address("platform.origin"),
                  settings.Milliseconds("platform.origin_timeout")),
         m_engine(m_http, settings.Address("backend.address")),
-        m_upload(Bytes(settings, "link.upload")),
-        m_download(Bytes(settings, "link.download")),
+        m_upload(TransferShare(settings, "link.upload")),
+        m_download(TransferShare(settings, "link.download")),
+        m_uploads(m_upload),
         m_store(Bytes(settings, "weights.memory")),
         m_gate(UnixMilliseconds(),
                static_cast<uint32_t>(settings.Integer("backend.capacity"))),
         m_config(nullptr),
-        m_fetcher(settings.Text("host"),
-                  settings.Text("pool"),
+        m_fetcher(FetcherOptions(settings),
                   m_store,
                   m_hosts,
                   m_peers,
@@ -96,7 +117,8 @@
     context.m_attempts = &m_attempts;
     context.m_store = &m_store;
     context.m_journal = &m_journal;
-    context.m_upload = &m_upload;
+    context.m_uploads = &m_uploads;
+    context.m_region = m_settings.Text("region");
     context.m_report = [this] { return Report(); };
     context.m_drain = [this] { StartLeaving("operator"); };
     return MakeTargetPeerApi(std::move(context));
@@ -227,6 +249,7 @@
   platform::Engine m_engine;
   Pacer m_upload;
   Pacer m_download;
+  UploadScheduler m_uploads;
   WeightsStore m_store;
   GateKeeper m_gate;
   ConfigKeeper m_config;
--- a/src/libverbenalead/daemon/target_peer_api.cc
+++ b/src/libverbenalead/daemon/target_peer_api.cc
@@ -3,6 +3,8 @@
 #include <cstdlib>
 
 #include "base/catch_failure.h"
+#include "base/sleep.h"
+#include "daemon/transfer_messages.h"
 
 namespace verbenalead::daemon {
 namespace {
@@ -14,6 +16,11 @@
 constexpr std::string_view kManifest = "/v1/manifest/";
 constexpr std::string_view kTrace = "/v1/trace/";
 constexpr std::string_view kWeights = "/weights/";
+/// News is gathered this long: less than half of the time that a chunk takes
+/// on the links this is made for, and at most 20 messages a second.
+constexpr Duration kNewsInterval = 50ms;
+/// Hosts learn of a version within seconds of each other.
+constexpr Duration kFollowPatience = 30s;
 constexpr size_t kHexDigits = 2 * Digest::kBytes;
 
 /// The digest that stands in `path` after `prefix`; empty if malformed.
@@ -23,18 +30,61 @@
   return digest ? *digest : Digest();
 }
 
-Awaitable<wire::Response> ServeChunk(Context context, std::string path) {
+Awaitable<wire::Response> ServeChunk(Context context, wire::Request request) {
+  const std::string path = wire::PathOf(request);
   const Digest whole = DigestAfter(path, kChunk);
   const size_t slash = path.rfind('/');
-  const auto index = static_cast<uint32_t>(
+  decide::UploadRequest upload;
+  upload.m_chunk = static_cast<uint32_t>(
       std::strtoul(path.c_str() + slash + 1, nullptr, 10));
-  const WeightsStore::Chunk chunk = context->m_store->Get(whole, index);
+  upload.m_held = static_cast<uint32_t>(std::strtoul(
+      wire::Get(request.m_headers, kHeldHeader).c_str(), nullptr, 10));
+  upload.m_far =
+      wire::Get(request.m_headers, kRegionHeader) != context->m_region;
+  const WeightsStore::Chunk chunk =
+      context->m_store->Get(whole, upload.m_chunk);
   if (!chunk)
     co_return wire::Response{404, {}, "not here"};
-  co_await context->m_upload->Take(chunk->size());
+  co_await context->m_uploads->Take(whole, upload, chunk->size());
   co_return wire::Response{200, {}, *chunk};
 }
 
+/// Tells what is here now and then each chunk that comes, until the version is
+/// whole. A host may ask before its neighbour has begun with the version.
+Awaitable<void> ServeFollow(Context context,
+                            std::string path,
+                            wire::ResponseWriter& writer) {
+  const Digest whole = DigestAfter(path, kHave);
+  bool alive = co_await writer.Start({200, {}});
+  auto manifest = context->m_store->GetManifest(whole);
+  const TimePoint give_up = Now() + kFollowPatience;
+  while (alive && !manifest && Now() < give_up) {
+    co_await Sleep(kNewsInterval);
+    alive = !writer.gone();
+    manifest = context->m_store->GetManifest(whole);
+  }
+  if (!alive || !manifest)
+    co_return;
+  // The count is read first: a chunk that comes between is told twice, never
+  // not at all.
+  size_t told = context->m_store->Arrivals(whole, 0).size();
+  alive = co_await writer.Write(context->m_store->HaveBits(whole));
+  while (alive && told < manifest->chunk_count()) {
+    co_await Sleep(kNewsInterval);
+    std::string news;
+    for (uint32_t chunk : context->m_store->Arrivals(whole, told)) {
+      AppendNumber(news, chunk);
+      ++told;
+    }
+    if (news.empty() && !context->m_store->GetManifest(whole))
+      co_return;
+    alive = news.empty() ? !writer.gone() : alive;
+    if (!news.empty())
+      alive = co_await writer.Write(std::move(news));
+  }
+  co_await writer.Finish({});
+}
+
 wire::Response ServeTrace(const TargetPeerContext& context,
                           const std::string& request) {
   std::string body;
@@ -67,7 +117,7 @@
         200, {}, context->m_store->HaveBits(DigestAfter(path, kHave))};
   }
   if (path.starts_with(kChunk))
-    co_return co_await ServeChunk(context, path);
+    co_return co_await ServeChunk(context, std::move(request));
   if (path.starts_with(kManifest))
     co_return ServeManifest(*context, path);
   if (path.starts_with(kTrace))
@@ -82,6 +132,11 @@
     co_await context->m_attempts->Serve(request, writer);
     co_return;
   }
+  const std::string path = wire::PathOf(request);
+  if (path.starts_with(kHave) && !wire::QueryValue(request, "follow").empty()) {
+    co_await ServeFollow(context, path, writer);
+    co_return;
+  }
   wire::Response response = co_await Respond(context, request);
   co_await writer.Send(std::move(response));
 }
--- a/src/libverbenalead/daemon/target_peer_api.h
+++ b/src/libverbenalead/daemon/target_peer_api.h
@@ -3,9 +3,9 @@
 
 #include <functional>
 
-#include "base/pacer.h"
 #include "daemon/attempt_server.h"
 #include "daemon/journal.h"
+#include "daemon/upload_scheduler.h"
 #include "daemon/weights_store.h"
 #include "model/target_report.h"
 
@@ -16,7 +16,9 @@
   AttemptServer* m_attempts = nullptr;
   WeightsStore* m_store = nullptr;
   Journal* m_journal = nullptr;
-  Pacer* m_upload = nullptr;
+  UploadScheduler* m_uploads = nullptr;
+  /// Region of this host.
+  std::string m_region;
   std::function<model::TargetReport()> m_report;
   std::function<void()> m_drain;
 };
@@ -28,6 +30,7 @@
 ///     GET  /v1/status                 TargetReport
 ///     POST /v1/drain                  take nothing new
 ///     GET  /v1/have/DIGEST            which chunks are here
+///     GET  /v1/have/DIGEST?follow=1   the same, then each one that comes
 ///     GET  /v1/chunk/DIGEST/INDEX
 ///     GET  /v1/manifest/DIGEST
 ///     GET  /v1/trace/REQUEST
--- a/src/libverbenalead/daemon/target_settings.cc
+++ b/src/libverbenalead/daemon/target_settings.cc
@@ -24,6 +24,17 @@
                "rate at which chunks are sent to other hosts; 0: no limit")
       .Integer("link.download", 0, 0, int64_t{1} << 40, "bytes/s",
                "rate at which chunks are taken in; 0: no limit")
+      .Choice("transfer.preference", {"time_first", "origin_bytes_first"},
+              "which goes first: time until a version is everywhere, or "
+              "bytes drawn from the origin")
+      .Integer("transfer.origin_budget_percent", 103, 100, 1000, "%",
+               "copies that all hosts together may draw from the origin; "
+               "what is above 100 is spent by time_first only")
+      .Integer("transfer.origin_rate", 0, 0, int64_t{1} << 40, "bytes/s",
+               "rate of the origin's link, by which hosts take turns; 0: not "
+               "known")
+      .Integer("transfer.share_percent", 80, 1, 100, "%",
+               "share of link.upload and link.download that chunks may take")
       .Integer("journal.requests", 5000, 100, 10000000, "requests",
                "requests whose trace is kept in memory")
       .Address("platform.table", "127.0.0.1:8100", "table service")
--- a/src/libverbenalead/daemon/weights_fetcher.cc
+++ b/src/libverbenalead/daemon/weights_fetcher.cc
@@ -8,6 +8,7 @@
 #include "base/catch_failure.h"
 #include "base/log.h"
 #include "base/sleep.h"
+#include "daemon/transfer_messages.h"
 #include "decide/rendezvous.h"
 
 namespace verbenalead::daemon {
@@ -16,24 +17,21 @@
 namespace asio = boost::asio;
 
 constexpr Duration kAskTimeout = 1s;
-constexpr Duration kChunkTimeout = 20s;
-constexpr Duration kStep = 10ms;
-constexpr Duration kAskInterval = 50ms;
+/// How soon a read notices that the core has given it up.
+constexpr Duration kCancelPoll = 250ms;
+constexpr Duration kStep = 5ms;
+constexpr Duration kMembersInterval = 500ms;
 constexpr Duration kManifestRetry = 100ms;
 /// A host that isn't the manifest's drawer waits this many tries for a peer.
 constexpr int kManifestPatience = 20;
 constexpr size_t kMaxManifest = size_t{64} << 20;
-/// Neighbours asked for news. Enough that two random hosts are a few hops
-/// apart at any size of fleet, few enough that control stays small.
-constexpr size_t kMaxNeighbours = 16;
+/// Hosts asked for the manifest in one try.
+constexpr size_t kMaxAsked = 16;
 /// The manifest is drawn by the host that this number's hash names.
 constexpr uint64_t kManifestNumber = ~uint64_t{0};
 
-std::vector<bool> ReadBits(const std::string& bits, uint32_t count) {
-  std::vector<bool> have(count);
-  for (uint32_t i = 0; i < count && i / 8 < bits.size(); ++i)
-    have[i] = bits[i / 8] >> (i % 8) & 1;
-  return have;
+bool IsTimeout(const Failure& failure) {
+  return failure.m_code == FailureCode::kTimeout;
 }
 
 }  // namespace
@@ -42,27 +40,35 @@
   model::VersionSpec m_version;
   model::Manifest m_manifest;
   decide::TransferState m_transfer;
-  std::map<std::string, model::Host> m_neighbours;
-  std::map<std::string, TimePoint> m_next_ask;
+  std::map<std::string, Endpoint> m_endpoints;
+  TimePoint m_next_members{};
+  /// Set to true to give up the fetch of a chunk, the news of a host.
+  std::map<uint32_t, std::shared_ptr<bool>> m_fetches;
+  std::map<std::string, std::shared_ptr<bool>> m_follows;
+
+  void CancelAll() {
+    for (auto& [chunk, cancelled] : m_fetches)
+      *cancelled = true;
+    for (auto& [name, cancelled] : m_follows)
+      *cancelled = true;
+  }
 };
 
-WeightsFetcher::WeightsFetcher(std::string host,
-                               std::string pool,
+WeightsFetcher::WeightsFetcher(Options options,
                                WeightsStore& store,
                                HostDirectory& hosts,
                                wire::Client& peers,
                                platform::Origin& origin,
                                Pacer& download,
                                TransferCounters& counters)
-    : m_host(std::move(host)),
-      m_pool(std::move(pool)),
+    : m_options(std::move(options)),
       m_store(store),
       m_hosts(hosts),
       m_peers(peers),
       m_origin(origin),
       m_download(download),
       m_counters(counters),
-      m_random(decide::MixHash(m_host, 0)) {}
+      m_random(decide::MixHash(m_options.m_self.m_name, 0)) {}
 
 Awaitable<AsyncResult<bool>> WeightsFetcher::Fetch(
     model::VersionSpec version,
@@ -73,104 +79,181 @@
   auto run = std::make_shared<Run>();
   run->m_version = version;
   run->m_manifest = *manifest;
-  run->m_transfer = decide::StartTransfer(m_host, manifest->chunk_count(),
-                                          decide::TransferLimits{}, Now());
-  const std::vector<bool> have = m_store.Have(manifest->whole());
-  for (uint32_t chunk = 0; chunk < have.size(); ++chunk) {
-    if (have[chunk])
-      decide::ChunkArrived(run->m_transfer, chunk);
-  }
+  decide::TransferLinks links = m_options.m_links;
+  links.m_chunk_bytes = manifest->chunk_size();
+  const decide::TransferLimits limits = decide::LimitsFor(
+      links, m_options.m_preference, m_options.m_origin_budget_percent);
+  run->m_transfer = decide::StartTransfer(
+      m_options.m_self, manifest->chunk_count(), limits, Now());
+  for (uint32_t chunk : m_store.Arrivals(manifest->whole(), 0))
+    decide::ChunkArrived(run->m_transfer, chunk, Now());
   const auto executor = co_await asio::this_coro::executor;
-  while (!decide::IsComplete(run->m_transfer)) {
-    if (!wanted())
-      co_return false;
+  bool still_wanted = wanted();
+  while (still_wanted && !decide::IsComplete(run->m_transfer)) {
     UpdateMembers(*run);
-    for (const auto& [name, host] : run->m_neighbours) {
-      TimePoint& next = run->m_next_ask[name];
-      if (Now() < next)
-        continue;
-      next = Now() + kAskTimeout;
-      asio::co_spawn(executor, AskNeighbour(run, host), asio::detached);
-    }
-    for (const decide::FetchChunk& fetch :
-         decide::NextFetches(run->m_transfer, Now(), m_random))
-      asio::co_spawn(executor, FetchChunk(run, fetch), asio::detached);
+    DoStep(run, executor);
     co_await Sleep(kStep);
+    still_wanted = wanted();
+  }
+  run->CancelAll();
+  co_return still_wanted;
+}
+
+void WeightsFetcher::DoStep(std::shared_ptr<Run> run,
+                            const asio::any_io_executor& executor) {
+  const decide::TransferActions actions =
+      decide::Step(run->m_transfer, Now(), m_random);
+  for (const decide::FetchChunk& cancel : actions.m_cancels) {
+    LogLine("chunk_given_up")
+        .With("chunk", uint64_t{cancel.m_chunk})
+        .With("source", cancel.m_source.m_host)
+        .Info();
+    *run->m_fetches[cancel.m_chunk] = true;
+  }
+  for (const std::string& name : actions.m_unfollows)
+    *run->m_follows[name] = true;
+  for (const std::string& name : actions.m_follows) {
+    auto cancelled = std::make_shared<bool>(false);
+    run->m_follows[name] = cancelled;
+    asio::co_spawn(executor, Follow(run, name, cancelled), asio::detached);
+  }
+  for (const decide::FetchChunk& fetch : actions.m_fetches) {
+    auto cancelled = std::make_shared<bool>(false);
+    run->m_fetches[fetch.m_chunk] = cancelled;
+    LogLine("chunk_source")
+        .With("chunk", uint64_t{fetch.m_chunk})
+        .With("source",
+              fetch.m_source.IsOrigin() ? "origin" : fetch.m_source.m_host)
+        .Debug();
+    asio::co_spawn(executor, FetchChunk(run, fetch, cancelled), asio::detached);
   }
-  co_return true;
 }
 
 void WeightsFetcher::UpdateMembers(Run& run) {
-  std::vector<std::string> members;
-  std::vector<model::Host> others;
+  if (Now() < run.m_next_members)
+    return;
+  run.m_next_members = Now() + kMembersInterval;
+  std::vector<decide::TransferMember> members = {m_options.m_self};
   for (const model::Host& host : m_hosts.Hosts(model::HostRole::kTarget)) {
-    if (host.pool() != m_pool || host.leaving())
+    if (host.pool() != m_options.m_pool || host.leaving() ||
+        host.name() == m_options.m_self.m_name)
       continue;
-    members.push_back(host.name());
-    if (host.name() != m_host)
-      others.push_back(host);
-  }
-  decide::SetMembers(run.m_transfer, std::move(members));
-  if (run.m_neighbours.size() >= std::min(kMaxNeighbours, others.size()))
-    return;
-  std::shuffle(others.begin(), others.end(), m_random);
-  for (const model::Host& host : others) {
-    if (run.m_neighbours.size() >= kMaxNeighbours)
-      break;
-    run.m_neighbours.emplace(host.name(), host);
+    members.push_back({host.name(), host.region(), host.data_center()});
+    run.m_endpoints[host.name()] = host.peer();
   }
+  std::sort(members.begin(), members.end());
+  decide::SetMembers(run.m_transfer, std::move(members), Now(), m_random);
+}
+
+Awaitable<void> WeightsFetcher::Follow(std::shared_ptr<Run> run,
+                                       std::string name,
+                                       std::shared_ptr<const bool> cancelled) {
+  const bool ended = co_await ReadNews(run, name, cancelled);
+  if (!ended && !*cancelled)
+    decide::NeighbourLost(run->m_transfer, name, Now(), m_random);
 }
 
-Awaitable<void> WeightsFetcher::AskNeighbour(std::shared_ptr<Run> run,
-                                             model::Host host) {
+Awaitable<bool> WeightsFetcher::ReadNews(
+    std::shared_ptr<Run> run,
+    std::string name,
+    std::shared_ptr<const bool> cancelled) {
   wire::Request request;
-  request.m_path = "/v1/have/" + ToString(run->m_manifest.whole());
-  auto response = co_await wire::Fetch(m_peers, host.peer(), std::move(request),
-                                       Now() + kAskTimeout);
-  run->m_next_ask[host.name()] = Now() + kAskInterval;
-  if (!response) {
-    decide::NeighbourLost(run->m_transfer, host.name());
-    co_return;
+  request.m_path =
+      "/v1/have/" + ToString(run->m_manifest.whole()) + "?follow=1";
+  auto opened = co_await m_peers.Open(run->m_endpoints[name],
+                                      std::move(request), Now() + kAskTimeout);
+  if (!opened)
+    co_return false;
+  wire::ResponseReader& reader = **opened;
+  auto head = co_await reader.ReadHead(Now() + kAskTimeout);
+  if (!head || head->m_status != 200)
+    co_return false;
+  HaveReader news(run->m_manifest.chunk_count());
+  while (!*cancelled) {
+    auto piece = co_await reader.ReadBody(Now() + kCancelPoll);
+    if (!piece && IsTimeout(piece.error()))
+      continue;
+    if (!piece)
+      co_return false;
+    if (!piece->has_value())
+      co_return true;
+    const std::vector<uint32_t> chunks = news.Read(**piece);
+    if (!*cancelled)
+      decide::NeighbourHas(run->m_transfer, name, chunks, Now());
   }
-  decide::NeighbourHas(
-      run->m_transfer, host.name(),
-      ReadBits(response->m_body, run->m_manifest.chunk_count()));
+  co_return true;
 }
 
-Awaitable<AsyncResult<std::string>> WeightsFetcher::ReadChunk(
+Awaitable<AsyncResult<std::string>> WeightsFetcher::ReadFromOrigin(
     std::shared_ptr<Run> run,
-    decide::FetchChunk fetch) {
+    uint32_t chunk) {
   const model::Manifest& manifest = run->m_manifest;
-  const uint64_t length = manifest.ChunkLength(fetch.m_chunk);
-  if (fetch.m_source.IsOrigin()) {
-    auto bytes = co_await m_origin.GetRange(
-        run->m_version.m_weights, fetch.m_chunk * manifest.chunk_size(),
-        length);
-    if (bytes)
-      m_counters.m_origin_bytes += bytes->size();
-    co_return bytes;
-  }
-  auto host = run->m_neighbours.find(fetch.m_source.m_host);
+  auto bytes = co_await m_origin.GetRange(run->m_version.m_weights,
+                                          chunk * manifest.chunk_size(),
+                                          manifest.ChunkLength(chunk));
+  if (bytes)
+    m_counters.m_origin_bytes += bytes->size();
+  co_return bytes;
+}
+
+Awaitable<AsyncResult<std::string>> WeightsFetcher::ReadFromPeer(
+    std::shared_ptr<Run> run,
+    decide::FetchChunk fetch,
+    std::shared_ptr<const bool> cancelled) {
+  const std::string& name = fetch.m_source.m_host;
+  const uint64_t length = run->m_manifest.ChunkLength(fetch.m_chunk);
   wire::Request request;
   request.m_priority = wire::Priority::kBulk;
-  request.m_path = "/v1/chunk/" + ToString(manifest.whole()) + "/" +
+  request.m_path = "/v1/chunk/" + ToString(run->m_manifest.whole()) + "/" +
                    std::to_string(fetch.m_chunk);
-  auto response =
-      co_await wire::Fetch(m_peers, host->second.peer(), std::move(request),
-                           Now() + kChunkTimeout, length);
-  if (!response)
-    co_return response.error();
-  if (response->m_status != 200) {
-    co_return Failure{FailureCode::kRefused, "fetch chunk",
-                      fetch.m_source.m_host, response->m_body};
+  request.m_headers[kHeldHeader] = std::to_string(run->m_transfer.m_have_count);
+  request.m_headers[kRegionHeader] = m_options.m_self.m_region;
+  auto opened = co_await m_peers.Open(run->m_endpoints[name],
+                                      std::move(request), Now() + kAskTimeout);
+  if (!opened)
+    co_return opened.error();
+  wire::ResponseReader& reader = **opened;
+  AsyncResult<wire::ResponseHead> head = wire::ResponseHead();
+  do {
+    head = co_await reader.ReadHead(Now() + kCancelPoll);
+  } while (!head && IsTimeout(head.error()) && !*cancelled);
+  if (!head)
+    co_return head.error();
+  if (head->m_status != 200) {
+    co_return Failure{FailureCode::kRefused, "fetch chunk", name,
+                      "status " + std::to_string(head->m_status)};
   }
-  m_counters.m_peer_bytes += response->m_body.size();
-  co_return std::move(response->m_body);
+  std::string bytes;
+  bytes.reserve(length);
+  while (!*cancelled) {
+    auto piece = co_await reader.ReadBody(Now() + kCancelPoll);
+    if (!piece && IsTimeout(piece.error()))
+      continue;
+    if (!piece)
+      co_return piece.error();
+    if (!piece->has_value())
+      co_return bytes;
+    if (bytes.size() + (*piece)->size() > length) {
+      co_return Failure{FailureCode::kCorrupt, "fetch chunk", name,
+                        "longer than declared"};
+    }
+    bytes += **piece;
+    m_counters.m_peer_bytes += (*piece)->size();
+    if (!*cancelled)
+      decide::ChunkProgress(run->m_transfer, fetch.m_chunk, Now());
+  }
+  co_return Failure{FailureCode::kCancelled, "fetch chunk", name, "given up"};
 }
 
-Awaitable<void> WeightsFetcher::FetchChunk(std::shared_ptr<Run> run,
-                                           decide::FetchChunk fetch) {
-  auto bytes = co_await ReadChunk(run, fetch);
+Awaitable<void> WeightsFetcher::FetchChunk(
+    std::shared_ptr<Run> run,
+    decide::FetchChunk fetch,
+    std::shared_ptr<const bool> cancelled) {
+  AsyncResult<std::string> bytes = std::string();
+  if (fetch.m_source.IsOrigin())
+    bytes = co_await ReadFromOrigin(run, fetch.m_chunk);
+  else
+    bytes = co_await ReadFromPeer(run, fetch, cancelled);
   AsyncResult<void> kept;
   if (bytes) {
     co_await m_download.Take(bytes->size());
@@ -181,8 +264,10 @@
   } else {
     kept = bytes.error();
   }
+  if (*cancelled)
+    co_return;
   if (kept) {
-    decide::ChunkArrived(run->m_transfer, fetch.m_chunk);
+    decide::ChunkArrived(run->m_transfer, fetch.m_chunk, Now());
     co_return;
   }
   const bool corrupt = kept.error().m_code == FailureCode::kCorrupt;
@@ -192,17 +277,17 @@
             fetch.m_source.IsOrigin() ? "origin" : fetch.m_source.m_host)
       .With(kept.error())
       .Info();
-  decide::ChunkFailed(run->m_transfer, fetch.m_chunk, corrupt, Now());
+  decide::ChunkFailed(run->m_transfer, fetch.m_chunk, corrupt, Now(), m_random);
 }
 
 Awaitable<AsyncResult<std::string>> WeightsFetcher::ManifestFromPeers(
     model::VersionSpec version) {
   std::vector<model::Host> hosts = m_hosts.Hosts(model::HostRole::kTarget);
   std::shuffle(hosts.begin(), hosts.end(), m_random);
-  if (hosts.size() > kMaxNeighbours)
-    hosts.resize(kMaxNeighbours);
+  if (hosts.size() > kMaxAsked)
+    hosts.resize(kMaxAsked);
   for (const model::Host& host : hosts) {
-    if (host.name() == m_host)
+    if (host.name() == m_options.m_self.m_name)
       continue;
     wire::Request request;
     request.m_path = "/v1/manifest/" + ToString(version.m_digest);
@@ -224,11 +309,11 @@
     auto text = co_await ManifestFromPeers(version);
     std::vector<std::string> members;
     for (const model::Host& host : m_hosts.Hosts(model::HostRole::kTarget)) {
-      if (host.pool() == m_pool)
+      if (host.pool() == m_options.m_pool)
         members.push_back(host.name());
     }
-    const bool ours =
-        decide::RendezvousChoice(members, kManifestNumber) == m_host;
+    const bool ours = decide::RendezvousChoice(members, kManifestNumber) ==
+                      m_options.m_self.m_name;
     if (!text && (ours || tries > kManifestPatience)) {
       text = co_await m_origin.Get(version.m_manifest, kMaxManifest);
       if (text)
--- a/src/libverbenalead/daemon/weights_fetcher.h
+++ b/src/libverbenalead/daemon/weights_fetcher.h
@@ -27,8 +27,17 @@
 /// origin, as the transfer core decides. Runs on one thread.
 class WeightsFetcher {
  public:
-  WeightsFetcher(std::string host,
-                 std::string pool,
+  struct Options {
+    decide::TransferMember m_self;
+    std::string m_pool;
+    decide::TransferPreference m_preference =
+        decide::TransferPreference::kTimeFirst;
+    uint32_t m_origin_budget_percent = 100;
+    /// The chunk size is taken from the manifest.
+    decide::TransferLinks m_links;
+  };
+
+  WeightsFetcher(Options options,
                  WeightsStore& store,
                  HostDirectory& hosts,
                  wire::Client& peers,
@@ -47,15 +56,28 @@
       model::VersionSpec version);
   Awaitable<AsyncResult<std::string>> ManifestFromPeers(
       model::VersionSpec version);
+  /// One round of the core.
+  void DoStep(std::shared_ptr<Run> run,
+              const boost::asio::any_io_executor& executor);
   Awaitable<void> FetchChunk(std::shared_ptr<Run> run,
-                             decide::FetchChunk fetch);
-  Awaitable<AsyncResult<std::string>> ReadChunk(std::shared_ptr<Run> run,
-                                                decide::FetchChunk fetch);
-  Awaitable<void> AskNeighbour(std::shared_ptr<Run> run, model::Host host);
+                             decide::FetchChunk fetch,
+                             std::shared_ptr<const bool> cancelled);
+  Awaitable<AsyncResult<std::string>> ReadFromPeer(
+      std::shared_ptr<Run> run,
+      decide::FetchChunk fetch,
+      std::shared_ptr<const bool> cancelled);
+  Awaitable<AsyncResult<std::string>> ReadFromOrigin(std::shared_ptr<Run> run,
+                                                     uint32_t chunk);
+  Awaitable<void> Follow(std::shared_ptr<Run> run,
+                         std::string name,
+                         std::shared_ptr<const bool> cancelled);
+  /// Until the news end; false if they broke off.
+  Awaitable<bool> ReadNews(std::shared_ptr<Run> run,
+                           std::string name,
+                           std::shared_ptr<const bool> cancelled);
   void UpdateMembers(Run& run);
 
-  const std::string m_host;
-  const std::string m_pool;
+  const Options m_options;
   WeightsStore& m_store;
   HostDirectory& m_hosts;
   wire::Client& m_peers;
--- a/src/libverbenalead/daemon/weights_store.cc
+++ b/src/libverbenalead/daemon/weights_store.cc
@@ -54,6 +54,7 @@
   if (!version.m_chunks[index]) {
     version.m_chunks[index] = std::move(chunk);
     ++version.m_held;
+    version.m_arrivals.push_back(index);
   }
   return {};
 }
@@ -103,6 +104,16 @@
   return bits;
 }
 
+std::vector<uint32_t> WeightsStore::Arrivals(const Digest& whole,
+                                             size_t first) const {
+  std::lock_guard lock(m_mutex);
+  auto found = m_versions.find(whole);
+  if (found == m_versions.end() || first >= found->second.m_arrivals.size())
+    return {};
+  const std::vector<uint32_t>& all = found->second.m_arrivals;
+  return {all.begin() + static_cast<std::ptrdiff_t>(first), all.end()};
+}
+
 uint32_t WeightsStore::HeldChunks(const Digest& whole) const {
   std::lock_guard lock(m_mutex);
   auto found = m_versions.find(whole);
--- a/src/libverbenalead/daemon/weights_store.h
+++ b/src/libverbenalead/daemon/weights_store.h
@@ -36,6 +36,9 @@
   std::string ManifestText(const Digest& whole) const;
   /// Which chunks are here: bit i of byte i / 8; empty if the version isn't.
   std::string HaveBits(const Digest& whole) const;
+  /// The chunks that are here, in the order in which they came, from the
+  /// `first` on; empty if the version isn't here.
+  std::vector<uint32_t> Arrivals(const Digest& whole, size_t first) const;
   std::vector<bool> Have(const Digest& whole) const;
   uint32_t HeldChunks(const Digest& whole) const;
   void Drop(const Digest& whole);
@@ -47,6 +50,7 @@
     std::string m_text;
     std::vector<Chunk> m_chunks;
     uint32_t m_held = 0;
+    std::vector<uint32_t> m_arrivals;
   };
 
   const uint64_t m_max_bytes;
--- /dev/null
+++ b/src/libverbenalead/decide/chunk_buckets.h
@@ -0,0 +1,39 @@
+#ifndef VERBENALEAD_DECIDE_CHUNK_BUCKETS_H_
+#define VERBENALEAD_DECIDE_CHUNK_BUCKETS_H_
+
+#include <cstdint>
+#include <vector>
+
+namespace verbenalead::decide {
+
+/// Chunks sorted by how many copies are known, so that the rarest is found
+/// without a look at all. Insert and erase cost O(1).
+class ChunkBuckets {
+ public:
+  static constexpr uint32_t kMaxCopies = 64;
+
+  ChunkBuckets() = default;
+  explicit ChunkBuckets(uint32_t chunk_count)
+      : m_buckets(kMaxCopies + 1),
+        m_copies(chunk_count),
+        m_places(chunk_count, kNowhere) {}
+
+  bool Contains(uint32_t chunk) const { return m_places[chunk] != kNowhere; }
+  /// Puts `chunk` under `copies`, from wherever it was.
+  void Put(uint32_t chunk, uint32_t copies);
+  void Erase(uint32_t chunk);
+  const std::vector<uint32_t>& Bucket(uint32_t copies) const {
+    return m_buckets[copies];
+  }
+
+ private:
+  static constexpr uint32_t kNowhere = ~uint32_t{0};
+
+  std::vector<std::vector<uint32_t>> m_buckets;
+  std::vector<uint8_t> m_copies;
+  std::vector<uint32_t> m_places;
+};
+
+}  // namespace verbenalead::decide
+
+#endif  // VERBENALEAD_DECIDE_CHUNK_BUCKETS_H_
--- /dev/null
+++ b/src/libverbenalead/decide/fetch_chunk.h
@@ -0,0 +1,21 @@
+#ifndef VERBENALEAD_DECIDE_FETCH_CHUNK_H_
+#define VERBENALEAD_DECIDE_FETCH_CHUNK_H_
+
+#include <cstdint>
+
+#include "decide/chunk_source.h"
+
+namespace verbenalead::decide {
+
+/// Tells the daemon to fetch `m_chunk` from `m_source` and to report how it
+/// ended by ChunkArrived or ChunkFailed.
+struct FetchChunk {
+  uint32_t m_chunk = 0;
+  ChunkSource m_source;
+
+  friend auto operator<=>(const FetchChunk&, const FetchChunk&) = default;
+};
+
+}  // namespace verbenalead::decide
+
+#endif  // VERBENALEAD_DECIDE_FETCH_CHUNK_H_
--- a/src/libverbenalead/decide/rendezvous.cc
+++ b/src/libverbenalead/decide/rendezvous.cc
@@ -2,15 +2,16 @@
 
 namespace verbenalead::decide {
 
-uint64_t MixHash(std::string_view name, uint64_t number) {
-  // FNV-1a over the name, then the finaliser of SplitMix64.
+uint64_t HashName(std::string_view name) {
+  // FNV-1a.
   uint64_t hash = 0xcbf29ce484222325u;
   for (unsigned char c : name)
     hash = (hash ^ c) * 0x100000001b3u;
-  hash += 0x9e3779b97f4a7c15u * (number + 1);
-  hash = (hash ^ hash >> 30) * 0xbf58476d1ce4e5b9u;
-  hash = (hash ^ hash >> 27) * 0x94d049bb133111ebu;
-  return hash ^ hash >> 31;
+  return hash;
+}
+
+uint64_t MixHash(std::string_view name, uint64_t number) {
+  return MixNumber(HashName(name), number);
 }
 
 std::string RendezvousChoice(const std::vector<std::string>& names,
@@ -27,4 +28,18 @@
   return best;
 }
 
+size_t RendezvousIndex(const std::vector<TransferMember>& members,
+                       uint64_t number) {
+  size_t best = 0;
+  uint64_t best_hash = 0;
+  for (size_t i = 0; i < members.size(); ++i) {
+    const uint64_t hash = MixHash(members[i].m_name, number);
+    if (i == 0 || hash > best_hash) {
+      best = i;
+      best_hash = hash;
+    }
+  }
+  return best;
+}
+
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/rendezvous.h
+++ b/src/libverbenalead/decide/rendezvous.h
@@ -6,8 +6,20 @@
 #include <string_view>
 #include <vector>
 
+#include "decide/transfer_member.h"
+
 namespace verbenalead::decide {
 
+/// The two halves of MixHash, for loops over many numbers.
+uint64_t HashName(std::string_view name);
+inline uint64_t MixNumber(uint64_t name_hash, uint64_t number) {
+  // The finaliser of SplitMix64.
+  uint64_t hash = name_hash + 0x9e3779b97f4a7c15u * (number + 1);
+  hash = (hash ^ hash >> 30) * 0xbf58476d1ce4e5b9u;
+  hash = (hash ^ hash >> 27) * 0x94d049bb133111ebu;
+  return hash ^ hash >> 31;
+}
+
 /// A well-mixed 64-bit hash of a name and a number; the same in every process.
 uint64_t MixHash(std::string_view name, uint64_t number);
 
@@ -15,6 +27,9 @@
 /// hashing): when one name goes, only its own numbers move. "" if none.
 std::string RendezvousChoice(const std::vector<std::string>& names,
                              uint64_t number);
+/// The same over members, as an index; `members` isn't empty.
+size_t RendezvousIndex(const std::vector<TransferMember>& members,
+                       uint64_t number);
 
 }  // namespace verbenalead::decide
 
--- a/src/libverbenalead/decide/transfer.h
+++ b/src/libverbenalead/decide/transfer.h
@@ -1,99 +1,72 @@
 #ifndef VERBENALEAD_DECIDE_TRANSFER_H_
 #define VERBENALEAD_DECIDE_TRANSFER_H_
 
-#include <cstdint>
-#include <map>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
-#include "base/time.h"
+#include "decide/transfer_state.h"
 
 namespace verbenalead::decide {
 
-/// Where a chunk is fetched from: a host by name, or the origin.
-struct ChunkSource {
-  /// Empty: the origin.
-  std::string m_host;
-
-  bool IsOrigin() const { return m_host.empty(); }
-  friend auto operator<=>(const ChunkSource&, const ChunkSource&) = default;
-};
-
-/// Tells the daemon to fetch `m_chunk` from `m_source` and to report how it
-/// ended by ChunkArrived or ChunkFailed.
-struct FetchChunk {
-  uint32_t m_chunk = 0;
-  ChunkSource m_source;
-
-  friend auto operator<=>(const FetchChunk&, const FetchChunk&) = default;
-};
-
-struct TransferLimits {
-  /// Fetches under way at once, in all and from one host. Two from one host
-  /// keep its link busy while a request travels; more only queue there.
-  uint32_t m_max_fetches = 8;
-  uint32_t m_max_per_host = 2;
-  uint32_t m_max_origin = 2;
-  /// A chunk that its drawing host has not offered by then is drawn from the
-  /// origin by whoever still needs it.
-  Duration m_origin_patience = 2s;
-};
-
-/// One version's way to this host.
-struct TransferState {
-  std::string m_self;
-  uint32_t m_chunk_count = 0;
-  TransferLimits m_limits;
-  TimePoint m_started{};
-  std::vector<bool> m_have;
-  uint32_t m_have_count = 0;
-  std::map<uint32_t, ChunkSource> m_fetching;
-
-  struct Neighbour {
-    std::vector<bool> m_have;
-    uint32_t m_fetching = 0;
-    /// Chunks that came wrong from there: never asked of it again.
-    std::set<uint32_t> m_bad;
-    TimePoint m_shunned_until{};
-  };
-  std::map<std::string, Neighbour> m_neighbours;
-  uint32_t m_origin_fetching = 0;
-  /// Live hosts that take part, this one included: they share out the origin
-  /// draws among themselves by rendezvous hash.
-  std::vector<std::string> m_members;
-  TimePoint m_origin_retry_at{};
-};
-
-TransferState StartTransfer(std::string self,
+/// Decides how the chunks of one version come to one host while hundreds of
+/// others want them too. Events are told as they come; Step says what to do:
+///
+///     TransferState state = StartTransfer(self, chunks, limits, now);
+///     SetMembers(state, live_hosts, now, random);
+///     NeighbourHas(state, "host-7", {0, 3}, now);
+///     for (const FetchChunk& fetch : Step(state, now, random).m_fetches) ...
+///
+/// Each chunk is drawn from the origin by one host, the first by rendezvous
+/// hash; crosses into each other region through one host, the first there by
+/// the same hash; and goes on by rarest-first pull among neighbours.
+///
+/// Costs: news of a chunk O(neighbours) for the name and O(log chunks) for the
+/// schedule; Step O(1) while nothing is due or all fetches are under way, else
+/// O(chunks looked at), of which most often the first will do. SetMembers costs
+/// O(chunks x hosts) hashes of 2 ns and is called when hosts change.
+TransferState StartTransfer(TransferMember self,
                             uint32_t chunk_count,
                             TransferLimits limits,
                             TimePoint now);
 
-/// Sets who takes part.
-void SetMembers(TransferState& state, std::vector<std::string> members);
-/// News of what `host` holds.
+/// Sets who takes part, this host included, when that has changed.
+void SetMembers(TransferState& state,
+                std::vector<TransferMember> members,
+                TimePoint now,
+                std::mt19937_64& random);
+
+/// News that the followed `host` has `chunks`.
 void NeighbourHas(TransferState& state,
                   const std::string& host,
-                  std::vector<bool> have);
-void NeighbourLost(TransferState& state, const std::string& host);
-
-/// A verified chunk is here.
-void ChunkArrived(TransferState& state, uint32_t chunk);
+                  const std::vector<uint32_t>& chunks,
+                  TimePoint now);
+/// News of `host` can't be had: it is replaced by another one.
+void NeighbourLost(TransferState& state,
+                   const std::string& host,
+                   TimePoint now,
+                   std::mt19937_64& random);
+
+/// Some bytes of `chunk` came in.
+void ChunkProgress(TransferState& state, uint32_t chunk, TimePoint now);
+/// A verified chunk is here, by a fetch or from an earlier transfer.
+void ChunkArrived(TransferState& state, uint32_t chunk, TimePoint now);
 /// A fetch ended without a good chunk; `corrupt`: bytes came, but wrong ones.
 void ChunkFailed(TransferState& state,
                  uint32_t chunk,
                  bool corrupt,
-                 TimePoint now);
+                 TimePoint now,
+                 std::mt19937_64& random);
+
+/// What to do now. Called after events and at least every kTransferTick.
+TransferActions Step(TransferState& state,
+                     TimePoint now,
+                     std::mt19937_64& random);
 
-/// What to fetch now.
-std::vector<FetchChunk> NextFetches(TransferState& state,
-                                    TimePoint now,
-                                    std::mt19937_64& random);
+constexpr Duration kTransferTick = 50ms;
 
 inline bool IsComplete(const TransferState& state) {
-  return state.m_have_count == state.m_chunk_count;
+  return state.m_have_count == state.m_chunks.size();
 }
 
 }  // namespace verbenalead::decide
--- /dev/null
+++ b/src/libverbenalead/decide/transfer_book.cc
@@ -0,0 +1,167 @@
+#include "decide/transfer_book.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace verbenalead::decide {
+namespace {
+
+constexpr size_t kMaxNeighbours = 64;
+
+uint64_t Bit(size_t index) {
+  return uint64_t{1} << index;
+}
+
+using Place = TransferState::Place;
+
+void Unfile(TransferState& state, uint32_t chunk) {
+  TransferState::Chunk& entry = state.m_chunks[chunk];
+  if (entry.m_place == Place::kRarest)
+    state.m_rarest.Erase(chunk);
+  else if (entry.m_place == Place::kDraws)
+    state.m_draws.erase({entry.m_turn, chunk});
+  else if (entry.m_place == Place::kImports)
+    state.m_imports.erase({entry.m_turn, chunk});
+  entry.m_place = Place::kNowhere;
+}
+
+TimePoint TurnOf(TimePoint base, uint32_t rank, const TransferLimits& limits) {
+  return base + rank * limits.m_patience;
+}
+
+}  // namespace
+
+std::optional<size_t> FindNeighbour(const TransferState& state,
+                                    const std::string& host) {
+  for (size_t i = 0; i < state.m_neighbours.size(); ++i) {
+    if (state.m_neighbours[i].m_name == host)
+      return i;
+  }
+  return std::nullopt;
+}
+
+void FileChunk(TransferState& state, uint32_t chunk) {
+  TransferState::Chunk& entry = state.m_chunks[chunk];
+  const uint64_t near = entry.m_holders & state.m_near;
+  const bool wanted = !entry.m_here && !entry.m_under_way;
+  // The load is news: all but the first few copies of a chunk end here.
+  if (wanted && near != 0 && entry.m_place == Place::kRarest) {
+    state.m_rarest.Put(chunk, static_cast<uint32_t>(std::popcount(near)));
+    return;
+  }
+  Unfile(state, chunk);
+  if (!wanted)
+    return;
+  if (near != 0) {
+    entry.m_place = Place::kRarest;
+    state.m_rarest.Put(chunk, static_cast<uint32_t>(std::popcount(near)));
+  } else if (entry.m_holders != 0) {
+    entry.m_turn =
+        TurnOf(entry.m_import_base, entry.m_region_rank, state.m_limits);
+    entry.m_place = Place::kImports;
+    state.m_imports.emplace(entry.m_turn, chunk);
+  } else {
+    entry.m_turn = TurnOf(entry.m_draw_base, entry.m_rank, state.m_limits);
+    entry.m_place = Place::kDraws;
+    state.m_draws.emplace(entry.m_turn, chunk);
+  }
+}
+
+void PostponeImport(TransferState& state, uint32_t chunk, TimePoint until) {
+  Unfile(state, chunk);
+  TransferState::Chunk& entry = state.m_chunks[chunk];
+  entry.m_turn = until;
+  entry.m_place = Place::kImports;
+  state.m_imports.emplace(until, chunk);
+}
+
+void SetHolder(TransferState& state,
+               uint32_t chunk,
+               size_t index,
+               bool holds,
+               TimePoint now) {
+  TransferState::Chunk& entry = state.m_chunks[chunk];
+  const uint64_t before = entry.m_holders;
+  const uint64_t after = holds ? before | Bit(index) : before & ~Bit(index);
+  if (after == before)
+    return;
+  // The turns begin when a chunk is first known only from afar, and again when
+  // the last copy is lost.
+  const bool near_lost = (before & state.m_near) && !(after & state.m_near);
+  if (near_lost || before == 0)
+    entry.m_import_base = now;
+  if (after == 0)
+    entry.m_draw_base = std::max(entry.m_draw_base, now);
+  entry.m_holders = after;
+  FileChunk(state, chunk);
+}
+
+void AddNeighbour(TransferState& state, const TransferMember& member) {
+  if (FindNeighbour(state, member.m_name))
+    return;
+  auto place = FindNeighbour(state, "");
+  if (!place) {
+    if (state.m_neighbours.size() >= kMaxNeighbours)
+      return;
+    place = state.m_neighbours.size();
+    state.m_neighbours.emplace_back();
+  }
+  TransferNeighbour& neighbour = state.m_neighbours[*place];
+  neighbour = TransferNeighbour();
+  neighbour.m_name = member.m_name;
+  if (member.m_region != state.m_self.m_region)
+    neighbour.m_distance = Distance::kFar;
+  else if (member.m_data_center != state.m_self.m_data_center)
+    neighbour.m_distance = Distance::kRegion;
+  if (neighbour.m_distance != Distance::kFar)
+    state.m_near |= Bit(*place);
+  state.m_pending.m_follows.push_back(member.m_name);
+}
+
+void RemoveNeighbour(TransferState& state, size_t index, TimePoint now) {
+  const std::string name = state.m_neighbours[index].m_name;
+  std::vector<uint32_t> lost;
+  for (const auto& [chunk, fetch] : state.m_fetching) {
+    if (fetch.m_source.m_host == name)
+      lost.push_back(chunk);
+  }
+  for (uint32_t chunk : lost) {
+    state.m_pending.m_cancels.push_back({chunk, ChunkSource{name}});
+    EndFetch(state, chunk);
+  }
+  for (uint32_t chunk = 0; chunk < state.m_chunks.size(); ++chunk)
+    SetHolder(state, chunk, index, false, now);
+  state.m_near &= ~Bit(index);
+  state.m_neighbours[index] = TransferNeighbour();
+  state.m_pending.m_unfollows.push_back(name);
+}
+
+void BeginFetch(TransferState& state, const FetchChunk& fetch, TimePoint now) {
+  state.m_fetching[fetch.m_chunk] = {fetch.m_source, now, now};
+  state.m_chunks[fetch.m_chunk].m_under_way = true;
+  if (fetch.m_source.IsOrigin()) {
+    ++state.m_origin_fetching;
+  } else if (auto index = FindNeighbour(state, fetch.m_source.m_host)) {
+    ++state.m_neighbours[*index].m_fetching;
+  }
+  FileChunk(state, fetch.m_chunk);
+}
+
+std::optional<TransferState::Fetch> EndFetch(TransferState& state,
+                                             uint32_t chunk) {
+  auto found = state.m_fetching.find(chunk);
+  if (found == state.m_fetching.end())
+    return std::nullopt;
+  const TransferState::Fetch fetch = found->second;
+  state.m_fetching.erase(found);
+  state.m_chunks[chunk].m_under_way = false;
+  if (fetch.m_source.IsOrigin()) {
+    --state.m_origin_fetching;
+  } else if (auto index = FindNeighbour(state, fetch.m_source.m_host)) {
+    --state.m_neighbours[*index].m_fetching;
+  }
+  FileChunk(state, chunk);
+  return fetch;
+}
+
+}  // namespace verbenalead::decide
--- /dev/null
+++ b/src/libverbenalead/decide/transfer_limits.cc
@@ -0,0 +1,36 @@
+#include "decide/transfer_limits.h"
+
+#include <algorithm>
+
+namespace verbenalead::decide {
+namespace {
+
+/// A new chunk waits behind about as many others as a host has neighbours, at
+/// two or three hosts on its way; 33 chunk times (4 s in the bench) doubled a
+/// tenth of all draws, 50 none.
+constexpr int64_t kPatienceChunks = 64;
+constexpr Duration kMinPatience = 2s;
+
+Duration TimeFor(uint64_t bytes, uint64_t rate) {
+  if (rate == 0)
+    return Duration();
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      static_cast<double>(bytes) / static_cast<double>(rate)));
+}
+
+}  // namespace
+
+TransferLimits LimitsFor(const TransferLinks& links,
+                         TransferPreference preference,
+                         uint32_t origin_budget_percent) {
+  TransferLimits limits;
+  limits.m_preference = preference;
+  limits.m_origin_budget_percent = origin_budget_percent;
+  limits.m_origin_interval = TimeFor(links.m_chunk_bytes, links.m_origin);
+  const Duration chunk_time = TimeFor(links.m_chunk_bytes, links.m_host);
+  limits.m_patience =
+      std::max<Duration>(kMinPatience, kPatienceChunks * chunk_time);
+  return limits;
+}
+
+}  // namespace verbenalead::decide
--- /dev/null
+++ b/src/libverbenalead/decide/transfer_plan.cc
@@ -0,0 +1,144 @@
+#include "decide/transfer_plan.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+#include "decide/rendezvous.h"
+
+namespace verbenalead::decide {
+namespace {
+
+constexpr uint64_t kRingNumber = ~uint64_t{1};
+constexpr uint64_t kOffsetNumber = uint64_t{1} << 40;
+
+using Ring = std::vector<const TransferMember*>;
+
+/// The members at `distance`, in an order that all hosts agree on.
+Ring RingAt(const TransferState& state, Distance distance) {
+  std::vector<std::pair<uint64_t, const TransferMember*>> sorted;
+  for (const TransferMember& member : state.m_members) {
+    if (DistanceBetween(state.m_self, member) == distance)
+      sorted.emplace_back(MixHash(member.m_name, kRingNumber), &member);
+  }
+  std::sort(sorted.begin(), sorted.end());
+  Ring ring;
+  for (const auto& [hash, member] : sorted)
+    ring.push_back(member);
+  return ring;
+}
+
+/// This host's place among its data centre's hosts.
+size_t PlaceInRing(const TransferState& state, const Ring& own) {
+  for (size_t i = 0; i < own.size(); ++i) {
+    if (own[i]->m_name == state.m_self.m_name)
+      return i;
+  }
+  return 0;
+}
+
+/// Adds `count` of `ring`, at offsets from `place` that are the same for all.
+void PickFromRing(const TransferState& state,
+                  const Ring& ring,
+                  size_t place,
+                  uint32_t count,
+                  const std::string& salt,
+                  std::set<TransferMember>& picked) {
+  uint32_t added = 0;
+  for (uint64_t i = 0; i < 4 * ring.size() && added < count; ++i) {
+    const size_t offset = MixHash(salt, kOffsetNumber + i) % ring.size();
+    const TransferMember& member = *ring[(place + offset) % ring.size()];
+    if (member.m_name != state.m_self.m_name)
+      added += picked.insert(member).second;
+  }
+}
+
+/// The hosts of other regions that draw chunks which are ours to bring over.
+void PickDrawers(const TransferState& state, std::set<TransferMember>& picked) {
+  uint32_t added = 0;
+  for (uint32_t chunk = 0; chunk < state.m_chunks.size(); ++chunk) {
+    if (added >= state.m_limits.m_import_neighbours)
+      return;
+    const bool imported = state.m_chunks[chunk].m_region_rank == 0 &&
+                          state.m_chunks[chunk].m_rank != 0;
+    if (!imported)
+      continue;
+    const size_t drawer = RendezvousIndex(state.m_members, chunk);
+    const TransferMember& member = state.m_members[drawer];
+    if (member.m_region != state.m_self.m_region)
+      added += picked.insert(member).second;
+  }
+}
+
+uint16_t Saturated(uint32_t rank) {
+  return static_cast<uint16_t>(
+      std::min<uint32_t>(rank, std::numeric_limits<uint16_t>::max()));
+}
+
+}  // namespace
+
+Distance DistanceBetween(const TransferMember& a, const TransferMember& b) {
+  if (a.m_region != b.m_region)
+    return Distance::kFar;
+  return a.m_data_center == b.m_data_center ? Distance::kDataCenter
+                                            : Distance::kRegion;
+}
+
+void RankChunks(TransferState& state) {
+  std::vector<uint64_t> all;
+  std::vector<uint64_t> region;
+  for (const TransferMember& member : state.m_members) {
+    if (member.m_name == state.m_self.m_name)
+      continue;
+    all.push_back(HashName(member.m_name));
+    if (member.m_region == state.m_self.m_region)
+      region.push_back(all.back());
+  }
+  const uint64_t self = HashName(state.m_self.m_name);
+  auto before = [&](const std::vector<uint64_t>& names, uint32_t chunk) {
+    const uint64_t own = MixNumber(self, chunk);
+    uint32_t count = 0;
+    for (uint64_t name : names)
+      count += MixNumber(name, chunk) > own;
+    return Saturated(count);
+  };
+  for (uint32_t i = 0; i < state.m_chunks.size(); ++i) {
+    state.m_chunks[i].m_rank = before(all, i);
+    state.m_chunks[i].m_region_rank = before(region, i);
+  }
+}
+
+std::vector<TransferMember> PlanNeighbours(const TransferState& state) {
+  const TransferLimits& limits = state.m_limits;
+  const Ring own = RingAt(state, Distance::kDataCenter);
+  const size_t place = PlaceInRing(state, own);
+  std::set<TransferMember> picked;
+  PickFromRing(state, own, place, limits.m_data_center_neighbours, "own",
+               picked);
+  PickFromRing(state, RingAt(state, Distance::kRegion), place,
+               limits.m_region_neighbours, state.m_self.m_data_center, picked);
+  PickFromRing(state, RingAt(state, Distance::kFar), place,
+               limits.m_far_neighbours, state.m_self.m_region, picked);
+  PickDrawers(state, picked);
+  return {picked.begin(), picked.end()};
+}
+
+const TransferMember* SpareNeighbour(const TransferState& state,
+                                     Distance distance,
+                                     const std::string& except,
+                                     std::mt19937_64& random) {
+  std::vector<const TransferMember*> spare;
+  for (const TransferMember& member : state.m_members) {
+    if (member.m_name == state.m_self.m_name || member.m_name == except ||
+        DistanceBetween(state.m_self, member) != distance)
+      continue;
+    const bool followed = std::any_of(
+        state.m_neighbours.begin(), state.m_neighbours.end(),
+        [&](const auto& each) { return each.m_name == member.m_name; });
+    if (!followed)
+      spare.push_back(&member);
+  }
+  return spare.empty() ? nullptr : spare[random() % spare.size()];
+}
+
+}  // namespace verbenalead::decide
