--- a/src/libverbenalead/decide/permit_watch.cc
+++ b/src/libverbenalead/decide/permit_watch.cc
@@ -39,6 +39,7 @@
 PermitDecision Decide(const PermitBoard& board,
                       const PermitWatch& watch,
                       const std::string& host,
+                      uint64_t owner,
                       const RolloutPlan& plan,
                       TimePoint now) {
   if (plan.m_paused)
@@ -57,6 +58,11 @@
   auto own = board.m_permits.find(host);
   // Whoever takes a place erases what has lapsed, so a permit that still stands
   // there has not been given to another host.
+  // Two processes of one host: a paused one that wakes must not act on the
+  // permit of the one that took its place.
+  if (own != board.m_permits.end() && own->second.m_owner > owner &&
+      !HasLapsed(watch, host, own->second, now))
+    return {PermitAnswer::kFull, "a newer process of this host has a permit"};
   const bool held = own != board.m_permits.end() && !own->second.m_failed;
   if (!held && taken >= MaxUnavailable(plan))
     return {PermitAnswer::kFull, std::to_string(taken) + " hosts load"};
--- a/src/libverbenalead/decide/permit_watch.h
+++ b/src/libverbenalead/decide/permit_watch.h
@@ -46,10 +46,12 @@
 /// The board could not be read: nobody could renew either, so time begins anew.
 void Forget(PermitWatch& watch);
 
-/// Whether `host` may take a permit, or keep the one that it has.
+/// Whether process `owner` of `host` may take a permit, or keep the one that it
+/// has.
 PermitDecision Decide(const PermitBoard& board,
                       const PermitWatch& watch,
                       const std::string& host,
+                      uint64_t owner,
                       const RolloutPlan& plan,
                       TimePoint now);
 
--- a/src/libverbenalead/decide/rollout.cc
+++ b/src/libverbenalead/decide/rollout.cc
@@ -19,6 +19,13 @@
 constexpr Duration kReadShare = 5ms;
 constexpr Duration kLeastReadInterval = 100ms;
 
+/// An engine that calls an order done and serves another version has obeyed an
+/// order that was under way for long, of this process or one before. That is no
+/// fault of the version, so it is ordered again rather than the rollout
+/// stopped. Orders under way are few; an engine that does so time and again
+/// does not load what it is told to.
+constexpr uint32_t kMaxCrossed = 3;
+
 enum class Purpose { kTake, kFail, kRelease };
 
 RolloutAction Do(Kind kind) {
@@ -53,11 +60,18 @@
           PermitBoard& board) {
   auto own = board.m_permits.find(state.m_host);
   if (purpose == Purpose::kRelease) {
-    state.m_posted = own != board.m_permits.end();
+    // One of an earlier run is ours to erase, one of a later run is not.
+    state.m_posted =
+        own != board.m_permits.end() && own->second.m_owner <= state.m_owner;
     if (state.m_posted)
       board.m_permits.erase(own);
     return state.m_posted;
   }
+  if (purpose == Purpose::kFail && own != board.m_permits.end() &&
+      own->second.m_owner > state.m_owner) {
+    state.m_publish_failure = false;
+    return false;
+  }
   Permit permit;
   permit.m_digest = plan.m_digest;
   permit.m_plan = plan.m_revision;
@@ -88,7 +102,7 @@
   ++next.m_revision;
   if (purpose == Purpose::kTake) {
     const PermitDecision decision =
-        Decide(next, state.m_watch, state.m_host, plan, now);
+        Decide(next, state.m_watch, state.m_host, state.m_owner, plan, now);
     if (decision.m_answer != PermitAnswer::kGranted) {
       denied = true;
       state.m_reason = decision.m_reason;
@@ -104,6 +118,10 @@
     state.m_permit = false;
     return {};
   }
+  // A permit that is given back is not ours from the moment that the write goes
+  // out: if its answer is lost, the place may already be another host's.
+  if (purpose != Purpose::kTake)
+    state.m_permit = false;
   state.m_writing = next;
   RolloutAction action = Do(Kind::kWritePermits);
   action.m_board = std::move(next);
@@ -119,6 +137,7 @@
                      const RolloutPlan& plan,
                      TimePoint now) {
   state.m_failed = {};
+  state.m_crossed = 0;
   state.m_publish_failure = false;
   state.m_shut_for_load = false;
   Wait(state, RolloutStage::kInForce, "");
@@ -183,19 +202,22 @@
   // lost can't be taken for the next one.
   state.m_fence = 0;
   state.m_ordered = plan.m_digest;
+  state.m_ordered_plan = plan.m_revision;
   return order;
 }
 
 void JudgeOrder(RolloutState& state, const RolloutPlan& plan, TimePoint now) {
   if (state.m_ordered.empty())
     return;
-  const bool failed =
+  const bool other =
       state.m_engine != state.m_ordered && state.m_ordered == plan.m_digest;
-  if (failed) {
+  const bool crossed =
+      other && state.m_order_reason.empty() && ++state.m_crossed <= kMaxCrossed;
+  if (other && !crossed) {
     state.m_failed = plan.m_digest;
-    state.m_failed_plan = plan.m_revision;
+    state.m_failed_plan = state.m_ordered_plan;
     state.m_retry_at = now + kLoadRetry;
-    state.m_publish_failure = state.m_permit;
+    state.m_publish_failure |= state.m_permit;
     state.m_failure = state.m_order_reason.empty()
                           ? "the engine serves another version"
                           : state.m_order_reason;
--- a/src/libverbenalead/decide/rollout.h
+++ b/src/libverbenalead/decide/rollout.h
@@ -59,8 +59,14 @@
   uint64_t m_fence = 0;
   /// The order whose effect the engine has not confirmed yet.
   Digest m_ordered;
+  /// The pool's revision at the order: a failure is told of that one, so that
+  /// it can't stop a rollout that an operator has begun anew since.
+  uint64_t m_ordered_plan = 0;
   std::string m_order_reason;
 
+  /// Orders in a row that the engine called done while it serves another
+  /// version.
+  uint32_t m_crossed = 0;
   Digest m_failed;
   uint64_t m_failed_plan = 0;
   std::string m_failure;
--- a/src/libverbenalead/decide/rollout_plan.cc
+++ b/src/libverbenalead/decide/rollout_plan.cc
@@ -46,11 +46,13 @@
   if (!version)
     return plan;
   plan.m_digest = version->m_digest;
-  for (const auto& [key, resource] : state.m_resources) {
+  for (const auto& item : state.m_resources) {
+    const model::ResourceKey& key = item.first;
     if (key.m_kind != kVersionKind)
       continue;
-    auto spec = CatchFailure(
-        [&] { return model::ParseVersionSpec(key.m_name, resource.m_spec); });
+    auto spec = CatchFailure([&] {
+      return model::ParseVersionSpec(key.m_name, item.second.m_spec);
+    });
     if (spec && spec->m_model == version->m_model)
       plan.m_declared[spec->m_digest] = spec->m_name;
   }
