Stop entries and targets without cutting a request off

Cause: a stopping entry counted the calls in its runner, so a request that was still read, or an answer not yet written, was cut; callers on open connections were never told to leave, and the other entries went on naming it until the platform's list caught up. A target counted an attempt as done when its answer stood in this process's memory.

Now the entry tells the other entries (POST /v1/leaving), answers with 'connection: close', accepts for the list's time to live and 2 s more, then waits until no request is under way from first byte to last. A target ends when the last answer, refusals too, is with its socket.

Seen in testsuite/cases/graceful_stop/run.py (438 calls of 8 callers): without the time to keep accepting, ConnectionRefusedError at the callers; without the notice, the other entry still listed the stopped one. With both: none wrong. Ruled out: to close idle connections actively, since a caller may just be writing on one.

CountingRunner moves out of entry_daemon.cc.

--- a/src/libverbenalead/daemon/attempt_server.cc
+++ b/src/libverbenalead/daemon/attempt_server.cc
@@ -66,6 +66,13 @@
 
 Awaitable<void> AttemptServer::Serve(wire::Request request,
                                      wire::ResponseWriter& writer) {
+  ++m_serving;
+  co_await ServeAttempt(std::move(request), writer);
+  --m_serving;
+}
+
+Awaitable<void> AttemptServer::ServeAttempt(wire::Request request,
+                                            wire::ResponseWriter& writer) {
   const decide::Attempt attempt = AttemptOf(request);
   const uint64_t incarnation = NumberIn(request.m_headers, peer::kIncarnation);
   const Digest wanted = DigestIn(request.m_headers);
--- a/src/libverbenalead/daemon/attempt_server.h
+++ b/src/libverbenalead/daemon/attempt_server.h
@@ -1,6 +1,7 @@
 #ifndef VERBENALEAD_DAEMON_ATTEMPT_SERVER_H_
 #define VERBENALEAD_DAEMON_ATTEMPT_SERVER_H_
 
+#include <atomic>
 #include <string>
 
 #include "daemon/gate_keeper.h"
@@ -25,12 +26,16 @@
 
   /// Answers POST /v1/attempt.
   Awaitable<void> Serve(wire::Request request, wire::ResponseWriter& writer);
+  /// Attempts whose answers, refusals too, are not yet with the socket.
+  int serving() const { return m_serving; }
   /// Answers POST /v1/void.
   wire::Response MakeVoid(const wire::Request& request);
 
  private:
   struct Entered;
 
+  Awaitable<void> ServeAttempt(wire::Request request,
+                               wire::ResponseWriter& writer);
   Awaitable<void> Forward(Entered entered,
                           wire::Request request,
                           wire::ResponseWriter& writer);
@@ -47,6 +52,7 @@
   GateKeeper& m_gate;
   platform::Engine& m_engine;
   Journal& m_journal;
+  std::atomic<int> m_serving{0};
 };
 
 }  // namespace verbenalead::daemon
--- a/src/libverbenalead/daemon/entry_daemon.cc
+++ b/src/libverbenalead/daemon/entry_daemon.cc
@@ -1,5 +1,6 @@
 #include "daemon/entry_daemon.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,7 +13,9 @@
 #include "base/new_id.h"
 #include "base/sleep.h"
 #include "daemon/config_keeper.h"
+#include "daemon/counting_runner.h"
 #include "daemon/entry_peer_api.h"
+#include "daemon/leaving_entries.h"
 #include "daemon/request_runner.h"
 #include "daemon/target_directory.h"
 #include "daemon/trace_gatherer.h"
@@ -32,36 +35,10 @@
 
 constexpr Duration kDrainTimeout = 2s;
 constexpr Duration kStopPoll = 20ms;
-/// A stopping entry goes on accepting for as long as callers keep the list of
-/// entries that still names it.
-constexpr Duration kKeepAccepting = front::kEntriesTtl;
-
-/// Counts the calls that run, so that a stop can wait for them.
-class CountingRunner : public front::CallRunner {
- public:
-  CountingRunner(front::CallRunner& runner, Metrics& metrics)
-      : m_runner(runner), m_metrics(metrics) {}
-
-  Awaitable<void> Run(model::Call call,
-                      wire::Request request,
-                      wire::ResponseWriter& writer) override {
-    ++m_running;
-    const TimePoint start = Now();
-    const std::string labels = "pool=\"" + call.pool() + "\"";
-    co_await m_runner.Run(std::move(call), std::move(request), writer);
-    m_metrics.Count("calls_total", labels);
-    m_metrics.Observe("call_seconds", labels,
-                      std::chrono::duration<double>(Now() - start).count());
-    --m_running;
-  }
-
-  int running() const { return m_running; }
-
- private:
-  front::CallRunner& m_runner;
-  Metrics& m_metrics;
-  std::atomic<int> m_running{0};
-};
+/// A stopping entry goes on accepting for as long as callers keep a list of
+/// entries that still names it: the list's time to live, and a margin for the
+/// other entries to hear of the stop and for callers to fetch the next list.
+constexpr Duration kKeepAccepting = front::kEntriesTtl + 2s;
 
 }  // namespace
 
@@ -87,9 +64,11 @@
         m_counting(m_runner, m_metrics),
         m_callers(m_threads, CallerLimits(settings), Callers()),
         m_operators(m_threads, http::ServerLimits{}, Operators()),
-        m_peer_server(m_threads,
-                      peer::SessionLimits{},
-                      MakeEntryPeerApi(m_config, m_journal)),
+        m_peer_server(
+            m_threads,
+            peer::SessionLimits{},
+            TakeLeavingNotices(m_leaving,
+                               MakeEntryPeerApi(m_config, m_journal))),
         m_signals(m_threads.main(), SIGTERM, SIGINT) {}
 
   static http::ServerLimits CallerLimits(const Settings& settings) {
@@ -115,7 +94,8 @@
     std::vector<std::string> addresses;
     for (const model::Host& host : m_hosts.Hosts(model::HostRole::kEntry)) {
       const bool us = host.name() == m_settings.Text("host");
-      if (!host.leaving() && !(us && m_stopping))
+      if (!host.leaving() && !m_leaving.Contains(host.name()) &&
+          !(us && m_stopping))
         addresses.push_back(ToString(host.callers()));
     }
     return addresses;
@@ -186,10 +166,18 @@
     LogLine("stopping").With("running", m_counting.running()).Info();
     const TimePoint give_up = Now() + m_settings.Milliseconds("stop.grace");
     const TimePoint stop_accepting = std::min(give_up, Now() + kKeepAccepting);
-    while (Now() < give_up &&
-           (Now() < stop_accepting || m_counting.running() > 0))
+    m_callers.Drain();
+    co_await TellLeaving(m_peers, m_settings.Text("host"),
+                         m_hosts.Hosts(model::HostRole::kEntry));
+    while (Now() < stop_accepting)
+      co_await Sleep(kStopPoll);
+    m_callers.StopAccepting();
+    // Asked of the server, not of the runner: a request may still be read, or
+    // the end of its answer written.
+    do {
       co_await Sleep(kStopPoll);
-    LogLine("stopped").With("cut_off", m_counting.running()).Info();
+    } while (Now() < give_up && m_callers.busy() > 0);
+    LogLine("stopped").With("cut_off", m_callers.busy()).Info();
     m_threads.Stop();
   }
 
@@ -215,6 +203,7 @@
   platform::DynamoTable m_table;
   platform::HostList m_host_list;
   HostDirectory m_hosts;
+  LeavingEntries m_leaving;
   ConfigKeeper m_config;
   PoolRouters m_routers;
   TargetDirectory m_directory;
--- a/src/libverbenalead/daemon/target_daemon.cc
+++ b/src/libverbenalead/daemon/target_daemon.cc
@@ -188,18 +188,14 @@
     }
   }
 
-  uint32_t Running() {
-    return m_gate.With([](decide::GateState& gate) { return gate.m_running; });
-  }
-
   Awaitable<void> StopWhenAsked() {
     co_await m_signals.async_wait(asio::use_awaitable);
     StartLeaving("signal");
     const TimePoint noticed = Now() + m_settings.Milliseconds("stop.notice");
     const TimePoint give_up = Now() + m_settings.Milliseconds("stop.grace");
-    while (Now() < give_up && (Now() < noticed || Running() > 0))
+    while (Now() < give_up && (Now() < noticed || m_attempts.serving() > 0))
       co_await Sleep(kStopPoll);
-    LogLine("stopped").With("cut_off", uint64_t{Running()}).Info();
+    LogLine("stopped").With("cut_off", m_attempts.serving()).Info();
     m_threads.Stop();
   }
 
