Tell 'not run' only if it holds for all attempts of a call

Found by a new stateful property (decide/attempt_fuzz_test): an idempotent call's first attempt is lost, and its target doesn't answer the question whether it started; the call is tried again, and the last target refuses. The caller was told 'refused', though the first attempt runs later. The outcome now speaks of all attempts: unknown, if an earlier one was left in doubt.

The property drives the product's own cores (the gate, the judging of attempts, retries) over a network that loses, doubles, delays and reorders messages, with targets that die, freeze, wake, are replaced, load and leave; an oracle counts runs and compares each outcome told.

Ruled out: that a target's new incarnation is sent a doubled message of the old one; a message belongs to a connection with one process.

--- a/src/libverbenalead/daemon/attempt_server.cc
+++ b/src/libverbenalead/daemon/attempt_server.cc
@@ -6,6 +6,7 @@
 #include "base/catch_failure.h"
 #include "daemon/answer_check.h"
 #include "daemon/passed_headers.h"
+#include "decide/attempt_gate.h"
 #include "peer/header_names.h"
 #include "wire/cancel_when_gone.h"
 
@@ -79,15 +80,7 @@
   Entered entered;
   const decide::EnterResult result = m_gate.With([&](decide::GateState& gate) {
     entered = {attempt, gate.m_generation, gate.m_digest, MayRepeat(request)};
-    const auto answer =
-        decide::Enter(gate, attempt, incarnation, wanted, Now());
-    // The entry tells its caller "not run" by this refusal. A doubled or late
-    // copy of the message must not be let in afterwards, when there is room.
-    const bool refused = answer != decide::EnterResult::kEntered &&
-                         answer != decide::EnterResult::kRepeated;
-    if (refused)
-      decide::VoidAttempt(gate, attempt, Now());
-    return answer;
+    return decide::EnterOnce(gate, attempt, incarnation, wanted, Now());
   });
   if (result == decide::EnterResult::kRepeated) {
     // A doubled message. The first one is being answered on its own stream;
@@ -224,10 +217,8 @@
   const decide::Attempt attempt = AttemptOf(request);
   const uint64_t incarnation = NumberIn(request.m_headers, peer::kIncarnation);
   const bool never = m_gate.With([&](decide::GateState& gate) {
-    // An earlier incarnation may have run it; this one can't tell.
-    return incarnation == gate.m_incarnation &&
-           decide::VoidAttempt(gate, attempt, Now()) ==
-               decide::VoidResult::kNeverStarted;
+    return decide::AnswerVoid(gate, attempt, incarnation, Now()) ==
+           decide::VoidReply::kNeverStarted;
   });
   m_journal.Record(attempt.m_request,
                    LogLine("void_attempt")
--- a/src/libverbenalead/daemon/request_runner.cc
+++ b/src/libverbenalead/daemon/request_runner.cc
@@ -109,6 +109,7 @@
     wire::ResponseWriter& writer) {
   PoolRouter& router = m_routers.Get(call.pool());
   Verdict verdict;
+  bool in_doubt = false;
   std::set<std::string> tried;
   while (true) {
     const auto placement = router.Place(call, tried);
@@ -142,10 +143,11 @@
                          .With("result", ToString(decision.m_outcome))
                          .With("retry", decision.m_retry)
                          .With("reason", last.m_reason));
-    verdict.m_outcome = decision.m_outcome;
+    verdict.m_outcome = decide::OutcomeToTell(decision.m_outcome, in_doubt);
     verdict.m_reason = last.m_reason;
+    in_doubt |= last.m_end == decide::AttemptEnd::kDoubtful;
     if (!decision.m_retry) {
-      if (decision.m_outcome == Outcome::kRefused)
+      if (verdict.m_outcome == Outcome::kRefused)
         verdict.m_retry_after = kRetryAfterNoTarget;
       co_return verdict;
     }
--- /dev/null
+++ b/src/libverbenalead/decide/attempt_fuzz_test.cc
@@ -0,0 +1,353 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <iostream>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "decide/attempt_gate.h"
+#include "decide/attempt_judge.h"
+#include "decide/retry.h"
+#include "model/call_builder.h"
+
+namespace verbenalead::decide {
+namespace {
+
+constexpr size_t kTargets = 3;
+constexpr size_t kMinSteps = 20000;
+constexpr int kLongestRun = 600;
+constexpr uint32_t kCapacity = 2;
+
+enum class Kind { kAttempt, kAnswer, kVoid, kVoidReply };
+
+/// One message under way. It belongs to a connection with one run of a target
+/// process, and is lost with it.
+struct Message {
+  Kind m_kind = Kind::kAttempt;
+  size_t m_call = 0;
+  uint32_t m_number = 0;
+  size_t m_target = 0;
+  uint64_t m_incarnation = 0;
+  AttemptEvidence m_evidence;
+};
+
+struct Call {
+  model::Call m_call;
+  uint32_t m_number = 0;
+  size_t m_target = 0;
+  uint64_t m_incarnation = 0;
+  AttemptEvidence m_evidence;
+  bool m_asked_void = false;
+  bool m_in_doubt = false;
+  std::optional<model::Outcome> m_told;
+  int m_runs = 0;
+};
+
+struct Target {
+  GateState m_gate;
+  bool m_frozen = false;
+  std::vector<Message> m_running;
+};
+
+/// One thing that happens; m_pick chooses whom it happens to.
+struct Step {
+  int m_what = 0;
+  uint32_t m_pick = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const Step& step) {
+  return out << step.m_what << ":" << step.m_pick;
+}
+
+/// An entry, three targets and the network between them: all decisions are the
+/// product's own cores, all else is chance. The oracle counts runs.
+class World {
+ public:
+  World() : m_targets(kTargets) {
+    for (Target& target : m_targets) {
+      target.m_gate.m_capacity = kCapacity;
+      target.m_gate.m_incarnation = ++m_incarnations;
+      Open(target.m_gate, Sha256("v1"));
+    }
+  }
+
+  void Do(const Step& step) {
+    m_now += 10ms;
+    using Action = void (World::*)(uint32_t);
+    // Deliveries and ends of runs stand here several times to be more likely.
+    static constexpr Action kActions[] = {
+        &World::Start,      &World::Start,      &World::Deliver,
+        &World::Deliver,    &World::Deliver,    &World::Deliver,
+        &World::Deliver,    &World::Finish,     &World::Finish,
+        &World::Finish,     &World::Lose,       &World::Double,
+        &World::GiveUp,     &World::GiveUp,     &World::VoidTimesOut,
+        &World::Kill,       &World::FreezeWake, &World::Reload,
+        &World::LeaveReturn};
+    (this->*kActions[static_cast<size_t>(step.m_what) % std::size(kActions)])(
+        step.m_pick);
+  }
+
+  /// Every outcome told agrees with what ran, and stays so.
+  void Check() const {
+    for (const Call& call : m_calls) {
+      if (!call.m_call.idempotent())
+        RC_ASSERT(call.m_runs <= 1);
+      if (!call.m_told)
+        continue;
+      if (*call.m_told == model::Outcome::kRefused)
+        RC_ASSERT(call.m_runs == 0);
+      if (*call.m_told == model::Outcome::kCompleted ||
+          *call.m_told == model::Outcome::kFailed)
+        RC_ASSERT(call.m_runs >= 1);
+    }
+  }
+
+  std::map<model::Outcome, size_t> Told() const {
+    std::map<model::Outcome, size_t> told;
+    for (const Call& call : m_calls) {
+      if (call.m_told)
+        ++told[*call.m_told];
+    }
+    return told;
+  }
+
+ private:
+  void Start(uint32_t pick) {
+    model::CallBuilder builder;
+    builder.Id(std::to_string(m_calls.size())).Organisation("acme").Pool("p");
+    builder.Deadline(m_now + 10s);
+    if (pick % 2 == 0)
+      builder.NotIdempotent("key");
+    Call call;
+    call.m_call = builder.Build();
+    m_calls.push_back(call);
+    Send(m_calls.size() - 1, pick);
+  }
+
+  void Send(size_t index, uint32_t pick) {
+    Call& call = m_calls[index];
+    ++call.m_number;
+    call.m_target = pick % kTargets;
+    // Now and then the entry has not yet heard that the target is a new one.
+    const bool stale = pick % 11 == 0;
+    call.m_incarnation =
+        m_targets[call.m_target].m_gate.m_incarnation - (stale ? 1 : 0);
+    call.m_evidence = {};
+    call.m_asked_void = false;
+    m_network.push_back(About(index, Kind::kAttempt));
+  }
+
+  Message About(size_t index, Kind kind) const {
+    const Call& call = m_calls[index];
+    return {kind, index, call.m_number, call.m_target, call.m_incarnation, {}};
+  }
+
+  void Deliver(uint32_t pick) {
+    if (m_network.empty())
+      return;
+    const size_t index = pick % m_network.size();
+    const Message message = m_network[index];
+    const bool to_target =
+        message.m_kind == Kind::kAttempt || message.m_kind == Kind::kVoid;
+    if (to_target && m_targets[message.m_target].m_frozen)
+      return;
+    m_network.erase(m_network.begin() + static_cast<ptrdiff_t>(index));
+    if (message.m_kind == Kind::kAttempt)
+      AtGate(message);
+    else if (message.m_kind == Kind::kVoid)
+      AtVoid(message);
+    else
+      AtEntry(message);
+  }
+
+  void AtGate(Message message) {
+    GateState& gate = m_targets[message.m_target].m_gate;
+    const EnterResult result =
+        EnterOnce(gate, AttemptOf(message), message.m_incarnation, {}, m_now);
+    if (result == EnterResult::kRepeated)
+      return;
+    if (result == EnterResult::kEntered) {
+      ++m_calls[message.m_call].m_runs;
+      m_targets[message.m_target].m_running.push_back(message);
+      return;
+    }
+    message.m_kind = Kind::kAnswer;
+    message.m_evidence.m_gate_refused = true;
+    m_network.push_back(message);
+  }
+
+  void AtVoid(Message message) {
+    GateState& gate = m_targets[message.m_target].m_gate;
+    message.m_evidence.m_void =
+        AnswerVoid(gate, AttemptOf(message), message.m_incarnation, m_now);
+    message.m_kind = Kind::kVoidReply;
+    m_network.push_back(message);
+  }
+
+  void AtEntry(const Message& message) {
+    Call& call = m_calls[message.m_call];
+    // An answer belongs to a stream: late ones find it closed.
+    const bool awaited =
+        !call.m_told && message.m_number == call.m_number &&
+        call.m_asked_void == (message.m_kind == Kind::kVoidReply);
+    if (!awaited)
+      return;
+    if (message.m_kind == Kind::kVoidReply)
+      call.m_evidence.m_void = message.m_evidence.m_void;
+    else
+      call.m_evidence = message.m_evidence;
+    End(message.m_call);
+  }
+
+  void End(size_t index) {
+    Call& call = m_calls[index];
+    const AttemptEnd end = Judge(call.m_evidence);
+    const RetryDecision next =
+        AfterAttempt(call.m_call, end, call.m_number, false, m_now);
+    if (next.m_retry)
+      Send(index, static_cast<uint32_t>(call.m_target + 1));
+    else
+      call.m_told = OutcomeToTell(next.m_outcome, call.m_in_doubt);
+    call.m_in_doubt |= end == AttemptEnd::kDoubtful;
+  }
+
+  void Finish(uint32_t pick) {
+    Target& target = m_targets[pick % kTargets];
+    if (target.m_frozen || target.m_running.empty())
+      return;
+    const size_t index = pick / kTargets % target.m_running.size();
+    Message message = target.m_running[index];
+    target.m_running.erase(target.m_running.begin() +
+                           static_cast<ptrdiff_t>(index));
+    Leave(target.m_gate, AttemptOf(message), m_now);
+    message.m_kind = Kind::kAnswer;
+    AttemptEvidence& evidence = message.m_evidence;
+    evidence.m_entered = true;
+    evidence.m_ended_badly = pick % 7 == 0;
+    // Some answers are cut off or come with the wrong digest.
+    evidence.m_ended_well = !evidence.m_ended_badly && pick % 13 != 0;
+    evidence.m_whole = pick % 17 != 0;
+    m_network.push_back(message);
+  }
+
+  void Lose(uint32_t pick) {
+    if (!m_network.empty())
+      m_network.erase(m_network.begin() +
+                      static_cast<ptrdiff_t>(pick % m_network.size()));
+  }
+
+  void Double(uint32_t pick) {
+    if (!m_network.empty())
+      m_network.push_back(Message(m_network[pick % m_network.size()]));
+  }
+
+  /// The entry finds the connection silent.
+  void GiveUp(uint32_t pick) {
+    if (m_calls.empty())
+      return;
+    const size_t index = pick % m_calls.size();
+    Call& call = m_calls[index];
+    if (call.m_told || call.m_asked_void || !NeedsVoid(call.m_evidence))
+      return;
+    call.m_asked_void = true;
+    m_network.push_back(About(index, Kind::kVoid));
+  }
+
+  void VoidTimesOut(uint32_t pick) {
+    if (m_calls.empty())
+      return;
+    const size_t index = pick % m_calls.size();
+    if (!m_calls[index].m_told && m_calls[index].m_asked_void)
+      End(index);
+  }
+
+  /// The process dies and another one starts.
+  void Kill(uint32_t pick) {
+    const size_t index = pick % kTargets;
+    Target& target = m_targets[index];
+    target.m_running.clear();
+    target.m_frozen = false;
+    target.m_gate = GateState();
+    target.m_gate.m_capacity = kCapacity;
+    target.m_gate.m_incarnation = m_incarnations += 2;
+    Open(target.m_gate, Sha256("v1"));
+    std::erase_if(m_network, [&](const Message& message) {
+      return message.m_target == index && message.m_kind == Kind::kAttempt;
+    });
+  }
+
+  void FreezeWake(uint32_t pick) {
+    bool& frozen = m_targets[pick % kTargets].m_frozen;
+    frozen = !frozen;
+  }
+
+  void Reload(uint32_t pick) {
+    GateState& gate = m_targets[pick % kTargets].m_gate;
+    if (gate.m_open)
+      Shut(gate);
+    else
+      Open(gate, Sha256(pick % 2 == 0 ? "v1" : "v2"));
+  }
+
+  void LeaveReturn(uint32_t pick) {
+    GateState& gate = m_targets[pick % kTargets].m_gate;
+    gate.m_leaving = !gate.m_leaving;
+  }
+
+  Attempt AttemptOf(const Message& message) const {
+    return {m_calls[message.m_call].m_call.id(), message.m_number};
+  }
+
+  TimePoint m_now{};
+  uint64_t m_incarnations = 1;
+  std::vector<Target> m_targets;
+  std::vector<Call> m_calls;
+  std::vector<Message> m_network;
+};
+
+rc::Gen<Step> AnyStep() {
+  return rc::gen::build<Step>(
+      rc::gen::set(&Step::m_what, rc::gen::inRange(0, 1000)),
+      rc::gen::set(&Step::m_pick, rc::gen::inRange<uint32_t>(0, 1 << 20)));
+}
+
+class AttemptFuzzTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AttemptFuzzTest);
+  CPPUNIT_TEST(OutcomesToldAreTrue);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // The caller is told what became of its call, and acts on it.
+  // Messages are lost, doubled, late and out of order; targets die, freeze,
+  // wake, are replaced, load other weights and leave, in any order.
+  // Were one outcome untrue, work would be lost or run twice.
+  void OutcomesToldAreTrue() {
+    size_t steps = 0;
+    std::map<model::Outcome, size_t> told;
+    const bool held = rc::check("outcomes told are true", [&] {
+      const auto run = *rc::gen::resize(
+          kLongestRun, rc::gen::container<std::vector<Step>>(AnyStep()));
+      World world;
+      for (const Step& step : run) {
+        world.Do(step);
+        world.Check();
+        ++steps;
+      }
+      for (const auto& [outcome, count] : world.Told())
+        told[outcome] += count;
+    });
+    std::cout << "steps=" << steps;
+    for (const auto& [outcome, count] : told)
+      std::cout << " " << ToString(outcome) << "=" << count;
+    std::cout << "\n";
+    CPPUNIT_ASSERT(held);
+    CPPUNIT_ASSERT(steps >= kMinSteps);
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, told.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AttemptFuzzTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/attempt_judge.cc
+++ b/src/libverbenalead/decide/attempt_judge.cc
@@ -21,4 +21,10 @@
                                                    : AttemptEnd::kDoubtful;
 }
 
+model::Outcome OutcomeToTell(model::Outcome last, bool earlier_in_doubt) {
+  return last == model::Outcome::kRefused && earlier_in_doubt
+             ? model::Outcome::kUnknown
+             : last;
+}
+
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/attempt_judge.h
+++ b/src/libverbenalead/decide/attempt_judge.h
@@ -39,6 +39,11 @@
 /// lost request, and to call it "not run" has a caller pay twice.
 AttemptEnd Judge(const AttemptEvidence& evidence);
 
+/// What the caller is told after its last attempt. "Not run" speaks of all
+/// attempts: an earlier one that was left in doubt may still be running, so
+/// that a refusal of the last one alone doesn't make it true.
+model::Outcome OutcomeToTell(model::Outcome last, bool earlier_in_doubt);
+
 }  // namespace verbenalead::decide
 
 #endif  // VERBENALEAD_DECIDE_ATTEMPT_JUDGE_H_
