Ask operators, entries and targets who they are

Callers and operators are served over TLS by settings; SIGHUP replaces the certificate and the peers' key without a restart, and a bad file leaves the earlier ones in use. The operators' API takes a bearer token, compared in constant time; without one an entry listens for operators on loopback only. Messages between our processes that change something carry an HMAC-SHA256, since not all targets check who gives them an order.

--- a/src/libverbenalead/daemon/entry_daemon.cc
+++ b/src/libverbenalead/daemon/entry_daemon.cc
@@ -14,16 +14,19 @@
 #include "base/sleep.h"
 #include "daemon/config_keeper.h"
 #include "daemon/counting_runner.h"
+#include "daemon/entry_access.h"
 #include "daemon/entry_peer_api.h"
 #include "daemon/leaving_entries.h"
 #include "daemon/request_runner.h"
 #include "daemon/target_directory.h"
 #include "daemon/trace_gatherer.h"
+#include "front/bearer_check.h"
 #include "front/callers_api.h"
 #include "front/operators_api.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "peer/client.h"
+#include "peer/credentials.h"
 #include "peer/server.h"
 #include "platform/dynamo_table.h"
 #include "platform/host_list.h"
@@ -46,7 +49,8 @@
   explicit Parts(const Settings& settings)
       : m_settings(settings),
         m_threads(static_cast<int>(settings.Integer("threads"))),
-        m_peers(peer::SessionLimits{}),
+        m_credentials(settings.Text("peers.key_file")),
+        m_peers(peer::SessionLimits{}, &m_credentials),
         m_journal(settings.Text("host"),
                   static_cast<size_t>(settings.Integer("journal.requests"))),
         m_table(m_http,
@@ -62,14 +66,21 @@
                     settings.Milliseconds("targets.poll")),
         m_runner(m_routers, m_peers, m_table, m_journal),
         m_counting(m_runner, m_metrics),
-        m_callers(m_threads, CallerLimits(settings), Callers()),
-        m_operators(m_threads, http::ServerLimits{}, Operators()),
-        m_peer_server(
-            m_threads,
-            peer::SessionLimits{},
-            TakeLeavingNotices(m_leaving,
-                               MakeEntryPeerApi(m_config, m_journal))),
-        m_signals(m_threads.main(), SIGTERM, SIGINT) {}
+        m_access(settings),
+        m_callers(m_threads, CallerLimits(settings), Callers(), m_access.tls()),
+        m_operators(m_threads,
+                    http::ServerLimits{},
+                    front::RequireBearer(m_access.tokens(), Operators()),
+                    m_access.tls()),
+        m_peer_server(m_threads, peer::SessionLimits{}, PeerApi()),
+        m_signals(m_threads.main(), SIGTERM, SIGINT),
+        m_hangup(m_threads.main(), SIGHUP) {}
+
+  wire::Handler PeerApi() {
+    return peer::RequireCredentials(
+        m_credentials,
+        TakeLeavingNotices(m_leaving, MakeEntryPeerApi(m_config, m_journal)));
+  }
 
   static http::ServerLimits CallerLimits(const Settings& settings) {
     http::ServerLimits limits;
@@ -181,7 +192,25 @@
     m_threads.Stop();
   }
 
+  /// SIGHUP: certificates and keys are replaced without a restart.
+  Awaitable<void> ReloadWhenAsked() {
+    while (true) {
+      co_await m_hangup.async_wait(asio::use_awaitable);
+      for (const auto& done : {m_access.Reload(), m_credentials.Load()}) {
+        if (!done)
+          LogLine("reload_failed").With(done.error()).Error();
+      }
+      LogLine("reloaded").Info();
+    }
+  }
+
   bool Listen() {
+    for (const auto& good : {m_access.Check(), m_credentials.Load()}) {
+      if (!good) {
+        LogLine("start_failed").With(good.error()).Error();
+        return false;
+      }
+    }
     for (const auto& bound :
          {m_callers.Listen(m_settings.Address("listen.callers")),
           m_operators.Listen(m_settings.Address("listen.operators")),
@@ -197,6 +226,7 @@
   const Settings m_settings;
   IoThreads m_threads;
   http::Client m_http;
+  peer::Credentials m_credentials;
   peer::Client m_peers;
   Metrics m_metrics;
   Journal m_journal;
@@ -210,10 +240,12 @@
   RequestRunner m_runner;
   CountingRunner m_counting;
   std::atomic<bool> m_stopping{false};
+  EntryAccess m_access;
   http::Server m_callers;
   http::Server m_operators;
   peer::Server m_peer_server;
   asio::signal_set m_signals;
+  asio::signal_set m_hangup;
 };
 
 EntryDaemon::EntryDaemon(const Settings& settings)
@@ -229,6 +261,7 @@
   asio::co_spawn(executor, parts.FollowTable(), asio::detached);
   asio::co_spawn(executor, parts.m_directory.Run(), asio::detached);
   asio::co_spawn(executor, parts.StopWhenAsked(), asio::detached);
+  asio::co_spawn(executor, parts.ReloadWhenAsked(), asio::detached);
   LogLine("started").With("host", parts.m_settings.Text("host")).Info();
   parts.m_threads.Run();
   return 0;
--- a/src/libverbenalead/daemon/entry_settings.cc
+++ b/src/libverbenalead/daemon/entry_settings.cc
@@ -16,6 +16,15 @@
                "largest header of a request")
       .Integer("limits.body", 4 << 20, 1024, 16 << 20, "bytes",
                "largest body of a request")
+      .Text("operators.token_file", "",
+            "file with the operators' tokens; empty: loopback only")
+      .Text("tls.certificate_file", "",
+            "certificate chain shown to callers and operators; empty: no TLS")
+      .Text("tls.key_file", "", "private key of the certificate")
+      .Choice("tls.min_version", {"1.2", "1.3"}, "oldest TLS that is spoken")
+      .Text("peers.key_file", "",
+            "file with the key that our processes share; empty: orders are "
+            "not checked")
       .Integer("journal.requests", 20000, 100, 10000000, "requests",
                "requests whose trace is kept in memory")
       .Address("platform.table", "127.0.0.1:8100", "table service")
--- a/src/libverbenalead/daemon/target_daemon.cc
+++ b/src/libverbenalead/daemon/target_daemon.cc
@@ -16,6 +16,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "peer/client.h"
+#include "peer/credentials.h"
 #include "peer/server.h"
 #include "platform/dynamo_table.h"
 
@@ -48,7 +49,8 @@
   explicit Parts(const Settings& settings)
       : m_settings(settings),
         m_threads(static_cast<int>(settings.Integer("threads"))),
-        m_peers(peer::SessionLimits{}),
+        m_credentials(settings.Text("peers.key_file")),
+        m_peers(peer::SessionLimits{}, &m_credentials),
         m_journal(settings.Text("host"),
                   static_cast<size_t>(settings.Integer("journal.requests"))),
         m_table(m_http,
@@ -89,7 +91,8 @@
         m_weights_server(m_threads,
                          http::ServerLimits{},
                          MakeWeightsApi(m_store)),
-        m_signals(m_threads.main(), SIGTERM, SIGINT) {}
+        m_signals(m_threads.main(), SIGTERM, SIGINT),
+        m_hangup(m_threads.main(), SIGHUP) {}
 
   wire::Handler PeerApi() {
     TargetPeerContext context;
@@ -99,7 +102,8 @@
     context.m_upload = &m_upload;
     context.m_report = [this] { return Report(); };
     context.m_drain = [this] { StartLeaving("operator"); };
-    return MakeTargetPeerApi(std::move(context));
+    return peer::RequireCredentials(m_credentials,
+                                    MakeTargetPeerApi(std::move(context)));
   }
 
   model::TargetReport Report() {
@@ -199,7 +203,22 @@
     m_threads.Stop();
   }
 
+  /// SIGHUP: the peers' key is replaced without a restart.
+  Awaitable<void> ReloadWhenAsked() {
+    while (true) {
+      co_await m_hangup.async_wait(asio::use_awaitable);
+      if (const auto done = m_credentials.Load(); !done)
+        LogLine("reload_failed").With(done.error()).Error();
+      else
+        LogLine("reloaded").Info();
+    }
+  }
+
   bool Listen() {
+    if (const auto loaded = m_credentials.Load(); !loaded) {
+      LogLine("start_failed").With(loaded.error()).Error();
+      return false;
+    }
     for (const auto& bound :
          {m_peer_server.Listen(m_settings.Address("listen.peers")),
           m_weights_server.Listen(m_settings.Address("listen.weights"))}) {
@@ -214,6 +233,7 @@
   const Settings m_settings;
   IoThreads m_threads;
   http::Client m_http;
+  peer::Credentials m_credentials;
   peer::Client m_peers;
   Journal m_journal;
   platform::DynamoTable m_table;
@@ -233,6 +253,7 @@
   peer::Server m_peer_server;
   http::Server m_weights_server;
   asio::signal_set m_signals;
+  asio::signal_set m_hangup;
 };
 
 TargetDaemon::TargetDaemon(const Settings& settings)
@@ -252,6 +273,7 @@
   spawn(parts.FollowConfig());
   spawn(parts.ForgetAttempts());
   spawn(parts.StopWhenAsked());
+  spawn(parts.ReloadWhenAsked());
   if (parts.m_settings.Text("backend.kind") == "engine")
     spawn(parts.m_versions.Run());
   else
--- a/src/libverbenalead/daemon/target_settings.cc
+++ b/src/libverbenalead/daemon/target_settings.cc
@@ -24,6 +24,9 @@
                "rate at which chunks are sent to other hosts; 0: no limit")
       .Integer("link.download", 0, 0, int64_t{1} << 40, "bytes/s",
                "rate at which chunks are taken in; 0: no limit")
+      .Text("peers.key_file", "",
+            "file with the key that our processes share; empty: orders are "
+            "not checked")
       .Integer("journal.requests", 5000, 100, 10000000, "requests",
                "requests whose trace is kept in memory")
       .Address("platform.table", "127.0.0.1:8100", "table service")
--- /dev/null
+++ b/src/libverbenalead/front/bearer_check.h
@@ -0,0 +1,19 @@
+#ifndef VERBENALEAD_FRONT_BEARER_CHECK_H_
+#define VERBENALEAD_FRONT_BEARER_CHECK_H_
+
+#include <string>
+#include <vector>
+
+#include "wire/response_writer.h"
+
+namespace verbenalead::front {
+
+/// `handler` for requests with `Authorization: Bearer TOKEN` and one of
+/// `tokens`; others get 401. With no tokens every request passes: the daemon
+/// then listens on loopback only.
+wire::Handler RequireBearer(std::vector<std::string> tokens,
+                            wire::Handler handler);
+
+}  // namespace verbenalead::front
+
+#endif  // VERBENALEAD_FRONT_BEARER_CHECK_H_
--- a/src/libverbenalead/http/client.cc
+++ b/src/libverbenalead/http/client.cc
@@ -2,10 +2,13 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/ssl/context.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/beast/ssl.hpp>
 #include <map>
+#include <type_traits>
 #include <vector>
 
 namespace verbenalead::http {
@@ -81,14 +84,15 @@
       asio::query(executor, asio::execution::context));
 }
 
-/// Reads one response from one connection.
+/// Reads one response from one connection, over TCP or TLS.
+template <typename Socket>
 class Reader : public wire::ResponseReader {
  public:
   /// `no_body` for the answer to HEAD, whose length speaks of no body.
   Reader(Pool& pool,
          Endpoint endpoint,
          std::string step,
-         Stream stream,
+         std::unique_ptr<Socket> stream,
          bool no_body)
       : m_pool(pool),
         m_endpoint(std::move(endpoint)),
@@ -102,7 +106,7 @@
       TimePoint deadline) override {
     if (m_cancelled)
       co_return Broken(asio::error::operation_aborted);
-    m_stream->expires_at(deadline);
+    beast::get_lowest_layer(*m_stream).expires_at(deadline);
     beast::error_code error;
     co_await bhttp::async_read_header(
         *m_stream, m_buffer, m_parser,
@@ -119,7 +123,7 @@
   Awaitable<AsyncResult<std::optional<std::string>>> ReadBody(
       TimePoint deadline) override {
     if (m_stream)
-      m_stream->expires_at(deadline);
+      beast::get_lowest_layer(*m_stream).expires_at(deadline);
     while (!m_parser.is_done()) {
       if (m_cancelled)
         co_return Broken(asio::error::operation_aborted);
@@ -147,7 +151,7 @@
   void Cancel() override {
     m_cancelled = true;
     if (m_stream)
-      m_stream->cancel();
+      beast::get_lowest_layer(*m_stream).cancel();
   }
 
  private:
@@ -159,16 +163,18 @@
   void Finish() {
     for (const auto& field : m_parser.get())
       m_trailers[LowerCase(field.name_string())] = std::string(field.value());
-    if (m_parser.get().keep_alive() && m_buffer.size() == 0 && m_stream) {
-      m_stream->expires_never();
-      m_pool.Give(m_endpoint, std::move(m_stream));
+    if constexpr (std::is_same_v<Socket, beast::tcp_stream>) {
+      if (m_parser.get().keep_alive() && m_buffer.size() == 0 && m_stream) {
+        m_stream->expires_never();
+        m_pool.Give(m_endpoint, std::move(m_stream));
+      }
     }
   }
 
   Pool& m_pool;
   Endpoint m_endpoint;
   std::string m_step;
-  Stream m_stream;
+  std::unique_ptr<Socket> m_stream;
   beast::flat_buffer m_buffer;
   bhttp::response_parser<bhttp::buffer_body> m_parser;
   wire::Headers m_trailers;
@@ -196,19 +202,10 @@
   co_return AsyncResult<Stream>(std::move(stream));
 }
 
-}  // namespace
+using TlsStream = beast::ssl_stream<beast::tcp_stream>;
 
-Awaitable<AsyncResult<std::unique_ptr<wire::ResponseReader>>>
-Client::Open(Endpoint endpoint, wire::Request request, TimePoint deadline) {
-  const auto executor = co_await asio::this_coro::executor;
-  Pool& pool = PoolOf(executor);
-  Stream stream = pool.Take(endpoint);
-  if (!stream) {
-    auto connected = co_await Connect(executor, endpoint, deadline);
-    if (!connected)
-      co_return connected.error();
-    stream = std::move(*connected);
-  }
+bhttp::request<bhttp::string_body> MessageFor(const Endpoint& endpoint,
+                                              wire::Request request) {
   bhttp::request<bhttp::string_body> message(
       bhttp::string_to_verb(request.m_method), request.m_path, 11);
   message.set(bhttp::field::host, ToString(endpoint));
@@ -216,9 +213,22 @@
     message.set(name, value);
   message.body() = std::move(request.m_body);
   message.prepare_payload();
-  stream->expires_at(deadline);
-  beast::error_code error;
+  return message;
+}
+
+/// Sends `request` over `stream`, whose connection stands.
+template <typename Socket>
+Awaitable<AsyncResult<std::unique_ptr<wire::ResponseReader>>> SendOver(
+    std::unique_ptr<Socket> stream,
+    Endpoint endpoint,
+    wire::Request request,
+    TimePoint deadline) {
+  Pool& pool = PoolOf(co_await asio::this_coro::executor);
   const std::string step = request.m_method + " " + wire::PathOf(request);
+  const bool no_body = request.m_method == "HEAD";
+  const auto message = MessageFor(endpoint, std::move(request));
+  beast::get_lowest_layer(*stream).expires_at(deadline);
+  beast::error_code error;
   co_await bhttp::async_write(*stream, message,
                               asio::redirect_error(asio::use_awaitable, error));
   if (error) {
@@ -226,8 +236,67 @@
                       error.message()};
   }
   co_return AsyncResult<std::unique_ptr<wire::ResponseReader>>(
-      std::make_unique<Reader>(pool, std::move(endpoint), step,
-                               std::move(stream), request.m_method == "HEAD"));
+      std::make_unique<Reader<Socket>>(pool, std::move(endpoint), step,
+                                       std::move(stream), no_body));
+}
+
+/// Dials, and checks that the far side's certificate names its IP number.
+Awaitable<AsyncResult<std::unique_ptr<TlsStream>>>
+ConnectTls(asio::ssl::context& context, Endpoint endpoint, TimePoint deadline) {
+  const auto executor = co_await asio::this_coro::executor;
+  auto connected = co_await Connect(executor, endpoint, deadline);
+  if (!connected)
+    co_return connected.error();
+  auto stream = std::make_unique<TlsStream>(std::move(**connected), context);
+  beast::get_lowest_layer(*stream).expires_at(deadline);
+  X509_VERIFY_PARAM_set1_ip_asc(SSL_get0_param(stream->native_handle()),
+                                endpoint.address().c_str());
+  beast::error_code error;
+  co_await stream->async_handshake(
+      asio::ssl::stream_base::client,
+      asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return Failure{FailureCode::kUnreachable, "TLS handshake",
+                      ToString(endpoint), error.message()};
+  }
+  co_return AsyncResult<std::unique_ptr<TlsStream>>(std::move(stream));
+}
+
+}  // namespace
+
+AsyncResult<bool> Client::UseTls(const std::string& ca_file) {
+  auto context =
+      std::make_shared<asio::ssl::context>(asio::ssl::context::tls_client);
+  context->set_verify_mode(asio::ssl::verify_peer);
+  boost::system::error_code error;
+  context->load_verify_file(ca_file, error);
+  if (error) {
+    return Failure{FailureCode::kInvalid, "read CA certificates", ca_file,
+                   error.message()};
+  }
+  m_tls = std::move(context);
+  return true;
+}
+
+Awaitable<AsyncResult<std::unique_ptr<wire::ResponseReader>>>
+Client::Open(Endpoint endpoint, wire::Request request, TimePoint deadline) {
+  const auto executor = co_await asio::this_coro::executor;
+  if (m_tls) {
+    auto stream = co_await ConnectTls(*m_tls, endpoint, deadline);
+    if (!stream)
+      co_return stream.error();
+    co_return co_await SendOver(std::move(*stream), std::move(endpoint),
+                                std::move(request), deadline);
+  }
+  Stream stream = PoolOf(executor).Take(endpoint);
+  if (!stream) {
+    auto connected = co_await Connect(executor, endpoint, deadline);
+    if (!connected)
+      co_return connected.error();
+    stream = std::move(*connected);
+  }
+  co_return co_await SendOver(std::move(stream), std::move(endpoint),
+                              std::move(request), deadline);
 }
 
 }  // namespace verbenalead::http
--- a/src/libverbenalead/peer/client.cc
+++ b/src/libverbenalead/peer/client.cc
@@ -103,6 +103,8 @@
       pool.Add(endpoint, session);
     }
   }
+  if (m_credentials != nullptr)
+    m_credentials->Sign(request);
   co_return session->Open(std::move(request));
 }
 
--- a/src/libverbenalead/peer/client.h
+++ b/src/libverbenalead/peer/client.h
@@ -1,6 +1,7 @@
 #ifndef VERBENALEAD_PEER_CLIENT_H_
 #define VERBENALEAD_PEER_CLIENT_H_
 
+#include "peer/credentials.h"
 #include "peer/session.h"
 #include "wire/client.h"
 
@@ -10,13 +11,18 @@
 /// peer and thread, dialled when first needed and again after it is lost.
 class Client : public wire::Client {
  public:
-  explicit Client(SessionLimits limits) : m_limits(limits) {}
+  /// `credentials`, if any, sign what changes something; they must outlive the
+  /// client.
+  explicit Client(SessionLimits limits,
+                  const Credentials* credentials = nullptr)
+      : m_limits(limits), m_credentials(credentials) {}
 
   Awaitable<AsyncResult<std::unique_ptr<wire::ResponseReader>>>
   Open(Endpoint endpoint, wire::Request request, TimePoint deadline) override;
 
  private:
   const SessionLimits m_limits;
+  const Credentials* const m_credentials;
 };
 
 }  // namespace verbenalead::peer
--- a/src/vlctl/main.cc
+++ b/src/vlctl/main.cc
@@ -19,6 +19,8 @@
   std::string m_entry = "127.0.0.1:8081";
   std::string m_output = "table";
   std::string m_operator = "vlctl";
+  std::string m_token_file;
+  std::string m_ca_file;
   int m_timeout_ms = 10000;
   std::string m_file;
   std::string m_operation;
@@ -75,6 +77,18 @@
       ->check(CLI::Range(uint64_t{1024}, uint64_t{16} << 20));
 }
 
+/// Reads the files named on the command line; false: one is bad.
+bool UseFiles(vlctl::OperatorClient& client, const Options& options) {
+  AsyncResult<bool> done = true;
+  if (!options.m_token_file.empty())
+    done = client.UseToken(options.m_token_file);
+  if (done && !options.m_ca_file.empty())
+    done = client.UseTls(options.m_ca_file);
+  if (!done)
+    std::cerr << "vlctl: " << ToString(done.error()) << "\n";
+  return done.has_value();
+}
+
 ExitCode RunCommand(const CLI::App& app, const Options& options) {
   const std::string command = app.get_subcommands().front()->get_name();
   if (command == "check-settings")
@@ -87,10 +101,12 @@
     std::cerr << "vlctl: " << ToString(entry.error()) << "\n";
     return vlctl::kBadUse;
   }
-  const vlctl::Context context{
-      vlctl::OperatorClient(*entry,
-                            std::chrono::milliseconds(options.m_timeout_ms)),
-      options.m_output == "json", options.m_operator};
+  vlctl::OperatorClient client(*entry,
+                               std::chrono::milliseconds(options.m_timeout_ms));
+  if (!UseFiles(client, options))
+    return vlctl::kBadUse;
+  const vlctl::Context context{client, options.m_output == "json",
+                               options.m_operator};
   if (command == "apply")
     return vlctl::Apply(context, options.m_file, options.m_operation);
   if (command == "get")
@@ -130,6 +146,12 @@
   app.add_option("-o,--output", options.m_output, "table or json")
       ->check(CLI::IsMember({"table", "json"}));
   app.add_option("--operator", options.m_operator, "name told with writes");
+  app.add_option("--token-file", options.m_token_file,
+                 "file with the operators' token")
+      ->envname("VLCTL_TOKEN_FILE");
+  app.add_option("--ca-file", options.m_ca_file,
+                 "speak TLS, and trust the certificates in this PEM file")
+      ->envname("VLCTL_CA_FILE");
   app.add_option("--timeout", options.m_timeout_ms, "ms to wait");
   AddResourceCommands(app, options);
   AddFleetCommands(app, options);
--- a/src/vlctl/operator_client.cc
+++ b/src/vlctl/operator_client.cc
@@ -4,7 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <optional>
 
-#include "http/client.h"
+#include "base/secret.h"
 
 namespace verbenalead::vlctl {
 namespace {
@@ -56,28 +56,45 @@
 
 }  // namespace
 
+AsyncResult<bool> OperatorClient::UseToken(const std::string& path) {
+  auto tokens = ReadSecrets(path);
+  if (!tokens)
+    return tokens.error();
+  m_token = tokens->front();
+  return true;
+}
+
+AsyncResult<bool> OperatorClient::UseTls(const std::string& path) {
+  return m_client->UseTls(path);
+}
+
+void OperatorClient::AddToken(wire::Request& request) const {
+  if (!m_token.empty())
+    request.m_headers["authorization"] = "Bearer " + m_token;
+}
+
 AsyncResult<wire::Response> OperatorClient::Call(
     const std::string& method,
     const std::string& path,
     const wire::Headers& headers,
     const std::string& body) const {
-  http::Client client;
   wire::Request request;
   request.m_method = method;
   request.m_path = path;
   request.m_headers = headers;
   request.m_body = body;
+  AddToken(request);
   return RunToEnd(
-      wire::Fetch(client, m_entry, std::move(request), Now() + m_timeout));
+      wire::Fetch(*m_client, m_entry, std::move(request), Now() + m_timeout));
 }
 
 AsyncResult<bool> OperatorClient::Follow(
     const std::string& path,
     const std::function<bool(const std::string&)>& on_line) const {
-  http::Client client;
   wire::Request request;
   request.m_path = path;
-  return RunToEnd(ReadLines(client, m_entry, std::move(request), on_line));
+  AddToken(request);
+  return RunToEnd(ReadLines(*m_client, m_entry, std::move(request), on_line));
 }
 
 }  // namespace verbenalead::vlctl
