--- a/src/libverbenalead/daemon/entry_daemon.cc
+++ b/src/libverbenalead/daemon/entry_daemon.cc
@@ -1,5 +1,6 @@
 #include "daemon/entry_daemon.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -13,15 +14,20 @@
 #include "base/sleep.h"
 #include "daemon/config_keeper.h"
 #include "daemon/credentials.h"
+#include "daemon/counting_runner.h"
+#include "daemon/entry_access.h"
 #include "daemon/entry_peer_api.h"
+#include "daemon/leaving_entries.h"
 #include "daemon/request_runner.h"
 #include "daemon/target_directory.h"
 #include "daemon/trace_gatherer.h"
+#include "front/bearer_check.h"
 #include "front/callers_api.h"
 #include "front/operators_api.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "peer/client.h"
+#include "peer/credentials.h"
 #include "peer/server.h"
 #include "platform/dynamo_table.h"
 #include "platform/host_list.h"
@@ -34,36 +40,10 @@
 
 constexpr Duration kDrainTimeout = 2s;
 constexpr Duration kStopPoll = 20ms;
-/// A stopping entry goes on accepting for as long as callers keep the list of
-/// entries that still names it.
-constexpr Duration kKeepAccepting = front::kEntriesTtl;
-
-/// Counts the calls that run, so that a stop can wait for them.
-class CountingRunner : public front::CallRunner {
- public:
-  CountingRunner(front::CallRunner& runner, Metrics& metrics)
-      : m_runner(runner), m_metrics(metrics) {}
-
-  Awaitable<void> Run(model::Call call,
-                      wire::Request request,
-                      wire::ResponseWriter& writer) override {
-    ++m_running;
-    const TimePoint start = Now();
-    const std::string labels = "pool=\"" + call.pool() + "\"";
-    co_await m_runner.Run(std::move(call), std::move(request), writer);
-    m_metrics.Count("calls_total", labels);
-    m_metrics.Observe("call_seconds", labels,
-                      std::chrono::duration<double>(Now() - start).count());
-    --m_running;
-  }
-
-  int running() const { return m_running; }
-
- private:
-  front::CallRunner& m_runner;
-  Metrics& m_metrics;
-  std::atomic<int> m_running{0};
-};
+/// A stopping entry goes on accepting for as long as callers keep a list of
+/// entries that still names it: the list's time to live, and a margin for the
+/// other entries to hear of the stop and for callers to fetch the next list.
+constexpr Duration kKeepAccepting = front::kEntriesTtl + 2s;
 
 }  // namespace
 
@@ -71,7 +51,8 @@
   explicit Parts(const Settings& settings)
       : m_settings(settings),
         m_threads(static_cast<int>(settings.Integer("threads"))),
-        m_peers(peer::SessionLimits{}),
+        m_credentials(settings.Text("peers.key_file")),
+        m_peers(peer::SessionLimits{}, &m_credentials),
         m_journal(settings.Text("host"),
                   static_cast<size_t>(settings.Integer("journal.requests"))),
         m_signed_table(m_http, CredentialsIn(settings), "dynamodb"),
@@ -88,12 +69,21 @@
                     settings.Milliseconds("targets.poll")),
         m_runner(m_routers, m_peers, m_table, m_journal),
         m_counting(m_runner, m_metrics),
-        m_callers(m_threads, CallerLimits(settings), Callers()),
-        m_operators(m_threads, http::ServerLimits{}, Operators()),
-        m_peer_server(m_threads,
-                      peer::SessionLimits{},
-                      MakeEntryPeerApi(m_config, m_journal)),
-        m_signals(m_threads.main(), SIGTERM, SIGINT) {}
+        m_access(settings),
+        m_callers(m_threads, CallerLimits(settings), Callers(), m_access.tls()),
+        m_operators(m_threads,
+                    http::ServerLimits{},
+                    front::RequireBearer(m_access.tokens(), Operators()),
+                    m_access.tls()),
+        m_peer_server(m_threads, peer::SessionLimits{}, PeerApi()),
+        m_signals(m_threads.main(), SIGTERM, SIGINT),
+        m_hangup(m_threads.main(), SIGHUP) {}
+
+  wire::Handler PeerApi() {
+    return peer::RequireCredentials(
+        m_credentials,
+        TakeLeavingNotices(m_leaving, MakeEntryPeerApi(m_config, m_journal)));
+  }
 
   static http::ServerLimits CallerLimits(const Settings& settings) {
     http::ServerLimits limits;
@@ -118,7 +108,8 @@
     std::vector<std::string> addresses;
     for (const model::Host& host : m_hosts.Hosts(model::HostRole::kEntry)) {
       const bool us = host.name() == m_settings.Text("host");
-      if (!host.leaving() && !(us && m_stopping))
+      if (!host.leaving() && !m_leaving.Contains(host.name()) &&
+          !(us && m_stopping))
         addresses.push_back(ToString(host.callers()));
     }
     return addresses;
@@ -190,14 +181,40 @@
     LogLine("stopping").With("running", m_counting.running()).Info();
     const TimePoint give_up = Now() + m_settings.Milliseconds("stop.grace");
     const TimePoint stop_accepting = std::min(give_up, Now() + kKeepAccepting);
-    while (Now() < give_up &&
-           (Now() < stop_accepting || m_counting.running() > 0))
+    m_callers.Drain();
+    co_await TellLeaving(m_peers, m_settings.Text("host"),
+                         m_hosts.Hosts(model::HostRole::kEntry));
+    while (Now() < stop_accepting)
       co_await Sleep(kStopPoll);
-    LogLine("stopped").With("cut_off", m_counting.running()).Info();
+    m_callers.StopAccepting();
+    // Asked of the server, not of the runner: a request may still be read, or
+    // the end of its answer written.
+    do {
+      co_await Sleep(kStopPoll);
+    } while (Now() < give_up && m_callers.busy() > 0);
+    LogLine("stopped").With("cut_off", m_callers.busy()).Info();
     m_threads.Stop();
   }
 
+  /// SIGHUP: certificates and keys are replaced without a restart.
+  Awaitable<void> ReloadWhenAsked() {
+    while (true) {
+      co_await m_hangup.async_wait(asio::use_awaitable);
+      for (const auto& done : {m_access.Reload(), m_credentials.Load()}) {
+        if (!done)
+          LogLine("reload_failed").With(done.error()).Error();
+      }
+      LogLine("reloaded").Info();
+    }
+  }
+
   bool Listen() {
+    for (const auto& good : {m_access.Check(), m_credentials.Load()}) {
+      if (!good) {
+        LogLine("start_failed").With(good.error()).Error();
+        return false;
+      }
+    }
     for (const auto& bound :
          {m_callers.Listen(m_settings.Address("listen.callers")),
           m_operators.Listen(m_settings.Address("listen.operators")),
@@ -213,6 +230,7 @@
   const Settings m_settings;
   IoThreads m_threads;
   http::Client m_http;
+  peer::Credentials m_credentials;
   peer::Client m_peers;
   Metrics m_metrics;
   Journal m_journal;
@@ -220,16 +238,19 @@
   platform::DynamoTable m_table;
   platform::HostList m_host_list;
   HostDirectory m_hosts;
+  LeavingEntries m_leaving;
   ConfigKeeper m_config;
   PoolRouters m_routers;
   TargetDirectory m_directory;
   RequestRunner m_runner;
   CountingRunner m_counting;
   std::atomic<bool> m_stopping{false};
+  EntryAccess m_access;
   http::Server m_callers;
   http::Server m_operators;
   peer::Server m_peer_server;
   asio::signal_set m_signals;
+  asio::signal_set m_hangup;
 };
 
 EntryDaemon::EntryDaemon(const Settings& settings)
@@ -245,6 +266,7 @@
   asio::co_spawn(executor, parts.FollowTable(), asio::detached);
   asio::co_spawn(executor, parts.m_directory.Run(), asio::detached);
   asio::co_spawn(executor, parts.StopWhenAsked(), asio::detached);
+  asio::co_spawn(executor, parts.ReloadWhenAsked(), asio::detached);
   LogLine("started").With("host", parts.m_settings.Text("host")).Info();
   parts.m_threads.Run();
   return 0;
--- a/src/libverbenalead/daemon/target_daemon.cc
+++ b/src/libverbenalead/daemon/target_daemon.cc
@@ -18,6 +18,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "peer/client.h"
+#include "peer/credentials.h"
 #include "peer/server.h"
 #include "platform/dynamo_table.h"
 #include "platform/signing_client.h"
@@ -71,7 +72,8 @@
   explicit Parts(const Settings& settings)
       : m_settings(settings),
         m_threads(static_cast<int>(settings.Integer("threads"))),
-        m_peers(peer::SessionLimits{}),
+        m_credentials(settings.Text("peers.key_file")),
+        m_peers(peer::SessionLimits{}, &m_credentials),
         m_journal(settings.Text("host"),
                   static_cast<size_t>(settings.Integer("journal.requests"))),
         m_signed_table(m_http, CredentialsIn(settings), "dynamodb"),
@@ -114,7 +116,8 @@
         m_weights_server(m_threads,
                          http::ServerLimits{},
                          MakeWeightsApi(m_store)),
-        m_signals(m_threads.main(), SIGTERM, SIGINT) {}
+        m_signals(m_threads.main(), SIGTERM, SIGINT),
+        m_hangup(m_threads.main(), SIGHUP) {}
 
   wire::Handler PeerApi() {
     TargetPeerContext context;
@@ -125,7 +128,8 @@
     context.m_region = m_settings.Text("region");
     context.m_report = [this] { return Report(); };
     context.m_drain = [this] { StartLeaving("operator"); };
-    return MakeTargetPeerApi(std::move(context));
+    return peer::RequireCredentials(m_credentials,
+                                    MakeTargetPeerApi(std::move(context)));
   }
 
   model::TargetReport Report() {
@@ -216,22 +220,33 @@
     }
   }
 
-  uint32_t Running() {
-    return m_gate.With([](decide::GateState& gate) { return gate.m_running; });
-  }
-
   Awaitable<void> StopWhenAsked() {
     co_await m_signals.async_wait(asio::use_awaitable);
     StartLeaving("signal");
     const TimePoint noticed = Now() + m_settings.Milliseconds("stop.notice");
     const TimePoint give_up = Now() + m_settings.Milliseconds("stop.grace");
-    while (Now() < give_up && (Now() < noticed || Running() > 0))
+    while (Now() < give_up && (Now() < noticed || m_attempts.serving() > 0))
       co_await Sleep(kStopPoll);
-    LogLine("stopped").With("cut_off", uint64_t{Running()}).Info();
+    LogLine("stopped").With("cut_off", m_attempts.serving()).Info();
     m_threads.Stop();
   }
 
+  /// SIGHUP: the peers' key is replaced without a restart.
+  Awaitable<void> ReloadWhenAsked() {
+    while (true) {
+      co_await m_hangup.async_wait(asio::use_awaitable);
+      if (const auto done = m_credentials.Load(); !done)
+        LogLine("reload_failed").With(done.error()).Error();
+      else
+        LogLine("reloaded").Info();
+    }
+  }
+
   bool Listen() {
+    if (const auto loaded = m_credentials.Load(); !loaded) {
+      LogLine("start_failed").With(loaded.error()).Error();
+      return false;
+    }
     for (const auto& bound :
          {m_peer_server.Listen(m_settings.Address("listen.peers")),
           m_weights_server.Listen(m_settings.Address("listen.weights"))}) {
@@ -246,6 +261,7 @@
   const Settings m_settings;
   IoThreads m_threads;
   http::Client m_http;
+  peer::Credentials m_credentials;
   peer::Client m_peers;
   Journal m_journal;
   platform::SigningClient m_signed_table;
@@ -267,6 +283,7 @@
   peer::Server m_peer_server;
   http::Server m_weights_server;
   asio::signal_set m_signals;
+  asio::signal_set m_hangup;
 };
 
 TargetDaemon::TargetDaemon(const Settings& settings)
@@ -286,6 +303,7 @@
   spawn(parts.FollowConfig());
   spawn(parts.ForgetAttempts());
   spawn(parts.StopWhenAsked());
+  spawn(parts.ReloadWhenAsked());
   if (parts.m_settings.Text("backend.kind") == "engine")
     spawn(parts.m_versions.Run());
   else
--- a/src/libverbenalead/daemon/target_settings.cc
+++ b/src/libverbenalead/daemon/target_settings.cc
@@ -35,6 +35,9 @@
                "known")
       .Integer("transfer.share_percent", 80, 1, 100, "%",
                "share of link.upload and link.download that chunks may take")
+      .Text("peers.key_file", "",
+            "file with the key that our processes share; empty: orders are "
+            "not checked")
       .Integer("journal.requests", 5000, 100, 10000000, "requests",
                "requests whose trace is kept in memory")
       .Address("platform.table", "127.0.0.1:8100", "table service")
