Settle writes in doubt without blaming others; name the winner

An operator could be told 409 although its own write was in force. Commit looked up the operation first and read the log of changes after: a write whose answer was lost and that landed in between showed up as somebody else's revision. The state is now taken before the operation is looked up. A try in doubt is dead once the head has passed its revision and the operation is not in the table; until then reads go on for 6 s before the operator is told 504, where one failed read was enough before. A transaction that was never sent, or that the table refused, no longer counts as doubt.

A 409 names the winner's revision, operation and operator; an operation id that named another write is refused; specs may only name declared resources, and what others name can't be deleted.

Failed try: letting RapidCheck shrink a failing run of 400 steps had not ended after nine minutes; the generator is marked noShrink.

--- a/src/libverbenalead/daemon/config_keeper.cc
+++ b/src/libverbenalead/daemon/config_keeper.cc
@@ -2,8 +2,17 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "base/catch_failure.h"
 #include "base/log.h"
+#include "base/sleep.h"
+#include "decide/config_references.h"
 
 namespace verbenalead::daemon {
 namespace {
@@ -21,6 +30,11 @@
 /// Tries of one commit. Each lost race means that somebody else's write went
 /// through, so with eight operators racing a handful of tries is the rule.
 constexpr int kMaxTries = 64;
+/// How long a write in doubt is looked for, below the 10 s that an operator's
+/// client waits, so that "unknown" reaches the operator as an answer.
+constexpr Duration kSettleBound = 6s;
+/// Pause after a failed try; a table that struggles is not pressed further.
+constexpr Duration kPause = 100ms;
 
 /// Sorts as text in the order of the numbers.
 std::string SortOf(uint64_t revision) {
@@ -42,28 +56,58 @@
   return {head, entry, operation};
 }
 
-/// Fails with kConflict if `write` expects another revision than is in force.
-AsyncResult<bool> CheckExpected(const decide::ConfigState& state,
-                                const model::ResourceWrite& write) {
-  auto found = state.m_resources.find(write.m_key);
-  const uint64_t revision =
-      found == state.m_resources.end() ? 0 : found->second.m_revision;
-  if (!write.m_expected_revision || *write.m_expected_revision == revision)
-    return true;
-  return Failure{FailureCode::kConflict, "write " + ToString(write.m_key), "",
-                 fmt::format("expected revision {}, found {}",
-                             *write.m_expected_revision, revision)};
-}
-
 model::Change ChangeFor(const model::ResourceWrite& write, uint64_t revision) {
   return {revision,     write.m_key,       write.m_deleted,
           write.m_spec, write.m_operation, write.m_operator};
 }
 
+/// The change that `write`'s operation id is known to have made, if it was this
+/// very write.
+AsyncResult<model::Change> Repeated(const model::Change& known,
+                                    const model::ResourceWrite& write) {
+  if (known.m_key == write.m_key && known.m_deleted == write.m_deleted &&
+      known.m_spec == write.m_spec)
+    return known;
+  return Failure{
+      FailureCode::kInvalid, "write " + ToString(write.m_key), "",
+      fmt::format("operation {} has named another write: {} at revision {}",
+                  write.m_operation, ToString(known.m_key), known.m_revision)};
+}
+
+/// The write had no answer, and a read can't settle what became of it.
+Failure Unknown(const model::ResourceWrite& write, const Failure& cause) {
+  return {FailureCode::kTimeout, "write " + ToString(write.m_key), cause.m_peer,
+          "the write's outcome is unknown (" + ToString(cause) +
+              "); ask again with operation " + write.m_operation};
+}
+
+/// Whether a transaction that ended with `failure` may have taken effect.
+bool MayHaveTakenEffect(const Failure& failure) {
+  return failure.m_code != FailureCode::kUnreachable &&
+         failure.m_code != FailureCode::kRefused;
+}
+
 }  // namespace
 
+/// A coroutine that waits on its own thread for a newer revision.
+struct ConfigKeeper::Waiter {
+  explicit Waiter(const boost::asio::any_io_executor& executor,
+                  TimePoint deadline)
+      : m_event(executor, deadline) {}
+
+  boost::asio::steady_timer m_event;
+  bool m_woken = false;
+};
+
 ConfigKeeper::ConfigKeeper(platform::Table* table)
-    : m_table(table), m_state(std::make_shared<decide::ConfigState>()) {}
+    : ConfigKeeper(table, [](Duration pause) { return Sleep(pause); }) {}
+
+ConfigKeeper::ConfigKeeper(platform::Table* table, Pause pause)
+    : m_table(table),
+      m_pause(std::move(pause)),
+      m_state(std::make_shared<decide::ConfigState>()) {}
+
+ConfigKeeper::~ConfigKeeper() = default;
 
 ConfigKeeper::State ConfigKeeper::current() const {
   std::lock_guard lock(m_mutex);
@@ -90,8 +134,10 @@
     if (m_recent.size() > kMaxRecent)
       m_recent.pop_front();
   }
-  if (next)
-    m_state = std::move(next);
+  if (!next)
+    return;
+  m_state = std::move(next);
+  WakeAll();
 }
 
 void ConfigKeeper::OfferState(decide::ConfigState state) {
@@ -104,6 +150,46 @@
       .Info();
   m_state = std::make_shared<decide::ConfigState>(std::move(state));
   m_recent.clear();
+  WakeAll();
+}
+
+void ConfigKeeper::WakeAll() {
+  for (const std::shared_ptr<Waiter>& waiter : m_waiters) {
+    boost::asio::post(waiter->m_event.get_executor(), [waiter] {
+      waiter->m_woken = true;
+      waiter->m_event.cancel();
+    });
+  }
+  m_waiters.clear();
+}
+
+Awaitable<void> ConfigKeeper::WaitBeyond(uint64_t revision,
+                                         TimePoint deadline) {
+  const auto executor = co_await boost::asio::this_coro::executor;
+  auto waiter = std::make_shared<Waiter>(executor, deadline);
+  {
+    std::lock_guard lock(m_mutex);
+    if (m_state->m_revision > revision)
+      co_return;
+    m_waiters.push_back(waiter);
+  }
+  while (!waiter->m_woken && Now() < deadline) {
+    boost::system::error_code ignored;
+    co_await waiter->m_event.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+  std::lock_guard lock(m_mutex);
+  std::erase(m_waiters, waiter);
+}
+
+void ConfigKeeper::Hear(uint64_t revision) {
+  std::lock_guard lock(m_mutex);
+  m_heard = std::max(m_heard, revision);
+}
+
+uint64_t ConfigKeeper::heard() const {
+  std::lock_guard lock(m_mutex);
+  return m_heard;
 }
 
 std::optional<std::vector<model::Change>> ConfigKeeper::ChangesAfter(
@@ -156,41 +242,102 @@
   co_return std::optional<model::Change>(std::move(*change));
 }
 
+std::string ConfigKeeper::WinnerOf(const decide::ConfigState& state,
+                                   const model::ResourceKey& key) const {
+  auto found = state.m_resources.find(key);
+  if (found != state.m_resources.end()) {
+    const decide::ResourceInForce& winner = found->second;
+    return fmt::format("revision {} by operation {} of operator {}",
+                       winner.m_revision, winner.m_operation,
+                       winner.m_operator);
+  }
+  std::lock_guard lock(m_mutex);
+  for (auto change = m_recent.rbegin(); change != m_recent.rend(); ++change) {
+    if (change->m_key == key)
+      return fmt::format(
+          "deleted at revision {} by operation {} of operator {}",
+          change->m_revision, change->m_operation, change->m_operator);
+  }
+  return "no such resource";
+}
+
+AsyncResult<bool> ConfigKeeper::CheckExpected(
+    const decide::ConfigState& state,
+    const model::ResourceWrite& write) const {
+  auto found = state.m_resources.find(write.m_key);
+  const uint64_t revision =
+      found == state.m_resources.end() ? 0 : found->second.m_revision;
+  if (write.m_expected_revision && *write.m_expected_revision != revision) {
+    return Failure{
+        FailureCode::kConflict, "write " + ToString(write.m_key), "",
+        fmt::format("expected revision {}, found {}",
+                    *write.m_expected_revision, WinnerOf(state, write.m_key))};
+  }
+  if (write.m_deleted && revision == 0) {
+    return Failure{FailureCode::kNotFound, "delete " + ToString(write.m_key),
+                   "", "no such resource"};
+  }
+  auto good =
+      CatchFailure([&] { return decide::CheckReferences(state, write); });
+  if (!good)
+    return good.error();
+  return true;
+}
+
 Awaitable<AsyncResult<model::Change>> ConfigKeeper::Commit(
     model::ResourceWrite write) {
-  std::optional<Failure> doubt;
+  // The revision and failure of a try that may yet take effect.
+  std::optional<std::pair<uint64_t, Failure>> doubt;
+  const TimePoint give_up = Now() + kSettleBound;
   for (int tries = 0; tries < kMaxTries; ++tries) {
-    auto known = co_await FindOperation(write.m_operation);
     auto caught_up = co_await CatchUp();
-    if (!known || !caught_up) {
-      const Failure& failure = known ? caught_up.error() : known.error();
-      // Once a write is in doubt, only a read can settle it.
-      if (doubt)
-        co_return Failure{FailureCode::kTimeout, failure.m_step, failure.m_peer,
-                          "the write's outcome is unknown"};
-      co_return failure;
+    const State state = current();
+    // The operation is looked up only after `state` was taken. The other way
+    // round, our own try whose answer was lost could take effect in between:
+    // CheckExpected would find our own write and tell the operator that
+    // somebody else had won.
+    auto known = co_await FindOperation(write.m_operation);
+    if (!caught_up || !known) {
+      const Failure& failure = caught_up ? known.error() : caught_up.error();
+      if (!doubt)
+        co_return failure;
+      if (Now() >= give_up)
+        co_return Unknown(write, doubt->second);
+      co_await m_pause(kPause);
+      continue;
     }
     if (known->has_value())
-      co_return **known;
-    const State state = current();
+      co_return Repeated(**known, write);
+    // The head has passed the revision that the try in doubt wanted, and the
+    // operation is not in the table: that try can no longer take effect.
+    if (doubt && state->m_revision >= doubt->first)
+      doubt.reset();
     auto expected = CheckExpected(*state, write);
     if (!expected)
       co_return expected.error();
     const model::Change change = ChangeFor(write, state->m_revision + 1);
     // The head's condition lets at most one writer take each revision, and the
-    // operation's lets each operation take at most one: a try whose answer was
-    // lost is found by FindOperation, or can no longer take effect once the
-    // head has moved.
+    // operation's lets each operation take at most one, so a second try while
+    // the first is in doubt can't double it.
     auto done = co_await m_table->Transact(WritesFor(change));
-    if (!done) {
-      doubt = done.error();
-    } else if (*done == platform::TransactResult::kCommitted) {
+    if (done && *done == platform::TransactResult::kCommitted) {
       Offer({change});
       co_return change;
     }
+    if (done)
+      continue;
+    if (MayHaveTakenEffect(done.error()))
+      doubt = {change.m_revision, done.error()};
+    else if (!doubt)
+      co_return done.error();
+    if (Now() >= give_up)
+      co_return Unknown(write, doubt->second);
+    co_await m_pause(kPause);
   }
-  co_return Failure{FailureCode::kTimeout, "write " + ToString(write.m_key), "",
-                    "too many writers; ask again"};
+  if (doubt)
+    co_return Unknown(write, doubt->second);
+  co_return Failure{FailureCode::kRefused, "write " + ToString(write.m_key), "",
+                    "too many writers at once; nothing was written"};
 }
 
 }  // namespace verbenalead::daemon
--- a/src/libverbenalead/daemon/config_keeper.h
+++ b/src/libverbenalead/daemon/config_keeper.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "base/time.h"
 #include "decide/config.h"
 #include "model/resource_write.h"
 #include "platform/table.h"
@@ -21,9 +23,13 @@
 class ConfigKeeper {
  public:
   using State = std::shared_ptr<const decide::ConfigState>;
+  using Pause = std::function<Awaitable<void>(Duration)>;
 
   /// `table` may be null in a process that only hears changes from peers.
   explicit ConfigKeeper(platform::Table* table);
+  /// For tests: `pause` stands in for the wait between two tries.
+  ConfigKeeper(platform::Table* table, Pause pause);
+  ~ConfigKeeper();
 
   State current() const;
   /// Puts `changes` into force as far as they follow on without a gap.
@@ -33,21 +39,42 @@
   /// The changes after `revision`; nullopt if they are no longer remembered.
   std::optional<std::vector<model::Change>> ChangesAfter(
       uint64_t revision) const;
+  /// Waits until a revision above `revision` is in force, or `deadline`.
+  Awaitable<void> WaitBeyond(uint64_t revision, TimePoint deadline);
+
+  /// Notes that somebody has `revision` in force, so that this process knows
+  /// that it is behind.
+  void Hear(uint64_t revision);
+  uint64_t heard() const;
 
   /// Reads what is new from the table.
   Awaitable<AsyncResult<bool>> CatchUp();
-  /// Commits `write`. kConflict: somebody else's write came first (the reason
-  /// names it). kTimeout: unknown; ask again with the same operation id.
+  /// Commits `write`.
+  /// kConflict: somebody else's write came first (the reason names it).
+  /// kInvalid: a reference is wrong, or the operation id named another write.
+  /// kTimeout: unknown; ask again with the same operation id.
+  /// Any other failure: the write has not taken effect and never will.
   Awaitable<AsyncResult<model::Change>> Commit(model::ResourceWrite write);
 
  private:
+  struct Waiter;
+
   Awaitable<AsyncResult<std::optional<model::Change>>> FindOperation(
       std::string operation);
+  AsyncResult<bool> CheckExpected(const decide::ConfigState& state,
+                                  const model::ResourceWrite& write) const;
+  std::string WinnerOf(const decide::ConfigState& state,
+                       const model::ResourceKey& key) const;
+  /// Wakes those who wait. Called under the lock.
+  void WakeAll();
 
   platform::Table* const m_table;
+  const Pause m_pause;
   mutable std::mutex m_mutex;
   State m_state;
+  uint64_t m_heard = 0;
   std::deque<model::Change> m_recent;
+  std::vector<std::shared_ptr<Waiter>> m_waiters;
 };
 
 }  // namespace verbenalead::daemon
--- /dev/null
+++ b/src/libverbenalead/daemon/config_keeper_test.cc
@@ -0,0 +1,469 @@
+#include "daemon/config_keeper.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <thread>
+
+#include "base/catch_failure.h"
+#include "daemon/config_messages.h"
+
+namespace verbenalead::daemon {
+namespace {
+
+namespace asio = boost::asio;
+using platform::TableItem;
+using platform::TableWrite;
+using platform::TransactResult;
+
+/// What becomes of one call to the table.
+enum class Fate { kAnswered, kAnswerLost, kRequestLost, kLate, kNotSent };
+
+/// The table's content, and the calls under way, which the test lets go on one
+/// by one in whatever order it likes.
+struct Cloud {
+  struct Turn {
+    explicit Turn(asio::io_context& context)
+        : m_event(context, TimePoint::max()) {}
+    asio::steady_timer m_event;
+    std::optional<Fate> m_fate;
+  };
+
+  bool Apply(const std::vector<TableWrite>& writes) {
+    for (const TableWrite& write : writes) {
+      auto found =
+          m_items.find({write.m_item.m_partition, write.m_item.m_sort});
+      const bool absent = found == m_items.end();
+      if (write.m_condition == TableWrite::Condition::kAbsent && !absent)
+        return false;
+      if (write.m_condition == TableWrite::Condition::kRevisionIs &&
+          (absent || found->second.m_revision != write.m_expected_revision))
+        return false;
+    }
+    for (const TableWrite& write : writes)
+      m_items[{write.m_item.m_partition, write.m_item.m_sort}] = write.m_item;
+    return true;
+  }
+
+  Awaitable<Fate> Wait() {
+    auto turn = std::make_shared<Turn>(m_context);
+    m_turns.push_back(turn);
+    while (!turn->m_fate) {
+      boost::system::error_code ignored;
+      co_await turn->m_event.async_wait(
+          asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return *turn->m_fate;
+  }
+
+  void Resume(size_t index, Fate fate) {
+    auto turn = m_turns[index];
+    m_turns.erase(m_turns.begin() + static_cast<ptrdiff_t>(index));
+    turn->m_fate = fate;
+    turn->m_event.cancel();
+    Poll();
+  }
+
+  void Poll() {
+    m_context.restart();
+    m_context.poll();
+  }
+
+  /// All accepted changes in order.
+  std::vector<model::Change> Log() const {
+    std::vector<model::Change> log;
+    for (const auto& [key, item] : m_items) {
+      if (key.first == "change")
+        log.push_back(
+            *CatchFailure([&] { return model::ParseChange(item.m_value); }));
+    }
+    return log;
+  }
+
+  asio::io_context m_context{1};
+  std::map<std::pair<std::string, std::string>, TableItem> m_items;
+  std::vector<std::shared_ptr<Turn>> m_turns;
+  std::vector<std::vector<TableWrite>> m_late;
+};
+
+class FakeTable : public platform::Table {
+ public:
+  explicit FakeTable(Cloud& cloud) : m_cloud(cloud) {}
+
+  Awaitable<AsyncResult<std::optional<TableItem>>> Get(
+      std::string partition,
+      std::string sort) override {
+    if (co_await m_cloud.Wait() != Fate::kAnswered)
+      co_return Lost(FailureCode::kTimeout);
+    auto found = m_cloud.m_items.find({partition, sort});
+    if (found == m_cloud.m_items.end())
+      co_return std::optional<TableItem>();
+    co_return std::optional<TableItem>(found->second);
+  }
+
+  Awaitable<AsyncResult<std::vector<TableItem>>>
+  Query(std::string partition, std::string after, uint32_t limit) override {
+    if (co_await m_cloud.Wait() != Fate::kAnswered)
+      co_return Lost(FailureCode::kTimeout);
+    std::vector<TableItem> items;
+    for (auto at = m_cloud.m_items.upper_bound({partition, after});
+         at != m_cloud.m_items.end() && at->first.first == partition &&
+         items.size() < limit;
+         ++at)
+      items.push_back(at->second);
+    co_return items;
+  }
+
+  Awaitable<AsyncResult<TransactResult>> Transact(
+      std::vector<TableWrite> writes) override {
+    const Fate fate = co_await m_cloud.Wait();
+    if (fate == Fate::kNotSent)
+      co_return Lost(FailureCode::kUnreachable);
+    if (fate == Fate::kLate)
+      m_cloud.m_late.push_back(writes);
+    if (fate == Fate::kLate || fate == Fate::kRequestLost)
+      co_return Lost(FailureCode::kTimeout);
+    const bool done = m_cloud.Apply(writes);
+    if (fate == Fate::kAnswerLost)
+      co_return Lost(FailureCode::kBroken);
+    co_return done ? TransactResult::kCommitted : TransactResult::kConflict;
+  }
+
+ private:
+  static Failure Lost(FailureCode code) { return {code, "table", "fake", ""}; }
+
+  Cloud& m_cloud;
+};
+
+Awaitable<void> NoPause(Duration) {
+  co_return;
+}
+
+/// One commit that an operator asked for.
+struct Commit {
+  model::ResourceWrite m_write;
+  std::optional<AsyncResult<model::Change>> m_result;
+};
+
+Awaitable<void> RunCommit(std::shared_ptr<ConfigKeeper> keeper,
+                          std::shared_ptr<Commit> commit) {
+  commit->m_result = co_await keeper->Commit(commit->m_write);
+}
+
+Awaitable<void> RunCatchUp(std::shared_ptr<ConfigKeeper> keeper) {
+  auto ignored = co_await keeper->CatchUp();
+  (void)ignored;
+}
+
+constexpr size_t kSteps = 400;
+
+/// Daemons, their messages and the oracle: the table's own log of changes.
+struct Fleet {
+  static constexpr size_t kDaemons = 5;
+
+  Fleet() : m_table(m_cloud) {
+    for (size_t i = 0; i < kDaemons; ++i)
+      m_daemons.push_back(NewKeeper());
+    m_seen.resize(kDaemons);
+  }
+
+  std::shared_ptr<ConfigKeeper> NewKeeper() {
+    return std::make_shared<ConfigKeeper>(&m_table, &NoPause);
+  }
+
+  std::shared_ptr<Commit> Start(size_t daemon, model::ResourceWrite write) {
+    auto commit = std::make_shared<Commit>();
+    commit->m_write = std::move(write);
+    m_commits.push_back(commit);
+    asio::co_spawn(m_cloud.m_context, RunCommit(m_daemons[daemon], commit),
+                   asio::detached);
+    m_cloud.Poll();
+    return commit;
+  }
+
+  void StartCatchUp(size_t daemon) {
+    asio::co_spawn(m_cloud.m_context, RunCatchUp(m_daemons[daemon]),
+                   asio::detached);
+    m_cloud.Poll();
+  }
+
+  /// Lets every call go through until nothing is under way.
+  void Settle() {
+    while (!m_cloud.m_turns.empty())
+      m_cloud.Resume(0, Fate::kAnswered);
+  }
+
+  /// No daemon lowers its revision, and each holds exactly the accepted
+  /// changes up to its revision.
+  void CheckDaemons() {
+    const std::vector<model::Change> log = m_cloud.Log();
+    for (size_t i = 0; i < kDaemons; ++i) {
+      const auto state = m_daemons[i]->current();
+      RC_ASSERT(state->m_revision >= m_seen[i]);
+      m_seen[i] = state->m_revision;
+      RC_ASSERT(state->m_revision <= log.size());
+      decide::ConfigState expected;
+      for (size_t at = 0; at < state->m_revision; ++at)
+        RC_ASSERT(decide::Apply(expected, log[at]) ==
+                  decide::ApplyResult::kApplied);
+      RC_ASSERT(expected == *state);
+    }
+  }
+
+  /// What operators were told is true.
+  void CheckCommits() {
+    const std::vector<model::Change> log = m_cloud.Log();
+    std::map<std::string, size_t> entries;
+    std::map<std::string, size_t> asked;
+    for (const model::Change& change : log)
+      RC_ASSERT(++entries[change.m_operation] == 1u);
+    for (const auto& commit : m_commits)
+      ++asked[commit->m_write.m_operation];
+    for (const auto& commit : m_commits) {
+      if (!commit->m_result)
+        continue;
+      const auto& result = *commit->m_result;
+      if (result.has_value()) {
+        RC_ASSERT(result->m_revision <= log.size());
+        RC_ASSERT(log[result->m_revision - 1] == *result);
+      } else if (result.error().m_code != FailureCode::kTimeout &&
+                 asked[commit->m_write.m_operation] == 1) {
+        RC_ASSERT(entries[commit->m_write.m_operation] == 0u);
+      }
+    }
+  }
+
+  Cloud m_cloud;
+  FakeTable m_table;
+  std::vector<std::shared_ptr<ConfigKeeper>> m_daemons;
+  std::vector<uint64_t> m_seen;
+  std::vector<std::shared_ptr<Commit>> m_commits;
+  std::vector<std::pair<size_t, std::string>> m_messages;
+  size_t m_operations = 0;
+};
+
+model::ResourceWrite WriteOf(const std::string& name,
+                             const std::string& operation) {
+  model::ResourceWrite write;
+  write.m_key = {"limits", name};
+  write.m_spec = "{\"operation\":\"" + operation + "\"}";
+  write.m_operation = operation;
+  write.m_operator = "ann";
+  return write;
+}
+
+/// An operator's write: blind, compare-and-set by what the daemon shows, or a
+/// repeat of an earlier one through whichever daemon.
+void Ask(Fleet& fleet, uint32_t random) {
+  const size_t daemon = random % Fleet::kDaemons;
+  random /= Fleet::kDaemons;
+  if (random % 4 == 0 && !fleet.m_commits.empty()) {
+    fleet.Start(daemon,
+                fleet.m_commits[random / 4 % fleet.m_commits.size()]->m_write);
+    return;
+  }
+  model::ResourceWrite write =
+      WriteOf("r" + std::to_string(random / 4 % 3),
+              "op" + std::to_string(fleet.m_operations++));
+  if (random % 4 != 1) {
+    const auto state = fleet.m_daemons[daemon]->current();
+    auto found = state->m_resources.find(write.m_key);
+    write.m_expected_revision =
+        found == state->m_resources.end() ? 0 : found->second.m_revision;
+  }
+  if (random % 4 == 3)
+    write.m_deleted = true;
+  fleet.Start(daemon, write);
+}
+
+void LetOneGoOn(Fleet& fleet, uint32_t random) {
+  if (fleet.m_cloud.m_turns.empty())
+    return;
+  constexpr Fate kFates[] = {
+      Fate::kAnswered,   Fate::kAnswered,    Fate::kAnswered, Fate::kAnswered,
+      Fate::kAnswerLost, Fate::kRequestLost, Fate::kLate,     Fate::kNotSent};
+  fleet.m_cloud.Resume(random / 8 % fleet.m_cloud.m_turns.size(),
+                       kFates[random % 8]);
+}
+
+/// Messages arrive late, twice, out of order, at restarted daemons, or never.
+void Talk(Fleet& fleet, uint32_t random) {
+  const size_t from = random / 2 % Fleet::kDaemons;
+  const size_t to = random / 16 % Fleet::kDaemons;
+  if (random % 2 == 0) {
+    fleet.m_messages.emplace_back(
+        to, ConfigSince(*fleet.m_daemons[from],
+                        fleet.m_daemons[to]->current()->m_revision));
+  } else if (!fleet.m_messages.empty()) {
+    const auto& [at, text] =
+        fleet.m_messages[random / 256 % fleet.m_messages.size()];
+    auto taken =
+        CatchFailure([&] { return TakeConfig(*fleet.m_daemons[at], text); });
+    RC_ASSERT(taken.has_value());
+  }
+}
+
+void Step(Fleet& fleet, uint32_t random) {
+  const uint32_t kind = random % 16;
+  random /= 16;
+  if (kind < 3) {
+    Ask(fleet, random);
+  } else if (kind < 10) {
+    LetOneGoOn(fleet, random);
+  } else if (kind < 13) {
+    Talk(fleet, random);
+  } else if (kind == 13 && !fleet.m_cloud.m_late.empty()) {
+    // A write whose sender has long given up reaches the table.
+    fleet.m_cloud.Apply(fleet.m_cloud.m_late.front());
+    fleet.m_cloud.m_late.erase(fleet.m_cloud.m_late.begin());
+  } else if (kind == 14) {
+    fleet.StartCatchUp(random % Fleet::kDaemons);
+  } else if (kind == 15 && random % 8 == 0) {
+    // The process is replaced; what it had sent to the table goes on.
+    const size_t daemon = random / 8 % Fleet::kDaemons;
+    fleet.m_daemons[daemon] = fleet.NewKeeper();
+    fleet.m_seen[daemon] = 0;
+  }
+}
+
+class ConfigKeeperTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConfigKeeperTest);
+  CPPUNIT_TEST(OwnWriteIsNotTakenForSomebodyElses);
+  CPPUNIT_TEST(OperationIdNamesOneWrite);
+  CPPUNIT_TEST(LoserIsToldTheWinner);
+  CPPUNIT_TEST(UsedResourceIsNotDeleted);
+  CPPUNIT_TEST(NothingIsDoubledLostOrLowered);
+  CPPUNIT_TEST(ThreadsReadAndOfferAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // The operator sees 409 although its own write is in force. The table's
+  // answer is lost and the write is slow: it lands after the look-up of the
+  // operation and before the read of the log, which then shows another
+  // revision than the operator expected: the operator's own.
+  void OwnWriteIsNotTakenForSomebodyElses() {
+    Fleet fleet;
+    model::ResourceWrite write = WriteOf("a", "op1");
+    write.m_expected_revision = 0;
+    auto commit = fleet.Start(0, write);
+    fleet.m_cloud.Resume(0, Fate::kAnswered);
+    fleet.m_cloud.Resume(0, Fate::kAnswered);
+    fleet.m_cloud.Resume(0, Fate::kLate);
+    fleet.m_cloud.Resume(0, Fate::kAnswered);
+    fleet.m_cloud.Apply(fleet.m_cloud.m_late.front());
+    fleet.Settle();
+    CPPUNIT_ASSERT(commit->m_result.has_value());
+    CPPUNIT_ASSERT(commit->m_result->has_value());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, (*commit->m_result)->m_revision);
+  }
+
+  void OperationIdNamesOneWrite() {
+    Fleet fleet;
+    fleet.Start(0, WriteOf("a", "op1"));
+    fleet.Settle();
+    auto repeat = fleet.Start(1, WriteOf("a", "op1"));
+    auto other = fleet.Start(1, WriteOf("b", "op1"));
+    fleet.Settle();
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, (*repeat->m_result)->m_revision);
+    CPPUNIT_ASSERT(other->m_result->error().m_code == FailureCode::kInvalid);
+  }
+
+  void LoserIsToldTheWinner() {
+    Fleet fleet;
+    model::ResourceWrite first = WriteOf("a", "op1");
+    model::ResourceWrite second = WriteOf("a", "op2");
+    first.m_expected_revision = second.m_expected_revision = 0;
+    fleet.Start(0, first);
+    fleet.Settle();
+    auto loser = fleet.Start(1, second);
+    fleet.Settle();
+    const Failure failure = loser->m_result->error();
+    CPPUNIT_ASSERT(failure.m_code == FailureCode::kConflict);
+    CPPUNIT_ASSERT(
+        failure.m_reason.find("revision 1 by operation op1 of operator ann") !=
+        std::string::npos);
+  }
+
+  void UsedResourceIsNotDeleted() {
+    Fleet fleet;
+    model::ResourceWrite model = WriteOf("m", "op1");
+    model.m_key.m_kind = "model";
+    fleet.Start(0, model);
+    fleet.Settle();
+    model::ResourceWrite version = WriteOf("v", "op2");
+    version.m_key.m_kind = "version";
+    version.m_spec = R"({"model":"m"})";
+    fleet.Start(0, version);
+    fleet.Settle();
+    model.m_deleted = true;
+    model.m_operation = "op3";
+    auto refused = fleet.Start(0, model);
+    fleet.Settle();
+    const Failure failure = refused->m_result->error();
+    CPPUNIT_ASSERT(failure.m_code == FailureCode::kInvalid);
+    CPPUNIT_ASSERT(failure.m_reason.find("version/v") != std::string::npos);
+  }
+
+  // Operators race through five daemons while the table answers late, loses
+  // requests and answers and lands writes long after; daemons exchange old
+  // news, wake late and are replaced. 100 runs of 400 steps. After each step
+  // every daemon holds a prefix of the table's log and none has gone back; in
+  // the end what operators were told is true and all daemons agree.
+  void NothingIsDoubledLostOrLowered() {
+    const bool good = rc::check("accepted is in force, none goes back", [] {
+      // At full size from the first run on, or early runs would be dull. Not
+      // shrunk: the trial took more than nine minutes over it.
+      const auto steps = *rc::gen::noShrink(rc::gen::resize(
+          rc::kNominalSize,
+          rc::gen::container<std::vector<uint32_t>>(
+              kSteps, rc::gen::inRange<uint32_t>(0, 1u << 31))));
+      Fleet fleet;
+      for (const uint32_t random : steps) {
+        Step(fleet, random);
+        fleet.CheckDaemons();
+      }
+      for (const auto& writes : fleet.m_cloud.m_late)
+        fleet.m_cloud.Apply(writes);
+      fleet.Settle();
+      for (size_t i = 0; i < Fleet::kDaemons; ++i)
+        fleet.StartCatchUp(i);
+      fleet.Settle();
+      fleet.CheckDaemons();
+      fleet.CheckCommits();
+      for (const auto& daemon : fleet.m_daemons)
+        RC_ASSERT(daemon->current()->m_revision == fleet.m_cloud.Log().size());
+    });
+    CPPUNIT_ASSERT(good);
+  }
+
+  void ThreadsReadAndOfferAtOnce() {
+    ConfigKeeper keeper(nullptr);
+    std::vector<std::thread> threads;
+    for (int t = 0; t < 4; ++t) {
+      threads.emplace_back([&keeper] {
+        uint64_t seen = 0;
+        for (uint64_t revision = 1; revision <= 200; ++revision) {
+          keeper.Offer({{revision, {"limits", "a"}, false, "{}", "", ""}});
+          keeper.Hear(revision);
+          const uint64_t now = keeper.current()->m_revision;
+          CPPUNIT_ASSERT(now >= seen);
+          seen = now;
+        }
+      });
+    }
+    for (std::thread& thread : threads)
+      thread.join();
+    CPPUNIT_ASSERT_EQUAL(uint64_t{200}, keeper.current()->m_revision);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigKeeperTest);
+
+}  // namespace
+}  // namespace verbenalead::daemon
--- a/src/libverbenalead/decide/config.cc
+++ b/src/libverbenalead/decide/config.cc
@@ -34,7 +34,8 @@
   if (change.m_deleted) {
     state.m_resources.erase(change.m_key);
   } else {
-    state.m_resources[change.m_key] = {change.m_spec, change.m_revision};
+    state.m_resources[change.m_key] = {change.m_spec, change.m_revision,
+                                       change.m_operation, change.m_operator};
   }
   state.m_revision = change.m_revision;
   return ApplyResult::kApplied;
@@ -69,6 +70,8 @@
     resources.push_back(json::object{{"kind", key.m_kind},
                                      {"name", key.m_name},
                                      {"revision", resource.m_revision},
+                                     {"operation", resource.m_operation},
+                                     {"operator", resource.m_operator},
                                      {"spec", resource.m_spec}});
   }
   return json::serialize(json::object{{"revision", state.m_revision},
@@ -90,7 +93,9 @@
     BOOST_LEAF_AUTO(name, model::TextField(resource, "name"));
     BOOST_LEAF_AUTO(revision, model::NumberField(resource, "revision"));
     BOOST_LEAF_AUTO(spec, model::TextField(resource, "spec"));
-    state.m_resources[{kind, name}] = {spec, revision};
+    BOOST_LEAF_AUTO(operation, model::TextFieldOr(resource, "operation", ""));
+    BOOST_LEAF_AUTO(who, model::TextFieldOr(resource, "operator", ""));
+    state.m_resources[{kind, name}] = {spec, revision, operation, who};
   }
   return state;
 }
--- a/src/libverbenalead/decide/config.h
+++ b/src/libverbenalead/decide/config.h
@@ -16,6 +16,9 @@
   std::string m_spec;
   /// The revision of the change that set it.
   uint64_t m_revision = 0;
+  /// Who set it, so that whoever loses a race is told who won.
+  std::string m_operation;
+  std::string m_operator;
 
   friend auto operator<=>(const ResourceInForce&,
                           const ResourceInForce&) = default;
