Spread configuration along a tree; tell accepted once others hold it

Every entry polled the table each 500 ms, 1,260 reads a second at 630 entries, and targets asked an entry each 200 ms. Now three entries by rank read the table; the others and the targets hear from two parents each by questions that are held back until there is news. Parents rank above their children, so chains end at a reader. An entry that hears from nobody reads for itself, all such entries together at most 30 times a second.

An accepted change is handed to up to five other entries, readers first, before the operator is answered; 202 says that none confirmed it within 2 s. Each request between our processes names the sender's revision, and whoever is behind asks around. A started process serves only once it has learned from the table or from two peers, into a place of its own first; one that has heard neither table nor peer for 12 s refuses new work as not run.

Ruled out: a push tree, whose inner nodes would have to notice their children's loss; a question held back notices the parent's loss on the side that needs it.

--- /dev/null
+++ b/src/libverbenalead/daemon/config_follower.cc
@@ -0,0 +1,244 @@
+#include "daemon/config_follower.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <memory>
+#include <random>
+
+#include "base/log.h"
+#include "base/sleep.h"
+#include "daemon/config_messages.h"
+#include "decide/config_tree.h"
+
+namespace verbenalead::daemon {
+namespace {
+
+namespace asio = boost::asio;
+
+/// How long a parent holds a question back while nothing changes. It bounds the
+/// idle traffic to a few hundred bytes in five seconds for each stream.
+constexpr Duration kHold = 5s;
+constexpr Duration kAskTimeout = 1s;
+/// A process that has heard neither table nor peer for so long takes no new
+/// work: it may be acting on a configuration that was replaced long ago. Longer
+/// than a peer's hold and its timeout together, so that one lost answer in a
+/// quiet hour shuts nobody out.
+constexpr Duration kCutOffAfter = 12s;
+/// An entry that heard no other for so long reads the table itself.
+constexpr Duration kOrphanAfter = 3s;
+constexpr Duration kRetryPause = 100ms;
+constexpr Duration kLongestBackOff = 5s;
+constexpr Duration kBehindPoll = 100ms;
+/// Peers that must agree to be asked at a start without the table. An accepted
+/// change is held by its taker and by two more, so among the three readers and
+/// any two answers at least one holds it while one of the three is down.
+constexpr size_t kPeersToLearnFrom = 2;
+constexpr size_t kPeersAsked = 5;
+/// Holders besides the taker that end the wait of Replicate.
+constexpr size_t kHoldersWanted = 2;
+constexpr Duration kReplicateBound = 2s;
+constexpr Duration kReplicatePoll = 5ms;
+
+/// `pause` made longer or shorter by up to a half, so that processes that fell
+/// silent together don't come back together.
+Duration Jittered(Duration pause) {
+  static thread_local std::minstd_rand random{std::random_device{}()};
+  std::uniform_real_distribution<double> factor(0.5, 1.5);
+  return std::chrono::duration_cast<Duration>(pause * factor(random));
+}
+
+/// Pushes under way; all on one thread.
+struct Holders {
+  size_t m_open = 0;
+  size_t m_holding = 0;
+};
+
+Awaitable<void> PushTo(std::shared_ptr<Holders> holders,
+                       const ConfigKeeper& config,
+                       wire::Client& peers,
+                       Endpoint endpoint,
+                       uint64_t revision) {
+  auto pushed = co_await PushConfig(config, peers, std::move(endpoint),
+                                    revision, Now() + kReplicateBound);
+  if (pushed)
+    ++holders->m_holding;
+  else
+    LogLine("config_push_failed").With(pushed.error()).Debug();
+  --holders->m_open;
+}
+
+}  // namespace
+
+std::vector<std::string> ConfigFollower::Ranked() const {
+  std::vector<std::string> names;
+  for (const model::Host& host : m_hosts.Hosts(model::HostRole::kEntry))
+    names.push_back(host.name());
+  return decide::RankEntries(std::move(names));
+}
+
+Endpoint ConfigFollower::AddressOf(const std::string& entry) const {
+  const auto host = m_hosts.Find(entry);
+  return host ? host->peer() : Endpoint();
+}
+
+size_t ConfigFollower::OtherEntries() const {
+  const auto ranked = Ranked();
+  return ranked.size() -
+         static_cast<size_t>(std::count(ranked.begin(), ranked.end(), m_self));
+}
+
+void ConfigFollower::HeardFrom(uint64_t revision) {
+  m_config.Hear(revision);
+  m_heard_at = Now().time_since_epoch().count();
+}
+
+bool ConfigFollower::ready() const {
+  const TimePoint heard_at{TimePoint::duration(m_heard_at.load())};
+  // Where the list shows no other entry, nobody else can accept a change: an
+  // outage of the table alone shuts nobody out.
+  const bool alone = m_role == model::HostRole::kEntry && OtherEntries() == 0;
+  return m_learned && (alone || Now() - heard_at < kCutOffAfter);
+}
+
+Awaitable<size_t> ConfigFollower::LearnFromPeers() {
+  // Into a place of its own first: what a single peer holds may be old, and a
+  // restarted process must not act on less than it did before.
+  ConfigKeeper learned(nullptr);
+  size_t answers = 0;
+  size_t asked = 0;
+  for (const std::string& entry : Ranked()) {
+    if (entry == m_self || asked == kPeersAsked)
+      continue;
+    ++asked;
+    auto fetched = co_await FetchConfig(learned, m_peers, AddressOf(entry),
+                                        Duration::zero(), kAskTimeout);
+    if (fetched)
+      ++answers;
+  }
+  const size_t wanted =
+      m_role == model::HostRole::kEntry
+          ? kPeersToLearnFrom
+          : std::min(kPeersToLearnFrom, std::max<size_t>(asked, 1));
+  if (answers >= wanted)
+    m_config.OfferState(*learned.current());
+  co_return answers >= wanted ? answers : 0;
+}
+
+Awaitable<bool> ConfigFollower::Learn() {
+  if (m_role == model::HostRole::kEntry) {
+    auto read = co_await m_config.CatchUp();
+    if (read)
+      co_return true;
+    LogLine("table_unavailable").With(read.error()).Warn();
+  }
+  co_return co_await LearnFromPeers() > 0;
+}
+
+Awaitable<void> ConfigFollower::Run() {
+  while (!co_await Learn())
+    co_await Sleep(Jittered(kRetryPause * 3));
+  HeardFrom(0);
+  m_learned = true;
+  LogLine("config_learned")
+      .With("revision", m_config.current()->m_revision)
+      .Info();
+  const auto executor = co_await asio::this_coro::executor;
+  for (size_t slot = 0; slot < decide::kConfigSlots; ++slot)
+    asio::co_spawn(executor, Listen(slot), asio::detached);
+  if (m_role == model::HostRole::kEntry)
+    asio::co_spawn(executor, ReadTable(), asio::detached);
+  co_await CatchUpWhenBehind();
+}
+
+Awaitable<void> ConfigFollower::Listen(size_t slot) {
+  uint64_t failures = 0;
+  while (true) {
+    const auto ranked = Ranked();
+    const std::string parent =
+        m_role == model::HostRole::kEntry
+            ? decide::ParentOfEntry(ranked, m_self, slot, failures)
+            : decide::ParentOfTarget(ranked, m_self, slot, failures);
+    if (parent.empty()) {
+      co_await Sleep(kRetryPause);
+      continue;
+    }
+    auto fetched = co_await FetchConfig(m_config, m_peers, AddressOf(parent),
+                                        kHold, kAskTimeout);
+    if (fetched) {
+      m_fetched_at = Now().time_since_epoch().count();
+      HeardFrom(0);
+      continue;
+    }
+    ++failures;
+    LogLine("config_parent_lost")
+        .With("parent", parent)
+        .With(fetched.error())
+        .Info();
+    co_await Sleep(Jittered(kRetryPause));
+  }
+}
+
+Awaitable<void> ConfigFollower::ReadTable() {
+  Duration pause = m_poll;
+  while (true) {
+    co_await Sleep(pause);
+    const auto ranked = Ranked();
+    const TimePoint fetched_at{TimePoint::duration(m_fetched_at.load())};
+    const bool orphan = Now() - fetched_at > kHold + kOrphanAfter;
+    const bool reader = decide::ReadsTable(ranked, m_self);
+    pause = reader ? m_poll : Jittered(decide::OrphanInterval(ranked.size()));
+    if (!reader && !orphan)
+      continue;
+    auto read = co_await m_config.CatchUp();
+    if (read) {
+      HeardFrom(0);
+      continue;
+    }
+    LogLine("table_unavailable").With(read.error()).Warn();
+    // All readers lose the table at once; they must not come back at once.
+    pause = Jittered(std::min(pause * 4, kLongestBackOff));
+  }
+}
+
+Awaitable<void> ConfigFollower::CatchUpWhenBehind() {
+  for (uint64_t asked = 0;; co_await Sleep(kBehindPoll)) {
+    if (m_config.heard() <= m_config.current()->m_revision)
+      continue;
+    const auto ranked = Ranked();
+    if (ranked.empty())
+      continue;
+    const std::string entry =
+        decide::ParentOfTarget(ranked, m_self, 0, asked++);
+    if (entry == m_self)
+      continue;
+    auto ignored = co_await FetchConfig(m_config, m_peers, AddressOf(entry),
+                                        Duration::zero(), kAskTimeout);
+    (void)ignored;
+  }
+}
+
+Awaitable<size_t> ConfigFollower::Replicate(uint64_t revision) {
+  const auto executor = co_await asio::this_coro::executor;
+  auto holders = std::make_shared<Holders>();
+  size_t asked = 0;
+  // Readers rank first: a change that they hold reaches everyone by the tree.
+  for (const std::string& entry : Ranked()) {
+    if (entry == m_self || asked == kPeersAsked)
+      continue;
+    ++asked;
+    ++holders->m_open;
+    asio::co_spawn(
+        executor,
+        PushTo(holders, m_config, m_peers, AddressOf(entry), revision),
+        asio::detached);
+  }
+  const TimePoint give_up = Now() + kReplicateBound;
+  while (holders->m_open > 0 && holders->m_holding < kHoldersWanted &&
+         Now() < give_up)
+    co_await Sleep(kReplicatePoll);
+  co_return holders->m_holding;
+}
+
+}  // namespace verbenalead::daemon
--- a/src/libverbenalead/daemon/config_messages.cc
+++ b/src/libverbenalead/daemon/config_messages.cc
@@ -1,6 +1,7 @@
 #include "daemon/config_messages.h"
 
 #include <boost/json.hpp>
+#include <cstdlib>
 
 #include "base/catch_failure.h"
 #include "model/json_fields.h"
@@ -46,14 +47,20 @@
 Awaitable<AsyncResult<bool>> FetchConfig(ConfigKeeper& keeper,
                                          wire::Client& peers,
                                          Endpoint endpoint,
+                                         Duration hold,
                                          Duration timeout) {
   wire::Request request;
   request.m_path =
-      "/v1/config?after=" + std::to_string(keeper.current()->m_revision);
-  auto response = co_await wire::Fetch(peers, std::move(endpoint),
-                                       std::move(request), Now() + timeout);
+      "/v1/config?after=" + std::to_string(keeper.current()->m_revision) +
+      "&hold_ms=" + std::to_string(ToMilliseconds(hold));
+  auto response = co_await wire::Fetch(peers, endpoint, std::move(request),
+                                       Now() + hold + timeout);
   if (!response)
     co_return response.error();
+  if (response->m_status != 200) {
+    co_return Failure{FailureCode::kRefused, "fetch configuration",
+                      ToString(endpoint), response->m_body};
+  }
   auto taken =
       CatchFailure([&] { return TakeConfig(keeper, response->m_body); });
   if (!taken)
@@ -61,4 +68,30 @@
   co_return true;
 }
 
+Awaitable<AsyncResult<bool>> PushConfig(const ConfigKeeper& keeper,
+                                        wire::Client& peers,
+                                        Endpoint endpoint,
+                                        uint64_t revision,
+                                        TimePoint deadline) {
+  // The first message holds the change alone; who lacks earlier ones answers
+  // with the revision it stands at, and is sent all from there.
+  uint64_t held = revision - 1;
+  for (int tries = 0; tries < 2; ++tries) {
+    wire::Request request;
+    request.m_method = "POST";
+    request.m_path = "/v1/config";
+    request.m_body = ConfigSince(keeper, held);
+    auto response =
+        co_await wire::Fetch(peers, endpoint, std::move(request), deadline);
+    if (!response)
+      co_return response.error();
+    held = std::strtoull(response->m_body.c_str(), nullptr, 10);
+    if (response->m_status == 200 && held >= revision)
+      co_return true;
+  }
+  co_return Failure{FailureCode::kRefused, "push configuration",
+                    ToString(endpoint),
+                    "stands at revision " + std::to_string(held)};
+}
+
 }  // namespace verbenalead::daemon
--- a/src/libverbenalead/daemon/entry_daemon.cc
+++ b/src/libverbenalead/daemon/entry_daemon.cc
@@ -11,9 +11,12 @@
 #include "base/metrics.h"
 #include "base/new_id.h"
 #include "base/sleep.h"
+#include "daemon/config_follower.h"
 #include "daemon/config_keeper.h"
 #include "daemon/entry_peer_api.h"
+#include "daemon/readiness.h"
 #include "daemon/request_runner.h"
+#include "daemon/revision_client.h"
 #include "daemon/target_directory.h"
 #include "daemon/trace_gatherer.h"
 #include "front/callers_api.h"
@@ -69,7 +72,7 @@
   explicit Parts(const Settings& settings)
       : m_settings(settings),
         m_threads(static_cast<int>(settings.Integer("threads"))),
-        m_peers(peer::SessionLimits{}),
+        m_sessions(peer::SessionLimits{}),
         m_journal(settings.Text("host"),
                   static_cast<size_t>(settings.Integer("journal.requests"))),
         m_table(m_http,
@@ -79,9 +82,17 @@
         m_host_list(m_http, settings.Address("platform.host_list"), 1s),
         m_hosts(m_host_list),
         m_config(&m_table),
+        m_peers(m_sessions, m_config),
+        m_follower(settings.Text("host"),
+                   model::HostRole::kEntry,
+                   m_config,
+                   m_hosts,
+                   m_peers,
+                   settings.Milliseconds("config.poll")),
         m_directory(m_routers,
                     m_peers,
                     m_hosts,
+                    m_follower,
                     settings.Milliseconds("targets.poll")),
         m_runner(m_routers, m_peers, m_table, m_journal),
         m_counting(m_runner, m_metrics),
@@ -89,7 +100,7 @@
         m_operators(m_threads, http::ServerLimits{}, Operators()),
         m_peer_server(m_threads,
                       peer::SessionLimits{},
-                      MakeEntryPeerApi(m_config, m_journal)),
+                      WithRevision(m_config, PeerApi())),
         m_signals(m_threads.main(), SIGTERM, SIGINT) {}
 
   static http::ServerLimits CallerLimits(const Settings& settings) {
@@ -108,7 +119,28 @@
     context.m_stopping = [this] { return m_stopping.load(); };
     context.m_metrics = [this] { return m_metrics.Text(); };
     context.m_runner = &m_counting;
-    return front::MakeCallersApi(std::move(context));
+    return WithReadiness([this] { return m_follower.ready(); },
+                         front::MakeCallersApi(std::move(context)));
+  }
+
+  wire::Handler PeerApi() {
+    EntryPeerContext context;
+    context.m_config = &m_config;
+    context.m_journal = &m_journal;
+    context.m_ready = [this] { return m_follower.ready(); };
+    return MakeEntryPeerApi(std::move(context));
+  }
+
+  Awaitable<AsyncResult<front::AcceptedChange>> Commit(
+      model::ResourceWrite write) {
+    auto change = co_await m_config.Commit(std::move(write));
+    if (!change)
+      co_return change.error();
+    front::AcceptedChange accepted;
+    accepted.m_held_by = co_await m_follower.Replicate(change->m_revision);
+    accepted.m_others = m_follower.OtherEntries();
+    accepted.m_change = std::move(*change);
+    co_return accepted;
   }
 
   std::vector<std::string> EntryAddresses() {
@@ -129,7 +161,10 @@
       return m_config.ChangesAfter(after);
     };
     context.m_commit = [this](model::ResourceWrite write) {
-      return m_config.Commit(std::move(write));
+      return Commit(std::move(write));
+    };
+    context.m_wait_beyond = [this](uint64_t revision, TimePoint deadline) {
+      return m_config.WaitBeyond(revision, deadline);
     };
     context.m_targets = [this] {
       std::vector<model::TargetReport> all;
@@ -171,15 +206,6 @@
     co_return true;
   }
 
-  Awaitable<void> FollowTable() {
-    while (true) {
-      auto done = co_await m_config.CatchUp();
-      if (!done)
-        LogLine("table_unavailable").With(done.error()).Warn();
-      co_await Sleep(m_settings.Milliseconds("config.poll"));
-    }
-  }
-
   Awaitable<void> StopWhenAsked() {
     co_await m_signals.async_wait(asio::use_awaitable);
     m_stopping = true;
@@ -209,13 +235,15 @@
   const Settings m_settings;
   IoThreads m_threads;
   http::Client m_http;
-  peer::Client m_peers;
+  peer::Client m_sessions;
   Metrics m_metrics;
   Journal m_journal;
   platform::DynamoTable m_table;
   platform::HostList m_host_list;
   HostDirectory m_hosts;
   ConfigKeeper m_config;
+  RevisionClient m_peers;
+  ConfigFollower m_follower;
   PoolRouters m_routers;
   TargetDirectory m_directory;
   RequestRunner m_runner;
@@ -237,7 +265,7 @@
   if (!parts.Listen())
     return 1;
   const auto executor = parts.m_threads.main();
-  asio::co_spawn(executor, parts.FollowTable(), asio::detached);
+  asio::co_spawn(executor, parts.m_follower.Run(), asio::detached);
   asio::co_spawn(executor, parts.m_directory.Run(), asio::detached);
   asio::co_spawn(executor, parts.StopWhenAsked(), asio::detached);
   LogLine("started").With("host", parts.m_settings.Text("host")).Info();
--- a/src/libverbenalead/daemon/entry_peer_api.cc
+++ b/src/libverbenalead/daemon/entry_peer_api.cc
@@ -1,7 +1,9 @@
 #include "daemon/entry_peer_api.h"
 
+#include <algorithm>
 #include <cstdlib>
 
+#include "base/catch_failure.h"
 #include "daemon/config_messages.h"
 
 namespace verbenalead::daemon {
@@ -9,37 +11,68 @@
 
 constexpr std::string_view kTrace = "/v1/trace/";
 
-wire::Response Respond(ConfigKeeper& config,
-                       Journal& journal,
-                       const wire::Request& request) {
+/// Longest time that a question for news is held back.
+constexpr uint64_t kLongestHoldMs = 30000;
+
+uint64_t NumberIn(const wire::Request& request, const char* name) {
+  return std::strtoull(wire::QueryValue(request, name).c_str(), nullptr, 10);
+}
+
+/// Answers at once if there is news, and else when it comes or the asker's
+/// patience is at its end.
+Awaitable<wire::Response> GetConfig(EntryPeerContext context,
+                                    wire::Request request) {
+  const uint64_t after = NumberIn(request, "after");
+  const auto hold = std::chrono::milliseconds(
+      std::min(NumberIn(request, "hold_ms"), kLongestHoldMs));
+  co_await context.m_config->WaitBeyond(after, Now() + hold);
+  // A process that has not learned the newest, or is cut off, is no source:
+  // whoever relied on it would take silence for "nothing new".
+  if (!context.m_ready())
+    co_return wire::Response{503, {}, "not ready"};
+  co_return wire::JsonResponse(200, ConfigSince(*context.m_config, after));
+}
+
+wire::Response PostConfig(const EntryPeerContext& context,
+                          const wire::Request& request) {
+  auto taken = CatchFailure(
+      [&] { return TakeConfig(*context.m_config, request.m_body); });
+  const uint64_t revision = context.m_config->current()->m_revision;
+  // One that is still learning may forget nothing it was told, but can't yet
+  // vouch for it.
+  const int status = !taken ? 400 : context.m_ready() ? 200 : 503;
+  return {status, {}, std::to_string(revision)};
+}
+
+Awaitable<wire::Response> Respond(EntryPeerContext context,
+                                  wire::Request request) {
   const std::string path = wire::PathOf(request);
-  if (path == "/v1/config") {
-    const uint64_t after =
-        std::strtoull(wire::QueryValue(request, "after").c_str(), nullptr, 10);
-    return wire::JsonResponse(200, ConfigSince(config, after));
-  }
+  if (path == "/v1/config" && request.m_method == "POST")
+    co_return PostConfig(context, request);
+  if (path == "/v1/config")
+    co_return co_await GetConfig(context, std::move(request));
   if (path.starts_with(kTrace)) {
     std::string body;
-    for (const std::string& line : journal.Find(path.substr(kTrace.size())))
+    for (const std::string& line :
+         context.m_journal->Find(path.substr(kTrace.size())))
       body += line + "\n";
-    return {200, {}, std::move(body)};
+    co_return wire::Response{200, {}, std::move(body)};
   }
-  return {404, {}, "unknown path"};
+  co_return wire::Response{404, {}, "unknown path"};
 }
 
-Awaitable<void> Answer(ConfigKeeper& config,
-                       Journal& journal,
+Awaitable<void> Answer(EntryPeerContext context,
                        const wire::Request& request,
                        wire::ResponseWriter& writer) {
-  co_await writer.Send(Respond(config, journal, request));
+  wire::Response response = co_await Respond(std::move(context), request);
+  co_await writer.Send(std::move(response));
 }
 
 }  // namespace
 
-wire::Handler MakeEntryPeerApi(ConfigKeeper& config, Journal& journal) {
-  return [&config, &journal](const wire::Request& request,
-                             wire::ResponseWriter& writer) {
-    return Answer(config, journal, request, writer);
+wire::Handler MakeEntryPeerApi(EntryPeerContext context) {
+  return [context](const wire::Request& request, wire::ResponseWriter& writer) {
+    return Answer(context, request, writer);
   };
 }
 
--- /dev/null
+++ b/src/libverbenalead/daemon/readiness.cc
@@ -0,0 +1,50 @@
+#include "daemon/readiness.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "front/problem.h"
+#include "peer/header_names.h"
+
+namespace verbenalead::daemon {
+namespace {
+
+/// When a caller may come back: a process learns the newest in about a second.
+constexpr Duration kRetryAfter = 1s;
+
+/// Paths that bring new work: callers' and the attempts of entries.
+bool BringsWork(const std::string& path) {
+  constexpr std::string_view kWork[] = {"/v1/completions", "/v1/chat/",
+                                        "/services/", "/v1/attempt"};
+  return std::any_of(
+      std::begin(kWork), std::end(kWork),
+      [&](std::string_view start) { return path.starts_with(start); });
+}
+
+Awaitable<void> Refuse(wire::Request request, wire::ResponseWriter& writer) {
+  front::Problem problem;
+  problem.m_reason = "configuration_not_learned";
+  problem.m_request = wire::Get(request.m_headers, peer::kRequestId);
+  problem.m_retry_after = kRetryAfter;
+  LogLine("call_refused")
+      .With("request", problem.m_request)
+      .With("peer", request.m_peer)
+      .With("reason", problem.m_reason)
+      .Info();
+  wire::Response response = ToResponse(problem);
+  co_await writer.Send(std::move(response));
+}
+
+}  // namespace
+
+wire::Handler WithReadiness(std::function<bool()> ready,
+                            wire::Handler handler) {
+  return [ready = std::move(ready), handler = std::move(handler)](
+             const wire::Request& request, wire::ResponseWriter& writer) {
+    if (BringsWork(wire::PathOf(request)) && !ready())
+      return Refuse(request, writer);
+    return handler(request, writer);
+  };
+}
+
+}  // namespace verbenalead::daemon
--- a/src/libverbenalead/daemon/target_daemon.cc
+++ b/src/libverbenalead/daemon/target_daemon.cc
@@ -10,7 +10,9 @@
 #include "base/io_threads.h"
 #include "base/log.h"
 #include "base/sleep.h"
-#include "daemon/config_messages.h"
+#include "daemon/config_follower.h"
+#include "daemon/readiness.h"
+#include "daemon/revision_client.h"
 #include "daemon/target_peer_api.h"
 #include "daemon/version_keeper.h"
 #include "http/client.h"
@@ -24,7 +26,6 @@
 
 namespace asio = boost::asio;
 
-constexpr Duration kConfigTimeout = 2s;
 constexpr Duration kHostListInterval = 1s;
 constexpr Duration kHealthInterval = 250ms;
 constexpr Duration kForgetInterval = 10s;
@@ -48,7 +49,7 @@
   explicit Parts(const Settings& settings)
       : m_settings(settings),
         m_threads(static_cast<int>(settings.Integer("threads"))),
-        m_peers(peer::SessionLimits{}),
+        m_sessions(peer::SessionLimits{}),
         m_journal(settings.Text("host"),
                   static_cast<size_t>(settings.Integer("journal.requests"))),
         m_table(m_http,
@@ -67,6 +68,13 @@
         m_gate(UnixMilliseconds(),
                static_cast<uint32_t>(settings.Integer("backend.capacity"))),
         m_config(nullptr),
+        m_peers(m_sessions, m_config),
+        m_follower(settings.Text("host"),
+                   model::HostRole::kTarget,
+                   m_config,
+                   m_hosts,
+                   m_peers,
+                   settings.Milliseconds("config.poll")),
         m_fetcher(settings.Text("host"),
                   settings.Text("pool"),
                   m_store,
@@ -99,7 +107,9 @@
     context.m_upload = &m_upload;
     context.m_report = [this] { return Report(); };
     context.m_drain = [this] { StartLeaving("operator"); };
-    return MakeTargetPeerApi(std::move(context));
+    return WithRevision(m_config,
+                        WithReadiness([this] { return m_follower.ready(); },
+                                      MakeTargetPeerApi(std::move(context))));
   }
 
   model::TargetReport Report() {
@@ -108,6 +118,7 @@
     report.m_pool = m_settings.Text("pool");
     report.m_peer = m_settings.Address("listen.peers");
     report.m_revision = m_config.current()->m_revision;
+    const bool ready = m_follower.ready();
     report.m_origin_bytes = m_counters.m_origin_bytes;
     report.m_peer_bytes = m_counters.m_peer_bytes;
     const VersionProgress progress = m_versions.progress();
@@ -122,7 +133,7 @@
       report.m_incarnation = gate.m_incarnation;
       report.m_capacity = gate.m_capacity;
       report.m_running = gate.m_running;
-      report.m_open = gate.m_open;
+      report.m_open = gate.m_open && ready;
       report.m_leaving = gate.m_leaving;
       report.m_digest = gate.m_digest;
       return 0;
@@ -145,20 +156,6 @@
     }
   }
 
-  Awaitable<void> FollowConfig() {
-    for (size_t round = 0;; ++round) {
-      const auto entries = m_hosts.Hosts(model::HostRole::kEntry);
-      if (!entries.empty()) {
-        const model::Host& entry = entries[round % entries.size()];
-        auto done = co_await FetchConfig(m_config, m_peers, entry.peer(),
-                                         kConfigTimeout);
-        if (!done)
-          LogLine("config_unavailable").With(done.error()).Warn();
-      }
-      co_await Sleep(m_settings.Milliseconds("config.poll"));
-    }
-  }
-
   /// A plain service has no versions: its gate is open while it is healthy.
   Awaitable<void> FollowService() {
     while (true) {
@@ -218,7 +215,7 @@
   const Settings m_settings;
   IoThreads m_threads;
   http::Client m_http;
-  peer::Client m_peers;
+  peer::Client m_sessions;
   Journal m_journal;
   platform::DynamoTable m_table;
   platform::HostList m_host_list;
@@ -230,6 +227,8 @@
   WeightsStore m_store;
   GateKeeper m_gate;
   ConfigKeeper m_config;
+  RevisionClient m_peers;
+  ConfigFollower m_follower;
   TransferCounters m_counters;
   WeightsFetcher m_fetcher;
   VersionKeeper m_versions;
@@ -253,7 +252,7 @@
     asio::co_spawn(executor, std::move(task), asio::detached);
   };
   spawn(parts.FollowHosts());
-  spawn(parts.FollowConfig());
+  spawn(parts.m_follower.Run());
   spawn(parts.ForgetAttempts());
   spawn(parts.StopWhenAsked());
   if (parts.m_settings.Text("backend.kind") == "engine")
--- a/src/libverbenalead/daemon/target_directory.cc
+++ b/src/libverbenalead/daemon/target_directory.cc
@@ -57,6 +57,7 @@
     co_return;
   }
   report->m_leaving |= host.leaving();
+  m_config.HeardFrom(report->m_revision);
   m_routers.Get(report->m_pool).Report(*report);
 }
 
--- a/src/libverbenalead/daemon/target_directory.h
+++ b/src/libverbenalead/daemon/target_directory.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "daemon/config_follower.h"
 #include "daemon/host_directory.h"
 #include "daemon/pool_routers.h"
 #include "wire/client.h"
@@ -17,8 +18,13 @@
   TargetDirectory(PoolRouters& routers,
                   wire::Client& peers,
                   HostDirectory& hosts,
+                  ConfigFollower& config,
                   Duration poll)
-      : m_routers(routers), m_peers(peers), m_hosts(hosts), m_poll(poll) {}
+      : m_routers(routers),
+        m_peers(peers),
+        m_hosts(hosts),
+        m_config(config),
+        m_poll(poll) {}
 
   /// Runs until the process ends.
   Awaitable<void> Run();
@@ -29,6 +35,7 @@
   PoolRouters& m_routers;
   wire::Client& m_peers;
   HostDirectory& m_hosts;
+  ConfigFollower& m_config;
   const Duration m_poll;
   /// Targets whose answer is awaited. Of the thread that runs Run().
   std::map<std::string, bool> m_asking;
--- a/src/libverbenalead/front/operators_api.cc
+++ b/src/libverbenalead/front/operators_api.cc
@@ -4,7 +4,6 @@
 #include <charconv>
 
 #include "base/catch_failure.h"
-#include "base/sleep.h"
 #include "model/json_fields.h"
 
 namespace verbenalead::front {
@@ -17,9 +16,7 @@
 constexpr std::string_view kResources = "/v1/resources";
 constexpr std::string_view kTrace = "/v1/trace/";
 constexpr std::string_view kDrain = "/v1/drain/";
-/// A watch looks for news this often, and sends an empty line as a sign of life
-/// after this long without any.
-constexpr Duration kWatchInterval = 20ms;
+/// A watch sends an empty line as a sign of life after this long without news.
 constexpr Duration kWatchHeartbeat = 5s;
 
 wire::Response Error(int status, const std::string& reason) {
@@ -139,11 +136,15 @@
   if (!write)
     co_return ErrorFor(write.error(), "");
   const std::string operation = write->m_operation;
-  auto change = co_await context->m_commit(std::move(*write));
-  if (!change)
-    co_return ErrorFor(change.error(), operation);
-  co_return wire::JsonResponse(200,
-                               json::serialize(ShowChange(*change)) + "\n");
+  auto accepted = co_await context->m_commit(std::move(*write));
+  if (!accepted)
+    co_return ErrorFor(accepted.error(), operation);
+  json::object body = ShowChange(accepted->m_change);
+  body["held_by"] = accepted->m_held_by;
+  // 202: committed, but until the table is read again only this entry knows.
+  const bool hidden = accepted->m_held_by == 0 && accepted->m_others > 0;
+  co_return wire::JsonResponse(hidden ? 202 : 200,
+                               json::serialize(body) + "\n");
 }
 
 wire::Response Status(const OperatorsContext& context) {
@@ -191,23 +192,22 @@
   wire::ResponseHead head{200, {}};
   head.m_headers["content-type"] = "application/x-ndjson";
   bool alive = co_await writer.Start(std::move(head));
-  TimePoint last = Now();
   while (alive) {
     const auto changes = context->m_changes(after);
-    if (!changes)
+    if (!changes) {
+      // The watcher reads slower than changes come. It lists again.
+      co_await writer.Write("{\"error\":\"410 the revision is too old\"}\n");
       co_return;
+    }
     std::string lines;
     for (const model::Change& change : *changes) {
       lines += json::serialize(ShowChange(change)) + "\n";
       after = change.m_revision;
     }
-    if (lines.empty() && Now() - last > kWatchHeartbeat)
+    if (lines.empty())
       lines = "\n";
-    if (!lines.empty()) {
-      last = Now();
-      alive = co_await writer.Write(std::move(lines));
-    }
-    co_await Sleep(kWatchInterval);
+    alive = co_await writer.Write(std::move(lines));
+    co_await context->m_wait_beyond(after, Now() + kWatchHeartbeat);
   }
 }
 
--- a/src/libverbenalead/front/operators_context.h
+++ b/src/libverbenalead/front/operators_context.h
@@ -9,7 +9,9 @@
 
 #include "base/awaitable.h"
 #include "base/failure.h"
+#include "base/time.h"
 #include "decide/config.h"
+#include "front/accepted_change.h"
 #include "model/change.h"
 #include "model/resource_write.h"
 #include "model/target_report.h"
@@ -21,8 +23,11 @@
   std::function<std::shared_ptr<const decide::ConfigState>()> m_config;
   /// Changes after a revision; nullopt if too old.
   std::function<std::optional<std::vector<model::Change>>(uint64_t)> m_changes;
-  std::function<Awaitable<AsyncResult<model::Change>>(model::ResourceWrite)>
+  /// Commits a write and hands it to other entries.
+  std::function<Awaitable<AsyncResult<AcceptedChange>>(model::ResourceWrite)>
       m_commit;
+  /// Waits until a revision above the given one is in force, or the deadline.
+  std::function<Awaitable<void>(uint64_t, TimePoint)> m_wait_beyond;
   std::function<std::vector<model::TargetReport>()> m_targets;
   /// The lines of a request's trace from all processes, in order.
   std::function<Awaitable<std::vector<std::string>>(std::string)> m_trace;
--- a/src/vlctl/commands.cc
+++ b/src/vlctl/commands.cc
@@ -27,6 +27,7 @@
 ExitCode CodeFor(int status) {
   switch (status) {
     case 200:
+    case 202:
       return kOk;
     case 400:
       return kBadUse;
@@ -52,7 +53,7 @@
   if (!object)
     return Complain(kFailed, ToString(object.error()));
   out = std::move(*object);
-  if (response->m_status == 200)
+  if (CodeFor(response->m_status) == kOk)
     return kOk;
   return Complain(CodeFor(response->m_status),
                   out.contains("error")
@@ -112,8 +113,9 @@
   if (context.m_json)
     std::cout << json::serialize(answer) << "\n";
   else
-    fmt::print("{}/{} accepted at revision {}\n", Show(answer.at("kind")),
-               Show(answer.at("name")), Show(answer.at("revision")));
+    fmt::print("{}/{} accepted at revision {}, held by {} other entries\n",
+               Show(answer.at("kind")), Show(answer.at("name")),
+               Show(answer.at("revision")), Show(answer.at("held_by")));
   return kOk;
 }
 
