--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -18,11 +18,28 @@
 SEED = 20261202
 
 
+# Below the range from which the kernel takes ports for outgoing connections: a
+# port that was free a moment ago could else be some connection's own end when
+# the program that is to listen there starts.
+PORTS = range(10000, 32000)
+_given = set()
+
+
 def free_ports(count):
     """Ports that nobody listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
+    sockets = []
+    source = random.SystemRandom()
+    while len(sockets) < count:
+        each = socket.socket()
+        port = source.choice(PORTS)
+        try:
+            if port in _given:
+                raise OSError("given to another program of this cluster")
+            each.bind(("127.0.0.1", port))
+            sockets.append(each)
+            _given.add(port)
+        except OSError:
+            each.close()
     ports = [each.getsockname()[1] for each in sockets]
     for each in sockets:
         each.close()
