--- a/src/libverbenalead/daemon/entry_daemon.cc
+++ b/src/libverbenalead/daemon/entry_daemon.cc
@@ -12,13 +12,16 @@
 #include "base/metrics.h"
 #include "base/new_id.h"
 #include "base/sleep.h"
+#include "daemon/config_follower.h"
 #include "daemon/config_keeper.h"
-#include "daemon/credentials.h"
 #include "daemon/counting_runner.h"
+#include "daemon/credentials.h"
 #include "daemon/entry_access.h"
 #include "daemon/entry_peer_api.h"
 #include "daemon/leaving_entries.h"
+#include "daemon/readiness.h"
 #include "daemon/request_runner.h"
+#include "daemon/revision_client.h"
 #include "daemon/target_directory.h"
 #include "daemon/trace_gatherer.h"
 #include "front/bearer_check.h"
@@ -52,7 +55,7 @@
       : m_settings(settings),
         m_threads(static_cast<int>(settings.Integer("threads"))),
         m_credentials(settings.Text("peers.key_file")),
-        m_peers(peer::SessionLimits{}, &m_credentials),
+        m_sessions(peer::SessionLimits{}, &m_credentials),
         m_journal(settings.Text("host"),
                   static_cast<size_t>(settings.Integer("journal.requests"))),
         m_signed_table(m_http, CredentialsIn(settings), "dynamodb"),
@@ -63,9 +66,17 @@
         m_host_list(m_http, settings.Address("platform.host_list"), 1s),
         m_hosts(m_host_list),
         m_config(&m_table),
+        m_peers(m_sessions, m_config),
+        m_follower(settings.Text("host"),
+                   model::HostRole::kEntry,
+                   m_config,
+                   m_hosts,
+                   m_peers,
+                   settings.Milliseconds("config.poll")),
         m_directory(m_routers,
                     m_peers,
                     m_hosts,
+                    m_follower,
                     settings.Milliseconds("targets.poll")),
         m_runner(m_routers, m_peers, m_table, m_journal),
         m_counting(m_runner, m_metrics),
@@ -79,12 +90,6 @@
         m_signals(m_threads.main(), SIGTERM, SIGINT),
         m_hangup(m_threads.main(), SIGHUP) {}
 
-  wire::Handler PeerApi() {
-    return peer::RequireCredentials(
-        m_credentials,
-        TakeLeavingNotices(m_leaving, MakeEntryPeerApi(m_config, m_journal)));
-  }
-
   static http::ServerLimits CallerLimits(const Settings& settings) {
     http::ServerLimits limits;
     limits.m_max_header =
@@ -101,7 +106,31 @@
     context.m_stopping = [this] { return m_stopping.load(); };
     context.m_metrics = [this] { return m_metrics.Text(); };
     context.m_runner = &m_counting;
-    return front::MakeCallersApi(std::move(context));
+    return WithReadiness([this] { return m_follower.ready(); },
+                         front::MakeCallersApi(std::move(context)));
+  }
+
+  wire::Handler PeerApi() {
+    EntryPeerContext context;
+    context.m_config = &m_config;
+    context.m_journal = &m_journal;
+    context.m_ready = [this] { return m_follower.ready(); };
+    wire::Handler handler = WithRevision(
+        m_config,
+        TakeLeavingNotices(m_leaving, MakeEntryPeerApi(std::move(context))));
+    return peer::RequireCredentials(m_credentials, std::move(handler));
+  }
+
+  Awaitable<AsyncResult<front::AcceptedChange>> Commit(
+      model::ResourceWrite write) {
+    auto change = co_await m_config.Commit(std::move(write));
+    if (!change)
+      co_return change.error();
+    front::AcceptedChange accepted;
+    accepted.m_held_by = co_await m_follower.Replicate(change->m_revision);
+    accepted.m_others = m_follower.OtherEntries();
+    accepted.m_change = std::move(*change);
+    co_return accepted;
   }
 
   std::vector<std::string> EntryAddresses() {
@@ -123,7 +152,10 @@
       return m_config.ChangesAfter(after);
     };
     context.m_commit = [this](model::ResourceWrite write) {
-      return m_config.Commit(std::move(write));
+      return Commit(std::move(write));
+    };
+    context.m_wait_beyond = [this](uint64_t revision, TimePoint deadline) {
+      return m_config.WaitBeyond(revision, deadline);
     };
     context.m_targets = [this] {
       std::vector<model::TargetReport> all;
@@ -165,11 +197,9 @@
     co_return true;
   }
 
-  Awaitable<void> FollowTable() {
+  /// The claims' share of the table's writes depends on how many entries share.
+  Awaitable<void> CountEntries() {
     while (true) {
-      auto done = co_await m_config.CatchUp();
-      if (!done)
-        LogLine("table_unavailable").With(done.error()).Warn();
       m_runner.SetEntries(m_hosts.Hosts(model::HostRole::kEntry).size());
       co_await Sleep(m_settings.Milliseconds("config.poll"));
     }
@@ -231,7 +261,7 @@
   IoThreads m_threads;
   http::Client m_http;
   peer::Credentials m_credentials;
-  peer::Client m_peers;
+  peer::Client m_sessions;
   Metrics m_metrics;
   Journal m_journal;
   platform::SigningClient m_signed_table;
@@ -240,6 +270,8 @@
   HostDirectory m_hosts;
   LeavingEntries m_leaving;
   ConfigKeeper m_config;
+  RevisionClient m_peers;
+  ConfigFollower m_follower;
   PoolRouters m_routers;
   TargetDirectory m_directory;
   RequestRunner m_runner;
@@ -263,7 +295,8 @@
   if (!parts.Listen())
     return 1;
   const auto executor = parts.m_threads.main();
-  asio::co_spawn(executor, parts.FollowTable(), asio::detached);
+  asio::co_spawn(executor, parts.m_follower.Run(), asio::detached);
+  asio::co_spawn(executor, parts.CountEntries(), asio::detached);
   asio::co_spawn(executor, parts.m_directory.Run(), asio::detached);
   asio::co_spawn(executor, parts.StopWhenAsked(), asio::detached);
   asio::co_spawn(executor, parts.ReloadWhenAsked(), asio::detached);
--- a/src/libverbenalead/daemon/target_daemon.cc
+++ b/src/libverbenalead/daemon/target_daemon.cc
@@ -11,8 +11,10 @@
 #include "base/io_threads.h"
 #include "base/log.h"
 #include "base/sleep.h"
-#include "daemon/config_messages.h"
+#include "daemon/config_follower.h"
 #include "daemon/credentials.h"
+#include "daemon/readiness.h"
+#include "daemon/revision_client.h"
 #include "daemon/target_peer_api.h"
 #include "daemon/version_keeper.h"
 #include "http/client.h"
@@ -28,7 +30,6 @@
 
 namespace asio = boost::asio;
 
-constexpr Duration kConfigTimeout = 2s;
 constexpr Duration kHostListInterval = 1s;
 constexpr Duration kHealthInterval = 250ms;
 constexpr Duration kForgetInterval = 10s;
@@ -73,7 +74,7 @@
       : m_settings(settings),
         m_threads(static_cast<int>(settings.Integer("threads"))),
         m_credentials(settings.Text("peers.key_file")),
-        m_peers(peer::SessionLimits{}, &m_credentials),
+        m_sessions(peer::SessionLimits{}, &m_credentials),
         m_journal(settings.Text("host"),
                   static_cast<size_t>(settings.Integer("journal.requests"))),
         m_signed_table(m_http, CredentialsIn(settings), "dynamodb"),
@@ -94,6 +95,13 @@
         m_gate(UnixMilliseconds(),
                static_cast<uint32_t>(settings.Integer("backend.capacity"))),
         m_config(nullptr),
+        m_peers(m_sessions, m_config),
+        m_follower(settings.Text("host"),
+                   model::HostRole::kTarget,
+                   m_config,
+                   m_hosts,
+                   m_peers,
+                   settings.Milliseconds("config.poll")),
         m_fetcher(FetcherOptions(settings),
                   m_store,
                   m_hosts,
@@ -128,8 +136,11 @@
     context.m_region = m_settings.Text("region");
     context.m_report = [this] { return Report(); };
     context.m_drain = [this] { StartLeaving("operator"); };
+    wire::Handler handler =
+        WithReadiness([this] { return m_follower.ready(); },
+                      MakeTargetPeerApi(std::move(context)));
     return peer::RequireCredentials(m_credentials,
-                                    MakeTargetPeerApi(std::move(context)));
+                                    WithRevision(m_config, std::move(handler)));
   }
 
   model::TargetReport Report() {
@@ -138,6 +149,7 @@
     report.m_pool = m_settings.Text("pool");
     report.m_peer = m_settings.Address("listen.peers");
     report.m_revision = m_config.current()->m_revision;
+    const bool ready = m_follower.ready();
     report.m_origin_bytes = m_counters.m_origin_bytes;
     report.m_peer_bytes = m_counters.m_peer_bytes;
     const VersionProgress progress = m_versions.progress();
@@ -154,7 +166,7 @@
       report.m_incarnation = gate.m_incarnation;
       report.m_capacity = gate.m_capacity;
       report.m_running = gate.m_running;
-      report.m_open = gate.m_open;
+      report.m_open = gate.m_open && ready;
       report.m_leaving = gate.m_leaving;
       report.m_digest = gate.m_digest;
       return 0;
@@ -177,20 +189,6 @@
     }
   }
 
-  Awaitable<void> FollowConfig() {
-    for (size_t round = 0;; ++round) {
-      const auto entries = m_hosts.Hosts(model::HostRole::kEntry);
-      if (!entries.empty()) {
-        const model::Host& entry = entries[round % entries.size()];
-        auto done = co_await FetchConfig(m_config, m_peers, entry.peer(),
-                                         kConfigTimeout);
-        if (!done)
-          LogLine("config_unavailable").With(done.error()).Warn();
-      }
-      co_await Sleep(m_settings.Milliseconds("config.poll"));
-    }
-  }
-
   /// A plain service has no versions: its gate is open while it is healthy.
   Awaitable<void> FollowService() {
     while (true) {
@@ -262,7 +260,7 @@
   IoThreads m_threads;
   http::Client m_http;
   peer::Credentials m_credentials;
-  peer::Client m_peers;
+  peer::Client m_sessions;
   Journal m_journal;
   platform::SigningClient m_signed_table;
   platform::DynamoTable m_table;
@@ -276,6 +274,8 @@
   WeightsStore m_store;
   GateKeeper m_gate;
   ConfigKeeper m_config;
+  RevisionClient m_peers;
+  ConfigFollower m_follower;
   TransferCounters m_counters;
   WeightsFetcher m_fetcher;
   VersionKeeper m_versions;
@@ -300,7 +300,7 @@
     asio::co_spawn(executor, std::move(task), asio::detached);
   };
   spawn(parts.FollowHosts());
-  spawn(parts.FollowConfig());
+  spawn(parts.m_follower.Run());
   spawn(parts.ForgetAttempts());
   spawn(parts.StopWhenAsked());
   spawn(parts.ReloadWhenAsked());
--- a/src/libverbenalead/daemon/target_directory.cc
+++ b/src/libverbenalead/daemon/target_directory.cc
@@ -59,6 +59,7 @@
   report->m_leaving |= host.leaving();
   // Reached where the host list says: a target knows only what it binds.
   report->m_peer = host.peer();
+  m_config.HeardFrom(report->m_revision);
   m_routers.Get(report->m_pool).Report(*report);
 }
 
--- a/testsuite/run_bench.py
+++ b/testsuite/run_bench.py
@@ -13,8 +13,8 @@
 BENCHES = {
     "bench-weights": ["transfer_bench"],
     "bench-requests": [],
-    "bench-config": [],
-    "bench-capacity": [],
+    "bench-config": ["config.py"],
+    "bench-capacity": ["config_capacity_bench", "capacity.py"],
 }
 
 
