--- /dev/null
+++ b/src/libverbenalead/decide/transfer_test.cc
@@ -0,0 +1,210 @@
+#include "decide/transfer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "decide/upload_queue.h"
+
+namespace verbenalead::decide {
+namespace {
+
+const TimePoint kStart{};
+const TransferMember kSelf{"a", "mtl", "mtl-1"};
+const TransferMember kNear{"b", "mtl", "mtl-1"};
+const TransferMember kOther{"c", "mtl", "mtl-2"};
+const TransferMember kFar{"d", "qc", "qc-1"};
+
+class TransferTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TransferTest);
+  CPPUNIT_TEST(DrawsAreSharedOut);
+  CPPUNIT_TEST(DrawsWaitForTheirTurn);
+  CPPUNIT_TEST(NextInRankTakesOverALostDraw);
+  CPPUNIT_TEST(RarestChunkGoesFirst);
+  CPPUNIT_TEST(OnlyOneHostBringsAChunkIntoItsRegion);
+  CPPUNIT_TEST(BadChunkIsNotAskedForAgain);
+  CPPUNIT_TEST(StalledFetchIsGivenUp);
+  CPPUNIT_TEST(BusyOriginIsLeftAlone);
+  CPPUNIT_TEST(SpareDrawsAreForTimeFirstOnly);
+  CPPUNIT_TEST(UploadsSpreadNewChunksFirst);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  TransferState Start(const TransferMember& self,
+                      std::vector<TransferMember> members,
+                      uint32_t chunks) {
+    TransferState state = StartTransfer(self, chunks, m_limits, kStart);
+    SetMembers(state, std::move(members), kStart, m_random);
+    return state;
+  }
+
+  /// The origin draws that `state` asks for at `now`.
+  std::vector<uint32_t> Draws(TransferState& state, TimePoint now) {
+    std::vector<uint32_t> chunks;
+    for (const FetchChunk& fetch : Step(state, now, m_random).m_fetches) {
+      if (fetch.m_source.IsOrigin())
+        chunks.push_back(fetch.m_chunk);
+    }
+    return chunks;
+  }
+
+  void DrawsAreSharedOut() {
+    m_limits.m_max_origin = 100;
+    const std::vector<TransferMember> members = {kSelf, kNear, kOther, kFar};
+    std::vector<uint32_t> all;
+    for (const TransferMember& self : members) {
+      TransferState state = Start(self, members, 40);
+      const auto own = Draws(state, kStart);
+      all.insert(all.end(), own.begin(), own.end());
+    }
+    std::sort(all.begin(), all.end());
+    CPPUNIT_ASSERT_EQUAL(size_t{40}, all.size());
+    for (uint32_t i = 0; i < all.size(); ++i)
+      CPPUNIT_ASSERT_EQUAL(i, all[i]);
+  }
+
+  void DrawsWaitForTheirTurn() {
+    m_limits.m_origin_interval = 100ms;
+    TransferState state = Start(kSelf, {kSelf}, 3);
+    CPPUNIT_ASSERT(Draws(state, kStart) == std::vector<uint32_t>{0});
+    CPPUNIT_ASSERT(Draws(state, kStart + 99ms).empty());
+    CPPUNIT_ASSERT(Draws(state, kStart + 100ms) == std::vector<uint32_t>{1});
+  }
+
+  // Every host would wait for ever for a chunk that nobody brings.
+  // The host that has to draw it dies first; the others can't know. After the
+  // patience the next in rank draws it, and only that one.
+  void NextInRankTakesOverALostDraw() {
+    const std::vector<TransferMember> members = {kSelf, kNear, kOther};
+    const TimePoint late = kStart + m_limits.m_patience;
+    size_t at_once = 0;
+    size_t later = 0;
+    for (const TransferMember& self : members) {
+      TransferState state = Start(self, members, 1);
+      const bool drawn = !Draws(state, kStart).empty();
+      at_once += drawn;
+      if (!drawn)
+        later += Draws(state, late).size();
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, at_once);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, later);
+  }
+
+  void RarestChunkGoesFirst() {
+    m_limits.m_max_fetches = 1;
+    m_limits.m_max_origin = 0;
+    TransferState state = Start(kSelf, {kSelf, kNear, kOther}, 3);
+    NeighbourHas(state, "b", {0, 1, 2}, kStart);
+    NeighbourHas(state, "c", {0, 2}, kStart);
+    const auto fetches = Step(state, kStart, m_random).m_fetches;
+    CPPUNIT_ASSERT(fetches == std::vector<FetchChunk>({{1, ChunkSource{"b"}}}));
+  }
+
+  void OnlyOneHostBringsAChunkIntoItsRegion() {
+    const std::vector<TransferMember> members = {kSelf, kNear, kOther, kFar};
+    m_limits.m_max_origin = 0;
+    m_limits.m_max_fetches = 100;
+    size_t imports = 0;
+    for (const TransferMember& self : {kSelf, kNear, kOther}) {
+      TransferState state = Start(self, members, 30);
+      Step(state, kStart, m_random);
+      for (uint32_t chunk = 0; chunk < 30; ++chunk) {
+        NeighbourHas(state, "d", {chunk}, kStart);
+        for (const auto& fetch : Step(state, kStart, m_random).m_fetches) {
+          ++imports;
+          ChunkArrived(state, fetch.m_chunk, kStart);
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{30}, imports);
+  }
+
+  // The weights come whole although a host sends wrong bytes.
+  // The digest shows it; the chunk is not asked of that host again, even when
+  // its news is repeated, and after several the host is left alone.
+  void BadChunkIsNotAskedForAgain() {
+    m_limits.m_max_origin = 0;
+    TransferState state = Start(kSelf, {kSelf, kNear}, 5);
+    NeighbourHas(state, "b", {0, 1, 2, 3, 4}, kStart);
+    auto fetches = Step(state, kStart, m_random).m_fetches;
+    CPPUNIT_ASSERT_EQUAL(size_t{5}, fetches.size());
+    for (uint32_t chunk = 0; chunk < 4; ++chunk)
+      ChunkFailed(state, chunk, true, kStart, m_random);
+    NeighbourHas(state, "b", {0, 1, 2, 3}, kStart);
+    CPPUNIT_ASSERT(Step(state, kStart, m_random).m_fetches.empty());
+    CPPUNIT_ASSERT(state.m_neighbours[0].m_shunned_until > kStart);
+  }
+
+  // The transfer goes on although a connection has gone silent unclosed.
+  // No byte comes; after the stall time the fetch is given up and the chunk
+  // asked of the other host.
+  void StalledFetchIsGivenUp() {
+    m_limits.m_max_origin = 0;
+    m_limits.m_max_stall = 2s;
+    TransferState state = Start(kSelf, {kSelf, kNear, kOther}, 1);
+    NeighbourHas(state, "b", {0}, kStart);
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         Step(state, kStart, m_random).m_fetches.size());
+    NeighbourHas(state, "c", {0}, kStart);
+    ChunkProgress(state, 0, kStart + 1s);
+    CPPUNIT_ASSERT(Step(state, kStart + 3s, m_random).m_cancels.empty());
+    const auto actions = Step(state, kStart + 3100ms, m_random);
+    CPPUNIT_ASSERT(actions.m_cancels ==
+                   std::vector<FetchChunk>({{0, ChunkSource{"b"}}}));
+    CPPUNIT_ASSERT(actions.m_fetches ==
+                   std::vector<FetchChunk>({{0, ChunkSource{"c"}}}));
+  }
+
+  void BusyOriginIsLeftAlone() {
+    TransferState state = Start(kSelf, {kSelf}, 1);
+    TimePoint now = kStart;
+    Duration last{};
+    for (int tries = 0; tries < 5; ++tries) {
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, Draws(state, now).size());
+      ChunkFailed(state, 0, false, now, m_random);
+      const Duration wait = state.m_origin_retry_at - now;
+      CPPUNIT_ASSERT(wait >= last / 2 && wait >= 100ms);
+      CPPUNIT_ASSERT(Draws(state, now + wait - 1ms).empty());
+      now += wait;
+      last = wait;
+    }
+    CPPUNIT_ASSERT(last > 1s);
+  }
+
+  void SpareDrawsAreForTimeFirstOnly() {
+    m_limits.m_origin_budget_percent = 200;
+    for (auto preference : {TransferPreference::kTimeFirst,
+                            TransferPreference::kOriginBytesFirst}) {
+      m_limits.m_preference = preference;
+      TransferState state = Start(kSelf, {kSelf, kNear}, 4);
+      NeighbourHas(state, "b", {0, 1, 2, 3}, kStart);
+      Step(state, kStart, m_random);
+      const size_t expected =
+          preference == TransferPreference::kTimeFirst ? 2 : 0;
+      CPPUNIT_ASSERT_EQUAL(expected, Draws(state, kStart + 500ms).size());
+    }
+  }
+
+  void UploadsSpreadNewChunksFirst() {
+    UploadQueue queue;
+    AddUpload(queue, {1, 0, false, 5});
+    AddUpload(queue, {2, 0, false, 3});
+    AddUpload(queue, {3, 0, true, 9});
+    AddUpload(queue, {4, 1, false, 9});
+    AddUpload(queue, {5, 1, false, 9});
+    DropUpload(queue, 5);
+    std::vector<uint64_t> order;
+    while (const auto next = TakeUpload(queue))
+      order.push_back(next->m_id);
+    CPPUNIT_ASSERT(order == std::vector<uint64_t>({3, 4, 2, 1}));
+  }
+
+ private:
+  TransferLimits m_limits;
+  std::mt19937_64 m_random{7};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TransferTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
