Measure weights on 24 real processes; follow more hosts for imports

`testsuite/bench/weights_real.py` starts 24 vltarget on paced links in three regions. The first run hung: the harness gave one port to two processes, since a port that isn't listened on yet can be had again; it now remembers what it gave.

--- a/src/libverbenalead/daemon/weights_fetcher.cc
+++ b/src/libverbenalead/daemon/weights_fetcher.cc
@@ -88,6 +88,7 @@
   for (uint32_t chunk : m_store.Arrivals(manifest->whole(), 0))
     decide::ChunkArrived(run->m_transfer, chunk, Now());
   const auto executor = co_await asio::this_coro::executor;
+  const TimePoint begun = Now();
   bool still_wanted = wanted();
   while (still_wanted && !decide::IsComplete(run->m_transfer)) {
     UpdateMembers(*run);
@@ -96,6 +97,11 @@
     still_wanted = wanted();
   }
   run->CancelAll();
+  LogLine("transfer_ended")
+      .With("version", version.m_name)
+      .With("whole", still_wanted)
+      .With("ms", ToMilliseconds(Now() - begun))
+      .Info();
   co_return still_wanted;
 }
 
--- a/src/libverbenalead/decide/transfer_limits.h
+++ b/src/libverbenalead/decide/transfer_limits.h
@@ -47,7 +47,7 @@
   uint32_t m_far_neighbours = 2;
   /// Hosts in other regions that are followed because this host has to bring
   /// chunks over that they draw.
-  uint32_t m_import_neighbours = 8;
+  uint32_t m_import_neighbours = 16;
 
   /// A draw or an import that hasn't been seen this long after it was due is
   /// taken over by the host whose hash is next, and so on. Long enough for a
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -18,12 +18,20 @@
 SEED = 20261202
 
 
+GIVEN_PORTS = set()
+
+
 def free_ports(count):
-    """Ports that nobody listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
+    """Ports that nobody listens on now and that weren't given out before."""
+    sockets = []
+    ports = []
+    while len(ports) < count:
+        sockets.append(socket.socket())
+        sockets[-1].bind(("127.0.0.1", 0))
+        port = sockets[-1].getsockname()[1]
+        if port not in GIVEN_PORTS:
+            ports.append(port)
+            GIVEN_PORTS.add(port)
     for each in sockets:
         each.close()
     return ports
--- a/testsuite/run_bench.py
+++ b/testsuite/run_bench.py
@@ -11,7 +11,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 BENCHES = {
-    "bench-weights": ["transfer_bench"],
+    "bench-weights": ["transfer_bench", "weights_real.py"],
     "bench-requests": [],
     "bench-config": [],
     "bench-capacity": [],
