--- a/src/libverbenalead/daemon/attempt_runner.cc
+++ b/src/libverbenalead/daemon/attempt_runner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <cstdlib>
 #include <memory>
 
 #include "base/log.h"
@@ -37,6 +38,8 @@
   headers[peer::kIncarnation] = std::to_string(placement.m_incarnation);
   headers[peer::kOrganisation] = call.organisation();
   headers[peer::kDigest] = ToString(placement.m_digest);
+  if (placement.m_max_running != UINT32_MAX)
+    headers[peer::kMaxRunning] = std::to_string(placement.m_max_running);
   headers[peer::kDeadline] = std::to_string(
       std::max<int64_t>(ToMilliseconds(call.deadline() - Now()), 0));
   request.m_method = "POST";
@@ -165,6 +168,11 @@
     attempt.m_report.m_broken = true;
     co_return;
   }
+  const std::string running = wire::Get(head->m_headers, peer::kRunning);
+  if (!running.empty()) {
+    attempt.m_report.m_running =
+        static_cast<uint32_t>(std::strtoul(running.c_str(), nullptr, 10));
+  }
   if (wire::Get(head->m_headers, peer::kOutcome) == "refused") {
     attempt.m_evidence.m_gate_refused = true;
     attempt.m_report.m_reason = wire::Get(head->m_headers, peer::kReason);
--- a/src/libverbenalead/daemon/attempt_runner.h
+++ b/src/libverbenalead/daemon/attempt_runner.h
@@ -1,6 +1,8 @@
 #ifndef VERBENALEAD_DAEMON_ATTEMPT_RUNNER_H_
 #define VERBENALEAD_DAEMON_ATTEMPT_RUNNER_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "decide/attempt_judge.h"
@@ -22,6 +24,8 @@
   bool m_answer_begun = false;
   /// The target did not behave: leave it alone for a while.
   bool m_broken = false;
+  /// Attempts that ran at the target, if it said so.
+  std::optional<uint32_t> m_running;
   /// A whole answer that was not streamed.
   wire::Response m_answer;
 };
--- a/src/libverbenalead/daemon/attempt_server.cc
+++ b/src/libverbenalead/daemon/attempt_server.cc
@@ -43,6 +43,15 @@
   return onward;
 }
 
+/// The bound that the entry set by what it takes for the pool's mean; none for
+/// an attempt that is to go here whatever runs.
+uint32_t MaxRunningIn(const wire::Request& request) {
+  const std::string text = wire::Get(request.m_headers, peer::kMaxRunning);
+  if (text.empty())
+    return UINT32_MAX;
+  return static_cast<uint32_t>(NumberIn(request.m_headers, peer::kMaxRunning));
+}
+
 bool MayRepeat(const wire::Request& request) {
   return wire::Get(request.m_headers, "idempotency-key").empty();
 }
@@ -62,6 +71,8 @@
   Digest m_digest;
   /// False for a call that may run only once.
   bool m_may_repeat = true;
+  /// Attempts that ran when it came.
+  uint32_t m_running = 0;
 };
 
 Awaitable<void> AttemptServer::Serve(wire::Request request,
@@ -70,10 +81,17 @@
   const uint64_t incarnation = NumberIn(request.m_headers, peer::kIncarnation);
   const Digest wanted = DigestIn(request.m_headers);
   Entered entered;
+  bool busier = false;
   const decide::EnterResult result = m_gate.With([&](decide::GateState& gate) {
-    entered = {attempt, gate.m_generation, gate.m_digest, MayRepeat(request)};
+    entered = {attempt, gate.m_generation, gate.m_digest, MayRepeat(request),
+               gate.m_running};
+    // An attempt that came before may be running: of that one, and so of this
+    // copy, "not run" would be untrue.
+    busier = !gate.m_attempts.contains(attempt) &&
+             gate.m_running > MaxRunningIn(request);
     const auto answer =
-        decide::Enter(gate, attempt, incarnation, wanted, Now());
+        busier ? decide::EnterResult::kFull
+               : decide::Enter(gate, attempt, incarnation, wanted, Now());
     // The entry tells its caller "not run" by this refusal. A doubled or late
     // copy of the message must not be let in afterwards, when there is room.
     const bool refused = answer != decide::EnterResult::kEntered &&
@@ -89,7 +107,8 @@
     co_return;
   }
   if (result != decide::EnterResult::kEntered) {
-    co_await Refuse(attempt, ToString(result), writer);
+    const std::string reason = busier ? peer::kBusier : ToString(result);
+    co_await Refuse(entered, reason, writer);
     co_return;
   }
   m_journal.Record(attempt.m_request,
@@ -104,19 +123,20 @@
   });
 }
 
-Awaitable<void> AttemptServer::Refuse(decide::Attempt attempt,
+Awaitable<void> AttemptServer::Refuse(Entered entered,
                                       std::string reason,
                                       wire::ResponseWriter& writer) {
-  m_journal.Record(attempt.m_request,
+  m_journal.Record(entered.m_attempt.m_request,
                    LogLine("gate_refused")
-                       .With("attempt", uint64_t{attempt.m_number})
+                       .With("attempt", uint64_t{entered.m_attempt.m_number})
                        .With("target", m_host)
                        .With("reason", reason));
   wire::Response response;
   response.m_status = 503;
   response.m_headers[peer::kOutcome] = "refused";
   response.m_headers[peer::kReason] = reason;
-  Address(attempt, response.m_headers);
+  Address(entered.m_attempt, response.m_headers);
+  response.m_headers[peer::kRunning] = std::to_string(entered.m_running);
   co_await writer.Send(std::move(response));
 }
 
@@ -128,7 +148,7 @@
   const TimePoint deadline = Now() + wait;
   auto opened = co_await m_engine.Send(ForEngine(request), deadline);
   if (!opened && opened.error().m_code == FailureCode::kUnreachable) {
-    co_await Refuse(entered.m_attempt, "engine_unreachable", writer);
+    co_await Refuse(entered, "engine_unreachable", writer);
     co_return;
   }
   // What may run only once is not cut short: the entry may have gone, but the
@@ -175,6 +195,7 @@
   Address(entered.m_attempt, onward.m_headers);
   onward.m_headers[peer::kOutcome] = "ran";
   onward.m_headers[peer::kTarget] = m_host;
+  onward.m_headers[peer::kRunning] = std::to_string(entered.m_running);
   onward.m_headers[peer::kDigest] = ToString(reported);
   onward.m_headers[peer::kVersion] = ToString(reported);
   bool alive = co_await writer.Start(std::move(onward));
--- a/src/libverbenalead/daemon/attempt_server.h
+++ b/src/libverbenalead/daemon/attempt_server.h
@@ -38,7 +38,7 @@
                          wire::ResponseReader& reader,
                          wire::ResponseHead head,
                          wire::ResponseWriter& writer);
-  Awaitable<void> Refuse(decide::Attempt attempt,
+  Awaitable<void> Refuse(Entered entered,
                          std::string reason,
                          wire::ResponseWriter& writer);
   bool Passes(const Entered& entered, const Digest& reported);
--- a/src/libverbenalead/daemon/pool_router.cc
+++ b/src/libverbenalead/daemon/pool_router.cc
@@ -1,11 +1,15 @@
 #include "daemon/pool_router.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "base/sleep.h"
+
 namespace verbenalead::daemon {
 
 namespace asio = boost::asio;
@@ -19,14 +23,32 @@
   std::optional<decide::AdmitAction> m_action;
 };
 
+// Each process draws other numbers, so that entries don't choose alike.
+PoolRouter::PoolRouter(size_t entries) : m_random(std::random_device()()) {
+  SetEntries(entries);
+}
+
+void PoolRouter::SetEntries(size_t entries) {
+  std::lock_guard lock(m_mutex);
+  m_admit.m_entries = static_cast<uint32_t>(std::max<size_t>(entries, 1));
+}
+
 Awaitable<decide::AdmitAction> PoolRouter::Admit(model::Call call) {
-  auto waiter = std::make_shared<Waiter>(co_await asio::this_coro::executor);
+  const auto executor = co_await asio::this_coro::executor;
+  auto waiter = std::make_shared<Waiter>(executor);
+  bool sweep = false;
   {
     std::lock_guard lock(m_mutex);
-    m_waiters[call.id()] = waiter;
-    m_admit.m_capacity = decide::UsableCapacity(m_place, Now());
-    Deliver(decide::Arrive(m_admit, call, Now()));
+    const TimePoint now = Now();
+    const uint64_t ticket = ++m_last_ticket;
+    m_waiters[ticket] = waiter;
+    decide::CountFirstAttempt(m_budget);
+    Deliver(decide::Tick(m_admit, decide::UsableCapacity(m_place, now), now));
+    Deliver(decide::Arrive(m_admit, ticket, call, now));
+    sweep = BeginSweep();
   }
+  if (sweep)
+    asio::co_spawn(executor, Sweep(), asio::detached);
   while (!waiter->m_action) {
     boost::system::error_code ignored;
     co_await waiter->m_event.async_wait(
@@ -35,38 +57,78 @@
   co_return *waiter->m_action;
 }
 
+bool PoolRouter::BeginSweep() {
+  if (m_sweeping || m_admit.m_waiting == 0)
+    return false;
+  m_sweeping = true;
+  return true;
+}
+
+Awaitable<void> PoolRouter::Sweep() {
+  bool more = true;
+  while (more) {
+    co_await Sleep(decide::kDropEvery);
+    Tick();
+    std::lock_guard lock(m_mutex);
+    more = m_sweeping = m_admit.m_waiting > 0;
+  }
+}
+
 void PoolRouter::Deliver(const std::vector<decide::AdmitAction>& actions) {
   for (const decide::AdmitAction& action : actions) {
-    auto found = m_waiters.find(action.m_call);
-    if (found == m_waiters.end())
+    auto found = m_waiters.extract(action.m_ticket);
+    if (found.empty())
       continue;
-    asio::post(found->second->m_event.get_executor(),
-               [waiter = found->second, action] {
-                 waiter->m_action = action;
-                 waiter->m_event.cancel();
-               });
-    m_waiters.erase(found);
+    const auto waiter = found.mapped();
+    asio::post(waiter->m_event.get_executor(), [waiter, action] {
+      waiter->m_action = action;
+      waiter->m_event.cancel();
+    });
   }
 }
 
-void PoolRouter::Finish() {
+void PoolRouter::Finish(const model::Call& call,
+                        std::optional<Duration> elapsed) {
   std::lock_guard lock(m_mutex);
-  Deliver(decide::Finish(m_admit, Now()));
+  Deliver(decide::Finish(m_admit, decide::UnitsOf(call), elapsed, Now()));
 }
 
 std::optional<decide::Placement> PoolRouter::Place(
     const model::Call& call,
-    const std::set<std::string>& tried) {
+    const std::set<std::string>& tried,
+    Duration waited) {
   std::lock_guard lock(m_mutex);
-  auto placement = decide::Place(m_place, call, tried, Now());
+  const TimePoint now = Now();
+  auto placement = decide::Place(m_place, call, tried, waited, now, m_random);
   if (placement)
-    decide::AttemptSent(m_place, placement->m_target);
+    decide::AttemptSent(m_place, placement->m_target, call, now);
   return placement;
 }
 
-void PoolRouter::AttemptEnded(const std::string& target, bool broken) {
+void PoolRouter::AttemptEnded(const std::string& target,
+                              const model::Call& call,
+                              decide::TargetSign sign,
+                              Duration elapsed,
+                              std::optional<uint32_t> running) {
   std::lock_guard lock(m_mutex);
-  decide::AttemptEnded(m_place, target, broken, Now());
+  const TimePoint now = Now();
+  decide::AttemptEnded(m_place, target, call, sign, elapsed, now);
+  if (running)
+    decide::LoadSeen(m_place, target, *running, now);
+}
+
+decide::RetryDecision PoolRouter::AfterAttempt(
+    const model::Call& call,
+    const decide::EndedAttempt& attempt) {
+  std::lock_guard lock(m_mutex);
+  return decide::AfterAttempt(call, attempt, m_budget, Now());
+}
+
+bool PoolRouter::FoundFull() {
+  std::lock_guard lock(m_mutex);
+  const TimePoint now = Now();
+  decide::LowerLimit(m_admit, now);
+  return decide::UsableCapacity(m_place, now) > 0;
 }
 
 void PoolRouter::Report(const model::TargetReport& report) {
@@ -88,7 +150,7 @@
 std::vector<model::TargetReport> PoolRouter::Targets() const {
   std::lock_guard lock(m_mutex);
   std::vector<model::TargetReport> reports;
-  for (const auto& [name, target] : m_place.m_targets)
+  for (const decide::TargetView& target : m_place.m_targets)
     reports.push_back(target.m_report);
   return reports;
 }
--- a/src/libverbenalead/daemon/pool_routers.h
+++ b/src/libverbenalead/daemon/pool_routers.h
@@ -19,10 +19,20 @@
     std::lock_guard lock(m_mutex);
     auto& router = m_routers[pool];
     if (!router)
-      router = std::make_unique<PoolRouter>();
+      router = std::make_unique<PoolRouter>(m_entries);
     return *router;
   }
 
+  /// How many entries place on the same targets.
+  void SetEntries(size_t entries) {
+    {
+      std::lock_guard lock(m_mutex);
+      m_entries = entries;
+    }
+    for (PoolRouter* router : All())
+      router->SetEntries(entries);
+  }
+
   std::vector<PoolRouter*> All() {
     std::lock_guard lock(m_mutex);
     std::vector<PoolRouter*> routers;
@@ -32,7 +42,10 @@
   }
 
  private:
+  static constexpr size_t kEntriesAtStart = 8;
+
   std::mutex m_mutex;
+  size_t m_entries = kEntriesAtStart;
   std::map<std::string, std::unique_ptr<PoolRouter>> m_routers;
 };
 
--- a/src/libverbenalead/daemon/request_runner.cc
+++ b/src/libverbenalead/daemon/request_runner.cc
@@ -1,5 +1,7 @@
 #include "daemon/request_runner.h"
 
+#include <algorithm>
+
 #include "base/sleep.h"
 #include "peer/header_names.h"
 
@@ -10,6 +12,12 @@
 
 /// When a caller may come back where no target could take the call.
 constexpr Duration kRetryAfterNoTarget = 1s;
+/// Longest pause before a call asks full targets again; the first is
+/// decide::kFullPause.
+constexpr Duration kLongestPause = 160ms;
+/// Rounds after which a call is refused that targets turn away for other
+/// reasons than room: their gates are shut, or serve another version.
+constexpr int kMaxRoundsTurnedAway = 3;
 constexpr Duration kRetryAfterTable = 2s;
 constexpr Duration kRetryAfterHeld = 1s;
 constexpr int kConflictStatus = 409;
@@ -28,6 +36,38 @@
   return problem;
 }
 
+/// The target itself said at once that it did not run the call.
+bool IsTurnedAway(const AttemptReport& report) {
+  return report.m_end == decide::AttemptEnd::kNotRun && !report.m_broken;
+}
+
+/// Whether a target turned a call away only for what else it runs.
+bool IsForRoom(const std::string& reason) {
+  return reason == peer::kFull || reason == peer::kBusier;
+}
+
+/// What the end of an attempt says of its target.
+decide::TargetSign SignOf(const AttemptReport& report) {
+  using decide::TargetSign;
+  if (report.m_broken)
+    return TargetSign::kBroken;
+  switch (report.m_end) {
+    case decide::AttemptEnd::kCompleted:
+      return TargetSign::kGood;
+    case decide::AttemptEnd::kFailed:
+      return TargetSign::kFailed;
+    case decide::AttemptEnd::kDoubtful:
+      // The caller has gone; the target is not to blame.
+      return TargetSign::kRefused;
+    case decide::AttemptEnd::kNotRun:
+      break;
+  }
+  if (report.m_reason == peer::kFull)
+    return TargetSign::kFull;
+  return report.m_reason == peer::kBusier ? TargetSign::kBusier
+                                          : TargetSign::kRefused;
+}
+
 wire::Response Recorded(const RecordedAnswer& answer, const model::Call& call) {
   if (answer.m_outcome != Outcome::kCompleted) {
     front::Problem problem =
@@ -78,8 +118,12 @@
     verdict.m_reason = admitted.m_reason;
     verdict.m_retry_after = admitted.m_retry_after;
   } else {
+    const TimePoint started = Now();
     verdict = co_await Attempt(call, std::move(request), writer);
-    router.Finish();
+    std::optional<Duration> elapsed;
+    if (verdict.m_outcome == Outcome::kCompleted)
+      elapsed = Now() - started;
+    router.Finish(call, elapsed);
   }
   if (claim)
     co_await SettleClaim(call, *claim, verdict);
@@ -122,50 +166,102 @@
     wire::Request request,
     wire::ResponseWriter& writer) {
   PoolRouter& router = m_routers.Get(call.pool());
+  const TimePoint started = Now();
   Verdict verdict;
-  std::set<std::string> tried;
+  verdict.m_reason = "no_usable_target";
+  Duration pause = decide::kFullPause;
+  int turned_away = 0;
   while (true) {
-    const auto placement = router.Place(call, tried);
-    if (!placement) {
-      if (verdict.m_attempts == 0)
-        verdict.m_reason = "no_usable_target";
+    const RoundEnd end =
+        co_await TryTargets(call, request, started, verdict, writer);
+    if (end == RoundEnd::kDone)
+      co_return verdict;
+    if (end == RoundEnd::kTurnedAway)
+      ++turned_away;
+    const bool room_to_come = router.FoundFull();
+    if (!room_to_come || turned_away >= kMaxRoundsTurnedAway ||
+        Now() + pause >= call.deadline()) {
+      verdict.m_outcome = Outcome::kRefused;
       verdict.m_retry_after = kRetryAfterNoTarget;
       co_return verdict;
     }
+    co_await Sleep(pause);
+    pause = std::min<Duration>(pause * 2, kLongestPause);
+  }
+}
+
+Awaitable<RequestRunner::RoundEnd> RequestRunner::TryTargets(
+    const model::Call& call,
+    const wire::Request& request,
+    TimePoint started,
+    Verdict& verdict,
+    wire::ResponseWriter& writer) {
+  PoolRouter& router = m_routers.Get(call.pool());
+  std::set<std::string> tried;
+  RoundEnd nowhere = RoundEnd::kFull;
+  while (true) {
+    auto placement = router.Place(call, tried, Now() - started);
+    if (!placement)
+      co_return nowhere;
     tried.insert(placement->m_target);
-    ++verdict.m_attempts;
-    verdict.m_target = placement->m_target;
-    m_journal.Record(call.id(),
-                     LogLine("place")
-                         .With("attempt", uint64_t{verdict.m_attempts})
-                         .With("target", placement->m_target)
-                         .With("version", placement->m_version)
-                         .With("incarnation", placement->m_incarnation)
-                         .With("reason", placement->m_reason));
-    verdict.m_last = co_await m_attempts.Run(
-        call, *placement, verdict.m_attempts, request, writer);
-    const AttemptReport& last = verdict.m_last;
-    router.AttemptEnded(placement->m_target, last.m_broken);
-    const auto decision = decide::AfterAttempt(
-        call, last.m_end, verdict.m_attempts, last.m_answer_begun, Now());
+    decide::EndedAttempt ended =
+        co_await TryOne(call, std::move(*placement), request, verdict, writer);
+    ended.m_number = static_cast<uint32_t>(tried.size());
+    const decide::RetryDecision decision = router.AfterAttempt(call, ended);
+    verdict.m_outcome = decision.m_outcome;
     m_journal.Record(call.id(),
                      LogLine("attempt_ended")
                          .With("attempt", uint64_t{verdict.m_attempts})
-                         .With("target", placement->m_target)
-                         .With("version", last.m_version)
+                         .With("target", verdict.m_target)
+                         .With("version", verdict.m_last.m_version)
                          .With("result", ToString(decision.m_outcome))
                          .With("retry", decision.m_retry)
-                         .With("reason", last.m_reason));
-    verdict.m_outcome = decision.m_outcome;
-    verdict.m_reason = last.m_reason;
-    if (!decision.m_retry) {
-      if (decision.m_outcome == Outcome::kRefused)
-        verdict.m_retry_after = kRetryAfterNoTarget;
-      co_return verdict;
-    }
+                         .With("over_budget", decision.m_over_budget)
+                         .With("reason", verdict.m_reason));
+    if (ended.m_turned_away && !IsForRoom(verdict.m_reason))
+      nowhere = RoundEnd::kTurnedAway;
+    if (decision.m_retry)
+      continue;
+    if (ended.m_turned_away)
+      co_return nowhere;
+    if (decision.m_outcome == Outcome::kRefused)
+      verdict.m_retry_after = kRetryAfterNoTarget;
+    co_return RoundEnd::kDone;
   }
 }
 
+Awaitable<decide::EndedAttempt> RequestRunner::TryOne(
+    const model::Call& call,
+    decide::Placement placement,
+    const wire::Request& request,
+    Verdict& verdict,
+    wire::ResponseWriter& writer) {
+  ++verdict.m_attempts;
+  verdict.m_target = placement.m_target;
+  LogLine line("place");
+  line.With("attempt", uint64_t{verdict.m_attempts})
+      .With("target", placement.m_target)
+      .With("version", placement.m_version)
+      .With("incarnation", placement.m_incarnation)
+      .With("reason", placement.m_reason);
+  if (placement.m_max_running != UINT32_MAX)
+    line.With("max_running", uint64_t{placement.m_max_running});
+  m_journal.Record(call.id(), line);
+  const TimePoint sent = Now();
+  verdict.m_last = co_await m_attempts.Run(call, placement, verdict.m_attempts,
+                                           request, writer);
+  const AttemptReport& last = verdict.m_last;
+  verdict.m_reason = last.m_reason;
+  m_routers.Get(call.pool())
+      .AttemptEnded(placement.m_target, call, SignOf(last), Now() - sent,
+                    last.m_running);
+  decide::EndedAttempt ended;
+  ended.m_end = last.m_end;
+  ended.m_answer_begun = last.m_answer_begun;
+  ended.m_turned_away = IsTurnedAway(last);
+  co_return ended;
+}
+
 Awaitable<void> RequestRunner::SettleClaim(model::Call call,
                                            uint64_t writer,
                                            Verdict verdict) {
--- a/src/libverbenalead/daemon/request_runner.h
+++ b/src/libverbenalead/daemon/request_runner.h
@@ -34,7 +34,10 @@
 
   /// How many entries there are, us included: they share what the table and
   /// the targets can take.
-  void SetEntries(size_t entries) { m_claims.SetEntries(entries); }
+  void SetEntries(size_t entries) {
+    m_claims.SetEntries(entries);
+    m_routers.SetEntries(entries);
+  }
 
  private:
   /// The end of all attempts.
@@ -51,9 +54,23 @@
   /// been answered.
   Awaitable<std::optional<uint64_t>> ClaimKey(model::Call call,
                                               wire::ResponseWriter& writer);
+  /// Attempts `call` until it has run, can't be tried again, or its time is up.
+  /// A call that finds the targets full keeps its slot and asks again.
   Awaitable<Verdict> Attempt(model::Call call,
                              wire::Request request,
                              wire::ResponseWriter& writer);
+  /// One try at a few targets. kDone: the verdict stands.
+  enum class RoundEnd { kDone, kFull, kTurnedAway };
+  Awaitable<RoundEnd> TryTargets(const model::Call& call,
+                                 const wire::Request& request,
+                                 TimePoint started,
+                                 Verdict& verdict,
+                                 wire::ResponseWriter& writer);
+  Awaitable<decide::EndedAttempt> TryOne(const model::Call& call,
+                                         decide::Placement placement,
+                                         const wire::Request& request,
+                                         Verdict& verdict,
+                                         wire::ResponseWriter& writer);
   Awaitable<void> SettleClaim(model::Call call,
                               uint64_t writer,
                               Verdict verdict);
--- /dev/null
+++ b/src/libverbenalead/decide/fake_pool.h
@@ -0,0 +1,495 @@
+#ifndef VERBENALEAD_DECIDE_FAKE_POOL_H_
+#define VERBENALEAD_DECIDE_FAKE_POOL_H_
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "decide/admit.h"
+#include "decide/place.h"
+#include "decide/retry.h"
+#include "model/call_builder.h"
+
+/// Entries that route calls to fake targets in virtual time, for the tests and
+/// benchmarks of the decision cores: the same events and actions as in the
+/// daemon, without a socket.
+namespace verbenalead::decide::fake {
+
+enum class Policy { kOurs, kRoundRobin, kRandom, kLeastReported, kOracle };
+
+inline const char* ToString(Policy policy) {
+  switch (policy) {
+    case Policy::kOurs:
+      return "verbenalead";
+    case Policy::kRoundRobin:
+      return "round_robin";
+    case Policy::kRandom:
+      return "random";
+    case Policy::kLeastReported:
+      return "least_reported";
+    case Policy::kOracle:
+      return "perfect_knowledge";
+  }
+  return "";
+}
+
+struct PoolSettings {
+  Policy m_policy = Policy::kOurs;
+  /// Without: calls start in their order, whoever sent them.
+  bool m_admission = true;
+  uint32_t m_entries = 8;
+  uint32_t m_targets = 10;
+  /// Calls that a target runs at once, and those that it lets in; between the
+  /// two they wait in the engine, first come first served.
+  uint32_t m_slots = 8;
+  uint32_t m_gate = 10;
+  Duration m_per_unit = 2ms;
+  /// Time to read a prefix that is not cached, and prefixes cached at most.
+  Duration m_prefill{};
+  size_t m_cached = 0;
+  Duration m_one_way = 1ms;
+  Duration m_report_every = 250ms;
+  Duration m_report_lag = 250ms;
+  /// Share of cache events that are lost; the rest come this late.
+  double m_events_lost = 0.2;
+  Duration m_event_lag = 1s;
+  uint32_t m_slow_targets = 0;
+  double m_slow_factor = 10;
+  /// The first of these targets break at m_dead_from.
+  uint32_t m_dead_targets = 0;
+  Duration m_dead_from{};
+  uint64_t m_seed = 1;
+};
+
+/// What became of one call.
+struct CallRecord {
+  model::Call m_call;
+  TimePoint m_arrived{};
+  TimePoint m_told{};
+  bool m_completed = false;
+  std::string m_reason;
+  uint32_t m_attempts = 0;
+  uint32_t m_told_times = 0;
+  bool m_cached = false;
+
+  Duration latency() const { return m_told - m_arrived; }
+  bool in_time() const { return m_completed && m_told <= m_call.deadline(); }
+};
+
+class FakePool {
+ public:
+  explicit FakePool(PoolSettings settings)
+      : m_settings(settings),
+        m_random(static_cast<uint32_t>(settings.m_seed)),
+        m_entries(settings.m_entries),
+        m_targets(settings.m_targets) {
+    for (Entry& entry : m_entries) {
+      entry.m_random.seed(m_random());
+      entry.m_admit.m_entries = settings.m_entries;
+      entry.m_turn = m_random() % settings.m_targets;
+    }
+    for (uint32_t i = 0; i < settings.m_targets; ++i) {
+      for (uint32_t e = 0; e < settings.m_entries; ++e)
+        Report(m_entries[e].m_place, ReportOf(i), m_now);
+      At(m_now + settings.m_report_every * i / settings.m_targets,
+         [this, i] { SendReports(i); });
+    }
+    Ticks();
+  }
+
+  /// A call comes to a random entry at `at`; its timeout starts then.
+  void Add(Duration at, model::CallBuilder builder, Duration timeout) {
+    const TimePoint when = TimePoint{} + at;
+    builder.Id(std::to_string(m_records.size())).Pool("p");
+    CallRecord record;
+    record.m_call = builder.Deadline(when + timeout).Build();
+    record.m_arrived = when;
+    const size_t call = m_records.size();
+    m_records.push_back(std::move(record));
+    const size_t entry = m_random() % m_entries.size();
+    At(when, [this, call, entry] { Come(call, entry); });
+  }
+
+  void Run(Duration until) {
+    while (!m_events.empty() && m_events.top().m_at <= TimePoint{} + until) {
+      Event event = m_events.top();
+      m_events.pop();
+      m_now = event.m_at;
+      event.m_do();
+    }
+  }
+
+  const std::vector<CallRecord>& records() const { return m_records; }
+  std::vector<double> work() const {
+    std::vector<double> work;
+    for (const Target& target : m_targets)
+      work.push_back(target.m_work);
+    return work;
+  }
+  /// Calls that wait at an entry past their deadline.
+  size_t overdue() const {
+    size_t count = 0;
+    for (const Entry& entry : m_entries) {
+      for (const auto& [name, queue] : entry.m_admit.m_queues) {
+        for (const WaitingCall& call : queue.m_calls)
+          count += call.m_deadline < m_now - kDropEvery * 2 ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+ private:
+  struct Event {
+    TimePoint m_at;
+    uint64_t m_order;
+    std::function<void()> m_do;
+    bool operator<(const Event& other) const {
+      return std::tie(m_at, m_order) > std::tie(other.m_at, other.m_order);
+    }
+  };
+  struct Entry {
+    AdmitState m_admit;
+    PlaceState m_place;
+    RetryBudget m_budget;
+    Random m_random;
+    size_t m_turn = 0;
+    TimePoint m_started{};
+  };
+  struct Running {
+    size_t m_call;
+    Duration m_length;
+    std::function<void(bool)> m_done;
+  };
+  struct Target {
+    uint32_t m_inside = 0;
+    uint32_t m_busy = 0;
+    std::deque<Running> m_queue;
+    std::list<uint64_t> m_cache;
+    double m_work = 0;
+  };
+
+  void At(TimePoint when, std::function<void()> what) {
+    m_events.push({when, ++m_order, std::move(what)});
+  }
+
+  bool IsDead(size_t target) const {
+    return target < m_settings.m_dead_targets &&
+           m_now >= TimePoint{} + m_settings.m_dead_from;
+  }
+
+  model::TargetReport ReportOf(size_t target) const {
+    model::TargetReport report;
+    report.m_name = "t" + std::to_string(target);
+    report.m_pool = "p";
+    report.m_incarnation = 1;
+    report.m_capacity = m_settings.m_gate;
+    report.m_running = m_targets[target].m_inside;
+    report.m_open = true;
+    return report;
+  }
+
+  void SendReports(size_t target) {
+    // A dead target's last reports go on counting until they are stale.
+    if (!IsDead(target)) {
+      const model::TargetReport report = ReportOf(target);
+      At(m_now + m_settings.m_report_lag, [this, report] {
+        for (Entry& entry : m_entries)
+          Report(entry.m_place, report, m_now);
+      });
+    }
+    At(m_now + m_settings.m_report_every,
+       [this, target] { SendReports(target); });
+  }
+
+  void Ticks() {
+    for (size_t e = 0; e < m_entries.size(); ++e) {
+      const uint32_t capacity = UsableCapacity(m_entries[e].m_place, m_now);
+      Carry(e, Tick(m_entries[e].m_admit, capacity, m_now));
+    }
+    m_worst_overdue = std::max(m_worst_overdue, overdue());
+    At(m_now + kDropEvery, [this] { Ticks(); });
+  }
+
+  void Come(size_t call, size_t e) {
+    CountFirstAttempt(m_entries[e].m_budget);
+    Queue(call, e);
+  }
+
+  void Queue(size_t call, size_t e) {
+    model::Call seen = m_records[call].m_call;
+    if (!m_settings.m_admission) {
+      model::CallBuilder builder;
+      builder.Organisation("all").Deadline(seen.deadline());
+      seen = builder.ExpectedTokens(seen.expected_tokens()).Build();
+    }
+    Carry(e, Arrive(m_entries[e].m_admit, call, seen, m_now));
+  }
+
+  void Carry(size_t e, const std::vector<AdmitAction>& actions) {
+    for (const AdmitAction& action : actions) {
+      if (action.m_kind == AdmitAction::Kind::kStart)
+        Start(action.m_ticket, e);
+      else
+        Tell(action.m_ticket, false, action.m_reason);
+    }
+  }
+
+  void Tell(size_t call, bool completed, const std::string& reason) {
+    CallRecord& record = m_records[call];
+    record.m_completed = completed;
+    record.m_reason = reason;
+    record.m_told = m_now;
+    ++record.m_told_times;
+  }
+
+  void Start(size_t call, size_t e) {
+    auto tried = std::make_shared<std::set<std::string>>();
+    Try(call, e, tried, 1, m_now);
+  }
+
+  std::optional<Placement> Choose(const model::Call& call,
+                                  Entry& entry,
+                                  const std::set<std::string>& tried,
+                                  Duration waited) {
+    if (m_settings.m_policy == Policy::kOurs)
+      return Place(entry.m_place, call, tried, waited, m_now, entry.m_random);
+    if (m_settings.m_policy == Policy::kOracle)
+      return ChooseKnowing(call, tried);
+    std::vector<size_t> usable;
+    for (size_t i = 0; i < m_targets.size(); ++i) {
+      const TargetView& view = entry.m_place.m_targets[i];
+      if (m_now - view.m_reported_at <= kReportStale &&
+          !tried.contains(view.m_report.m_name))
+        usable.push_back(i);
+    }
+    if (usable.empty())
+      return std::nullopt;
+    size_t chosen = usable[m_random() % usable.size()];
+    if (m_settings.m_policy == Policy::kRoundRobin)
+      chosen = usable[entry.m_turn++ % usable.size()];
+    if (m_settings.m_policy == Policy::kLeastReported) {
+      const auto reported = [&entry](size_t a, size_t b) {
+        return entry.m_place.m_targets[a].m_report.m_running <
+               entry.m_place.m_targets[b].m_report.m_running;
+      };
+      chosen = *std::min_element(usable.begin(), usable.end(), reported);
+    }
+    Placement placement;
+    placement.m_target = "t" + std::to_string(chosen);
+    return placement;
+  }
+
+  /// Knows every cache and all work done as they are.
+  std::optional<Placement> ChooseKnowing(const model::Call& call,
+                                         const std::set<std::string>& tried) {
+    double mean = UnitsOf(call);
+    for (const Target& target : m_targets)
+      mean += target.m_work;
+    mean /= static_cast<double>(m_targets.size());
+    std::optional<size_t> best;
+    std::pair<int, double> best_rank;
+    for (size_t i = 0; i < m_targets.size(); ++i) {
+      const Target& target = m_targets[i];
+      if (target.m_inside >= m_settings.m_gate ||
+          tried.contains("t" + std::to_string(i)))
+        continue;
+      const bool held = Cached(target, call.prefix()) &&
+                        target.m_work + UnitsOf(call) <= 1.25 * mean;
+      const std::pair rank{held ? 0 : 1, target.m_work};
+      if (!best || rank < best_rank) {
+        best = i;
+        best_rank = rank;
+      }
+    }
+    if (!best)
+      return std::nullopt;
+    Placement placement;
+    placement.m_target = "t" + std::to_string(*best);
+    return placement;
+  }
+
+  void Try(size_t call,
+           size_t e,
+           std::shared_ptr<std::set<std::string>> tried,
+           uint32_t number,
+           TimePoint started) {
+    Entry& entry = m_entries[e];
+    const model::Call& what = m_records[call].m_call;
+    const auto placement = Choose(what, entry, *tried, m_now - started);
+    if (!placement) {
+      LowerLimit(entry.m_admit, m_now);
+      return NoRoom(call, e, number, started);
+    }
+    tried->insert(placement->m_target);
+    AttemptSent(entry.m_place, placement->m_target, what, m_now);
+    const TimePoint sent = m_now;
+    const size_t target = std::stoul(placement->m_target.substr(1));
+    At(m_now + m_settings.m_one_way, [=, this] {
+      ++m_records[call].m_attempts;
+      if (IsDead(target))
+        return Answer(call, e, target, TargetSign::kBroken, sent, tried, number,
+                      started);
+      Target& there = m_targets[target];
+      const bool full = there.m_inside >= m_settings.m_gate;
+      if (full || there.m_inside > placement->m_max_running) {
+        --m_records[call].m_attempts;
+        return Answer(call, e, target,
+                      full ? TargetSign::kFull : TargetSign::kBusier, sent,
+                      tried, number, started);
+      }
+      ++there.m_inside;
+      there.m_queue.push_back({call, {}, [=, this](bool alive) {
+                                 Answer(call, e, target,
+                                        alive ? TargetSign::kGood
+                                              : TargetSign::kBroken,
+                                        sent, tried, number, started);
+                               }});
+      Serve(target);
+    });
+  }
+
+  void Serve(size_t target) {
+    Target& there = m_targets[target];
+    while (there.m_busy < m_settings.m_slots && !there.m_queue.empty()) {
+      const Running next = there.m_queue.front();
+      there.m_queue.pop_front();
+      ++there.m_busy;
+      const Duration length = Length(target, next.m_call);
+      there.m_work += UnitsOf(m_records[next.m_call].m_call);
+      At(m_now + length, [this, target, next] {
+        Target& there = m_targets[target];
+        --there.m_busy;
+        --there.m_inside;
+        next.m_done(!IsDead(target));
+        Serve(target);
+      });
+    }
+  }
+
+  Duration Length(size_t target, size_t call) {
+    const model::Call& what = m_records[call].m_call;
+    const double noise = 0.9 + 0.2 * static_cast<double>(m_random()) /
+                                   static_cast<double>(std::mt19937::max());
+    double factor = noise;
+    if (target < m_settings.m_slow_targets)
+      factor *= m_settings.m_slow_factor;
+    Duration length = m_settings.m_per_unit * what.expected_tokens();
+    if (what.prefix() != 0 && m_settings.m_cached > 0)
+      length += Prefill(target, call);
+    return std::chrono::duration_cast<Duration>(length * factor);
+  }
+
+  bool Cached(const Target& target, uint64_t prefix) const {
+    return std::find(target.m_cache.begin(), target.m_cache.end(), prefix) !=
+           target.m_cache.end();
+  }
+
+  Duration Prefill(size_t target, size_t call) {
+    std::list<uint64_t>& cache = m_targets[target].m_cache;
+    const uint64_t prefix = m_records[call].m_call.prefix();
+    const bool cached = Cached(m_targets[target], prefix);
+    m_records[call].m_cached = cached;
+    cache.remove(prefix);
+    cache.push_front(prefix);
+    Publish(target, prefix, true);
+    if (cache.size() > m_settings.m_cached) {
+      Publish(target, cache.back(), false);
+      cache.pop_back();
+    }
+    return cached ? Duration{} : m_settings.m_prefill;
+  }
+
+  void Publish(size_t target, uint64_t prefix, bool cached) {
+    if (m_random() % 1000 < m_settings.m_events_lost * 1000)
+      return;
+    const TimePoint when = m_now;
+    At(m_now + m_settings.m_event_lag, [=, this] {
+      const std::string name = "t" + std::to_string(target);
+      for (Entry& entry : m_entries) {
+        if (cached)
+          PrefixCached(entry.m_place, name, prefix, when);
+        else
+          PrefixEvicted(entry.m_place, name, prefix, when);
+      }
+    });
+  }
+
+  void Answer(size_t call,
+              size_t e,
+              size_t target,
+              TargetSign sign,
+              TimePoint sent,
+              std::shared_ptr<std::set<std::string>> tried,
+              uint32_t number,
+              TimePoint started) {
+    const uint32_t running = m_targets[target].m_inside;
+    At(m_now + m_settings.m_one_way, [=, this] {
+      Entry& entry = m_entries[e];
+      const model::Call& what = m_records[call].m_call;
+      AttemptEnded(entry.m_place, "t" + std::to_string(target), what, sign,
+                   m_now - sent, m_now);
+      if (sign != TargetSign::kBroken)
+        LoadSeen(entry.m_place, "t" + std::to_string(target), running, m_now);
+      EndedAttempt attempt;
+      attempt.m_number = number;
+      attempt.m_turned_away =
+          sign == TargetSign::kFull || sign == TargetSign::kBusier;
+      attempt.m_end = sign == TargetSign::kGood ? AttemptEnd::kCompleted
+                                                : AttemptEnd::kNotRun;
+      const RetryDecision decision =
+          AfterAttempt(what, attempt, entry.m_budget, m_now);
+      if (decision.m_retry)
+        return Try(call, e, tried, number + 1, started);
+      if (attempt.m_turned_away) {
+        if (sign == TargetSign::kFull)
+          LowerLimit(entry.m_admit, m_now);
+        return NoRoom(call, e, number, started);
+      }
+      End(call, e, sign == TargetSign::kGood, started);
+    });
+  }
+
+  void End(size_t call, size_t e, bool good, TimePoint started) {
+    const double units = UnitsOf(m_records[call].m_call);
+    Tell(call, good, "broken or full");
+    std::optional<Duration> elapsed;
+    if (good)
+      elapsed = m_now - started;
+    Carry(e, Finish(m_entries[e].m_admit, units, elapsed, m_now));
+  }
+
+  /// No target had room: the call keeps its slot and asks again.
+  void NoRoom(size_t call, size_t e, uint32_t number, TimePoint started) {
+    if (m_now + kFullPause >= m_records[call].m_call.deadline() ||
+        number > kMaxAttempts)
+      return End(call, e, false, started);
+    At(m_now + kFullPause, [=, this] {
+      Try(call, e, std::make_shared<std::set<std::string>>(), 1, started);
+    });
+  }
+
+  const PoolSettings m_settings;
+  std::mt19937 m_random;
+  TimePoint m_now{};
+  uint64_t m_order = 0;
+  std::priority_queue<Event> m_events;
+  std::vector<Entry> m_entries;
+  std::vector<Target> m_targets;
+  std::vector<CallRecord> m_records;
+  size_t m_worst_overdue = 0;
+
+ public:
+  size_t worst_overdue() const { return m_worst_overdue; }
+};
+
+}  // namespace verbenalead::decide::fake
+
+#endif  // VERBENALEAD_DECIDE_FAKE_POOL_H_
--- /dev/null
+++ b/src/libverbenalead/decide/organisation_queue.h
@@ -0,0 +1,41 @@
+#ifndef VERBENALEAD_DECIDE_ORGANISATION_QUEUE_H_
+#define VERBENALEAD_DECIDE_ORGANISATION_QUEUE_H_
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <set>
+
+#include "base/time.h"
+#include "model/call.h"
+
+namespace verbenalead::decide {
+
+/// A call that waits. The order is the order of service within an
+/// organisation: the most urgent first, then the earliest deadline.
+struct WaitingCall {
+  int m_urgency = model::kDefaultUrgency;
+  TimePoint m_deadline{};
+  uint64_t m_ticket = 0;
+  double m_units = 1;
+
+  friend auto operator<=>(const WaitingCall&, const WaitingCall&) = default;
+};
+
+/// The waiting calls of one organisation, and its standing among the others.
+struct OrganisationQueue {
+  static constexpr size_t kUrgencies = model::kLeastUrgent + 1;
+
+  double m_weight = 1;
+  /// Start tag of start-time fair queueing: work served, by weight.
+  double m_tag = 0;
+  std::set<WaitingCall> m_calls;
+  /// Units waiting, by urgency.
+  std::array<double, kUrgencies> m_units{};
+  /// Units admitted lately, by urgency, fading.
+  std::array<double, kUrgencies> m_arrived{};
+};
+
+}  // namespace verbenalead::decide
+
+#endif  // VERBENALEAD_DECIDE_ORGANISATION_QUEUE_H_
--- a/src/libverbenalead/decide/place.cc
+++ b/src/libverbenalead/decide/place.cc
@@ -1,24 +1,249 @@
 #include "decide/place.h"
 
 #include <algorithm>
+#include <cmath>
+
+#include "decide/rendezvous.h"
+#include "decide/retry.h"
 
 namespace verbenalead::decide {
 namespace {
 
-bool IsUsable(const TargetView& target, TimePoint now) {
+/// Load is compared in steps of this, so that near-equals are chosen among by
+/// chance: entries that see the same reports must not all take the same target.
+constexpr double kLoadStep = 0.02;
+/// Weight of one call in the mean time of a call.
+constexpr double kMeanDecay = 0.01;
+
+bool IsServing(const TargetView& target, TimePoint now) {
   return target.m_report.m_open && !target.m_report.m_leaving &&
          target.m_report.m_capacity > 0 &&
-         now - target.m_reported_at <= kReportStale &&
-         now >= target.m_shunned_until;
+         now - target.m_reported_at <= kReportStale;
+}
+
+bool IsUsable(const TargetView& target, TimePoint now) {
+  return IsServing(target, now) && !target.m_health.m_ejected &&
+         now >= target.m_full_until;
+}
+
+/// An ejected target whose time is over gets one call to show itself.
+bool WantsProbe(const TargetView& target, TimePoint now) {
+  return target.m_health.m_ejected && IsServing(target, now) &&
+         now >= target.m_health.m_ejected_until && target.m_in_flight == 0;
+}
+
+/// The mean over the targets that may be chosen.
+struct PoolMean {
+  double m_others = 0;
+  double m_own = 0;
+  double m_work = 0;
+  size_t m_count = 0;
+  /// Worth of what was heard of others, for each nanosecond of its age.
+  double m_fade = 0;
+};
+
+PoolMean MeanOf(const PlaceState& state, TimePoint now) {
+  PoolMean mean;
+  for (const TargetView& target : state.m_targets) {
+    if (!IsUsable(target, now))
+      continue;
+    mean.m_others += target.m_others;
+    mean.m_own += target.m_in_flight;
+    mean.m_work += target.m_work;
+    ++mean.m_count;
+  }
+  const auto count = static_cast<double>(std::max<size_t>(mean.m_count, 1));
+  mean.m_others /= count;
+  mean.m_own /= count;
+  mean.m_work /= count;
+  const double seconds =
+      state.m_mean_seconds > 0
+          ? state.m_mean_seconds
+          : std::chrono::duration<double>(kLoadFades).count();
+  mean.m_fade = 1 / (seconds * 1e9);
+  return mean;
+}
+
+/// Attempts that run there: our own as they are, others' as last heard, drawn
+/// towards the pool's mean with age. Old news is not read as idleness: that
+/// would send every entry to whichever target has been silent longest.
+double RunningNow(const TargetView& target,
+                  const PoolMean& mean,
+                  TimePoint now) {
+  const auto age = static_cast<double>((now - target.m_others_at).count());
+  const double worth = 1 / (1 + age * mean.m_fade);
+  return target.m_in_flight + mean.m_others +
+         (target.m_others - mean.m_others) * worth;
 }
 
-/// Share of the target's capacity that is taken. Other entries' attempts are
-/// known only from the report, ours at once: the larger of both is nearer the
-/// truth than their sum, which would count ours twice.
-double LoadOf(const TargetView& target) {
-  const uint32_t taken =
-      std::max(target.m_in_flight, target.m_report.m_running);
-  return static_cast<double>(taken) / target.m_report.m_capacity;
+double LoadOf(const TargetView& target, const PoolMean& mean, TimePoint now) {
+  return RunningNow(target, mean, now) / target.m_report.m_capacity;
+}
+
+constexpr uint64_t kMixFactor = 0xbf58476d1ce4e5b9u;
+
+uint64_t Mix(uint64_t hash) {
+  hash = (hash ^ hash >> 30) * kMixFactor;
+  hash = (hash ^ hash >> 27) * 0x94d049bb133111ebu;
+  return hash ^ hash >> 31;
+}
+
+/// Room for a call that comes for its prefix. Work may always reach the mean:
+/// with few calls the bound would else forbid any choice.
+bool WithinBounds(const TargetView& target,
+                  const PoolMean& mean,
+                  double units) {
+  return target.m_work + units <=
+             std::max(kWorkBound * mean.m_work, mean.m_work + units) &&
+         target.m_in_flight < mean.m_own + kOwnBound;
+}
+
+Placement MakePlacement(const TargetView& target, const char* reason) {
+  const model::TargetReport& report = target.m_report;
+  Placement placement;
+  placement.m_target = report.m_name;
+  placement.m_peer = report.m_peer;
+  placement.m_incarnation = report.m_incarnation;
+  placement.m_digest = report.m_digest;
+  placement.m_version = report.m_version;
+  placement.m_reason = reason;
+  return placement;
+}
+
+/// The target whose cache holds the call's prefix, or is the one to hold it:
+/// the first by rendezvous hash that has room. All entries hash alike, so a
+/// prefix meets the same few caches wherever its callers connect, without any
+/// news among entries; where one of these targets is full, all overflow to the
+/// same next one, and a popular prefix spreads no further than it must.
+const TargetView* ChooseByPrefix(const PlaceState& state,
+                                 const PoolMean& mean,
+                                 const model::Call& call,
+                                 const std::set<std::string>& tried,
+                                 TimePoint now) {
+  const double units = UnitsOf(call);
+  const auto* holders = HoldersOf(state.m_prefixes, call.prefix());
+  const TargetView* best = nullptr;
+  std::pair<bool, uint64_t> best_rank;
+  for (const TargetView& target : state.m_targets) {
+    const bool held = Holds(holders, target.m_hash, now);
+    const std::pair rank{held, Mix(target.m_hash ^ call.prefix())};
+    if (best != nullptr && rank <= best_rank)
+      continue;
+    if (!IsUsable(target, now) || !WithinBounds(target, mean, units) ||
+        tried.contains(target.m_report.m_name))
+      continue;
+    best = &target;
+    best_rank = rank;
+  }
+  return best;
+}
+
+/// The emptiest target; among near-equals any, by chance.
+const TargetView* ChooseByLoad(const PlaceState& state,
+                               const PoolMean& mean,
+                               const std::set<std::string>& tried,
+                               TimePoint now,
+                               Random& random) {
+  const uint64_t draw = Mix(random());
+  const TargetView* best = nullptr;
+  double best_load = 0;
+  for (const TargetView& target : state.m_targets) {
+    if (!IsUsable(target, now) || tried.contains(target.m_report.m_name))
+      continue;
+    // One draw for the call; its mix with the name serves as one for each.
+    const double chance =
+        static_cast<double>((draw ^ target.m_hash) * kMixFactor >> 32) *
+        0x1p-32;
+    const double load = LoadOf(target, mean, now) + kLoadStep * chance;
+    if (best == nullptr || load < best_load) {
+      best = &target;
+      best_load = load;
+    }
+  }
+  return best;
+}
+
+/// How many may run at the target that is to take `call`. The mean is the part
+/// of the reports that lags least: it changes with the whole pool's load only.
+uint32_t MaxRunning(const PlaceState& state,
+                    const PoolMean& mean,
+                    const model::Call& call,
+                    const std::set<std::string>& tried,
+                    Duration waited) {
+  const auto running = static_cast<uint32_t>(mean.m_own + mean.m_others);
+  const double units = UnitsOf(call);
+  const bool is_long = units > kLongFactor * state.m_mean_units;
+  const double expected = units * SecondsPerUnit(state.m_service);
+  const double patience = expected * kPatience;
+  const bool last_try = is_long || tried.size() + 1 >= kMaxAttempts;
+  if (std::chrono::duration<double>(waited).count() >= patience && last_try)
+    return UINT32_MAX;
+  if (!is_long)
+    return running;
+  return running > kLongMargin ? running - kLongMargin : 0;
+}
+
+/// A probe may cost its caller the wait for a slow target, so calls that must
+/// not be late or run twice are spared.
+const TargetView* ChooseToProbe(const PlaceState& state,
+                                const model::Call& call,
+                                const std::set<std::string>& tried,
+                                TimePoint now) {
+  if (!call.idempotent() || call.urgency() < model::kDefaultUrgency)
+    return nullptr;
+  for (const TargetView& target : state.m_targets) {
+    if (WantsProbe(target, now) && !tried.contains(target.m_report.m_name))
+      return &target;
+  }
+  return nullptr;
+}
+
+/// With every target ejected the fault may well be ours (our link was down):
+/// the one that was ejected first is asked, lest nobody is until the longest
+/// ejection ends.
+const TargetView* ChooseEjected(const PlaceState& state,
+                                const std::set<std::string>& tried,
+                                TimePoint now) {
+  const TargetView* best = nullptr;
+  for (const TargetView& target : state.m_targets) {
+    const bool idle = target.m_health.m_ejected && target.m_in_flight == 0;
+    if (!idle || !IsServing(target, now) ||
+        tried.contains(target.m_report.m_name))
+      continue;
+    if (best == nullptr ||
+        target.m_health.m_ejected_until < best->m_health.m_ejected_until)
+      best = &target;
+  }
+  return best;
+}
+
+/// Whether any target may be chosen without being a probe.
+bool AnyInRotation(const PlaceState& state, TimePoint now) {
+  return std::any_of(state.m_targets.begin(), state.m_targets.end(),
+                     [&](const TargetView& target) {
+                       return IsServing(target, now) &&
+                              !target.m_health.m_ejected;
+                     });
+}
+
+void SeeLoad(TargetView& target, uint32_t running, TimePoint now) {
+  target.m_others =
+      running > target.m_in_flight ? running - target.m_in_flight : 0;
+  target.m_others_at = now;
+}
+
+TargetView* Find(PlaceState& state, const std::string& name) {
+  auto found = state.m_index.find(name);
+  return found == state.m_index.end() ? nullptr
+                                      : &state.m_targets[found->second];
+}
+
+void HalveWork(PlaceState& state, TimePoint now) {
+  if (now - state.m_halved_at < kHalveWorkEvery)
+    return;
+  state.m_halved_at = now;
+  for (TargetView& target : state.m_targets)
+    target.m_work /= 2;
 }
 
 }  // namespace
@@ -26,7 +251,14 @@
 void Report(PlaceState& state,
             const model::TargetReport& report,
             TimePoint now) {
-  TargetView& target = state.m_targets[report.m_name];
+  auto [at, added] =
+      state.m_index.try_emplace(report.m_name, state.m_targets.size());
+  if (added) {
+    TargetView view;
+    view.m_hash = MixHash(report.m_name, 0);
+    state.m_targets.push_back(std::move(view));
+  }
+  TargetView& target = state.m_targets[at->second];
   if (report.m_incarnation < target.m_report.m_incarnation)
     return;
   const bool same = report.m_incarnation == target.m_report.m_incarnation;
@@ -34,58 +266,144 @@
   target.m_report = report;
   target.m_report.m_leaving |= leaving;
   target.m_reported_at = now;
-  if (!same)
-    target.m_shunned_until = {};
+  SeeLoad(target, report.m_running, now);
+  if (!same) {
+    ForgetTarget(state.m_prefixes, target.m_hash);
+    target.m_health = {};
+    target.m_full_until = {};
+  }
 }
 
 void RemoveTarget(PlaceState& state, const std::string& name) {
-  state.m_targets.erase(name);
+  auto found = state.m_index.find(name);
+  if (found == state.m_index.end())
+    return;
+  const size_t gone = found->second;
+  state.m_index.erase(found);
+  if (gone + 1 != state.m_targets.size()) {
+    state.m_targets[gone] = std::move(state.m_targets.back());
+    state.m_index[state.m_targets[gone].m_report.m_name] = gone;
+  }
+  state.m_targets.pop_back();
 }
 
 std::optional<Placement> Place(const PlaceState& state,
-                               const model::Call&,
+                               const model::Call& call,
                                const std::set<std::string>& tried,
-                               TimePoint now) {
-  const TargetView* best = nullptr;
-  for (const auto& [name, target] : state.m_targets) {
-    if (!IsUsable(target, now) || tried.contains(name))
-      continue;
-    if (best == nullptr || LoadOf(target) < LoadOf(*best))
-      best = &target;
+                               Duration waited,
+                               TimePoint now,
+                               Random& random) {
+  if (const TargetView* target = ChooseToProbe(state, call, tried, now))
+    return MakePlacement(*target, "probe");
+  const PoolMean mean = MeanOf(state, now);
+  if (call.prefix() != 0) {
+    if (const TargetView* target =
+            ChooseByPrefix(state, mean, call, tried, now))
+      return MakePlacement(*target, "prefix");
   }
-  if (best == nullptr)
-    return std::nullopt;
-  const model::TargetReport& report = best->m_report;
-  return Placement{report.m_name,   report.m_peer,    report.m_incarnation,
-                   report.m_digest, report.m_version, "least_loaded"};
+  if (const TargetView* target =
+          ChooseByLoad(state, mean, tried, now, random)) {
+    Placement placement = MakePlacement(*target, "least_loaded");
+    placement.m_max_running = MaxRunning(state, mean, call, tried, waited);
+    return placement;
+  }
+  if (!AnyInRotation(state, now)) {
+    if (const TargetView* target = ChooseEjected(state, tried, now))
+      return MakePlacement(*target, "all_ejected");
+  }
+  return std::nullopt;
 }
 
-void AttemptSent(PlaceState& state, const std::string& target) {
-  auto found = state.m_targets.find(target);
-  if (found != state.m_targets.end())
-    ++found->second.m_in_flight;
+void AttemptSent(PlaceState& state,
+                 const std::string& name,
+                 const model::Call& call,
+                 TimePoint now) {
+  HalveWork(state, now);
+  TargetView* target = Find(state, name);
+  if (target == nullptr)
+    return;
+  ++target->m_in_flight;
+  target->m_work += UnitsOf(call);
+  if (call.prefix() != 0)
+    NotePrefix(state.m_prefixes, call.prefix(), target->m_hash, now);
 }
 
 void AttemptEnded(PlaceState& state,
-                  const std::string& target,
-                  bool broken,
+                  const std::string& name,
+                  const model::Call& call,
+                  TargetSign sign,
+                  Duration elapsed,
                   TimePoint now) {
-  auto found = state.m_targets.find(target);
-  if (found == state.m_targets.end())
+  TargetView* target = Find(state, name);
+  if (target == nullptr)
     return;
-  if (found->second.m_in_flight > 0)
-    --found->second.m_in_flight;
-  if (broken)
-    found->second.m_shunned_until = now + kShun;
+  if (target->m_in_flight > 0)
+    --target->m_in_flight;
+  const double units = UnitsOf(call);
+  if (sign == TargetSign::kFull || sign == TargetSign::kBusier ||
+      sign == TargetSign::kRefused) {
+    if (sign != TargetSign::kBusier)
+      target->m_full_until = now + kFullPause;
+    target->m_work = std::max(0.0, target->m_work - units);
+    return;
+  }
+  const double seconds = std::chrono::duration<double>(elapsed).count();
+  const double usual = SecondsPerUnit(state.m_service) * units;
+  const bool good = sign == TargetSign::kGood;
+  const double slowness = good && usual > 0 ? seconds / usual : 0;
+  const AttemptSign answer = good ? AttemptSign::kGood
+                             : sign == TargetSign::kFailed
+                                 ? AttemptSign::kFailed
+                                 : AttemptSign::kBroken;
+  Observe(target->m_health, answer, slowness, now);
+  if (!good)
+    return;
+  Add(state.m_service, units, elapsed);
+  if (state.m_mean_units == 0) {
+    state.m_mean_seconds = seconds;
+    state.m_mean_units = units;
+  }
+  state.m_mean_seconds += kMeanDecay * (seconds - state.m_mean_seconds);
+  state.m_mean_units += kMeanDecay * (units - state.m_mean_units);
+}
+
+void LoadSeen(PlaceState& state,
+              const std::string& name,
+              uint32_t running,
+              TimePoint now) {
+  if (TargetView* target = Find(state, name))
+    SeeLoad(*target, running, now);
+}
+
+void PrefixCached(PlaceState& state,
+                  const std::string& name,
+                  uint64_t prefix,
+                  TimePoint when) {
+  if (TargetView* target = Find(state, name))
+    NotePrefix(state.m_prefixes, prefix, target->m_hash, when);
+}
+
+void PrefixEvicted(PlaceState& state,
+                   const std::string& name,
+                   uint64_t prefix,
+                   TimePoint when) {
+  if (TargetView* target = Find(state, name))
+    NoteEviction(state.m_prefixes, prefix, target->m_hash, when);
 }
 
 uint32_t UsableCapacity(const PlaceState& state, TimePoint now) {
   uint32_t capacity = 0;
-  for (const auto& [name, target] : state.m_targets) {
-    if (IsUsable(target, now))
+  uint32_t ejected = 0;
+  for (const TargetView& target : state.m_targets) {
+    if (!IsServing(target, now))
+      continue;
+    if (target.m_health.m_ejected)
+      ++ejected;
+    else
       capacity += target.m_report.m_capacity;
   }
-  return capacity;
+  // One probe each, so that calls go on coming while all are ejected.
+  return capacity > 0 ? capacity : ejected;
 }
 
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/place.h
+++ b/src/libverbenalead/decide/place.h
@@ -2,49 +2,70 @@
 #define VERBENALEAD_DECIDE_PLACE_H_
 
 #include <cstdint>
-#include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
-#include "base/digest.h"
-#include "base/endpoint.h"
 #include "base/time.h"
+#include "decide/placement.h"
+#include "decide/prefix_index.h"
+#include "decide/service_time.h"
+#include "decide/target_view.h"
 #include "model/call.h"
 #include "model/target_report.h"
 
 namespace verbenalead::decide {
 
-/// A target as this entry sees it.
-struct TargetView {
-  model::TargetReport m_report;
-  TimePoint m_reported_at{};
-  /// Attempts of this entry that are under way there: known at once, where the
-  /// report lags.
-  uint32_t m_in_flight = 0;
-  /// Nothing is sent there until then, after failures.
-  TimePoint m_shunned_until{};
-};
+using Random = std::minstd_rand;
 
 /// The targets of one pool.
+///
+/// Made for several entries that place on the same targets without talking to
+/// each other, by reports that lag. Own attempts count in full, others' by the
+/// report's age; prefixes choose their targets by hash, alike at every entry.
 struct PlaceState {
-  std::map<std::string, TargetView> m_targets;
-};
-
-struct Placement {
-  std::string m_target;
-  Endpoint m_peer;
-  uint64_t m_incarnation = 0;
-  Digest m_digest;
-  std::string m_version;
-  /// Why this one, for the log.
-  std::string m_reason;
+  std::vector<TargetView> m_targets;
+  std::unordered_map<std::string, size_t> m_index;
+  /// Time per unit of work over the whole pool.
+  ServiceTime m_service;
+  /// Decayed mean time of a call, in seconds.
+  double m_mean_seconds = 0;
+  /// Decayed mean work of a call.
+  double m_mean_units = 0;
+  PrefixIndex m_prefixes;
+  TimePoint m_halved_at{};
 };
 
 /// A report older than this no longer counts as a sign of life.
 constexpr Duration kReportStale = 3s;
-/// How long a target is left alone after an attempt there broke.
-constexpr Duration kShun = 1s;
+/// A report's count of others' attempts loses its worth about as fast as calls
+/// end; before any was measured, as fast as this.
+constexpr Duration kLoadFades = 200ms;
+/// A full target has room again when one of its calls ends. Until then it is
+/// not asked again: asking costs a round trip and delays the call.
+constexpr Duration kFullPause = 20ms;
+/// No target is given more than this over the mean work, by what this entry has
+/// sent lately. As each entry holds to it, so does their sum. The users' limit
+/// is 1.25.
+constexpr double kWorkBound = 1.15;
+/// Nor may it, at the moment, have more of our own attempts than the mean and
+/// these: a prefix that many callers send at once spreads to a second target.
+constexpr double kOwnBound = 4;
+/// How fast work counts as past.
+constexpr Duration kHalveWorkEvery = std::chrono::seconds(5);
+
+/// A call waits for a good place for this part of its own expected time at
+/// most, and then takes any: so waiting costs each call the same share.
+constexpr double kPatience = 0.5;
+/// A call with this many times the mean work counts as long.
+constexpr double kLongFactor = 2;
+/// A long call goes only where this many fewer calls run than on average. A
+/// long call that takes the last free slot makes each short one behind it wait
+/// many times its own length; the long one hardly feels the wait.
+constexpr uint32_t kLongMargin = 3;
 
 /// Takes in a report. One of an older incarnation than the known one is
 /// dropped, and `leaving` never reverts within an incarnation.
@@ -54,19 +75,54 @@
 void RemoveTarget(PlaceState& state, const std::string& name);
 
 /// The target for `call`, or nullopt if none can take it now. Targets in
-/// `tried` are left out.
+/// `tried` are left out. `waited`: since the call was first to be placed.
 std::optional<Placement> Place(const PlaceState& state,
                                const model::Call& call,
                                const std::set<std::string>& tried,
-                               TimePoint now);
+                               Duration waited,
+                               TimePoint now,
+                               Random& random);
+
+/// How an attempt ended, as far as it speaks of its target.
+enum class TargetSign {
+  kGood,     ///< It answered.
+  kFull,     ///< It had no room.
+  kBusier,   ///< It had more under way than the placement allows.
+  kRefused,  ///< It did not run the call for another reason, at once.
+  kFailed,   ///< It ran the call and failed.
+  kBroken,   ///< The connection or the answer broke.
+};
 
 /// An attempt has been sent to or has ended at `target`.
-void AttemptSent(PlaceState& state, const std::string& target);
+void AttemptSent(PlaceState& state,
+                 const std::string& target,
+                 const model::Call& call,
+                 TimePoint now);
 void AttemptEnded(PlaceState& state,
                   const std::string& target,
-                  bool broken,
+                  const model::Call& call,
+                  TargetSign sign,
+                  Duration elapsed,
                   TimePoint now);
 
+/// An answer of `target`, of whatever kind, said how many attempts ran there.
+/// It is fresher than any report.
+void LoadSeen(PlaceState& state,
+              const std::string& target,
+              uint32_t running,
+              TimePoint now);
+
+/// An engine's cache event, however late: `prefix` is cached or was evicted at
+/// `when`.
+void PrefixCached(PlaceState& state,
+                  const std::string& target,
+                  uint64_t prefix,
+                  TimePoint when);
+void PrefixEvicted(PlaceState& state,
+                   const std::string& target,
+                   uint64_t prefix,
+                   TimePoint when);
+
 /// Attempts that the usable targets can run at once.
 uint32_t UsableCapacity(const PlaceState& state, TimePoint now);
 
--- /dev/null
+++ b/src/libverbenalead/decide/prefix_index.cc
@@ -0,0 +1,80 @@
+#include "decide/prefix_index.h"
+
+#include <algorithm>
+
+namespace verbenalead::decide {
+namespace {
+
+void Sweep(PrefixIndex& index, TimePoint now) {
+  const bool full = index.m_holders.size() >= kMaxPrefixes;
+  if (!full && now - index.m_swept_at < kPrefixForgotten)
+    return;
+  index.m_swept_at = now;
+  for (auto entry = index.m_holders.begin(); entry != index.m_holders.end();) {
+    std::erase_if(entry->second, [&](const PrefixHolder& holder) {
+      return now - holder.m_known_at > kPrefixForgotten;
+    });
+    entry =
+        entry->second.empty() ? index.m_holders.erase(entry) : std::next(entry);
+  }
+  // All are young: placement goes on by hash alone, and learns them anew.
+  if (index.m_holders.size() >= kMaxPrefixes)
+    index.m_holders.clear();
+}
+
+}  // namespace
+
+void NotePrefix(PrefixIndex& index,
+                uint64_t prefix,
+                uint64_t target,
+                TimePoint when) {
+  Sweep(index, when);
+  std::vector<PrefixHolder>& holders = index.m_holders[prefix];
+  for (PrefixHolder& holder : holders) {
+    if (holder.m_target == target) {
+      holder.m_known_at = std::max(holder.m_known_at, when);
+      return;
+    }
+  }
+  holders.push_back({target, when});
+}
+
+void NoteEviction(PrefixIndex& index,
+                  uint64_t prefix,
+                  uint64_t target,
+                  TimePoint when) {
+  auto found = index.m_holders.find(prefix);
+  if (found == index.m_holders.end())
+    return;
+  std::erase_if(found->second, [&](const PrefixHolder& holder) {
+    return holder.m_target == target && holder.m_known_at <= when;
+  });
+}
+
+void ForgetTarget(PrefixIndex& index, uint64_t target) {
+  for (auto& [prefix, holders] : index.m_holders) {
+    std::erase_if(holders, [&](const PrefixHolder& holder) {
+      return holder.m_target == target;
+    });
+  }
+}
+
+const std::vector<PrefixHolder>* HoldersOf(const PrefixIndex& index,
+                                           uint64_t prefix) {
+  auto found = index.m_holders.find(prefix);
+  return found == index.m_holders.end() ? nullptr : &found->second;
+}
+
+bool Holds(const std::vector<PrefixHolder>* holders,
+           uint64_t target,
+           TimePoint now) {
+  if (holders == nullptr)
+    return false;
+  return std::any_of(holders->begin(), holders->end(),
+                     [&](const PrefixHolder& holder) {
+                       return holder.m_target == target &&
+                              now - holder.m_known_at <= kPrefixForgotten;
+                     });
+}
+
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/retry.cc
+++ b/src/libverbenalead/decide/retry.cc
@@ -17,18 +17,30 @@
   return model::Outcome::kUnknown;
 }
 
+/// Safe: it did not run, or running it twice does no harm and nothing of an
+/// answer was shown.
+bool IsSafe(const model::Call& call, const EndedAttempt& attempt) {
+  if (attempt.m_end == AttemptEnd::kNotRun)
+    return true;
+  return call.idempotent() && attempt.m_end == AttemptEnd::kDoubtful &&
+         !attempt.m_answer_begun;
+}
+
 }  // namespace
 
 RetryDecision AfterAttempt(const model::Call& call,
-                           AttemptEnd end,
-                           uint32_t attempts,
-                           bool answer_begun,
+                           const EndedAttempt& attempt,
+                           RetryBudget& budget,
                            TimePoint now) {
-  const bool safe =
-      end == AttemptEnd::kNotRun ||
-      (call.idempotent() && end == AttemptEnd::kDoubtful && !answer_begun);
-  const bool worthwhile = attempts < kMaxAttempts && now < call.deadline();
-  return {safe && worthwhile, OutcomeOf(end)};
+  RetryDecision decision;
+  decision.m_outcome = OutcomeOf(attempt.m_end);
+  const bool worthwhile =
+      attempt.m_number < kMaxAttempts && now < call.deadline();
+  if (!worthwhile || !IsSafe(call, attempt))
+    return decision;
+  decision.m_retry = attempt.m_turned_away || TakeRetry(budget);
+  decision.m_over_budget = !decision.m_retry;
+  return decision;
 }
 
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/retry.h
+++ b/src/libverbenalead/decide/retry.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "base/time.h"
+#include "decide/retry_budget.h"
 #include "model/call.h"
 #include "model/outcome.h"
 
@@ -20,6 +21,8 @@
 /// What to do after an attempt has ended.
 struct RetryDecision {
   bool m_retry = false;
+  /// A retry was safe and worthwhile, but the budget was spent.
+  bool m_over_budget = false;
   /// Without a retry: what the caller is told.
   model::Outcome m_outcome = model::Outcome::kCompleted;
 };
@@ -28,13 +31,23 @@
 /// take it, a fourth is unlikely to, and the caller has waited enough.
 constexpr uint32_t kMaxAttempts = 3;
 
-/// Decides on the call's next step after its attempt number `attempts` ended
-/// as `end`. `answer_begun` is true once any byte has gone to the caller: a
-/// second attempt's answer must not be spliced onto it.
+/// What is known of an attempt that has ended.
+struct EndedAttempt {
+  AttemptEnd m_end = AttemptEnd::kDoubtful;
+  /// Attempts of the call so far, this one included.
+  uint32_t m_number = 1;
+  /// Any byte has gone to the caller: a second attempt's answer must not be
+  /// spliced onto it.
+  bool m_answer_begun = false;
+  /// The target itself said at once that it did not run the call. Asking the
+  /// next one costs a round trip and no work, so it is free of the budget.
+  bool m_turned_away = false;
+};
+
+/// Decides on the call's next step. A retry takes its token from `budget`.
 RetryDecision AfterAttempt(const model::Call& call,
-                           AttemptEnd end,
-                           uint32_t attempts,
-                           bool answer_begun,
+                           const EndedAttempt& attempt,
+                           RetryBudget& budget,
                            TimePoint now);
 
 }  // namespace verbenalead::decide
--- /dev/null
+++ b/src/libverbenalead/decide/target_health.cc
@@ -0,0 +1,69 @@
+#include "decide/target_health.h"
+
+#include <algorithm>
+
+namespace verbenalead::decide {
+namespace {
+
+void Reinstate(TargetHealth& health) {
+  health.m_ejected = false;
+  health.m_ejected_until = {};
+  health.m_slowness = 1;
+  health.m_samples = 0;
+  health.m_failures = 0;
+}
+
+/// The answer to a probe decides alone: it was the only call there.
+bool ObserveProbe(TargetHealth& health,
+                  AttemptSign sign,
+                  double slowness,
+                  TimePoint now) {
+  if (sign != AttemptSign::kGood || slowness > kSlowFactor) {
+    Eject(health, now);
+    return true;
+  }
+  Reinstate(health);
+  return false;
+}
+
+}  // namespace
+
+void Eject(TargetHealth& health, TimePoint now) {
+  const uint32_t doublings = std::min<uint32_t>(health.m_ejections, 5);
+  const Duration length =
+      std::min<Duration>(kFirstEjection * (1 << doublings), kLongestEjection);
+  health.m_ejected = true;
+  health.m_ejected_until = now + length;
+  ++health.m_ejections;
+}
+
+bool Observe(TargetHealth& health,
+             AttemptSign sign,
+             double slowness,
+             TimePoint now) {
+  if (health.m_ejected) {
+    // Calls that were sent before the ejection say nothing new.
+    if (now < health.m_ejected_until)
+      return false;
+    return ObserveProbe(health, sign, slowness, now);
+  }
+  const double failed = sign == AttemptSign::kGood ? 0 : 1;
+  health.m_failures += kHealthDecay * (failed - health.m_failures);
+  if (slowness > 0) {
+    health.m_slowness += kHealthDecay * (slowness - health.m_slowness);
+    ++health.m_samples;
+  }
+  // A connection that breaks has most often lost its host: one is enough.
+  const bool bad =
+      sign == AttemptSign::kBroken || health.m_failures > kFailingShare ||
+      (health.m_samples >= kLeastSamples && health.m_slowness > kSlowFactor);
+  if (bad) {
+    Eject(health, now);
+    return true;
+  }
+  if (health.m_samples >= 4 * kLeastSamples)
+    health.m_ejections = 0;
+  return false;
+}
+
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/front/call_parser.cc
+++ b/src/libverbenalead/front/call_parser.cc
@@ -58,6 +58,15 @@
   return name;
 }
 
+/// The organisation's weight; 1 where its limits name none.
+Result<double> WeightOf(const std::string& organisation,
+                        const decide::ConfigState& config) {
+  const auto& limits = config.m_resources.at({"limits", organisation});
+  BOOST_LEAF_AUTO(spec, model::ParseObject(limits.m_spec, "limits"));
+  BOOST_LEAF_AUTO(weight, model::NumberFieldOr(spec, "weight", 1));
+  return static_cast<double>(std::max<uint64_t>(weight, 1));
+}
+
 Result<Duration> ReadTimeout(const wire::Request& request) {
   const std::string text = wire::Get(request.m_headers, kTimeoutHeader);
   if (text.empty())
@@ -139,8 +148,10 @@
   model::CallBuilder builder;
   BOOST_LEAF_AUTO(call_id, ReadId(request, id));
   BOOST_LEAF_AUTO(organisation, ReadOrganisation(request, config));
+  BOOST_LEAF_AUTO(weight, WeightOf(organisation, config));
   BOOST_LEAF_AUTO(timeout, ReadTimeout(request));
   builder.Id(call_id).Organisation(organisation).Deadline(now + timeout);
+  builder.Weight(weight);
   builder.Urgency(ReadUrgency(request));
   BOOST_LEAF_CHECK(ReadIdempotency(request, builder));
   const std::string path = wire::PathOf(request);
--- a/src/libverbenalead/model/call.h
+++ b/src/libverbenalead/model/call.h
@@ -22,6 +22,8 @@
   /// Unique; the caller's own id if it sent one.
   const std::string& id() const { return m_id; }
   const std::string& organisation() const { return m_organisation; }
+  /// The organisation's weight in admission, by its `limits` resource.
+  double weight() const { return m_weight; }
   /// The pool of targets that answers it.
   const std::string& pool() const { return m_pool; }
   /// kMostUrgent to kLeastUrgent.
@@ -43,6 +45,7 @@
 
   std::string m_id;
   std::string m_organisation;
+  double m_weight = 1;
   std::string m_pool;
   int m_urgency = kDefaultUrgency;
   TimePoint m_deadline{};
--- a/src/libverbenalead/model/call_builder.h
+++ b/src/libverbenalead/model/call_builder.h
@@ -18,6 +18,10 @@
     m_call.m_organisation = std::move(organisation);
     return *this;
   }
+  CallBuilder& Weight(double weight) {
+    m_call.m_weight = weight;
+    return *this;
+  }
   CallBuilder& Pool(std::string pool) {
     m_call.m_pool = std::move(pool);
     return *this;
--- a/src/libverbenalead/peer/header_names.h
+++ b/src/libverbenalead/peer/header_names.h
@@ -14,6 +14,8 @@
 constexpr char kDigest[] = "x-model-digest";
 /// Milliseconds that the caller still waits.
 constexpr char kDeadline[] = "x-deadline-ms";
+/// The attempt is to be refused, as not run, if more than this many run there.
+constexpr char kMaxRunning[] = "x-max-running";
 /// The sender's configuration revision: whoever is behind learns it here.
 constexpr char kRevision[] = "x-config-revision";
 
@@ -21,11 +23,18 @@
 /// Proof that the sender holds the peers' key.
 constexpr char kAuthorization[] = "x-peer-authorization";
 
+/// The reason by which a target refuses for kMaxRunning.
+constexpr char kBusier[] = "target_busier";
+/// The reason by which it refuses for want of room.
+constexpr char kFull[] = "target_full";
+
 // Header and trailer fields of the answer.
 constexpr char kOutcome[] = "x-outcome";
 constexpr char kReason[] = "x-reason";
 constexpr char kVersion[] = "x-model-version";
 constexpr char kTarget[] = "x-target";
+/// Attempts that ran at the target when this one came: fresher than a report.
+constexpr char kRunning[] = "x-running";
 constexpr char kAttempts[] = "x-attempts";
 constexpr char kLength[] = "x-length";
 constexpr char kSha256[] = "x-sha256";
