--- /dev/null
+++ b/src/libverbenalead/daemon/pool_router_test.cc
@@ -0,0 +1,102 @@
+#include "daemon/pool_router.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "base/io_threads.h"
+#include "base/sleep.h"
+#include "model/call_builder.h"
+
+namespace verbenalead::daemon {
+namespace {
+
+constexpr int kCalls = 400;
+
+/// What callers on several threads saw.
+struct Counts {
+  std::atomic<int> m_started{0};
+  std::atomic<int> m_refused{0};
+  std::atomic<int> m_under_way{0};
+  std::atomic<int> m_most{0};
+};
+
+Awaitable<void> CallOnce(PoolRouter& router,
+                         IoThreads& threads,
+                         Counts& counts,
+                         int number) {
+  model::CallBuilder builder;
+  builder.Id(std::to_string(number)).Organisation("o").Pool("p");
+  const model::Call call = builder.Deadline(Now() + 30s).Build();
+  const decide::AdmitAction admitted = co_await router.Admit(call);
+  if (admitted.m_kind == decide::AdmitAction::Kind::kStart) {
+    const int under_way = ++counts.m_under_way;
+    int most = counts.m_most;
+    while (under_way > most &&
+           !counts.m_most.compare_exchange_weak(most, under_way)) {
+    }
+    const auto placement = router.Place(call, {}, {});
+    co_await Sleep(1ms);
+    if (placement)
+      router.AttemptEnded(placement->m_target, call, decide::TargetSign::kGood,
+                          1ms, 0);
+    --counts.m_under_way;
+    router.Finish(call, 1ms);
+    ++counts.m_started;
+  } else {
+    ++counts.m_refused;
+  }
+  if (counts.m_started + counts.m_refused == kCalls)
+    threads.Stop();
+}
+
+class PoolRouterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PoolRouterTest);
+  CPPUNIT_TEST(CallersOnSeveralThreadsAreEachToldOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Every caller hears once, started or refused, and no more run at once than
+  // the targets can take, while calls, reports and ticks come from four
+  // threads at once.
+  void CallersOnSeveralThreadsAreEachToldOnce() {
+    IoThreads threads(4);
+    PoolRouter router(1);
+    model::TargetReport report;
+    report.m_name = "t";
+    report.m_incarnation = 1;
+    report.m_capacity = 8;
+    report.m_open = true;
+    router.Report(report);
+    Counts counts;
+    for (int i = 0; i < kCalls; ++i) {
+      boost::asio::co_spawn(threads.Next(),
+                            CallOnce(router, threads, counts, i),
+                            boost::asio::detached);
+    }
+    boost::asio::co_spawn(threads.Next(), Disturb(router, report),
+                          boost::asio::detached);
+    threads.Run();
+    CPPUNIT_ASSERT_EQUAL(kCalls, counts.m_started + counts.m_refused);
+    CPPUNIT_ASSERT(counts.m_started > 0);
+    CPPUNIT_ASSERT(counts.m_most <= 8);
+  }
+
+ private:
+  static Awaitable<void> Disturb(PoolRouter& router,
+                                 model::TargetReport report) {
+    while (true) {
+      router.Report(report);
+      router.Tick();
+      router.Targets();
+      co_await Sleep(1ms);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PoolRouterTest);
+
+}  // namespace
+}  // namespace verbenalead::daemon
--- /dev/null
+++ b/src/libverbenalead/decide/routing_test.cc
@@ -0,0 +1,298 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include "decide/fake_pool.h"
+
+namespace verbenalead::decide {
+namespace {
+
+using fake::CallRecord;
+using fake::FakePool;
+using fake::PoolSettings;
+
+constexpr uint32_t kTokens = 50;
+const TimePoint kStart{};
+
+model::Call MakeCall(const std::string& organisation,
+                     int urgency,
+                     Duration timeout) {
+  model::CallBuilder builder;
+  builder.Organisation(organisation).Urgency(urgency).ExpectedTokens(kTokens);
+  return builder.Deadline(kStart + timeout).Build();
+}
+
+model::TargetReport OpenTarget(const std::string& name, uint32_t running) {
+  model::TargetReport report;
+  report.m_name = name;
+  report.m_incarnation = 1;
+  report.m_capacity = 8;
+  report.m_running = running;
+  report.m_open = true;
+  return report;
+}
+
+/// Runs `calls` evenly over `seconds`; each is made by `make`.
+template <typename Make>
+FakePool RunCalls(PoolSettings settings, int calls, int seconds, Make&& make) {
+  FakePool pool(settings);
+  for (int i = 0; i < calls; ++i)
+    pool.Add(Duration(1s) * seconds * i / calls, make(i), 1s);
+  return pool;
+}
+
+class RoutingTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RoutingTest);
+  CPPUNIT_TEST(FloodLeavesOthersTheirShare);
+  CPPUNIT_TEST(UrgentGoesFirstWithinItsOrganisation);
+  CPPUNIT_TEST(HopelessIsRefusedOnArrival);
+  CPPUNIT_TEST(NothingWaitsPastItsDeadline);
+  CPPUNIT_TEST(EveryCallerIsToldOnce);
+  CPPUNIT_TEST(SlowTargetIsFoundAndProbedBack);
+  CPPUNIT_TEST(AllEjectedStillAsksOne);
+  CPPUNIT_TEST(LeavingNeverReverts);
+  CPPUNIT_TEST(PrefixMeetsTheSameTargetAtEveryEntry);
+  CPPUNIT_TEST(EvictionIsForgottenUnlessUsedSince);
+  CPPUNIT_TEST(OutageIsNotAnsweredWithRetries);
+  CPPUNIT_TEST(RetriesOnlyWhatIsSafe);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Callers of the small organisations get their answers in time.
+  // One organisation sends four times what the pool can carry; the others send
+  // a tenth of it. In order of arrival they would share its fate.
+  void FloodLeavesOthersTheirShare() {
+    PoolSettings settings;
+    FakePool pool = RunCalls(settings, 41 * 160, 8, [](int i) {
+      model::CallBuilder builder;
+      builder.Organisation(i % 41 == 0 ? "small" : "large");
+      return builder.ExpectedTokens(kTokens);
+    });
+    pool.Run(20s);
+    int small = 0, in_time = 0;
+    for (const CallRecord& record : pool.records()) {
+      if (record.m_call.organisation() != "small")
+        continue;
+      ++small;
+      in_time += record.in_time() ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(small >= 160);
+    CPPUNIT_ASSERT(in_time >= small * 98 / 100);
+  }
+
+  void UrgentGoesFirstWithinItsOrganisation() {
+    AdmitState state;
+    Tick(state, 1, kStart);
+    Arrive(state, 1, MakeCall("a", 3, 9s), kStart);
+    Arrive(state, 2, MakeCall("a", 3, 9s), kStart);
+    Arrive(state, 3, MakeCall("a", 0, 9s), kStart);
+    const auto actions = Finish(state, kTokens, 100ms, kStart);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{3}, actions.at(0).m_ticket);
+  }
+
+  // The caller hears at once that it would not be answered in time, and when
+  // to come back. Two calls of 1 s each stand before it, it waits 2 s.
+  void HopelessIsRefusedOnArrival() {
+    AdmitState state;
+    Tick(state, 1, kStart);
+    Arrive(state, 1, MakeCall("a", 3, 9s), kStart);
+    Finish(state, kTokens, 1s, kStart);
+    Arrive(state, 2, MakeCall("a", 3, 9s), kStart);
+    Arrive(state, 3, MakeCall("a", 3, 9s), kStart);
+    Arrive(state, 4, MakeCall("a", 3, 9s), kStart);
+    const auto actions = Arrive(state, 5, MakeCall("a", 3, 2s), kStart);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions.size());
+    CPPUNIT_ASSERT(actions[0].m_kind == AdmitAction::Kind::kRefuse);
+    CPPUNIT_ASSERT_EQUAL(std::string("deadline_cannot_be_met"),
+                         actions[0].m_reason);
+    CPPUNIT_ASSERT(actions[0].m_retry_after >= 1s);
+  }
+
+  // The caller is told while it still listens. The targets hang, so nothing
+  // ends and nothing starts.
+  void NothingWaitsPastItsDeadline() {
+    AdmitState state;
+    Tick(state, 1, kStart);
+    Arrive(state, 1, MakeCall("a", 3, 60s), kStart);
+    Arrive(state, 2, MakeCall("a", 3, 1s), kStart);
+    CPPUNIT_ASSERT(Tick(state, 1, kStart + 900ms).empty());
+    const auto actions = Tick(state, 1, kStart + 1s);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, actions.at(0).m_ticket);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, state.m_waiting);
+  }
+
+  // Whatever comes, each caller is told exactly once, and none waits past its
+  // deadline: bursts, targets that die, slow ones, long calls.
+  void EveryCallerIsToldOnce() {
+    const bool good = rc::check("told once", [] {
+      PoolSettings settings;
+      settings.m_entries = *rc::gen::inRange<uint32_t>(1, 5);
+      settings.m_targets = *rc::gen::inRange<uint32_t>(1, 6);
+      settings.m_dead_targets = *rc::gen::inRange<uint32_t>(0, 6);
+      settings.m_dead_from = 200ms;
+      settings.m_slow_targets = *rc::gen::inRange<uint32_t>(0, 2);
+      settings.m_seed = *rc::gen::inRange<uint64_t>(1, 1000);
+      const auto gaps =
+          *rc::gen::container<std::vector<int>>(100, rc::gen::inRange(0, 20));
+      FakePool pool(settings);
+      Duration at{};
+      for (int gap : gaps) {
+        at += std::chrono::milliseconds(gap);
+        model::CallBuilder builder;
+        builder.Organisation(gap % 3 == 0 ? "a" : "b").Urgency(gap % 8);
+        builder.ExpectedTokens(gap == 7 ? 500 : 20);
+        pool.Add(at, builder, 500ms);
+      }
+      pool.Run(60s);
+      for (const CallRecord& record : pool.records())
+        RC_ASSERT(record.m_told_times == 1u);
+      RC_ASSERT(pool.worst_overdue() == 0u);
+    });
+    CPPUNIT_ASSERT(good);
+  }
+
+  // Callers are not sent to a target that answers ten times slower, however
+  // idle it says it is; once it is well again it gets work.
+  void SlowTargetIsFoundAndProbedBack() {
+    PlaceState state = TwoTargets();
+    const model::Call call = MakeCall("a", 3, 9s);
+    for (int i = 0; i < 20; ++i)
+      End(state, "fast", call, TargetSign::kGood, 100ms, kStart);
+    for (int i = 0; i < 4; ++i)
+      End(state, "slow", call, TargetSign::kGood, 1s, kStart);
+    Random random;
+    for (int i = 0; i < 10; ++i) {
+      const auto placed = Place(state, call, {}, {}, kStart, random);
+      CPPUNIT_ASSERT_EQUAL(std::string("fast"), placed->m_target);
+    }
+    const TimePoint later = kStart + kFirstEjection;
+    const auto probe = Place(state, call, {}, {}, later, random);
+    CPPUNIT_ASSERT_EQUAL(std::string("probe"), probe->m_reason);
+    CPPUNIT_ASSERT_EQUAL(std::string("slow"), probe->m_target);
+    // Only one at a time, and none that must not be late.
+    AttemptSent(state, "slow", call, later);
+    CPPUNIT_ASSERT_EQUAL(std::string("fast"),
+                         Place(state, call, {}, {}, later, random)->m_target);
+    AttemptEnded(state, "slow", call, TargetSign::kGood, 100ms, later);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{16}, UsableCapacity(state, later));
+  }
+
+  // Callers are served as soon as our own link is back. It was down, so every
+  // target seemed broken and is ejected for a while.
+  void AllEjectedStillAsksOne() {
+    PlaceState state = TwoTargets();
+    const model::Call call = MakeCall("a", 0, 9s);
+    End(state, "fast", call, TargetSign::kBroken, 1ms, kStart);
+    End(state, "slow", call, TargetSign::kBroken, 1ms, kStart);
+    CPPUNIT_ASSERT(UsableCapacity(state, kStart) > 0);
+    Random random;
+    const auto placed = Place(state, call, {}, {}, kStart, random);
+    CPPUNIT_ASSERT(placed.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("all_ejected"), placed->m_reason);
+  }
+
+  void LeavingNeverReverts() {
+    PlaceState state;
+    model::TargetReport report = OpenTarget("t", 0);
+    report.m_leaving = true;
+    Report(state, report, kStart);
+    report.m_leaving = false;
+    Report(state, report, kStart);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, UsableCapacity(state, kStart));
+    report.m_incarnation = 2;
+    Report(state, report, kStart);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{8}, UsableCapacity(state, kStart));
+  }
+
+  void PrefixMeetsTheSameTargetAtEveryEntry() {
+    for (uint64_t prefix = 1; prefix < 50; ++prefix) {
+      std::set<std::string> chosen;
+      for (uint32_t entry = 0; entry < 4; ++entry) {
+        PlaceState state;
+        // Entries learn of targets in any order, with reports of any age.
+        for (uint32_t i = 0; i < 5; ++i)
+          Report(state,
+                 OpenTarget("t" + std::to_string((i + entry) % 5), entry),
+                 kStart);
+        Random random(entry + 1);
+        model::CallBuilder builder;
+        const auto call = builder.Prefix(prefix).ExpectedTokens(1).Build();
+        chosen.insert(Place(state, call, {}, {}, kStart, random)->m_target);
+      }
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, chosen.size());
+    }
+  }
+
+  // Cache events come late: an eviction of before our last call there must not
+  // end the belief that this call has renewed.
+  void EvictionIsForgottenUnlessUsedSince() {
+    PrefixIndex index;
+    NotePrefix(index, 7, 1, kStart + 2s);
+    NoteEviction(index, 7, 1, kStart + 1s);
+    CPPUNIT_ASSERT(Holds(HoldersOf(index, 7), 1, kStart + 3s));
+    NoteEviction(index, 7, 1, kStart + 3s);
+    CPPUNIT_ASSERT(!Holds(HoldersOf(index, 7), 1, kStart + 3s));
+    NotePrefix(index, 7, 1, kStart + 3s);
+    CPPUNIT_ASSERT(
+        !Holds(HoldersOf(index, 7), 1, kStart + 4s + kPrefixForgotten));
+  }
+
+  // The half of the pool that works is not drowned in retries. The other half
+  // breaks every call, and each broken call could go to two more targets.
+  void OutageIsNotAnsweredWithRetries() {
+    RetryBudget budget;
+    const model::Call call = MakeCall("a", 3, 9s);
+    EndedAttempt broken;
+    broken.m_end = AttemptEnd::kNotRun;
+    int attempts = 0;
+    constexpr int kCalls = 2000;
+    for (int i = 0; i < kCalls; ++i) {
+      CountFirstAttempt(budget);
+      broken.m_number = 1;
+      ++attempts;
+      while (AfterAttempt(call, broken, budget, kStart).m_retry) {
+        ++attempts;
+        ++broken.m_number;
+      }
+    }
+    CPPUNIT_ASSERT(attempts <= kCalls * 11 / 10);
+  }
+
+  void RetriesOnlyWhatIsSafe() {
+    RetryBudget budget;
+    const model::Call call = MakeCall("a", 3, 9s);
+    model::CallBuilder builder;
+    const auto once = builder.NotIdempotent("k").Deadline(kStart + 9s).Build();
+    EndedAttempt attempt;
+    CPPUNIT_ASSERT(AfterAttempt(call, attempt, budget, kStart).m_retry);
+    const auto told = AfterAttempt(once, attempt, budget, kStart);
+    CPPUNIT_ASSERT(!told.m_retry);
+    CPPUNIT_ASSERT(told.m_outcome == model::Outcome::kUnknown);
+    attempt.m_answer_begun = true;
+    CPPUNIT_ASSERT(!AfterAttempt(call, attempt, budget, kStart).m_retry);
+    attempt = {AttemptEnd::kNotRun, kMaxAttempts};
+    CPPUNIT_ASSERT(!AfterAttempt(call, attempt, budget, kStart).m_retry);
+  }
+
+ private:
+  static PlaceState TwoTargets() {
+    PlaceState state;
+    Report(state, OpenTarget("fast", 4), kStart);
+    Report(state, OpenTarget("slow", 0), kStart);
+    return state;
+  }
+
+  static void End(PlaceState& state,
+                  const std::string& target,
+                  const model::Call& call,
+                  TargetSign sign,
+                  Duration elapsed,
+                  TimePoint now) {
+    AttemptSent(state, target, call, now);
+    AttemptEnded(state, target, call, sign, elapsed, now);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoutingTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
