Set aside requests under which two targets crash

Cause: a request that crashes each target that runs it was retried on the next, and again whenever its caller sent it again.

decide/quarantine keeps crash notes by the request's fingerprint (organisation, method, path, and idempotency key or body); two targets within ten minutes set it aside, a success clears it. The entry refuses such a request before it is claimed (422, not run, request_crashes_targets), and doesn't retry one. News() and Merge() are there for the exchange among entries, order and repetition don't matter (property "entries agree"); the exchange itself is not wired yet, so each entry learns by itself for now.

Ruled out: one crash (a host that dies would set aside all that ran on it); counting by caller (one bad request would bar the others).

--- a/src/libverbenalead/daemon/request_runner.cc
+++ b/src/libverbenalead/daemon/request_runner.cc
@@ -21,6 +21,8 @@
 constexpr Duration kRetryAfterTable = 2s;
 constexpr Duration kRetryAfterHeld = 1s;
 constexpr int kConflictStatus = 409;
+constexpr int kUnprocessableStatus = 422;
+constexpr char kSetAside[] = "request_crashes_targets";
 /// An answer longer than this is not recorded, only its outcome.
 constexpr size_t kMaxRecordedBody = 64 * 1024;
 
@@ -46,6 +48,16 @@
   return reason == peer::kFull || reason == peer::kBusier;
 }
 
+/// The target or its engine went down while it ran the call, as far as the
+/// entry can see. An attempt that only ran out of time does not count.
+bool LooksLikeCrash(const AttemptReport& report, const model::Call& call) {
+  const bool lost = report.m_broken &&
+                    report.m_end == decide::AttemptEnd::kDoubtful &&
+                    Now() < call.deadline();
+  return lost || (report.m_end == decide::AttemptEnd::kFailed &&
+                  report.m_reason == "engine_failed");
+}
+
 /// What the end of an attempt says of its target.
 decide::TargetSign SignOf(const AttemptReport& report) {
   using decide::TargetSign;
@@ -105,6 +117,10 @@
                                   .With("urgency", call.urgency())
                                   .With("idempotent", call.idempotent())
                                   .With("peer", request.m_peer));
+  if (m_quarantine.IsSetAside(call.fingerprint())) {
+    co_await SetAside(std::move(call), writer);
+    co_return;
+  }
   std::optional<uint64_t> claim;
   if (!call.idempotent()) {
     claim = co_await ClaimKey(call, writer);
@@ -130,6 +146,16 @@
   co_await Tell(std::move(call), std::move(verdict), writer);
 }
 
+Awaitable<void> RequestRunner::SetAside(model::Call call,
+                                        wire::ResponseWriter& writer) {
+  m_journal.Record(call.id(), LogLine("set_aside")
+                                  .With("organisation", call.organisation())
+                                  .With("reason", kSetAside));
+  front::Problem problem = ProblemOf(call, Outcome::kRefused, kSetAside, {});
+  problem.m_status = kUnprocessableStatus;
+  co_await writer.Send(front::ToResponse(problem));
+}
+
 Awaitable<std::optional<uint64_t>> RequestRunner::ClaimKey(
     model::Call call,
     wire::ResponseWriter& writer) {
@@ -220,7 +246,7 @@
                          .With("reason", verdict.m_reason));
     if (ended.m_turned_away && !IsForRoom(verdict.m_reason))
       nowhere = RoundEnd::kTurnedAway;
-    if (decision.m_retry)
+    if (decision.m_retry && !m_quarantine.IsSetAside(call.fingerprint()))
       continue;
     if (ended.m_turned_away)
       co_return nowhere;
@@ -255,6 +281,13 @@
   m_routers.Get(call.pool())
       .AttemptEnded(placement.m_target, call, SignOf(last), Now() - sent,
                     last.m_running);
+  if (LooksLikeCrash(last, call)) {
+    m_quarantine.NoteCrash(call.fingerprint(), placement.m_target);
+    m_journal.Record(
+        call.id(), LogLine("crashed_under").With("target", placement.m_target));
+  }
+  if (last.m_end == decide::AttemptEnd::kCompleted)
+    m_quarantine.NoteSuccess(call.fingerprint());
   decide::EndedAttempt ended;
   ended.m_end = last.m_end;
   ended.m_answer_begun = last.m_answer_begun;
--- a/src/libverbenalead/daemon/request_runner.h
+++ b/src/libverbenalead/daemon/request_runner.h
@@ -9,6 +9,7 @@
 #include "daemon/claim_keeper.h"
 #include "daemon/journal.h"
 #include "daemon/pool_routers.h"
+#include "daemon/quarantine_keeper.h"
 #include "front/call_runner.h"
 #include "front/problem.h"
 
@@ -32,6 +33,8 @@
                       wire::Request request,
                       wire::ResponseWriter& writer) override;
 
+  /// For the exchange with other entries.
+  QuarantineKeeper& quarantine() { return m_quarantine; }
   /// How many entries there are, us included: they share what the table and
   /// the targets can take.
   void SetEntries(size_t entries) {
@@ -50,6 +53,9 @@
     AttemptReport m_last;
   };
 
+  /// Tells the caller of a request under which targets crash that it is set
+  /// aside.
+  Awaitable<void> SetAside(model::Call call, wire::ResponseWriter& writer);
   /// The writer of the claim; nullopt: the key is not ours, and the caller has
   /// been answered.
   Awaitable<std::optional<uint64_t>> ClaimKey(model::Call call,
@@ -82,6 +88,7 @@
   AttemptRunner m_attempts;
   ClaimKeeper m_claims;
   Journal& m_journal;
+  QuarantineKeeper m_quarantine;
 };
 
 }  // namespace verbenalead::daemon
--- /dev/null
+++ b/src/libverbenalead/decide/quarantine_test.cc
@@ -0,0 +1,88 @@
+#include "decide/quarantine.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace verbenalead::decide {
+namespace {
+
+const TimePoint kStart{};
+
+class QuarantineTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(QuarantineTest);
+  CPPUNIT_TEST(SetAsideAtEveryEntry);
+  CPPUNIT_TEST(OneDyingTargetSetsNothingAside);
+  CPPUNIT_TEST(SuccessClearsTheRequest);
+  CPPUNIT_TEST(EndsWithTime);
+  CPPUNIT_TEST(OrderAndRepetitionDoNotMatter);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // The other callers keep their targets. A request crashes one target through
+  // each of two entries; once they have told each other, both refuse it.
+  void SetAsideAtEveryEntry() {
+    QuarantineState a, b;
+    NoteCrash(a, 7, "t1", kStart);
+    NoteCrash(b, 7, "t2", kStart);
+    CPPUNIT_ASSERT(!IsSetAside(a, 7, kStart));
+    const auto from_a = News(a);
+    Merge(a, News(b), kStart);
+    Merge(b, from_a, kStart);
+    CPPUNIT_ASSERT(IsSetAside(a, 7, kStart));
+    CPPUNIT_ASSERT(IsSetAside(b, 7, kStart));
+    CPPUNIT_ASSERT(!IsSetAside(a, 8, kStart));
+    CPPUNIT_ASSERT(News(a).empty());
+  }
+
+  void OneDyingTargetSetsNothingAside() {
+    QuarantineState state;
+    for (uint64_t key = 0; key < 100; ++key) {
+      NoteCrash(state, key, "t1", kStart);
+      NoteCrash(state, key, "t1", kStart + 1s);
+      CPPUNIT_ASSERT(!IsSetAside(state, key, kStart + 1s));
+    }
+  }
+
+  // A status check that is sent over and over goes on. Two hosts die under it,
+  // minutes apart; in between it was answered.
+  void SuccessClearsTheRequest() {
+    QuarantineState state;
+    NoteCrash(state, 7, "t1", kStart);
+    NoteSuccess(state, 7);
+    NoteCrash(state, 7, "t2", kStart + 1s);
+    CPPUNIT_ASSERT(!IsSetAside(state, 7, kStart + 1s));
+  }
+
+  void EndsWithTime() {
+    QuarantineState state;
+    NoteCrash(state, 7, "t1", kStart);
+    NoteCrash(state, 7, "t2", kStart);
+    CPPUNIT_ASSERT(IsSetAside(state, 7, kStart + kSetAsideFor));
+    CPPUNIT_ASSERT(!IsSetAside(state, 7, kStart + kSetAsideFor + 1s));
+  }
+
+  void OrderAndRepetitionDoNotMatter() {
+    const bool good = rc::check("entries agree", [] {
+      const auto numbers = *rc::gen::container<std::vector<uint8_t>>(
+          30, rc::gen::arbitrary<uint8_t>());
+      std::vector<CrashNote> notes;
+      for (uint8_t number : numbers)
+        notes.push_back({number % 4u, "t" + std::to_string(number / 4 % 3),
+                         kStart + std::chrono::seconds(number)});
+      QuarantineState a, b;
+      Merge(a, notes, kStart);
+      std::reverse(notes.begin(), notes.end());
+      Merge(b, notes, kStart);
+      Merge(b, notes, kStart);
+      RC_ASSERT(a.m_crashes == b.m_crashes);
+    });
+    CPPUNIT_ASSERT(good);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuarantineTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/front/call_parser.cc
+++ b/src/libverbenalead/front/call_parser.cc
@@ -67,6 +67,14 @@
   return static_cast<double>(std::max<uint64_t>(weight, 1));
 }
 
+uint64_t FingerprintOf(const wire::Request& request,
+                       const std::string& organisation) {
+  const std::string key = wire::Get(request.m_headers, kIdempotencyKeyHeader);
+  const std::string& what = key.empty() ? request.m_body : key;
+  return decide::MixHash(
+      organisation + "\n" + request.m_method + request.m_path + "\n" + what, 0);
+}
+
 Result<Duration> ReadTimeout(const wire::Request& request) {
   const std::string text = wire::Get(request.m_headers, kTimeoutHeader);
   if (text.empty())
@@ -151,7 +159,7 @@
   BOOST_LEAF_AUTO(weight, WeightOf(organisation, config));
   BOOST_LEAF_AUTO(timeout, ReadTimeout(request));
   builder.Id(call_id).Organisation(organisation).Deadline(now + timeout);
-  builder.Weight(weight);
+  builder.Weight(weight).Fingerprint(FingerprintOf(request, organisation));
   builder.Urgency(ReadUrgency(request));
   BOOST_LEAF_CHECK(ReadIdempotency(request, builder));
   const std::string path = wire::PathOf(request);
--- a/src/libverbenalead/model/call.h
+++ b/src/libverbenalead/model/call.h
@@ -33,6 +33,9 @@
   /// False: at-most-once; it must carry an idempotency key.
   bool idempotent() const { return m_idempotent; }
   const std::string& idempotency_key() const { return m_idempotency_key; }
+  /// Hash of the organisation and the idempotency key or body: the same for a
+  /// request that its caller sends again. 0: none.
+  uint64_t fingerprint() const { return m_fingerprint; }
   /// Hash of the start of the prompt, for reuse of a cached prefix; 0: none.
   uint64_t prefix() const { return m_prefix; }
   /// Expected work in tokens, for telling long from short.
@@ -51,6 +54,7 @@
   TimePoint m_deadline{};
   bool m_idempotent = true;
   std::string m_idempotency_key;
+  uint64_t m_fingerprint = 0;
   uint64_t m_prefix = 0;
   uint32_t m_expected_tokens = 0;
 };
--- a/src/libverbenalead/model/call_builder.h
+++ b/src/libverbenalead/model/call_builder.h
@@ -40,6 +40,10 @@
     m_call.m_idempotency_key = std::move(key);
     return *this;
   }
+  CallBuilder& Fingerprint(uint64_t fingerprint) {
+    m_call.m_fingerprint = fingerprint;
+    return *this;
+  }
   CallBuilder& Prefix(uint64_t prefix) {
     m_call.m_prefix = prefix;
     return *this;
