--- a/src/libverbenalead/model/call.h
+++ b/src/libverbenalead/model/call.h
@@ -22,6 +22,8 @@
   /// Unique; the caller's own id if it sent one.
   const std::string& id() const { return m_id; }
   const std::string& organisation() const { return m_organisation; }
+  /// The organisation's weight in admission, by its `limits` resource.
+  double weight() const { return m_weight; }
   /// The pool of targets that answers it.
   const std::string& pool() const { return m_pool; }
   /// kMostUrgent to kLeastUrgent.
@@ -31,6 +33,9 @@
   /// False: at-most-once; it must carry an idempotency key.
   bool idempotent() const { return m_idempotent; }
   const std::string& idempotency_key() const { return m_idempotency_key; }
+  /// Hash of the organisation and the idempotency key or body: the same for a
+  /// request that its caller sends again. 0: none.
+  uint64_t fingerprint() const { return m_fingerprint; }
   /// Hash of the start of the prompt, for reuse of a cached prefix; 0: none.
   uint64_t prefix() const { return m_prefix; }
   /// Expected work in tokens, for telling long from short.
@@ -43,11 +48,13 @@
 
   std::string m_id;
   std::string m_organisation;
+  double m_weight = 1;
   std::string m_pool;
   int m_urgency = kDefaultUrgency;
   TimePoint m_deadline{};
   bool m_idempotent = true;
   std::string m_idempotency_key;
+  uint64_t m_fingerprint = 0;
   uint64_t m_prefix = 0;
   uint32_t m_expected_tokens = 0;
 };
--- a/src/libverbenalead/model/call_builder.h
+++ b/src/libverbenalead/model/call_builder.h
@@ -18,6 +18,10 @@
     m_call.m_organisation = std::move(organisation);
     return *this;
   }
+  CallBuilder& Weight(double weight) {
+    m_call.m_weight = weight;
+    return *this;
+  }
   CallBuilder& Pool(std::string pool) {
     m_call.m_pool = std::move(pool);
     return *this;
@@ -36,6 +40,10 @@
     m_call.m_idempotency_key = std::move(key);
     return *this;
   }
+  CallBuilder& Fingerprint(uint64_t fingerprint) {
+    m_call.m_fingerprint = fingerprint;
+    return *this;
+  }
   CallBuilder& Prefix(uint64_t prefix) {
     m_call.m_prefix = prefix;
     return *this;
