--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -20,10 +20,18 @@
 
 
 def free_ports(count):
-    """Ports that nobody listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
+    """Ports that nobody listens on now, from below the range that the kernel
+    gives to outgoing connections: one from there may be taken by any
+    connection before the program that was told it listens."""
+    sockets = []
+    source = random.SystemRandom()
+    while len(sockets) < count:
+        each = socket.socket()
+        try:
+            each.bind(("127.0.0.1", source.randrange(10000, 32000)))
+            sockets.append(each)
+        except OSError:
+            each.close()
     ports = [each.getsockname()[1] for each in sockets]
     for each in sockets:
         each.close()
--- /dev/null
+++ b/testsuite/load/tally.h
@@ -0,0 +1,32 @@
+#ifndef VERBENALEAD_LOAD_TALLY_H_
+#define VERBENALEAD_LOAD_TALLY_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace verbenalead::load {
+
+/// What came of the requests of one run.
+class Tally {
+ public:
+  /// One answer: its outcome, the time to its first byte and to its end.
+  void Add(const std::string& outcome, Duration first, Duration whole);
+  void NotSent() { ++m_not_sent; }
+
+  /// One line of key=value pairs, times in milliseconds.
+  std::string Line(Duration elapsed) const;
+
+ private:
+  std::map<std::string, uint64_t> m_outcomes;
+  std::vector<double> m_first;
+  std::vector<double> m_whole;
+  uint64_t m_not_sent = 0;
+};
+
+}  // namespace verbenalead::load
+
+#endif  // VERBENALEAD_LOAD_TALLY_H_
