Watch a bounded subset of targets, and send only news of them

Each entry asked each target each 250 ms: at 630 entries and 1,700 targets that is 6,800 questions a second for every entry. decide/members chooses by rendezvous hash at most 48 targets a pool-share at a time, of the own region first, plus those that rank the entry among their three reporters; silent ones are replaced after 3 s. Targets hold their answer back for up to 1.5 s while nothing changes and then answer 204. The list's word that a target leaves counts at once, also while that target's answer is held back.

Ruled out: a watch from each target to its three reporters alone, which leaves an entry with no target of some pool.

--- a/src/libverbenalead/daemon/entry_daemon.cc
+++ b/src/libverbenalead/daemon/entry_daemon.cc
@@ -93,6 +93,8 @@
                     m_peers,
                     m_hosts,
                     m_follower,
+                    settings.Text("host"),
+                    settings.Text("region"),
                     settings.Milliseconds("targets.poll")),
         m_runner(m_routers, m_peers, m_table, m_journal),
         m_counting(m_runner, m_metrics),
--- a/src/libverbenalead/daemon/host_directory.cc
+++ b/src/libverbenalead/daemon/host_directory.cc
@@ -14,6 +14,11 @@
   m_hosts = std::move(*hosts);
 }
 
+std::vector<model::Host> HostDirectory::All() const {
+  std::lock_guard lock(m_mutex);
+  return m_hosts;
+}
+
 std::vector<model::Host> HostDirectory::Hosts(model::HostRole role) const {
   std::lock_guard lock(m_mutex);
   std::vector<model::Host> hosts;
--- a/src/libverbenalead/daemon/host_directory.h
+++ b/src/libverbenalead/daemon/host_directory.h
@@ -20,6 +20,7 @@
 
   Awaitable<void> Refresh();
 
+  std::vector<model::Host> All() const;
   std::vector<model::Host> Hosts(model::HostRole role) const;
   std::optional<model::Host> Find(const std::string& name) const;
 
--- a/src/libverbenalead/daemon/target_directory.cc
+++ b/src/libverbenalead/daemon/target_directory.cc
@@ -7,22 +7,31 @@
 #include "base/catch_failure.h"
 #include "base/log.h"
 #include "base/sleep.h"
+#include "peer/header_names.h"
 
 namespace verbenalead::daemon {
 namespace {
 
 constexpr Duration kAskTimeout = 1s;
+/// How long a target holds its answer back while nothing changes. Below the age
+/// at which its last report no longer counts as a sign of life.
+constexpr Duration kHold = 1500ms;
 constexpr int kPollsPerHostList = 4;
+constexpr int kUnchanged = 204;
 
 }  // namespace
 
 Awaitable<void> TargetDirectory::Run() {
   const auto executor = co_await boost::asio::this_coro::executor;
   for (int round = 0;; ++round) {
-    if (round % kPollsPerHostList == 0)
+    if (round % kPollsPerHostList == 0) {
       co_await m_hosts.Refresh();
-    for (const model::Host& host : m_hosts.Hosts(model::HostRole::kTarget)) {
-      bool& asking = m_asking[host.name()];
+      decide::SetHosts(m_members, m_hosts.All());
+    }
+    for (const model::Host& host : decide::Watched(m_members, Now())) {
+      if (host.leaving())
+        MarkLeaving(host);
+      bool& asking = m_known[host.name()].m_asking;
       if (asking)
         continue;
       asking = true;
@@ -34,31 +43,54 @@
   }
 }
 
+/// The list may say that a target leaves before the target does, and its
+/// answer may be held back: nothing new must go there meanwhile.
+void TargetDirectory::MarkLeaving(const model::Host& host) {
+  Known& known = m_known[host.name()];
+  if (known.m_report.m_name.empty() || known.m_report.m_leaving)
+    return;
+  known.m_report.m_leaving = true;
+  m_routers.Get(known.m_report.m_pool).Report(known.m_report);
+}
+
 Awaitable<void> TargetDirectory::AskTarget(model::Host host) {
   wire::Request request;
-  request.m_path = "/v1/status";
+  request.m_path =
+      "/v1/status?hold_ms=" + std::to_string(ToMilliseconds(kHold)) +
+      "&seen=" + m_known[host.name()].m_seen;
   auto response = co_await wire::Fetch(m_peers, host.peer(), std::move(request),
-                                       Now() + kAskTimeout);
-  m_asking[host.name()] = false;
-  if (!response) {
-    LogLine("target_silent")
-        .With("target", host.name())
-        .With(response.error())
-        .Debug();
+                                       Now() + kHold + kAskTimeout);
+  m_known[host.name()].m_asking = false;
+  if (response) {
+    TakeReport(host, *response);
     co_return;
   }
-  auto report =
-      CatchFailure([&] { return model::ParseTargetReport(response->m_body); });
-  if (!report) {
-    LogLine("target_report_bad")
-        .With("target", host.name())
-        .With(report.error())
-        .Warn();
-    co_return;
+  LogLine("target_silent")
+      .With("target", host.name())
+      .With(response.error())
+      .Debug();
+}
+
+void TargetDirectory::TakeReport(const model::Host& host,
+                                 const wire::Response& response) {
+  Known& known = m_known[host.name()];
+  if (response.m_status != kUnchanged) {
+    auto report =
+        CatchFailure([&] { return model::ParseTargetReport(response.m_body); });
+    if (!report) {
+      LogLine("target_report_bad")
+          .With("target", host.name())
+          .With(report.error())
+          .Warn();
+      return;
+    }
+    known.m_report = std::move(*report);
+    known.m_seen = wire::Get(response.m_headers, peer::kReportMark);
   }
-  report->m_leaving |= host.leaving();
-  m_config.HeardFrom(report->m_revision);
-  m_routers.Get(report->m_pool).Report(*report);
+  known.m_report.m_leaving |= host.leaving();
+  decide::Heard(m_members, host.name(), Now());
+  m_config.HeardFrom(known.m_report.m_revision);
+  m_routers.Get(known.m_report.m_pool).Report(known.m_report);
 }
 
 }  // namespace verbenalead::daemon
--- a/src/libverbenalead/daemon/target_peer_api.cc
+++ b/src/libverbenalead/daemon/target_peer_api.cc
@@ -1,8 +1,12 @@
 #include "daemon/target_peer_api.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 #include "base/catch_failure.h"
+#include "base/sleep.h"
+#include "decide/rendezvous.h"
+#include "peer/header_names.h"
 
 namespace verbenalead::daemon {
 namespace {
@@ -14,6 +18,9 @@
 constexpr std::string_view kManifest = "/v1/manifest/";
 constexpr std::string_view kTrace = "/v1/trace/";
 constexpr std::string_view kWeights = "/weights/";
+/// Longest time that a report is held back, and how often it is compared.
+constexpr unsigned long long kLongestHoldMs = 10000;
+constexpr Duration kReportPoll = 100ms;
 constexpr size_t kHexDigits = 2 * Digest::kBytes;
 
 /// The digest that stands in `path` after `prefix`; empty if malformed.
@@ -52,10 +59,34 @@
   return {200, {}, std::move(text)};
 }
 
+/// Answers once the report differs from the one that the asker has seen, or
+/// with 204 when the asker's patience is at its end. An idle target then costs
+/// its watchers two short messages each second and a half.
+Awaitable<wire::Response> ServeStatus(Context context, wire::Request request) {
+  const std::string seen = wire::QueryValue(request, "seen");
+  const auto hold = std::chrono::milliseconds(
+      std::min(kLongestHoldMs,
+               std::strtoull(wire::QueryValue(request, "hold_ms").c_str(),
+                             nullptr, 10)));
+  const TimePoint give_up = Now() + hold;
+  while (true) {
+    wire::Response response =
+        wire::JsonResponse(200, ToJson(context->m_report()));
+    const std::string mark =
+        std::to_string(decide::MixHash(response.m_body, 0));
+    response.m_headers[peer::kReportMark] = mark;
+    if (mark != seen)
+      co_return response;
+    if (Now() >= give_up)
+      co_return wire::Response{204, {}, ""};
+    co_await Sleep(kReportPoll);
+  }
+}
+
 Awaitable<wire::Response> Respond(Context context, wire::Request request) {
   const std::string path = wire::PathOf(request);
   if (path == "/v1/status")
-    co_return wire::JsonResponse(200, ToJson(context->m_report()));
+    co_return co_await ServeStatus(context, std::move(request));
   if (path == "/v1/void")
     co_return context->m_attempts->MakeVoid(request);
   if (path == "/v1/drain") {
--- /dev/null
+++ b/src/libverbenalead/decide/members_test.cc
@@ -0,0 +1,100 @@
+#include "decide/members.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "model/host_builder.h"
+
+namespace verbenalead::decide {
+namespace {
+
+constexpr size_t kPools = 10;
+
+std::vector<model::Host> Fleet(size_t entries, size_t targets) {
+  std::vector<model::Host> hosts;
+  for (size_t i = 0; i < entries + targets; ++i) {
+    const bool entry = i < entries;
+    model::HostBuilder builder;
+    builder.Name((entry ? "entry-" : "target-") + std::to_string(i))
+        .Region(i % 2 == 0 ? "east" : "west")
+        .Role(entry ? model::HostRole::kEntry : model::HostRole::kTarget);
+    if (!entry)
+      builder.Pool("pool-" + std::to_string(i / 2 % kPools));
+    hosts.push_back(builder.Build());
+  }
+  return hosts;
+}
+
+MembersState StateOf(const model::Host& entry,
+                     const std::vector<model::Host>& hosts) {
+  MembersState state;
+  state.m_self = entry.name();
+  state.m_region = entry.region();
+  SetHosts(state, hosts);
+  return state;
+}
+
+class MembersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MembersTest);
+  CPPUNIT_TEST(SmallFleetIsKnownWhole);
+  CPPUNIT_TEST(EachIsKnownAlsoAfterLosses);
+  CPPUNIT_TEST(SilentOnesAreReplaced);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void SmallFleetIsKnownWhole() {
+    const auto hosts = Fleet(8, 24);
+    MembersState state = StateOf(hosts[0], hosts);
+    CPPUNIT_ASSERT_EQUAL(size_t{24}, Watched(state, TimePoint()).size());
+  }
+
+  // Callers see "no target" or an idle target if nobody watches it. Every tenth
+  // entry is lost at once; each target must still be watched by another, and
+  // each entry watch enough of each pool in its region, within its budget.
+  void EachIsKnownAlsoAfterLosses() {
+    const auto hosts = Fleet(630, 1700);
+    std::map<std::string, size_t> watchers;
+    for (size_t i = 0; i < 630; ++i) {
+      MembersState state = StateOf(hosts[i], hosts);
+      const auto watched = Watched(state, TimePoint());
+      CPPUNIT_ASSERT(watched.size() <= kWatchedPerEntry + 32);
+      std::map<std::string, size_t> near;
+      for (const model::Host& target : watched) {
+        watchers[target.name()] += i % 10 != 0;
+        near[target.pool()] += target.region() == hosts[i].region();
+      }
+      CPPUNIT_ASSERT_EQUAL(kPools, near.size());
+      for (const auto& [pool, count] : near)
+        CPPUNIT_ASSERT(count >= kLeastPerPool);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{1700}, watchers.size());
+    for (const auto& [name, count] : watchers)
+      CPPUNIT_ASSERT(count >= 1);
+  }
+
+  // Half of an entry's targets die in silence, as with a lost switch; the
+  // list goes on naming them. After kSilentAfter as many others are watched.
+  void SilentOnesAreReplaced() {
+    const auto hosts = Fleet(630, 1700);
+    MembersState state = StateOf(hosts[0], hosts);
+    const TimePoint start{};
+    const auto before = Watched(state, start);
+    const TimePoint later = start + kSilentAfter + 1s;
+    std::set<std::string> dead;
+    for (size_t i = 0; i < before.size(); ++i) {
+      if (i % 2 == 0)
+        dead.insert(before[i].name());
+      else
+        Heard(state, before[i].name(), later);
+    }
+    std::map<std::string, size_t> alive;
+    for (const model::Host& target : Watched(state, later))
+      alive[target.pool()] += !dead.contains(target.name());
+    for (const auto& [pool, count] : alive)
+      CPPUNIT_ASSERT(count >= kLeastPerPool);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembersTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/peer/header_names.h
+++ b/src/libverbenalead/peer/header_names.h
@@ -15,6 +15,8 @@
 constexpr char kDeadline[] = "x-deadline-ms";
 /// The sender's configuration revision: whoever is behind learns it here.
 constexpr char kRevision[] = "x-config-revision";
+/// Names the content of a target's report, so that only news is sent again.
+constexpr char kReportMark[] = "x-report-mark";
 
 // Header and trailer fields of the answer.
 constexpr char kOutcome[] = "x-outcome";
--- a/testsuite/bench/config.py
+++ b/testsuite/bench/config.py
@@ -53,7 +53,9 @@
     reads = fleet.table_reads(cluster)
     names = [host["name"] for host in cluster.entries + cluster.targets]
     before = {name: fleet.Usage(cluster.processes[name]) for name in names}
+    sent = fleet.wire_bytes(cluster)
     time.sleep(IDLE_SECONDS)
+    rates = fleet.wire_rates(sent, fleet.wire_bytes(cluster), IDLE_SECONDS)
     after = {name: fleet.Usage(cluster.processes[name]) for name in names}
     for role in ("entry", "target"):
         chosen = [name for name in names if name.startswith(role)]
@@ -61,6 +63,7 @@
              cpu_percent_max=round(max(
                  100 * (after[name].cpu - before[name].cpu) / IDLE_SECONDS
                  for name in chosen), 2),
+             bytes_per_second_max=round(max(rates[name] for name in chosen)),
              rss_mb_max=round(max(after[name].resident
                                   for name in chosen) / 1e6, 1))
     line("table", reads_per_second=round(
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import json
 import os
+import subprocess
 import time
 
 import harness
@@ -107,6 +108,36 @@
         self.resident = int(fields[21]) * os.sysconf("SC_PAGE_SIZE")
 
 
+def wire_bytes(cluster):
+    """Bytes sent and received by connection of each process, by `ss`."""
+    text = subprocess.run(["ss", "-tinpH"], capture_output=True,
+                          text=True).stdout
+    names = {process.child.pid: name
+             for name, process in cluster.processes.items()}
+    bytes_by_connection = {}
+    owner = None
+    for row in text.splitlines():
+        if "pid=" in row:
+            fields = row.split()
+            pid = int(row.split("pid=")[1].split(",")[0])
+            owner = (names.get(pid), fields[3], fields[4])
+        elif owner and owner[0]:
+            bytes_by_connection[owner] = sum(
+                int(field.split(":")[1]) for field in row.split()
+                if field.startswith(("bytes_sent:", "bytes_received:")))
+    return bytes_by_connection
+
+
+def wire_rates(before, after, seconds):
+    """Bytes a second by process."""
+    rates = {}
+    for connection, amount in after.items():
+        name = connection[0]
+        rates[name] = rates.get(name, 0) + (
+            amount - before.get(connection, 0)) / seconds
+    return rates
+
+
 def table_reads(cluster):
     return json.loads(harness.call(cluster.table, "GET", "/stats").body)[
         "reads"]
--- a/testsuite/standins/host_list/main.cc
+++ b/testsuite/standins/host_list/main.cc
@@ -18,7 +18,13 @@
   std::lock_guard lock(list.m_mutex);
   if (request.m_method == "PUT")
     list.m_json = request.m_body;
-  return wire::JsonResponse(200, list.m_json);
+  const std::string etag =
+      '"' + std::to_string(std::hash<std::string>()(list.m_json)) + '"';
+  if (wire::Get(request.m_headers, "if-none-match") == etag)
+    return {304, {{"etag", etag}}, ""};
+  wire::Response response = wire::JsonResponse(200, list.m_json);
+  response.m_headers["etag"] = etag;
+  return response;
 }
 
 Awaitable<void> Answer(std::shared_ptr<HostList> list,
