--- a/src/libverbenalead/daemon/target_directory.cc
+++ b/src/libverbenalead/daemon/target_directory.cc
@@ -26,7 +26,10 @@
   for (int round = 0;; ++round) {
     if (round % kPollsPerHostList == 0) {
       co_await m_hosts.Refresh();
-      decide::SetHosts(m_members, m_hosts.All());
+      std::vector<model::Host> hosts = m_hosts.All();
+      if (hosts != m_listed)
+        decide::SetHosts(m_members, hosts);
+      m_listed = std::move(hosts);
     }
     for (const model::Host& host : decide::Watched(m_members, Now())) {
       if (host.leaving())
--- a/src/libverbenalead/daemon/target_directory.h
+++ b/src/libverbenalead/daemon/target_directory.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "daemon/config_follower.h"
 #include "daemon/host_directory.h"
@@ -57,6 +58,7 @@
   const Duration m_poll;
   // Of the thread that runs Run().
   decide::MembersState m_members;
+  std::vector<model::Host> m_listed;
   std::map<std::string, Known> m_known;
 };
 
--- a/src/libverbenalead/decide/members.h
+++ b/src/libverbenalead/decide/members.h
@@ -25,13 +25,21 @@
 /// next one by rank is watched besides.
 constexpr Duration kSilentAfter = 3s;
 
+/// A target in the order in which this entry prefers the targets of its pool.
+struct RankedTarget {
+  model::Host m_host;
+  /// Whether this entry is among the target's reporters.
+  bool m_reports_here = false;
+};
+
 /// What an entry knows of who is there. Hosts come from the platform's list,
 /// which lags and is only a hint; who is alive is learned from the hosts.
 struct MembersState {
   std::string m_self;
   std::string m_region;
-  std::vector<model::Host> m_targets;
-  std::vector<std::string> m_entries;
+  /// By pool, best first. Ranked when the list changes, not at each look: at
+  /// 630 entries and 1,700 targets that takes two milliseconds.
+  std::map<std::string, std::vector<RankedTarget>> m_pools;
   /// When a target last answered, or was first watched.
   std::map<std::string, TimePoint> m_heard;
 };
