Keep traces beyond the life of their entry; tell the summary first

Where no process knows a request's outcome, the newest 32 segments of each entry from the last ten minutes are searched. vlctl trace starts with whether the request ran, where, which version, the attempts and the reason, and does not guess where no line tells the outcome.

case trace_after_death without the lines going to a segment:

assert b"event=outcome outcome=completed" in trace.body, trace.body AssertionError: ... event=host_silent host=entry-0 ...

and with it: traced after the entry's death in 5 ms. Older segments are kept by the store but not searched: an index by request needs more writes than the store takes at 19,000 requests a second (630 entries times 16 buckets each second).

--- a/src/libverbenalead/daemon/entry_daemon.cc
+++ b/src/libverbenalead/daemon/entry_daemon.cc
@@ -27,6 +27,7 @@
 #include "peer/server.h"
 #include "platform/dynamo_table.h"
 #include "platform/host_list.h"
+#include "platform/object_store.h"
 
 namespace verbenalead::daemon {
 namespace {
@@ -79,6 +80,10 @@
                 settings.Address("platform.table"),
                 settings.Text("platform.table_name"),
                 settings.Milliseconds("platform.table_timeout")),
+        m_objects(m_http,
+                  settings.Address("platform.object_store"),
+                  settings.Text("platform.bucket"),
+                  1s),
         m_host_list(m_http, settings.Address("platform.host_list"), 1s),
         m_hosts(m_host_list),
         m_config(&m_table),
@@ -182,7 +187,7 @@
         if (host.name() != m_settings.Text("host"))
           hosts.push_back(host);
       }
-      return GatherTrace(std::move(request), m_journal, m_peers,
+      return GatherTrace(std::move(request), m_journal, m_peers, Segments(),
                          std::move(hosts));
     };
     context.m_drain = [this](std::string target) {
@@ -192,6 +197,12 @@
     return front::MakeOperatorsApi(std::move(context));
   }
 
+  /// Null where the settings name no object store.
+  platform::ObjectStore* Segments() {
+    const bool named = !m_settings.Text("platform.object_store").empty();
+    return named ? &m_objects : nullptr;
+  }
+
   Awaitable<AsyncResult<bool>> DrainTarget(std::string target) {
     const auto host = m_hosts.Find(target);
     if (!host) {
@@ -241,6 +252,7 @@
   Metrics m_metrics;
   Journal m_journal;
   platform::DynamoTable m_table;
+  platform::ObjectStore m_objects;
   platform::HostList m_host_list;
   HostDirectory m_hosts;
   ConfigKeeper m_config;
@@ -269,6 +281,12 @@
   const auto executor = parts.m_threads.main();
   asio::co_spawn(executor, parts.m_follower.Run(), asio::detached);
   asio::co_spawn(executor, parts.m_directory.Run(), asio::detached);
+  if (platform::ObjectStore* segments = parts.Segments()) {
+    asio::co_spawn(
+        executor,
+        FlushJournal(parts.m_journal, *segments, parts.m_settings.Text("host")),
+        asio::detached);
+  }
   asio::co_spawn(executor, parts.StopWhenAsked(), asio::detached);
   LogLine("started").With("host", parts.m_settings.Text("host")).Info();
   parts.m_threads.Run();
--- a/src/libverbenalead/daemon/journal.cc
+++ b/src/libverbenalead/daemon/journal.cc
@@ -9,6 +9,10 @@
 /// Lines kept for one request; a call has three attempts of a few lines each.
 constexpr size_t kMaxLines = 64;
 
+/// Bytes that wait for the object store. While it is down or slow, lines are
+/// dropped before memory that requests need: about 4,000 lines.
+constexpr size_t kMaxSegment = size_t{1} << 20;
+
 int64_t UnixMicroseconds() {
   return std::chrono::duration_cast<std::chrono::microseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -30,6 +34,7 @@
   Shard& shard = const_cast<Shard&>(ShardOf(request));
   std::string text = "unix_us=" + std::to_string(UnixMicroseconds()) +
                      " host=" + m_host + " " + line.text();
+  Buffer(text);
   std::lock_guard lock(shard.m_mutex);
   auto [found, added] = shard.m_lines.try_emplace(request);
   if (added)
@@ -42,6 +47,31 @@
   }
 }
 
+void Journal::Buffer(const std::string& line) {
+  std::lock_guard lock(m_segment_mutex);
+  if (m_segment.size() + line.size() > kMaxSegment) {
+    ++m_dropped;
+    return;
+  }
+  m_segment += line;
+  m_segment += '\n';
+}
+
+std::string Journal::TakeSegment() {
+  std::lock_guard lock(m_segment_mutex);
+  std::string segment = std::move(m_segment);
+  m_segment.clear();
+  if (m_dropped > 0) {
+    segment = LogLine("journal_dropped")
+                  .With("host", m_host)
+                  .With("lines", m_dropped)
+                  .text() +
+              "\n" + segment;
+  }
+  m_dropped = 0;
+  return segment;
+}
+
 std::vector<std::string> Journal::Find(const std::string& request) const {
   const Shard& shard = ShardOf(request);
   std::lock_guard lock(shard.m_mutex);
--- a/src/libverbenalead/daemon/journal.h
+++ b/src/libverbenalead/daemon/journal.h
@@ -2,6 +2,7 @@
 #define VERBENALEAD_DAEMON_JOURNAL_H_
 
 #include <array>
+#include <cstdint>
 #include <deque>
 #include <mutex>
 #include <string>
@@ -22,6 +23,10 @@
 
   /// Writes `line` to the log and remembers it under `request`.
   void Record(const std::string& request, LogLine line);
+  /// The lines written since the last call, for a segment in the object store.
+  /// Empty if there are none. Starts with the number of lines that were dropped
+  /// because the store had not taken them in time.
+  std::string TakeSegment();
   /// The lines of `request`, oldest first: "unix_us=... host=... event=...".
   std::vector<std::string> Find(const std::string& request) const;
 
@@ -36,8 +41,13 @@
 
   const Shard& ShardOf(const std::string& request) const;
 
+  void Buffer(const std::string& line);
+
   const std::string m_host;
   const size_t m_max_per_shard;
+  std::mutex m_segment_mutex;
+  std::string m_segment;
+  uint64_t m_dropped = 0;
   std::array<Shard, kShards> m_shards;
 };
 
--- a/src/libverbenalead/daemon/journal_test.cc
+++ b/src/libverbenalead/daemon/journal_test.cc
@@ -10,6 +10,7 @@
   CPPUNIT_TEST_SUITE(JournalTest);
   CPPUNIT_TEST(ForgetsTheOldestFirst);
   CPPUNIT_TEST(ThreadsWriteAtOnce);
+  CPPUNIT_TEST(SegmentIsBoundedAndSaysSo);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -34,6 +35,20 @@
       thread.join();
     CPPUNIT_ASSERT_EQUAL(size_t{4}, journal.Find("r7").size());
   }
+
+  // The object store takes nothing for a long while. Memory must not grow, and
+  // whoever reads the next segment must see that lines are missing.
+  void SegmentIsBoundedAndSaysSo() {
+    Journal journal("h", 16);
+    const std::string filler(1000, 'x');
+    for (int i = 0; i < 3000; ++i)
+      journal.Record("r" + std::to_string(i),
+                     LogLine("x").With("text", filler));
+    const std::string segment = journal.TakeSegment();
+    CPPUNIT_ASSERT(segment.size() < (size_t{1} << 20) + 1000);
+    CPPUNIT_ASSERT(segment.starts_with("event=journal_dropped host=h lines="));
+    CPPUNIT_ASSERT(journal.TakeSegment().empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JournalTest);
--- a/src/libverbenalead/front/operators_api.cc
+++ b/src/libverbenalead/front/operators_api.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "base/catch_failure.h"
+#include "front/trace_summary.h"
 #include "model/json_fields.h"
 
 namespace verbenalead::front {
@@ -170,6 +171,7 @@
     out.emplace_back(line);
   co_return wire::JsonResponse(
       200, json::serialize(json::object{{"request", request_id},
+                                        {"summary", SummarizeTrace(lines)},
                                         {"lines", std::move(out)}}) +
                "\n");
 }
--- a/src/libverbenalead/platform/object_store.cc
+++ b/src/libverbenalead/platform/object_store.cc
@@ -65,11 +65,14 @@
 }
 
 Awaitable<AsyncResult<std::vector<std::string>>> ObjectStore::List(
-    std::string prefix) {
+    std::string prefix,
+    std::string start_after) {
   boost::urls::url url;
   url.set_path("/" + m_bucket);
   url.params().append({"list-type", "2"});
   url.params().append({"prefix", prefix});
+  if (!start_after.empty())
+    url.params().append({"start-after", start_after});
   wire::Request request;
   request.m_path = std::string(url.buffer());
   auto body =
--- a/src/libverbenalead/platform/object_store.h
+++ b/src/libverbenalead/platform/object_store.h
@@ -23,8 +23,11 @@
 
   Awaitable<AsyncResult<bool>> Put(std::string key, std::string bytes);
   Awaitable<AsyncResult<std::string>> Get(std::string key);
-  /// Keys that start with `prefix`, in order, at most 1,000.
-  Awaitable<AsyncResult<std::vector<std::string>>> List(std::string prefix);
+  /// Keys that start with `prefix` and sort after `start_after`, in order, at
+  /// most 1,000.
+  Awaitable<AsyncResult<std::vector<std::string>>> List(
+      std::string prefix,
+      std::string start_after = "");
 
  private:
   wire::Client& m_client;
--- a/src/vlctl/commands.cc
+++ b/src/vlctl/commands.cc
@@ -272,6 +272,7 @@
     std::cout << json::serialize(answer) << "\n";
     return kOk;
   }
+  std::cout << Show(answer.at("summary")) << "\n";
   for (const json::value& line : answer.at("lines").as_array())
     std::cout << Show(line) << "\n";
   return kOk;
--- a/testsuite/standins/object_store/main.cc
+++ b/testsuite/standins/object_store/main.cc
@@ -16,11 +16,18 @@
 
 wire::Response List(const Store& store,
                     const std::string& bucket,
-                    const std::string& prefix) {
+                    const std::string& prefix,
+                    const std::string& start_after) {
+  constexpr size_t kMaxKeys = 1000;
+  size_t count = 0;
   std::string xml = "<?xml version=\"1.0\"?><ListBucketResult>";
   const std::string start = bucket + "/" + prefix;
-  for (auto at = store.m_objects.lower_bound(start);
-       at != store.m_objects.end() && at->first.starts_with(start); ++at) {
+  for (auto at = start_after.empty()
+                     ? store.m_objects.lower_bound(start)
+                     : store.m_objects.upper_bound(bucket + "/" + start_after);
+       at != store.m_objects.end() && at->first.starts_with(start) &&
+       count++ < kMaxKeys;
+       ++at) {
     xml += "<Contents><Key>" + at->first.substr(bucket.size() + 1) +
            "</Key></Contents>";
   }
@@ -36,7 +43,8 @@
     return {200, {}, ""};
   }
   if (!wire::QueryValue(request, "list-type").empty())
-    return List(store, path, wire::QueryValue(request, "prefix"));
+    return List(store, path, wire::QueryValue(request, "prefix"),
+                wire::QueryValue(request, "start-after"));
   auto found = store.m_objects.find(path);
   if (found == store.m_objects.end())
     return {404, {}, "NoSuchKey"};
