--- a/src/libverbenalead/daemon/config_follower.cc
+++ b/src/libverbenalead/daemon/config_follower.cc
@@ -192,6 +192,8 @@
     if (!reader && !orphan)
       continue;
     auto read = co_await m_config.CatchUp();
+    if (read && reader)
+      read = co_await m_config.WriteSnapshot();
     if (read) {
       HeardFrom(0);
       continue;
--- a/src/libverbenalead/daemon/config_keeper.cc
+++ b/src/libverbenalead/daemon/config_keeper.cc
@@ -22,6 +22,7 @@
 
 constexpr char kHeadPartition[] = "config";
 constexpr char kHeadSort[] = "head";
+constexpr char kSnapshotSort[] = "snapshot";
 constexpr char kChangePartition[] = "change";
 constexpr char kOperationPartition[] = "operation";
 /// Changes kept for peers that are behind; further back they get the state.
@@ -207,7 +208,53 @@
   return changes;
 }
 
+Awaitable<AsyncResult<bool>> ConfigKeeper::ReadSnapshot() {
+  auto item = co_await m_table->Get(kHeadPartition, kSnapshotSort);
+  if (!item)
+    co_return item.error();
+  if (!item->has_value())
+    co_return false;
+  auto state =
+      CatchFailure([&] { return decide::ParseConfigState((*item)->m_value); });
+  // All changes are still in the table: an unreadable snapshot is no loss.
+  if (!state) {
+    LogLine("config_snapshot_bad").With(state.error()).Warn();
+    co_return false;
+  }
+  {
+    std::lock_guard lock(m_mutex);
+    m_snapshot = std::max(m_snapshot, state->m_revision);
+  }
+  OfferState(std::move(*state));
+  co_return true;
+}
+
+Awaitable<AsyncResult<bool>> ConfigKeeper::WriteSnapshot() {
+  const State state = current();
+  {
+    std::lock_guard lock(m_mutex);
+    if (state->m_revision < m_snapshot + kSnapshotEvery)
+      co_return false;
+  }
+  const TableItem item{kHeadPartition, kSnapshotSort, state->m_revision,
+                       decide::ToJson(*state)};
+  const std::vector<TableWrite> writes{TableWrite{item}};
+  auto done = co_await m_table->Transact(writes);
+  if (!done)
+    co_return done.error();
+  std::lock_guard lock(m_mutex);
+  m_snapshot = std::max(m_snapshot, state->m_revision);
+  co_return true;
+}
+
 Awaitable<AsyncResult<bool>> ConfigKeeper::CatchUp() {
+  // A year of changes is 400,000 items; a process that starts reads the state
+  // and the few changes after it.
+  if (current()->m_revision == 0) {
+    auto read = co_await ReadSnapshot();
+    if (!read)
+      co_return read.error();
+  }
   while (true) {
     const uint64_t revision = current()->m_revision;
     auto items =
--- a/src/libverbenalead/daemon/config_keeper.h
+++ b/src/libverbenalead/daemon/config_keeper.h
@@ -49,6 +49,13 @@
 
   /// Reads what is new from the table.
   Awaitable<AsyncResult<bool>> CatchUp();
+  /// Writes the state in force to the table once it is `kSnapshotEvery` or more
+  /// revisions past the last one this process knows of. Unconditional: an older
+  /// snapshot than the one it replaces costs a starting process some more
+  /// reading, and nothing else.
+  Awaitable<AsyncResult<bool>> WriteSnapshot();
+  static constexpr uint64_t kSnapshotEvery = 500;
+
   /// Commits `write`.
   /// kConflict: somebody else's write came first (the reason names it).
   /// kInvalid: a reference is wrong, or the operation id named another write.
@@ -59,6 +66,8 @@
  private:
   struct Waiter;
 
+  Awaitable<AsyncResult<bool>> ReadSnapshot();
+
   Awaitable<AsyncResult<std::optional<model::Change>>> FindOperation(
       std::string operation);
   AsyncResult<bool> CheckExpected(const decide::ConfigState& state,
@@ -73,6 +82,7 @@
   mutable std::mutex m_mutex;
   State m_state;
   uint64_t m_heard = 0;
+  uint64_t m_snapshot = 0;
   std::deque<model::Change> m_recent;
   std::vector<std::shared_ptr<Waiter>> m_waiters;
 };
--- a/src/libverbenalead/daemon/config_keeper_test.cc
+++ b/src/libverbenalead/daemon/config_keeper_test.cc
@@ -163,6 +163,11 @@
 
 constexpr size_t kSteps = 400;
 
+Awaitable<void> RunSnapshot(std::shared_ptr<ConfigKeeper> keeper) {
+  auto ignored = co_await keeper->WriteSnapshot();
+  (void)ignored;
+}
+
 /// Daemons, their messages and the oracle: the table's own log of changes.
 struct Fleet {
   static constexpr size_t kDaemons = 5;
@@ -324,6 +329,11 @@
     fleet.m_cloud.m_late.erase(fleet.m_cloud.m_late.begin());
   } else if (kind == 14) {
     fleet.StartCatchUp(random % Fleet::kDaemons);
+  } else if (kind == 15 && random % 8 == 1) {
+    asio::co_spawn(fleet.m_cloud.m_context,
+                   RunSnapshot(fleet.m_daemons[random / 8 % Fleet::kDaemons]),
+                   asio::detached);
+    fleet.m_cloud.Poll();
   } else if (kind == 15 && random % 8 == 0) {
     // The process is replaced; what it had sent to the table goes on.
     const size_t daemon = random / 8 % Fleet::kDaemons;
@@ -338,6 +348,7 @@
   CPPUNIT_TEST(OperationIdNamesOneWrite);
   CPPUNIT_TEST(LoserIsToldTheWinner);
   CPPUNIT_TEST(UsedResourceIsNotDeleted);
+  CPPUNIT_TEST(StartsFromASnapshot);
   CPPUNIT_TEST(NothingIsDoubledLostOrLowered);
   CPPUNIT_TEST(ThreadsReadAndOfferAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -352,9 +363,13 @@
     model::ResourceWrite write = WriteOf("a", "op1");
     write.m_expected_revision = 0;
     auto commit = fleet.Start(0, write);
+    // Snapshot, log and operation are read, and the write is sent.
+    fleet.m_cloud.Resume(0, Fate::kAnswered);
     fleet.m_cloud.Resume(0, Fate::kAnswered);
     fleet.m_cloud.Resume(0, Fate::kAnswered);
     fleet.m_cloud.Resume(0, Fate::kLate);
+    // Snapshot and the first of the two others are read again.
+    fleet.m_cloud.Resume(0, Fate::kAnswered);
     fleet.m_cloud.Resume(0, Fate::kAnswered);
     fleet.m_cloud.Apply(fleet.m_cloud.m_late.front());
     fleet.Settle();
@@ -410,6 +425,26 @@
     CPPUNIT_ASSERT(failure.m_reason.find("version/v") != std::string::npos);
   }
 
+  void StartsFromASnapshot() {
+    Fleet fleet;
+    for (uint64_t i = 0; i <= ConfigKeeper::kSnapshotEvery; ++i) {
+      fleet.Start(0, WriteOf("a", "op" + std::to_string(i)));
+      fleet.Settle();
+    }
+    asio::co_spawn(fleet.m_cloud.m_context, RunSnapshot(fleet.m_daemons[0]),
+                   asio::detached);
+    fleet.m_cloud.Poll();
+    fleet.Settle();
+    // Of the log only what came after is needed.
+    std::erase_if(fleet.m_cloud.m_items, [](const auto& item) {
+      return item.first.first == "change";
+    });
+    fleet.StartCatchUp(1);
+    fleet.Settle();
+    CPPUNIT_ASSERT(*fleet.m_daemons[0]->current() ==
+                   *fleet.m_daemons[1]->current());
+  }
+
   // Operators race through five daemons while the table answers late, loses
   // requests and answers and lands writes long after; daemons exchange old
   // news, wake late and are replaced. 100 runs of 400 steps. After each step
