--- a/src/libverbenalead/daemon/config_keeper_test.cc
+++ b/src/libverbenalead/daemon/config_keeper_test.cc
@@ -79,9 +79,11 @@
   std::vector<model::Change> Log() const {
     std::vector<model::Change> log;
     for (const auto& [key, item] : m_items) {
-      if (key.first == "change")
-        log.push_back(
-            *CatchFailure([&] { return model::ParseChange(item.m_value); }));
+      if (key.first != "change")
+        continue;
+      const std::string& text = item.m_value;
+      auto change = CatchFailure([&] { return model::ParseChange(text); });
+      log.push_back(*change);
     }
     return log;
   }
@@ -306,10 +308,11 @@
         to, ConfigSince(*fleet.m_daemons[from],
                         fleet.m_daemons[to]->current()->m_revision));
   } else if (!fleet.m_messages.empty()) {
-    const auto& [at, text] =
+    const auto& message =
         fleet.m_messages[random / 256 % fleet.m_messages.size()];
+    ConfigKeeper& keeper = *fleet.m_daemons[message.first];
     auto taken =
-        CatchFailure([&] { return TakeConfig(*fleet.m_daemons[at], text); });
+        CatchFailure([&] { return TakeConfig(keeper, message.second); });
     RC_ASSERT(taken.has_value());
   }
 }
