--- a/src/libverbenalead/decide/attempt_fuzz_test.cc
+++ b/src/libverbenalead/decide/attempt_fuzz_test.cc
@@ -203,8 +203,15 @@
   void End(size_t index) {
     Call& call = m_calls[index];
     const AttemptEnd end = Judge(call.m_evidence);
+    EndedAttempt attempt;
+    attempt.m_end = end;
+    attempt.m_number = call.m_number;
+    attempt.m_turned_away = call.m_evidence.m_gate_refused;
+    // A full budget for each: what is proved here must not hang on retries
+    // that were not made.
+    RetryBudget budget;
     const RetryDecision next =
-        AfterAttempt(call.m_call, end, call.m_number, false, m_now);
+        AfterAttempt(call.m_call, attempt, budget, m_now);
     if (next.m_retry)
       Send(index, static_cast<uint32_t>(call.m_target + 1));
     else
--- a/src/libverbenalead/peer/header_names.h
+++ b/src/libverbenalead/peer/header_names.h
@@ -18,6 +18,8 @@
 constexpr char kMaxRunning[] = "x-max-running";
 /// The sender's configuration revision: whoever is behind learns it here.
 constexpr char kRevision[] = "x-config-revision";
+/// Names the content of a target's report, so that only news is sent again.
+constexpr char kReportMark[] = "x-report-mark";
 
 // Field of all messages between our processes that change something.
 /// Proof that the sender holds the peers' key.
