Let the only host of a region use all its fetches

Cause: fetches from one host were bounded by the count of near neighbours alone. A host with far ones only had one fetch at a time, looked at again every 20 ms; in weights_real's second part, where the two hosts stand in two regions, its log shows one chunk every 20 ms.

--- a/src/libverbenalead/decide/transfer.cc
+++ b/src/libverbenalead/decide/transfer.cc
@@ -44,10 +44,18 @@
 }
 
 /// Fetches from one neighbour at once. One, where there are enough of them:
-/// two from one host queue there while another host's link is idle.
+/// two from one host queue there while another host's link is idle. The only
+/// host of its region has far ones alone to ask; one fetch each left it at a
+/// twentieth of its speed.
 uint32_t FetchesPerHost(const TransferState& state) {
+  const auto all =
+      std::count_if(state.m_neighbours.begin(), state.m_neighbours.end(),
+                    [](const Neighbour& each) { return !each.m_name.empty(); });
   const auto near = static_cast<uint32_t>(std::popcount(state.m_near));
-  return near == 0 ? 1 : (state.m_limits.m_max_fetches + near - 1) / near;
+  const uint32_t hosts = near != 0 ? near : static_cast<uint32_t>(all);
+  if (hosts == 0)
+    return 1;
+  return (state.m_limits.m_max_fetches + hosts - 1) / hosts;
 }
 
 /// Neighbours that can be asked now, as a mask.
--- a/src/libverbenalead/decide/transfer_test.cc
+++ b/src/libverbenalead/decide/transfer_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(NextInRankTakesOverALostDraw);
   CPPUNIT_TEST(RarestChunkGoesFirst);
   CPPUNIT_TEST(OnlyOneHostBringsAChunkIntoItsRegion);
+  CPPUNIT_TEST(OnlyHostOfItsRegionUsesAllFetches);
   CPPUNIT_TEST(BadChunkIsNotAskedForAgain);
   CPPUNIT_TEST(StalledFetchIsGivenUp);
   CPPUNIT_TEST(BusyOriginIsLeftAlone);
@@ -119,6 +120,14 @@
     CPPUNIT_ASSERT_EQUAL(size_t{30}, imports);
   }
 
+  void OnlyHostOfItsRegionUsesAllFetches() {
+    m_limits.m_max_origin = 0;
+    TransferState state = Start(kSelf, {kSelf, kFar}, 2);
+    NeighbourHas(state, "d", {0, 1}, kStart);
+    CPPUNIT_ASSERT_EQUAL(size_t{2},
+                         Step(state, kStart, m_random).m_fetches.size());
+  }
+
   // The weights come whole although a host sends wrong bytes.
   // The digest shows it; the chunk is not asked of that host again, even when
   // its news is repeated, and after several the host is left alone.
