--- /dev/null
+++ b/src/vlctl/delete.cc
@@ -0,0 +1,30 @@
+#include <spdlog/fmt/fmt.h>
+
+#include <boost/json.hpp>
+
+#include "base/new_id.h"
+#include "vlctl/answer.h"
+#include "vlctl/commands.h"
+
+namespace verbenalead::vlctl {
+namespace json = boost::json;
+
+ExitCode Delete(const Context& context,
+                const std::string& kind,
+                const std::string& name,
+                const std::string& operation) {
+  const wire::Headers headers{
+      {"x-operation-id", operation.empty() ? NewId() : operation},
+      {"x-operator", context.m_operator}};
+  json::object answer;
+  const ExitCode code =
+      ReadObject(context.m_client.Call(
+                     "DELETE", "/v1/resources/" + kind + "/" + name, headers),
+                 answer);
+  if (code == kOk)
+    fmt::print("{}/{} deleted at revision {}\n", kind, name,
+               Show(answer.at("revision")));
+  return code;
+}
+
+}  // namespace verbenalead::vlctl
--- /dev/null
+++ b/src/vlctl/trace.cc
@@ -0,0 +1,27 @@
+#include <boost/json.hpp>
+#include <iostream>
+
+#include "vlctl/answer.h"
+#include "vlctl/commands.h"
+
+namespace verbenalead::vlctl {
+
+namespace json = boost::json;
+
+ExitCode Trace(const Context& context, const std::string& request) {
+  json::object answer;
+  const ExitCode code =
+      ReadObject(context.m_client.Call("GET", "/v1/trace/" + request), answer);
+  if (code != kOk)
+    return code;
+  if (context.m_json) {
+    std::cout << json::serialize(answer) << "\n";
+    return kOk;
+  }
+  std::cout << Show(answer.at("summary")) << "\n";
+  for (const json::value& line : answer.at("lines").as_array())
+    std::cout << Show(line) << "\n";
+  return kOk;
+}
+
+}  // namespace verbenalead::vlctl
--- /dev/null
+++ b/src/vlctl/watch.cc
@@ -0,0 +1,22 @@
+#include <iostream>
+
+#include "vlctl/answer.h"
+#include "vlctl/commands.h"
+
+namespace verbenalead::vlctl {
+
+ExitCode Watch(const Context& context,
+               std::optional<uint64_t> revision,
+               uint64_t count) {
+  std::string path = "/v1/watch";
+  if (revision)
+    path += "?after=" + std::to_string(*revision);
+  uint64_t seen = 0;
+  auto done = context.m_client.Follow(path, [&](const std::string& line) {
+    std::cout << line << std::endl;
+    return count == 0 || ++seen < count;
+  });
+  return done ? kOk : Complain(kFailed, ToString(done.error()));
+}
+
+}  // namespace verbenalead::vlctl
