--- a/src/libverbenalead/daemon/config_follower.cc
+++ b/src/libverbenalead/daemon/config_follower.cc
@@ -96,10 +96,14 @@
 
 bool ConfigFollower::ready() const {
   const TimePoint heard_at{TimePoint::duration(m_heard_at.load())};
+  if (!m_learned)
+    return false;
+  // Asked for each request: the list is looked at only where it matters.
+  if (Now() - heard_at < kCutOffAfter)
+    return true;
   // Where the list shows no other entry, nobody else can accept a change: an
   // outage of the table alone shuts nobody out.
-  const bool alone = m_role == model::HostRole::kEntry && OtherEntries() == 0;
-  return m_learned && (alone || Now() - heard_at < kCutOffAfter);
+  return m_role == model::HostRole::kEntry && OtherEntries() == 0;
 }
 
 Awaitable<size_t> ConfigFollower::LearnFromPeers() {
