Let one entry that read the table stand for several at a start

With two entries in the list and one of them dead, a started target waited for a second answer until the list was corrected. An entry asked at a start reads the table, unless it did within 500 ms, and says so; such an answer counts alone.

--- a/src/libverbenalead/daemon/config_follower.cc
+++ b/src/libverbenalead/daemon/config_follower.cc
@@ -118,8 +118,13 @@
     ++asked;
     auto fetched = co_await FetchConfig(learned, m_peers, AddressOf(entry),
                                         Duration::zero(), kAskTimeout);
-    if (fetched)
-      ++answers;
+    if (!fetched)
+      continue;
+    // One that read the table for us is as good as any number of others; a
+    // list that still shows a dead entry then keeps nobody from starting.
+    answers += *fetched ? kPeersToLearnFrom : 1;
+    if (answers >= kPeersToLearnFrom)
+      break;
   }
   const size_t wanted =
       m_role == model::HostRole::kEntry
@@ -220,7 +225,7 @@
     if (entry == m_self)
       continue;
     auto ignored = co_await FetchConfig(m_config, m_peers, AddressOf(entry),
-                                        Duration::zero(), kAskTimeout);
+                                        kBehindPoll, kAskTimeout);
     (void)ignored;
   }
 }
--- a/src/libverbenalead/daemon/config_keeper.cc
+++ b/src/libverbenalead/daemon/config_keeper.cc
@@ -188,6 +188,11 @@
   m_heard = std::max(m_heard, revision);
 }
 
+TimePoint ConfigKeeper::read_at() const {
+  std::lock_guard lock(m_mutex);
+  return m_read_at;
+}
+
 uint64_t ConfigKeeper::heard() const {
   std::lock_guard lock(m_mutex);
   return m_heard;
@@ -270,8 +275,11 @@
       changes.push_back(std::move(*change));
     }
     Offer(changes);
-    if (items->size() < kPage)
+    if (items->size() < kPage) {
+      std::lock_guard lock(m_mutex);
+      m_read_at = Now();
       co_return true;
+    }
   }
 }
 
--- a/src/libverbenalead/daemon/config_keeper.h
+++ b/src/libverbenalead/daemon/config_keeper.h
@@ -47,6 +47,8 @@
   void Hear(uint64_t revision);
   uint64_t heard() const;
 
+  /// When CatchUp last reached the end of the log.
+  TimePoint read_at() const;
   /// Reads what is new from the table.
   Awaitable<AsyncResult<bool>> CatchUp();
   /// Writes the state in force to the table once it is `kSnapshotEvery` or more
@@ -83,6 +85,7 @@
   State m_state;
   uint64_t m_heard = 0;
   uint64_t m_snapshot = 0;
+  TimePoint m_read_at{};
   std::deque<model::Change> m_recent;
   std::vector<std::shared_ptr<Waiter>> m_waiters;
 };
--- a/src/libverbenalead/daemon/config_messages.cc
+++ b/src/libverbenalead/daemon/config_messages.cc
@@ -5,6 +5,7 @@
 
 #include "base/catch_failure.h"
 #include "model/json_fields.h"
+#include "peer/header_names.h"
 
 namespace verbenalead::daemon {
 
@@ -53,6 +54,8 @@
   request.m_path =
       "/v1/config?after=" + std::to_string(keeper.current()->m_revision) +
       "&hold_ms=" + std::to_string(ToMilliseconds(hold));
+  if (hold == Duration::zero())
+    request.m_path += "&fresh=1";
   auto response = co_await wire::Fetch(peers, endpoint, std::move(request),
                                        Now() + hold + timeout);
   if (!response)
@@ -65,7 +68,7 @@
       CatchFailure([&] { return TakeConfig(keeper, response->m_body); });
   if (!taken)
     co_return taken.error();
-  co_return true;
+  co_return !wire::Get(response->m_headers, peer::kFromTable).empty();
 }
 
 Awaitable<AsyncResult<bool>> PushConfig(const ConfigKeeper& keeper,
--- a/src/libverbenalead/daemon/config_messages.h
+++ b/src/libverbenalead/daemon/config_messages.h
@@ -20,7 +20,9 @@
 
 /// Asks the process at `endpoint` for what is new. It may hold its answer back
 /// for `hold` while there is nothing. Fails with kRefused where the process
-/// has itself not learned the newest configuration, or is cut off.
+/// has itself not learned the newest configuration, or is cut off. Returns
+/// whether the answer is what the table held a moment ago; with no `hold` the
+/// asked process reads it for that.
 Awaitable<AsyncResult<bool>> FetchConfig(ConfigKeeper& keeper,
                                          wire::Client& peers,
                                          Endpoint endpoint,
--- a/src/libverbenalead/daemon/entry_peer_api.cc
+++ b/src/libverbenalead/daemon/entry_peer_api.cc
@@ -5,6 +5,7 @@
 
 #include "base/catch_failure.h"
 #include "daemon/config_messages.h"
+#include "peer/header_names.h"
 
 namespace verbenalead::daemon {
 namespace {
@@ -14,6 +15,9 @@
 /// Longest time that a question for news is held back.
 constexpr uint64_t kLongestHoldMs = 30000;
 
+/// Age at which a read of the table still stands for the newest.
+constexpr Duration kFreshFor = 500ms;
+
 uint64_t NumberIn(const wire::Request& request, const char* name) {
   return std::strtoull(wire::QueryValue(request, name).c_str(), nullptr, 10);
 }
@@ -23,6 +27,11 @@
 Awaitable<wire::Response> GetConfig(EntryPeerContext context,
                                     wire::Request request) {
   const uint64_t after = NumberIn(request, "after");
+  const bool fresh = NumberIn(request, "fresh") != 0;
+  if (fresh && Now() - context.m_config->read_at() >= kFreshFor) {
+    auto ignored = co_await context.m_config->CatchUp();
+    (void)ignored;
+  }
   const auto hold = std::chrono::milliseconds(
       std::min(NumberIn(request, "hold_ms"), kLongestHoldMs));
   co_await context.m_config->WaitBeyond(after, Now() + hold);
@@ -30,7 +39,13 @@
   // whoever relied on it would take silence for "nothing new".
   if (!context.m_ready())
     co_return wire::Response{503, {}, "not ready"};
-  co_return wire::JsonResponse(200, ConfigSince(*context.m_config, after));
+  wire::Response response =
+      wire::JsonResponse(200, ConfigSince(*context.m_config, after));
+  // Read just now is new enough, so that a fleet that starts at once costs the
+  // table two reads a second for each entry it asks.
+  if (Now() - context.m_config->read_at() < kFreshFor)
+    response.m_headers[peer::kFromTable] = "true";
+  co_return response;
 }
 
 wire::Response PostConfig(const EntryPeerContext& context,
--- a/src/libverbenalead/peer/header_names.h
+++ b/src/libverbenalead/peer/header_names.h
@@ -15,6 +15,8 @@
 constexpr char kDeadline[] = "x-deadline-ms";
 /// The sender's configuration revision: whoever is behind learns it here.
 constexpr char kRevision[] = "x-config-revision";
+/// The configuration in this answer is what the table held a moment ago.
+constexpr char kFromTable[] = "x-config-from-table";
 /// Names the content of a target's report, so that only news is sent again.
 constexpr char kReportMark[] = "x-report-mark";
 
