--- a/src/libverbenalead/daemon/config_follower.cc
+++ b/src/libverbenalead/daemon/config_follower.cc
@@ -96,10 +96,14 @@
 
 bool ConfigFollower::ready() const {
   const TimePoint heard_at{TimePoint::duration(m_heard_at.load())};
+  if (!m_learned)
+    return false;
+  // Asked for each request: the list is looked at only where it matters.
+  if (Now() - heard_at < kCutOffAfter)
+    return true;
   // Where the list shows no other entry, nobody else can accept a change: an
   // outage of the table alone shuts nobody out.
-  const bool alone = m_role == model::HostRole::kEntry && OtherEntries() == 0;
-  return m_learned && (alone || Now() - heard_at < kCutOffAfter);
+  return m_role == model::HostRole::kEntry && OtherEntries() == 0;
 }
 
 Awaitable<size_t> ConfigFollower::LearnFromPeers() {
@@ -114,8 +118,13 @@
     ++asked;
     auto fetched = co_await FetchConfig(learned, m_peers, AddressOf(entry),
                                         Duration::zero(), kAskTimeout);
-    if (fetched)
-      ++answers;
+    if (!fetched)
+      continue;
+    // One that read the table for us is as good as any number of others; a
+    // list that still shows a dead entry then keeps nobody from starting.
+    answers += *fetched ? kPeersToLearnFrom : 1;
+    if (answers >= kPeersToLearnFrom)
+      break;
   }
   const size_t wanted =
       m_role == model::HostRole::kEntry
@@ -216,7 +225,7 @@
     if (entry == m_self)
       continue;
     auto ignored = co_await FetchConfig(m_config, m_peers, AddressOf(entry),
-                                        Duration::zero(), kAskTimeout);
+                                        kBehindPoll, kAskTimeout);
     (void)ignored;
   }
 }
--- a/src/libverbenalead/daemon/target_directory.cc
+++ b/src/libverbenalead/daemon/target_directory.cc
@@ -68,6 +68,9 @@
     TakeReport(host, *response);
     co_return;
   }
+  // The next question is to be answered at once, not held back: whether the
+  // target is alive is in doubt now.
+  m_known[host.name()].m_seen.clear();
   LogLine("target_silent")
       .With("target", host.name())
       .With(response.error())
--- a/src/libverbenalead/decide/place.h
+++ b/src/libverbenalead/decide/place.h
@@ -39,8 +39,12 @@
   TimePoint m_halved_at{};
 };
 
-/// A report older than this no longer counts as a sign of life.
-constexpr Duration kReportStale = 3s;
+/// A report older than this no longer counts as a sign of life. A connection
+/// that goes silent costs 1.5 s of a question held back, 2 s until the silence
+/// is found, and up to 1.25 s until the next answer: a limit below that would
+/// take every target behind one dead connection out of use. A host that dies
+/// meanwhile is found sooner by the attempts that fail there.
+constexpr Duration kReportStale = 6s;
 /// A report's count of others' attempts loses its worth about as fast as calls
 /// end; before any was measured, as fast as this.
 constexpr Duration kLoadFades = 200ms;
--- a/src/vlctl/rollout_commands.cc
+++ b/src/vlctl/rollout_commands.cc
@@ -9,7 +9,8 @@
 #include "base/catch_failure.h"
 #include "base/new_id.h"
 #include "model/json_fields.h"
-#include "vlctl/answers.h"
+#include "vlctl/answer.h"
+#include "vlctl/target_reports.h"
 
 namespace verbenalead::vlctl {
 namespace {
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -313,6 +313,13 @@
         return done
 
     def apply(self, resources, entry=0):
+        """Declares `resources`, and before them the models of versions."""
+        resources = resources if isinstance(resources, list) else [resources]
+        models = {resource["spec"]["model"] for resource in resources
+                  if resource["kind"] == "version"}
+        declared = [{"kind": "model", "name": model, "spec": {}}
+                    for model in sorted(models)]
+        resources = declared + resources
         path = self.path("apply.json")
         with open(path, "w") as file:
             json.dump(resources, file)
