Apply a file's resources in the order in which kinds name each other

Cause: references are checked on each write, so a file that declared a route before its pool was refused half way (rollout_waves, stale_order). vlctl apply now sorts by kind.

--- a/src/libverbenalead/daemon/attempt_runner.cc
+++ b/src/libverbenalead/daemon/attempt_runner.cc
@@ -129,7 +129,10 @@
   }
   if (!attempt.m_caller_there && call.idempotent())
     co_return std::move(attempt.m_report);
-  if (decide::NeedsVoid(attempt.m_evidence))
+  // Past its deadline an idempotent call is told "unknown" at once: the answer
+  // to the question could only come after its caller has stopped waiting.
+  const bool in_time = Now() < call.deadline();
+  if (decide::NeedsVoid(attempt.m_evidence) && (in_time || !call.idempotent()))
     attempt.m_evidence.m_void = co_await MakeVoid(attempt);
   attempt.m_report.m_end = decide::Judge(attempt.m_evidence);
   co_await BreakOff(attempt);
--- a/src/vlctl/apply.cc
+++ b/src/vlctl/apply.cc
@@ -1,11 +1,13 @@
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
 #include "base/new_id.h"
+#include "model/resource_key.h"
 #include "vlctl/answer.h"
 #include "vlctl/commands.h"
 
@@ -54,6 +56,16 @@
   return kOk;
 }
 
+/// Where the kind of `resource` stands in the order in which kinds name each
+/// other; unknown kinds last.
+size_t OrderOf(const json::object& resource) {
+  const json::value* kind = resource.if_contains("kind");
+  const std::string name = kind != nullptr ? Show(*kind) : "";
+  const std::vector<std::string>& kinds = model::ResourceKinds();
+  return static_cast<size_t>(std::find(kinds.begin(), kinds.end(), name) -
+                             kinds.begin());
+}
+
 }  // namespace
 
 ExitCode Apply(const Context& context,
@@ -69,12 +81,21 @@
   const json::array list =
       document.is_array() ? document.get_array() : json::array{document};
   const std::string base = operation.empty() ? NewId() : operation;
-  size_t number = 0;
+  std::vector<json::object> resources;
   for (const json::value& item : list) {
     if (!item.is_object())
       return Complain(kBadUse, "a resource must be a JSON object");
+    resources.push_back(item.get_object());
+  }
+  // What others name is declared first: the order in the file is free.
+  std::stable_sort(resources.begin(), resources.end(),
+                   [](const json::object& a, const json::object& b) {
+                     return OrderOf(a) < OrderOf(b);
+                   });
+  size_t number = 0;
+  for (const json::object& resource : resources) {
     const ExitCode code =
-        ApplyOne(context, item.get_object(),
+        ApplyOne(context, resource,
                  list.size() == 1 ? base : fmt::format("{}-{}", base, number));
     if (code != kOk)
       return code;
