--- a/testsuite/cases/rollout_waves/run.py
+++ b/testsuite/cases/rollout_waves/run.py
@@ -75,9 +75,10 @@
                                      seed=number) for number in (1, 2, 3)]
     v1, v2, v3 = [version["spec"]["digest"] for version in versions]
     cluster.apply(versions + [
-        {"kind": "limits", "name": "acme", "spec": {"weight": 1}},
-        {"kind": "route", "name": "breakdowns", "spec": {"pool": POOL}}])
+        {"kind": "limits", "name": "acme", "spec": {"weight": 1}}])
     declare_pool(cluster, "v1")
+    cluster.apply({"kind": "route", "name": "breakdowns",
+                   "spec": {"pool": POOL}})
     harness.wait_for("v1 everywhere",
                      lambda: all(len(cluster.live(v1, entry)) == HOSTS
                                  for entry in range(2)), TIMEOUT)
