Name each call apart from its request id

Cause: targets knew an attempt by the caller's X-Request-Id. A caller that sent its request again under the same id was taken for a doubled message: its attempt was left unanswered, counted as a crash of the target, and tried again. Seen in testsuite/cases/same_request_id before the change: 'void_attempt attempt=1 never_started=false', 'crashed_under target=ledger-0', 3 attempts for the third call. A call that may run only once would have been told unknown, and two such calls would have been set aside as crashing their targets.

Now a call has an instance, unique among all entries, which attempts, their answers and /v1/void carry beside the request id. Ruled out: to add the entry's name to the id, since one entry may get the same id twice as well. Measured: the case passes with one attempt for each call.

--- a/src/libverbenalead/daemon/attempt_runner.cc
+++ b/src/libverbenalead/daemon/attempt_runner.cc
@@ -34,6 +34,7 @@
   headers[peer::kPath] = request.m_path;
   headers[peer::kMethod] = request.m_method;
   headers[peer::kRequestId] = call.id();
+  headers[peer::kCall] = call.instance();
   headers[peer::kAttempt] = std::to_string(number);
   headers[peer::kIncarnation] = std::to_string(placement.m_incarnation);
   headers[peer::kOrganisation] = call.organisation();
@@ -65,7 +66,7 @@
 bool Answers(const wire::ResponseHead& head,
              const model::Call& call,
              uint32_t number) {
-  return wire::Get(head.m_headers, peer::kRequestId) == call.id() &&
+  return wire::Get(head.m_headers, peer::kCall) == call.instance() &&
          wire::Get(head.m_headers, peer::kAttempt) == std::to_string(number);
 }
 
@@ -261,6 +262,7 @@
   request.m_method = "POST";
   request.m_path = "/v1/void";
   request.m_headers[peer::kRequestId] = attempt.m_call.id();
+  request.m_headers[peer::kCall] = attempt.m_call.instance();
   request.m_headers[peer::kAttempt] = std::to_string(attempt.m_number);
   request.m_headers[peer::kIncarnation] =
       std::to_string(attempt.m_placement.m_incarnation);
--- a/src/libverbenalead/daemon/attempt_server.cc
+++ b/src/libverbenalead/daemon/attempt_server.cc
@@ -22,7 +22,7 @@
 }
 
 decide::Attempt AttemptOf(const wire::Request& request) {
-  return {wire::Get(request.m_headers, peer::kRequestId),
+  return {wire::Get(request.m_headers, peer::kCall),
           static_cast<uint32_t>(NumberIn(request.m_headers, peer::kAttempt))};
 }
 
@@ -59,7 +59,7 @@
 
 /// The fields by which the entry knows which attempt is answered.
 void Address(const decide::Attempt& attempt, wire::Headers& headers) {
-  headers[peer::kRequestId] = attempt.m_request;
+  headers[peer::kCall] = attempt.m_call;
   headers[peer::kAttempt] = std::to_string(attempt.m_number);
 }
 
@@ -68,6 +68,8 @@
 /// An attempt that the gate let in, and what was in force then.
 struct AttemptServer::Entered {
   decide::Attempt m_attempt;
+  /// The request id, for the journal.
+  std::string m_request;
   uint64_t m_generation = 0;
   Digest m_digest;
   /// False for a call that may run only once.
@@ -86,13 +88,14 @@
 Awaitable<void> AttemptServer::ServeAttempt(wire::Request request,
                                             wire::ResponseWriter& writer) {
   const decide::Attempt attempt = AttemptOf(request);
+  const std::string request_id = wire::Get(request.m_headers, peer::kRequestId);
   const uint64_t incarnation = NumberIn(request.m_headers, peer::kIncarnation);
   const Digest wanted = DigestIn(request.m_headers);
   Entered entered;
   bool busier = false;
   const decide::EnterResult result = m_gate.With([&](decide::GateState& gate) {
-    entered = {attempt, gate.m_generation, gate.m_digest, MayRepeat(request),
-               gate.m_running};
+    entered = {attempt,       request_id,         gate.m_generation,
+               gate.m_digest, MayRepeat(request), gate.m_running};
     // An attempt that came before may be running: of that one, and so of this
     // copy, "not run" would be untrue.
     busier = !gate.m_attempts.contains(attempt) &&
@@ -106,7 +109,7 @@
   if (result == decide::EnterResult::kRepeated) {
     // A doubled message. The first one is being answered on its own stream;
     // this one is left unanswered, so that nobody takes it for "not run".
-    LogLine("attempt_repeated").With("request", attempt.m_request).Warn();
+    LogLine("attempt_repeated").With("request", request_id).Warn();
     co_return;
   }
   if (result != decide::EnterResult::kEntered) {
@@ -114,11 +117,10 @@
     co_await Refuse(entered, reason, writer);
     co_return;
   }
-  m_journal.Record(attempt.m_request,
-                   LogLine("entered")
-                       .With("attempt", uint64_t{attempt.m_number})
-                       .With("target", m_host)
-                       .With("digest", ToString(entered.m_digest)));
+  m_journal.Record(request_id, LogLine("entered")
+                                   .With("attempt", uint64_t{attempt.m_number})
+                                   .With("target", m_host)
+                                   .With("digest", ToString(entered.m_digest)));
   co_await Forward(entered, std::move(request), writer);
   m_gate.With([&](decide::GateState& gate) {
     decide::Leave(gate, attempt, Now());
@@ -129,7 +131,7 @@
 Awaitable<void> AttemptServer::Refuse(Entered entered,
                                       std::string reason,
                                       wire::ResponseWriter& writer) {
-  m_journal.Record(entered.m_attempt.m_request,
+  m_journal.Record(entered.m_request,
                    LogLine("gate_refused")
                        .With("attempt", uint64_t{entered.m_attempt.m_number})
                        .With("target", m_host)
@@ -165,7 +167,7 @@
   else
     head = opened.error();
   if (!head) {
-    m_journal.Record(entered.m_attempt.m_request,
+    m_journal.Record(entered.m_request,
                      LogLine("engine_failed").With(head.error()));
     wire::ResponseHead failed{502, {}};
     failed.m_headers[peer::kOutcome] = "ran";
@@ -226,7 +228,7 @@
   check.Fill(trailers);
   trailers[peer::kOutcome] = reason.empty() ? "completed" : "failed";
   trailers[peer::kReason] = reason;
-  m_journal.Record(entered.m_attempt.m_request,
+  m_journal.Record(entered.m_request,
                    LogLine("answered")
                        .With("attempt", uint64_t{entered.m_attempt.m_number})
                        .With("target", m_host)
@@ -239,16 +241,16 @@
 
 wire::Response AttemptServer::MakeVoid(const wire::Request& request) {
   const decide::Attempt attempt = AttemptOf(request);
+  const std::string request_id = wire::Get(request.m_headers, peer::kRequestId);
   const uint64_t incarnation = NumberIn(request.m_headers, peer::kIncarnation);
   const bool never = m_gate.With([&](decide::GateState& gate) {
     return decide::AnswerVoid(gate, attempt, incarnation, Now()) ==
            decide::VoidReply::kNeverStarted;
   });
-  m_journal.Record(attempt.m_request,
-                   LogLine("void_attempt")
-                       .With("attempt", uint64_t{attempt.m_number})
-                       .With("target", m_host)
-                       .With("never_started", never));
+  m_journal.Record(request_id, LogLine("void_attempt")
+                                   .With("attempt", uint64_t{attempt.m_number})
+                                   .With("target", m_host)
+                                   .With("never_started", never));
   return {200, {}, never ? "never_started" : "started"};
 }
 
--- a/src/libverbenalead/decide/attempt.h
+++ b/src/libverbenalead/decide/attempt.h
@@ -7,9 +7,11 @@
 
 namespace verbenalead::decide {
 
-/// One try of a request at one target.
+/// One try of a call at one target.
 struct Attempt {
-  std::string m_request;
+  /// Names one call of one entry. Not the request id: that is the caller's own,
+  /// and a caller that sends a request again uses it again.
+  std::string m_call;
   uint32_t m_number = 0;
 
   friend auto operator<=>(const Attempt&, const Attempt&) = default;
--- a/src/libverbenalead/front/call_parser.cc
+++ b/src/libverbenalead/front/call_parser.cc
@@ -158,7 +158,10 @@
   BOOST_LEAF_AUTO(organisation, ReadOrganisation(request, config));
   BOOST_LEAF_AUTO(weight, WeightOf(organisation, config));
   BOOST_LEAF_AUTO(timeout, ReadTimeout(request));
-  builder.Id(call_id).Organisation(organisation).Deadline(now + timeout);
+  builder.Id(call_id)
+      .Instance(id)
+      .Organisation(organisation)
+      .Deadline(now + timeout);
   builder.Weight(weight).Fingerprint(FingerprintOf(request, organisation));
   builder.Urgency(ReadUrgency(request));
   BOOST_LEAF_CHECK(ReadIdempotency(request, builder));
--- a/src/libverbenalead/front/call_parser.h
+++ b/src/libverbenalead/front/call_parser.h
@@ -22,9 +22,10 @@
 constexpr Duration kMaxTimeout = std::chrono::minutes(10);
 
 /// Reads a caller's request: `POST /v1/completions` for a model, or
-/// `/services/NAME/...` for a plain service. `id` is used where the caller sent
-/// no X-Request-Id. Fails with kInvalid for bad input, with kNotFound for an
-/// unknown model, service or organisation.
+/// `/services/NAME/...` for a plain service. `id` names this call; it is
+/// the request id too where the caller sent no X-Request-Id. Fails with
+/// kInvalid for bad input, with kNotFound for an unknown model, service or
+/// organisation.
 Result<model::Call> ParseCall(const wire::Request& request,
                               const decide::ConfigState& config,
                               const std::string& id,
--- a/src/libverbenalead/model/call.h
+++ b/src/libverbenalead/model/call.h
@@ -19,8 +19,11 @@
  public:
   Call() = default;
 
-  /// Unique; the caller's own id if it sent one.
+  /// The request id, by which the call is traced: the caller's own if it sent
+  /// one. A caller that sends its request again uses it again.
   const std::string& id() const { return m_id; }
+  /// Unique among all calls of all entries.
+  const std::string& instance() const { return m_instance; }
   const std::string& organisation() const { return m_organisation; }
   /// The organisation's weight in admission, by its `limits` resource.
   double weight() const { return m_weight; }
@@ -47,6 +50,7 @@
   friend class CallBuilder;
 
   std::string m_id;
+  std::string m_instance;
   std::string m_organisation;
   double m_weight = 1;
   std::string m_pool;
--- a/src/libverbenalead/model/call_builder.h
+++ b/src/libverbenalead/model/call_builder.h
@@ -14,6 +14,10 @@
     m_call.m_id = std::move(id);
     return *this;
   }
+  CallBuilder& Instance(std::string instance) {
+    m_call.m_instance = std::move(instance);
+    return *this;
+  }
   CallBuilder& Organisation(std::string organisation) {
     m_call.m_organisation = std::move(organisation);
     return *this;
--- a/src/libverbenalead/peer/header_names.h
+++ b/src/libverbenalead/peer/header_names.h
@@ -5,6 +5,8 @@
 
 // Header fields of an attempt, from entry to target.
 constexpr char kRequestId[] = "x-request-id";
+/// Names the call; unique, where the request id is the caller's own.
+constexpr char kCall[] = "x-call";
 constexpr char kAttempt[] = "x-attempt";
 constexpr char kIncarnation[] = "x-incarnation";
 constexpr char kOrganisation[] = "x-organisation";
