Tell all entries under which requests targets crash

Cause: a request under which two targets crashed was set aside by the entry that saw it; through each other entry it could take two more. Crash notes now go to all entries as soon as they arise, and again to those that did not answer.

--- /dev/null
+++ b/src/libverbenalead/daemon/crash_note_exchange.cc
@@ -0,0 +1,165 @@
+#include "daemon/crash_note_exchange.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <map>
+#include <memory>
+
+#include "base/catch_failure.h"
+#include "base/log.h"
+#include "model/json_fields.h"
+
+namespace verbenalead::daemon {
+namespace {
+
+namespace json = boost::json;
+
+constexpr char kPath[] = "/v1/crash-notes";
+/// News goes out at once; whoever did not answer is tried again this often.
+constexpr Duration kRetryInterval = 500ms;
+constexpr Duration kTimeout = 1s;
+/// Notes kept for an entry that does not answer; the oldest are dropped, and
+/// with them at most the knowledge that one more target may crash.
+constexpr size_t kMaxPending = 1000;
+
+/// What one entry has not been told yet.
+struct Pending {
+  std::vector<decide::CrashNote> m_notes;
+  bool m_telling = false;
+};
+
+using PendingByEntry = std::map<std::string, Pending>;
+
+wire::Request MakeMessage(const std::vector<decide::CrashNote>& notes) {
+  wire::Request request;
+  request.m_method = "POST";
+  request.m_path = kPath;
+  request.m_body = ToJson(notes, Now());
+  return request;
+}
+
+Awaitable<void> Tell(std::shared_ptr<PendingByEntry> pending,
+                     wire::Client& peers,
+                     model::Host entry) {
+  std::vector<decide::CrashNote> notes =
+      std::exchange((*pending)[entry.name()].m_notes, {});
+  wire::Request message = MakeMessage(notes);
+  auto response = co_await wire::Fetch(peers, entry.peer(), std::move(message),
+                                       Now() + kTimeout);
+  Pending& left = (*pending)[entry.name()];
+  left.m_telling = false;
+  if (!response || response->m_status != 200)
+    left.m_notes.insert(left.m_notes.begin(), notes.begin(), notes.end());
+}
+
+/// Adds `news` to what the entry lacks; the oldest notes give way.
+void Add(Pending& pending, const std::vector<decide::CrashNote>& news) {
+  auto& notes = pending.m_notes;
+  notes.insert(notes.end(), news.begin(), news.end());
+  if (notes.size() > kMaxPending)
+    notes.erase(notes.begin(), notes.end() - kMaxPending);
+}
+
+Result<decide::CrashNote> ReadNote(const json::value& value, TimePoint now) {
+  if (!value.is_object())
+    return model::BadField("notes", "a list of objects");
+  const json::object& object = value.get_object();
+  decide::CrashNote note;
+  BOOST_LEAF_ASSIGN(note.m_key, model::NumberField(object, "key"));
+  BOOST_LEAF_ASSIGN(note.m_target, model::TextField(object, "target"));
+  BOOST_LEAF_AUTO(age, model::NumberField(object, "age_ms"));
+  note.m_at =
+      now - std::chrono::milliseconds(std::min<uint64_t>(age, INT32_MAX));
+  return note;
+}
+
+Awaitable<void> Answer(QuarantineKeeper& quarantine,
+                       wire::Handler handler,
+                       const wire::Request& request,
+                       wire::ResponseWriter& writer) {
+  if (request.m_path != kPath) {
+    co_await handler(request, writer);
+    co_return;
+  }
+  auto notes =
+      CatchFailure([&] { return ParseCrashNotes(request.m_body, Now()); });
+  if (notes)
+    quarantine.Merge(*notes);
+  co_await writer.Send(wire::Response{notes ? 200 : 400, {}, ""});
+}
+
+}  // namespace
+
+std::string ToJson(const std::vector<decide::CrashNote>& notes, TimePoint now) {
+  json::array list;
+  for (const decide::CrashNote& note : notes) {
+    list.push_back(json::object{{"key", note.m_key},
+                                {"target", note.m_target},
+                                {"age_ms", ToMilliseconds(now - note.m_at)}});
+  }
+  return json::serialize(json::object{{"notes", std::move(list)}});
+}
+
+Result<std::vector<decide::CrashNote>> ParseCrashNotes(std::string_view text,
+                                                       TimePoint now) {
+  BOOST_LEAF_AUTO(object, model::ParseObject(text, "crash notes"));
+  const json::value* list = object.if_contains("notes");
+  if (list == nullptr || !list->is_array())
+    return model::BadField("notes", "a list");
+  std::vector<decide::CrashNote> notes;
+  for (const json::value& value : list->get_array()) {
+    BOOST_LEAF_AUTO(note, ReadNote(value, now));
+    notes.push_back(std::move(note));
+  }
+  return notes;
+}
+
+wire::Handler TakeCrashNotes(QuarantineKeeper& quarantine,
+                             wire::Handler handler) {
+  return [&quarantine, handler = std::move(handler)](
+             const wire::Request& request, wire::ResponseWriter& writer) {
+    return Answer(quarantine, handler, request, writer);
+  };
+}
+
+Awaitable<void> ExchangeCrashNotes(QuarantineKeeper& quarantine,
+                                   HostDirectory& hosts,
+                                   wire::Client& peers,
+                                   std::string self) {
+  const auto executor = co_await boost::asio::this_coro::executor;
+  auto pending = std::make_shared<PendingByEntry>();
+  auto wake = std::make_shared<boost::asio::steady_timer>(executor);
+  // A look every 50 ms was too slow: a caller that tries one entry after the
+  // other needs a few milliseconds for each.
+  std::function<void()> on_news = [executor, wake] {
+    boost::asio::post(executor, [wake] { wake->cancel(); });
+  };
+  quarantine.SetOnNews(on_news);
+  while (true) {
+    const std::vector<decide::CrashNote> news = quarantine.News();
+    for (const model::Host& entry : hosts.Hosts(model::HostRole::kEntry)) {
+      Pending& known = (*pending)[entry.name()];
+      if (entry.name() == self)
+        continue;
+      Add(known, news);
+      if (known.m_notes.empty() || known.m_telling)
+        continue;
+      known.m_telling = true;
+      boost::asio::co_spawn(executor, Tell(pending, peers, entry),
+                            boost::asio::detached);
+    }
+    wake->expires_after(kRetryInterval);
+    boost::system::error_code ignored;
+    co_await wake->async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+}
+
+}  // namespace verbenalead::daemon
--- a/src/libverbenalead/daemon/entry_daemon.cc
+++ b/src/libverbenalead/daemon/entry_daemon.cc
@@ -15,6 +15,7 @@
 #include "daemon/config_follower.h"
 #include "daemon/config_keeper.h"
 #include "daemon/counting_runner.h"
+#include "daemon/crash_note_exchange.h"
 #include "daemon/credentials.h"
 #include "daemon/entry_access.h"
 #include "daemon/entry_peer_api.h"
@@ -122,9 +123,10 @@
     context.m_config = &m_config;
     context.m_journal = &m_journal;
     context.m_ready = [this] { return m_follower.ready(); };
-    wire::Handler handler = WithRevision(
-        m_config,
-        TakeLeavingNotices(m_leaving, MakeEntryPeerApi(std::move(context))));
+    wire::Handler handler = MakeEntryPeerApi(std::move(context));
+    handler = TakeCrashNotes(m_runner.quarantine(), std::move(handler));
+    handler = TakeLeavingNotices(m_leaving, std::move(handler));
+    handler = WithRevision(m_config, std::move(handler));
     return peer::RequireCredentials(m_credentials, std::move(handler));
   }
 
@@ -311,6 +313,11 @@
   const auto executor = parts.m_threads.main();
   asio::co_spawn(executor, parts.m_follower.Run(), asio::detached);
   asio::co_spawn(executor, parts.CountEntries(), asio::detached);
+  asio::co_spawn(
+      executor,
+      ExchangeCrashNotes(parts.m_runner.quarantine(), parts.m_hosts,
+                         parts.m_peers, parts.m_settings.Text("host")),
+      asio::detached);
   asio::co_spawn(executor, parts.m_directory.Run(), asio::detached);
   if (platform::ObjectStore* segments = parts.Segments()) {
     asio::co_spawn(
--- a/src/libverbenalead/daemon/quarantine_keeper.h
+++ b/src/libverbenalead/daemon/quarantine_keeper.h
@@ -1,6 +1,7 @@
 #ifndef VERBENALEAD_DAEMON_QUARANTINE_KEEPER_H_
 #define VERBENALEAD_DAEMON_QUARANTINE_KEEPER_H_
 
+#include <functional>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -12,9 +13,19 @@
 /// The entry's quarantine, under its lock. May be used from several threads.
 class QuarantineKeeper {
  public:
+  /// `on_news` is called, from any thread, after each crash that is to be told
+  /// to other entries. Set before the first one.
+  void SetOnNews(std::function<void()> on_news) {
+    m_on_news = std::move(on_news);
+  }
+
   void NoteCrash(uint64_t key, const std::string& target) {
-    std::lock_guard lock(m_mutex);
-    decide::NoteCrash(m_state, key, target, Now());
+    {
+      std::lock_guard lock(m_mutex);
+      decide::NoteCrash(m_state, key, target, Now());
+    }
+    if (m_on_news)
+      m_on_news();
   }
   void NoteSuccess(uint64_t key) {
     std::lock_guard lock(m_mutex);
@@ -34,6 +45,7 @@
   }
 
  private:
+  std::function<void()> m_on_news;
   mutable std::mutex m_mutex;
   decide::QuarantineState m_state;
 };
