Log what leaves a coroutine; end the process with its loops

Cause: coroutines were spawned detached, which swallows exceptions. A loop that follows configuration, hosts or the engine could end unseen and leave a process that looks alive and hears nothing any more. Spawn logs; SpawnLoop logs and ends the process, which the platform starts again. Ruled out: starting a loop again in place, since nobody knows what state it left behind.

--- /dev/null
+++ b/src/libverbenalead/base/spawn_test.cc
@@ -0,0 +1,40 @@
+#include "base/spawn.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <boost/asio/io_context.hpp>
+#include <stdexcept>
+
+namespace verbenalead {
+namespace {
+
+Awaitable<void> Throw() {
+  throw std::runtime_error("bad message");
+  co_return;
+}
+
+Awaitable<void> Note(bool& done) {
+  done = true;
+  co_return;
+}
+
+class SpawnTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SpawnTest);
+  CPPUNIT_TEST(OneFailedTaskDoesNotStopOthers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // One caller's message makes a handler throw; the others must not notice.
+  void OneFailedTaskDoesNotStopOthers() {
+    boost::asio::io_context context;
+    bool done = false;
+    Spawn(context.get_executor(), Throw(), "throw");
+    Spawn(context.get_executor(), Note(done), "note");
+    context.run();
+    CPPUNIT_ASSERT(done);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SpawnTest);
+
+}  // namespace
+}  // namespace verbenalead
--- a/src/libverbenalead/daemon/claim_keeper.cc
+++ b/src/libverbenalead/daemon/claim_keeper.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -15,6 +13,7 @@
 #include "base/log.h"
 #include "base/new_id.h"
 #include "base/sleep.h"
+#include "base/spawn.h"
 #include "decide/rendezvous.h"
 
 namespace verbenalead::daemon {
@@ -183,10 +182,10 @@
   for (ClaimAction& action : actions) {
     switch (action.m_kind) {
       case ClaimAction::Kind::kTransact:
-        asio::co_spawn(executor, Transact(std::move(action)), asio::detached);
+        Spawn(executor, Transact(std::move(action)), "transact");
         break;
       case ClaimAction::Kind::kRead:
-        asio::co_spawn(executor, Read(std::move(action)), asio::detached);
+        Spawn(executor, Read(std::move(action)), "read");
         break;
       case ClaimAction::Kind::kWake:
         WakeAt(executor, action.m_at);
@@ -217,7 +216,7 @@
       return;
     m_wake_at = at;
   }
-  asio::co_spawn(executor, Wake(at), asio::detached);
+  Spawn(executor, Wake(at), "wake");
 }
 
 Awaitable<void> ClaimKeeper::Wake(TimePoint at) {
--- a/src/libverbenalead/daemon/config_follower.cc
+++ b/src/libverbenalead/daemon/config_follower.cc
@@ -1,14 +1,13 @@
 #include "daemon/config_follower.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <memory>
 #include <random>
 
 #include "base/log.h"
 #include "base/sleep.h"
+#include "base/spawn.h"
 #include "daemon/config_messages.h"
 #include "decide/config_tree.h"
 
@@ -155,9 +154,9 @@
       .Info();
   const auto executor = co_await asio::this_coro::executor;
   for (size_t slot = 0; slot < decide::kConfigSlots; ++slot)
-    asio::co_spawn(executor, Listen(slot), asio::detached);
+    SpawnLoop(executor, Listen(slot), "listen");
   if (m_role == model::HostRole::kEntry)
-    asio::co_spawn(executor, ReadTable(), asio::detached);
+    SpawnLoop(executor, ReadTable(), "read_table");
   co_await CatchUpWhenBehind();
 }
 
@@ -240,10 +239,9 @@
       continue;
     ++asked;
     ++holders->m_open;
-    asio::co_spawn(
-        executor,
-        PushTo(holders, m_config, m_peers, AddressOf(entry), revision),
-        asio::detached);
+    Spawn(executor,
+          PushTo(holders, m_config, m_peers, AddressOf(entry), revision),
+          "push_to");
   }
   const TimePoint give_up = Now() + kReplicateBound;
   while (holders->m_open > 0 && holders->m_holding < kHoldersWanted &&
--- a/src/libverbenalead/daemon/crash_note_exchange.cc
+++ b/src/libverbenalead/daemon/crash_note_exchange.cc
@@ -1,8 +1,6 @@
 #include "daemon/crash_note_exchange.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,6 +12,7 @@
 
 #include "base/catch_failure.h"
 #include "base/log.h"
+#include "base/spawn.h"
 #include "model/json_fields.h"
 
 namespace verbenalead::daemon {
@@ -152,8 +151,7 @@
       if (known.m_notes.empty() || known.m_telling)
         continue;
       known.m_telling = true;
-      boost::asio::co_spawn(executor, Tell(pending, peers, entry),
-                            boost::asio::detached);
+      Spawn(executor, Tell(pending, peers, entry), "tell");
     }
     wake->expires_after(kRetryInterval);
     boost::system::error_code ignored;
--- a/src/libverbenalead/daemon/entry_daemon.cc
+++ b/src/libverbenalead/daemon/entry_daemon.cc
@@ -2,9 +2,8 @@
 
 #include <algorithm>
 #include <atomic>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 
 #include "base/io_threads.h"
@@ -12,6 +11,7 @@
 #include "base/metrics.h"
 #include "base/new_id.h"
 #include "base/sleep.h"
+#include "base/spawn.h"
 #include "daemon/config_follower.h"
 #include "daemon/config_keeper.h"
 #include "daemon/counting_runner.h"
@@ -311,22 +311,21 @@
   if (!parts.Listen())
     return 1;
   const auto executor = parts.m_threads.main();
-  asio::co_spawn(executor, parts.m_follower.Run(), asio::detached);
-  asio::co_spawn(executor, parts.CountEntries(), asio::detached);
-  asio::co_spawn(
-      executor,
-      ExchangeCrashNotes(parts.m_runner.quarantine(), parts.m_hosts,
-                         parts.m_peers, parts.m_settings.Text("host")),
-      asio::detached);
-  asio::co_spawn(executor, parts.m_directory.Run(), asio::detached);
+  SpawnLoop(executor, parts.m_follower.Run(), "follow_config");
+  SpawnLoop(executor, parts.CountEntries(), "count_entries");
+  SpawnLoop(executor,
+            ExchangeCrashNotes(parts.m_runner.quarantine(), parts.m_hosts,
+                               parts.m_peers, parts.m_settings.Text("host")),
+            "exchange_crash_notes");
+  SpawnLoop(executor, parts.m_directory.Run(), "follow_targets");
   if (platform::ObjectStore* segments = parts.Segments()) {
-    asio::co_spawn(
+    SpawnLoop(
         executor,
         FlushJournal(parts.m_journal, *segments, parts.m_settings.Text("host")),
-        asio::detached);
+        "flush_journal");
   }
-  asio::co_spawn(executor, parts.StopWhenAsked(), asio::detached);
-  asio::co_spawn(executor, parts.ReloadWhenAsked(), asio::detached);
+  SpawnLoop(executor, parts.StopWhenAsked(), "stop_when_asked");
+  SpawnLoop(executor, parts.ReloadWhenAsked(), "reload_when_asked");
   LogLine("started").With("host", parts.m_settings.Text("host")).Info();
   parts.m_threads.Run();
   return 0;
--- a/src/libverbenalead/daemon/pool_router.cc
+++ b/src/libverbenalead/daemon/pool_router.cc
@@ -1,7 +1,5 @@
 #include "daemon/pool_router.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -9,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/sleep.h"
+#include "base/spawn.h"
 
 namespace verbenalead::daemon {
 
@@ -48,7 +47,7 @@
     sweep = BeginSweep();
   }
   if (sweep)
-    asio::co_spawn(executor, Sweep(), asio::detached);
+    Spawn(executor, Sweep(), "sweep");
   while (!waiter->m_action) {
     boost::system::error_code ignored;
     co_await waiter->m_event.async_wait(
--- a/src/libverbenalead/daemon/target_daemon.cc
+++ b/src/libverbenalead/daemon/target_daemon.cc
@@ -1,8 +1,6 @@
 #include "daemon/target_daemon.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
@@ -11,6 +9,7 @@
 #include "base/io_threads.h"
 #include "base/log.h"
 #include "base/sleep.h"
+#include "base/spawn.h"
 #include "daemon/config_follower.h"
 #include "daemon/credentials.h"
 #include "daemon/readiness.h"
@@ -296,18 +295,15 @@
   if (!parts.Listen())
     return 1;
   const auto executor = parts.m_threads.main();
-  auto spawn = [&](Awaitable<void> task) {
-    asio::co_spawn(executor, std::move(task), asio::detached);
-  };
-  spawn(parts.FollowHosts());
-  spawn(parts.m_follower.Run());
-  spawn(parts.ForgetAttempts());
-  spawn(parts.StopWhenAsked());
-  spawn(parts.ReloadWhenAsked());
+  SpawnLoop(executor, parts.FollowHosts(), "follow_hosts");
+  SpawnLoop(executor, parts.m_follower.Run(), "follow_config");
+  SpawnLoop(executor, parts.ForgetAttempts(), "forget_attempts");
+  SpawnLoop(executor, parts.StopWhenAsked(), "stop_when_asked");
+  SpawnLoop(executor, parts.ReloadWhenAsked(), "reload_when_asked");
   if (parts.m_settings.Text("backend.kind") == "engine")
-    spawn(parts.m_versions.Run());
+    SpawnLoop(executor, parts.m_versions.Run(), "keep_version");
   else
-    spawn(parts.FollowService());
+    SpawnLoop(executor, parts.FollowService(), "follow_service");
   LogLine("started").With("host", parts.m_settings.Text("host")).Info();
   parts.m_threads.Run();
   return 0;
--- a/src/libverbenalead/daemon/target_directory.cc
+++ b/src/libverbenalead/daemon/target_directory.cc
@@ -1,12 +1,11 @@
 #include "daemon/target_directory.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
 #include "base/catch_failure.h"
 #include "base/log.h"
 #include "base/sleep.h"
+#include "base/spawn.h"
 #include "peer/header_names.h"
 
 namespace verbenalead::daemon {
@@ -38,7 +37,7 @@
       if (asking)
         continue;
       asking = true;
-      boost::asio::co_spawn(executor, AskTarget(host), boost::asio::detached);
+      Spawn(executor, AskTarget(host), "ask_target");
     }
     for (PoolRouter* router : m_routers.All())
       router->Tick();
--- a/src/libverbenalead/daemon/trace_gatherer.cc
+++ b/src/libverbenalead/daemon/trace_gatherer.cc
@@ -1,8 +1,6 @@
 #include "daemon/trace_gatherer.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -12,6 +10,7 @@
 #include <sstream>
 
 #include "base/sleep.h"
+#include "base/spawn.h"
 
 namespace verbenalead::daemon {
 namespace {
@@ -115,9 +114,8 @@
         keys->size() > kSegmentsRead ? keys->size() - kSegmentsRead : 0;
     for (size_t i = first; i < keys->size(); ++i) {
       ++gathering->m_open;
-      asio::co_spawn(executor,
-                     ReadSegment(gathering, store, (*keys)[i], request),
-                     asio::detached);
+      Spawn(executor, ReadSegment(gathering, store, (*keys)[i], request),
+            "read_segment");
     }
   } else {
     gathering->m_lines.push_back(LogLine("segments_unavailable")
@@ -165,8 +163,7 @@
   gathering->m_lines = journal.Find(request);
   gathering->m_open = hosts.size();
   for (const model::Host& host : hosts) {
-    asio::co_spawn(executor, Ask(gathering, request, peers, host),
-                   asio::detached);
+    Spawn(executor, Ask(gathering, request, peers, host), "ask");
   }
   co_await Wait(gathering);
   if (store != nullptr && !Contains(gathering->m_lines, "event=outcome")) {
@@ -174,9 +171,8 @@
       if (host.role() != model::HostRole::kEntry)
         continue;
       ++gathering->m_open;
-      asio::co_spawn(executor,
-                     SearchSegments(gathering, *store, host.name(), request),
-                     asio::detached);
+      Spawn(executor, SearchSegments(gathering, *store, host.name(), request),
+            "search_segments");
     }
     co_await Wait(gathering);
   }
--- a/src/libverbenalead/daemon/version_keeper.cc
+++ b/src/libverbenalead/daemon/version_keeper.cc
@@ -1,11 +1,10 @@
 #include "daemon/version_keeper.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
 #include "base/log.h"
 #include "base/sleep.h"
+#include "base/spawn.h"
 
 namespace verbenalead::daemon {
 namespace {
@@ -91,9 +90,9 @@
 
 Awaitable<void> VersionKeeper::Run() {
   const auto executor = co_await boost::asio::this_coro::executor;
-  boost::asio::co_spawn(executor, KeepPermit(), boost::asio::detached);
-  boost::asio::co_spawn(executor, PollEngine(), boost::asio::detached);
-  boost::asio::co_spawn(executor, WatchEngine(), boost::asio::detached);
+  Spawn(executor, KeepPermit(), "keep_permit");
+  SpawnLoop(executor, PollEngine(), "poll_engine");
+  SpawnLoop(executor, WatchEngine(), "watch_engine");
   while (true) {
     const decide::RolloutPlan& plan = Plan();
     decide::RolloutAction action =
--- a/src/libverbenalead/daemon/weights_fetcher.cc
+++ b/src/libverbenalead/daemon/weights_fetcher.cc
@@ -1,13 +1,12 @@
 #include "daemon/weights_fetcher.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
 #include "base/catch_failure.h"
 #include "base/log.h"
 #include "base/sleep.h"
+#include "base/spawn.h"
 #include "daemon/transfer_messages.h"
 #include "decide/rendezvous.h"
 
@@ -121,7 +120,7 @@
   for (const std::string& name : actions.m_follows) {
     auto cancelled = std::make_shared<bool>(false);
     run->m_follows[name] = cancelled;
-    asio::co_spawn(executor, Follow(run, name, cancelled), asio::detached);
+    Spawn(executor, Follow(run, name, cancelled), "follow");
   }
   for (const decide::FetchChunk& fetch : actions.m_fetches) {
     auto cancelled = std::make_shared<bool>(false);
@@ -131,7 +130,7 @@
         .With("source",
               fetch.m_source.IsOrigin() ? "origin" : fetch.m_source.m_host)
         .Debug();
-    asio::co_spawn(executor, FetchChunk(run, fetch, cancelled), asio::detached);
+    Spawn(executor, FetchChunk(run, fetch, cancelled), "fetch_chunk");
   }
 }
 
--- a/src/libverbenalead/http/server.cc
+++ b/src/libverbenalead/http/server.cc
@@ -1,13 +1,12 @@
 #include "http/server.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl/context.hpp>
 #include <boost/beast/ssl.hpp>
 #include <utility>
 
 #include "base/log.h"
+#include "base/spawn.h"
 #include "http/caller_watch.h"
 #include "http/http1_writer.h"
 #include "http/server_state.h"
@@ -194,10 +193,10 @@
   const auto executor = socket.get_executor();
   beast::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
-  asio::co_spawn(executor,
-                 state->m_tls ? ServeTls(std::move(socket), state)
-                              : ServePlain(std::move(socket), state),
-                 asio::detached);
+  Spawn(executor,
+        state->m_tls ? ServeTls(std::move(socket), state)
+                     : ServePlain(std::move(socket), state),
+        "serve_connection");
 }
 
 }  // namespace
--- a/src/libverbenalead/peer/session.cc
+++ b/src/libverbenalead/peer/session.cc
@@ -3,8 +3,6 @@
 #include <nghttp2/nghttp2.h>
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -14,6 +12,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "base/spawn.h"
 #include "peer/stream.h"
 
 namespace verbenalead::peer {
@@ -491,8 +490,8 @@
                                         0,
                                         m_state->m_limits.m_connection_window);
   const auto executor = m_state->m_socket.get_executor();
-  asio::co_spawn(executor, ReadLoop(shared_from_this()), asio::detached);
-  asio::co_spawn(executor, WatchForSilence(shared_from_this()), asio::detached);
+  Spawn(executor, ReadLoop(shared_from_this()), "read_loop");
+  Spawn(executor, WatchForSilence(shared_from_this()), "watch_for_silence");
   Flush();
 }
 
@@ -599,8 +598,8 @@
   if (m_state->m_writing || m_state->m_closed)
     return;
   m_state->m_writing = true;
-  asio::co_spawn(m_state->m_socket.get_executor(),
-                 WriteLoop(shared_from_this()), asio::detached);
+  Spawn(m_state->m_socket.get_executor(), WriteLoop(shared_from_this()),
+        "write_loop");
 }
 
 void Session::Close(const std::string& reason) {
@@ -643,8 +642,7 @@
     auto ready = std::move(m_state->m_ready);
     m_state->m_ready.clear();
     for (int32_t id : ready)
-      asio::co_spawn(m_state->m_socket.get_executor(), Answer(self, id),
-                     asio::detached);
+      Spawn(m_state->m_socket.get_executor(), Answer(self, id), "answer");
     Flush();
   }
 }
--- a/src/libverbenalead/wire/listener.cc
+++ b/src/libverbenalead/wire/listener.cc
@@ -1,12 +1,11 @@
 #include "wire/listener.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/awaitable.h"
+#include "base/spawn.h"
 
 namespace verbenalead::wire {
 
@@ -69,7 +68,7 @@
     return Failure{FailureCode::kInvalid, "listen", ToString(endpoint),
                    error.message()};
   }
-  asio::co_spawn(acceptor.get_executor(), AcceptLoop(m_state), asio::detached);
+  Spawn(acceptor.get_executor(), AcceptLoop(m_state), "accept_loop");
   return Endpoint(endpoint.address(), acceptor.local_endpoint().port());
 }
 
