--- /dev/null
+++ b/src/libverbenalead/peer/session_state.h
@@ -0,0 +1,64 @@
+#ifndef VERBENALEAD_PEER_SESSION_STATE_H_
+#define VERBENALEAD_PEER_SESSION_STATE_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "peer/session.h"
+#include "peer/stream.h"
+
+struct nghttp2_session;
+
+namespace verbenalead::peer {
+
+using StreamPtr = std::shared_ptr<Stream>;
+
+/// What a session holds; of the thread of its socket.
+struct Session::State {
+  State(boost::asio::ip::tcp::socket socket, SessionLimits limits)
+      : m_socket(std::move(socket)),
+        m_limits(limits),
+        m_last_received(Now()),
+        m_watch_timer(m_socket.get_executor()) {}
+  ~State();
+
+  StreamPtr Find(int32_t id) {
+    auto found = m_streams.find(id);
+    return found == m_streams.end() ? nullptr : found->second;
+  }
+
+  void MarkFlushed() {
+    for (const StreamPtr& stream : std::exchange(m_sent, {})) {
+      stream->m_flushed = true;
+      stream->m_outbound_event.cancel();
+    }
+  }
+
+  boost::asio::ip::tcp::socket m_socket;
+  const SessionLimits m_limits;
+  wire::Handler m_handler;
+  std::string m_peer;
+  nghttp2_session* m_session = nullptr;
+  std::map<int32_t, StreamPtr> m_streams;
+  bool m_writing = false;
+  bool m_closed = false;
+  TimePoint m_last_received;
+  bool m_ping_sent = false;
+  bool m_retired = false;
+  /// Cancelled when bytes come.
+  std::vector<std::shared_ptr<boost::asio::steady_timer>> m_probes;
+  boost::asio::steady_timer m_watch_timer;
+  /// Requests whose last byte has come, to be answered after mem_recv.
+  std::vector<int32_t> m_ready;
+  /// Streams whose last frame is in the buffer that is being written.
+  std::vector<StreamPtr> m_sent;
+};
+
+}  // namespace verbenalead::peer
+
+#endif  // VERBENALEAD_PEER_SESSION_STATE_H_
