--- a/src/libverbenalead/daemon/target_peer_api.cc
+++ b/src/libverbenalead/daemon/target_peer_api.cc
@@ -6,7 +6,7 @@
 #include "base/catch_failure.h"
 #include "base/sleep.h"
 #include "daemon/transfer_messages.h"
-#include "decide/rendezvous.h"
+#include "decide/report_news.h"
 #include "peer/header_names.h"
 
 namespace verbenalead::daemon {
@@ -108,10 +108,12 @@
   return {200, {}, std::move(text)};
 }
 
-/// Answers once the report differs from the one that the asker has seen, or
-/// with 204 when the asker's patience is at its end. An idle target then costs
-/// its watchers two short messages each second and a half.
+/// Answers as soon as the report is urgent news to the asker, or with what else
+/// has changed, 204 if nothing, when the asker's patience is at its end. An
+/// idle target then costs its watchers two short messages each second and a
+/// half.
 Awaitable<wire::Response> ServeStatus(Context context, wire::Request request) {
+  using decide::ReportNews;
   const std::string seen = wire::QueryValue(request, "seen");
   const auto hold = std::chrono::milliseconds(
       std::min(kLongestHoldMs,
@@ -119,14 +121,16 @@
                              nullptr, 10)));
   const TimePoint give_up = Now() + hold;
   while (true) {
-    wire::Response response =
-        wire::JsonResponse(200, ToJson(context->m_report()));
-    const std::string mark =
-        std::to_string(decide::MixHash(response.m_body, 0));
-    response.m_headers[peer::kReportMark] = mark;
-    if (mark != seen)
+    const model::TargetReport report = context->m_report();
+    const std::string mark = decide::MarkOf(report);
+    const ReportNews news = decide::NewsOf(mark, seen);
+    const bool ended = Now() >= give_up;
+    if (news == ReportNews::kUrgent || (news == ReportNews::kLater && ended)) {
+      wire::Response response = wire::JsonResponse(200, ToJson(report));
+      response.m_headers[peer::kReportMark] = mark;
       co_return response;
-    if (Now() >= give_up)
+    }
+    if (ended)
       co_return wire::Response{204, {}, ""};
     co_await Sleep(kReportPoll);
   }
--- /dev/null
+++ b/src/libverbenalead/decide/report_news.cc
@@ -0,0 +1,41 @@
+#include "decide/report_news.h"
+
+#include "decide/rendezvous.h"
+
+namespace verbenalead::decide {
+namespace {
+
+constexpr char kBetween = '.';
+constexpr uint64_t kProgressSteps = 10;
+
+/// What in `report` may not wait.
+model::TargetReport Urgent(model::TargetReport report) {
+  report.m_running = 0;
+  report.m_origin_bytes = 0;
+  report.m_peer_bytes = 0;
+  if (report.m_chunks_total > 0) {
+    report.m_chunks_held = static_cast<uint32_t>(
+        report.m_chunks_held * kProgressSteps / report.m_chunks_total);
+  }
+  return report;
+}
+
+std::string HashOf(const model::TargetReport& report) {
+  return std::to_string(MixHash(ToJson(report), 0));
+}
+
+}  // namespace
+
+std::string MarkOf(const model::TargetReport& report) {
+  return HashOf(Urgent(report)) + kBetween + HashOf(report);
+}
+
+ReportNews NewsOf(const std::string& mark, const std::string& seen) {
+  if (mark == seen)
+    return ReportNews::kNone;
+  const bool same = mark.substr(0, mark.find(kBetween)) ==
+                    seen.substr(0, seen.find(kBetween));
+  return same ? ReportNews::kLater : ReportNews::kUrgent;
+}
+
+}  // namespace verbenalead::decide
--- /dev/null
+++ b/src/libverbenalead/decide/report_news_test.cc
@@ -0,0 +1,59 @@
+#include "decide/report_news.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace verbenalead::decide {
+namespace {
+
+model::TargetReport Report() {
+  model::TargetReport report;
+  report.m_name = "target-1";
+  report.m_open = true;
+  report.m_chunks_total = 100;
+  return report;
+}
+
+class ReportNewsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReportNewsTest);
+  CPPUNIT_TEST(LoadMayWait);
+  CPPUNIT_TEST(WhatItTakesMayNotWait);
+  CPPUNIT_TEST(ProgressCountsByTenths);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Under load the count of running attempts changes all the time; a report for
+  // each change would break the limit on control traffic.
+  void LoadMayWait() {
+    const std::string seen = MarkOf(Report());
+    CPPUNIT_ASSERT(NewsOf(MarkOf(Report()), seen) == ReportNews::kNone);
+    model::TargetReport busy = Report();
+    busy.m_running = 7;
+    busy.m_peer_bytes = 1 << 20;
+    CPPUNIT_ASSERT(NewsOf(MarkOf(busy), seen) == ReportNews::kLater);
+  }
+
+  void WhatItTakesMayNotWait() {
+    const std::string seen = MarkOf(Report());
+    model::TargetReport leaving = Report();
+    leaving.m_leaving = true;
+    model::TargetReport shut = Report();
+    shut.m_open = false;
+    for (const model::TargetReport& report : {leaving, shut})
+      CPPUNIT_ASSERT(NewsOf(MarkOf(report), seen) == ReportNews::kUrgent);
+    CPPUNIT_ASSERT(NewsOf(seen, "") == ReportNews::kUrgent);
+  }
+
+  void ProgressCountsByTenths() {
+    const std::string seen = MarkOf(Report());
+    model::TargetReport report = Report();
+    report.m_chunks_held = 9;
+    CPPUNIT_ASSERT(NewsOf(MarkOf(report), seen) == ReportNews::kLater);
+    report.m_chunks_held = 10;
+    CPPUNIT_ASSERT(NewsOf(MarkOf(report), seen) == ReportNews::kUrgent);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReportNewsTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
