--- a/src/libverbenalead/daemon/weights_fetcher.cc
+++ b/src/libverbenalead/daemon/weights_fetcher.cc
@@ -1,7 +1,10 @@
 #include "daemon/weights_fetcher.h"
 
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "base/catch_failure.h"
 #include "base/log.h"
@@ -36,6 +39,10 @@
 }  // namespace
 
 struct WeightsFetcher::Run {
+  explicit Run(const asio::any_io_executor& executor) : m_wake(executor) {}
+
+  /// Cancelled when a fetch has ended: what is next need not wait for a step.
+  asio::steady_timer m_wake;
   model::VersionSpec m_version;
   model::Manifest m_manifest;
   decide::TransferState m_transfer;
@@ -75,7 +82,7 @@
   auto manifest = co_await FetchManifest(version);
   if (!manifest)
     co_return manifest.error();
-  auto run = std::make_shared<Run>();
+  auto run = std::make_shared<Run>(co_await asio::this_coro::executor);
   run->m_version = version;
   run->m_manifest = *manifest;
   decide::TransferLinks links = m_options.m_links;
@@ -92,7 +99,10 @@
   while (still_wanted && !decide::IsComplete(run->m_transfer)) {
     UpdateMembers(*run);
     DoStep(run, executor);
-    co_await Sleep(kStep);
+    run->m_wake.expires_after(kStep);
+    boost::system::error_code ignored;
+    co_await run->m_wake.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
     still_wanted = wanted();
   }
   run->CancelAll();
@@ -269,6 +279,7 @@
   } else {
     kept = bytes.error();
   }
+  run->m_wake.cancel();
   if (*cancelled)
     co_return;
   if (kept) {
--- a/src/libverbenalead/peer/session_reader.cc
+++ b/src/libverbenalead/peer/session_reader.cc
@@ -51,6 +51,12 @@
   }
   std::string bytes = std::move(m_stream->m_inbound.front());
   m_stream->m_inbound.pop_front();
+  // All that has come, in one piece: a frame holds 16 KB, and to wake the
+  // reader and open the window for each costs more than to copy them.
+  while (!m_stream->m_inbound.empty()) {
+    bytes += m_stream->m_inbound.front();
+    m_stream->m_inbound.pop_front();
+  }
   if (!m_session->closed()) {
     nghttp2_session_consume_stream(m_session->m_state->m_session,
                                    m_stream->m_id, bytes.size());
