--- a/src/libverbenalead/daemon/weights_fetcher.cc
+++ b/src/libverbenalead/daemon/weights_fetcher.cc
@@ -272,14 +272,10 @@
   AsyncResult<void> kept;
   if (bytes) {
     co_await m_download.Take(bytes->size());
-    // Hashed beside the thread that reads: it takes most of a chunk's time.
-    std::function<void()> keep = [&] {
-      kept = CatchFailure([&] {
-        return m_store.Put(run->m_manifest.whole(), fetch.m_chunk,
-                           std::move(*bytes));
-      });
-    };
-    co_await m_hashing.Run(std::move(keep));
+    kept = CatchFailure([&] {
+      return m_store.Put(run->m_manifest.whole(), fetch.m_chunk,
+                         std::move(*bytes));
+    });
   } else {
     kept = bytes.error();
   }
--- a/src/libverbenalead/daemon/weights_fetcher.h
+++ b/src/libverbenalead/daemon/weights_fetcher.h
@@ -8,7 +8,6 @@
 #include <string>
 
 #include "base/pacer.h"
-#include "base/work_thread.h"
 #include "daemon/host_directory.h"
 #include "daemon/weights_store.h"
 #include "decide/transfer.h"
@@ -86,7 +85,6 @@
   Pacer& m_download;
   TransferCounters& m_counters;
   std::mt19937_64 m_random;
-  WorkThread m_hashing;
 };
 
 }  // namespace verbenalead::daemon
