--- a/src/libverbenalead/daemon/target_daemon.cc
+++ b/src/libverbenalead/daemon/target_daemon.cc
@@ -8,6 +8,7 @@
 
 #include "base/io_threads.h"
 #include "base/log.h"
+#include "base/metrics.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
 #include "daemon/config_follower.h"
@@ -33,6 +34,7 @@
 constexpr Duration kHealthInterval = 250ms;
 constexpr Duration kForgetInterval = 10s;
 constexpr Duration kStopPoll = 20ms;
+constexpr char kAttemptPath[] = "/v1/attempt";
 constexpr char kServiceHealthPath[] = "/healthz";
 
 uint64_t UnixMilliseconds() {
@@ -120,12 +122,50 @@
                    m_table),
         m_attempts(settings.Text("host"), m_gate, m_engine, m_journal),
         m_peer_server(m_threads, peer::SessionLimits{}, PeerApi()),
-        m_weights_server(m_threads,
-                         http::ServerLimits{},
-                         MakeWeightsApi(m_store)),
+        m_weights_server(
+            m_threads,
+            http::ServerLimits{},
+            MakeWeightsApi(m_store, [this] { return MetricsText(); })),
         m_signals(m_threads.main(), SIGTERM, SIGINT),
         m_hangup(m_threads.main(), SIGHUP) {}
 
+  /// Counts and times attempts.
+  wire::Handler Measured(wire::Handler handler) {
+    return [this, handler = std::move(handler)](
+               const wire::Request& request,
+               wire::ResponseWriter& writer) -> Awaitable<void> {
+      return Measure(handler, request, writer);
+    };
+  }
+
+  Awaitable<void> Measure(const wire::Handler& handler,
+                          const wire::Request& request,
+                          wire::ResponseWriter& writer) {
+    const TimePoint start = Now();
+    co_await handler(request, writer);
+    if (request.m_path == kAttemptPath) {
+      m_metrics.Observe("attempt_seconds", "",
+                        std::chrono::duration<double>(Now() - start).count());
+    }
+  }
+
+  std::string MetricsText() {
+    const model::TargetReport report = Report();
+    m_metrics.Set("running", "", report.m_running);
+    m_metrics.Set("capacity", "", report.m_capacity);
+    m_metrics.Set("gate_open", "", report.m_open);
+    m_metrics.Set("leaving", "", report.m_leaving);
+    m_metrics.Set("config_revision", "",
+                  static_cast<double>(report.m_revision));
+    m_metrics.Set("chunks_held", "", report.m_chunks_held);
+    m_metrics.Set("chunks_total", "", report.m_chunks_total);
+    m_metrics.Set("weights_bytes", "source=\"origin\"",
+                  static_cast<double>(report.m_origin_bytes));
+    m_metrics.Set("weights_bytes", "source=\"peers\"",
+                  static_cast<double>(report.m_peer_bytes));
+    return m_metrics.Text();
+  }
+
   wire::Handler PeerApi() {
     TargetPeerContext context;
     context.m_attempts = &m_attempts;
@@ -137,7 +177,7 @@
     context.m_drain = [this] { StartLeaving("operator"); };
     wire::Handler handler =
         WithReadiness([this] { return m_follower.ready(); },
-                      MakeTargetPeerApi(std::move(context)));
+                      Measured(MakeTargetPeerApi(std::move(context))));
     return peer::RequireCredentials(m_credentials,
                                     WithRevision(m_config, std::move(handler)));
   }
@@ -260,6 +300,7 @@
   http::Client m_http;
   peer::Credentials m_credentials;
   peer::Client m_sessions;
+  Metrics m_metrics;
   Journal m_journal;
   platform::SigningClient m_signed_table;
   platform::DynamoTable m_table;
--- a/src/libverbenalead/daemon/target_peer_api.cc
+++ b/src/libverbenalead/daemon/target_peer_api.cc
@@ -175,10 +175,22 @@
   co_await writer.Send(std::move(response));
 }
 
+wire::Response MetricsResponse(std::string text) {
+  wire::Response response{200, {}, std::move(text)};
+  response.m_headers["content-type"] = "text/plain; version=0.0.4";
+  return response;
+}
+
 Awaitable<void> AnswerWeights(const WeightsStore& store,
+                              std::function<std::string()> metrics,
                               const wire::Request& request,
                               wire::ResponseWriter& writer) {
   const std::string path = wire::PathOf(request);
+  if (path == "/metrics") {
+    wire::Response response = MetricsResponse(metrics());
+    co_await writer.Send(std::move(response));
+    co_return;
+  }
   if (!path.starts_with(kWeights)) {
     co_await writer.Send({404, {}, "unknown path"});
     co_return;
@@ -208,9 +220,11 @@
   };
 }
 
-wire::Handler MakeWeightsApi(const WeightsStore& store) {
-  return [&store](const wire::Request& request, wire::ResponseWriter& writer) {
-    return AnswerWeights(store, request, writer);
+wire::Handler MakeWeightsApi(const WeightsStore& store,
+                             std::function<std::string()> metrics) {
+  return [&store, metrics = std::move(metrics)](const wire::Request& request,
+                                                wire::ResponseWriter& writer) {
+    return AnswerWeights(store, metrics, request, writer);
   };
 }
 
--- a/src/libverbenalead/daemon/target_peer_api.h
+++ b/src/libverbenalead/daemon/target_peer_api.h
@@ -36,8 +36,12 @@
 ///     GET  /v1/trace/REQUEST
 wire::Handler MakeTargetPeerApi(TargetPeerContext context);
 
-/// What the engine beside the target reads: GET /weights/DIGEST, whole.
-wire::Handler MakeWeightsApi(const WeightsStore& store);
+/// What the engine beside the target reads, and the host's own monitoring:
+///
+///     GET /weights/DIGEST   the whole weights
+///     GET /metrics          what `metrics` returns
+wire::Handler MakeWeightsApi(const WeightsStore& store,
+                             std::function<std::string()> metrics);
 
 }  // namespace verbenalead::daemon
 
--- a/testsuite/demo.py
+++ b/testsuite/demo.py
@@ -119,6 +119,18 @@
     checks.expect("plain service call", reply.status == 200)
 
 
+def check_metrics(cluster, checks):
+    """Both daemons tell their metrics in the text exposition format."""
+    entry = harness.call(cluster.entries[0]["callers"], "GET", "/metrics")
+    checks.expect("metrics of an entry",
+                  b"verbenalead_calls_total" in entry.body)
+    weights = cluster.targets[0]["settings"]["listen"]["weights"]
+    target = harness.call(weights, "GET", "/metrics")
+    checks.expect("metrics of a target",
+                  b"verbenalead_gate_open 1" in target.body
+                  and b"verbenalead_attempt_seconds_count" in target.body)
+
+
 def check_refusals(cluster, checks):
     entry = cluster.entries[0]
     reply = harness.completion(entry, "no-such-model", "x")
@@ -176,6 +188,7 @@
         check_completions(cluster, digest, checks)
         check_once(cluster, checks)
         check_refusals(cluster, checks)
+        check_metrics(cluster, checks)
         check_kill(cluster, digest, checks)
         show_trace(cluster, digest, checks)
         done = checks.wrong == 0
