--- a/src/libverbenalead/daemon/attempt_server.cc
+++ b/src/libverbenalead/daemon/attempt_server.cc
@@ -118,6 +118,7 @@
     co_return;
   }
   m_journal.Record(request_id, LogLine("entered")
+                                   .With("call", attempt.m_call)
                                    .With("attempt", uint64_t{attempt.m_number})
                                    .With("target", m_host)
                                    .With("digest", ToString(entered.m_digest)));
--- a/src/libverbenalead/daemon/request_runner.cc
+++ b/src/libverbenalead/daemon/request_runner.cc
@@ -112,6 +112,7 @@
                                    wire::Request request,
                                    wire::ResponseWriter& writer) {
   m_journal.Record(call.id(), LogLine("received")
+                                  .With("call", call.instance())
                                   .With("organisation", call.organisation())
                                   .With("pool", call.pool())
                                   .With("urgency", call.urgency())
@@ -268,7 +269,8 @@
   ++verdict.m_attempts;
   verdict.m_target = placement.m_target;
   LogLine line("place");
-  line.With("attempt", uint64_t{verdict.m_attempts})
+  line.With("call", call.instance())
+      .With("attempt", uint64_t{verdict.m_attempts})
       .With("target", placement.m_target)
       .With("version", placement.m_version)
       .With("incarnation", placement.m_incarnation)
@@ -336,7 +338,8 @@
                        .With("target", verdict.m_target)
                        .With("version", verdict.m_last.m_version)
                        .With("attempts", uint64_t{verdict.m_attempts})
-                       .With("reason", verdict.m_reason));
+                       .With("reason", verdict.m_reason)
+                       .With("call", call.instance()));
   const AttemptReport& last = verdict.m_last;
   if (last.m_answer_begun) {
     // A stream that broke is left without its end, so that the caller can't
