Declare the settings that both daemons share once; sign for the object store

Thirteen keys stood in both lists. Measured: ctest -R 'case/(bad_settings|settings|demo|trace|access)', 5 of 5.

--- /dev/null
+++ b/src/libverbenalead/daemon/common_settings.h
@@ -0,0 +1,14 @@
+#ifndef VERBENALEAD_DAEMON_COMMON_SETTINGS_H_
+#define VERBENALEAD_DAEMON_COMMON_SETTINGS_H_
+
+#include "base/settings_schema.h"
+
+namespace verbenalead::daemon {
+
+/// The settings that vlentry and vltarget have in common. `threads` and
+/// `journal_requests` are the defaults of this program.
+SettingsSchema CommonSettings(int64_t threads, int64_t journal_requests);
+
+}  // namespace verbenalead::daemon
+
+#endif  // VERBENALEAD_DAEMON_COMMON_SETTINGS_H_
--- a/src/libverbenalead/daemon/entry_daemon.cc
+++ b/src/libverbenalead/daemon/entry_daemon.cc
@@ -65,7 +65,8 @@
                 settings.Address("platform.table"),
                 settings.Text("platform.table_name"),
                 settings.Milliseconds("platform.table_timeout")),
-        m_objects(m_http,
+        m_signed_objects(m_http, CredentialsIn(settings), "s3"),
+        m_objects(m_signed_objects,
                   settings.Address("platform.object_store"),
                   settings.Text("platform.bucket"),
                   1s),
@@ -281,6 +282,7 @@
   Journal m_journal;
   platform::SigningClient m_signed_table;
   platform::DynamoTable m_table;
+  platform::SigningClient m_signed_objects;
   platform::ObjectStore m_objects;
   platform::HostList m_host_list;
   HostDirectory m_hosts;
