--- a/testsuite/bench/request_path.py
+++ b/testsuite/bench/request_path.py
@@ -47,12 +47,7 @@
     cluster.start_platform()
     cluster.start_host_list()
     cluster.start_hosts(token_us=token_us)
-    version = cluster.make_version("v1", "breakdowns", 1 << 20)
-    cluster.apply([
-        {"kind": "limits", "name": "acme", "spec": {"weight": 1}},
-        {"kind": "model", "name": "breakdowns", "spec": {}}, version,
-        {"kind": "pool", "name": "drafting", "spec": {"version": "v1"}},
-        {"kind": "route", "name": "breakdowns", "spec": {"pool": "drafting"}}])
+    harness.declare_model(cluster)
     harness.wait_open(cluster, 1)
     return entry, target
 
--- a/testsuite/cases/bad_input/run.py
+++ b/testsuite/cases/bad_input/run.py
@@ -88,12 +88,7 @@
     cluster.start_platform()
     cluster.start_host_list()
     cluster.start_hosts()
-    version = cluster.make_version("v1", "breakdowns", 1 << 20)
-    cluster.apply([
-        {"kind": "limits", "name": "acme", "spec": {"weight": 1}},
-        {"kind": "model", "name": "breakdowns", "spec": {}}, version,
-        {"kind": "pool", "name": "drafting", "spec": {"version": "v1"}},
-        {"kind": "route", "name": "breakdowns", "spec": {"pool": "drafting"}}])
+    harness.declare_model(cluster)
     harness.wait_open(cluster, 1)
     stop = threading.Event()
     others = []
--- a/testsuite/cases/crashing_request/run.py
+++ b/testsuite/cases/crashing_request/run.py
@@ -26,12 +26,7 @@
     cluster.start_platform()
     cluster.start_host_list()
     cluster.start_hosts()
-    version = cluster.make_version("v1", "breakdowns", 1 << 20)
-    cluster.apply([
-        {"kind": "limits", "name": "acme", "spec": {"weight": 1}}, version,
-        {"kind": "pool", "name": "drafting", "spec": {"version": "v1"}},
-        {"kind": "route", "name": "breakdowns", "spec": {"pool": "drafting"}}])
-    digest = version["spec"]["digest"]
+    digest = harness.declare_model(cluster)
     for entry in range(3):
         harness.wait_for("all live", lambda: len(
             cluster.live(digest, entry)) == ENGINES, 60)
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -352,6 +352,17 @@
                 process.kill()
 
 
+def declare_model(cluster, size=1 << 20):
+    """Declares version v1 of model breakdowns, served by pool drafting to
+    organisation acme. Returns its digest."""
+    version = cluster.make_version("v1", "breakdowns", size)
+    cluster.apply([
+        {"kind": "limits", "name": "acme", "spec": {"weight": 1}}, version,
+        {"kind": "pool", "name": "drafting", "spec": {"version": "v1"}},
+        {"kind": "route", "name": "breakdowns", "spec": {"pool": "drafting"}}])
+    return version["spec"]["digest"]
+
+
 def expected_text(digest, prompt, tokens):
     """The stand-in engine's answer."""
     import hashlib
