End the transfer of an older version; place by prompts that wait

A transfer that is 40% here now ends, and a plan reckons with what is really here. (2) A replica that comes back empty from a load was given 16 prompts at once; the last is read after 0.7 s, and 0.4 s are on time. Entries now tell each other the prompt tokens that wait, and a replica gets no more than 0.2 s of them.

Ruled out: too few replicas (15 were there, with older weights).

--- a/src/libverbenalead/decide/load_plan.cc
+++ b/src/libverbenalead/decide/load_plan.cc
@@ -4,23 +4,25 @@
 
 namespace verbenalead::decide {
 
-std::optional<LoadPlan> PlanLoad(const LoadTimes& times,
-                                 const std::map<uint64_t, TimePoint>& declared,
-                                 uint64_t loaded) {
+std::optional<LoadPlan> PlanLoad(
+    const LoadTimes& times,
+    const std::map<uint64_t, DeclaredVersion>& declared,
+    uint64_t loaded) {
   const auto oldest = declared.upper_bound(loaded);
   if (oldest == declared.end())
     return std::nullopt;
   TimePoint binds = TimePoint::max();
   for (auto version = oldest; version != declared.end(); ++version)
-    binds = std::min(binds, version->second + times.m_bound);
+    binds = std::min(binds, version->second.m_declared + times.m_bound);
   auto chosen = oldest;
   for (auto version = oldest; version != declared.end(); ++version) {
-    if (version->second + times.m_transfer + times.m_outage <= binds)
+    if (version->second.m_here + times.m_outage <= binds)
       chosen = version;
   }
   LoadPlan plan;
   plan.m_version = chosen->first;
-  plan.m_first = chosen->second + times.m_transfer;
+  plan.m_first = std::max(chosen->second.m_here,
+                          chosen->second.m_declared + times.m_transfer);
   plan.m_last = std::max(plan.m_first, binds - times.m_outage);
   return plan;
 }
--- a/src/libverbenalead/decide/load_plan.h
+++ b/src/libverbenalead/decide/load_plan.h
@@ -15,7 +15,7 @@
 struct LoadTimes {
   /// Time from a declaration within which each replica must have loaded.
   Duration m_bound{};
-  /// Time from a declaration until the chunks are on all hosts.
+  /// Time that the chunks take to all hosts.
   Duration m_transfer{};
   /// Time for which a replica that loads is out of service.
   Duration m_outage{};
@@ -33,8 +33,18 @@
   friend bool operator==(const LoadPlan&, const LoadPlan&) = default;
 };
 
+/// A version that was declared.
+struct DeclaredVersion {
+  /// When it was seen to be.
+  TimePoint m_declared{};
+  /// When its chunks are here, as far as can be foreseen.
+  TimePoint m_here{};
+
+  friend bool operator==(const DeclaredVersion&,
+                         const DeclaredVersion&) = default;
+};
+
 /// The plan of a replica that has `loaded`; nothing if that is the newest.
-/// `declared`: when each version was seen to be declared.
 ///
 /// Versions may come faster than they can be loaded. A replica then skips one
 /// where the newer one can be everywhere before the older one binds, for each
@@ -42,9 +52,10 @@
 /// between the two bounds a replica with neither takes no calls. (Before, each
 /// newer version stopped the older one: of two that came 4 s apart, 8 of 15
 /// replicas took no calls for 2 s, and 195 of 254 streams were late.)
-std::optional<LoadPlan> PlanLoad(const LoadTimes& times,
-                                 const std::map<uint64_t, TimePoint>& declared,
-                                 uint64_t loaded);
+std::optional<LoadPlan> PlanLoad(
+    const LoadTimes& times,
+    const std::map<uint64_t, DeclaredVersion>& declared,
+    uint64_t loaded);
 
 /// When `replica`, one of `replicas`, stops taking calls and loads.
 ///
--- a/src/libverbenalead/decide/pool_call.h
+++ b/src/libverbenalead/decide/pool_call.h
@@ -15,6 +15,7 @@
   /// It can still be on time. Calls that can't stand behind those that can.
   bool m_fresh = true;
   int m_urgency = 0;
+  uint32_t m_prompt_tokens = 0;
   /// Replicas that it was sent to already.
   std::set<std::string> m_tried;
 };
--- a/src/libverbenalead/decide/replica_pool.cc
+++ b/src/libverbenalead/decide/replica_pool.cc
@@ -18,6 +18,14 @@
 /// entries that see the same loads don't all choose the same replica.
 constexpr double kNoise = 0.06;
 
+/// Prompts that a replica has yet to read delay the first event of each further
+/// call. A replica that is empty, after a load say, would otherwise be filled
+/// at once, and of 16 prompts of 42 ms each the last is read after 0.7 s, when
+/// 0.4 s are on time. With so much unread it gets no more.
+constexpr double kMostUnreadSeconds = 0.2;
+/// What unread prompts of that length cost in choosing.
+constexpr double kUnreadCost = 0.5;
+
 constexpr Duration kFirstAvoidance = 200ms;
 constexpr Duration kLongestAvoidance = 3s;
 constexpr uint32_t kMostDoublings = 4;
@@ -38,6 +46,15 @@
   return state.m_in_flight + state.m_elsewhere;
 }
 
+/// Time that the replica needs for the prompts before it, as a part of the most
+/// that is allowed.
+double UnreadShare(const ReplicaPool& pool, const ReplicaState& state) {
+  if (pool.m_prefill_rate <= 0)
+    return 0;
+  return static_cast<double>(state.m_unread + state.m_unread_elsewhere) /
+         pool.m_prefill_rate / kMostUnreadSeconds;
+}
+
 void Avoid(ReplicaState& state, TimePoint now) {
   const uint32_t doublings =
       std::min(kMostDoublings, state.m_failures_in_row - 1);
@@ -61,8 +78,10 @@
   if (!SameIncarnation(state.m_replica, replica)) {
     // It holds nothing of before; calls of ours that it had end by themselves.
     const uint32_t in_flight = state.m_in_flight;
+    const uint64_t unread = state.m_unread;
     state = ReplicaState();
     state.m_in_flight = in_flight;
+    state.m_unread = unread;
     state.m_weights = NewestWeights(replica);
   }
   // Leaving is final for an incarnation: an older row that arrives late must
@@ -111,8 +130,12 @@
     if (!Usable(pool, state, now) || Load(state) >= state.m_replica.m_slots ||
         call.m_tried.contains(id))
       continue;
+    const double unread = UnreadShare(pool, state);
+    if (unread >= 1)
+      continue;
     double cost = static_cast<double>(Load(state)) / state.m_replica.m_slots +
-                  kFailureCost * state.m_failure_share + noise(random);
+                  kFailureCost * state.m_failure_share + kUnreadCost * unread +
+                  noise(random);
     if (state.m_replica.m_data_center != pool.m_data_center)
       cost += kFarCost;
     if (!best || cost < best_cost) {
@@ -123,6 +146,7 @@
   if (!best)
     return std::nullopt;
   ++best->m_in_flight;
+  best->m_unread += call.m_prompt_tokens;
   return best->m_replica.m_id;
 }
 
@@ -157,6 +181,16 @@
   return starts;
 }
 
+void NoteBegun(ReplicaPool& pool,
+               const std::string& replica,
+               uint32_t prompt_tokens) {
+  const auto found = pool.m_replicas.find(replica);
+  if (found == pool.m_replicas.end())
+    return;
+  uint64_t& unread = found->second.m_unread;
+  unread -= std::min<uint64_t>(unread, prompt_tokens);
+}
+
 void Release(ReplicaPool& pool,
              const std::string& replica,
              AttemptEnd end,
--- a/src/libverbenalead/decide/replica_pool.h
+++ b/src/libverbenalead/decide/replica_pool.h
@@ -45,6 +45,8 @@
   std::list<PoolCall> m_waiting;
   /// Replicas with older weights get no calls; 0: any may.
   uint64_t m_required_weights = 0;
+  /// Prompt tokens that a replica reads in a second; 0: a plain service.
+  double m_prefill_rate = 0;
 };
 
 struct PoolStart {
@@ -75,6 +77,11 @@
                                     TimePoint now,
                                     std::mt19937_64& random);
 
+/// The call with `prompt_tokens` has begun to answer: its prompt is read.
+void NoteBegun(ReplicaPool& pool,
+               const std::string& replica,
+               uint32_t prompt_tokens);
+
 /// Gives a place back and learns from how the attempt ended.
 void Release(ReplicaPool& pool,
              const std::string& replica,
--- a/src/libverbenalead/decide/replica_state.h
+++ b/src/libverbenalead/decide/replica_state.h
@@ -15,6 +15,10 @@
   uint32_t m_in_flight = 0;
   /// Calls of the other entries, as they last told.
   uint32_t m_elsewhere = 0;
+  /// Prompt tokens of those calls that haven't begun to answer, ours and
+  /// theirs.
+  uint64_t m_unread = 0;
+  uint64_t m_unread_elsewhere = 0;
   /// Newest version of the weights that it was seen with, in any way.
   uint64_t m_weights = 0;
   /// It takes no calls until then, for it is about to load or loads weights.
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -61,6 +61,7 @@
   m_progress.m_resumable = m_plan.m_route.m_resumable;
   m_progress.m_max_attempts = m_plan.m_route.m_max_attempts;
   m_pool_call.m_fresh = m_plan.m_patience.m_fresh;
+  m_pool_call.m_prompt_tokens = m_plan.m_call.m_prompt_tokens;
   m_pool_call.m_urgency = m_plan.m_route.m_urgency;
 }
 
@@ -122,6 +123,8 @@
   auto& replicas = StateOf(m_state, m_plan.m_service).m_pool.m_replicas;
   const auto found = replicas.find(m_replica);
   if (m_caller.gone() || found == replicas.end() || Left() <= Duration()) {
+    decide::NoteBegun(StateOf(m_state, m_plan.m_service).m_pool, m_replica,
+                      m_pool_call.m_prompt_tokens);
     EndAttempt(AttemptEnd::kAbandoned);
     co_return false;
   }
@@ -139,6 +142,8 @@
                WeightsDeadline(replica));
   m_attempt = co_await SendAttempt(m_http, endpoint, std::move(request),
                                    m_plan.m_call.m_id, head_deadline, m_caller);
+  decide::NoteBegun(StateOf(m_state, m_plan.m_service).m_pool, m_replica,
+                    m_pool_call.m_prompt_tokens);
   if (m_attempt.m_end != AttemptEnd::kUnreachable)
     ++m_progress.m_sent;
   if (m_attempt.m_may_have_run)
--- a/src/libverbenalead/entry/entry_news.cc
+++ b/src/libverbenalead/entry/entry_news.cc
@@ -18,12 +18,12 @@
 constexpr size_t kEnoughEntries = 2;
 
 /// Calls at each replica that has any.
-std::map<std::string, uint32_t> InFlight(const EntryState& state) {
-  std::map<std::string, uint32_t> calls;
+std::map<std::string, links::ReplicaCalls> InFlight(const EntryState& state) {
+  std::map<std::string, links::ReplicaCalls> calls;
   for (const auto& [name, service] : state.m_services) {
     for (const auto& [id, replica] : service.m_pool.m_replicas) {
       if (replica.m_in_flight > 0)
-        calls[id] = replica.m_in_flight;
+        calls[id] = {replica.m_in_flight, replica.m_unread};
     }
   }
   return calls;
@@ -36,15 +36,18 @@
 }  // namespace
 
 void SumUpElsewhere(EntryState& state) {
-  std::map<std::string, uint32_t> elsewhere;
+  std::map<std::string, links::ReplicaCalls> elsewhere;
   for (const auto& [host, peer] : state.m_peers) {
-    for (const auto& [replica, calls] : peer.m_in_flight)
-      elsewhere[replica] += calls;
+    for (const auto& [replica, calls] : peer.m_in_flight) {
+      elsewhere[replica].m_calls += calls.m_calls;
+      elsewhere[replica].m_unread += calls.m_unread;
+    }
   }
   for (auto& [name, service] : state.m_services) {
     for (auto& [id, replica] : service.m_pool.m_replicas) {
-      const auto found = elsewhere.find(id);
-      replica.m_elsewhere = found == elsewhere.end() ? 0 : found->second;
+      const links::ReplicaCalls& there = elsewhere[id];
+      replica.m_elsewhere = there.m_calls;
+      replica.m_unread_elsewhere = there.m_unread;
     }
   }
 }
@@ -59,10 +62,10 @@
 }
 
 links::LoadNews ChangesSince(const EntryState& state,
-                             std::map<std::string, uint32_t>& told) {
+                             std::map<std::string, links::ReplicaCalls>& told) {
   links::LoadNews news;
   news.m_host = state.m_options.m_self.m_host;
-  std::map<std::string, uint32_t> now = InFlight(state);
+  std::map<std::string, links::ReplicaCalls> now = InFlight(state);
   for (const auto& [replica, calls] : now) {
     const auto before = told.find(replica);
     if (before == told.end() || before->second != calls)
@@ -70,7 +73,7 @@
   }
   for (const auto& [replica, calls] : told) {
     if (!now.contains(replica))
-      news.m_in_flight[replica] = 0;
+      news.m_in_flight[replica] = {};
   }
   told = std::move(now);
   return news;
--- a/src/libverbenalead/entry/entry_news.h
+++ b/src/libverbenalead/entry/entry_news.h
@@ -16,7 +16,7 @@
 
 /// What has changed at the replicas since `told`; `told` is brought up to date.
 links::LoadNews ChangesSince(const EntryState& state,
-                             std::map<std::string, uint32_t>& told);
+                             std::map<std::string, links::ReplicaCalls>& told);
 void TakeNews(EntryState& state, const links::LoadNews& news);
 
 /// Takes in what a target process told of its replica.
--- a/src/libverbenalead/entry/peer_entry.h
+++ b/src/libverbenalead/entry/peer_entry.h
@@ -10,7 +10,7 @@
 struct PeerEntry {
   model::EntryAddress m_address;
   bool m_ready = false;
-  std::map<std::string, uint32_t> m_in_flight;
+  std::map<std::string, links::ReplicaCalls> m_in_flight;
   /// Never, if only its row in the store is known.
   TimePoint m_heard_at{};
 };
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -171,8 +171,8 @@
     m_places.WakeAll();
   }
 
-  /// What binds now, by service.
-  void UpdateRequiredWeights() {
+  /// What binds now, and what engines can do, by service.
+  void UpdatePools() {
     if (!m_state.m_routes)
       return;
     for (const model::Service& service :
@@ -182,18 +182,19 @@
       // A replica without any weights takes no calls, whatever was declared.
       const uint64_t binding =
           decide::Binding(m_state.m_weights[service.m_engine->m_model], Now());
-      StateOf(m_state, service.m_name).m_pool.m_required_weights =
-          std::max<uint64_t>(1, binding);
+      decide::ReplicaPool& pool = StateOf(m_state, service.m_name).m_pool;
+      pool.m_required_weights = std::max<uint64_t>(1, binding);
+      pool.m_prefill_rate = service.m_engine->m_prefill_rate;
     }
   }
 
   Awaitable<void> SendNews() {
-    std::map<std::string, uint32_t> told;
+    std::map<std::string, links::ReplicaCalls> told;
     links::EntryNews last;
     uint64_t round = 0;
     while (true) {
       co_await Sleep(kNewsInterval);
-      UpdateRequiredWeights();
+      UpdatePools();
       m_places.WakeAll();
       links::EntryNews news = NewsOf(m_state);
       const links::LoadNews changes = ChangesSince(m_state, told);
--- a/src/libverbenalead/links/entry_news.h
+++ b/src/libverbenalead/links/entry_news.h
@@ -1,12 +1,12 @@
 #ifndef VERBENALEAD_LINKS_ENTRY_NEWS_H_
 #define VERBENALEAD_LINKS_ENTRY_NEWS_H_
 
-#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "decide/crash_suspects.h"
+#include "links/replica_calls.h"
 #include "model/entry_address.h"
 
 namespace verbenalead::links {
@@ -17,7 +17,7 @@
   /// It takes calls.
   bool m_ready = false;
   /// Calls that it has at each replica; those with none are left out.
-  std::map<std::string, uint32_t> m_in_flight;
+  std::map<std::string, ReplicaCalls> m_in_flight;
   std::vector<decide::CrashNote> m_crashes;
 
   friend bool operator==(const EntryNews&, const EntryNews&) = default;
--- a/src/libverbenalead/links/load_news.h
+++ b/src/libverbenalead/links/load_news.h
@@ -1,10 +1,11 @@
 #ifndef VERBENALEAD_LINKS_LOAD_NEWS_H_
 #define VERBENALEAD_LINKS_LOAD_NEWS_H_
 
-#include <cstdint>
 #include <map>
 #include <string>
 
+#include "links/replica_calls.h"
+
 namespace verbenalead::links {
 
 /// What has changed in the calls that an entry has at replicas since it last
@@ -12,8 +13,8 @@
 /// centres too; EntryNews tell all anew for whoever missed one.
 struct LoadNews {
   std::string m_host;
-  /// By replica; 0 where there are none any more.
-  std::map<std::string, uint32_t> m_in_flight;
+  /// By replica; none where there are none any more.
+  std::map<std::string, ReplicaCalls> m_in_flight;
 
   friend bool operator==(const LoadNews&, const LoadNews&) = default;
 };
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -15,10 +15,12 @@
 constexpr char kChunks[] = "chunks";
 constexpr char kFollow[] = "follow";
 
-json::object EncodeCounts(const std::map<std::string, uint32_t>& counts) {
+using CallsByReplica = std::map<std::string, ReplicaCalls>;
+
+json::object EncodeCalls(const CallsByReplica& calls) {
   json::object object;
-  for (const auto& [replica, calls] : counts)
-    object[replica] = calls;
+  for (const auto& [replica, there] : calls)
+    object[replica] = json::array({there.m_calls, there.m_unread});
   return object;
 }
 
@@ -35,14 +37,14 @@
           {"callers", ToString(news.m_address.m_callers)},
           {"peers", ToString(news.m_address.m_peers)},
           {"ready", news.m_ready},
-          {"in_flight", EncodeCounts(news.m_in_flight)},
+          {"in_flight", EncodeCalls(news.m_in_flight)},
           {"crashes", std::move(crashes)}};
 }
 
 json::object Encode(const LoadNews& news) {
   return {{"kind", kLoad},
           {"host", news.m_host},
-          {"calls", EncodeCounts(news.m_in_flight)}};
+          {"calls", EncodeCalls(news.m_in_flight)}};
 }
 
 json::object Encode(const WeightsNews& news) {
@@ -73,24 +75,28 @@
   return request;
 }
 
-Result<std::map<std::string, uint32_t>> DecodeCounts(const json::object& object,
-                                                     const char* name) {
-  std::map<std::string, uint32_t> counts;
+Result<CallsByReplica> DecodeCalls(const json::object& object,
+                                   const char* name) {
+  CallsByReplica calls;
   const json::value* value = object.if_contains(name);
   if (!value || !value->is_object())
     return model::BadField(name, "an object");
-  for (const auto& [replica, calls] : value->as_object()) {
-    if (!calls.is_int64())
-      return model::BadField(name, "whole numbers");
-    counts[std::string(replica)] = static_cast<uint32_t>(calls.as_int64());
+  for (const auto& [replica, pair] : value->as_object()) {
+    const json::array* numbers = pair.if_array();
+    if (!numbers || numbers->size() != 2 || !numbers->at(0).is_int64() ||
+        !numbers->at(1).is_int64())
+      return model::BadField(name, "pairs of whole numbers");
+    calls[std::string(replica)] = {
+        static_cast<uint32_t>(numbers->at(0).as_int64()),
+        static_cast<uint64_t>(numbers->at(1).as_int64())};
   }
-  return counts;
+  return calls;
 }
 
 Result<LoadNews> DecodeLoad(const json::object& object) {
   LoadNews news;
   BOOST_LEAF_ASSIGN(news.m_host, model::TextField(object, "host"));
-  BOOST_LEAF_ASSIGN(news.m_in_flight, DecodeCounts(object, "calls"));
+  BOOST_LEAF_ASSIGN(news.m_in_flight, DecodeCalls(object, "calls"));
   return news;
 }
 
@@ -104,7 +110,7 @@
   BOOST_LEAF_AUTO(peers, model::TextField(object, "peers"));
   BOOST_LEAF_ASSIGN(news.m_address.m_peers, ParseEndpoint(peers));
   BOOST_LEAF_ASSIGN(news.m_ready, model::FlagFieldOr(object, "ready", false));
-  BOOST_LEAF_ASSIGN(news.m_in_flight, DecodeCounts(object, "in_flight"));
+  BOOST_LEAF_ASSIGN(news.m_in_flight, DecodeCalls(object, "in_flight"));
   const json::value* crashes = object.if_contains("crashes");
   if (!crashes || !crashes->is_array())
     return model::BadField("crashes", "a list");
--- a/src/libverbenalead/target/chunk_cache.cc
+++ b/src/libverbenalead/target/chunk_cache.cc
@@ -31,6 +31,14 @@
          cached->m_held == cached->m_chunks.size();
 }
 
+double ChunkCache::ShareHeld(uint64_t version) const {
+  const CachedVersion* cached = Find(version);
+  if (!cached || cached->m_chunks.empty())
+    return 0;
+  return static_cast<double>(cached->m_held) /
+         static_cast<double>(cached->m_chunks.size());
+}
+
 std::vector<uint32_t> ChunkCache::Held(uint64_t version) const {
   std::vector<uint32_t> held;
   const CachedVersion* cached = Find(version);
--- a/src/libverbenalead/target/chunk_cache.h
+++ b/src/libverbenalead/target/chunk_cache.h
@@ -32,6 +32,8 @@
     return m_versions;
   }
   bool Complete(uint64_t version) const;
+  /// Part of the chunks that is here, 0 to 1.
+  double ShareHeld(uint64_t version) const;
   std::vector<uint32_t> Held(uint64_t version) const;
   /// Keeps `bytes` if they are the chunk; false: they are something else.
   bool Put(uint64_t version, uint32_t chunk, std::string bytes);
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -30,6 +30,9 @@
 constexpr Duration kAskTimeout = 1s;
 constexpr Duration kOriginTimeout = 3s;
 constexpr Duration kMembersInterval = 500ms;
+/// A transfer without a chunk for so long, ten times the time of one, stands
+/// still.
+constexpr Duration kProgress = 500ms;
 /// Chunks from the origin that don't fit the digests before these are doubted.
 constexpr uint32_t kMismatchesToDoubt = 3;
 
@@ -68,6 +71,7 @@
   std::vector<std::string> m_followed;
   uint32_t m_origin_mismatches = 0;
   bool m_stopped = false;
+  TimePoint m_last_chunk{};
 };
 
 ChunkFetcher::ChunkFetcher(TargetState& state,
@@ -81,6 +85,10 @@
   return m_transfer ? m_transfer->m_version : 0;
 }
 
+bool ChunkFetcher::progressing() const {
+  return m_transfer && Now() - m_transfer->m_last_chunk < kProgress;
+}
+
 void ChunkFetcher::Stop() {
   if (!m_transfer)
     return;
@@ -280,6 +288,7 @@
   if (*cancelled)
     co_return;
   if (kept) {
+    transfer->m_last_chunk = Now();
     decide::ChunkArrived(transfer->m_core, chunk, Now());
     co_return;
   }
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -26,6 +26,8 @@
   void Stop();
   /// The version under way; 0: none.
   uint64_t version() const;
+  /// A chunk came in not long ago.
+  bool progressing() const;
   /// What another host told.
   void TakeNews(const links::ChunkNews& news);
   /// Hosts whose news are wanted.
--- a/src/libverbenalead/target/engine_keeper.cc
+++ b/src/libverbenalead/target/engine_keeper.cc
@@ -12,9 +12,6 @@
 /// How often the engine is looked at. It answers its own host at once and
 /// without a price; what it does is known to callers within this and one way.
 constexpr Duration kLookInterval = 100ms;
-/// The entries hear of a load so long before the order, so that calls on their
-/// way arrive before the engine turns them away.
-constexpr Duration kNoticeBeforeLoad = 30ms;
 /// Passes over the staged chunks: one to stage, one to read back, and more for
 /// chunks that go bad in between.
 constexpr int kMostPasses = 5;
@@ -23,7 +20,7 @@
 constexpr Duration kBoundMargin = 800ms;
 /// From the turn to the end of the load: calls end or are broken off, and the
 /// load takes 0.3 s.
-constexpr Duration kOutage = 1200ms;
+constexpr Duration kOutage = 1000ms;
 /// The least time in which the chunks are everywhere: a copy takes 2 s on the
 /// links of the hosts, of which live calls get their part, and half a second is
 /// gone before the first chunks are passed on.
@@ -32,8 +29,10 @@
 /// the users end within this; the others go on at another replica, for which
 /// callers wait 0.15 s. Were all let end, a replica would be out of service for
 /// 2.3 s in place of 1.1 s.
-constexpr Duration kLetCallsEnd = 600ms;
+constexpr Duration kLetCallsEnd = 550ms;
 constexpr Duration kLoadPoll = 25ms;
+/// A transfer that has come so far isn't stopped for a newer version.
+constexpr double kShareToEnd = 0.4;
 
 decide::LoadTimes TimesOf(const TargetState& state) {
   return {state.m_options.m_weights_bound - kBoundMargin, kTransferTime,
@@ -104,8 +103,17 @@
 }
 
 std::optional<decide::LoadPlan> EngineKeeper::Plan() const {
-  if (auto plan =
-          decide::PlanLoad(TimesOf(m_state), m_state.m_declared, Loaded()))
+  const decide::LoadTimes times = TimesOf(m_state);
+  std::map<uint64_t, decide::DeclaredVersion> declared;
+  for (const auto& [version, when] : m_state.m_declared) {
+    const double left = 1 - m_state.m_cache.ShareHeld(version);
+    const auto needed =
+        std::chrono::duration_cast<Duration>(times.m_transfer * left);
+    // Chunks that are here were here in time for the first turn.
+    const TimePoint here = left > 0 ? Now() + needed : when + times.m_transfer;
+    declared[version] = {when, here};
+  }
+  if (auto plan = decide::PlanLoad(times, declared, Loaded()))
     return plan;
   // Before the first declaration engines run the first version.
   if (Loaded() == 0)
@@ -113,6 +121,14 @@
   return std::nullopt;
 }
 
+bool EngineKeeper::LetFetchEnd() const {
+  // The rest of a version that is half here comes from other hosts, whatever
+  // becomes of the origin; the newer one may not be had for long.
+  const uint64_t version = m_fetcher.version();
+  return version > Loaded() && m_fetcher.progressing() &&
+         m_state.m_cache.ShareHeld(version) >= kShareToEnd;
+}
+
 Awaitable<void> EngineKeeper::Look() {
   NoteReport(co_await m_engine.Report());
   if (!m_report || m_report->m_loading)
@@ -124,25 +140,27 @@
     co_await Obtain(Loaded());
     co_return;
   }
-  if (!m_state.m_cache.Complete(plan->m_version)) {
-    co_await Obtain(plan->m_version);
+  const uint64_t version = plan->m_version;
+  if (!m_state.m_cache.Complete(version)) {
+    co_await Obtain(version);
     co_return;
   }
-  if (m_staged != plan->m_version) {
-    if (co_await StageAll(plan->m_version))
-      m_staged = plan->m_version;
+  if (m_staged != version) {
+    if (co_await StageAll(version))
+      m_staged = version;
     co_return;
   }
   // An engine without weights is of no use until it has some.
   if (Loaded() == 0 || Now() >= Turn(*plan))
-    co_await Load(plan->m_version);
-  else if (!m_state.m_cache.Complete(NewestVersion(m_state)))
+    co_await Load(version);
+  else
     co_await Obtain(NewestVersion(m_state));
 }
 
 Awaitable<void> EngineKeeper::Obtain(uint64_t version) {
   const auto executor = co_await boost::asio::this_coro::executor;
-  if (m_state.m_cache.Complete(version) || m_fetcher.version() == version)
+  if (m_state.m_cache.Complete(version) || m_fetcher.version() == version ||
+      LetFetchEnd())
     co_return;
   if (!co_await m_fetcher.LearnDigests(version))
     co_return;
@@ -226,8 +244,7 @@
   co_return false;
 }
 
-Awaitable<void> EngineKeeper::LetCallsEnd() {
-  const TimePoint end = Now() + kLetCallsEnd;
+Awaitable<void> EngineKeeper::LetCallsEnd(TimePoint end) {
   while (m_report && m_report->m_active + m_report->m_queued > 0 &&
          Now() < end) {
     co_await Sleep(kLoadPoll);
@@ -238,10 +255,7 @@
 Awaitable<void> EngineKeeper::Load(uint64_t version) {
   m_stopped_calls = true;
   m_tell();
-  if (Loaded() > 0) {
-    co_await Sleep(kNoticeBeforeLoad);
-    co_await LetCallsEnd();
-  }
+  const TimePoint cut_at = Now() + kLetCallsEnd;
   // Read back right before the order: the engine takes what lies there, and
   // staged chunks go bad by themselves.
   if (!co_await StageAll(version) || !m_report) {
@@ -249,6 +263,10 @@
     m_stopped_calls = false;
     co_return;
   }
+  if (Loaded() > 0)
+    co_await LetCallsEnd(cut_at);
+  if (!m_report)
+    co_return;
   auto loading = co_await m_engine.Load(m_state.m_engine->m_model, version,
                                         m_report->m_orders);
   LogLine line("load_ordered");
--- a/src/libverbenalead/target/engine_keeper.h
+++ b/src/libverbenalead/target/engine_keeper.h
@@ -38,10 +38,12 @@
   /// Stages what isn't there or has gone bad; returns how many.
   Awaitable<AsyncResult<uint32_t>> StagePass(uint64_t version);
   Awaitable<void> Load(uint64_t version);
-  /// Waits until the engine's calls have ended, but not for long.
-  Awaitable<void> LetCallsEnd();
+  /// Waits until the engine's calls have ended, or until `end`.
+  Awaitable<void> LetCallsEnd(TimePoint end);
   /// Brings `version` into the cache.
   Awaitable<void> Obtain(uint64_t version);
+  /// Whether what is under way should end before anything else is fetched.
+  bool LetFetchEnd() const;
   /// What to load next; nothing: the engine has what it should.
   std::optional<decide::LoadPlan> Plan() const;
   TimePoint Turn(const decide::LoadPlan& plan) const;
