--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -214,6 +214,9 @@
     if (co_await RelayEvents()) {
       EndAttempt(AttemptEnd::kGood);
       decide::NoteAnswered(m_state.m_crashes, m_plan.m_fingerprint, Now());
+      // A caller that goes on after the last event gets a stream without any.
+      if (!m_head_sent)
+        co_await m_caller.Start(head);
       const bool delivered = co_await m_caller.Finish({});
       LogCall(delivered ? "delivered" : "caller_gone", kOk);
       co_return;
--- a/src/libverbenalead/entry/peer_entry.h
+++ b/src/libverbenalead/entry/peer_entry.h
@@ -10,7 +10,6 @@
 struct PeerEntry {
   model::EntryAddress m_address;
   bool m_ready = false;
-  std::map<std::string, links::ReplicaCalls> m_in_flight;
   /// Never, if only its row in the store is known.
   TimePoint m_heard_at{};
 };
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -32,12 +32,17 @@
 /// How often replicas are asked for. A replica that leaves must get no calls 2
 /// s after it said so; each question costs the users a call.
 constexpr Duration kReplicaInterval = 900ms;
-/// How often the entries tell each other what changed in their calls. In this
-/// time 11 calls begin at the users' peak, spread over 9 to 15 replicas of 16
+/// How often targets are told what changed in this entry's calls. In this time
+/// 11 calls begin at the users' peak, spread over 9 to 15 replicas of 16
 /// places.
-constexpr Duration kNewsInterval = 80ms;
-/// Every so many times they tell all.
-constexpr uint64_t kRoundsToTellAll = 5;
+constexpr Duration kCallNewsInterval = 80ms;
+/// Every so many times they are told all, in case a datagram was lost.
+constexpr uint64_t kRoundsToTellAll = 12;
+/// How often the other entries are told how this one is, if nothing changed:
+/// near ones 2.5 times a second, far ones every 1.6 s.
+constexpr Duration kNewsInterval = 100ms;
+constexpr uint64_t kRoundsToTellNear = 4;
+constexpr uint64_t kRoundsToTellFar = 16;
 /// How often target processes are asked for their news, and what is past is
 /// forgotten.
 constexpr Duration kFollowInterval = 1s;
@@ -164,10 +169,8 @@
   void TakeMessage(const links::Message& message) {
     if (const auto* news = std::get_if<links::EntryNews>(&message))
       TakeNews(m_state, *news, Now());
-    else if (const auto* load = std::get_if<links::LoadNews>(&message))
-      TakeNews(m_state, *load);
-    else if (const auto* weights = std::get_if<links::WeightsNews>(&message))
-      TakeNews(m_state, *weights, Now());
+    else if (const auto* replica = std::get_if<links::ReplicaNews>(&message))
+      TakeNews(m_state, *replica, Now());
     m_places.WakeAll();
   }
 
@@ -188,46 +191,80 @@
     }
   }
 
-  Awaitable<void> SendNews() {
+  /// Tells target processes what this entry has at their replicas.
+  Awaitable<void> SendCallNews() {
     std::map<std::string, links::ReplicaCalls> told;
-    links::EntryNews last;
     uint64_t round = 0;
     while (true) {
-      co_await Sleep(kNewsInterval);
+      co_await Sleep(kCallNewsInterval);
       UpdatePools();
       m_places.WakeAll();
+      const bool all = ++round % kRoundsToTellAll == 0;
+      for (const auto& [name, service] : m_state.m_services) {
+        if (!IsEngine(name))
+          continue;
+        for (const auto& [id, replica] : service.m_pool.m_replicas)
+          TellCalls(replica, all, told[id]);
+      }
+    }
+  }
+
+  void TellCalls(const decide::ReplicaState& replica,
+                 bool again,
+                 links::ReplicaCalls& told) {
+    const links::ReplicaCalls now = {replica.m_in_flight, replica.m_unread};
+    if (now == told && !(again && now.m_calls > 0))
+      return;
+    told = now;
+    m_datagrams.Send(TargetOf(replica),
+                     links::CallNews{replica.m_replica.m_id, now});
+  }
+
+  Endpoint TargetOf(const decide::ReplicaState& replica) const {
+    return {replica.m_replica.m_endpoint.address(),
+            m_state.m_options.m_targets_port};
+  }
+
+  /// Tells the other entries how this one is: those near often, those far
+  /// seldom, all when it has changed.
+  Awaitable<void> SendNews() {
+    links::EntryNews last;
+    uint64_t round = 0;
+    while (true) {
+      co_await Sleep(kNewsInterval);
       links::EntryNews news = NewsOf(m_state);
-      const links::LoadNews changes = ChangesSince(m_state, told);
-      const bool all = ++round % kRoundsToTellAll == 0 ||
-                       news.m_ready != last.m_ready ||
-                       news.m_crashes.size() > last.m_crashes.size();
-      if (all)
-        Broadcast(news);
-      else if (!changes.m_in_flight.empty())
-        Broadcast(changes);
+      ++round;
+      const bool changed = news.m_ready != last.m_ready ||
+                           news.m_crashes.size() > last.m_crashes.size();
+      Broadcast(news, changed || round % kRoundsToTellNear == 0,
+                changed || round % kRoundsToTellFar == 0);
       last = std::move(news);
     }
   }
 
-  void Broadcast(const links::Message& message) {
-    for (const auto& [host, peer] : m_state.m_peers)
-      m_datagrams.Send(peer.m_address.m_peers, message);
+  void Broadcast(const links::EntryNews& news, bool near, bool far) {
+    if (!near && !far)
+      return;
+    for (const auto& [host, peer] : m_state.m_peers) {
+      const bool is_near = peer.m_address.m_data_center ==
+                           m_state.m_options.m_self.m_data_center;
+      if (is_near ? near : far)
+        m_datagrams.Send(peer.m_address.m_peers, news);
+    }
   }
 
   Awaitable<void> FollowTargets() {
     while (true) {
-      std::set<Endpoint> targets;
       for (const auto& [name, service] : m_state.m_services) {
+        if (!IsEngine(name))
+          continue;
         for (const auto& [id, replica] : service.m_pool.m_replicas) {
-          if (!replica.m_replica.m_weights.empty() || replica.m_weights > 0 ||
-              IsEngine(name))
-            targets.insert(Endpoint(replica.m_replica.m_endpoint.address(),
-                                    m_state.m_options.m_targets_port));
+          links::FollowRequest request;
+          request.m_near = replica.m_replica.m_data_center ==
+                           m_state.m_options.m_self.m_data_center;
+          m_datagrams.Send(TargetOf(replica), request);
         }
       }
-      for (const Endpoint& target : targets)
-        m_datagrams.Send(target, links::FollowRequest{});
-      ForgetSilentPeers(m_state, Now());
       decide::ForgetOldCrashes(m_state.m_crashes, Now());
       co_await Sleep(kFollowInterval);
     }
@@ -276,7 +313,7 @@
     LogLine("stopping").With("calls", m_callers.busy()).Info();
     m_state.m_stopping = true;
     m_callers.Drain();
-    Broadcast(NewsOf(m_state));
+    Broadcast(NewsOf(m_state), true, true);
     co_await Sleep(kTakeCallsFor);
     m_callers.StopAccepting();
     m_directory.StopAccepting();
@@ -338,6 +375,7 @@
   SpawnLoop(main, parts.m_replica_rows.Run(), "replica_rows");
   SpawnLoop(main, parts.KeepRegistered(), "keep_registered");
   SpawnLoop(main, parts.SendNews(), "send_news");
+  SpawnLoop(main, parts.SendCallNews(), "send_call_news");
   SpawnLoop(main, parts.FollowTargets(), "follow_targets");
   SpawnLoop(main, parts.AwaitSignals(), "await_signals");
   SpawnLoop(main,
--- a/src/libverbenalead/entry/row_intake.cc
+++ b/src/libverbenalead/entry/row_intake.cc
@@ -5,7 +5,6 @@
 
 #include "base/catch_failure.h"
 #include "base/log.h"
-#include "entry/entry_news.h"
 #include "links/message.h"
 #include "platform/decode_config.h"
 #include "platform/decode_replica.h"
@@ -147,7 +146,6 @@
     decide::SetReplicas(service.m_pool, by_service[name], keep_missing_until,
                         now);
   }
-  SumUpElsewhere(m_state);
 }
 
 void RowIntake::TakeEntryRows(const platform::Rows& rows) {
--- a/src/libverbenalead/links/follow_request.h
+++ b/src/libverbenalead/links/follow_request.h
@@ -8,6 +8,8 @@
   /// The sender wants to know which chunks there are; otherwise how the replica
   /// is.
   bool m_chunks = false;
+  /// The sender is in the same data centre and is told more often.
+  bool m_near = false;
 
   friend bool operator==(const FollowRequest&, const FollowRequest&) = default;
 };
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -10,18 +10,13 @@
 namespace json = boost::json;
 
 constexpr char kEntry[] = "entry";
-constexpr char kLoad[] = "load";
-constexpr char kWeights[] = "weights";
+constexpr char kCalls[] = "calls";
+constexpr char kReplica[] = "replica";
 constexpr char kChunks[] = "chunks";
 constexpr char kFollow[] = "follow";
 
-using CallsByReplica = std::map<std::string, ReplicaCalls>;
-
-json::object EncodeCalls(const CallsByReplica& calls) {
-  json::object object;
-  for (const auto& [replica, there] : calls)
-    object[replica] = json::array({there.m_calls, there.m_unread});
-  return object;
+json::array EncodeCalls(const ReplicaCalls& calls) {
+  return {calls.m_calls, calls.m_unread};
 }
 
 json::object Encode(const EntryNews& news) {
@@ -37,22 +32,22 @@
           {"callers", ToString(news.m_address.m_callers)},
           {"peers", ToString(news.m_address.m_peers)},
           {"ready", news.m_ready},
-          {"in_flight", EncodeCalls(news.m_in_flight)},
           {"crashes", std::move(crashes)}};
 }
 
-json::object Encode(const LoadNews& news) {
-  return {{"kind", kLoad},
-          {"host", news.m_host},
-          {"calls", EncodeCalls(news.m_in_flight)}};
+json::object Encode(const CallNews& news) {
+  return {{"kind", kCalls},
+          {"replica", news.m_replica},
+          {"calls", EncodeCalls(news.m_calls)}};
 }
 
-json::object Encode(const WeightsNews& news) {
-  return {{"kind", kWeights},
+json::object Encode(const ReplicaNews& news) {
+  return {{"kind", kReplica},
           {"replica", news.m_replica},
           {"service", news.m_service},
           {"version", news.m_version},
-          {"loading", news.m_loading}};
+          {"loading", news.m_loading},
+          {"elsewhere", EncodeCalls(news.m_elsewhere)}};
 }
 
 json::object Encode(const ChunkNews& news) {
@@ -65,39 +60,27 @@
 }
 
 json::object Encode(const FollowRequest& request) {
-  return {{"kind", kFollow}, {"chunks", request.m_chunks}};
+  return {{"kind", kFollow},
+          {"chunks", request.m_chunks},
+          {"near", request.m_near}};
 }
 
 Result<FollowRequest> DecodeFollow(const json::object& object) {
   FollowRequest request;
   BOOST_LEAF_ASSIGN(request.m_chunks,
                     model::FlagFieldOr(object, "chunks", false));
+  BOOST_LEAF_ASSIGN(request.m_near, model::FlagFieldOr(object, "near", false));
   return request;
 }
 
-Result<CallsByReplica> DecodeCalls(const json::object& object,
-                                   const char* name) {
-  CallsByReplica calls;
+Result<ReplicaCalls> DecodeCalls(const json::object& object, const char* name) {
   const json::value* value = object.if_contains(name);
-  if (!value || !value->is_object())
-    return model::BadField(name, "an object");
-  for (const auto& [replica, pair] : value->as_object()) {
-    const json::array* numbers = pair.if_array();
-    if (!numbers || numbers->size() != 2 || !numbers->at(0).is_int64() ||
-        !numbers->at(1).is_int64())
-      return model::BadField(name, "pairs of whole numbers");
-    calls[std::string(replica)] = {
-        static_cast<uint32_t>(numbers->at(0).as_int64()),
-        static_cast<uint64_t>(numbers->at(1).as_int64())};
-  }
-  return calls;
-}
-
-Result<LoadNews> DecodeLoad(const json::object& object) {
-  LoadNews news;
-  BOOST_LEAF_ASSIGN(news.m_host, model::TextField(object, "host"));
-  BOOST_LEAF_ASSIGN(news.m_in_flight, DecodeCalls(object, "calls"));
-  return news;
+  const json::array* numbers = value ? value->if_array() : nullptr;
+  if (!numbers || numbers->size() != 2 || !numbers->at(0).is_int64() ||
+      !numbers->at(1).is_int64())
+    return model::BadField(name, "a pair of whole numbers");
+  return ReplicaCalls{static_cast<uint32_t>(numbers->at(0).as_int64()),
+                      static_cast<uint64_t>(numbers->at(1).as_int64())};
 }
 
 Result<EntryNews> DecodeEntry(const json::object& object) {
@@ -110,7 +93,6 @@
   BOOST_LEAF_AUTO(peers, model::TextField(object, "peers"));
   BOOST_LEAF_ASSIGN(news.m_address.m_peers, ParseEndpoint(peers));
   BOOST_LEAF_ASSIGN(news.m_ready, model::FlagFieldOr(object, "ready", false));
-  BOOST_LEAF_ASSIGN(news.m_in_flight, DecodeCalls(object, "in_flight"));
   const json::value* crashes = object.if_contains("crashes");
   if (!crashes || !crashes->is_array())
     return model::BadField("crashes", "a list");
@@ -127,13 +109,21 @@
   return news;
 }
 
-Result<WeightsNews> DecodeWeights(const json::object& object) {
-  WeightsNews news;
+Result<CallNews> DecodeCallNews(const json::object& object) {
+  CallNews news;
+  BOOST_LEAF_ASSIGN(news.m_replica, model::TextField(object, "replica"));
+  BOOST_LEAF_ASSIGN(news.m_calls, DecodeCalls(object, "calls"));
+  return news;
+}
+
+Result<ReplicaNews> DecodeReplica(const json::object& object) {
+  ReplicaNews news;
   BOOST_LEAF_ASSIGN(news.m_replica, model::TextField(object, "replica"));
   BOOST_LEAF_ASSIGN(news.m_service, model::TextField(object, "service"));
   BOOST_LEAF_ASSIGN(news.m_version, model::NumberField(object, "version"));
   BOOST_LEAF_ASSIGN(news.m_loading,
                     model::FlagFieldOr(object, "loading", false));
+  BOOST_LEAF_ASSIGN(news.m_elsewhere, DecodeCalls(object, "elsewhere"));
   return news;
 }
 
@@ -174,10 +164,10 @@
   BOOST_LEAF_AUTO(kind, model::TextField(object, "kind"));
   if (kind == kEntry)
     return AsMessage(DecodeEntry(object));
-  if (kind == kLoad)
-    return AsMessage(DecodeLoad(object));
-  if (kind == kWeights)
-    return AsMessage(DecodeWeights(object));
+  if (kind == kCalls)
+    return AsMessage(DecodeCallNews(object));
+  if (kind == kReplica)
+    return AsMessage(DecodeReplica(object));
   if (kind == kChunks)
     return AsMessage(DecodeChunks(object));
   if (kind == kFollow)
--- a/src/libverbenalead/links/message.h
+++ b/src/libverbenalead/links/message.h
@@ -6,18 +6,18 @@
 #include <variant>
 
 #include "base/failure.h"
+#include "links/call_news.h"
 #include "links/chunk_news.h"
 #include "links/entry_news.h"
 #include "links/follow_request.h"
-#include "links/load_news.h"
-#include "links/weights_news.h"
+#include "links/replica_news.h"
 
 namespace verbenalead::links {
 
 /// One datagram between our processes. Any may be lost, doubled or late, so
 /// each tells a whole state and none is waited for.
 using Message =
-    std::variant<EntryNews, LoadNews, WeightsNews, ChunkNews, FollowRequest>;
+    std::variant<EntryNews, CallNews, ReplicaNews, ChunkNews, FollowRequest>;
 
 std::string EncodeMessage(const Message& message);
 /// Fails with kInvalid on what EncodeMessage didn't write.
--- /dev/null
+++ b/src/libverbenalead/links/replica_news.h
@@ -0,0 +1,27 @@
+#ifndef VERBENALEAD_LINKS_REPLICA_NEWS_H_
+#define VERBENALEAD_LINKS_REPLICA_NEWS_H_
+
+#include <cstdint>
+#include <string>
+
+#include "links/replica_calls.h"
+
+namespace verbenalead::links {
+
+/// What a target process tells one entry about the replica on its host.
+struct ReplicaNews {
+  std::string m_replica;
+  std::string m_service;
+  /// Version of the weights that it has loaded; 0: none.
+  uint64_t m_version = 0;
+  /// It takes no calls, for it is about to load or loads weights.
+  bool m_loading = false;
+  /// What all other entries have there.
+  ReplicaCalls m_elsewhere;
+
+  friend bool operator==(const ReplicaNews&, const ReplicaNews&) = default;
+};
+
+}  // namespace verbenalead::links
+
+#endif  // VERBENALEAD_LINKS_REPLICA_NEWS_H_
--- a/src/libverbenalead/target/engine_keeper.cc
+++ b/src/libverbenalead/target/engine_keeper.cc
@@ -54,7 +54,7 @@
   while (true) {
     if (m_state.m_engine && !m_state.m_engine->m_model.empty())
       co_await Look();
-    const links::WeightsNews news = News();
+    const links::ReplicaNews news = News();
     if (news != m_told || news.m_loading) {
       m_told = news;
       m_tell();
@@ -70,8 +70,8 @@
   return found == m_report->m_weights.end() ? 0 : found->second;
 }
 
-links::WeightsNews EngineKeeper::News() const {
-  links::WeightsNews news;
+links::ReplicaNews EngineKeeper::News() const {
+  links::ReplicaNews news;
   const model::Replica* replica = OwnReplica(m_state);
   news.m_replica = replica ? replica->m_id : "";
   news.m_service = m_state.m_options.m_service;
--- a/src/libverbenalead/target/engine_keeper.h
+++ b/src/libverbenalead/target/engine_keeper.h
@@ -5,7 +5,7 @@
 #include <optional>
 
 #include "decide/load_plan.h"
-#include "links/weights_news.h"
+#include "links/replica_news.h"
 #include "platform/engine_client.h"
 #include "target/chunk_fetcher.h"
 #include "target/target_state.h"
@@ -24,8 +24,8 @@
 
   /// Doesn't return.
   Awaitable<void> Run();
-  /// What entries should know now.
-  links::WeightsNews News() const;
+  /// What entries should know now, but for the calls there.
+  links::ReplicaNews News() const;
 
  private:
   /// One look at the engine, and what follows from it.
@@ -58,7 +58,7 @@
   uint64_t m_staged = 0;
   uint64_t m_adopted = 0;
   bool m_stopped_calls = false;
-  links::WeightsNews m_told;
+  links::ReplicaNews m_told;
 };
 
 }  // namespace verbenalead::target
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -17,6 +17,7 @@
 #include "platform/names.h"
 #include "platform/store.h"
 #include "target/engine_keeper.h"
+#include "target/entry_follower.h"
 #include "target/target_rows.h"
 
 namespace verbenalead::target {
@@ -32,7 +33,13 @@
 constexpr Duration kConnectTimeout = 300ms;
 /// How often those who follow are told what changed, and all anew.
 constexpr Duration kNewsInterval = 50ms;
-constexpr uint64_t kRoundsToTellAll = 10;
+constexpr uint64_t kRoundsToTellAll = 20;
+/// Entries are told what changed: near ones every second round, far ones, whose
+/// bytes are paid for, every fourth.
+constexpr uint64_t kRoundsToTellNear = 2;
+constexpr uint64_t kRoundsToTellFar = 4;
+/// How long the calls of an entry count that tells nothing more.
+constexpr Duration kCallsHold = 2500ms;
 /// How often hosts are asked for their chunk news, and how long such a question
 /// holds.
 constexpr Duration kFollowInterval = 500ms;
@@ -144,24 +151,69 @@
 
   void TakeMessage(const Endpoint& sender, const links::Message& message) {
     if (const auto* follow = std::get_if<links::FollowRequest>(&message)) {
-      auto& followers = follow->m_chunks ? m_chunk_followers : m_entries;
-      const bool known = followers.contains(sender);
-      followers[sender] = Now() + kFollowHold;
-      if (!known && follow->m_chunks)
-        TellChunks(sender);
-      else if (!known)
-        m_datagrams.Send(sender, m_keeper.News());
+      TakeFollower(sender, *follow);
+    } else if (const auto* calls = std::get_if<links::CallNews>(&message)) {
+      const model::Replica* own = OwnReplica(m_state);
+      if (!own || own->m_id != calls->m_replica)
+        return;
+      m_entries[sender].m_calls = calls->m_calls;
+      m_entries[sender].m_calls_at = Now();
     } else if (const auto* news = std::get_if<links::ChunkNews>(&message)) {
       m_fetcher.TakeNews(*news);
     }
   }
 
-  void TellEntries() {
-    const links::WeightsNews news = m_keeper.News();
+  void TakeFollower(const Endpoint& sender,
+                    const links::FollowRequest& request) {
+    const TimePoint until = Now() + kFollowHold;
+    if (request.m_chunks) {
+      const bool known = m_chunk_followers.contains(sender);
+      m_chunk_followers[sender] = until;
+      if (!known)
+        TellChunks(sender);
+      return;
+    }
+    EntryFollower& follower = m_entries[sender];
+    follower.m_until = until;
+    follower.m_near = request.m_near;
+  }
+
+  /// Tells the followers that `which` picks what changed for them.
+  template <typename Which>
+  void TellEntries(Which which) {
+    links::ReplicaNews news = m_keeper.News();
     if (news.m_replica.empty())
       return;
-    for (const auto& [entry, until] : m_entries)
+    links::ReplicaCalls sum;
+    for (const auto& [entry, follower] : m_entries) {
+      sum.m_calls += follower.m_calls.m_calls;
+      sum.m_unread += follower.m_calls.m_unread;
+    }
+    for (auto& [entry, follower] : m_entries) {
+      news.m_elsewhere.m_calls = sum.m_calls - follower.m_calls.m_calls;
+      news.m_elsewhere.m_unread = sum.m_unread - follower.m_calls.m_unread;
+      if (follower.m_until <= Now() || !which(follower, news))
+        continue;
+      follower.m_told = news;
       m_datagrams.Send(entry, news);
+    }
+  }
+
+  /// The engine's state has changed: all have to know at once.
+  void TellEntries() {
+    TellEntries(
+        [](const EntryFollower&, const links::ReplicaNews&) { return true; });
+  }
+
+  void ForgetEntries(TimePoint now) {
+    // An entry that died told nothing of the end of its calls.
+    for (auto& [entry, follower] : m_entries) {
+      if (follower.m_calls_at + kCallsHold <= now)
+        follower.m_calls = {};
+    }
+    std::erase_if(m_entries, [now](const auto& entry) {
+      return entry.second.m_until <= now && entry.second.m_calls.m_calls == 0;
+    });
   }
 
   void TellChunks(const Endpoint& to) {
@@ -190,19 +242,23 @@
     while (true) {
       co_await Sleep(kNewsInterval);
       const TimePoint now = Now();
-      const auto lapsed = [now](const auto& entry) {
-        return entry.second <= now;
-      };
-      std::erase_if(m_chunk_followers, lapsed);
-      std::erase_if(m_entries, lapsed);
+      std::erase_if(m_chunk_followers, [now](const auto& follower) {
+        return follower.second <= now;
+      });
+      ForgetEntries(now);
       const bool all = ++round % kRoundsToTellAll == 0;
       if (HeldChunks() != told || all) {
         told = HeldChunks();
         for (const auto& [host, until] : m_chunk_followers)
           TellChunks(host);
       }
-      if (all)
-        TellEntries();
+      const bool near = round % kRoundsToTellNear == 0;
+      const bool far = round % kRoundsToTellFar == 0;
+      TellEntries(
+          [=](const EntryFollower& follower, const links::ReplicaNews& news) {
+            const bool due = follower.m_near ? near : far;
+            return all || (due && news != follower.m_told);
+          });
     }
   }
 
@@ -258,7 +314,7 @@
   asio::signal_set m_signals;
   /// Who wants news, until when.
   std::map<Endpoint, TimePoint> m_chunk_followers;
-  std::map<Endpoint, TimePoint> m_entries;
+  std::map<Endpoint, EntryFollower> m_entries;
 };
 
 PlatformTarget::PlatformTarget(const Settings& settings)
