Ask the target for each place

Cause: what entries know of each other's calls is two steps old; replicas were overfilled and their prompts queued.

--- a/src/libverbenalead/decide/replica_pool.cc
+++ b/src/libverbenalead/decide/replica_pool.cc
@@ -30,8 +30,9 @@
 constexpr Duration kLongestAvoidance = 3s;
 constexpr uint32_t kMostDoublings = 4;
 /// A replica that turned a call away is full with calls that weren't told of
-/// yet; by then a few of them have ended.
-constexpr Duration kFullAvoidance = 60ms;
+/// yet. In this time two of 16 calls of 1.2 s each end; without the pause an
+/// entry whose view was wrong asked again at each round trip.
+constexpr Duration kFullAvoidance = 30ms;
 /// The address belongs to somebody else, or the weights changed; news of that
 /// comes within this time.
 constexpr Duration kWrongHostAvoidance = 500ms;
@@ -95,6 +96,15 @@
 
 }  // namespace
 
+bool HasRoom(uint32_t slots,
+             double prefill_rate,
+             uint32_t calls,
+             uint64_t unread) {
+  return calls < slots &&
+         (prefill_rate <= 0 ||
+          static_cast<double>(unread) < prefill_rate * kMostUnreadSeconds);
+}
+
 void SetReplicas(ReplicaPool& pool,
                  const std::vector<model::Replica>& replicas,
                  TimePoint keep_missing_until,
@@ -127,15 +137,13 @@
   ReplicaState* best = nullptr;
   double best_cost = 0;
   for (auto& [id, state] : pool.m_replicas) {
-    if (!Usable(pool, state, now) || Load(state) >= state.m_replica.m_slots ||
-        call.m_tried.contains(id))
-      continue;
-    const double unread = UnreadShare(pool, state);
-    if (unread >= 1)
+    if (!Usable(pool, state, now) || call.m_tried.contains(id) ||
+        !HasRoom(state.m_replica.m_slots, pool.m_prefill_rate, Load(state),
+                 state.m_unread + state.m_unread_elsewhere))
       continue;
     double cost = static_cast<double>(Load(state)) / state.m_replica.m_slots +
-                  kFailureCost * state.m_failure_share + kUnreadCost * unread +
-                  noise(random);
+                  kFailureCost * state.m_failure_share +
+                  kUnreadCost * UnreadShare(pool, state) + noise(random);
     if (state.m_replica.m_data_center != pool.m_data_center)
       cost += kFarCost;
     if (!best || cost < best_cost) {
--- a/src/libverbenalead/decide/replica_pool.h
+++ b/src/libverbenalead/decide/replica_pool.h
@@ -49,6 +49,13 @@
   double m_prefill_rate = 0;
 };
 
+/// Whether a replica that has `calls` and `unread` prompt tokens takes one call
+/// more.
+bool HasRoom(uint32_t slots,
+             double prefill_rate,
+             uint32_t calls,
+             uint64_t unread);
+
 struct PoolStart {
   uint64_t m_ticket = 0;
   std::string m_replica;
--- a/src/libverbenalead/entry/place_waiter.cc
+++ b/src/libverbenalead/entry/place_waiter.cc
@@ -19,6 +19,26 @@
 Awaitable<std::optional<std::string>> PlaceWaiter::Take(std::string service,
                                                         decide::PoolCall call,
                                                         TimePoint deadline) {
+  while (true) {
+    auto replica = co_await TakeOrWait(service, call, deadline);
+    if (!replica)
+      co_return replica;
+    const bool granted = co_await m_asker.Ask(service, *replica, call);
+    if (granted)
+      co_return replica;
+    // The answer brought what the target knows, so that another replica is
+    // chosen now.
+    decide::ReplicaPool& pool = StateOf(m_state, service).m_pool;
+    decide::NoteBegun(pool, *replica, call.m_prompt_tokens);
+    decide::Release(pool, *replica, decide::AttemptEnd::kNotRun, Now());
+    m_state.m_metrics.Count("places_denied_total", "");
+  }
+}
+
+Awaitable<std::optional<std::string>> PlaceWaiter::TakeOrWait(
+    std::string service,
+    decide::PoolCall call,
+    TimePoint deadline) {
   decide::ReplicaPool& pool = StateOf(m_state, service).m_pool;
   auto replica = decide::TakePlace(pool, call, Now(), m_state.m_random);
   if (replica || deadline <= Now())
@@ -46,7 +66,11 @@
 void PlaceWaiter::Release(const std::string& service,
                           const std::string& replica,
                           decide::AttemptEnd end) {
-  decide::Release(StateOf(m_state, service).m_pool, replica, end, Now());
+  decide::ReplicaPool& pool = StateOf(m_state, service).m_pool;
+  decide::Release(pool, replica, end, Now());
+  const auto found = pool.m_replicas.find(replica);
+  if (found != pool.m_replicas.end() && pool.m_prefill_rate > 0)
+    m_on_change(found->second);
   Wake(service);
 }
 
--- a/src/libverbenalead/entry/place_waiter.h
+++ b/src/libverbenalead/entry/place_waiter.h
@@ -9,13 +9,19 @@
 
 #include "base/awaitable.h"
 #include "entry/entry_state.h"
+#include "entry/place_asker.h"
 
 namespace verbenalead::entry {
 
 /// Lets calls wait for a place at a replica and wakes them.
 class PlaceWaiter {
  public:
-  explicit PlaceWaiter(EntryState& state) : m_state(state) {}
+  /// `asker` confirms each place. `on_change` is told of each replica whose
+  /// calls have changed.
+  PlaceWaiter(EntryState& state,
+              PlaceAsker& asker,
+              std::function<void(const decide::ReplicaState&)> on_change)
+      : m_state(state), m_asker(asker), m_on_change(std::move(on_change)) {}
 
   /// A place for `call` at a replica of `service`; nothing if none came free
   /// until `deadline`, or `Cancel` was called for its ticket.
@@ -36,7 +42,14 @@
  private:
   struct Waiter;
 
+  /// Waits until the pool has a place for `call`.
+  Awaitable<std::optional<std::string>> TakeOrWait(std::string service,
+                                                   decide::PoolCall call,
+                                                   TimePoint deadline);
+
   EntryState& m_state;
+  PlaceAsker& m_asker;
+  const std::function<void(const decide::ReplicaState&)> m_on_change;
   uint64_t m_last_ticket = 0;
   std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;
 };
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -84,7 +84,13 @@
         m_replica_http(ReplicaConnections()),
         m_store_http(StoreConnections()),
         m_store(m_store_http, m_state.m_options.m_store),
-        m_places(m_state),
+        m_datagrams(m_threads.main(), m_state.m_options.m_self.m_peers),
+        m_asker(m_state, m_datagrams),
+        m_places(m_state,
+                 m_asker,
+                 [this](const decide::ReplicaState& replica) {
+                   TellCalls(replica, true);
+                 }),
         m_calls(m_state, m_places, m_replica_http),
         m_intake(m_state),
         m_operator_rows(m_store,
@@ -99,7 +105,6 @@
                                                   m_replica_rows.regained_at());
                          m_places.WakeAll();
                        }),
-        m_datagrams(m_threads.main(), m_state.m_options.m_self.m_peers),
         m_callers(
             m_threads,
             {},
@@ -171,6 +176,8 @@
       TakeNews(m_state, *news, Now());
     else if (const auto* replica = std::get_if<links::ReplicaNews>(&message))
       TakeNews(m_state, *replica, Now());
+    else if (const auto* answer = std::get_if<links::PlaceAnswer>(&message))
+      m_asker.TakeAnswer(*answer);
     m_places.WakeAll();
   }
 
@@ -193,7 +200,6 @@
 
   /// Tells target processes what this entry has at their replicas.
   Awaitable<void> SendCallNews() {
-    std::map<std::string, links::ReplicaCalls> told;
     uint64_t round = 0;
     while (true) {
       co_await Sleep(kCallNewsInterval);
@@ -204,16 +210,16 @@
         if (!IsEngine(name))
           continue;
         for (const auto& [id, replica] : service.m_pool.m_replicas)
-          TellCalls(replica, all, told[id]);
+          TellCalls(replica, all && replica.m_in_flight > 0);
       }
     }
   }
 
-  void TellCalls(const decide::ReplicaState& replica,
-                 bool again,
-                 links::ReplicaCalls& told) {
+  /// Tells what has changed, or `again` what was told before.
+  void TellCalls(const decide::ReplicaState& replica, bool again) {
     const links::ReplicaCalls now = {replica.m_in_flight, replica.m_unread};
-    if (now == told && !(again && now.m_calls > 0))
+    links::ReplicaCalls& told = m_told_calls[replica.m_replica.m_id];
+    if (now == told && !again)
       return;
     told = now;
     m_datagrams.Send(TargetOf(replica),
@@ -329,17 +335,20 @@
   http::Client m_replica_http;
   http::Client m_store_http;
   platform::Store m_store;
+  links::Datagrams m_datagrams;
+  PlaceAsker m_asker;
   PlaceWaiter m_places;
   CallServer m_calls;
   RowIntake m_intake;
   links::TableFollower m_operator_rows;
   links::TableFollower m_replica_rows;
-  links::Datagrams m_datagrams;
   http::Server m_callers;
   http::Server m_readiness;
   http::Server m_directory;
   http::Server m_metrics;
   asio::signal_set m_signals;
+  /// What was told of the calls at each replica.
+  std::map<std::string, links::ReplicaCalls> m_told_calls;
 };
 
 PlatformEntry::PlatformEntry(const Settings& settings)
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -14,6 +14,8 @@
 constexpr char kReplica[] = "replica";
 constexpr char kChunks[] = "chunks";
 constexpr char kFollow[] = "follow";
+constexpr char kAsk[] = "ask";
+constexpr char kAnswer[] = "answer";
 
 json::array EncodeCalls(const ReplicaCalls& calls) {
   return {calls.m_calls, calls.m_unread};
@@ -65,6 +67,22 @@
           {"near", request.m_near}};
 }
 
+json::object Encode(const PlaceRequest& request) {
+  return {{"kind", kAsk},
+          {"replica", request.m_replica},
+          {"ticket", request.m_ticket},
+          {"tokens", request.m_prompt_tokens},
+          {"calls", EncodeCalls(request.m_calls)}};
+}
+
+json::object Encode(const PlaceAnswer& answer) {
+  json::object object = Encode(answer.m_news);
+  object["kind"] = kAnswer;
+  object["ticket"] = answer.m_ticket;
+  object["granted"] = answer.m_granted;
+  return object;
+}
+
 Result<FollowRequest> DecodeFollow(const json::object& object) {
   FollowRequest request;
   BOOST_LEAF_ASSIGN(request.m_chunks,
@@ -127,6 +145,25 @@
   return news;
 }
 
+Result<PlaceRequest> DecodeAsk(const json::object& object) {
+  PlaceRequest request;
+  BOOST_LEAF_ASSIGN(request.m_replica, model::TextField(object, "replica"));
+  BOOST_LEAF_ASSIGN(request.m_ticket, model::NumberField(object, "ticket"));
+  BOOST_LEAF_AUTO(tokens, model::NumberField(object, "tokens"));
+  request.m_prompt_tokens = static_cast<uint32_t>(tokens);
+  BOOST_LEAF_ASSIGN(request.m_calls, DecodeCalls(object, "calls"));
+  return request;
+}
+
+Result<PlaceAnswer> DecodeAnswer(const json::object& object) {
+  PlaceAnswer answer;
+  BOOST_LEAF_ASSIGN(answer.m_ticket, model::NumberField(object, "ticket"));
+  BOOST_LEAF_ASSIGN(answer.m_granted,
+                    model::FlagFieldOr(object, "granted", false));
+  BOOST_LEAF_ASSIGN(answer.m_news, DecodeReplica(object));
+  return answer;
+}
+
 Result<ChunkNews> DecodeChunks(const json::object& object) {
   ChunkNews news;
   BOOST_LEAF_ASSIGN(news.m_host, model::TextField(object, "host"));
@@ -170,6 +207,10 @@
     return AsMessage(DecodeReplica(object));
   if (kind == kChunks)
     return AsMessage(DecodeChunks(object));
+  if (kind == kAsk)
+    return AsMessage(DecodeAsk(object));
+  if (kind == kAnswer)
+    return AsMessage(DecodeAnswer(object));
   if (kind == kFollow)
     return AsMessage(DecodeFollow(object));
   return model::BadField("kind", "a kind of datagram that is known");
--- a/src/libverbenalead/links/message.h
+++ b/src/libverbenalead/links/message.h
@@ -10,14 +10,21 @@
 #include "links/chunk_news.h"
 #include "links/entry_news.h"
 #include "links/follow_request.h"
+#include "links/place_answer.h"
+#include "links/place_request.h"
 #include "links/replica_news.h"
 
 namespace verbenalead::links {
 
 /// One datagram between our processes. Any may be lost, doubled or late, so
 /// each tells a whole state and none is waited for.
-using Message =
-    std::variant<EntryNews, CallNews, ReplicaNews, ChunkNews, FollowRequest>;
+using Message = std::variant<EntryNews,
+                             CallNews,
+                             ReplicaNews,
+                             ChunkNews,
+                             FollowRequest,
+                             PlaceRequest,
+                             PlaceAnswer>;
 
 std::string EncodeMessage(const Message& message);
 /// Fails with kInvalid on what EncodeMessage didn't write.
--- a/src/libverbenalead/target/entry_follower.h
+++ b/src/libverbenalead/target/entry_follower.h
@@ -14,6 +14,8 @@
   /// What it has at the replica, and when it said so.
   links::ReplicaCalls m_calls;
   TimePoint m_calls_at{};
+  /// It was denied a place since it was told anything: calls wait there.
+  bool m_denied = false;
   /// What it was told last.
   links::ReplicaNews m_told;
 };
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -10,6 +10,7 @@
 #include "base/pacer.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
+#include "decide/replica_pool.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "links/datagrams.h"
@@ -153,16 +154,75 @@
     if (const auto* follow = std::get_if<links::FollowRequest>(&message)) {
       TakeFollower(sender, *follow);
     } else if (const auto* calls = std::get_if<links::CallNews>(&message)) {
-      const model::Replica* own = OwnReplica(m_state);
-      if (!own || own->m_id != calls->m_replica)
-        return;
-      m_entries[sender].m_calls = calls->m_calls;
-      m_entries[sender].m_calls_at = Now();
+      TakeCalls(sender, *calls);
+    } else if (const auto* ask = std::get_if<links::PlaceRequest>(&message)) {
+      TakeRequest(sender, *ask);
     } else if (const auto* news = std::get_if<links::ChunkNews>(&message)) {
       m_fetcher.TakeNews(*news);
     }
   }
 
+  /// Grants a place if the replica has room for one more call.
+  void TakeRequest(const Endpoint& sender, const links::PlaceRequest& request) {
+    const model::Replica* own = OwnReplica(m_state);
+    if (!own || own->m_id != request.m_replica || !m_state.m_engine)
+      return;
+    EntryFollower& follower = m_entries[sender];
+    follower.m_calls = WithoutOne(request);
+    follower.m_calls_at = Now();
+    links::PlaceAnswer answer;
+    answer.m_ticket = request.m_ticket;
+    answer.m_news = NewsFor(follower);
+    const links::ReplicaCalls all = AllCalls();
+    answer.m_granted = !answer.m_news.m_loading &&
+                       decide::HasRoom(m_state.m_engine->m_slots,
+                                       m_state.m_engine->m_prefill_rate,
+                                       all.m_calls, all.m_unread);
+    follower.m_denied = !answer.m_granted;
+    if (answer.m_granted)
+      follower.m_calls = request.m_calls;
+    m_datagrams.Send(sender, answer);
+  }
+
+  /// What the entry has there, the call that it asks for left out.
+  static links::ReplicaCalls WithoutOne(const links::PlaceRequest& request) {
+    links::ReplicaCalls calls = request.m_calls;
+    calls.m_calls -= std::min<uint32_t>(calls.m_calls, 1);
+    calls.m_unread -=
+        std::min<uint64_t>(calls.m_unread, request.m_prompt_tokens);
+    return calls;
+  }
+
+  links::ReplicaCalls AllCalls() const {
+    links::ReplicaCalls sum;
+    for (const auto& [entry, follower] : m_entries) {
+      sum.m_calls += follower.m_calls.m_calls;
+      sum.m_unread += follower.m_calls.m_unread;
+    }
+    return sum;
+  }
+
+  links::ReplicaNews NewsFor(const EntryFollower& follower) const {
+    links::ReplicaNews news = m_keeper.News();
+    const links::ReplicaCalls all = AllCalls();
+    news.m_elsewhere.m_calls = all.m_calls - follower.m_calls.m_calls;
+    news.m_elsewhere.m_unread = all.m_unread - follower.m_calls.m_unread;
+    return news;
+  }
+
+  void TakeCalls(const Endpoint& sender, const links::CallNews& news) {
+    const model::Replica* own = OwnReplica(m_state);
+    if (!own || own->m_id != news.m_replica)
+      return;
+    EntryFollower& follower = m_entries[sender];
+    follower.m_calls = news.m_calls;
+    follower.m_calls_at = Now();
+    // Calls wait at those that were denied a place.
+    TellEntries([](const EntryFollower& other, const links::ReplicaNews&) {
+      return other.m_denied;
+    });
+  }
+
   void TakeFollower(const Endpoint& sender,
                     const links::FollowRequest& request) {
     const TimePoint until = Now() + kFollowHold;
@@ -181,20 +241,14 @@
   /// Tells the followers that `which` picks what changed for them.
   template <typename Which>
   void TellEntries(Which which) {
-    links::ReplicaNews news = m_keeper.News();
-    if (news.m_replica.empty())
+    if (!OwnReplica(m_state))
       return;
-    links::ReplicaCalls sum;
-    for (const auto& [entry, follower] : m_entries) {
-      sum.m_calls += follower.m_calls.m_calls;
-      sum.m_unread += follower.m_calls.m_unread;
-    }
     for (auto& [entry, follower] : m_entries) {
-      news.m_elsewhere.m_calls = sum.m_calls - follower.m_calls.m_calls;
-      news.m_elsewhere.m_unread = sum.m_unread - follower.m_calls.m_unread;
+      const links::ReplicaNews news = NewsFor(follower);
       if (follower.m_until <= Now() || !which(follower, news))
         continue;
       follower.m_told = news;
+      follower.m_denied = false;
       m_datagrams.Send(entry, news);
     }
   }
