Leave calls that only ask out of a request for a place

Ruled out: prompts that wait (the replicas were idle). Also: new weights bind 0.4 s before their bound (0.7 s before); chunks go out unpaced while a replica has no calls; callers that find no replica come back after 1.5 to 2.5 s (0.5 to 1.5 s before), as replicas take that long.

--- a/src/libverbenalead/decide/call_policy.cc
+++ b/src/libverbenalead/decide/call_policy.cc
@@ -94,7 +94,9 @@
       // Another entry answers at once.
       return Draw(100ms, 400ms, random);
     case Refusal::kNoReplica:
-      return Draw(500ms, 1500ms, random);
+      // Replicas restart or load for some seconds; callers that ask again
+      // earlier only use up their tries.
+      return Draw(1500ms, 2500ms, random);
     case Refusal::kFull:
       // A place comes free every few ms; but callers that all come back at once
       // would find the same queue.
--- a/src/libverbenalead/decide/replica_pool.cc
+++ b/src/libverbenalead/decide/replica_pool.cc
@@ -80,9 +80,13 @@
     // It holds nothing of before; calls of ours that it had end by themselves.
     const uint32_t in_flight = state.m_in_flight;
     const uint64_t unread = state.m_unread;
+    const uint32_t asked = state.m_asked;
+    const uint64_t asked_unread = state.m_asked_unread;
     state = ReplicaState();
     state.m_in_flight = in_flight;
     state.m_unread = unread;
+    state.m_asked = asked;
+    state.m_asked_unread = asked_unread;
     state.m_weights = NewestWeights(replica);
   }
   // Leaving is final for an incarnation: an older row that arrives late must
@@ -199,6 +203,28 @@
   unread -= std::min<uint64_t>(unread, prompt_tokens);
 }
 
+void NoteAsked(ReplicaPool& pool,
+               const std::string& replica,
+               uint32_t prompt_tokens) {
+  const auto found = pool.m_replicas.find(replica);
+  if (found == pool.m_replicas.end())
+    return;
+  ++found->second.m_asked;
+  found->second.m_asked_unread += prompt_tokens;
+}
+
+void NoteAnswer(ReplicaPool& pool,
+                const std::string& replica,
+                uint32_t prompt_tokens) {
+  const auto found = pool.m_replicas.find(replica);
+  if (found == pool.m_replicas.end())
+    return;
+  ReplicaState& state = found->second;
+  state.m_asked -= std::min<uint32_t>(state.m_asked, 1);
+  state.m_asked_unread -=
+      std::min<uint64_t>(state.m_asked_unread, prompt_tokens);
+}
+
 void Release(ReplicaPool& pool,
              const std::string& replica,
              AttemptEnd end,
--- a/src/libverbenalead/decide/replica_pool.h
+++ b/src/libverbenalead/decide/replica_pool.h
@@ -89,6 +89,14 @@
                const std::string& replica,
                uint32_t prompt_tokens);
 
+/// The target of `replica` is asked for a place, and has answered or won't.
+void NoteAsked(ReplicaPool& pool,
+               const std::string& replica,
+               uint32_t prompt_tokens);
+void NoteAnswer(ReplicaPool& pool,
+                const std::string& replica,
+                uint32_t prompt_tokens);
+
 /// Gives a place back and learns from how the attempt ended.
 void Release(ReplicaPool& pool,
              const std::string& replica,
--- a/src/libverbenalead/decide/replica_state.h
+++ b/src/libverbenalead/decide/replica_state.h
@@ -13,6 +13,10 @@
   model::Replica m_replica;
   /// Calls of this entry that the replica has.
   uint32_t m_in_flight = 0;
+  /// Of these, calls for which the target has been asked and hasn't answered,
+  /// and their prompt tokens.
+  uint32_t m_asked = 0;
+  uint64_t m_asked_unread = 0;
   /// Calls of the other entries, as they last told.
   uint32_t m_elsewhere = 0;
   /// Prompt tokens of those calls that haven't begun to answer, ours and
--- a/src/libverbenalead/entry/entry_news.cc
+++ b/src/libverbenalead/entry/entry_news.cc
@@ -1,5 +1,7 @@
 #include "entry/entry_news.h"
 
+#include <algorithm>
+
 #include "base/log.h"
 
 namespace verbenalead::entry {
@@ -27,6 +29,15 @@
          now - peer.m_heard_at < (near ? kNearSilence : kFarSilence);
 }
 
+links::ReplicaCalls CallsAt(const decide::ReplicaState& replica) {
+  links::ReplicaCalls calls;
+  calls.m_calls =
+      replica.m_in_flight - std::min(replica.m_in_flight, replica.m_asked);
+  calls.m_unread =
+      replica.m_unread - std::min(replica.m_unread, replica.m_asked_unread);
+  return calls;
+}
+
 links::EntryNews NewsOf(const EntryState& state) {
   links::EntryNews news;
   news.m_address = state.m_options.m_self;
--- a/src/libverbenalead/entry/entry_news.h
+++ b/src/libverbenalead/entry/entry_news.h
@@ -10,6 +10,9 @@
 /// Whether the entry was heard of not long ago.
 bool IsHeard(const EntryState& state, const PeerEntry& peer, TimePoint now);
 
+/// What this entry has at a replica, for its target.
+links::ReplicaCalls CallsAt(const decide::ReplicaState& replica);
+
 /// What this entry tells the others.
 links::EntryNews NewsOf(const EntryState& state);
 
--- a/src/libverbenalead/entry/place_asker.cc
+++ b/src/libverbenalead/entry/place_asker.cc
@@ -32,7 +32,7 @@
 Awaitable<bool> PlaceAsker::Ask(std::string service,
                                 std::string replica,
                                 decide::PoolCall call) {
-  const auto& pool = StateOf(m_state, service).m_pool;
+  decide::ReplicaPool& pool = StateOf(m_state, service).m_pool;
   const auto found = pool.m_replicas.find(replica);
   if (pool.m_prefill_rate <= 0 || found == pool.m_replicas.end())
     co_return true;
@@ -46,7 +46,8 @@
   request.m_replica = replica;
   request.m_ticket = ticket;
   request.m_prompt_tokens = call.m_prompt_tokens;
-  request.m_calls = {found->second.m_in_flight, found->second.m_unread};
+  decide::NoteAsked(pool, replica, call.m_prompt_tokens);
+  request.m_calls = CallsAt(found->second);
   const Endpoint target(found->second.m_replica.m_endpoint.address(),
                         m_state.m_options.m_targets_port);
   m_datagrams.Send(target, request);
@@ -55,6 +56,7 @@
   co_await question->m_timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
   m_questions.erase(ticket);
+  decide::NoteAnswer(pool, replica, call.m_prompt_tokens);
   if (question->m_answered)
     co_return question->m_granted;
   m_silent[replica] = Now() + kSilentHold;
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -217,7 +217,7 @@
 
   /// Tells what has changed, or `again` what was told before.
   void TellCalls(const decide::ReplicaState& replica, bool again) {
-    const links::ReplicaCalls now = {replica.m_in_flight, replica.m_unread};
+    const links::ReplicaCalls now = CallsAt(replica);
     links::ReplicaCalls& told = m_told_calls[replica.m_replica.m_id];
     if (now == told && !again)
       return;
--- a/src/libverbenalead/entry/row_intake.cc
+++ b/src/libverbenalead/entry/row_intake.cc
@@ -14,9 +14,10 @@
 namespace verbenalead::entry {
 namespace {
 
-/// New weights bind this much before their bound ends: a call that is sent then
-/// still has to begin, and our news of the declaration are a little old.
-constexpr Duration kBindingMargin = 700ms;
+/// New weights bind this much before their bound ends: what hasn't begun on
+/// older ones then is called back, which takes a few ms, and our news of the
+/// declaration are a little old.
+constexpr Duration kBindingMargin = 400ms;
 /// What was declared before this process started binds after this time. How old
 /// the declaration is isn't known, and after a loss of power no replica holds
 /// anything yet.
--- a/src/libverbenalead/links/place_request.h
+++ b/src/libverbenalead/links/place_request.h
@@ -13,9 +13,10 @@
   std::string m_replica;
   uint64_t m_ticket = 0;
   uint32_t m_prompt_tokens = 0;
-  /// What the entry has at the replica, this call included. It goes with each
-  /// request, so that a target that believes something else, after either of
-  /// them started anew, is set right by the first one.
+  /// What the entry has at the replica, calls that only wait for an answer like
+  /// this one left out. It goes with each request, so that a target that
+  /// believes something else, after either of them started anew, is set right
+  /// by the first one.
   ReplicaCalls m_calls;
 
   friend bool operator==(const PlaceRequest&, const PlaceRequest&) = default;
--- a/src/libverbenalead/target/engine_keeper.cc
+++ b/src/libverbenalead/target/engine_keeper.cc
@@ -17,7 +17,7 @@
 constexpr int kMostPasses = 5;
 /// The load must be done so long before its bound: entries stop using older
 /// weights a little before it.
-constexpr Duration kBoundMargin = 800ms;
+constexpr Duration kBoundMargin = 500ms;
 /// From the turn to the end of the load: calls end or are broken off, and the
 /// load takes 0.3 s.
 constexpr Duration kOutage = 1000ms;
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -116,7 +116,9 @@
       co_return;
     for (size_t begin = 0; begin < bytes->size(); begin += kUploadPiece) {
       std::string piece = bytes->substr(begin, kUploadPiece);
-      co_await m_upload.Take(piece.size());
+      // With no calls there is nothing that chunks could hold up.
+      if (AllCalls().m_calls > 0)
+        co_await m_upload.Take(piece.size());
       if (!co_await caller.Write(std::move(piece)))
         co_return;
     }
@@ -168,7 +170,7 @@
     if (!own || own->m_id != request.m_replica || !m_state.m_engine)
       return;
     EntryFollower& follower = m_entries[sender];
-    follower.m_calls = WithoutOne(request);
+    follower.m_calls = request.m_calls;
     follower.m_calls_at = Now();
     links::PlaceAnswer answer;
     answer.m_ticket = request.m_ticket;
@@ -179,20 +181,13 @@
                                        m_state.m_engine->m_prefill_rate,
                                        all.m_calls, all.m_unread);
     follower.m_denied = !answer.m_granted;
-    if (answer.m_granted)
-      follower.m_calls = request.m_calls;
+    if (answer.m_granted) {
+      ++follower.m_calls.m_calls;
+      follower.m_calls.m_unread += request.m_prompt_tokens;
+    }
     m_datagrams.Send(sender, answer);
   }
 
-  /// What the entry has there, the call that it asks for left out.
-  static links::ReplicaCalls WithoutOne(const links::PlaceRequest& request) {
-    links::ReplicaCalls calls = request.m_calls;
-    calls.m_calls -= std::min<uint32_t>(calls.m_calls, 1);
-    calls.m_unread -=
-        std::min<uint64_t>(calls.m_unread, request.m_prompt_tokens);
-    return calls;
-  }
-
   links::ReplicaCalls AllCalls() const {
     links::ReplicaCalls sum;
     for (const auto& [entry, follower] : m_entries) {
