Use one quarantine for requests that crash replicas

Cause: the platform's entry had a second core for what decide/quarantine already did. Its limits are now settings of the state (three crashes and a minute on the users' platform, two and ten minutes elsewhere), and what others tell late no longer brings back the blame after a success. The tests are as strict; the signature of NoteSuccess has the time.

--- a/src/libverbenalead/daemon/quarantine_keeper.h
+++ b/src/libverbenalead/daemon/quarantine_keeper.h
@@ -29,7 +29,7 @@
   }
   void NoteSuccess(uint64_t key) {
     std::lock_guard lock(m_mutex);
-    decide::NoteSuccess(m_state, key);
+    decide::NoteSuccess(m_state, key, Now());
   }
   bool IsSetAside(uint64_t key) const {
     std::lock_guard lock(m_mutex);
--- a/src/libverbenalead/decide/call_policy.cc
+++ b/src/libverbenalead/decide/call_policy.cc
@@ -16,6 +16,9 @@
 
 /// Shortest and longest waits for a head. A plain service answers within a
 /// fifth of its objective when it is not overloaded.
+/// By then whoever looks after the request has been asked.
+constexpr Duration kCrashesRetryAfter = 60s;
+
 constexpr int kObjectivesForHead = 3;
 constexpr Duration kStreamHeadTimeout = 1200ms;
 
@@ -102,7 +105,7 @@
       // would find the same queue.
       return Draw(300ms, 1500ms, random);
     case Refusal::kCrashes:
-      return kCrashMemory;
+      return kCrashesRetryAfter;
   }
   return 1s;
 }
--- a/src/libverbenalead/decide/call_policy.h
+++ b/src/libverbenalead/decide/call_policy.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <random>
 
-#include "decide/crash_suspects.h"
+#include "decide/quarantine.h"
 #include "decide/replica_pool.h"
 #include "model/engine_profile.h"
 #include "model/inbound_call.h"
--- a/src/libverbenalead/decide/quarantine.cc
+++ b/src/libverbenalead/decide/quarantine.cc
@@ -6,11 +6,23 @@
 namespace verbenalead::decide {
 namespace {
 
+/// FNV-1a: the same in every process, unlike std::hash.
+uint64_t Mix(uint64_t hash, const std::string& text) {
+  constexpr uint64_t kPrime = 1099511628211ULL;
+  for (unsigned char c : text)
+    hash = (hash ^ c) * kPrime;
+  return (hash ^ 0xff) * kPrime;  // Ends the text: "a","b" isn't "ab","".
+}
+
 void ForgetOld(QuarantineState& state, TimePoint now) {
   std::erase_if(state.m_crashes, [&](auto& entry) {
-    return std::all_of(
-        entry.second.begin(), entry.second.end(),
-        [&](const auto& crash) { return now - crash.second > kSetAsideFor; });
+    return std::all_of(entry.second.begin(), entry.second.end(),
+                       [&](const auto& crash) {
+                         return now - crash.second > state.m_limits.m_hold;
+                       });
+  });
+  std::erase_if(state.m_cleared, [&](const auto& entry) {
+    return now - entry.second > state.m_limits.m_hold;
   });
 }
 
@@ -35,8 +47,17 @@
     state.m_news.push_back(note);
 }
 
-void NoteSuccess(QuarantineState& state, uint64_t key) {
-  state.m_crashes.erase(key);
+uint64_t RequestKey(const std::string& organisation,
+                    const std::string& method,
+                    const std::string& path,
+                    const std::string& body) {
+  constexpr uint64_t kBasis = 14695981039346656037ULL;
+  return Mix(Mix(Mix(Mix(kBasis, organisation), method), path), body);
+}
+
+void NoteSuccess(QuarantineState& state, uint64_t key, TimePoint now) {
+  if (state.m_crashes.erase(key) > 0 && state.m_cleared.size() < kMaxKeys)
+    state.m_cleared[key] = now;
 }
 
 bool IsSetAside(const QuarantineState& state, uint64_t key, TimePoint now) {
@@ -44,9 +65,10 @@
   if (found == state.m_crashes.end())
     return false;
   const auto recent = std::count_if(
-      found->second.begin(), found->second.end(),
-      [&](const auto& crash) { return now - crash.second <= kSetAsideFor; });
-  return static_cast<size_t>(recent) >= kCrashesToSetAside;
+      found->second.begin(), found->second.end(), [&](const auto& crash) {
+        return now - crash.second <= state.m_limits.m_hold;
+      });
+  return static_cast<size_t>(recent) >= state.m_limits.m_crashes;
 }
 
 std::vector<CrashNote> News(QuarantineState& state) {
@@ -56,8 +78,12 @@
 void Merge(QuarantineState& state,
            const std::vector<CrashNote>& notes,
            TimePoint now) {
-  for (const CrashNote& note : notes)
-    Keep(state, note, now);
+  for (const CrashNote& note : notes) {
+    const auto cleared = state.m_cleared.find(note.m_key);
+    if (cleared == state.m_cleared.end() ||
+        now - cleared->second > state.m_limits.m_hold)
+      Keep(state, note, now);
+  }
 }
 
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/quarantine_test.cc
+++ b/src/libverbenalead/decide/quarantine_test.cc
@@ -50,7 +50,7 @@
   void SuccessClearsTheRequest() {
     QuarantineState state;
     NoteCrash(state, 7, "t1", kStart);
-    NoteSuccess(state, 7);
+    NoteSuccess(state, 7, kStart);
     NoteCrash(state, 7, "t2", kStart + 1s);
     CPPUNIT_ASSERT(!IsSetAside(state, 7, kStart + 1s));
   }
@@ -59,8 +59,9 @@
     QuarantineState state;
     NoteCrash(state, 7, "t1", kStart);
     NoteCrash(state, 7, "t2", kStart);
-    CPPUNIT_ASSERT(IsSetAside(state, 7, kStart + kSetAsideFor));
-    CPPUNIT_ASSERT(!IsSetAside(state, 7, kStart + kSetAsideFor + 1s));
+    CPPUNIT_ASSERT(IsSetAside(state, 7, kStart + QuarantineLimits().m_hold));
+    CPPUNIT_ASSERT(
+        !IsSetAside(state, 7, kStart + QuarantineLimits().m_hold + 1s));
   }
 
   void OrderAndRepetitionDoNotMatter() {
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -199,7 +199,7 @@
   }
   response.m_headers =
       platform::EncodeForCaller(std::move(m_attempt.m_head)).m_headers;
-  decide::NoteAnswered(m_state.m_crashes, m_plan.m_fingerprint, Now());
+  decide::NoteSuccess(m_state.m_crashes, m_plan.m_fingerprint, Now());
   EndAttempt(good);
   const int status = response.m_status;
   const bool delivered = co_await m_caller.Send(std::move(response));
@@ -213,7 +213,7 @@
   while (true) {
     if (co_await RelayEvents()) {
       EndAttempt(AttemptEnd::kGood);
-      decide::NoteAnswered(m_state.m_crashes, m_plan.m_fingerprint, Now());
+      decide::NoteSuccess(m_state.m_crashes, m_plan.m_fingerprint, Now());
       // A caller that goes on after the last event gets a stream without any.
       if (!m_head_sent)
         co_await m_caller.Start(head);
@@ -369,7 +369,7 @@
 }
 
 void CallRun::NoteBreak() {
-  decide::NoteCrash(m_state.m_crashes, {m_plan.m_fingerprint, m_incarnation},
+  decide::NoteCrash(m_state.m_crashes, m_plan.m_fingerprint, m_incarnation,
                     Now());
 }
 
--- a/src/libverbenalead/entry/call_server.cc
+++ b/src/libverbenalead/entry/call_server.cc
@@ -94,9 +94,9 @@
     if (organisation->m_urgency)
       plan.m_route.m_urgency = *organisation->m_urgency;
   }
-  plan.m_fingerprint = decide::Fingerprint(
-      plan.m_organisation, request.m_method, request.m_path, request.m_body);
-  if (decide::IsRefused(m_state.m_crashes, plan.m_fingerprint, Now())) {
+  plan.m_fingerprint = decide::RequestKey(plan.m_organisation, request.m_method,
+                                          request.m_path, request.m_body);
+  if (decide::IsSetAside(m_state.m_crashes, plan.m_fingerprint, Now())) {
     co_await Turn(
         caller, m_state, call, kUnavailable,
         "not run: the request crashes replicas",
--- a/src/libverbenalead/entry/entry_news.cc
+++ b/src/libverbenalead/entry/entry_news.cc
@@ -38,11 +38,21 @@
   return calls;
 }
 
+bool TakeOwnCrashes(EntryState& state, TimePoint now) {
+  const std::vector<decide::CrashNote> fresh = decide::News(state.m_crashes);
+  std::erase_if(state.m_own_crashes, [now](const decide::CrashNote& note) {
+    return now - note.m_at >= kNoteAge;
+  });
+  state.m_own_crashes.insert(state.m_own_crashes.end(), fresh.begin(),
+                             fresh.end());
+  return !fresh.empty();
+}
+
 links::EntryNews NewsOf(const EntryState& state) {
   links::EntryNews news;
   news.m_address = state.m_options.m_self;
   news.m_ready = IsReady(state);
-  news.m_crashes = decide::RecentNotes(state.m_crashes, kNoteAge, Now());
+  news.m_crashes = state.m_own_crashes;
   return news;
 }
 
@@ -59,8 +69,10 @@
   peer.m_address = news.m_address;
   peer.m_ready = news.m_ready;
   peer.m_heard_at = now;
-  for (const decide::CrashNote& note : news.m_crashes)
-    decide::NoteCrash(state.m_crashes, note, now);
+  std::vector<decide::CrashNote> notes = news.m_crashes;
+  for (decide::CrashNote& note : notes)
+    note.m_at = now;
+  decide::Merge(state.m_crashes, notes, now);
 }
 
 void TakeNews(EntryState& state,
--- a/src/libverbenalead/entry/entry_news.h
+++ b/src/libverbenalead/entry/entry_news.h
@@ -13,6 +13,10 @@
 /// What this entry has at a replica, for its target.
 links::ReplicaCalls CallsAt(const decide::ReplicaState& replica);
 
+/// Takes over which crashes the others have to be told of; true: there are new
+/// ones.
+bool TakeOwnCrashes(EntryState& state, TimePoint now);
+
 /// What this entry tells the others.
 links::EntryNews NewsOf(const EntryState& state);
 
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -8,7 +8,7 @@
 
 #include "base/metrics.h"
 #include "decide/config_lease.h"
-#include "decide/crash_suspects.h"
+#include "decide/quarantine.h"
 #include "decide/replica_pool.h"
 #include "decide/retry_window.h"
 #include "decide/route_table.h"
@@ -19,6 +19,11 @@
 
 namespace verbenalead::entry {
 
+/// Here answers are lost for other reasons too, up to a quarter of them at
+/// times; three breaks under one request within a minute don't happen by chance
+/// then, and the users allow three.
+constexpr decide::QuarantineLimits kQuarantine = {3, std::chrono::minutes(1)};
+
 /// What an entry knows of one service.
 struct ServiceState {
   decide::ReplicaPool m_pool;
@@ -42,7 +47,9 @@
   std::map<std::string, ServiceState> m_services;
   /// By model.
   std::map<std::string, decide::WeightsWatch> m_weights;
-  decide::CrashSuspects m_crashes;
+  decide::QuarantineState m_crashes{kQuarantine, {}, {}, {}};
+  /// Crashes that this entry saw, as long as the others are told of them.
+  std::vector<decide::CrashNote> m_own_crashes;
   /// Other entries by host.
   std::map<std::string, PeerEntry> m_peers;
   /// When the list of replicas was last known to be true.
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -238,10 +238,10 @@
     uint64_t round = 0;
     while (true) {
       co_await Sleep(kNewsInterval);
+      const bool crashes = TakeOwnCrashes(m_state, Now());
       links::EntryNews news = NewsOf(m_state);
       ++round;
-      const bool changed = news.m_ready != last.m_ready ||
-                           news.m_crashes.size() > last.m_crashes.size();
+      const bool changed = news.m_ready != last.m_ready || crashes;
       Broadcast(news, changed || round % kRoundsToTellNear == 0,
                 changed || round % kRoundsToTellFar == 0);
       last = std::move(news);
@@ -271,7 +271,6 @@
           m_datagrams.Send(TargetOf(replica), request);
         }
       }
-      decide::ForgetOldCrashes(m_state.m_crashes, Now());
       co_await Sleep(kFollowInterval);
     }
   }
--- a/src/libverbenalead/links/entry_news.h
+++ b/src/libverbenalead/links/entry_news.h
@@ -3,7 +3,7 @@
 
 #include <vector>
 
-#include "decide/crash_suspects.h"
+#include "decide/quarantine.h"
 #include "model/entry_address.h"
 
 namespace verbenalead::links {
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -24,9 +24,8 @@
 json::object Encode(const EntryNews& news) {
   json::array crashes;
   for (const decide::CrashNote& note : news.m_crashes) {
-    crashes.push_back(
-        json::object{{"request", std::to_string(note.m_fingerprint)},
-                     {"replica", note.m_replica}});
+    crashes.push_back(json::object{{"request", std::to_string(note.m_key)},
+                                   {"replica", note.m_target}});
   }
   return {{"kind", kEntry},
           {"host", news.m_address.m_host},
@@ -119,8 +118,8 @@
       return model::BadField("crashes", "objects");
     decide::CrashNote note;
     BOOST_LEAF_AUTO(request, model::TextField(value.as_object(), "request"));
-    note.m_fingerprint = std::strtoull(request.c_str(), nullptr, 10);
-    BOOST_LEAF_ASSIGN(note.m_replica,
+    note.m_key = std::strtoull(request.c_str(), nullptr, 10);
+    BOOST_LEAF_ASSIGN(note.m_target,
                       model::TextField(value.as_object(), "replica"));
     news.m_crashes.push_back(std::move(note));
   }
