Free the origin's connections; learn digests from other hosts first

Also eight chunks at once in place of three: uploads are paced, so more fetches only fill the downlink.

--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -5,7 +5,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <optional>
+#include <sstream>
 
+#include "base/catch_failure.h"
 #include "base/log.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
@@ -19,7 +22,7 @@
 /// Chunks under way from other hosts at once. On a link of 9.4 Mbit/s one chunk
 /// takes 42 ms; three keep it busy over the round trips, and more would only
 /// take a larger share from the live calls on the same link.
-constexpr uint32_t kMostFetches = 3;
+constexpr uint32_t kMostFetches = 8;
 /// A draw that hasn't been seen this long after it was due is taken over by the
 /// next host: the whole of a version must be everywhere within 8 s.
 constexpr Duration kPatience = 1500ms;
@@ -29,6 +32,14 @@
 constexpr uint32_t kOriginBudgetPercent = 103;
 constexpr Duration kAskTimeout = 1s;
 constexpr Duration kOriginTimeout = 3s;
+/// Hosts that are asked for the digests before the origin is.
+constexpr size_t kHostsAsked = 2;
+constexpr Duration kDigestsTimeout = 300ms;
+constexpr int kDigestTries = 3;
+/// Pause after the digests couldn't be had. The origin takes few connections;
+/// 31 new hosts that asked 10 times a second each kept all others out.
+constexpr Duration kLeastDigestsPause = 200ms;
+constexpr Duration kMostDigestsPause = 500ms;
 constexpr Duration kMembersInterval = 500ms;
 /// A transfer without a chunk for so long, ten times the time of one, stands
 /// still.
@@ -40,6 +51,32 @@
   return failure.m_code == FailureCode::kTimeout;
 }
 
+/// An answer that was given twice.
+std::optional<std::vector<Digest>> FindAgreed(
+    const std::vector<std::vector<Digest>>& answers) {
+  for (size_t first = 0; first < answers.size(); ++first) {
+    for (size_t second = first + 1; second < answers.size(); ++second) {
+      if (answers[first] == answers[second])
+        return answers[first];
+    }
+  }
+  return std::nullopt;
+}
+
+/// Empty where `text` can't be read.
+std::vector<Digest> ParseDigests(const std::string& text) {
+  std::vector<Digest> digests;
+  std::istringstream lines(text);
+  std::string line;
+  while (std::getline(lines, line)) {
+    auto digest = CatchFailure([&] { return ParseDigest(line); });
+    if (!digest)
+      return {};
+    digests.push_back(*digest);
+  }
+  return digests;
+}
+
 decide::TransferLimits LimitsOf(const TargetState& state) {
   decide::TransferLinks links;
   links.m_chunk_bytes = state.m_engine->m_chunk_bytes;
@@ -113,9 +150,16 @@
 Awaitable<bool> ChunkFetcher::LearnDigests(uint64_t version) {
   if (m_state.m_cache.Find(version))
     co_return true;
-  // What the origin sends may be wrong: two answers must agree.
-  std::vector<Digest> first;
-  for (int tries = 0; tries < 3; ++tries) {
+  if (Now() < m_next_digests)
+    co_return false;
+  // What the origin sends may be wrong, and so may be what another host took
+  // from it: two answers must agree.
+  std::vector<std::vector<Digest>> answers = co_await DigestsFromHosts(version);
+  for (int tries = 0; tries < kDigestTries; ++tries) {
+    if (auto digests = FindAgreed(answers)) {
+      m_state.m_cache.Begin(version, std::move(*digests));
+      co_return true;
+    }
     auto digests = co_await m_origin.ReadDigests(
         m_state.m_origin, m_state.m_engine->m_model, version,
         Now() + kOriginTimeout);
@@ -124,20 +168,43 @@
           .With("version", version)
           .With(digests.error())
           .Warn();
-      co_return false;
+      break;
     }
-    if (digests->size() != m_state.m_engine->m_chunks)
-      continue;
-    if (*digests == first) {
-      m_state.m_cache.Begin(version, std::move(first));
-      co_return true;
-    }
-    first = std::move(*digests);
+    if (digests->size() == m_state.m_engine->m_chunks)
+      answers.push_back(std::move(*digests));
+  }
+  if (auto digests = FindAgreed(answers)) {
+    m_state.m_cache.Begin(version, std::move(*digests));
+    co_return true;
   }
-  LogLine("digests_differ").With("version", version).Warn();
+  m_next_digests = Now() + Duration(std::uniform_int_distribution<int64_t>(
+                               kLeastDigestsPause.count(),
+                               kMostDigestsPause.count())(m_state.m_random));
   co_return false;
 }
 
+Awaitable<std::vector<std::vector<Digest>>> ChunkFetcher::DigestsFromHosts(
+    uint64_t version) {
+  std::vector<std::vector<Digest>> answers;
+  std::vector<decide::TransferMember> members = OtherMembers();
+  std::shuffle(members.begin(), members.end(), m_state.m_random);
+  if (members.size() > kHostsAsked)
+    members.resize(kHostsAsked);
+  for (const decide::TransferMember& member : members) {
+    wire::Request request;
+    request.m_path = DigestsPath(m_state.m_engine->m_model, version);
+    const Endpoint endpoint(member.m_name, m_state.m_options.m_peers.port());
+    auto response = co_await wire::Fetch(m_peers, endpoint, std::move(request),
+                                         Now() + kDigestsTimeout);
+    if (!response || response->m_status != 200)
+      continue;
+    auto digests = ParseDigests(response->m_body);
+    if (digests.size() == m_state.m_engine->m_chunks)
+      answers.push_back(std::move(digests));
+  }
+  co_return answers;
+}
+
 Awaitable<void> ChunkFetcher::Fetch(uint64_t version) {
   const auto executor = co_await asio::this_coro::executor;
   auto transfer = std::make_shared<Transfer>(executor);
@@ -174,14 +241,9 @@
       .Info();
 }
 
-void ChunkFetcher::UpdateMembers(Transfer& transfer) {
-  if (Now() < transfer.m_next_members)
-    return;
-  transfer.m_next_members = Now() + kMembersInterval;
+std::vector<decide::TransferMember> ChunkFetcher::OtherMembers() const {
   const TargetOptions& options = m_state.m_options;
-  std::vector<decide::TransferMember> members = {{options.m_peers.address(),
-                                                  options.m_data_center,
-                                                  options.m_data_center}};
+  std::vector<decide::TransferMember> members;
   for (const auto& [id, replica] : m_state.m_replicas) {
     if (replica.m_service != options.m_service || replica.m_leaving ||
         replica.m_endpoint == options.m_engine)
@@ -189,6 +251,17 @@
     members.push_back({replica.m_endpoint.address(), replica.m_data_center,
                        replica.m_data_center});
   }
+  return members;
+}
+
+void ChunkFetcher::UpdateMembers(Transfer& transfer) {
+  if (Now() < transfer.m_next_members)
+    return;
+  transfer.m_next_members = Now() + kMembersInterval;
+  std::vector<decide::TransferMember> members = OtherMembers();
+  const TargetOptions& options = m_state.m_options;
+  members.push_back({options.m_peers.address(), options.m_data_center,
+                     options.m_data_center});
   std::sort(members.begin(), members.end());
   members.erase(std::unique(members.begin(), members.end()), members.end());
   decide::SetMembers(transfer.m_core, std::move(members), Now(),
@@ -307,6 +380,17 @@
                       m_state.m_random);
 }
 
+std::string DigestsPath(const std::string& model, uint64_t version) {
+  return "/v1/digests/" + model + "/" + std::to_string(version);
+}
+
+std::string FormatDigests(const std::vector<Digest>& digests) {
+  std::string text;
+  for (const Digest& digest : digests)
+    text += ToString(digest) + "\n";
+  return text;
+}
+
 std::string ChunkPath(const std::string& model,
                       uint64_t version,
                       uint32_t chunk) {
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 
+#include "decide/transfer_member.h"
 #include "links/chunk_news.h"
 #include "platform/origin_client.h"
 #include "target/target_state.h"
@@ -32,12 +33,18 @@
   void TakeNews(const links::ChunkNews& news);
   /// Hosts whose news are wanted.
   std::vector<std::string> Followed() const;
-  /// The digests of `version`, from the origin; false: not to be had now.
+  /// The digests of `version`, from other hosts and the origin; false: they are
+  /// not to be had now.
   Awaitable<bool> LearnDigests(uint64_t version);
 
  private:
   struct Transfer;
 
+  /// Digests that other hosts tell, as many as answer.
+  Awaitable<std::vector<std::vector<Digest>>> DigestsFromHosts(
+      uint64_t version);
+  /// The hosts that take part beside this one.
+  std::vector<decide::TransferMember> OtherMembers() const;
   void UpdateMembers(Transfer& transfer);
   void DoStep(const std::shared_ptr<Transfer>& transfer,
               const boost::asio::any_io_executor& executor);
@@ -55,8 +62,14 @@
   wire::Client& m_peers;
   platform::OriginClient& m_origin;
   std::shared_ptr<Transfer> m_transfer;
+  /// The digests aren't asked for before.
+  TimePoint m_next_digests{};
 };
 
+/// Where other targets get the digests of a version, a line each.
+std::string DigestsPath(const std::string& model, uint64_t version);
+std::string FormatDigests(const std::vector<Digest>& digests);
+
 /// Where other targets get a chunk.
 std::string ChunkPath(const std::string& model,
                       uint64_t version,
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -65,6 +65,14 @@
   return options;
 }
 
+/// The origin takes few connections of all hosts together; kept ones of 45
+/// hosts left no room for the 31 that came later.
+http::ClientOptions OriginConnections() {
+  http::ClientOptions options = Connections();
+  options.m_keep = false;
+  return options;
+}
+
 }  // namespace
 
 struct PlatformTarget::Parts {
@@ -74,7 +82,8 @@
         m_http(Connections()),
         m_store(m_http, m_state.m_options.m_store),
         m_engine(m_http, m_state.m_options.m_engine),
-        m_origin(m_http),
+        m_origin_http(OriginConnections()),
+        m_origin(m_origin_http),
         m_fetcher(m_state, m_http, m_origin),
         m_upload(UploadRate(m_state.m_options), kUploadCredit),
         m_keeper(m_state, m_engine, m_fetcher, [this] { TellEntries(); }),
@@ -93,7 +102,7 @@
             m_threads,
             {},
             [this](const wire::Request& request, wire::ResponseWriter& caller) {
-              return TellChunk(request, caller);
+              return TellWeights(request, caller);
             }),
         m_metrics(
             m_threads,
@@ -103,8 +112,13 @@
             }),
         m_signals(m_threads.main(), SIGTERM, SIGINT, SIGHUP) {}
 
-  Awaitable<void> TellChunk(const wire::Request& request,
-                            wire::ResponseWriter& caller) {
+  Awaitable<void> TellWeights(const wire::Request& request,
+                              wire::ResponseWriter& caller) {
+    if (const CachedVersion* cached = FindDigests(request.m_path)) {
+      co_await caller.Send(
+          wire::Response(200, {}, FormatDigests(cached->m_digests)));
+      co_return;
+    }
     std::shared_ptr<const std::string> bytes = FindChunk(request.m_path);
     if (!bytes) {
       co_await caller.Send(wire::Response(404, {}, ""));
@@ -125,6 +139,15 @@
     co_await caller.Finish({});
   }
 
+  const CachedVersion* FindDigests(const std::string& path) const {
+    for (const auto& [version, cached] : m_state.m_cache.versions()) {
+      if (m_state.m_engine &&
+          path == DigestsPath(m_state.m_engine->m_model, version))
+        return &cached;
+    }
+    return nullptr;
+  }
+
   std::shared_ptr<const std::string> FindChunk(const std::string& path) const {
     for (const auto& [version, cached] : m_state.m_cache.versions()) {
       const std::string prefix = ChunkPrefix(version);
@@ -351,6 +374,7 @@
   http::Client m_http;
   platform::Store m_store;
   platform::EngineClient m_engine;
+  http::Client m_origin_http;
   platform::OriginClient m_origin;
   ChunkFetcher m_fetcher;
   Pacer m_upload;
