Let one entry a data centre read the store; tell targets of changes

The entry whose name is least in its data centre now reads for the others and proves the key lease to them by the store's own time; targets ask when an entry has a newer change.

--- a/src/libverbenalead/decide/quarantine.cc
+++ b/src/libverbenalead/decide/quarantine.cc
@@ -3,17 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/stable_hash.h"
+
 namespace verbenalead::decide {
 namespace {
 
-/// FNV-1a: the same in every process, unlike std::hash.
-uint64_t Mix(uint64_t hash, const std::string& text) {
-  constexpr uint64_t kPrime = 1099511628211ULL;
-  for (unsigned char c : text)
-    hash = (hash ^ c) * kPrime;
-  return (hash ^ 0xff) * kPrime;  // Ends the text: "a","b" isn't "ab","".
-}
-
 void ForgetOld(QuarantineState& state, TimePoint now) {
   std::erase_if(state.m_crashes, [&](auto& entry) {
     return std::all_of(entry.second.begin(), entry.second.end(),
@@ -51,8 +45,7 @@
                     const std::string& method,
                     const std::string& path,
                     const std::string& body) {
-  constexpr uint64_t kBasis = 14695981039346656037ULL;
-  return Mix(Mix(Mix(Mix(kBasis, organisation), method), path), body);
+  return StableHash().Add(organisation).Add(method).Add(path).Add(body).value();
 }
 
 void NoteSuccess(QuarantineState& state, uint64_t key, TimePoint now) {
--- a/src/libverbenalead/entry/entry_news.cc
+++ b/src/libverbenalead/entry/entry_news.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/boot_clock.h"
 #include "base/log.h"
 
 namespace verbenalead::entry {
@@ -11,6 +12,9 @@
 /// cut off.
 constexpr Duration kNearSilence = 1300ms;
 constexpr Duration kFarSilence = 4500ms;
+/// The entry that reads for others proves something every 1.2 s, and they hear
+/// of it 0.4 s later; one whose proof is older has lost the store.
+constexpr Duration kFreshProof = 2200ms;
 /// Notes are told again for this long, so that losing some datagrams loses no
 /// note.
 constexpr Duration kNoteAge = 3s;
@@ -53,6 +57,9 @@
   news.m_address = state.m_options.m_self;
   news.m_ready = IsReady(state);
   news.m_crashes = state.m_own_crashes;
+  news.m_operator_revision = state.m_operator_revision;
+  news.m_operator_proof = state.m_operator_proof;
+  news.m_replicas_hash = state.m_replicas_hash;
   return news;
 }
 
@@ -69,6 +76,15 @@
   peer.m_address = news.m_address;
   peer.m_ready = news.m_ready;
   peer.m_heard_at = now;
+  peer.m_operator_revision = news.m_operator_revision;
+  peer.m_replicas_hash = news.m_replicas_hash;
+  if (state.m_store_clock.m_offset)
+    peer.m_proved_at = news.m_operator_proof + *state.m_store_clock.m_offset;
+  // The store said that nothing newer than what we have too was there.
+  if (peer.m_proved_at > Duration() &&
+      state.m_operator_revision >= news.m_operator_revision &&
+      news.m_operator_revision > 0)
+    decide::Prove(state.m_lease, peer.m_proved_at);
   std::vector<decide::CrashNote> notes = news.m_crashes;
   for (decide::CrashNote& note : notes)
     note.m_at = now;
@@ -100,6 +116,18 @@
   replica.m_unread_elsewhere = news.m_elsewhere.m_unread;
 }
 
+const PeerEntry* ReaderFor(const EntryState& state, TimePoint now) {
+  for (const auto& [host, peer] : state.m_peers) {
+    if (host >= state.m_options.m_self.m_host)
+      break;
+    if (peer.m_address.m_data_center == state.m_options.m_self.m_data_center &&
+        IsHeard(state, peer, now) && peer.m_ready &&
+        peer.m_proved_at + kFreshProof > BootNow())
+      return &peer;
+  }
+  return nullptr;
+}
+
 std::vector<Endpoint> EntriesFor(const EntryState& state,
                                  const std::string& data_center,
                                  TimePoint now) {
--- a/src/libverbenalead/entry/entry_news.h
+++ b/src/libverbenalead/entry/entry_news.h
@@ -26,6 +26,16 @@
 /// Takes in what a target process told of its replica.
 void TakeNews(EntryState& state, const links::ReplicaNews& news, TimePoint now);
 
+/// The near entry that reads the store for this one too, or null: this one
+/// reads itself.
+///
+/// Each question to the store costs the users a call; 44 entries that all asked
+/// made these calls the largest price of a calm day. So in each data centre the
+/// entry whose name is least reads, and tells the others by a hash of its list
+/// of replicas, the newest change of the operator's table, and the store's time
+/// of its proof; whoever has something else asks the store itself, at once.
+const PeerEntry* ReaderFor(const EntryState& state, TimePoint now);
+
 /// Entries that callers of `data_center` should use: those there, if there are
 /// enough of them, else all.
 std::vector<Endpoint> EntriesFor(const EntryState& state,
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -43,6 +43,12 @@
   std::shared_ptr<const decide::RouteTable> m_routes;
   decide::ConfigLease m_lease;
   decide::StoreClock m_store_clock;
+  /// The newest change of the operator's table that is known here, and the
+  /// store's time of the newest proof of our own that there was no newer one.
+  uint64_t m_operator_revision = 0;
+  Duration m_operator_proof{};
+  /// Stands for the list of replicas.
+  uint64_t m_replicas_hash = 0;
   /// By service.
   std::map<std::string, ServiceState> m_services;
   /// By model.
--- a/src/libverbenalead/entry/peer_entry.h
+++ b/src/libverbenalead/entry/peer_entry.h
@@ -10,6 +10,10 @@
 struct PeerEntry {
   model::EntryAddress m_address;
   bool m_ready = false;
+  uint64_t m_operator_revision = 0;
+  /// When the store proved that, by the own clock; zero: not known.
+  Duration m_proved_at{};
+  uint64_t m_replicas_hash = 0;
   /// Never, if only its row in the store is known.
   TimePoint m_heard_at{};
 };
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -26,12 +26,16 @@
 
 namespace asio = boost::asio;
 
-/// How long the store may hold the question for the operator's changes. Each
-/// answer renews the lease on keys, so this is a quarter of that lease.
-constexpr Duration kOperatorWait = 1200ms;
-/// How often replicas are asked for. A replica that leaves must get no calls 2
-/// s after it said so; each question costs the users a call.
-constexpr Duration kReplicaInterval = 900ms;
+/// The operator's changes: the store holds the question for a quarter of the
+/// lease on keys, which each answer renews.
+constexpr links::FollowPace kOperatorPace = {1200ms, Duration()};
+/// Replicas: one that leaves must get no calls 2 s after it said so.
+constexpr links::FollowPace kReplicaPace = {Duration(), 900ms};
+/// Both while another entry reads for this one, in case that all its news were
+/// lost.
+constexpr links::FollowPace kReadForPace = {Duration(), 10s};
+/// A list that differs from the reader's is asked for no more often than this.
+constexpr Duration kPokeInterval = 300ms;
 /// How often targets are told what changed in this entry's calls. In this time
 /// 11 calls begin at the users' peak, spread over 9 to 15 replicas of 16
 /// places.
@@ -46,6 +50,7 @@
 /// How often target processes are asked for their news, and what is past is
 /// forgotten.
 constexpr Duration kFollowInterval = 1s;
+constexpr uint64_t kRoundsToFollowFar = 2;
 /// How often the table of entries is read. Entries find each other by their
 /// datagrams; the table is for those that never heard of each other.
 constexpr Duration kEntryTableInterval = 10s;
@@ -93,18 +98,24 @@
                  }),
         m_calls(m_state, m_places, m_replica_http),
         m_intake(m_state),
-        m_operator_rows(m_store,
-                        {platform::kOperatorTable, kOperatorWait, Duration()},
-                        [this](const platform::Rows& rows, bool whole) {
-                          TakeOperatorRows(rows, whole);
-                        }),
-        m_replica_rows(m_store,
-                       {platform::kReplicaTable, Duration(), kReplicaInterval},
-                       [this](const platform::Rows& rows, bool whole) {
-                         m_intake.TakeReplicaRows(rows, whole,
-                                                  m_replica_rows.regained_at());
-                         m_places.WakeAll();
-                       }),
+        m_operator_rows(
+            m_threads.main(),
+            m_store,
+            platform::kOperatorTable,
+            [this] { return PaceOf(kOperatorPace); },
+            [this](const platform::Rows& rows, bool whole) {
+              TakeOperatorRows(rows, whole);
+            }),
+        m_replica_rows(
+            m_threads.main(),
+            m_store,
+            platform::kReplicaTable,
+            [this] { return PaceOf(kReplicaPace); },
+            [this](const platform::Rows& rows, bool whole) {
+              m_intake.TakeReplicaRows(rows, whole,
+                                       m_replica_rows.regained_at());
+              m_places.WakeAll();
+            }),
         m_callers(
             m_threads,
             {},
@@ -171,10 +182,37 @@
     co_await caller.Send(std::move(response));
   }
 
+  links::FollowPace PaceOf(const links::FollowPace& own) const {
+    return ReaderFor(m_state, Now()) ? kReadForPace : own;
+  }
+
+  /// Asks the store at once where the near entry that reads has something else,
+  /// and again for itself where there is none any more.
+  void CompareWithReader() {
+    const PeerEntry* reader = ReaderFor(m_state, Now());
+    const bool lost = m_had_reader && !reader;
+    m_had_reader = reader != nullptr;
+    if (lost ||
+        (reader && reader->m_operator_revision > m_state.m_operator_revision))
+      m_operator_rows.Poke();
+    const bool differs =
+        reader && reader->m_replicas_hash != m_state.m_replicas_hash;
+    if (!lost && !differs) {
+      if (reader)
+        m_state.m_replicas_at = Now();
+      return;
+    }
+    if (Now() >= m_next_poke) {
+      m_next_poke = Now() + kPokeInterval;
+      m_replica_rows.Poke();
+    }
+  }
+
   void TakeMessage(const links::Message& message) {
-    if (const auto* news = std::get_if<links::EntryNews>(&message))
+    if (const auto* news = std::get_if<links::EntryNews>(&message)) {
       TakeNews(m_state, *news, Now());
-    else if (const auto* replica = std::get_if<links::ReplicaNews>(&message))
+      CompareWithReader();
+    } else if (const auto* replica = std::get_if<links::ReplicaNews>(&message))
       TakeNews(m_state, *replica, Now());
     else if (const auto* answer = std::get_if<links::PlaceAnswer>(&message))
       m_asker.TakeAnswer(*answer);
@@ -238,11 +276,14 @@
     uint64_t round = 0;
     while (true) {
       co_await Sleep(kNewsInterval);
+      CompareWithReader();
       const bool crashes = TakeOwnCrashes(m_state, Now());
       links::EntryNews news = NewsOf(m_state);
       ++round;
       const bool changed = news.m_ready != last.m_ready || crashes;
-      Broadcast(news, changed || round % kRoundsToTellNear == 0,
+      const bool read = news.m_operator_revision != last.m_operator_revision ||
+                        news.m_replicas_hash != last.m_replicas_hash;
+      Broadcast(news, changed || read || round % kRoundsToTellNear == 0,
                 changed || round % kRoundsToTellFar == 0);
       last = std::move(news);
     }
@@ -260,15 +301,17 @@
   }
 
   Awaitable<void> FollowTargets() {
-    while (true) {
+    for (uint64_t round = 0;; ++round) {
       for (const auto& [name, service] : m_state.m_services) {
         if (!IsEngine(name))
           continue;
         for (const auto& [id, replica] : service.m_pool.m_replicas) {
           links::FollowRequest request;
+          request.m_operator_revision = m_state.m_operator_revision;
           request.m_near = replica.m_replica.m_data_center ==
                            m_state.m_options.m_self.m_data_center;
-          m_datagrams.Send(TargetOf(replica), request);
+          if (request.m_near || round % kRoundsToFollowFar == 0)
+            m_datagrams.Send(TargetOf(replica), request);
         }
       }
       co_await Sleep(kFollowInterval);
@@ -348,6 +391,8 @@
   asio::signal_set m_signals;
   /// What was told of the calls at each replica.
   std::map<std::string, links::ReplicaCalls> m_told_calls;
+  bool m_had_reader = false;
+  TimePoint m_next_poke{};
 };
 
 PlatformEntry::PlatformEntry(const Settings& settings)
--- a/src/libverbenalead/entry/row_intake.cc
+++ b/src/libverbenalead/entry/row_intake.cc
@@ -5,6 +5,7 @@
 
 #include "base/catch_failure.h"
 #include "base/log.h"
+#include "base/stable_hash.h"
 #include "links/message.h"
 #include "platform/decode_config.h"
 #include "platform/decode_replica.h"
@@ -26,6 +27,20 @@
 /// return; the rest is for us to hear of it.
 constexpr Duration kLapseGrace = 2200ms;
 
+/// What all entries have to agree on; what changes with each heartbeat is left
+/// out.
+uint64_t HashOf(const std::map<std::string, model::Replica>& replicas) {
+  StableHash hash;
+  for (const auto& [id, replica] : replicas) {
+    hash.Add(id)
+        .Add(replica.m_service)
+        .Add(ToString(replica.m_endpoint))
+        .Add(std::to_string(replica.m_started_ms))
+        .Add(replica.m_leaving ? "leaving" : "");
+  }
+  return hash.value();
+}
+
 }  // namespace
 
 void RowIntake::TakeOperatorRows(const platform::Rows& rows, bool whole) {
@@ -42,6 +57,11 @@
   }
   if (whole)
     m_weights_seen = true;
+  for (const platform::Row& row : rows.m_rows) {
+    m_state.m_operator_revision =
+        std::max(m_state.m_operator_revision, row.m_revision);
+  }
+  m_state.m_operator_proof = rows.m_store_time;
   decide::Prove(m_state.m_lease,
                 decide::AnsweredAt(m_state.m_store_clock, rows.m_asked_at,
                                    rows.m_store_time));
@@ -142,6 +162,7 @@
     by_service[replica.m_service].push_back(replica);
   for (const auto& [service, replicas] : by_service)
     StateOf(m_state, service);
+  m_state.m_replicas_hash = HashOf(m_replicas);
   const TimePoint now = Now();
   for (auto& [name, service] : m_state.m_services) {
     decide::SetReplicas(service.m_pool, by_service[name], keep_missing_until,
--- a/src/libverbenalead/links/entry_news.h
+++ b/src/libverbenalead/links/entry_news.h
@@ -14,6 +14,12 @@
   /// It takes calls.
   bool m_ready = false;
   std::vector<decide::CrashNote> m_crashes;
+  /// The newest change of the operator's table that it has, and the store's
+  /// time at which the store said that there was no newer one.
+  uint64_t m_operator_revision = 0;
+  Duration m_operator_proof{};
+  /// Stands for its list of replicas.
+  uint64_t m_replicas_hash = 0;
 
   friend bool operator==(const EntryNews&, const EntryNews&) = default;
 };
--- /dev/null
+++ b/src/libverbenalead/links/follow_pace.h
@@ -0,0 +1,20 @@
+#ifndef VERBENALEAD_LINKS_FOLLOW_PACE_H_
+#define VERBENALEAD_LINKS_FOLLOW_PACE_H_
+
+#include "base/time.h"
+
+namespace verbenalead::links {
+
+/// How a table is followed just now.
+struct FollowPace {
+  /// How long the store may hold a question until something changes.
+  Duration m_wait{};
+  /// Least time between two questions, but for pokes.
+  Duration m_interval{};
+
+  friend bool operator==(const FollowPace&, const FollowPace&) = default;
+};
+
+}  // namespace verbenalead::links
+
+#endif  // VERBENALEAD_LINKS_FOLLOW_PACE_H_
--- a/src/libverbenalead/links/follow_request.h
+++ b/src/libverbenalead/links/follow_request.h
@@ -10,6 +10,8 @@
   bool m_chunks = false;
   /// The sender is in the same data centre and is told more often.
   bool m_near = false;
+  /// The newest change of the operator's table that the sender has.
+  uint64_t m_operator_revision = 0;
 
   friend bool operator==(const FollowRequest&, const FollowRequest&) = default;
 };
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -33,7 +33,10 @@
           {"callers", ToString(news.m_address.m_callers)},
           {"peers", ToString(news.m_address.m_peers)},
           {"ready", news.m_ready},
-          {"crashes", std::move(crashes)}};
+          {"crashes", std::move(crashes)},
+          {"revision", news.m_operator_revision},
+          {"proof_ms", ToMilliseconds(news.m_operator_proof)},
+          {"replicas", std::to_string(news.m_replicas_hash)}};
 }
 
 json::object Encode(const CallNews& news) {
@@ -63,7 +66,8 @@
 json::object Encode(const FollowRequest& request) {
   return {{"kind", kFollow},
           {"chunks", request.m_chunks},
-          {"near", request.m_near}};
+          {"near", request.m_near},
+          {"revision", request.m_operator_revision}};
 }
 
 json::object Encode(const PlaceRequest& request) {
@@ -87,6 +91,8 @@
   BOOST_LEAF_ASSIGN(request.m_chunks,
                     model::FlagFieldOr(object, "chunks", false));
   BOOST_LEAF_ASSIGN(request.m_near, model::FlagFieldOr(object, "near", false));
+  BOOST_LEAF_ASSIGN(request.m_operator_revision,
+                    model::NumberFieldOr(object, "revision", 0));
   return request;
 }
 
@@ -110,6 +116,12 @@
   BOOST_LEAF_AUTO(peers, model::TextField(object, "peers"));
   BOOST_LEAF_ASSIGN(news.m_address.m_peers, ParseEndpoint(peers));
   BOOST_LEAF_ASSIGN(news.m_ready, model::FlagFieldOr(object, "ready", false));
+  BOOST_LEAF_ASSIGN(news.m_operator_revision,
+                    model::NumberFieldOr(object, "revision", 0));
+  BOOST_LEAF_AUTO(proof, model::NumberFieldOr(object, "proof_ms", 0));
+  news.m_operator_proof = std::chrono::milliseconds(proof);
+  BOOST_LEAF_AUTO(hash, model::TextFieldOr(object, "replicas", "0"));
+  news.m_replicas_hash = std::strtoull(hash.c_str(), nullptr, 10);
   const json::value* crashes = object.if_contains("crashes");
   if (!crashes || !crashes->is_array())
     return model::BadField("crashes", "a list");
--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -20,6 +20,9 @@
     entry.m_address = {"e1", "a", Endpoint("10.0.0.1", 80),
                        Endpoint("10.0.0.1", 81)};
     entry.m_ready = true;
+    entry.m_operator_revision = 5;
+    entry.m_operator_proof = 1234ms;
+    entry.m_replicas_hash = uint64_t{1} << 63;
     entry.m_crashes = {{uint64_t{1} << 63, "i-1/7", TimePoint()}};
     ReplicaNews replica;
     replica.m_replica = "i-1";
@@ -32,7 +35,7 @@
         replica,
         CallNews{"i-1", {2, 100}},
         ChunkNews{"10.0.0.2", "m", 2, {0, 3, 47}},
-        FollowRequest{true, true},
+        FollowRequest{true, true, 77},
         PlaceRequest{"i-1", 9, 1290, {2, 100}},
         PlaceAnswer{9, true, replica},
     };
--- a/src/libverbenalead/links/table_follower.cc
+++ b/src/libverbenalead/links/table_follower.cc
@@ -1,7 +1,9 @@
 #include "links/table_follower.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "base/log.h"
-#include "base/sleep.h"
 
 namespace verbenalead::links {
 namespace {
@@ -15,36 +17,52 @@
 
 }  // namespace
 
-TableFollower::TableFollower(platform::Store& store,
-                             TableFollowerOptions options,
+TableFollower::TableFollower(const boost::asio::any_io_executor& executor,
+                             platform::Store& store,
+                             std::string table,
+                             std::function<FollowPace()> pace,
                              OnRows on_rows)
     : m_store(store),
-      m_options(std::move(options)),
+      m_table(std::move(table)),
+      m_pace(std::move(pace)),
       m_on_rows(std::move(on_rows)),
+      m_timer(executor),
       m_random(std::random_device{}()) {}
 
 Awaitable<void> TableFollower::Run() {
   while (true) {
     const TimePoint asked = Now();
-    const bool answered = co_await Ask();
-    const Duration pause =
-        answered ? asked + m_options.m_interval - Now() : RetryPause();
-    if (pause > Duration())
-      co_await Sleep(pause);
+    const FollowPace pace = m_pace();
+    m_poked = false;
+    const bool answered = co_await Ask(pace.m_wait);
+    if (m_poked)
+      continue;
+    const TimePoint next =
+        answered ? asked + pace.m_interval : Now() + RetryPause();
+    if (next <= Now())
+      continue;
+    m_timer.expires_at(next);
+    boost::system::error_code ignored;
+    co_await m_timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
   }
 }
 
-Awaitable<bool> TableFollower::Ask() {
+void TableFollower::Poke() {
+  m_poked = true;
+  m_timer.cancel();
+}
+
+Awaitable<bool> TableFollower::Ask(Duration wait) {
   const bool whole = m_revision == 0;
   AsyncResult<platform::Rows> rows = Failure();
   if (whole)
-    rows = co_await m_store.ReadTable(m_options.m_table);
+    rows = co_await m_store.ReadTable(m_table);
   else
-    rows = co_await m_store.ReadChanges(m_options.m_table, m_revision,
-                                        m_options.m_wait);
+    rows = co_await m_store.ReadChanges(m_table, m_revision, wait);
   if (!rows) {
     if (rows.error().m_code == FailureCode::kNotFound && !whole) {
-      LogLine("history_gone").With("table", m_options.m_table).Warn();
+      LogLine("history_gone").With("table", m_table).Warn();
       m_revision = 0;
       co_return false;
     }
@@ -66,7 +84,7 @@
   m_ever_connected = true;
   LogLine("store_connected")
       .With("peer", ToString(m_store.endpoint()))
-      .With("table", m_options.m_table)
+      .With("table", m_table)
       .Info();
 }
 
@@ -74,7 +92,7 @@
   if (!m_connected)
     return;
   m_connected = false;
-  LogLine("store_lost").With("table", m_options.m_table).With(failure).Warn();
+  LogLine("store_lost").With("table", m_table).With(failure).Warn();
 }
 
 Duration TableFollower::RetryPause() {
--- a/src/libverbenalead/links/table_follower.h
+++ b/src/libverbenalead/links/table_follower.h
@@ -1,27 +1,18 @@
 #ifndef VERBENALEAD_LINKS_TABLE_FOLLOWER_H_
 #define VERBENALEAD_LINKS_TABLE_FOLLOWER_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <random>
 #include <string>
 
 #include "base/awaitable.h"
 #include "base/time.h"
+#include "links/follow_pace.h"
 #include "platform/store.h"
 
 namespace verbenalead::links {
 
-struct TableFollowerOptions {
-  std::string m_table;
-  /// How long the store may hold a question until something changes.
-  Duration m_wait{};
-  /// Least time between two questions.
-  Duration m_interval{};
-
-  friend bool operator==(const TableFollowerOptions&,
-                         const TableFollowerOptions&) = default;
-};
-
 /// Follows one table of the platform's store: reads it whole once, and what
 /// changes from then on. Where the store has forgotten the changes, the table
 /// is read whole again.
@@ -30,28 +21,36 @@
   /// `whole`: the rows are all that the table holds.
   using OnRows = std::function<void(const platform::Rows& rows, bool whole)>;
 
-  TableFollower(platform::Store& store,
-                TableFollowerOptions options,
+  /// `pace` is asked before each question.
+  TableFollower(const boost::asio::any_io_executor& executor,
+                platform::Store& store,
+                std::string table,
+                std::function<FollowPace()> pace,
                 OnRows on_rows);
 
   /// Doesn't return.
   Awaitable<void> Run();
 
+  /// Something has changed: asks at once, if it waits for its next question.
+  void Poke();
   /// The last question was answered.
   bool connected() const { return m_connected; }
   /// When the first answer after a failure came; long ago where none failed.
   TimePoint regained_at() const { return m_regained_at; }
 
  private:
-  Awaitable<bool> Ask();
+  Awaitable<bool> Ask(Duration wait);
   void NoteSuccess();
   void NoteFailure(const Failure& failure);
   Duration RetryPause();
 
   platform::Store& m_store;
-  const TableFollowerOptions m_options;
+  const std::string m_table;
+  const std::function<FollowPace()> m_pace;
   const OnRows m_on_rows;
+  boost::asio::steady_timer m_timer;
   std::mt19937_64 m_random;
+  bool m_poked = false;
   /// 0: the table has to be read whole.
   uint64_t m_revision = 0;
   bool m_connected = false;
--- a/src/libverbenalead/target/engine_keeper.cc
+++ b/src/libverbenalead/target/engine_keeper.cc
@@ -1,6 +1,7 @@
 #include "target/engine_keeper.h"
 
 #include <boost/asio/this_coro.hpp>
+#include <cmath>
 
 #include "base/log.h"
 #include "base/sleep.h"
@@ -21,10 +22,12 @@
 /// From the turn to the end of the load: calls end or are broken off, and the
 /// load takes 0.3 s.
 constexpr Duration kOutage = 1000ms;
-/// The least time in which the chunks are everywhere: a copy takes 2 s on the
-/// links of the hosts, of which live calls get their part, and half a second is
-/// gone before the first chunks are passed on.
-constexpr Duration kTransferTime = 3400ms;
+/// Time until the chunks are everywhere, in copies over the hosts' links,
+/// copies over the origin's link, and doublings of the hosts. Measured: 3.3 s
+/// at 15 hosts with 15 Mbit/s at the origin, 4.4 s at 76 with 9 Mbit/s.
+constexpr double kLinkCopies = 1.25;
+constexpr double kOriginCopies = 0.45;
+constexpr Duration kForEachDoubling = 130ms;
 /// Calls may run on for so long after the last new one. Half of the streams at
 /// the users end within this; the others go on at another replica, for which
 /// callers wait 0.15 s. Were all let end, a replica would be out of service for
@@ -34,8 +37,27 @@
 /// A transfer that has come so far isn't stopped for a newer version.
 constexpr double kShareToEnd = 0.4;
 
+Duration CopyTime(const model::EngineProfile& engine, uint64_t rate) {
+  const double bytes = static_cast<double>(engine.m_chunk_bytes) *
+                       static_cast<double>(engine.m_chunks);
+  return rate == 0 ? Duration()
+                   : std::chrono::duration_cast<Duration>(
+                         std::chrono::duration<double>(
+                             bytes / static_cast<double>(rate)));
+}
+
+Duration TransferTime(const TargetState& state) {
+  const Duration link = CopyTime(*state.m_engine, state.m_options.m_link_rate);
+  const Duration origin = CopyTime(*state.m_engine, state.m_origin_rate);
+  const double hosts =
+      static_cast<double>(std::max<size_t>(2, state.m_replicas.size()));
+  return std::chrono::duration_cast<Duration>(
+      link * kLinkCopies + origin * kOriginCopies +
+      kForEachDoubling * std::log2(hosts));
+}
+
 decide::LoadTimes TimesOf(const TargetState& state) {
-  return {state.m_options.m_weights_bound - kBoundMargin, kTransferTime,
+  return {state.m_options.m_weights_bound - kBoundMargin, TransferTime(state),
           kOutage};
 }
 
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -26,11 +26,13 @@
 
 namespace asio = boost::asio;
 
-/// How long the store may hold the question for the operator's changes; a
-/// connection that is silent for good is noticed after this and a little.
-constexpr Duration kOperatorWait = 4s;
-/// How often replicas are asked for: only transfers and turns need them.
-constexpr Duration kReplicaInterval = 4s;
+/// The operator's changes: entries tell at once that there are some. Without
+/// news from them the store is asked by ourselves, and holds the question.
+constexpr links::FollowPace kToldPace = {Duration(), 20s};
+constexpr links::FollowPace kUntoldPace = {2s, Duration()};
+constexpr Duration kUntoldAfter = 5s;
+/// Replicas: asked for anew when a transfer begins.
+constexpr links::FollowPace kReplicaPace = {Duration(), 15s};
 constexpr Duration kConnectTimeout = 300ms;
 /// How often those who follow are told what changed, and all anew.
 constexpr Duration kNewsInterval = 50ms;
@@ -44,7 +46,7 @@
 /// How often hosts are asked for their chunk news, and how long such a question
 /// holds.
 constexpr Duration kFollowInterval = 500ms;
-constexpr Duration kFollowHold = 3s;
+constexpr Duration kFollowHold = 5s;
 
 /// Chunks go out in pieces of this size at this part of the link's rate. Events
 /// of live streams leave by the same link: behind three chunks at once they
@@ -87,16 +89,22 @@
         m_fetcher(m_state, m_http, m_origin),
         m_upload(UploadRate(m_state.m_options), kUploadCredit),
         m_keeper(m_state, m_engine, m_fetcher, [this] { TellEntries(); }),
-        m_operator_rows(m_store,
-                        {platform::kOperatorTable, kOperatorWait, Duration()},
-                        [this](const platform::Rows& rows, bool) {
-                          target::TakeOperatorRows(m_state, rows);
-                        }),
-        m_replica_rows(m_store,
-                       {platform::kReplicaTable, Duration(), kReplicaInterval},
-                       [this](const platform::Rows& rows, bool whole) {
-                         target::TakeReplicaRows(m_state, rows, whole);
-                       }),
+        m_operator_rows(
+            m_threads.main(),
+            m_store,
+            platform::kOperatorTable,
+            [this] { return OperatorPace(); },
+            [this](const platform::Rows& rows, bool) {
+              TakeOperatorRows(rows);
+            }),
+        m_replica_rows(
+            m_threads.main(),
+            m_store,
+            platform::kReplicaTable,
+            [] { return kReplicaPace; },
+            [this](const platform::Rows& rows, bool whole) {
+              target::TakeReplicaRows(m_state, rows, whole);
+            }),
         m_datagrams(m_threads.main(), m_state.m_options.m_peers),
         m_chunks(
             m_threads,
@@ -241,6 +249,18 @@
     });
   }
 
+  links::FollowPace OperatorPace() const {
+    return Now() - m_told_at < kUntoldAfter ? kToldPace : kUntoldPace;
+  }
+
+  void TakeOperatorRows(const platform::Rows& rows) {
+    for (const platform::Row& row : rows.m_rows)
+      m_operator_revision = std::max(m_operator_revision, row.m_revision);
+    // Turns and transfers need to know who is there.
+    if (target::TakeOperatorRows(m_state, rows))
+      m_replica_rows.Poke();
+  }
+
   void TakeFollower(const Endpoint& sender,
                     const links::FollowRequest& request) {
     const TimePoint until = Now() + kFollowHold;
@@ -251,6 +271,9 @@
         TellChunks(sender);
       return;
     }
+    m_told_at = Now();
+    if (request.m_operator_revision > m_operator_revision)
+      m_operator_rows.Poke();
     EntryFollower& follower = m_entries[sender];
     follower.m_until = until;
     follower.m_near = request.m_near;
@@ -385,6 +408,10 @@
   http::Server m_chunks;
   http::Server m_metrics;
   asio::signal_set m_signals;
+  /// The newest change of the operator's table that is known here.
+  uint64_t m_operator_revision = 0;
+  /// When an entry last told of its own.
+  TimePoint m_told_at{};
   /// Who wants news, until when.
   std::map<Endpoint, TimePoint> m_chunk_followers;
   std::map<Endpoint, EntryFollower> m_entries;
