Let targets ask for the list of replicas when entries know another one

Cause: since targets read the list every 15 s only, one whose replica had started anew didn't know it and left requests for places unanswered; entries then guessed and overfilled replicas (100 unanswered requests in 2 s after a loss of power). Ruled out: eight chunks at once in place of three (no difference to the sites).

--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -33,6 +33,7 @@
 constexpr Duration kUntoldAfter = 5s;
 /// Replicas: asked for anew when a transfer begins.
 constexpr links::FollowPace kReplicaPace = {Duration(), 15s};
+constexpr Duration kPokeInterval = 300ms;
 constexpr Duration kConnectTimeout = 300ms;
 /// How often those who follow are told what changed, and all anew.
 constexpr Duration kNewsInterval = 50ms;
@@ -195,10 +196,24 @@
     }
   }
 
+  /// Whether entries speak of the replica on this host. They read the list of
+  /// replicas more often than this process, which asks for it at once if they
+  /// know another one: the replica has started anew, and a target that doesn't
+  /// answer for it leaves the entries to guess.
+  bool IsOwn(const std::string& replica) {
+    const model::Replica* own = OwnReplica(m_state);
+    if (own && own->m_id == replica)
+      return true;
+    if (Now() >= m_next_poke) {
+      m_next_poke = Now() + kPokeInterval;
+      m_replica_rows.Poke();
+    }
+    return false;
+  }
+
   /// Grants a place if the replica has room for one more call.
   void TakeRequest(const Endpoint& sender, const links::PlaceRequest& request) {
-    const model::Replica* own = OwnReplica(m_state);
-    if (!own || own->m_id != request.m_replica || !m_state.m_engine)
+    if (!IsOwn(request.m_replica) || !m_state.m_engine)
       return;
     EntryFollower& follower = m_entries[sender];
     follower.m_calls = request.m_calls;
@@ -237,8 +252,7 @@
   }
 
   void TakeCalls(const Endpoint& sender, const links::CallNews& news) {
-    const model::Replica* own = OwnReplica(m_state);
-    if (!own || own->m_id != news.m_replica)
+    if (!IsOwn(news.m_replica))
       return;
     EntryFollower& follower = m_entries[sender];
     follower.m_calls = news.m_calls;
@@ -412,6 +426,7 @@
   uint64_t m_operator_revision = 0;
   /// When an entry last told of its own.
   TimePoint m_told_at{};
+  TimePoint m_next_poke{};
   /// Who wants news, until when.
   std::map<Endpoint, TimePoint> m_chunk_followers;
   std::map<Endpoint, EntryFollower> m_entries;
