Stand in for the users' platform; prove the path by processes

A store with rows, changes, transactions and a history that can be dropped, a replica with staged weights, orders and streams, and an origin that can spoil chunks; six cases over the real programs, each with its failure: the whole path with a new version under load, a replica killed in mid-stream, the store away for longer than the lease, a key taken away while the entry is frozen, a stop in mid-stream, spoilt chunks with a dropped history.

--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -19,9 +19,9 @@
 
 namespace asio = boost::asio;
 
-/// Chunks under way from other hosts at once. A host that sends paces itself and
-/// serves several; five from different hosts keep the downlink, 42 ms a chunk at
-/// 9.4 Mbit/s, busy meanwhile.
+/// Chunks under way from other hosts at once. A host that sends paces itself
+/// and serves several; five from different hosts keep the downlink, 42 ms a
+/// chunk at 9.4 Mbit/s, busy meanwhile.
 constexpr uint32_t kMostFetches = 5;
 /// A draw that hasn't been seen this long after it was due is taken over by the
 /// next host: the whole of a version must be everywhere within 8 s.
--- /dev/null
+++ b/testsuite/cases/platform_revoked_key/run.py
@@ -0,0 +1,40 @@
+"""A key is taken away while an entry stands still.
+
+The entry is frozen, the key goes, and the entry wakes after more than the bound.
+No call with that key that is sent after the bound runs, whatever the entry still
+believes when it wakes; a key that stays is served again.
+"""
+
+import time
+
+import harness
+import platform_fleet
+
+BOUND = 5.0
+
+
+def body(cluster):
+    fleet = platform_fleet.PlatformFleet(cluster)
+    fleet.keys = ["stays", "goes"]
+    fleet.start_platform()
+    ledger = fleet.add_replica("ledger", "")
+    entry = fleet.add_entry()
+    fleet.wait_ready()
+    harness.wait_for("a first payment", lambda: fleet.pay(
+        entry, 0, "goes").status == 200)
+    process = cluster.processes[entry["name"]]
+    process.freeze()
+    fleet.keys = ["stays"]
+    fleet.configure()
+    time.sleep(BOUND)
+    runs = fleet.state(ledger)["runs"]
+    process.wake()
+    for number in range(1, 20):
+        reply = fleet.pay(entry, number, "goes")
+        assert reply.status in (401, 503), reply.status
+    assert fleet.state(ledger)["runs"] == runs
+    harness.wait_for("the key that stays", lambda: fleet.pay(
+        entry, 30, "stays").status == 200)
+
+
+harness.run_case(body)
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -174,19 +174,22 @@
                 return path
         raise AssertionError("no program " + name)
 
-    def start(self, name, program, settings):
+    def start_platform_program(self, name, program, settings):
+        """Starts an entry or a target for the users' platform."""
+        return self.start(name, program, settings, ["--platform"])
+
+    def start(self, name, program, settings, options=()):
         path = self.path(name + ".json")
         with open(path, "w") as file:
             json.dump(settings, file, indent=1)
-        self.settings[name] = (program, settings)
-        process = Process(name, [self.program(program), "-s", path],
-                          self.path(name + ".log"))
+        self.settings[name] = (program, settings, options)
+        command = [self.program(program)] + list(options) + ["-s", path]
+        process = Process(name, command, self.path(name + ".log"))
         self.processes[name] = process
         return process
 
     def restart(self, name):
-        program, settings = self.settings[name]
-        return self.start(name, program, settings)
+        return self.start(name, *self.settings[name])
 
     def start_platform(self, origin_link=0):
         self.start("table", "standin_table", {"listen": self.table})
--- /dev/null
+++ b/testsuite/platform_fleet.py
@@ -0,0 +1,161 @@
+"""Entries, target processes and stand-ins of the users' platform on loopback.
+
+Each host has an IP number of its own in 127/8, as target processes are reached
+at the same port of their replicas' hosts.
+"""
+
+import base64
+import json
+
+import harness
+
+KEY = "key-of-acme"
+
+
+class PlatformFleet:
+    """A small deployment; `cluster` starts and ends its processes."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        ports = harness.free_ports(8)
+        self.store = "127.0.0.1:%d" % ports[0]
+        self.origin = "127.0.0.1:%d" % ports[1]
+        self.peer_port, self.caller_port, self.ready_port, \
+            self.directory_port, self.replica_port, self.metrics_port = ports[2:]
+        self.entries = []
+        self.replicas = []
+        self.version = 0
+        self.keys = [KEY]
+
+    def start_platform(self):
+        self.cluster.start("store", "standin_platform_store",
+                           {"listen": self.store})
+        self.cluster.start("origin", "standin_platform_origin",
+                           {"listen": self.origin})
+        self.cluster.wait_listening(self.store)
+        self.cluster.wait_listening(self.origin)
+        self.configure()
+
+    def write(self, table, key, value):
+        row = {"table": table, "part": "", "key": key,
+               "value": base64.b64encode(
+                   json.dumps(value).encode()).decode()}
+        reply = harness.call(self.store, "POST", "/rows-tx",
+                             {"precondition": [], "writes": [row],
+                              "remove": []})
+        assert reply.status == 200, reply.status
+
+    def configure(self):
+        """Declares the configuration with the present keys."""
+        self.version += 1
+        engine = {"slots": 8, "stride": 1, "step_ms": 1.0,
+                  "read_per_s": 30000.0, "chunks": 12, "chunk_bytes": 4096,
+                  "models": [{"name": "model", "warm_s": 0.05}]}
+        common = {"host": "h", "timeout_ms": 20000, "slo_ms": 1000,
+                  "priority": 1}
+        routes = [
+            dict(common, name="draft", prefix="/draft/", service="pool",
+                 route_kind="streaming", max_attempts=3, resumable=True),
+            dict(common, name="pay", prefix="/pay/", service="ledger",
+                 route_kind="unsafe", max_attempts=1)]
+        self.write("op", "config", {
+            "version": self.version, "routes": routes,
+            "services": [
+                {"name": "pool", "engine": engine},
+                {"name": "ledger"},
+                {"name": "weights", "origin": self.origin,
+                 "link_mbps": 100.0}],
+            "tenants": [{"name": "acme", "api_keys": self.keys}]})
+
+    def declare(self, version):
+        self.write("op", "version/model",
+                   {"model": "model", "version": version})
+
+    def add_entry(self, data_center="a"):
+        number = len(self.entries) + 1
+        ip = "127.0.1.%d" % number
+        name = "entry-%d" % number
+        entry = {"name": name,
+                 "callers": "%s:%d" % (ip, self.caller_port),
+                 "readiness": "%s:%d" % (ip, self.ready_port),
+                 "directory": "%s:%d" % (ip, self.directory_port),
+                 "metrics": "%s:%d" % (ip, self.metrics_port)}
+        settings = {"host": name, "data_center": data_center,
+                    "listen": {
+                        "callers": entry["callers"],
+                        "readiness": entry["readiness"],
+                        "directory": entry["directory"],
+                        "metrics": entry["metrics"],
+                        "peers": "%s:%d" % (ip, self.peer_port)},
+                    "store": {"address": self.store}}
+        self.cluster.start_platform_program(name, "vlentry", settings)
+        self.entries.append(entry)
+        return entry
+
+    def add_replica(self, service="pool", model="model", version=0, **extra):
+        number = len(self.replicas) + 1
+        ip = "127.0.2.%d" % number
+        name = "replica-%d" % number
+        replica = {"name": name, "target": "target-%d" % number,
+                   "address": "%s:%d" % (ip, self.replica_port)}
+        settings = {"id": "i-%d" % number, "service": service,
+                    "model": model, "listen": replica["address"],
+                    "store": self.store, "version": version}
+        settings.update(extra)
+        self.cluster.start(name, "standin_platform_replica", settings)
+        self.cluster.wait_listening(replica["address"])
+        self.state(replica)  # It registers with the first request.
+        if model:
+            self.cluster.start_platform_program(
+                replica["target"], "vltarget",
+                {"host": replica["target"], "data_center": "a",
+                 "service": service, "engine": replica["address"],
+                 "listen": {"peers": "%s:%d" % (ip, self.peer_port)},
+                 "store": {"address": self.store}})
+        self.replicas.append(replica)
+        return replica
+
+    def state(self, replica):
+        return harness.call(replica["address"], "GET", "/state").json()
+
+    def ready(self, entry):
+        try:
+            return harness.call(entry["readiness"], "GET",
+                                "/readyz").status == 200
+        except OSError:
+            return False
+
+    def wait_ready(self):
+        for entry in self.entries:
+            harness.wait_for(entry["name"] + " to be ready",
+                             lambda: self.ready(entry))
+
+    def wait_version(self, version):
+        for replica in self.replicas:
+            harness.wait_for(
+                "version %d on %s" % (version, replica["name"]),
+                lambda: self.state(replica)["version"] == version)
+
+    def draft(self, entry, number, events=5, key=KEY):
+        return harness.call(
+            entry["callers"], "POST", "/draft/%d" % number, "prompt",
+            self.headers("draft-%d" % number, key,
+                         {"X-Verbenalead-Token-Usage": "100,%d" % events}))
+
+    def pay(self, entry, number, key=KEY):
+        return harness.call(entry["callers"], "POST", "/pay/%d" % number,
+                            "fee", self.headers("pay-%d" % number, key))
+
+    @staticmethod
+    def headers(call, key, extra=None):
+        headers = {"Host": "h", "Api-Key": key,
+                   "X-Verbenalead-Request-Id": call,
+                   "X-Verbenalead-Deadline-Ms": "20000"}
+        headers.update(extra or {})
+        return headers
+
+
+def events(count):
+    """The whole stream of so many events."""
+    return "".join("id: %d\ndata: token %d\n\n" % (number, number)
+                   for number in range(1, count + 1)).encode()
--- /dev/null
+++ b/testsuite/standins/platform_replica/replica.cc
@@ -0,0 +1,67 @@
+#include "standins/platform_replica/replica.h"
+
+#include <boost/json.hpp>
+#include <chrono>
+
+namespace verbenalead::standins {
+namespace {
+
+namespace json = boost::json;
+
+uint64_t UnixMilliseconds() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+json::array Models(const Replica& replica) {
+  json::array models;
+  if (replica.m_version > 0) {
+    models.push_back(json::object{{"name", replica.m_model},
+                                  {"version", replica.m_version},
+                                  {"adapters", json::array()}});
+  }
+  return models;
+}
+
+}  // namespace
+
+Replica::Replica(const Settings& settings)
+    : m_id(settings.Text("id")),
+      m_service(settings.Text("service")),
+      m_model(settings.Text("model")),
+      m_data_center(settings.Text("data_center")),
+      m_self(settings.Address("listen")),
+      m_store(settings.Address("store")),
+      m_slots(static_cast<uint32_t>(settings.Integer("slots"))),
+      m_event(settings.Milliseconds("event")),
+      m_load(settings.Milliseconds("load")),
+      m_started_ms(UnixMilliseconds()) {}
+
+std::string EncodeRow(const Replica& replica) {
+  json::object row = {{"service", replica.m_service},
+                      {"address", ToString(replica.m_self)},
+                      {"zone", replica.m_data_center},
+                      {"version", "v1"},
+                      {"slots", replica.m_slots},
+                      {"state", replica.m_leaving ? "draining" : "ready"},
+                      {"cold_left_ms", 0},
+                      {"born", replica.m_started_ms},
+                      {"sequence", replica.m_orders}};
+  if (!replica.m_model.empty())
+    row["models"] = Models(replica);
+  return json::serialize(row);
+}
+
+std::string EncodeReport(const Replica& replica) {
+  return json::serialize(json::object{{"stage", "both"},
+                                      {"models", Models(replica)},
+                                      {"busy", replica.m_loading},
+                                      {"sequence", replica.m_orders},
+                                      {"queued", 0},
+                                      {"active", replica.m_active},
+                                      {"born", replica.m_started_ms}});
+}
+
+}  // namespace verbenalead::standins
--- /dev/null
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -0,0 +1,187 @@
+#include "standins/platform_replica/replica_handler.h"
+
+#include <boost/asio/this_coro.hpp>
+#include <boost/json.hpp>
+#include <cstdlib>
+
+#include "base/log.h"
+#include "base/sleep.h"
+#include "base/spawn.h"
+#include "http/client.h"
+#include "platform/names.h"
+#include "platform/store.h"
+#include "standins/common/weights_pattern.h"
+
+namespace verbenalead::standins {
+namespace {
+
+constexpr Duration kHeartbeat = 300ms;
+
+uint64_t Number(const wire::Request& request, const char* name) {
+  return std::strtoull(wire::QueryValue(request, name).c_str(), nullptr, 10);
+}
+
+/// Counts one call as running for as long as it lives.
+class Running {
+ public:
+  explicit Running(Replica& replica) : m_replica(replica) {
+    ++m_replica.m_active;
+    ++m_replica.m_runs;
+  }
+  ~Running() { --m_replica.m_active; }
+  Running(const Running&) = delete;
+  Running& operator=(const Running&) = delete;
+
+ private:
+  Replica& m_replica;
+};
+
+wire::Headers AnswerHeaders(const wire::Request& request,
+                            const Replica& replica) {
+  wire::Headers headers = {{platform::kRequestId,
+                            wire::Get(request.m_headers, platform::kRequestId)},
+                           {platform::kStamp, "stamp-of-" + replica.m_id}};
+  if (replica.m_version > 0)
+    headers[platform::kWeightVersion] = std::to_string(replica.m_version);
+  return headers;
+}
+
+wire::Response NotRun(int status) {
+  return {status, {{platform::kNotExecuted, "1"}}, ""};
+}
+
+Awaitable<void> Load(std::shared_ptr<Replica> replica, uint64_t version) {
+  bool good = true;
+  for (uint32_t chunk = 0; chunk < kPatternChunks; ++chunk)
+    good &= replica->m_staged[chunk] == PatternChunk(version, chunk);
+  replica->m_bad_loads += good ? 0 : 1;
+  co_await Sleep(replica->m_load);
+  replica->m_version = version;
+  replica->m_loading = false;
+}
+
+Awaitable<wire::Response> Order(std::shared_ptr<Replica> replica,
+                                std::string body) {
+  const auto executor = co_await boost::asio::this_coro::executor;
+  boost::system::error_code error;
+  const boost::json::value order = boost::json::parse(body, error);
+  if (error || !order.is_object())
+    co_return wire::Response(400, {}, "");
+  const boost::json::object& fields = order.as_object();
+  if (replica->m_loading ||
+      fields.at("precondition").to_number<uint64_t>() != replica->m_orders)
+    co_return wire::Response(409, {}, "");
+  ++replica->m_orders;
+  replica->m_loading = true;
+  replica->m_version = 0;
+  Spawn(executor, Load(replica, fields.at("version").to_number<uint64_t>()),
+        "load");
+  co_return wire::Response(202, {}, "");
+}
+
+Awaitable<void> Stream(std::shared_ptr<Replica> replica,
+                       const wire::Request& request,
+                       wire::ResponseWriter& writer) {
+  const Running running(*replica);
+  const std::string usage = wire::Get(request.m_headers, platform::kTokenUsage);
+  const uint64_t events =
+      std::strtoull(usage.c_str() + usage.find(',') + 1, nullptr, 10);
+  const uint64_t after = std::strtoull(
+      wire::Get(request.m_headers, platform::kLastEventId).c_str(), nullptr,
+      10);
+  wire::ResponseHead head(200, AnswerHeaders(request, *replica));
+  head.m_headers["content-type"] = "text/event-stream";
+  if (!co_await writer.Start(std::move(head)))
+    co_return;
+  for (uint64_t event = after + 1; event <= events; ++event) {
+    co_await Sleep(replica->m_event);
+    if (replica->m_loading)
+      co_return;  // Broken off by the load.
+    const std::string id = std::to_string(event);
+    if (!co_await writer.Write("id: " + id + "\ndata: token " + id + "\n\n"))
+      co_return;
+  }
+  co_await writer.Finish({});
+}
+
+Awaitable<void> Call(std::shared_ptr<Replica> replica,
+                     const wire::Request& request,
+                     wire::ResponseWriter& writer) {
+  const std::string expected =
+      wire::Get(request.m_headers, platform::kExpectReplica);
+  if (!expected.empty() && expected != replica->m_id) {
+    co_await writer.Send(NotRun(421));
+    co_return;
+  }
+  const bool engine = !replica->m_model.empty();
+  if (replica->m_active >= replica->m_slots ||
+      (engine && replica->m_version == 0)) {
+    co_await writer.Send(NotRun(503));
+    co_return;
+  }
+  if (engine) {
+    co_await Stream(replica, request, writer);
+    co_return;
+  }
+  const Running running(*replica);
+  co_await writer.Send(wire::Response(200, AnswerHeaders(request, *replica),
+                                      "ran: " + request.m_path));
+}
+
+std::string EncodeState(const Replica& replica) {
+  return boost::json::serialize(
+      boost::json::object{{"version", replica.m_version},
+                          {"runs", replica.m_runs},
+                          {"active", replica.m_active},
+                          {"orders", replica.m_orders},
+                          {"bad_loads", replica.m_bad_loads}});
+}
+
+Awaitable<void> Serve(std::shared_ptr<Replica> replica,
+                      const wire::Request& request,
+                      wire::ResponseWriter& writer) {
+  const std::string& path = request.m_path;
+  wire::Response response(404, {}, "");
+  if (path == "/report") {
+    response = wire::JsonResponse(200, EncodeReport(*replica));
+  } else if (path == "/state") {
+    response = wire::JsonResponse(200, EncodeState(*replica));
+  } else if (path == "/order") {
+    response = co_await Order(replica, request.m_body);
+  } else if (path.starts_with("/stage-put/")) {
+    replica->m_staged[static_cast<uint32_t>(Number(request, "num"))] =
+        request.m_body;
+    response = wire::Response(200, {}, "");
+  } else if (path.starts_with("/stage-get/")) {
+    const auto found =
+        replica->m_staged.find(static_cast<uint32_t>(Number(request, "num")));
+    if (found != replica->m_staged.end())
+      response = wire::Response(200, {}, found->second);
+  } else {
+    co_await Call(replica, request, writer);
+    co_return;
+  }
+  co_await writer.Send(std::move(response));
+}
+
+}  // namespace
+
+wire::Handler MakeReplicaHandler(std::shared_ptr<Replica> replica) {
+  return [replica](const wire::Request& request, wire::ResponseWriter& writer) {
+    return Serve(replica, request, writer);
+  };
+}
+
+Awaitable<void> KeepRegistered(std::shared_ptr<Replica> replica) {
+  http::Client http;
+  platform::Store store(http, replica->m_store);
+  while (true) {
+    auto written = co_await store.Write(platform::kReplicaTable, replica->m_id,
+                                        EncodeRow(*replica));
+    if (!written)
+      LogLine("not_registered").With(written.error()).Debug();
+    co_await Sleep(kHeartbeat);
+  }
+}
+
+}  // namespace verbenalead::standins
--- /dev/null
+++ b/testsuite/standins/platform_store/row_store.cc
@@ -0,0 +1,110 @@
+#include "standins/platform_store/row_store.h"
+
+#include <boost/json.hpp>
+
+#include "base/time.h"
+
+namespace verbenalead::standins {
+namespace {
+
+namespace json = boost::json;
+
+std::string Text(const json::object& object, const char* name) {
+  const json::value* value = object.if_contains(name);
+  return value && value->is_string() ? std::string(value->as_string()) : "";
+}
+
+const json::array& List(const json::object& object, const char* name) {
+  static const json::array kNone;
+  const json::value* value = object.if_contains(name);
+  return value && value->is_array() ? value->as_array() : kNone;
+}
+
+}  // namespace
+
+bool RowStore::Holds(const json::object& transaction) const {
+  for (const json::value& value : List(transaction, "precondition")) {
+    const json::object& expected = value.as_object();
+    const auto found =
+        m_rows.find({Text(expected, "table"), Text(expected, "key")});
+    const uint64_t revision = found == m_rows.end() || found->second.m_deleted
+                                  ? 0
+                                  : found->second.m_revision;
+    if (revision != expected.at("ver").to_number<uint64_t>())
+      return false;
+  }
+  return true;
+}
+
+bool RowStore::Apply(const json::object& transaction) {
+  if (!Holds(transaction))
+    return false;
+  ++m_revision;
+  for (const json::value& value : List(transaction, "writes")) {
+    const json::object& row = value.as_object();
+    m_rows[{Text(row, "table"), Text(row, "key")}] = {Text(row, "value"),
+                                                      m_revision, false};
+  }
+  for (const json::value& value : List(transaction, "remove")) {
+    const json::object& row = value.as_object();
+    m_rows[{Text(row, "table"), Text(row, "key")}] = {"", m_revision, true};
+  }
+  return true;
+}
+
+json::object RowStore::Answer(json::array rows) const {
+  return {{"rows", std::move(rows)},
+          {"has_more", false},
+          {"ver", m_revision},
+          {"now_ms", ToMilliseconds(Now().time_since_epoch())}};
+}
+
+json::object RowStore::Read(const std::string& table) const {
+  json::array rows;
+  for (const auto& [key, row] : m_rows) {
+    if (key.first != table || row.m_deleted)
+      continue;
+    rows.push_back(json::object{{"table", table},
+                                {"part", ""},
+                                {"key", key.second},
+                                {"value", row.m_value},
+                                {"ver", row.m_revision}});
+  }
+  return Answer(std::move(rows));
+}
+
+bool RowStore::HasChanges(const std::string& table, uint64_t revision) const {
+  for (const auto& [key, row] : m_rows) {
+    if (key.first == table && row.m_revision > revision)
+      return true;
+  }
+  return false;
+}
+
+std::optional<json::object> RowStore::Changes(const std::string& table,
+                                              uint64_t revision) const {
+  if (revision < m_forgotten)
+    return std::nullopt;
+  std::map<uint64_t, json::array> changes;
+  for (const auto& [key, row] : m_rows) {
+    if (key.first != table || row.m_revision <= revision)
+      continue;
+    json::object change = {{"table", table},
+                           {"part", ""},
+                           {"key", key.second},
+                           {"ver", row.m_revision}};
+    if (row.m_deleted)
+      change["deleted"] = true;
+    else
+      change["value"] = row.m_value;
+    changes[row.m_revision].push_back(std::move(change));
+  }
+  json::array rows;
+  for (auto& [when, group] : changes) {
+    for (json::value& change : group)
+      rows.push_back(std::move(change));
+  }
+  return Answer(std::move(rows));
+}
+
+}  // namespace verbenalead::standins
--- /dev/null
+++ b/testsuite/standins/platform_store/row_store.h
@@ -0,0 +1,46 @@
+#ifndef VERBENALEAD_STANDINS_PLATFORM_STORE_ROW_STORE_H_
+#define VERBENALEAD_STANDINS_PLATFORM_STORE_ROW_STORE_H_
+
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace verbenalead::standins {
+
+/// The rows of the stand-in for the platform's store, in memory. Parts of
+/// tables other than the unnamed one aren't kept.
+class RowStore {
+ public:
+  /// Applies a transaction; false: a precondition doesn't hold.
+  bool Apply(const boost::json::object& transaction);
+  /// All rows of `table`.
+  boost::json::object Read(const std::string& table) const;
+  /// What changed in `table` after `revision`; nothing where the history is
+  /// gone.
+  std::optional<boost::json::object> Changes(const std::string& table,
+                                             uint64_t revision) const;
+  bool HasChanges(const std::string& table, uint64_t revision) const;
+  /// From now on, earlier changes are forgotten.
+  void Forget() { m_forgotten = m_revision; }
+
+ private:
+  struct Row {
+    std::string m_value;
+    uint64_t m_revision = 0;
+    bool m_deleted = false;
+  };
+  using Key = std::pair<std::string, std::string>;
+
+  bool Holds(const boost::json::object& transaction) const;
+  boost::json::object Answer(boost::json::array rows) const;
+
+  std::map<Key, Row> m_rows;
+  uint64_t m_revision = 1;
+  uint64_t m_forgotten = 0;
+};
+
+}  // namespace verbenalead::standins
+
+#endif  // VERBENALEAD_STANDINS_PLATFORM_STORE_ROW_STORE_H_
