--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -255,7 +255,9 @@
       piece = co_await m_attempt.m_reader->ReadBody(deadline);
     }
     if (!piece) {
-      m_attempt.m_reason = ToString(piece.error());
+      m_attempt.m_reason = Left() <= Duration()
+                               ? "the time of the caller or the route is over"
+                               : ToString(piece.error());
       co_return false;
     }
     if (!piece->has_value()) {
--- a/testsuite/write_settings_page.py
+++ b/testsuite/write_settings_page.py
@@ -19,11 +19,14 @@
 
 def page(bin_folder):
     text = HEAD
-    for program in ("vlentry", "vltarget"):
-        path = os.path.join(bin_folder, "src", program)
-        described = subprocess.run([path, "--describe-settings"], check=True,
-                                   capture_output=True, text=True).stdout
-        text += "\n## %s\n\n```\n%s```\n" % (program, described)
+    for mode in ([], ["--platform"]):
+        for program in ("vlentry", "vltarget"):
+            path = os.path.join(bin_folder, "src", program)
+            described = subprocess.run(
+                [path] + mode + ["--describe-settings"], check=True,
+                capture_output=True, text=True).stdout
+            text += "\n## %s\n\n```\n%s```\n" % (
+                " ".join([program] + mode), described)
     return text
 
 
