Let go of missing replicas without further news; read for others only with a fresh list

Ruled out: a lost datagram (hashes were equal: what is kept isn't hashed). The test fails without the mend. Also an entry reads for others only while its list of replicas is at most 1.5 s old, as a reader that is turned away would hold up the others. Calls that may have run are logged as unknown, not refused.

--- a/src/libverbenalead/decide/replica_pool.cc
+++ b/src/libverbenalead/decide/replica_pool.cc
@@ -133,6 +133,13 @@
   });
 }
 
+void DropMissing(ReplicaPool& pool, TimePoint now) {
+  std::erase_if(pool.m_replicas, [now](const auto& entry) {
+    const TimePoint until = entry.second.m_missing_until;
+    return until != TimePoint() && until <= now;
+  });
+}
+
 std::optional<std::string> TakePlace(ReplicaPool& pool,
                                      const PoolCall& call,
                                      TimePoint now,
--- a/src/libverbenalead/decide/replica_pool.h
+++ b/src/libverbenalead/decide/replica_pool.h
@@ -70,6 +70,11 @@
                  TimePoint keep_missing_until,
                  TimePoint now);
 
+/// Lets go of replicas that were kept though they are missing, once their time
+/// is over. To be called now and then, since no news may come: the list may
+/// stay as it is for many seconds.
+void DropMissing(ReplicaPool& pool, TimePoint now);
+
 /// A place for `call` at once, or nothing; the place is taken.
 std::optional<std::string> TakePlace(ReplicaPool& pool,
                                      const PoolCall& call,
--- a/src/libverbenalead/decide/replica_pool_test.cc
+++ b/src/libverbenalead/decide/replica_pool_test.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(ARestartUnderTheSameIdKnowsNothing);
   CPPUNIT_TEST(LeavingIsFinal);
   CPPUNIT_TEST(LapsedRowsAreKeptForAWhile);
+  CPPUNIT_TEST(AMissingReplicaGoesWithoutFurtherNews);
   CPPUNIT_TEST(AnyHistoryKeepsTheLimits);
   CPPUNIT_TEST_SUITE_END();
 
@@ -184,6 +185,20 @@
     CPPUNIT_ASSERT(pool.m_replicas.empty());
   }
 
+  // A replica leaves right after the store came back. It is kept for a while,
+  // as its row may only have lapsed, and then no news comes for seconds: it
+  // went on getting calls 2.5 s after it had left. It must go when its time is
+  // over.
+  void AMissingReplicaGoesWithoutFurtherNews() {
+    ReplicaPool pool = MakePool({MakeReplica("a"), MakeReplica("b")});
+    SetReplicas(pool, {MakeReplica("b")}, kStart + 2s, kStart);
+    DropMissing(pool, kStart + 1999ms);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, pool.m_replicas.size());
+    DropMissing(pool, kStart + 2s);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, pool.m_replicas.size());
+    CPPUNIT_ASSERT(pool.m_replicas.contains("b"));
+  }
+
   // Calls come, wait, end in any way, and replicas come and go, in any order.
   // No replica ever has more calls than places, and each call that waits starts
   // at most once.
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -329,7 +329,8 @@
   m_attempt.m_reason = reason;
   const bool told = co_await m_caller.Send(
       platform::EncodeRefusal(status, m_plan.m_call.m_id, reason, retry_after));
-  LogCall(told ? "refused" : "caller_gone", status);
+  const char* outcome = status == kUnavailable ? "refused" : "unknown";
+  LogCall(told ? outcome : "caller_gone", status);
 }
 
 void CallRun::EndAttempt(AttemptEnd end) {
--- a/src/libverbenalead/entry/entry_news.cc
+++ b/src/libverbenalead/entry/entry_news.cc
@@ -15,6 +15,10 @@
 /// The entry that reads for others proves something every 1.2 s, and they hear
 /// of it 0.4 s later; one whose proof is older has lost the store.
 constexpr Duration kFreshProof = 2200ms;
+/// It asks for replicas every 0.9 s; one whose list is older can't, and a
+/// replica that left must be known 2 s later.
+constexpr Duration kOldest = std::chrono::hours(1);
+constexpr Duration kFreshReplicas = 1500ms;
 /// Notes are told again for this long, so that losing some datagrams loses no
 /// note.
 constexpr Duration kNoteAge = 3s;
@@ -60,6 +64,8 @@
   news.m_operator_revision = state.m_operator_revision;
   news.m_operator_proof = state.m_operator_proof;
   news.m_replicas_hash = state.m_replicas_hash;
+  news.m_replicas_age =
+      std::min<Duration>(Now() - state.m_replicas_at, kOldest);
   return news;
 }
 
@@ -78,6 +84,7 @@
   peer.m_heard_at = now;
   peer.m_operator_revision = news.m_operator_revision;
   peer.m_replicas_hash = news.m_replicas_hash;
+  peer.m_replicas_at = now - news.m_replicas_age;
   if (state.m_store_clock.m_offset)
     peer.m_proved_at = news.m_operator_proof + *state.m_store_clock.m_offset;
   // The store said that nothing newer than what we have too was there.
@@ -122,7 +129,8 @@
       break;
     if (peer.m_address.m_data_center == state.m_options.m_self.m_data_center &&
         IsHeard(state, peer, now) && peer.m_ready &&
-        peer.m_proved_at + kFreshProof > BootNow())
+        peer.m_proved_at + kFreshProof > BootNow() &&
+        now - peer.m_replicas_at < kFreshReplicas)
       return &peer;
   }
   return nullptr;
--- a/src/libverbenalead/entry/peer_entry.h
+++ b/src/libverbenalead/entry/peer_entry.h
@@ -14,6 +14,8 @@
   /// When the store proved that, by the own clock; zero: not known.
   Duration m_proved_at{};
   uint64_t m_replicas_hash = 0;
+  /// When its list of replicas was true.
+  TimePoint m_replicas_at{};
   /// Never, if only its row in the store is known.
   TimePoint m_heard_at{};
 };
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -221,6 +221,8 @@
 
   /// What binds now, and what engines can do, by service.
   void UpdatePools() {
+    for (auto& [name, service] : m_state.m_services)
+      decide::DropMissing(service.m_pool, Now());
     if (!m_state.m_routes)
       return;
     for (const model::Service& service :
--- a/src/libverbenalead/http/client.h
+++ b/src/libverbenalead/http/client.h
@@ -30,7 +30,7 @@
   Open(Endpoint endpoint, wire::Request request, TimePoint deadline) override;
 
  private:
-  const ClientOptions m_options;
+  ClientOptions m_options;
   std::shared_ptr<boost::asio::ssl::context> m_tls;
 };
 
--- a/src/libverbenalead/links/entry_news.h
+++ b/src/libverbenalead/links/entry_news.h
@@ -20,6 +20,8 @@
   Duration m_operator_proof{};
   /// Stands for its list of replicas.
   uint64_t m_replicas_hash = 0;
+  /// How old the list is.
+  Duration m_replicas_age{};
 
   friend bool operator==(const EntryNews&, const EntryNews&) = default;
 };
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -36,7 +36,8 @@
           {"crashes", std::move(crashes)},
           {"revision", news.m_operator_revision},
           {"proof_ms", ToMilliseconds(news.m_operator_proof)},
-          {"replicas", std::to_string(news.m_replicas_hash)}};
+          {"replicas", std::to_string(news.m_replicas_hash)},
+          {"age_ms", ToMilliseconds(news.m_replicas_age)}};
 }
 
 json::object Encode(const CallNews& news) {
@@ -122,6 +123,8 @@
   news.m_operator_proof = std::chrono::milliseconds(proof);
   BOOST_LEAF_AUTO(hash, model::TextFieldOr(object, "replicas", "0"));
   news.m_replicas_hash = std::strtoull(hash.c_str(), nullptr, 10);
+  BOOST_LEAF_AUTO(age, model::NumberFieldOr(object, "age_ms", 0));
+  news.m_replicas_age = std::chrono::milliseconds(age);
   const json::value* crashes = object.if_contains("crashes");
   if (!crashes || !crashes->is_array())
     return model::BadField("crashes", "a list");
--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -23,6 +23,7 @@
     entry.m_operator_revision = 5;
     entry.m_operator_proof = 1234ms;
     entry.m_replicas_hash = uint64_t{1} << 63;
+    entry.m_replicas_age = 321ms;
     entry.m_crashes = {{uint64_t{1} << 63, "i-1/7", TimePoint()}};
     ReplicaNews replica;
     replica.m_replica = "i-1";
