--- a/src/libverbenalead/entry/row_intake.cc
+++ b/src/libverbenalead/entry/row_intake.cc
@@ -6,6 +6,7 @@
 #include "base/catch_failure.h"
 #include "base/log.h"
 #include "base/stable_hash.h"
+#include "decide/live_replicas.h"
 #include "links/message.h"
 #include "platform/decode_config.h"
 #include "platform/decode_replica.h"
@@ -127,6 +128,7 @@
         .With("row_revision", row.m_revision)
         .Info();
   }
+  replica->m_revision = row.m_revision;
   m_replicas[row.m_key] = std::move(*replica);
 }
 
@@ -157,12 +159,14 @@
 }
 
 void RowIntake::UpdatePools(TimePoint keep_missing_until) {
+  const std::map<std::string, model::Replica> live =
+      decide::LiveReplicas(m_replicas);
   std::map<std::string, std::vector<model::Replica>> by_service;
-  for (const auto& [id, replica] : m_replicas)
+  for (const auto& [id, replica] : live)
     by_service[replica.m_service].push_back(replica);
   for (const auto& [service, replicas] : by_service)
     StateOf(m_state, service);
-  m_state.m_replicas_hash = HashOf(m_replicas);
+  m_state.m_replicas_hash = HashOf(live);
   const TimePoint now = Now();
   for (auto& [name, service] : m_state.m_services) {
     decide::SetReplicas(service.m_pool, by_service[name], keep_missing_until,
--- a/src/libverbenalead/model/replica.h
+++ b/src/libverbenalead/model/replica.h
@@ -15,6 +15,8 @@
   std::string m_id;
   /// Unix milliseconds of its start; 0 where it tells none.
   uint64_t m_started_ms = 0;
+  /// The store's revision at which it last wrote of itself.
+  uint64_t m_revision = 0;
   std::string m_service;
   Endpoint m_endpoint;
   std::string m_data_center;
--- a/src/libverbenalead/target/target_rows.cc
+++ b/src/libverbenalead/target/target_rows.cc
@@ -2,6 +2,7 @@
 
 #include "base/catch_failure.h"
 #include "base/log.h"
+#include "decide/live_replicas.h"
 #include "platform/decode_config.h"
 #include "platform/decode_replica.h"
 #include "platform/decode_weights.h"
@@ -80,18 +81,21 @@
                      const platform::Rows& rows,
                      bool whole) {
   if (whole)
-    state.m_replicas.clear();
+    state.m_listed.clear();
   for (const platform::Row& row : rows.m_rows) {
-    state.m_replicas.erase(row.m_key);
+    state.m_listed.erase(row.m_key);
     if (row.m_deleted)
       continue;
     auto replica = CatchFailure(
         [&] { return platform::DecodeReplica(row.m_key, row.m_value); });
-    if (replica)
-      state.m_replicas.emplace(row.m_key, std::move(*replica));
-    else
+    if (!replica) {
       LogLine("bad_replica_row").With(replica.error()).Warn();
+      continue;
+    }
+    replica->m_revision = row.m_revision;
+    state.m_listed.emplace(row.m_key, std::move(*replica));
   }
+  state.m_replicas = decide::LiveReplicas(state.m_listed);
 }
 
 }  // namespace verbenalead::target
--- a/src/libverbenalead/target/target_state.h
+++ b/src/libverbenalead/target/target_state.h
@@ -28,7 +28,9 @@
   uint64_t m_origin_rate = 0;
   /// When we saw each version to be declared.
   std::map<uint64_t, TimePoint> m_declared;
-  /// Live replicas by id, malformed rows left out.
+  /// Replicas that the store lists, by id, malformed rows left out.
+  std::map<std::string, model::Replica> m_listed;
+  /// Those of them that live.
   std::map<std::string, model::Replica> m_replicas;
   ChunkCache m_cache;
 };
