--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -16,6 +16,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "links/datagrams.h"
+#include "links/operator_rows.h"
 #include "links/table_follower.h"
 #include "platform/directory_calls.h"
 #include "platform/names.h"
@@ -104,7 +105,8 @@
             platform::kOperatorTable,
             [this] { return PaceOf(kOperatorPace); },
             [this](const platform::Rows& rows, bool whole) {
-              TakeOperatorRows(rows, whole);
+              ApplyOperatorRows(
+                  [&] { m_intake.TakeOperatorRows(rows, whole); });
             }),
         m_replica_rows(
             m_threads.main(),
@@ -134,6 +136,12 @@
             [this](const wire::Request& request, wire::ResponseWriter& caller) {
               return TellAddresses(request, caller);
             }),
+        m_rows(
+            m_threads,
+            {},
+            [this](const wire::Request& request, wire::ResponseWriter& caller) {
+              return TellRows(request, caller);
+            }),
         m_metrics(
             m_threads,
             {},
@@ -142,9 +150,15 @@
             }),
         m_signals(m_threads.main(), SIGTERM, SIGINT, SIGHUP) {}
 
-  void TakeOperatorRows(const platform::Rows& rows, bool whole) {
+  /// Lets `take` take rows in, and acts on what has changed by them.
+  template <typename Take>
+  void ApplyOperatorRows(Take take) {
     const auto before = m_state.m_routes;
-    m_intake.TakeOperatorRows(rows, whole);
+    const uint64_t revision = m_state.m_operator_revision;
+    take();
+    // New weights take most of their bound to spread: targets hear of them now.
+    if (m_state.m_operator_revision > revision)
+      AskTargets(false);
     if (m_state.m_routes == before)
       return;
     const model::RoutingConfig& config = m_state.m_routes->config();
@@ -192,9 +206,11 @@
     const PeerEntry* reader = ReaderFor(m_state, Now());
     const bool lost = m_had_reader && !reader;
     m_had_reader = reader != nullptr;
-    if (lost ||
-        (reader && reader->m_operator_revision > m_state.m_operator_revision))
+    if (lost)
       m_operator_rows.Poke();
+    else if (reader && !m_fetching &&
+             reader->m_operator_revision > m_state.m_operator_revision)
+      Spawn(m_threads.main(), FetchFrom(reader->m_address.m_peers), "fetch");
     const bool differs =
         reader && reader->m_replicas_hash != m_state.m_replicas_hash;
     if (!lost && !differs) {
@@ -208,6 +224,31 @@
     }
   }
 
+  /// Takes the operator's rows over from the entry that reads, or asks the
+  /// store if that fails.
+  Awaitable<void> FetchFrom(Endpoint reader) {
+    m_fetching = true;
+    const auto rows = co_await links::FetchOperatorRows(m_store_http, reader);
+    m_fetching = false;
+    if (rows) {
+      ApplyOperatorRows([&] { m_intake.TakeRelayedRows(*rows); });
+      co_return;
+    }
+    LogLine("rows_not_relayed").With(rows.error()).Warn();
+    m_operator_rows.Poke();
+  }
+
+  Awaitable<void> TellRows(const wire::Request& request,
+                           wire::ResponseWriter& caller) {
+    if (request.m_path != links::kOperatorRowsPath || !m_state.m_routes) {
+      co_await caller.Send(wire::JsonResponse(404, "{}"));
+      co_return;
+    }
+    co_await caller.Send(wire::JsonResponse(
+        200, links::EncodeOperatorRows(m_intake.operator_rows(),
+                                       m_state.m_operator_proof)));
+  }
+
   void TakeMessage(const links::Message& message) {
     if (const auto* news = std::get_if<links::EntryNews>(&message)) {
       TakeNews(m_state, *news, Now());
@@ -304,22 +345,27 @@
 
   Awaitable<void> FollowTargets() {
     for (uint64_t round = 0;; ++round) {
-      for (const auto& [name, service] : m_state.m_services) {
-        if (!IsEngine(name))
-          continue;
-        for (const auto& [id, replica] : service.m_pool.m_replicas) {
-          links::FollowRequest request;
-          request.m_operator_revision = m_state.m_operator_revision;
-          request.m_near = replica.m_replica.m_data_center ==
-                           m_state.m_options.m_self.m_data_center;
-          if (request.m_near || round % kRoundsToFollowFar == 0)
-            m_datagrams.Send(TargetOf(replica), request);
-        }
-      }
+      AskTargets(round % kRoundsToFollowFar == 0);
       co_await Sleep(kFollowInterval);
     }
   }
 
+  /// Asks targets for their news and tells them which change is the newest.
+  void AskTargets(bool far_too) {
+    for (const auto& [name, service] : m_state.m_services) {
+      if (!IsEngine(name))
+        continue;
+      for (const auto& [id, replica] : service.m_pool.m_replicas) {
+        links::FollowRequest request;
+        request.m_operator_revision = m_state.m_operator_revision;
+        request.m_near = replica.m_replica.m_data_center ==
+                         m_state.m_options.m_self.m_data_center;
+        if (request.m_near || far_too)
+          m_datagrams.Send(TargetOf(replica), request);
+      }
+    }
+  }
+
   bool IsEngine(const std::string& name) const {
     const model::Service* service =
         m_state.m_routes ? m_state.m_routes->FindService(name) : nullptr;
@@ -389,11 +435,13 @@
   http::Server m_callers;
   http::Server m_readiness;
   http::Server m_directory;
+  http::Server m_rows;
   http::Server m_metrics;
   asio::signal_set m_signals;
   /// What was told of the calls at each replica.
   std::map<std::string, links::ReplicaCalls> m_told_calls;
   bool m_had_reader = false;
+  bool m_fetching = false;
   TimePoint m_next_poke{};
 };
 
@@ -415,6 +463,7 @@
       {&parts.m_callers, options.m_self.m_callers},
       {&parts.m_readiness, options.m_readiness},
       {&parts.m_directory, options.m_directory},
+      {&parts.m_rows, options.m_self.m_peers},
       {&parts.m_metrics, options.m_metrics}};
   for (const auto& [server, endpoint] : servers) {
     if (endpoint.empty())
--- a/src/libverbenalead/entry/row_intake.cc
+++ b/src/libverbenalead/entry/row_intake.cc
@@ -44,30 +44,43 @@
 
 }  // namespace
 
-void RowIntake::TakeOperatorRows(const platform::Rows& rows, bool whole) {
+void RowIntake::KeepOperatorRows(const platform::Rows& rows,
+                                 Duration binding_in) {
   for (const platform::Row& row : rows.m_rows) {
+    platform::Row& kept = m_operator_rows[row.m_key];
+    if (row.m_revision <= kept.m_revision)
+      continue;
+    kept = row;
+    m_state.m_operator_revision =
+        std::max(m_state.m_operator_revision, row.m_revision);
     if (row.m_deleted)
       continue;
     if (row.m_key == platform::kConfigKey)
       TakeConfig(row.m_value);
     else if (row.m_key.starts_with(platform::kWeightsKeyPrefix))
-      TakeWeights(row.m_value,
-                  whole && !m_weights_seen
-                      ? kBindingAfterStart
-                      : m_state.m_options.m_weights_bound - kBindingMargin);
+      TakeWeights(row.m_value, binding_in);
   }
+}
+
+void RowIntake::TakeOperatorRows(const platform::Rows& rows, bool whole) {
+  const Duration usual = m_state.m_options.m_weights_bound - kBindingMargin;
+  KeepOperatorRows(rows, whole && !m_weights_seen ? kBindingAfterStart : usual);
   if (whole)
     m_weights_seen = true;
-  for (const platform::Row& row : rows.m_rows) {
-    m_state.m_operator_revision =
-        std::max(m_state.m_operator_revision, row.m_revision);
-  }
   m_state.m_operator_proof = rows.m_store_time;
   decide::Prove(m_state.m_lease,
                 decide::AnsweredAt(m_state.m_store_clock, rows.m_asked_at,
                                    rows.m_store_time));
 }
 
+void RowIntake::TakeRelayedRows(const platform::Rows& rows) {
+  KeepOperatorRows(rows, m_state.m_options.m_weights_bound - kBindingMargin);
+  if (m_state.m_store_clock.m_offset) {
+    decide::Prove(m_state.m_lease,
+                  rows.m_store_time + *m_state.m_store_clock.m_offset);
+  }
+}
+
 void RowIntake::TakeConfig(const std::string& text) {
   auto config = CatchFailure([&] { return platform::DecodeConfig(text); });
   if (!config) {
--- a/src/libverbenalead/entry/row_intake.h
+++ b/src/libverbenalead/entry/row_intake.h
@@ -17,6 +17,13 @@
 
   /// The operator's table: the configuration and the versions of weights.
   void TakeOperatorRows(const platform::Rows& rows, bool whole);
+  /// The same rows as a near entry has them. Its proof counts if it isn't later
+  /// than the truth, which the store's clock tells.
+  void TakeRelayedRows(const platform::Rows& rows);
+  /// The newest rows of the operator's table.
+  const std::map<std::string, platform::Row>& operator_rows() const {
+    return m_operator_rows;
+  }
   /// The table of replicas. `regained_at`: when the store was last regained.
   void TakeReplicaRows(const platform::Rows& rows,
                        bool whole,
@@ -25,6 +32,7 @@
   void TakeEntryRows(const platform::Rows& rows);
 
  private:
+  void KeepOperatorRows(const platform::Rows& rows, Duration binding_in);
   void TakeConfig(const std::string& text);
   void TakeWeights(const std::string& text, Duration binding_in);
   void TakeReplicaRow(const platform::Row& row);
@@ -32,6 +40,7 @@
 
   EntryState& m_state;
   bool m_weights_seen = false;
+  std::map<std::string, platform::Row> m_operator_rows;
   std::map<std::string, model::Replica> m_replicas;
 };
 
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
+#include "decide/rendezvous.h"
 #include "decide/transfer.h"
 
 namespace verbenalead::target {
@@ -32,14 +33,18 @@
 constexpr uint32_t kOriginBudgetPercent = 103;
 constexpr Duration kAskTimeout = 1s;
 constexpr Duration kOriginTimeout = 3s;
-/// Hosts that are asked for the digests before the origin is.
+/// Hosts that ask the origin for the digests of a version, and how many of them
+/// each other host asks. 76 hosts that all asked the origin held up its first
+/// chunks by half a second.
+constexpr uint64_t kDigestReaders = 4;
 constexpr size_t kHostsAsked = 2;
 constexpr Duration kDigestsTimeout = 300ms;
 constexpr int kDigestTries = 3;
-/// Pause after the digests couldn't be had. The origin takes few connections;
-/// 31 new hosts that asked 10 times a second each kept all others out.
-constexpr Duration kLeastDigestsPause = 200ms;
-constexpr Duration kMostDigestsPause = 500ms;
+/// A host that learns nothing from those asks the origin itself after this.
+constexpr Duration kDigestsPatience = 1s;
+/// Pause after the digests couldn't be had.
+constexpr Duration kLeastDigestsPause = 80ms;
+constexpr Duration kMostDigestsPause = 160ms;
 constexpr Duration kMembersInterval = 500ms;
 /// A transfer without a chunk for so long, ten times the time of one, stands
 /// still.
@@ -152,14 +157,47 @@
     co_return true;
   if (Now() < m_next_digests)
     co_return false;
+  if (m_digests_version != version) {
+    m_digests_version = version;
+    m_digests_since = Now();
+  }
   // What the origin sends may be wrong, and so may be what another host took
   // from it: two answers must agree.
   std::vector<std::vector<Digest>> answers = co_await DigestsFromHosts(version);
+  auto agreed = FindAgreed(answers);
+  if (!agreed &&
+      (ReadsDigests(version) || Now() - m_digests_since > kDigestsPatience))
+    agreed = co_await DigestsFromOrigin(version, std::move(answers));
+  if (agreed) {
+    m_state.m_cache.Begin(version, std::move(*agreed));
+    co_return true;
+  }
+  m_next_digests = Now() + Duration(std::uniform_int_distribution<int64_t>(
+                               kLeastDigestsPause.count(),
+                               kMostDigestsPause.count())(m_state.m_random));
+  co_return false;
+}
+
+std::set<std::string> ChunkFetcher::DigestReaders(uint64_t version) const {
+  std::vector<std::string> hosts = {m_state.m_options.m_peers.address()};
+  for (const decide::TransferMember& member : OtherMembers())
+    hosts.push_back(member.m_name);
+  std::sort(hosts.begin(), hosts.end());
+  std::set<std::string> readers;
+  for (uint64_t number = 0; number < kDigestReaders; ++number)
+    readers.insert(decide::RendezvousChoice(
+        hosts, static_cast<uint32_t>(version * kDigestReaders + number)));
+  return readers;
+}
+
+bool ChunkFetcher::ReadsDigests(uint64_t version) const {
+  return DigestReaders(version).contains(m_state.m_options.m_peers.address());
+}
+
+Awaitable<std::optional<std::vector<Digest>>> ChunkFetcher::DigestsFromOrigin(
+    uint64_t version,
+    std::vector<std::vector<Digest>> answers) {
   for (int tries = 0; tries < kDigestTries; ++tries) {
-    if (auto digests = FindAgreed(answers)) {
-      m_state.m_cache.Begin(version, std::move(*digests));
-      co_return true;
-    }
     auto digests = co_await m_origin.ReadDigests(
         m_state.m_origin, m_state.m_engine->m_model, version,
         Now() + kOriginTimeout);
@@ -172,28 +210,25 @@
     }
     if (digests->size() == m_state.m_engine->m_chunks)
       answers.push_back(std::move(*digests));
+    if (auto agreed = FindAgreed(answers))
+      co_return agreed;
   }
-  if (auto digests = FindAgreed(answers)) {
-    m_state.m_cache.Begin(version, std::move(*digests));
-    co_return true;
-  }
-  m_next_digests = Now() + Duration(std::uniform_int_distribution<int64_t>(
-                               kLeastDigestsPause.count(),
-                               kMostDigestsPause.count())(m_state.m_random));
-  co_return false;
+  co_return std::nullopt;
 }
 
 Awaitable<std::vector<std::vector<Digest>>> ChunkFetcher::DigestsFromHosts(
     uint64_t version) {
   std::vector<std::vector<Digest>> answers;
-  std::vector<decide::TransferMember> members = OtherMembers();
-  std::shuffle(members.begin(), members.end(), m_state.m_random);
-  if (members.size() > kHostsAsked)
-    members.resize(kHostsAsked);
-  for (const decide::TransferMember& member : members) {
+  std::set<std::string> readers = DigestReaders(version);
+  readers.erase(m_state.m_options.m_peers.address());
+  std::vector<std::string> hosts(readers.begin(), readers.end());
+  std::shuffle(hosts.begin(), hosts.end(), m_state.m_random);
+  if (hosts.size() > kHostsAsked)
+    hosts.resize(kHostsAsked);
+  for (const std::string& host : hosts) {
     wire::Request request;
     request.m_path = DigestsPath(m_state.m_engine->m_model, version);
-    const Endpoint endpoint(member.m_name, m_state.m_options.m_peers.port());
+    const Endpoint endpoint(host, m_state.m_options.m_peers.port());
     auto response = co_await wire::Fetch(m_peers, endpoint, std::move(request),
                                          Now() + kDigestsTimeout);
     if (!response || response->m_status != 200)
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -3,6 +3,10 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
 
 #include "decide/transfer_member.h"
 #include "links/chunk_news.h"
@@ -40,6 +44,13 @@
  private:
   struct Transfer;
 
+  /// Hosts that ask the origin for the digests of `version`.
+  std::set<std::string> DigestReaders(uint64_t version) const;
+  bool ReadsDigests(uint64_t version) const;
+  /// What two of `answers` and of the origin's say.
+  Awaitable<std::optional<std::vector<Digest>>> DigestsFromOrigin(
+      uint64_t version,
+      std::vector<std::vector<Digest>> answers);
   /// Digests that other hosts tell, as many as answer.
   Awaitable<std::vector<std::vector<Digest>>> DigestsFromHosts(
       uint64_t version);
@@ -64,6 +75,9 @@
   std::shared_ptr<Transfer> m_transfer;
   /// The digests aren't asked for before.
   TimePoint m_next_digests{};
+  /// Since when the digests of this version are wanted.
+  uint64_t m_digests_version = 0;
+  TimePoint m_digests_since{};
 };
 
 /// Where other targets get the digests of a version, a line each.
--- a/src/libverbenalead/target/engine_keeper.cc
+++ b/src/libverbenalead/target/engine_keeper.cc
@@ -167,6 +167,9 @@
     co_await Obtain(version);
     co_return;
   }
+  // The newest comes in while this one is staged and loaded.
+  if (m_fetcher.version() == 0)
+    co_await Obtain(NewestVersion(m_state));
   if (m_staged != version) {
     if (co_await StageAll(version))
       m_staged = version;
@@ -175,8 +178,6 @@
   // An engine without weights is of no use until it has some.
   if (Loaded() == 0 || Now() >= Turn(*plan))
     co_await Load(version);
-  else
-    co_await Obtain(NewestVersion(m_state));
 }
 
 Awaitable<void> EngineKeeper::Obtain(uint64_t version) {
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -14,6 +14,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "links/datagrams.h"
+#include "links/operator_rows.h"
 #include "links/table_follower.h"
 #include "platform/names.h"
 #include "platform/store.h"
@@ -267,6 +268,20 @@
     return Now() - m_told_at < kUntoldAfter ? kToldPace : kUntoldPace;
   }
 
+  /// Takes the operator's rows over from a near entry, or asks the store if
+  /// that fails.
+  Awaitable<void> FetchFrom(Endpoint entry) {
+    m_fetching = true;
+    const auto rows = co_await links::FetchOperatorRows(m_http, entry);
+    m_fetching = false;
+    if (rows) {
+      TakeOperatorRows(*rows);
+      co_return;
+    }
+    LogLine("rows_not_relayed").With(rows.error()).Warn();
+    m_operator_rows.Poke();
+  }
+
   void TakeOperatorRows(const platform::Rows& rows) {
     for (const platform::Row& row : rows.m_rows)
       m_operator_revision = std::max(m_operator_revision, row.m_revision);
@@ -286,8 +301,12 @@
       return;
     }
     m_told_at = Now();
-    if (request.m_operator_revision > m_operator_revision)
-      m_operator_rows.Poke();
+    if (request.m_operator_revision > m_operator_revision && !m_fetching) {
+      if (request.m_near)
+        Spawn(m_threads.main(), FetchFrom(sender), "fetch");
+      else
+        m_operator_rows.Poke();
+    }
     EntryFollower& follower = m_entries[sender];
     follower.m_until = until;
     follower.m_near = request.m_near;
@@ -426,6 +445,7 @@
   uint64_t m_operator_revision = 0;
   /// When an entry last told of its own.
   TimePoint m_told_at{};
+  bool m_fetching = false;
   TimePoint m_next_poke{};
   /// Who wants news, until when.
   std::map<Endpoint, TimePoint> m_chunk_followers;
