--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -17,6 +17,7 @@
 #include "http/server.h"
 #include "links/datagrams.h"
 #include "links/operator_rows.h"
+#include "links/process_servers.h"
 #include "links/table_follower.h"
 #include "platform/directory_calls.h"
 #include "platform/names.h"
@@ -145,12 +146,7 @@
             [this](const wire::Request& request, wire::ResponseWriter& caller) {
               return TellRows(request, caller);
             }),
-        m_metrics(
-            m_threads,
-            {},
-            [this](const wire::Request& request, wire::ResponseWriter& caller) {
-              return TellMetrics(request, caller);
-            }),
+        m_metrics(m_threads, {}, links::MetricsHandler(m_state.m_metrics)),
         m_signals(m_threads.main(), SIGTERM, SIGINT, SIGHUP) {}
 
   /// Lets `take` take rows in, and acts on what has changed by them.
@@ -191,14 +187,6 @@
         kAddressesHold));
   }
 
-  Awaitable<void> TellMetrics(const wire::Request&,
-                              wire::ResponseWriter& caller) {
-    wire::Response response;
-    response.m_headers["content-type"] = "text/plain; version=0.0.4";
-    response.m_body = m_state.m_metrics.Text();
-    co_await caller.Send(std::move(response));
-  }
-
   links::FollowPace PaceOf(const links::FollowPace& own) const {
     return ReaderFor(m_state, Now()) ? kReadForPace : own;
   }
@@ -464,21 +452,12 @@
       .With("callers", ToString(options.m_self.m_callers))
       .With("store", ToString(options.m_store))
       .Info();
-  const std::pair<http::Server*, Endpoint> servers[] = {
-      {&parts.m_callers, options.m_self.m_callers},
-      {&parts.m_readiness, options.m_readiness},
-      {&parts.m_directory, options.m_directory},
-      {&parts.m_rows, options.m_self.m_peers},
-      {&parts.m_metrics, options.m_metrics}};
-  for (const auto& [server, endpoint] : servers) {
-    if (endpoint.empty())
-      continue;
-    const auto listening = server->Listen(endpoint);
-    if (!listening) {
-      LogLine("cannot_listen").With(listening.error()).Error();
-      return 1;
-    }
-  }
+  if (!links::ListenAll({{&parts.m_callers, options.m_self.m_callers},
+                         {&parts.m_readiness, options.m_readiness},
+                         {&parts.m_directory, options.m_directory},
+                         {&parts.m_rows, options.m_self.m_peers},
+                         {&parts.m_metrics, options.m_metrics}}))
+    return 1;
   const auto main = parts.m_threads.main();
   SpawnLoop(main, parts.m_operator_rows.Run(), "operator_rows");
   SpawnLoop(main, parts.m_replica_rows.Run(), "replica_rows");
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -15,6 +15,7 @@
 #include "http/server.h"
 #include "links/datagrams.h"
 #include "links/operator_rows.h"
+#include "links/process_servers.h"
 #include "links/table_follower.h"
 #include "platform/names.h"
 #include "platform/store.h"
@@ -114,12 +115,7 @@
             [this](const wire::Request& request, wire::ResponseWriter& caller) {
               return TellWeights(request, caller);
             }),
-        m_metrics(
-            m_threads,
-            {},
-            [this](const wire::Request& request, wire::ResponseWriter& caller) {
-              return TellMetrics(request, caller);
-            }),
+        m_metrics(m_threads, {}, links::MetricsHandler(m_state.m_metrics)),
         m_signals(m_threads.main(), SIGTERM, SIGINT, SIGHUP) {}
 
   Awaitable<void> TellWeights(const wire::Request& request,
@@ -177,14 +173,6 @@
     return path.substr(0, path.rfind('/') + 1);
   }
 
-  Awaitable<void> TellMetrics(const wire::Request&,
-                              wire::ResponseWriter& caller) {
-    wire::Response response;
-    response.m_headers["content-type"] = "text/plain; version=0.0.4";
-    response.m_body = m_state.m_metrics.Text();
-    co_await caller.Send(std::move(response));
-  }
-
   void TakeMessage(const Endpoint& sender, const links::Message& message) {
     if (const auto* follow = std::get_if<links::FollowRequest>(&message)) {
       TakeFollower(sender, *follow);
@@ -468,18 +456,9 @@
       .With("engine", ToString(options.m_engine))
       .With("store", ToString(options.m_store))
       .Info();
-  const std::pair<http::Server*, Endpoint> servers[] = {
-      {&parts.m_chunks, options.m_peers},
-      {&parts.m_metrics, options.m_metrics}};
-  for (const auto& [server, endpoint] : servers) {
-    if (endpoint.empty())
-      continue;
-    const auto listening = server->Listen(endpoint);
-    if (!listening) {
-      LogLine("cannot_listen").With(listening.error()).Error();
-      return 1;
-    }
-  }
+  if (!links::ListenAll({{&parts.m_chunks, options.m_peers},
+                         {&parts.m_metrics, options.m_metrics}}))
+    return 1;
   const auto main = parts.m_threads.main();
   SpawnLoop(main, parts.m_operator_rows.Run(), "operator_rows");
   SpawnLoop(main, parts.m_replica_rows.Run(), "replica_rows");
