Let one entry take over reading the store, and relay the rows of replicas

While the configuration changed five times a second and hosts were added, the entry that reads the store for its data centre got its answers late; all 14 neighbours then turned to the store at once, each change crossed the link between regions 15 times, and answers stayed late for good. Questions that already relayed rows answered were asked again, as relays didn't advance the follower; 24 added hosts read each of 25 changes; entries that the store turned away asked it four times a second for each table; each change of the replicas made each entry ask.

Ruled out: chunks of weights (from_far 0 to 5 of 48 in the transfers' new log line); the processor of the entry that reads; a cut.

Now: neighbours take over in turn (decide/reading_turn), rows of replicas come from the entry that reads, relays advance the follower, rows are taken over from any near entry that is ahead, quick changes are read together, an entry that the store doesn't answer follows any other that reads, and a host that nobody tells yet asks every 1.5 s (decide/change_source).

--- /dev/null
+++ b/src/libverbenalead/decide/reading_turn.cc
@@ -0,0 +1,39 @@
+#include "decide/reading_turn.h"
+
+namespace verbenalead::decide {
+namespace {
+
+/// The lost reader, as long as it is heard of, and the first to take over.
+constexpr size_t kFirst = 1;
+constexpr size_t kSecond = 3;
+/// Time for one that comes first to ask the store, 10 ms, and to tell the
+/// others, 100 ms.
+constexpr Duration kSecondDelay = 200ms;
+/// A reader is missed 1.5 s after its last answer, and what changed must be in
+/// force after 2 s; so none waits longer than this.
+constexpr Duration kLastDelay = 350ms;
+
+Duration DelayFor(size_t before) {
+  if (before <= kFirst)
+    return Duration();
+  return before <= kSecond ? kSecondDelay : kLastDelay;
+}
+
+}  // namespace
+
+Reading NextReading(ReadingTurn& turn,
+                    bool has_reader,
+                    size_t before,
+                    TimePoint now) {
+  if (has_reader) {
+    turn.m_had_reader = true;
+    return Reading::kFromPeer;
+  }
+  if (turn.m_had_reader) {
+    turn.m_had_reader = false;
+    turn.m_own_from = now + DelayFor(before);
+  }
+  return now < turn.m_own_from ? Reading::kWaiting : Reading::kOwn;
+}
+
+}  // namespace verbenalead::decide
--- /dev/null
+++ b/src/libverbenalead/decide/reading_turn_test.cc
@@ -0,0 +1,81 @@
+#include "decide/reading_turn.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace verbenalead::decide {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+/// From the question to the store until the others hear of its answer.
+constexpr Duration kTakesOver = 120ms;
+constexpr Duration kTick = 50ms;
+
+class ReadingTurnTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReadingTurnTest);
+  CPPUNIT_TEST(OneTakesOverWhereTheReaderIsLost);
+  CPPUNIT_TEST(AllReadWhereNobodyCanTell);
+  CPPUNIT_TEST(ReadsAtOnceAfterItsStart);
+  CPPUNIT_TEST(ReturnsToThePeerThatReads);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Callers are served by a configuration that is many seconds old: the entry
+  // that reads the store for its 14 neighbours loses it. All 14 turned to the
+  // store at once, filled the link to it, and none was answered in time.
+  void OneTakesOverWhereTheReaderIsLost() {
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, CountReaders(true));
+  }
+
+  // Changes would stay unknown: no neighbour gets an answer. Within 0.35 s each
+  // entry asks for itself.
+  void AllReadWhereNobodyCanTell() {
+    CPPUNIT_ASSERT_EQUAL(size_t{14}, CountReaders(false));
+  }
+
+  void ReadsAtOnceAfterItsStart() {
+    ReadingTurn turn;
+    CPPUNIT_ASSERT(NextReading(turn, false, 9, kStart) == Reading::kOwn);
+  }
+
+  void ReturnsToThePeerThatReads() {
+    ReadingTurn turn;
+    NextReading(turn, true, 9, kStart);
+    CPPUNIT_ASSERT(NextReading(turn, false, 9, kStart) == Reading::kWaiting);
+    CPPUNIT_ASSERT(NextReading(turn, true, 9, kStart + kTick) ==
+                   Reading::kFromPeer);
+    CPPUNIT_ASSERT(NextReading(turn, false, 9, kStart + 1s) ==
+                   Reading::kWaiting);
+  }
+
+ private:
+  /// Entries that asked the store within a second after the reader was lost;
+  /// `heard`: the others hear of the first that took over.
+  size_t CountReaders(bool heard) {
+    std::vector<ReadingTurn> turns(14);
+    std::vector<bool> asked(14);
+    for (ReadingTurn& turn : turns)
+      NextReading(turn, true, 0, kStart);
+    TimePoint first{};
+    for (TimePoint now = kStart; now < kStart + 1s; now += kTick) {
+      const bool has_reader =
+          heard && first != TimePoint() && now >= first + kTakesOver;
+      for (size_t entry = 0; entry < turns.size(); ++entry) {
+        if (NextReading(turns[entry], has_reader, entry + 1, now) !=
+            Reading::kOwn)
+          continue;
+        asked[entry] = true;
+        if (first == TimePoint())
+          first = now;
+      }
+    }
+    return static_cast<size_t>(std::count(asked.begin(), asked.end(), true));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReadingTurnTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/entry/entry_news.cc
+++ b/src/libverbenalead/entry/entry_news.cc
@@ -30,11 +30,14 @@
 
 }  // namespace
 
+bool IsNear(const EntryState& state, const PeerEntry& peer) {
+  return peer.m_address.m_data_center == state.m_options.m_self.m_data_center;
+}
+
 bool IsHeard(const EntryState& state, const PeerEntry& peer, TimePoint now) {
-  const bool near =
-      peer.m_address.m_data_center == state.m_options.m_self.m_data_center;
   return peer.m_heard_at != TimePoint() &&
-         now - peer.m_heard_at < (near ? kNearSilence : kFarSilence);
+         now - peer.m_heard_at <
+             (IsNear(state, peer) ? kNearSilence : kFarSilence);
 }
 
 links::ReplicaCalls CallsAt(const decide::ReplicaState& replica) {
@@ -125,10 +128,9 @@
 
 const PeerEntry* ReaderFor(const EntryState& state, TimePoint now) {
   for (const auto& [host, peer] : state.m_peers) {
-    if (host >= state.m_options.m_self.m_host)
+    if (!state.m_store_lost && host >= state.m_options.m_self.m_host)
       break;
-    if (peer.m_address.m_data_center == state.m_options.m_self.m_data_center &&
-        IsHeard(state, peer, now) && peer.m_ready &&
+    if (IsNear(state, peer) && IsHeard(state, peer, now) && peer.m_ready &&
         peer.m_proved_at + kFreshProof > BootNow() &&
         now - peer.m_replicas_at < kFreshReplicas)
       return &peer;
@@ -136,6 +138,30 @@
   return nullptr;
 }
 
+const PeerEntry* AheadOf(const EntryState& state, TimePoint now) {
+  const PeerEntry* ahead = nullptr;
+  uint64_t newest = state.m_operator_revision;
+  for (const auto& [host, peer] : state.m_peers) {
+    if (!IsNear(state, peer) || !IsHeard(state, peer, now) ||
+        peer.m_operator_revision <= newest)
+      continue;
+    newest = peer.m_operator_revision;
+    ahead = &peer;
+  }
+  return ahead;
+}
+
+size_t EntriesBefore(const EntryState& state, TimePoint now) {
+  size_t before = 0;
+  for (const auto& [host, peer] : state.m_peers) {
+    if (host >= state.m_options.m_self.m_host)
+      break;
+    if (IsNear(state, peer) && IsHeard(state, peer, now))
+      ++before;
+  }
+  return before;
+}
+
 std::vector<Endpoint> EntriesFor(const EntryState& state,
                                  const std::string& data_center,
                                  TimePoint now) {
--- a/src/libverbenalead/entry/entry_news.h
+++ b/src/libverbenalead/entry/entry_news.h
@@ -7,6 +7,9 @@
 
 namespace verbenalead::entry {
 
+/// Whether it is in this entry's data centre.
+bool IsNear(const EntryState& state, const PeerEntry& peer);
+
 /// Whether the entry was heard of not long ago.
 bool IsHeard(const EntryState& state, const PeerEntry& peer, TimePoint now);
 
@@ -33,9 +36,17 @@
 /// made these calls the largest price of a calm day. So in each data centre the
 /// entry whose name is least reads, and tells the others by a hash of its list
 /// of replicas, the newest change of the operator's table, and the store's time
-/// of its proof; whoever has something else asks the store itself, at once.
+/// of its proof; whoever has something else takes it over from there. An entry
+/// that the store doesn't answer leaves it to any other one that reads.
 const PeerEntry* ReaderFor(const EntryState& state, TimePoint now);
 
+/// The near entry that knows the newest changes of the operator's table, or
+/// null if this entry knows them too.
+const PeerEntry* AheadOf(const EntryState& state, TimePoint now);
+
+/// How many near entries come before this one in the order of taking over.
+size_t EntriesBefore(const EntryState& state, TimePoint now);
+
 /// Entries that callers of `data_center` should use: those there, if there are
 /// enough of them, else all.
 std::vector<Endpoint> EntriesFor(const EntryState& state,
--- a/src/libverbenalead/entry/entry_state.cc
+++ b/src/libverbenalead/entry/entry_state.cc
@@ -22,6 +22,23 @@
   return found;
 }
 
+void UpdatePools(EntryState& state, TimePoint now) {
+  for (auto& [name, service] : state.m_services)
+    decide::DropMissing(service.m_pool, now);
+  if (!state.m_routes)
+    return;
+  for (const model::Service& service : state.m_routes->config().m_services) {
+    if (!service.m_engine)
+      continue;
+    // A replica without any weights takes no calls, whatever was declared.
+    const uint64_t binding =
+        decide::Binding(state.m_weights[service.m_engine->m_model], now);
+    decide::ReplicaPool& pool = StateOf(state, service.m_name).m_pool;
+    pool.m_required_weights = std::max<uint64_t>(1, binding);
+    pool.m_prefill_rate = service.m_engine->m_prefill_rate;
+  }
+}
+
 bool LeaseHolds(const EntryState& state) {
   if (!state.m_options.m_strict_keys)
     return true;
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -49,6 +49,10 @@
   /// The newest change of declared weights.
   uint64_t m_weights_revision = 0;
   Duration m_operator_proof{};
+  /// When the store's last answer about that table came.
+  TimePoint m_operator_answered_at{};
+  /// The store doesn't answer this entry.
+  bool m_store_lost = false;
   /// Stands for the list of replicas.
   uint64_t m_replicas_hash = 0;
   /// By service.
@@ -69,6 +73,10 @@
 /// The state of `service`, made where it wasn't known.
 ServiceState& StateOf(EntryState& state, const std::string& service);
 
+/// Which weights bind now and how fast engines read prompts, by service;
+/// replicas that lapsed long enough ago are dropped. Called often.
+void UpdatePools(EntryState& state, TimePoint now);
+
 /// Whether a call with a key may go through now.
 bool LeaseHolds(const EntryState& state);
 
--- /dev/null
+++ b/src/libverbenalead/entry/news_sender.cc
@@ -0,0 +1,89 @@
+#include "entry/news_sender.h"
+
+#include "entry/entry_news.h"
+
+namespace verbenalead::entry {
+namespace {
+
+/// Every so many times targets are told all, in case a datagram was lost.
+constexpr uint64_t kRoundsToTellAll = 12;
+/// If nothing changed, near entries are told 2.5 times a second, far ones every
+/// 1.6 s.
+constexpr uint64_t kRoundsToTellNear = 4;
+constexpr uint64_t kRoundsToTellFar = 16;
+
+}  // namespace
+
+void NewsSender::TellCalls() {
+  const bool all = ++m_call_rounds % kRoundsToTellAll == 0;
+  for (const auto& [name, service] : m_state.m_services) {
+    if (!IsEngine(name))
+      continue;
+    for (const auto& [id, replica] : service.m_pool.m_replicas)
+      TellCalls(replica, all && replica.m_in_flight > 0);
+  }
+}
+
+void NewsSender::TellCalls(const decide::ReplicaState& replica, bool again) {
+  const links::ReplicaCalls now = CallsAt(replica);
+  links::ReplicaCalls& told = m_told_calls[replica.m_replica.m_id];
+  if (now == told && !again)
+    return;
+  told = now;
+  m_datagrams.Send(TargetOf(replica),
+                   links::CallNews{replica.m_replica.m_id, now});
+}
+
+void NewsSender::TellEntries(bool took_over) {
+  const bool crashes = TakeOwnCrashes(m_state, Now());
+  links::EntryNews news = NewsOf(m_state);
+  ++m_news_rounds;
+  const bool changed = news.m_ready != m_last_news.m_ready || crashes;
+  const bool read =
+      news.m_operator_revision != m_last_news.m_operator_revision ||
+      news.m_replicas_hash != m_last_news.m_replicas_hash || took_over;
+  Broadcast(news, changed || read || m_news_rounds % kRoundsToTellNear == 0,
+            changed || m_news_rounds % kRoundsToTellFar == 0);
+  m_last_news = std::move(news);
+}
+
+void NewsSender::TellAllEntries() {
+  Broadcast(NewsOf(m_state), true, true);
+}
+
+void NewsSender::Broadcast(const links::EntryNews& news, bool near, bool far) {
+  if (!near && !far)
+    return;
+  for (const auto& [host, peer] : m_state.m_peers) {
+    if (IsNear(m_state, peer) ? near : far)
+      m_datagrams.Send(peer.m_address.m_peers, news);
+  }
+}
+
+void NewsSender::AskTargets(bool far) {
+  for (const auto& [name, service] : m_state.m_services) {
+    if (!IsEngine(name))
+      continue;
+    for (const auto& [id, replica] : service.m_pool.m_replicas) {
+      links::FollowRequest request;
+      request.m_weights_revision = m_state.m_weights_revision;
+      request.m_near = replica.m_replica.m_data_center ==
+                       m_state.m_options.m_self.m_data_center;
+      if (request.m_near || far)
+        m_datagrams.Send(TargetOf(replica), request);
+    }
+  }
+}
+
+Endpoint NewsSender::TargetOf(const decide::ReplicaState& replica) const {
+  return {replica.m_replica.m_endpoint.address(),
+          m_state.m_options.m_targets_port};
+}
+
+bool NewsSender::IsEngine(const std::string& name) const {
+  const model::Service* service =
+      m_state.m_routes ? m_state.m_routes->FindService(name) : nullptr;
+  return service && service->m_engine;
+}
+
+}  // namespace verbenalead::entry
--- /dev/null
+++ b/src/libverbenalead/entry/news_sender.h
@@ -0,0 +1,59 @@
+#ifndef VERBENALEAD_ENTRY_NEWS_SENDER_H_
+#define VERBENALEAD_ENTRY_NEWS_SENDER_H_
+
+#include <map>
+#include <string>
+
+#include "entry/entry_state.h"
+#include "links/datagrams.h"
+
+namespace verbenalead::entry {
+
+/// Tells other entries how this one is, and target processes what it has at
+/// their replicas. Not safe for concurrent use.
+class NewsSender {
+ public:
+  NewsSender(EntryState& state, links::Datagrams& datagrams)
+      : m_state(state), m_datagrams(datagrams) {}
+
+  /// Tells targets what has changed in the calls at their replicas, and at
+  /// times all anew. Called every kCallNewsInterval.
+  void TellCalls();
+  /// Tells one target; `again`: also what it was told before.
+  void TellCalls(const decide::ReplicaState& replica, bool again);
+
+  /// Tells the other entries how this one is: those near often, those far
+  /// seldom, all when it has changed. `took_over`: this one reads the store
+  /// since now. Called every kNewsInterval.
+  void TellEntries(bool took_over);
+  /// Tells all of them at once.
+  void TellAllEntries();
+
+  /// Asks targets for their news and tells them which change of weights is the
+  /// newest; those of other data centres only if `far` is set.
+  void AskTargets(bool far);
+
+ private:
+  void Broadcast(const links::EntryNews& news, bool near, bool far);
+  Endpoint TargetOf(const decide::ReplicaState& replica) const;
+  bool IsEngine(const std::string& name) const;
+
+  EntryState& m_state;
+  links::Datagrams& m_datagrams;
+  uint64_t m_call_rounds = 0;
+  uint64_t m_news_rounds = 0;
+  links::EntryNews m_last_news;
+  /// What was told of the calls at each replica.
+  std::map<std::string, links::ReplicaCalls> m_told_calls;
+};
+
+/// How often targets are told what changed in this entry's calls. In this time
+/// 11 calls begin at the users' peak, spread over 9 to 15 replicas of 16
+/// places.
+inline constexpr Duration kCallNewsInterval = 80ms;
+/// How often the other entries may be told how this one is.
+inline constexpr Duration kNewsInterval = 100ms;
+
+}  // namespace verbenalead::entry
+
+#endif  // VERBENALEAD_ENTRY_NEWS_SENDER_H_
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -3,7 +3,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
-#include <set>
 
 #include "base/io_threads.h"
 #include "base/log.h"
@@ -12,13 +11,12 @@
 #include "entry/call_server.h"
 #include "entry/entry_news.h"
 #include "entry/entry_state.h"
-#include "entry/row_intake.h"
+#include "entry/news_sender.h"
+#include "entry/row_sources.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "links/datagrams.h"
-#include "links/operator_rows.h"
 #include "links/process_servers.h"
-#include "links/table_follower.h"
 #include "platform/directory_calls.h"
 #include "platform/names.h"
 #include "platform/store.h"
@@ -28,30 +26,6 @@
 
 namespace asio = boost::asio;
 
-/// The operator's changes: the store holds the question for a quarter of the
-/// lease on keys, which each answer renews.
-constexpr links::FollowPace kOperatorPace = {1200ms, Duration()};
-/// Replicas: one that leaves must get no calls 2 s after it said so.
-constexpr links::FollowPace kReplicaPace = {Duration(), 900ms};
-/// Both while another entry reads for this one, in case that all its news were
-/// lost.
-constexpr links::FollowPace kReadForPace = {Duration(), 10s};
-/// A list that differs from the reader's is asked for no more often than this.
-constexpr Duration kPokeInterval = 300ms;
-/// Changes that come in quick succession are taken over together. The bound is
-/// 2 s, and the entry that reads hands 100 KB to each of its neighbours.
-constexpr Duration kFetchInterval = 400ms;
-/// How often targets are told what changed in this entry's calls. In this time
-/// 11 calls begin at the users' peak, spread over 9 to 15 replicas of 16
-/// places.
-constexpr Duration kCallNewsInterval = 80ms;
-/// Every so many times they are told all, in case a datagram was lost.
-constexpr uint64_t kRoundsToTellAll = 12;
-/// How often the other entries are told how this one is, if nothing changed:
-/// near ones 2.5 times a second, far ones every 1.6 s.
-constexpr Duration kNewsInterval = 100ms;
-constexpr uint64_t kRoundsToTellNear = 4;
-constexpr uint64_t kRoundsToTellFar = 16;
 /// How often target processes are asked for their news, and what is past is
 /// forgotten.
 constexpr Duration kFollowInterval = 1s;
@@ -95,33 +69,19 @@
         m_store_http(StoreConnections()),
         m_store(m_store_http, m_state.m_options.m_store),
         m_datagrams(m_threads.main(), m_state.m_options.m_self.m_peers),
+        m_news(m_state, m_datagrams),
         m_asker(m_state, m_datagrams),
         m_places(m_state,
                  m_asker,
                  [this](const decide::ReplicaState& replica) {
-                   TellCalls(replica, true);
+                   m_news.TellCalls(replica, true);
                  }),
         m_calls(m_state, m_places, m_replica_http),
-        m_intake(m_state),
-        m_operator_rows(
-            m_threads.main(),
-            m_store,
-            platform::kOperatorTable,
-            [this] { return PaceOf(kOperatorPace); },
-            [this](const platform::Rows& rows, bool whole) {
-              ApplyOperatorRows(
-                  [&] { m_intake.TakeOperatorRows(rows, whole); });
-            }),
-        m_replica_rows(
-            m_threads.main(),
-            m_store,
-            platform::kReplicaTable,
-            [this] { return PaceOf(kReplicaPace); },
-            [this](const platform::Rows& rows, bool whole) {
-              m_intake.TakeReplicaRows(rows, whole,
-                                       m_replica_rows.regained_at());
-              m_places.WakeAll();
-            }),
+        m_rows(m_threads.main(),
+               m_state,
+               m_store,
+               m_store_http,
+               [this] { ApplyRows(); }),
         m_callers(
             m_threads,
             {},
@@ -140,26 +100,26 @@
             [this](const wire::Request& request, wire::ResponseWriter& caller) {
               return TellAddresses(request, caller);
             }),
-        m_rows(
+        m_row_server(
             m_threads,
             {},
             [this](const wire::Request& request, wire::ResponseWriter& caller) {
-              return TellRows(request, caller);
+              return m_rows.TellRows(request, caller);
             }),
         m_metrics(m_threads, {}, links::MetricsHandler(m_state.m_metrics)),
         m_signals(m_threads.main(), SIGTERM, SIGINT, SIGHUP) {}
 
-  /// Lets `take` take rows in, and acts on what has changed by them.
-  template <typename Take>
-  void ApplyOperatorRows(Take take) {
-    const auto before = m_state.m_routes;
-    const uint64_t revision = m_state.m_weights_revision;
-    take();
+  /// Acts on what rows have changed.
+  void ApplyRows() {
+    m_places.WakeAll();
     // New weights take most of their bound to spread: targets hear of them now.
-    if (m_state.m_weights_revision > revision)
-      AskTargets(false);
-    if (m_state.m_routes == before)
+    if (m_state.m_weights_revision > m_told_weights) {
+      m_told_weights = m_state.m_weights_revision;
+      m_news.AskTargets(false);
+    }
+    if (m_state.m_routes == m_applied_routes)
       return;
+    m_applied_routes = m_state.m_routes;
     const model::RoutingConfig& config = m_state.m_routes->config();
     http::ServerLimits limits;
     limits.m_max_header = config.m_max_header_bytes;
@@ -187,64 +147,10 @@
         kAddressesHold));
   }
 
-  links::FollowPace PaceOf(const links::FollowPace& own) const {
-    return ReaderFor(m_state, Now()) ? kReadForPace : own;
-  }
-
-  /// Asks the store at once where the near entry that reads has something else,
-  /// and again for itself where there is none any more.
-  void CompareWithReader() {
-    const PeerEntry* reader = ReaderFor(m_state, Now());
-    const bool lost = m_had_reader && !reader;
-    m_had_reader = reader != nullptr;
-    if (lost)
-      m_operator_rows.Poke();
-    else if (reader && !m_fetching && Now() >= m_next_fetch &&
-             reader->m_operator_revision > m_state.m_operator_revision)
-      Spawn(m_threads.main(), FetchFrom(reader->m_address.m_peers), "fetch");
-    const bool differs =
-        reader && reader->m_replicas_hash != m_state.m_replicas_hash;
-    if (!lost && !differs) {
-      if (reader)
-        m_state.m_replicas_at = Now();
-      return;
-    }
-    if (Now() >= m_next_poke) {
-      m_next_poke = Now() + kPokeInterval;
-      m_replica_rows.Poke();
-    }
-  }
-
-  /// Takes the operator's rows over from the entry that reads, or asks the
-  /// store if that fails.
-  Awaitable<void> FetchFrom(Endpoint reader) {
-    m_fetching = true;
-    m_next_fetch = Now() + kFetchInterval;
-    const auto rows = co_await links::FetchOperatorRows(m_store_http, reader);
-    m_fetching = false;
-    if (rows) {
-      ApplyOperatorRows([&] { m_intake.TakeRelayedRows(*rows); });
-      co_return;
-    }
-    LogLine("rows_not_relayed").With(rows.error()).Warn();
-    m_operator_rows.Poke();
-  }
-
-  Awaitable<void> TellRows(const wire::Request& request,
-                           wire::ResponseWriter& caller) {
-    if (request.m_path != links::kOperatorRowsPath || !m_state.m_routes) {
-      co_await caller.Send(wire::JsonResponse(404, "{}"));
-      co_return;
-    }
-    co_await caller.Send(wire::JsonResponse(
-        200, links::EncodeOperatorRows(m_intake.operator_rows(),
-                                       m_state.m_operator_proof)));
-  }
-
   void TakeMessage(const links::Message& message) {
     if (const auto* news = std::get_if<links::EntryNews>(&message)) {
       TakeNews(m_state, *news, Now());
-      CompareWithReader();
+      m_rows.Compare();
     } else if (const auto* replica = std::get_if<links::ReplicaNews>(&message))
       TakeNews(m_state, *replica, Now());
     else if (const auto* answer = std::get_if<links::PlaceAnswer>(&message))
@@ -252,118 +158,30 @@
     m_places.WakeAll();
   }
 
-  /// What binds now, and what engines can do, by service.
-  void UpdatePools() {
-    for (auto& [name, service] : m_state.m_services)
-      decide::DropMissing(service.m_pool, Now());
-    if (!m_state.m_routes)
-      return;
-    for (const model::Service& service :
-         m_state.m_routes->config().m_services) {
-      if (!service.m_engine)
-        continue;
-      // A replica without any weights takes no calls, whatever was declared.
-      const uint64_t binding =
-          decide::Binding(m_state.m_weights[service.m_engine->m_model], Now());
-      decide::ReplicaPool& pool = StateOf(m_state, service.m_name).m_pool;
-      pool.m_required_weights = std::max<uint64_t>(1, binding);
-      pool.m_prefill_rate = service.m_engine->m_prefill_rate;
-    }
-  }
-
-  /// Tells target processes what this entry has at their replicas.
   Awaitable<void> SendCallNews() {
-    uint64_t round = 0;
     while (true) {
       co_await Sleep(kCallNewsInterval);
-      UpdatePools();
+      UpdatePools(m_state, Now());
       m_places.WakeAll();
-      const bool all = ++round % kRoundsToTellAll == 0;
-      for (const auto& [name, service] : m_state.m_services) {
-        if (!IsEngine(name))
-          continue;
-        for (const auto& [id, replica] : service.m_pool.m_replicas)
-          TellCalls(replica, all && replica.m_in_flight > 0);
-      }
+      m_news.TellCalls();
     }
   }
 
-  /// Tells what has changed, or `again` what was told before.
-  void TellCalls(const decide::ReplicaState& replica, bool again) {
-    const links::ReplicaCalls now = CallsAt(replica);
-    links::ReplicaCalls& told = m_told_calls[replica.m_replica.m_id];
-    if (now == told && !again)
-      return;
-    told = now;
-    m_datagrams.Send(TargetOf(replica),
-                     links::CallNews{replica.m_replica.m_id, now});
-  }
-
-  Endpoint TargetOf(const decide::ReplicaState& replica) const {
-    return {replica.m_replica.m_endpoint.address(),
-            m_state.m_options.m_targets_port};
-  }
-
-  /// Tells the other entries how this one is: those near often, those far
-  /// seldom, all when it has changed.
   Awaitable<void> SendNews() {
-    links::EntryNews last;
-    uint64_t round = 0;
     while (true) {
       co_await Sleep(kNewsInterval);
-      CompareWithReader();
-      const bool crashes = TakeOwnCrashes(m_state, Now());
-      links::EntryNews news = NewsOf(m_state);
-      ++round;
-      const bool changed = news.m_ready != last.m_ready || crashes;
-      const bool read = news.m_operator_revision != last.m_operator_revision ||
-                        news.m_replicas_hash != last.m_replicas_hash;
-      Broadcast(news, changed || read || round % kRoundsToTellNear == 0,
-                changed || round % kRoundsToTellFar == 0);
-      last = std::move(news);
-    }
-  }
-
-  void Broadcast(const links::EntryNews& news, bool near, bool far) {
-    if (!near && !far)
-      return;
-    for (const auto& [host, peer] : m_state.m_peers) {
-      const bool is_near = peer.m_address.m_data_center ==
-                           m_state.m_options.m_self.m_data_center;
-      if (is_near ? near : far)
-        m_datagrams.Send(peer.m_address.m_peers, news);
+      m_rows.Compare();
+      m_news.TellEntries(m_rows.HasTakenOver());
     }
   }
 
   Awaitable<void> FollowTargets() {
     for (uint64_t round = 0;; ++round) {
-      AskTargets(round % kRoundsToFollowFar == 0);
+      m_news.AskTargets(round % kRoundsToFollowFar == 0);
       co_await Sleep(kFollowInterval);
     }
   }
 
-  /// Asks targets for their news and tells them which change is the newest.
-  void AskTargets(bool far_too) {
-    for (const auto& [name, service] : m_state.m_services) {
-      if (!IsEngine(name))
-        continue;
-      for (const auto& [id, replica] : service.m_pool.m_replicas) {
-        links::FollowRequest request;
-        request.m_weights_revision = m_state.m_weights_revision;
-        request.m_near = replica.m_replica.m_data_center ==
-                         m_state.m_options.m_self.m_data_center;
-        if (request.m_near || far_too)
-          m_datagrams.Send(TargetOf(replica), request);
-      }
-    }
-  }
-
-  bool IsEngine(const std::string& name) const {
-    const model::Service* service =
-        m_state.m_routes ? m_state.m_routes->FindService(name) : nullptr;
-    return service && service->m_engine;
-  }
-
   /// Makes this entry known and learns of the others.
   Awaitable<void> KeepRegistered() {
     bool registered = false;
@@ -378,7 +196,7 @@
       }
       const auto rows = co_await m_store.ReadTable(platform::kEntryTable);
       if (rows)
-        m_intake.TakeEntryRows(*rows);
+        m_rows.intake().TakeEntryRows(*rows);
       const bool settled = registered && rows.has_value();
       co_await Sleep(settled ? kEntryTableInterval : kEntryTableRetry);
     }
@@ -401,7 +219,7 @@
     LogLine("stopping").With("calls", m_callers.busy()).Info();
     m_state.m_stopping = true;
     m_callers.Drain();
-    Broadcast(NewsOf(m_state), true, true);
+    m_news.TellAllEntries();
     co_await Sleep(kTakeCallsFor);
     m_callers.StopAccepting();
     m_directory.StopAccepting();
@@ -418,24 +236,20 @@
   http::Client m_store_http;
   platform::Store m_store;
   links::Datagrams m_datagrams;
+  NewsSender m_news;
   PlaceAsker m_asker;
   PlaceWaiter m_places;
   CallServer m_calls;
-  RowIntake m_intake;
-  links::TableFollower m_operator_rows;
-  links::TableFollower m_replica_rows;
+  RowSources m_rows;
   http::Server m_callers;
   http::Server m_readiness;
   http::Server m_directory;
-  http::Server m_rows;
+  http::Server m_row_server;
   http::Server m_metrics;
   asio::signal_set m_signals;
-  /// What was told of the calls at each replica.
-  std::map<std::string, links::ReplicaCalls> m_told_calls;
-  bool m_had_reader = false;
-  bool m_fetching = false;
-  TimePoint m_next_fetch{};
-  TimePoint m_next_poke{};
+  /// What was acted on last.
+  std::shared_ptr<const decide::RouteTable> m_applied_routes;
+  uint64_t m_told_weights = 0;
 };
 
 PlatformEntry::PlatformEntry(const Settings& settings)
@@ -455,12 +269,11 @@
   if (!links::ListenAll({{&parts.m_callers, options.m_self.m_callers},
                          {&parts.m_readiness, options.m_readiness},
                          {&parts.m_directory, options.m_directory},
-                         {&parts.m_rows, options.m_self.m_peers},
+                         {&parts.m_row_server, options.m_self.m_peers},
                          {&parts.m_metrics, options.m_metrics}}))
     return 1;
   const auto main = parts.m_threads.main();
-  SpawnLoop(main, parts.m_operator_rows.Run(), "operator_rows");
-  SpawnLoop(main, parts.m_replica_rows.Run(), "replica_rows");
+  parts.m_rows.Start();
   SpawnLoop(main, parts.KeepRegistered(), "keep_registered");
   SpawnLoop(main, parts.SendNews(), "send_news");
   SpawnLoop(main, parts.SendCallNews(), "send_call_news");
--- a/src/libverbenalead/entry/row_intake.cc
+++ b/src/libverbenalead/entry/row_intake.cc
@@ -71,12 +71,13 @@
   if (whole)
     m_weights_seen = true;
   m_state.m_operator_proof = rows.m_store_time;
+  m_state.m_operator_answered_at = Now();
   decide::Prove(m_state.m_lease,
                 decide::AnsweredAt(m_state.m_store_clock, rows.m_asked_at,
                                    rows.m_store_time));
 }
 
-void RowIntake::TakeRelayedRows(const platform::Rows& rows) {
+void RowIntake::TakeRelayedOperatorRows(const platform::Rows& rows) {
   KeepOperatorRows(rows, m_state.m_options.m_weights_bound - kBindingMargin);
   if (m_state.m_store_clock.m_offset) {
     decide::Prove(m_state.m_lease,
@@ -122,9 +123,14 @@
 
 void RowIntake::TakeReplicaRow(const platform::Row& row) {
   if (row.m_deleted) {
+    m_replica_rows.erase(row.m_key);
     m_replicas.erase(row.m_key);
     return;
   }
+  platform::Row& kept = m_replica_rows[row.m_key];
+  if (kept == row)
+    return;
+  kept = row;
   auto replica = CatchFailure(
       [&] { return platform::DecodeReplica(row.m_key, row.m_value); });
   if (!replica) {
@@ -155,9 +161,11 @@
     std::set<std::string> present;
     for (const platform::Row& row : rows.m_rows)
       present.insert(row.m_key);
-    std::erase_if(m_replicas, [&](const auto& entry) {
+    const auto is_gone = [&](const auto& entry) {
       return !present.contains(entry.first);
-    });
+    };
+    std::erase_if(m_replica_rows, is_gone);
+    std::erase_if(m_replicas, is_gone);
   }
   const size_t before = m_replicas.size();
   for (const platform::Row& row : rows.m_rows)
@@ -168,12 +176,23 @@
         .With("before", static_cast<uint64_t>(before))
         .Info();
   }
+  m_replicas_revision = std::max(m_replicas_revision, rows.m_revision);
   m_state.m_replicas_known = true;
   m_state.m_replicas_at = Now();
   UpdatePools(regained_at == TimePoint() ? TimePoint()
                                          : regained_at + kLapseGrace);
 }
 
+bool RowIntake::TakeRelayedReplicaRows(const links::RelayedRows& relayed) {
+  // Taking it over would bring back replicas that are known to leave.
+  if (relayed.m_rows.m_revision < m_replicas_revision)
+    return false;
+  TakeReplicaRows(
+      relayed.m_rows, true,
+      relayed.m_regained_ago ? Now() - *relayed.m_regained_ago : TimePoint());
+  return true;
+}
+
 void RowIntake::UpdatePools(TimePoint keep_missing_until) {
   const std::map<std::string, model::Replica> live =
       decide::LiveReplicas(m_replicas);
--- a/src/libverbenalead/entry/row_intake.h
+++ b/src/libverbenalead/entry/row_intake.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "entry/entry_state.h"
+#include "links/relayed_rows.h"
 #include "model/replica.h"
 #include "platform/rows.h"
 
@@ -19,7 +20,7 @@
   void TakeOperatorRows(const platform::Rows& rows, bool whole);
   /// The same rows as a near entry has them. Its proof counts if it isn't later
   /// than the truth, which the store's clock tells.
-  void TakeRelayedRows(const platform::Rows& rows);
+  void TakeRelayedOperatorRows(const platform::Rows& rows);
   /// The newest rows of the operator's table.
   const std::map<std::string, platform::Row>& operator_rows() const {
     return m_operator_rows;
@@ -28,6 +29,15 @@
   void TakeReplicaRows(const platform::Rows& rows,
                        bool whole,
                        TimePoint regained_at);
+  /// The same as a near entry has it, if that is no older than what is known
+  /// here; false: it is.
+  bool TakeRelayedReplicaRows(const links::RelayedRows& relayed);
+  /// The newest rows of the table of replicas, and the revision up to which all
+  /// its changes are in them.
+  const std::map<std::string, platform::Row>& replica_rows() const {
+    return m_replica_rows;
+  }
+  uint64_t replicas_revision() const { return m_replicas_revision; }
   /// The table of entries.
   void TakeEntryRows(const platform::Rows& rows);
 
@@ -41,6 +51,9 @@
   EntryState& m_state;
   bool m_weights_seen = false;
   std::map<std::string, platform::Row> m_operator_rows;
+  std::map<std::string, platform::Row> m_replica_rows;
+  uint64_t m_replicas_revision = 0;
+  /// Those rows that could be decoded.
   std::map<std::string, model::Replica> m_replicas;
 };
 
--- /dev/null
+++ b/src/libverbenalead/entry/row_sources.h
@@ -0,0 +1,71 @@
+#ifndef VERBENALEAD_ENTRY_ROW_SOURCES_H_
+#define VERBENALEAD_ENTRY_ROW_SOURCES_H_
+
+#include <functional>
+
+#include "decide/reading_turn.h"
+#include "entry/entry_state.h"
+#include "entry/row_intake.h"
+#include "links/table_follower.h"
+#include "platform/store.h"
+#include "wire/client.h"
+#include "wire/response_writer.h"
+
+namespace verbenalead::entry {
+
+/// Brings the rows of the operator's table and of the table of replicas: from
+/// the store, or from the near entry that reads it.
+class RowSources {
+ public:
+  /// `on_rows` is called after rows have been taken in. `store` and `peers`
+  /// outlive this.
+  RowSources(const boost::asio::any_io_executor& executor,
+             EntryState& state,
+             platform::Store& store,
+             wire::Client& peers,
+             std::function<void()> on_rows);
+
+  /// Starts to follow both tables.
+  void Start();
+
+  /// Takes over what near entries know better, and turns to the store where
+  /// none of them reads it. Called after their news, and ten times a second.
+  void Compare();
+
+  /// True once after this entry has taken over reading and was answered: the
+  /// others wait for that.
+  bool HasTakenOver();
+
+  /// Answers near entries and targets that fetch rows.
+  Awaitable<void> TellRows(const wire::Request& request,
+                           wire::ResponseWriter& caller);
+
+  RowIntake& intake() { return m_intake; }
+
+ private:
+  links::FollowPace OperatorPace() const;
+  links::FollowPace ReplicaPace() const;
+  void CompareReplicas(const PeerEntry& reader);
+  Awaitable<void> FetchOperatorRows(Endpoint from);
+  Awaitable<void> FetchReplicaRows(Endpoint from);
+
+  EntryState& m_state;
+  wire::Client& m_peers;
+  const boost::asio::any_io_executor m_executor;
+  const std::function<void()> m_on_rows;
+  RowIntake m_intake;
+  links::TableFollower m_operator;
+  links::TableFollower m_replicas;
+  decide::ReadingTurn m_turn;
+  decide::Reading m_reading = decide::Reading::kOwn;
+  /// When this entry took over and hasn't told so yet.
+  std::optional<TimePoint> m_took_over;
+  bool m_fetching_operator = false;
+  bool m_fetching_replicas = false;
+  TimePoint m_next_operator_fetch{};
+  TimePoint m_next_replica_fetch{};
+};
+
+}  // namespace verbenalead::entry
+
+#endif  // VERBENALEAD_ENTRY_ROW_SOURCES_H_
--- a/src/libverbenalead/links/follow_pace.h
+++ b/src/libverbenalead/links/follow_pace.h
@@ -11,6 +11,9 @@
   Duration m_wait{};
   /// Least time between two questions, but for pokes.
   Duration m_interval{};
+  /// Least pause after a question that failed. Zero: the usual short one, for
+  /// those that nobody else tells.
+  Duration m_after_failure{};
 
   friend bool operator==(const FollowPace&, const FollowPace&) = default;
 };
--- a/src/libverbenalead/links/table_follower.cc
+++ b/src/libverbenalead/links/table_follower.cc
@@ -38,7 +38,8 @@
     if (m_poked)
       continue;
     const TimePoint next =
-        answered ? asked + pace.m_interval : Now() + RetryPause();
+        answered ? asked + pace.m_interval
+                 : Now() + std::max(pace.m_after_failure, RetryPause());
     if (next <= Now())
       continue;
     m_timer.expires_at(next);
--- a/src/libverbenalead/links/table_follower.h
+++ b/src/libverbenalead/links/table_follower.h
@@ -1,6 +1,7 @@
 #ifndef VERBENALEAD_LINKS_TABLE_FOLLOWER_H_
 #define VERBENALEAD_LINKS_TABLE_FOLLOWER_H_
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <random>
@@ -33,8 +34,14 @@
 
   /// Something has changed: asks at once, if it waits for its next question.
   void Poke();
-  /// The last question was answered.
-  bool connected() const { return m_connected; }
+  /// All changes up to `revision` have come another way and needn't be read.
+  void SkipTo(uint64_t revision) {
+    m_revision = std::max(m_revision, revision);
+  }
+  /// All changes up to this one are known; 0 where the table wasn't read.
+  uint64_t revision() const { return m_revision; }
+  /// Questions were answered before, but the last one wasn't.
+  bool lost() const { return m_ever_connected && !m_connected; }
   /// When the first answer after a failure came; long ago where none failed.
   TimePoint regained_at() const { return m_regained_at; }
 
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -112,6 +112,10 @@
   std::map<uint32_t, std::shared_ptr<bool>> m_fetches;
   std::vector<std::string> m_followed;
   uint32_t m_origin_mismatches = 0;
+  /// Chunks kept, by where they came from.
+  uint64_t m_from_origin = 0;
+  uint64_t m_from_near = 0;
+  uint64_t m_from_far = 0;
   bool m_stopped = false;
   TimePoint m_last_chunk{};
 };
@@ -272,10 +276,21 @@
   LogLine("transfer_ended")
       .With("version", version)
       .With("whole", m_state.m_cache.Complete(version))
+      .With("from_origin", transfer->m_from_origin)
+      .With("from_near", transfer->m_from_near)
+      .With("from_far", transfer->m_from_far)
       .With("ms", ToMilliseconds(Now() - begun))
       .Info();
 }
 
+bool ChunkFetcher::IsNear(const std::string& host) const {
+  for (const auto& [id, replica] : m_state.m_replicas) {
+    if (replica.m_endpoint.address() == host)
+      return replica.m_data_center == m_state.m_options.m_data_center;
+  }
+  return false;
+}
+
 std::vector<decide::TransferMember> ChunkFetcher::OtherMembers() const {
   const TargetOptions& options = m_state.m_options;
   std::vector<decide::TransferMember> members;
@@ -396,6 +411,12 @@
   if (*cancelled)
     co_return;
   if (kept) {
+    if (from_origin)
+      ++transfer->m_from_origin;
+    else if (IsNear(host))
+      ++transfer->m_from_near;
+    else
+      ++transfer->m_from_far;
     transfer->m_last_chunk = Now();
     decide::ChunkArrived(transfer->m_core, chunk, Now());
     co_return;
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -55,6 +55,7 @@
   Awaitable<std::vector<std::vector<Digest>>> DigestsFromHosts(
       uint64_t version);
   /// The hosts that take part beside this one.
+  bool IsNear(const std::string& host) const;
   std::vector<decide::TransferMember> OtherMembers() const;
   void UpdateMembers(Transfer& transfer);
   void DoStep(const std::shared_ptr<Transfer>& transfer,
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -10,12 +10,13 @@
 #include "base/pacer.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
+#include "decide/change_source.h"
 #include "decide/replica_pool.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "links/datagrams.h"
-#include "links/operator_rows.h"
 #include "links/process_servers.h"
+#include "links/relayed_rows.h"
 #include "links/table_follower.h"
 #include "platform/names.h"
 #include "platform/store.h"
@@ -28,11 +29,6 @@
 
 namespace asio = boost::asio;
 
-/// The operator's changes: entries tell at once that there are some. Without
-/// news from them the store is asked by ourselves, and holds the question.
-constexpr links::FollowPace kToldPace = {Duration(), 20s};
-constexpr links::FollowPace kUntoldPace = {2s, Duration()};
-constexpr Duration kUntoldAfter = 5s;
 /// Replicas: asked for anew when a transfer begins.
 constexpr links::FollowPace kReplicaPace = {Duration(), 15s};
 constexpr Duration kPokeInterval = 300ms;
@@ -96,7 +92,10 @@
             m_threads.main(),
             m_store,
             platform::kOperatorTable,
-            [this] { return OperatorPace(); },
+            [this] {
+              return links::FollowPace{
+                  Duration(), decide::QuestionInterval(m_changes, Now())};
+            },
             [this](const platform::Rows& rows, bool) {
               TakeOperatorRows(rows);
             }),
@@ -252,18 +251,15 @@
     });
   }
 
-  links::FollowPace OperatorPace() const {
-    return Now() - m_told_at < kUntoldAfter ? kToldPace : kUntoldPace;
-  }
-
   /// Takes the operator's rows over from a near entry, or asks the store if
   /// that fails.
   Awaitable<void> FetchFrom(Endpoint entry) {
     m_fetching = true;
-    const auto rows = co_await links::FetchOperatorRows(m_http, entry);
+    const auto rows =
+        co_await links::FetchRows(m_http, entry, links::kOperatorRowsPath);
     m_fetching = false;
     if (rows) {
-      TakeOperatorRows(*rows);
+      TakeOperatorRows(rows->m_rows);
       co_return;
     }
     LogLine("rows_not_relayed").With(rows.error()).Warn();
@@ -273,7 +269,8 @@
   void TakeOperatorRows(const platform::Rows& rows) {
     for (const platform::Row& row : rows.m_rows) {
       if (row.m_key.starts_with(platform::kWeightsKeyPrefix))
-        m_weights_revision = std::max(m_weights_revision, row.m_revision);
+        m_changes.m_weights_revision =
+            std::max(m_changes.m_weights_revision, row.m_revision);
     }
     // Turns and transfers need to know who is there.
     if (target::TakeOperatorRows(m_state, rows))
@@ -290,13 +287,12 @@
         TellChunks(sender);
       return;
     }
-    m_told_at = Now();
-    if (request.m_weights_revision > m_weights_revision && !m_fetching) {
-      if (request.m_near)
-        Spawn(m_threads.main(), FetchFrom(sender), "fetch");
-      else
-        m_operator_rows.Poke();
-    }
+    const decide::ChangeSource source = decide::TakeTold(
+        m_changes, request.m_near, request.m_weights_revision, Now());
+    if (source == decide::ChangeSource::kNearEntry && !m_fetching)
+      Spawn(m_threads.main(), FetchFrom(sender), "fetch");
+    else if (source == decide::ChangeSource::kStore)
+      m_operator_rows.Poke();
     EntryFollower& follower = m_entries[sender];
     follower.m_until = until;
     follower.m_near = request.m_near;
@@ -431,10 +427,7 @@
   http::Server m_chunks;
   http::Server m_metrics;
   asio::signal_set m_signals;
-  /// The newest change of declared weights that is known here.
-  uint64_t m_weights_revision = 0;
-  /// When an entry last told of its own.
-  TimePoint m_told_at{};
+  decide::ChangeWatch m_changes;
   bool m_fetching = false;
   TimePoint m_next_poke{};
   /// Who wants news, until when.
