Let fewer chunks in while the link is narrow; read few changes at once

The links of some hosts had become 1.2 Mbit/s wide while new weights came in; five chunks of 48 KB stood in their queues before each call. Ruled out: other replicas (all 22 calls named were at the hosts whose links were narrow), our cancelling (within 1 ms of the caller). Second cause, by reading: the interval of 0.4 s at two steps let new weights be known 0.9 s after their declaration.

Now a host learns its window of chunks from how long they take (decide/fetch_window), and few changes are read at once, many together (decide/burst_pace).

Also: the soak's first version, its relay's one-way loss, replicas that log what they run.

--- a/src/libverbenalead/decide/transfer.cc
+++ b/src/libverbenalead/decide/transfer.cc
@@ -173,7 +173,7 @@
                 TimePoint now,
                 std::mt19937_64& random,
                 TransferActions& actions) {
-  while (PeerFetches(state) < state.m_limits.m_max_fetches) {
+  while (PeerFetches(state) < state.m_window.m_size) {
     const uint64_t askable = Askable(state, now) & state.m_near;
     if (askable == 0)
       return;
@@ -362,6 +362,7 @@
   TransferState state;
   state.m_self = std::move(self);
   state.m_limits = limits;
+  state.m_window = {limits.m_max_fetches, limits.m_slow_wait};
   state.m_started = now;
   state.m_chunks.resize(chunk_count);
   state.m_rarest = ChunkBuckets(chunk_count);
@@ -432,6 +433,7 @@
   } else if (fetch) {
     const Duration wait = now - fetch->m_begun;
     state.m_wait = Smoothed(state.m_wait, wait);
+    NoteArrival(state.m_window, wait);
     if (const auto index = FindNeighbour(state, fetch->m_source.m_host)) {
       Neighbour& neighbour = state.m_neighbours[*index];
       neighbour.m_wait = Smoothed(neighbour.m_wait, wait);
--- a/src/libverbenalead/decide/transfer_limits.h
+++ b/src/libverbenalead/decide/transfer_limits.h
@@ -38,6 +38,8 @@
   /// only where there are few. Fewer leave links idle while requests queue at
   /// busy hosts; two from one host leave other hosts' links idle.
   uint32_t m_max_fetches = 14;
+  /// A wait for a chunk from which on there are fewer; zero: never.
+  Duration m_slow_wait{};
   uint32_t m_max_origin = 2;
 
   /// Neighbours in the own data centre, in the own region, elsewhere. Two
--- a/src/libverbenalead/decide/transfer_state.h
+++ b/src/libverbenalead/decide/transfer_state.h
@@ -10,6 +10,7 @@
 
 #include "decide/chunk_buckets.h"
 #include "decide/chunk_source.h"
+#include "decide/fetch_window.h"
 #include "decide/transfer_actions.h"
 #include "decide/transfer_limits.h"
 #include "decide/transfer_member.h"
@@ -60,6 +61,8 @@
   uint64_t m_near = 0;
 
   std::map<uint32_t, Fetch> m_fetching;
+  /// Fetches from hosts under way at once.
+  FetchWindow m_window;
   uint32_t m_origin_fetching = 0;
   /// Missing chunks that a neighbour of our region has, by copies there.
   ChunkBuckets m_rarest;
--- a/src/libverbenalead/entry/row_sources.cc
+++ b/src/libverbenalead/entry/row_sources.cc
@@ -12,17 +12,11 @@
 /// The operator's changes: the store holds the question for a quarter of the
 /// lease on keys, which each answer renews.
 constexpr Duration kOperatorWait = 1200ms;
-/// Changes that come in quick succession are read together: five a second of
-/// 100 KB are a seventh of the link to the store.
-constexpr Duration kOperatorInterval = 400ms;
 /// Replicas: one that leaves must get no calls 2 s after it said so.
 constexpr links::FollowPace kReplicaPace = {Duration(), 900ms, Duration()};
 /// Both while another entry reads for this one, in case that all its news were
 /// lost. An entry that the store doesn't answer needs no quick answer then.
 constexpr links::FollowPace kReadForPace = {Duration(), 10s, 2s};
-/// Changes are taken over from others together, too. The bound is 2 s, and the
-/// entry that reads hands 100 KB to each of its neighbours.
-constexpr Duration kFetchInterval = 400ms;
 
 }  // namespace
 
@@ -60,12 +54,13 @@
   SpawnLoop(m_executor, m_replicas.Run(), "replica_rows");
 }
 
-links::FollowPace RowSources::OperatorPace() const {
+links::FollowPace RowSources::OperatorPace() {
   if (m_reading != decide::Reading::kOwn)
     return kReadForPace;
   // One that takes over has to prove at once that it knows the newest.
   const bool proved = Now() - m_state.m_operator_answered_at < kOperatorWait;
-  return {proved ? kOperatorWait : Duration(), kOperatorInterval, Duration()};
+  return {proved ? kOperatorWait : Duration(),
+          decide::TakeTurn(m_operator_pace, Now()), Duration()};
 }
 
 links::FollowPace RowSources::ReplicaPace() const {
@@ -119,7 +114,8 @@
 
 Awaitable<void> RowSources::FetchOperatorRows(Endpoint from) {
   m_fetching_operator = true;
-  m_next_operator_fetch = Now() + kFetchInterval;
+  m_next_operator_fetch =
+      Now() + decide::TakeTurn(m_operator_fetch_pace, Now());
   const auto relayed =
       co_await links::FetchRows(m_peers, from, links::kOperatorRowsPath);
   m_fetching_operator = false;
@@ -135,7 +131,7 @@
 
 Awaitable<void> RowSources::FetchReplicaRows(Endpoint from) {
   m_fetching_replicas = true;
-  m_next_replica_fetch = Now() + kFetchInterval;
+  m_next_replica_fetch = Now() + decide::TakeTurn(m_replica_fetch_pace, Now());
   const auto relayed =
       co_await links::FetchRows(m_peers, from, links::kReplicaRowsPath);
   m_fetching_replicas = false;
--- a/src/libverbenalead/entry/row_sources.h
+++ b/src/libverbenalead/entry/row_sources.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 
+#include "decide/burst_pace.h"
 #include "decide/reading_turn.h"
 #include "entry/entry_state.h"
 #include "entry/row_intake.h"
@@ -43,7 +44,10 @@
   RowIntake& intake() { return m_intake; }
 
  private:
-  links::FollowPace OperatorPace() const;
+  static constexpr uint32_t kBurst = 5;
+  static constexpr Duration kInterval = 400ms;
+
+  links::FollowPace OperatorPace();
   links::FollowPace ReplicaPace() const;
   void CompareReplicas(const PeerEntry& reader);
   Awaitable<void> FetchOperatorRows(Endpoint from);
@@ -62,6 +66,12 @@
   std::optional<TimePoint> m_took_over;
   bool m_fetching_operator = false;
   bool m_fetching_replicas = false;
+  /// Changes that go on coming are read together, and taken over together: five
+  /// a second of 100 KB are a seventh of the link to the store, and the entry
+  /// that reads hands each to 14 neighbours. They must be in force after 2 s.
+  decide::BurstPace m_operator_pace{kBurst, kInterval};
+  decide::BurstPace m_operator_fetch_pace{kBurst, kInterval};
+  decide::BurstPace m_replica_fetch_pace{kBurst, kInterval};
   TimePoint m_next_operator_fetch{};
   TimePoint m_next_replica_fetch{};
 };
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -24,6 +24,9 @@
 /// and serves several; five from different hosts keep the downlink, 42 ms a
 /// chunk at 9.4 Mbit/s, busy meanwhile.
 constexpr uint32_t kMostFetches = 5;
+/// A link on which that many chunks take this many times their time has become
+/// narrow. Where hosts that send are busy, chunks take twice their time.
+constexpr int kNarrow = 2;
 /// A draw that hasn't been seen this long after it was due is taken over by the
 /// next host: the whole of a version must be everywhere within 8 s.
 constexpr Duration kPatience = 1500ms;
@@ -91,6 +94,10 @@
   decide::TransferLimits limits = decide::LimitsFor(
       links, decide::TransferPreference::kTimeFirst, kOriginBudgetPercent);
   limits.m_max_fetches = kMostFetches;
+  const double chunk_seconds = static_cast<double>(links.m_chunk_bytes) /
+                               static_cast<double>(links.m_host);
+  limits.m_slow_wait = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(chunk_seconds * kMostFetches * kNarrow));
   limits.m_patience = kPatience;
   return limits;
 }
--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -26,6 +26,15 @@
         self.replicas = []
         self.version = 0
         self.keys = [KEY]
+        self.guest_keys = []
+
+    def store_for(self, name):
+        """Where the process `name` reaches the store."""
+        return self.store
+
+    def listen_for(self, name, address):
+        """Where the replica `name` listens that callers reach at `address`."""
+        return address
 
     def start_platform(self):
         self.cluster.start("store", "standin_platform_store",
@@ -65,7 +74,8 @@
                 {"name": "ledger"},
                 {"name": "weights", "origin": self.origin,
                  "link_mbps": 100.0}],
-            "tenants": [{"name": "acme", "api_keys": self.keys}]})
+            "tenants": [{"name": "acme", "api_keys": self.keys},
+                        {"name": "guest", "api_keys": self.guest_keys}]})
 
     def declare(self, version):
         self.write("op", "version/model",
@@ -87,37 +97,47 @@
                         "directory": entry["directory"],
                         "metrics": entry["metrics"],
                         "peers": "%s:%d" % (ip, self.peer_port)},
-                    "store": {"address": self.store}}
+                    "store": {"address": self.store_for(name)}}
         self.cluster.start_platform_program(name, "vlentry", settings)
         self.entries.append(entry)
         return entry
 
-    def add_replica(self, service="pool", model="model", version=0, **extra):
+    def add_replica(self, service="pool", model="model", version=0,
+                    data_center="a", **extra):
         number = len(self.replicas) + 1
         ip = "127.0.2.%d" % number
         name = "replica-%d" % number
         replica = {"name": name, "target": "target-%d" % number,
                    "address": "%s:%d" % (ip, self.replica_port)}
         settings = {"id": "i-%d" % number, "service": service,
-                    "model": model, "listen": replica["address"],
+                    "model": model, "data_center": data_center,
+                    "listen": self.listen_for(name, replica["address"]),
+                    "announce": replica["address"],
                     "store": self.store, "version": version}
         settings.update(extra)
         self.cluster.start(name, "standin_platform_replica", settings)
-        self.cluster.wait_listening(replica["address"])
-        self.state(replica)  # It registers with the first request.
+        # It registers with the first request.
+        harness.wait_for(name + " to answer",
+                         lambda: self.answers_at_all(replica))
         if model:
             self.cluster.start_platform_program(
                 replica["target"], "vltarget",
-                {"host": replica["target"], "data_center": "a",
+                {"host": replica["target"], "data_center": data_center,
                  "service": service, "engine": replica["address"],
                  "listen": {"peers": "%s:%d" % (ip, self.peer_port)},
-                 "store": {"address": self.store}})
+                 "store": {"address": self.store_for(replica["target"])}})
         self.replicas.append(replica)
         return replica
 
     def state(self, replica):
         return harness.call(replica["address"], "GET", "/state").json()
 
+    def answers_at_all(self, replica):
+        try:
+            return self.state(replica)["runs"] >= 0
+        except OSError:
+            return False
+
     def ready(self, entry):
         try:
             return harness.call(entry["readiness"], "GET",
--- /dev/null
+++ b/testsuite/soak/deployment.py
@@ -0,0 +1,84 @@
+"""The deployment that the soak runs: real programs, with relays between them."""
+
+import harness
+import platform_fleet
+
+GUEST_KEY = "key-of-guest"
+
+
+class Deployment(platform_fleet.PlatformFleet):
+    """Three entries and six replicas in two data centres.
+
+    Each entry and target reaches the store by a relay of its own, and each
+    replica is reached by one. `relays` holds where they take commands, by the
+    name of the process behind which, or before which, they stand.
+    """
+
+    def __init__(self, cluster):
+        super().__init__(cluster)
+        self.relays = {}
+        self.guest_keys = [GUEST_KEY]
+
+    def store_for(self, name):
+        return self.add_relay(name, None, self.store)
+
+    def listen_for(self, name, address):
+        host, port = address.rsplit(":", 1)
+        behind = "127.0.3.%s:%s" % (host.rsplit(".", 1)[1], port)
+        self.add_relay(name, address, behind)
+        return behind
+
+    def add_relay(self, name, address, forward):
+        command, port = ["127.0.0.1:%d" % port
+                         for port in harness.free_ports(2)]
+        address = address or port
+        self.cluster.start(name + "-relay", "standin_relay",
+                           {"listen": command, "relay": address,
+                            "forward": forward})
+        self.cluster.wait_listening(command)
+        self.relays[name] = command
+        return address
+
+    def start(self):
+        self.start_platform()
+        for data_center in ("a", "a", "b", "b"):
+            self.add_replica(data_center=data_center, event=8)
+        for data_center in ("a", "b"):
+            self.add_replica("ledger", "", data_center=data_center)
+        for data_center in ("a", "a", "b"):
+            self.add_entry(data_center)
+        self.wait_ready()
+        self.serve_all("at the start")
+
+    def serve_all(self, when):
+        """Waits until each entry serves both kinds of calls."""
+        for number, entry in enumerate(self.entries):
+            harness.wait_for(
+                "%s to serve streams %s" % (entry["name"], when),
+                lambda: self.answers(self.draft, entry, "s%d" % number))
+            harness.wait_for(
+                "%s to serve payments %s" % (entry["name"], when),
+                lambda: self.answers(self.pay, entry, "p%d" % number))
+
+    @staticmethod
+    def answers(call, entry, number):
+        try:
+            return call(entry, number).status == 200
+        except OSError:
+            return False
+
+    def draft(self, entry, number, events=5, key=platform_fleet.KEY):
+        return harness.call(
+            entry["callers"], "POST", "/draft/x", "prompt",
+            self.headers("draft-%s" % number, key,
+                         {"X-Verbenalead-Token-Usage": "100,%d" % events}))
+
+    def pay(self, entry, number, key=platform_fleet.KEY):
+        return harness.call(entry["callers"], "POST", "/pay/x", "fee",
+                            self.headers("pay-%s" % number, key))
+
+    def programs(self):
+        """Names of our own processes: entries and targets."""
+        return [entry["name"] for entry in self.entries] + [
+            replica["target"] for replica in self.replicas
+            if replica["target"] in self.cluster.processes]
--- /dev/null
+++ b/testsuite/soak/fault_plan.py
@@ -0,0 +1,35 @@
+"""Which fault comes when, drawn from a seed."""
+
+import collections
+import random
+
+Fault = collections.namedtuple("Fault", "at kind victim lasts")
+
+# Kinds by how often they are drawn. A store that forgets, loses answers or
+# answers late hits every process; all others hit one.
+KINDS = {
+    "kill_entry": 3, "kill_target": 2, "kill_replica": 2, "stop_entry": 3,
+    "stop_target": 1, "freeze_entry": 3, "freeze_target": 2,
+    "freeze_replica": 2, "store_down": 2, "store_hangs": 1, "store_slow": 1,
+    "store_forgets": 1, "store_loses": 1, "link_silent": 4, "link_one_way": 3,
+    "link_cut": 4, "link_slow": 2, "revoke": 3, "configure": 3, "storm": 2,
+    "declare": 2}
+LONGEST_FREEZE = 6.5
+LONGEST_OUTAGE = 3.0
+
+
+def draw(seed, seconds):
+    """Faults of the first three quarters of a run, in the order of time."""
+    source = random.Random(seed)
+    kinds = list(KINDS)
+    faults = []
+    at = 0.5
+    while at < seconds * 0.75:
+        kind = source.choices(kinds, list(KINDS.values()))[0]
+        longest = LONGEST_FREEZE if kind.startswith("freeze") else \
+            LONGEST_OUTAGE
+        faults.append(Fault(round(at, 2), kind, source.randrange(100),
+                            round(source.uniform(0.1, longest), 2)))
+        # Faults come in series: some right after each other, then a pause.
+        at += source.choice((0.02, 0.1, 0.3, 0.3, 1.0, 2.0))
+    return faults
--- /dev/null
+++ b/testsuite/soak/injector.py
@@ -0,0 +1,226 @@
+"""Brings the faults of a plan upon a deployment, from outside its processes."""
+
+import heapq
+import itertools
+import json
+import time
+
+import harness
+from soak.deployment import GUEST_KEY
+
+RETRY = 0.3
+SLOW_MS = 150
+LOST_ANSWERS = 3
+STORM = 6
+
+
+class Injector:
+    """Runs a plan. What the checks need to know of it is kept here."""
+
+    def __init__(self, deployment, plan):
+        self.deployment = deployment
+        self.cluster = deployment.cluster
+        self.queue = []
+        self.order = itertools.count()
+        self.weights = 1
+        # Times between which the guest's key was surely barred: from the
+        # acknowledgement of its removal until its return was sent.
+        self.barred = []
+        self.ended = []
+        self.stopping = set()
+        for fault in plan:
+            self.later(fault.at, getattr(self, fault.kind), fault)
+
+    def later(self, at, action, *arguments):
+        heapq.heappush(self.queue,
+                       (at, next(self.order), action, arguments))
+
+    def run(self):
+        """Runs the whole plan and ends all its faults."""
+        self.begun = time.monotonic()
+        while self.queue:
+            at, _, action, arguments = heapq.heappop(self.queue)
+            time.sleep(max(0, self.begun + at - time.monotonic()))
+            self.note_ended()
+            action(*arguments)
+
+    def now(self):
+        return time.monotonic() - self.begun
+
+    def note_ended(self):
+        """Finds processes of ours that ended without being told to."""
+        for name in self.deployment.programs():
+            if not self.cluster.processes[name].alive() and \
+                    name not in self.stopping:
+                self.ended.append(name)
+                self.stopping.add(name)
+
+    def pick(self, names, fault):
+        return names[fault.victim % len(names)]
+
+    def entries(self):
+        return [entry["name"] for entry in self.deployment.entries]
+
+    def targets(self):
+        return [name for name in self.deployment.programs()
+                if name.startswith("target")]
+
+    def replicas(self):
+        return [replica["name"] for replica in self.deployment.replicas]
+
+    # Processes.
+
+    def kill(self, name, fault):
+        if name in self.stopping:
+            return
+        self.stopping.add(name)
+        self.cluster.processes[name].wake()
+        self.cluster.processes[name].kill()
+        self.later(self.now() + fault.lasts, self.restart, name)
+
+    def restart(self, name):
+        if self.cluster.processes[name].alive():
+            self.later(self.now() + RETRY, self.restart, name)
+            return
+        self.cluster.restart(name)
+        self.stopping.discard(name)
+        if name.startswith("replica"):
+            self.later(self.now() + RETRY, self.register, name)
+
+    def register(self, name):
+        """A replica registers with the first request that it gets."""
+        address = self.cluster.settings[name][1]["listen"]
+        try:
+            harness.call(address, "GET", "/state", timeout=1)
+        except OSError:
+            self.later(self.now() + RETRY, self.register, name)
+
+    def kill_entry(self, fault):
+        self.kill(self.pick(self.entries(), fault), fault)
+
+    def kill_target(self, fault):
+        self.kill(self.pick(self.targets(), fault), fault)
+
+    def kill_replica(self, fault):
+        self.kill(self.pick(self.replicas(), fault), fault)
+
+    def stop(self, name):
+        if name in self.stopping:
+            return
+        self.stopping.add(name)
+        process = self.cluster.processes[name]
+        process.wake()
+        process.send(15)
+        self.later(self.now() + RETRY, self.restart, name)
+
+    def stop_entry(self, fault):
+        self.stop(self.pick(self.entries(), fault))
+
+    def stop_target(self, fault):
+        self.stop(self.pick(self.targets(), fault))
+
+    def freeze(self, name, fault):
+        if name in self.stopping:
+            return
+        process = self.cluster.processes[name]
+        process.freeze()
+        self.later(self.now() + fault.lasts, process.wake)
+
+    def freeze_entry(self, fault):
+        self.freeze(self.pick(self.entries(), fault), fault)
+
+    def freeze_target(self, fault):
+        self.freeze(self.pick(self.targets(), fault), fault)
+
+    def freeze_replica(self, fault):
+        self.freeze(self.pick(self.replicas(), fault), fault)
+
+    # The store.
+
+    def store(self, fault, **faults):
+        self.cluster.faults(self.deployment.store, **faults)
+        self.later(self.now() + fault.lasts, self.cluster.faults,
+                   self.deployment.store)
+
+    def store_down(self, fault):
+        self.store(fault, down=True)
+
+    def store_hangs(self, fault):
+        self.store(fault, hang=True)
+
+    def store_slow(self, fault):
+        self.store(fault, delay_ms=SLOW_MS)
+
+    def store_forgets(self, fault):
+        self.store(fault, forget=1)
+
+    def store_loses(self, fault):
+        self.store(fault, lose_answers=LOST_ANSWERS)
+
+    # Links.
+
+    def link(self, fault, **commands):
+        names = sorted(self.deployment.relays)
+        address = self.deployment.relays[self.pick(names, fault)]
+        harness.call(address, "POST", "/faults", commands)
+        if "delay_ms" in commands:
+            self.later(self.now() + fault.lasts, harness.call, address, "POST",
+                       "/faults", {})
+
+    def link_silent(self, fault):
+        self.link(fault, silent=True)
+
+    def link_one_way(self, fault):
+        self.link(fault, far_silent=True)
+
+    def link_cut(self, fault):
+        self.link(fault, cut=True)
+
+    def link_slow(self, fault):
+        self.link(fault, delay_ms=SLOW_MS)
+
+    # The operator.
+
+    def write(self, action, *arguments):
+        """Writes into the store; comes again if that isn't acknowledged."""
+        try:
+            action()
+            return True
+        except (OSError, AssertionError, ValueError):
+            self.later(self.now() + RETRY, *arguments)
+            return False
+
+    def configure(self, fault):
+        self.write(self.deployment.configure, self.configure, fault)
+
+    def storm(self, fault):
+        for number in range(STORM):
+            self.later(self.now() + number * 0.05, self.configure, fault)
+
+    def declare(self, fault):
+        self.weights += 1
+        self.declare_again(self.weights)
+
+    def declare_again(self, version):
+        self.write(lambda: self.deployment.declare(version),
+                   self.declare_again, version)
+
+    def revoke(self, fault):
+        if not self.deployment.guest_keys:
+            return
+        self.deployment.guest_keys = []
+        self.bar(fault)
+
+    def bar(self, fault):
+        if not self.write(self.deployment.configure, self.bar, fault):
+            return
+        self.barred.append([time.monotonic(), float("inf")])
+        self.later(self.now() + 6 + fault.lasts, self.give_back)
+
+    def give_back(self):
+        self.deployment.guest_keys = [GUEST_KEY]
+        self.barred[-1][1] = min(self.barred[-1][1], time.monotonic())
+        self.write(self.deployment.configure, self.give_back)
+
+    def describe(self, plan):
+        return json.dumps([list(fault) for fault in plan])
--- a/testsuite/standins/platform_replica/main.cc
+++ b/testsuite/standins/platform_replica/main.cc
@@ -14,6 +14,8 @@
       .RequiredText("service", "service that it belongs to")
       .Text("model", "", "model that it runs; empty: a plain service")
       .Text("data_center", "a", "its data centre")
+      .Text("announce", "",
+            "address that it registers; empty: where it listens")
       .Address("store", "127.0.0.1:8100", "the platform's store")
       .Integer("slots", 8, 1, 1000, "calls", "calls at once")
       .Integer("event", 10, 1, 10000, "ms", "time between events")
--- a/testsuite/standins/platform_replica/replica.cc
+++ b/testsuite/standins/platform_replica/replica.cc
@@ -25,6 +25,11 @@
   return models;
 }
 
+Endpoint AnnouncedAddress(const Settings& settings) {
+  return settings.Text("announce").empty() ? settings.Address("listen")
+                                           : settings.Address("announce");
+}
+
 }  // namespace
 
 Replica::Replica(const Settings& settings)
@@ -32,7 +37,7 @@
       m_service(settings.Text("service")),
       m_model(settings.Text("model")),
       m_data_center(settings.Text("data_center")),
-      m_self(settings.Address("listen")),
+      m_self(AnnouncedAddress(settings)),
       m_store(settings.Address("store")),
       m_slots(static_cast<uint32_t>(settings.Integer("slots"))),
       m_event(settings.Milliseconds("event")),
--- a/testsuite/standins/platform_replica/replica.h
+++ b/testsuite/standins/platform_replica/replica.h
@@ -20,6 +20,7 @@
   const std::string m_service;
   const std::string m_model;
   const std::string m_data_center;
+  /// Where callers reach it.
   const Endpoint m_self;
   const Endpoint m_store;
   const uint32_t m_slots;
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -21,12 +21,18 @@
   return std::strtoull(wire::QueryValue(request, name).c_str(), nullptr, 10);
 }
 
-/// Counts one call as running for as long as it lives.
+/// Counts one call as running for as long as it lives, and logs that it runs.
 class Running {
  public:
-  explicit Running(Replica& replica) : m_replica(replica) {
+  Running(Replica& replica, const wire::Request& request) : m_replica(replica) {
     ++m_replica.m_active;
     ++m_replica.m_runs;
+    LogLine("ran")
+        .With("call", wire::Get(request.m_headers, platform::kRequestId))
+        .With("organisation",
+              wire::Get(request.m_headers, platform::kOrganisation))
+        .With("weights", m_replica.m_version)
+        .Info();
   }
   ~Running() { --m_replica.m_active; }
   Running(const Running&) = delete;
@@ -82,7 +88,7 @@
 Awaitable<void> Stream(std::shared_ptr<Replica> replica,
                        const wire::Request& request,
                        wire::ResponseWriter& writer) {
-  const Running running(*replica);
+  const Running running(*replica, request);
   const std::string usage = wire::Get(request.m_headers, platform::kTokenUsage);
   const uint64_t events =
       std::strtoull(usage.c_str() + usage.find(',') + 1, nullptr, 10);
@@ -123,7 +129,7 @@
     co_await Stream(replica, request, writer);
     co_return;
   }
-  const Running running(*replica);
+  const Running running(*replica, request);
   co_await writer.Send(wire::Response(200, AnswerHeaders(request, *replica),
                                       "ran: " + request.m_path));
 }
--- a/testsuite/standins/relay/connection.cc
+++ b/testsuite/standins/relay/connection.cc
@@ -20,6 +20,7 @@
 Awaitable<void> Pump(std::shared_ptr<Connection> connection,
                      tcp::socket& from,
                      tcp::socket& to) {
+  const bool from_far = &from == &connection->m_far;
   std::vector<char> piece(kPieceBytes);
   boost::system::error_code error;
   while (!error) {
@@ -27,7 +28,7 @@
         asio::buffer(piece), asio::redirect_error(asio::use_awaitable, error));
     if (connection->m_delay > Duration::zero())
       co_await Sleep(connection->m_delay);
-    if (error || connection->m_silent)
+    if (error || connection->m_silent || (from_far && connection->m_far_silent))
       continue;
     co_await asio::async_write(
         to, asio::buffer(piece.data(), size),
--- a/testsuite/standins/relay/connection.h
+++ b/testsuite/standins/relay/connection.h
@@ -23,6 +23,8 @@
   /// Bytes are taken in and thrown away, and an end of one side is kept from
   /// the other.
   bool m_silent = false;
+  /// The same, but only for what the far side sends.
+  bool m_far_silent = false;
 };
 
 /// Connects to `forward` and passes on bytes both ways until either side ends.
--- a/testsuite/standins/relay/main.cc
+++ b/testsuite/standins/relay/main.cc
@@ -21,7 +21,8 @@
       .Choice("log.level", {"info", "debug", "warn", "error"}, "least level");
 }
 
-/// Takes {"silent": true}, {"cut": true} and {"delay_ms": N}.
+/// Takes {"silent": true}, {"far_silent": true}, {"cut": true} and
+/// {"delay_ms": N}.
 Awaitable<void> Command(standins::Relay& relay,
                         const wire::Request& request,
                         wire::ResponseWriter& writer) {
@@ -29,6 +30,8 @@
   const bool good = faults.Set(request.m_body);
   if (good && faults.Flag("silent"))
     relay.Silence();
+  if (good && faults.Flag("far_silent"))
+    relay.SilenceFar();
   if (good && faults.Flag("cut"))
     relay.Cut();
   if (good)
--- a/testsuite/standins/relay/relay.cc
+++ b/testsuite/standins/relay/relay.cc
@@ -22,6 +22,13 @@
   }
 }
 
+void Relay::SilenceFar() {
+  for (const auto& each : m_connections) {
+    if (auto connection = each.lock())
+      connection->m_far_silent = true;
+  }
+}
+
 void Relay::Cut() {
   for (const auto& each : m_connections) {
     if (auto connection = each.lock())
--- a/testsuite/standins/relay/relay.h
+++ b/testsuite/standins/relay/relay.h
@@ -22,6 +22,8 @@
   void Take(boost::asio::ip::tcp::socket socket);
   /// Connections of now carry nothing any more, and neither end is told.
   void Silence();
+  /// The same for what comes from the far side only.
+  void SilenceFar();
   /// Connections of now are closed.
   void Cut();
   /// Each piece of connections made from now on comes this late.
