--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 FUZZ_SECONDS ?= 60
 
 .PHONY: all deps test demo bench bench-weights bench-requests bench-config \
-  bench-capacity fuzz lint clang-format check-format check-tidy
+  bench-capacity fuzz soak lint clang-format check-format check-tidy
 
 all: $(BUILD)/build.ninja
 	cmake --build $(BUILD)
@@ -38,6 +38,11 @@
 fuzz: all
 	python3 testsuite/run_fuzz.py --bin $(BUILD) --seconds $(FUZZ_SECONDS)
 
+# Real processes under random faults; SOAK_SEEDS runs with fresh seeds.
+SOAK_SEEDS ?= 10
+soak: all
+	python3 testsuite/soak/run_soak.py --bin $(BUILD) --seeds $(SOAK_SEEDS)
+
 lint: check-format check-tidy
 
 SOURCES = $(shell git ls-files -co --exclude-standard '*.cc' '*.h')
--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -15,6 +15,9 @@
 class PlatformFleet:
     """A small deployment; `cluster` starts and ends its processes."""
 
+    # Longest time that a write into the store may take, in seconds.
+    WRITE_TIMEOUT = 30
+
     def __init__(self, cluster):
         self.cluster = cluster
         ports = harness.free_ports(8)
@@ -50,10 +53,15 @@
                "value": base64.b64encode(
                    json.dumps(value).encode()).decode()}
         reply = harness.call(self.store, "POST", "/rows-tx",
-                             {"precondition": [], "writes": [row],
-                              "remove": []})
+                             {"precondition": self.conditions(table, key),
+                              "writes": [row],
+                              "remove": []}, timeout=self.WRITE_TIMEOUT)
         assert reply.status == 200, reply.status
 
+    def conditions(self, table, key):
+        """What must hold for a write to take effect."""
+        return []
+
     def configure(self):
         """Declares the configuration with the present keys."""
         self.version += 1
--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -9,10 +9,11 @@
 import platform_fleet
 from soak.deployment import GUEST_KEY
 
-CALL_TIMEOUT = 9.0
+CALL_TIMEOUT = 15.0
 DEADLINE_MS = 6000
 MOST_EVENTS = 40
 PAUSES = (0.0, 0.01, 0.03, 0.1)
+PROBES = 4
 
 
 @dataclasses.dataclass
@@ -39,14 +40,34 @@
         self.outcomes = []
         self.lock = threading.Lock()
         self.stopped = threading.Event()
+        self.probes = 0
         self.threads = [
             threading.Thread(target=self.run, args=(seed, number))
             for number in range(count)]
 
     def start(self):
-        for thread in self.threads:
+        for thread in self.threads[:]:
             thread.start()
 
+    def probe_guest(self):
+        """Calls each entry with the guest's key, beside the usual calls."""
+        for entry in self.deployment.entries:
+            for _ in range(PROBES):
+                self.probes += 1
+                outcome = Outcome("probe-%d" % self.probes, "pay",
+                                  entry["name"], True, time.monotonic())
+                thread = threading.Thread(target=self.probe,
+                                          args=(entry, outcome))
+                self.threads.append(thread)
+                thread.start()
+
+    def probe(self, entry, outcome):
+        connection = self.call(entry, outcome, None)
+        if connection:
+            connection.close()
+        with self.lock:
+            self.outcomes.append(outcome)
+
     def stop(self):
         self.stopped.set()
         for thread in self.threads:
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -4,6 +4,8 @@
 import platform_fleet
 
 GUEST_KEY = "key-of-guest"
+# A removed key may run for so long after the removal was acknowledged.
+KEY_BOUND = 5.0
 
 
 class Deployment(platform_fleet.PlatformFleet):
@@ -14,11 +16,24 @@
     name of the process behind which, or before which, they stand.
     """
 
+    # Faults that are due must not wait behind a store that hangs.
+    WRITE_TIMEOUT = 0.5
+
     def __init__(self, cluster):
         super().__init__(cluster)
         self.relays = {}
         self.guest_keys = [GUEST_KEY]
 
+    def conditions(self, table, key):
+        """The row must be as it is now: a write that was given up may still
+        take effect, and must not undo a later one."""
+        rows = harness.call(
+            self.store, "GET", "/rows-get?table=%s&part=" % table,
+            timeout=self.WRITE_TIMEOUT).json()["rows"]
+        found = [row["ver"] for row in rows if row["key"] == key]
+        return [{"table": table, "part": "", "key": key,
+                 "ver": found[0] if found else 0}]
+
     def store_for(self, name):
         return self.add_relay(name, None, self.store)
 
@@ -44,7 +59,7 @@
         for data_center in ("a", "a", "b", "b"):
             self.add_replica(data_center=data_center, event=8)
         for data_center in ("a", "b"):
-            self.add_replica("ledger", "", data_center=data_center)
+            self.add_replica("ledger", "", data_center=data_center, work=30)
         for data_center in ("a", "a", "b"):
             self.add_entry(data_center)
         self.wait_ready()
--- a/testsuite/soak/fault_plan.py
+++ b/testsuite/soak/fault_plan.py
@@ -12,7 +12,7 @@
     "stop_target": 1, "freeze_entry": 3, "freeze_target": 2,
     "freeze_replica": 2, "store_down": 2, "store_hangs": 1, "store_slow": 1,
     "store_forgets": 1, "store_loses": 1, "link_silent": 4, "link_one_way": 3,
-    "link_cut": 4, "link_slow": 2, "revoke": 3, "configure": 3, "storm": 2,
+    "link_cut": 4, "link_slow": 2, "revoke": 2, "revoke_asleep": 3, "configure": 3, "storm": 2,
     "declare": 2}
 LONGEST_FREEZE = 6.5
 LONGEST_OUTAGE = 3.0
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -1,24 +1,30 @@
 """Brings the faults of a plan upon a deployment, from outside its processes."""
 
 import heapq
+import http.client
 import itertools
 import json
 import time
 
 import harness
-from soak.deployment import GUEST_KEY
+from soak.deployment import GUEST_KEY, KEY_BOUND
 
 RETRY = 0.3
 SLOW_MS = 150
 LOST_ANSWERS = 3
 STORM = 6
+# An entry sleeps over the bound on a removed key, and a little longer.
+SLEEP_OVER_BOUND = 6.3
+PROBE_AFTER = KEY_BOUND + 0.1
 
 
 class Injector:
     """Runs a plan. What the checks need to know of it is kept here."""
 
-    def __init__(self, deployment, plan):
+    def __init__(self, deployment, plan, probe_guest):
         self.deployment = deployment
+        # Calls each entry with the guest's key, at once.
+        self.probe_guest = probe_guest
         self.cluster = deployment.cluster
         self.queue = []
         self.order = itertools.count()
@@ -186,12 +192,13 @@
         try:
             action()
             return True
-        except (OSError, AssertionError, ValueError):
+        except (OSError, AssertionError, ValueError, KeyError,
+                http.client.HTTPException):
             self.later(self.now() + RETRY, *arguments)
             return False
 
     def configure(self, fault):
-        self.write(self.deployment.configure, self.configure, fault)
+        self.publish()
 
     def storm(self, fault):
         for number in range(STORM):
@@ -211,16 +218,26 @@
         self.deployment.guest_keys = []
         self.bar(fault)
 
+    def revoke_asleep(self, fault):
+        """The key goes while an entry sleeps, which then wakes to calls."""
+        self.freeze(self.pick(self.entries(), fault),
+                    fault._replace(lasts=SLEEP_OVER_BOUND))
+        self.revoke(fault)
+
     def bar(self, fault):
-        if not self.write(self.deployment.configure, self.bar, fault):
+        if self.deployment.guest_keys or not self.write(self.deployment.configure, self.bar, fault):
             return
         self.barred.append([time.monotonic(), float("inf")])
-        self.later(self.now() + 6 + fault.lasts, self.give_back)
+        self.later(self.now() + PROBE_AFTER, self.probe_guest)
+        self.later(self.now() + 8 + fault.lasts, self.give_back)
 
     def give_back(self):
         self.deployment.guest_keys = [GUEST_KEY]
         self.barred[-1][1] = min(self.barred[-1][1], time.monotonic())
-        self.write(self.deployment.configure, self.give_back)
+        self.publish()
+
+    def publish(self):
+        self.write(self.deployment.configure, self.publish)
 
     def describe(self, plan):
         return json.dumps([list(fault) for fault in plan])
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -6,11 +6,11 @@
 
 import harness
 import platform_fleet
+from soak.deployment import KEY_BOUND
 
-# A removed key may run for so long after the removal was acknowledged.
-KEY_BOUND = 5.0
-# The route's time is 20 s and the caller's 6 s; an answer comes until then.
-LATEST = 8.0
+# An entry reads a call that was sent while it was frozen when it wakes, 6.5 s
+# later at most, and the caller's 6 s begin then.
+LATEST = 13.5
 OWN_REFUSALS = (502, 503, 504)
 RAN = re.compile(r"event=ran call=(\S+) organisation=(\S+) weights=(\d+)")
 
--- a/testsuite/soak/run_soak.py
+++ b/testsuite/soak/run_soak.py
@@ -32,7 +32,7 @@
     deployment = Deployment(cluster)
     deployment.start()
     callers = Callers(deployment, seed, CALLERS)
-    injector = Injector(deployment, plan)
+    injector = Injector(deployment, plan, callers.probe_guest)
     callers.start()
     broken = []
     try:
--- a/testsuite/standins/platform_replica/main.cc
+++ b/testsuite/standins/platform_replica/main.cc
@@ -19,6 +19,7 @@
       .Address("store", "127.0.0.1:8100", "the platform's store")
       .Integer("slots", 8, 1, 1000, "calls", "calls at once")
       .Integer("event", 10, 1, 10000, "ms", "time between events")
+      .Integer("work", 0, 0, 10000, "ms", "time that a plain call takes")
       .Integer("load", 50, 0, 10000, "ms", "time that a load takes")
       .Integer("version", 0, 0, 1000000, "",
                "version that it has loaded at its start; 0: none");
--- a/testsuite/standins/platform_replica/replica.cc
+++ b/testsuite/standins/platform_replica/replica.cc
@@ -41,6 +41,7 @@
       m_store(settings.Address("store")),
       m_slots(static_cast<uint32_t>(settings.Integer("slots"))),
       m_event(settings.Milliseconds("event")),
+      m_work(settings.Milliseconds("work")),
       m_load(settings.Milliseconds("load")),
       m_started_ms(UnixMilliseconds()) {}
 
--- a/testsuite/standins/platform_replica/replica.h
+++ b/testsuite/standins/platform_replica/replica.h
@@ -26,6 +26,8 @@
   const uint32_t m_slots;
   /// Time between two events of a stream.
   const Duration m_event;
+  /// Time from the start of a plain call to its answer.
+  const Duration m_work;
   const Duration m_load;
   const uint64_t m_started_ms;
   /// 0: none.
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -130,6 +130,8 @@
     co_return;
   }
   const Running running(*replica, request);
+  if (replica->m_work > Duration())
+    co_await Sleep(replica->m_work);
   co_await writer.Send(wire::Response(200, AnswerHeaders(request, *replica),
                                       "ran: " + request.m_path));
 }
