Test relayed lists of replicas and the recall of calls when weights bind

Both were without a test of their own: the recall of a call that waits in a replica's queue when new weights bind (the head deadline must not lie behind the binding), and taking over a neighbour's list of replicas (an older list must not bring back a replica that leaves; rows that lapsed are kept after a relay too).

--- a/src/libverbenalead/entry/call_server_test.cc
+++ b/src/libverbenalead/entry/call_server_test.cc
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(WithoutALeaseKeysAreNotJudged);
   CPPUNIT_TEST(AnUnknownKeyIsRefused);
   CPPUNIT_TEST(ARequestThatCrashesReplicasIsSetAside);
+  CPPUNIT_TEST(ACallThatWaitsIsCalledBackBeforeNewWeightsBind);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -235,6 +236,30 @@
     CPPUNIT_ASSERT_EQUAL(Event(1), Call("/stream/good").m_body);
   }
 
+  // A caller gets tokens of old weights after new ones bind: its call waits in
+  // a replica's queue meanwhile and begins there late. The entry gives up such
+  // a call when they bind, and no later; a replica with the new ones is left
+  // its time.
+  void ACallThatWaitsIsCalledBackBeforeNewWeightsBind() {
+    model::RoutingConfig config = m_state->m_routes->config();
+    model::Service service;
+    service.m_name = "pool";
+    service.m_engine = model::EngineProfile();
+    service.m_engine->m_model = "model";
+    config.m_services = {service};
+    m_state->m_routes = std::make_shared<decide::RouteTable>(config);
+    const TimePoint binding = Now() + 200ms;
+    decide::Declare(m_state->m_weights["model"], 2, binding);
+    m_replicas.m_answers = {Answer(200, {Event(1)})};
+    Call("/stream/1");
+    CPPUNIT_ASSERT(m_replicas.m_head_deadlines.at(0) <= binding);
+    for (auto& [id, replica] : StateOf(*m_state, "pool").m_pool.m_replicas)
+      replica.m_weights = 2;
+    m_replicas.m_answers = {Answer(200, {Event(1)})};
+    Call("/stream/2");
+    CPPUNIT_ASSERT(m_replicas.m_head_deadlines.at(1) > binding);
+  }
+
  private:
   RecordingCaller Call(const std::string& path,
                        const std::string& key = "key") {
--- /dev/null
+++ b/src/libverbenalead/entry/row_intake_test.cc
@@ -0,0 +1,94 @@
+#include "entry/row_intake.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace verbenalead::entry {
+namespace {
+
+platform::Row ReplicaRow(const std::string& id,
+                         uint64_t revision,
+                         const std::string& state = "ready") {
+  platform::Row row;
+  row.m_key = id;
+  row.m_revision = revision;
+  row.m_value = R"({"service":"pool","address":"10.0.0.)" + id +
+                R"(:80","zone":"a","slots":4,"state":")" + state + R"("})";
+  return row;
+}
+
+platform::Rows Rows(uint64_t revision, std::vector<platform::Row> rows) {
+  platform::Rows all;
+  all.m_revision = revision;
+  all.m_rows = std::move(rows);
+  return all;
+}
+
+class RowIntakeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RowIntakeTest);
+  CPPUNIT_TEST(TakesOverWhatANearEntryKnows);
+  CPPUNIT_TEST(AnOlderListDoesNotBringBackALeavingReplica);
+  CPPUNIT_TEST(RowsThatLapsedAreKeptAfterARelayToo);
+  CPPUNIT_TEST(ARowThatCannotBeReadNamesNoReplica);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_state = std::make_unique<EntryState>(EntryOptions());
+    m_intake = std::make_unique<RowIntake>(*m_state);
+  }
+
+  void TakesOverWhatANearEntryKnows() {
+    m_intake->TakeReplicaRows(Rows(5, {ReplicaRow("1", 5)}), true, TimePoint());
+    CPPUNIT_ASSERT(m_intake->TakeRelayedReplicaRows(
+        {Rows(8, {ReplicaRow("1", 5), ReplicaRow("2", 8)}), std::nullopt}));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Replicas().size());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{8}, m_intake->replicas_revision());
+    // It tells them on as it got them.
+    CPPUNIT_ASSERT(m_intake->replica_rows().at("2") == ReplicaRow("2", 8));
+  }
+
+  // Calls reach a replica that is about to end: this entry has heard from the
+  // store that it leaves, and then takes over the list of a neighbour that has
+  // not. An older list is not taken.
+  void AnOlderListDoesNotBringBackALeavingReplica() {
+    m_intake->TakeReplicaRows(Rows(5, {ReplicaRow("1", 5)}), true, TimePoint());
+    m_intake->TakeReplicaRows(Rows(9, {ReplicaRow("1", 9, "draining")}), false,
+                              TimePoint());
+    CPPUNIT_ASSERT(!m_intake->TakeRelayedReplicaRows(
+        {Rows(7, {ReplicaRow("1", 5)}), std::nullopt}));
+    CPPUNIT_ASSERT(Replicas().at("1").m_replica.m_leaving);
+  }
+
+  // A service is left without replicas: the store returns, the neighbour that
+  // reads finds no rows yet, as they lapsed, and keeps its replicas for two
+  // seconds. An entry that takes its list over keeps them as long.
+  void RowsThatLapsedAreKeptAfterARelayToo() {
+    m_intake->TakeReplicaRows(Rows(5, {ReplicaRow("1", 5)}), true, TimePoint());
+    m_intake->TakeRelayedReplicaRows({Rows(8, {}), Duration(100ms)});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Replicas().size());
+    decide::DropMissing(m_state->m_services.at("pool").m_pool, Now() + 3s);
+    CPPUNIT_ASSERT(Replicas().empty());
+  }
+
+  void ARowThatCannotBeReadNamesNoReplica() {
+    platform::Row bad = ReplicaRow("2", 6);
+    bad.m_value = "\xff";
+    m_intake->TakeReplicaRows(Rows(6, {ReplicaRow("1", 5), bad}), true,
+                              TimePoint());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Replicas().size());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_intake->replica_rows().size());
+  }
+
+ private:
+  const std::map<std::string, decide::ReplicaState>& Replicas() const {
+    return m_state->m_services.at("pool").m_pool.m_replicas;
+  }
+
+  std::unique_ptr<EntryState> m_state;
+  std::unique_ptr<RowIntake> m_intake;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RowIntakeTest);
+
+}  // namespace
+}  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/scripted_client.h
+++ b/src/libverbenalead/entry/scripted_client.h
@@ -37,18 +37,23 @@
     if (answer.m_failure == FailureCode::kUnreachable)
       co_return Failure{FailureCode::kUnreachable, "connect", "replica", "no"};
     co_return AsyncResult<std::unique_ptr<wire::ResponseReader>>(
-        std::make_unique<Reader>(std::move(answer)));
+        std::make_unique<Reader>(std::move(answer), m_head_deadlines));
   }
 
   std::deque<ScriptedAnswer> m_answers;
   std::vector<wire::Request> m_requests;
+  /// Until when each head was waited for.
+  std::vector<TimePoint> m_head_deadlines;
 
  private:
   class Reader : public wire::ResponseReader {
    public:
-    explicit Reader(ScriptedAnswer answer) : m_answer(std::move(answer)) {}
+    Reader(ScriptedAnswer answer, std::vector<TimePoint>& head_deadlines)
+        : m_answer(std::move(answer)), m_head_deadlines(head_deadlines) {}
 
-    Awaitable<AsyncResult<wire::ResponseHead>> ReadHead(TimePoint) override {
+    Awaitable<AsyncResult<wire::ResponseHead>> ReadHead(
+        TimePoint deadline) override {
+      m_head_deadlines.push_back(deadline);
       if (m_answer.m_failure)
         co_return Failure{*m_answer.m_failure, "read head", "replica", "no"};
       co_return m_answer.m_head;
@@ -65,6 +70,7 @@
 
    private:
     ScriptedAnswer m_answer;
+    std::vector<TimePoint>& m_head_deadlines;
     size_t m_next = 0;
     wire::Headers m_trailers;
   };
