--- /dev/null
+++ b/src/libverbenalead/target/chunk_server.cc
@@ -0,0 +1,86 @@
+#include "target/chunk_server.h"
+
+#include <cstdlib>
+
+#include "target/chunk_fetcher.h"
+
+namespace verbenalead::target {
+namespace {
+
+/// Chunks go out in pieces of this size at this part of the link's rate. Events
+/// of live streams leave by the same link: behind three chunks at once they
+/// waited over 0.12 s, and a third of the streams were late during a transfer.
+/// Behind one piece they wait 4 ms.
+constexpr size_t kUploadPiece = 4096;
+constexpr double kUploadShare = 0.8;
+constexpr Duration kUploadCredit = 20ms;
+
+uint64_t UploadRate(const TargetOptions& options) {
+  return static_cast<uint64_t>(static_cast<double>(options.m_link_rate) *
+                               kUploadShare);
+}
+
+}  // namespace
+
+ChunkServer::ChunkServer(const TargetState& state,
+                         std::function<bool()> has_calls)
+    : m_state(state),
+      m_has_calls(std::move(has_calls)),
+      m_upload(UploadRate(state.m_options), kUploadCredit) {}
+
+Awaitable<void> ChunkServer::Tell(const wire::Request& request,
+                                  wire::ResponseWriter& caller) {
+  if (const CachedVersion* cached = FindDigests(request.m_path)) {
+    co_await caller.Send(
+        wire::Response(200, {}, FormatDigests(cached->m_digests)));
+    co_return;
+  }
+  std::shared_ptr<const std::string> bytes = FindChunk(request.m_path);
+  if (!bytes) {
+    co_await caller.Send(wire::Response(404, {}, ""));
+    co_return;
+  }
+  wire::ResponseHead head(200, {{"content-type", "application/octet-stream"}});
+  if (!co_await caller.Start(std::move(head)))
+    co_return;
+  for (size_t begin = 0; begin < bytes->size(); begin += kUploadPiece) {
+    std::string piece = bytes->substr(begin, kUploadPiece);
+    // With no calls there is nothing that chunks could hold up.
+    if (m_has_calls())
+      co_await m_upload.Take(piece.size());
+    if (!co_await caller.Write(std::move(piece)))
+      co_return;
+  }
+  co_await caller.Finish({});
+}
+
+const CachedVersion* ChunkServer::FindDigests(const std::string& path) const {
+  for (const auto& [version, cached] : m_state.m_cache.versions()) {
+    if (m_state.m_engine &&
+        path == DigestsPath(m_state.m_engine->m_model, version))
+      return &cached;
+  }
+  return nullptr;
+}
+
+std::shared_ptr<const std::string> ChunkServer::FindChunk(
+    const std::string& path) const {
+  for (const auto& [version, cached] : m_state.m_cache.versions()) {
+    const std::string prefix = ChunkPrefix(version);
+    if (!path.starts_with(prefix))
+      continue;
+    const uint64_t chunk =
+        std::strtoull(path.c_str() + prefix.size(), nullptr, 10);
+    if (chunk < cached.m_chunks.size())
+      return cached.m_chunks[chunk];
+  }
+  return nullptr;
+}
+
+std::string ChunkServer::ChunkPrefix(uint64_t version) const {
+  const std::string path =
+      ChunkPath(m_state.m_engine ? m_state.m_engine->m_model : "", version, 0);
+  return path.substr(0, path.rfind('/') + 1);
+}
+
+}  // namespace verbenalead::target
--- /dev/null
+++ b/src/libverbenalead/target/place_granter_test.cc
@@ -0,0 +1,82 @@
+#include "target/place_granter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/io_context.hpp>
+
+namespace verbenalead::target {
+namespace {
+
+constexpr uint32_t kSlots = 4;
+const Endpoint kEntry("127.0.0.1", 9);
+const Endpoint kOther("127.0.0.2", 9);
+
+class PlaceGranterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlaceGranterTest);
+  CPPUNIT_TEST(GrantsNoMorePlacesThanThereAre);
+  CPPUNIT_TEST(LearnsAfterARestartWhatEntriesHaveHere);
+  CPPUNIT_TEST(ForgetsWhatADeadEntryHad);
+  CPPUNIT_TEST(GrantsNothingWhileTheEngineLoads);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_state = std::make_unique<TargetState>(TargetOptions());
+    m_state->m_engine = model::EngineProfile();
+    m_state->m_engine->m_slots = kSlots;
+    m_news = {};
+    m_granter = std::make_unique<PlaceGranter>(*m_state, m_datagrams,
+                                               [this] { return m_news; });
+  }
+
+  void GrantsNoMorePlacesThanThereAre() {
+    for (uint32_t call = 0; call < kSlots + 2; ++call)
+      Ask(kEntry, std::min(call, kSlots));
+    CPPUNIT_ASSERT_EQUAL(kSlots, m_granter->Calls().m_calls);
+  }
+
+  // Callers wait 0.7 s for their first event after a target process was killed:
+  // the new one knows of no calls and would grant all places once more. Each
+  // question tells what its entry has there, so that it needs no other memory.
+  void LearnsAfterARestartWhatEntriesHaveHere() {
+    Ask(kEntry, 2);
+    Ask(kOther, 1);
+    Ask(kOther, 1);
+    CPPUNIT_ASSERT_EQUAL(kSlots, m_granter->Calls().m_calls);
+  }
+
+  // Places stay empty: an entry died and tells nothing of the end of its calls.
+  // They count for 2.5 s after its last word.
+  void ForgetsWhatADeadEntryHad() {
+    Ask(kEntry, 3);
+    m_granter->ForgetSilent(Now() + 1s);
+    CPPUNIT_ASSERT_EQUAL(kSlots, m_granter->Calls().m_calls);
+    m_granter->ForgetSilent(Now() + 3s);
+    CPPUNIT_ASSERT_EQUAL(0U, m_granter->Calls().m_calls);
+  }
+
+  void GrantsNothingWhileTheEngineLoads() {
+    m_news.m_loading = true;
+    Ask(kEntry, 0);
+    CPPUNIT_ASSERT_EQUAL(0U, m_granter->Calls().m_calls);
+  }
+
+ private:
+  /// `entry` has `calls` here and asks for one place more.
+  void Ask(const Endpoint& entry, uint32_t calls) {
+    links::PlaceRequest request;
+    request.m_calls.m_calls = calls;
+    m_granter->Grant(entry, request);
+  }
+
+  boost::asio::io_context m_io;
+  links::Datagrams m_datagrams{m_io.get_executor(), Endpoint("127.0.0.1", 0)};
+  std::unique_ptr<TargetState> m_state;
+  links::ReplicaNews m_news;
+  std::unique_ptr<PlaceGranter> m_granter;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlaceGranterTest);
+
+}  // namespace
+}  // namespace verbenalead::target
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -7,11 +7,9 @@
 
 #include "base/io_threads.h"
 #include "base/log.h"
-#include "base/pacer.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
 #include "decide/change_source.h"
-#include "decide/replica_pool.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "links/datagrams.h"
@@ -20,8 +18,9 @@
 #include "links/table_follower.h"
 #include "platform/names.h"
 #include "platform/store.h"
+#include "target/chunk_server.h"
 #include "target/engine_keeper.h"
-#include "target/entry_follower.h"
+#include "target/place_granter.h"
 #include "target/target_rows.h"
 
 namespace verbenalead::target {
@@ -43,26 +42,11 @@
 /// when they ask for a place.
 constexpr uint64_t kRoundsToTellNear = 2;
 constexpr uint64_t kRoundsToTellFar = 12;
-/// How long the calls of an entry count that tells nothing more.
-constexpr Duration kCallsHold = 2500ms;
 /// How often hosts are asked for their chunk news, and how long such a question
 /// holds.
 constexpr Duration kFollowInterval = 500ms;
 constexpr Duration kFollowHold = 5s;
 
-/// Chunks go out in pieces of this size at this part of the link's rate. Events
-/// of live streams leave by the same link: behind three chunks at once they
-/// waited over 0.12 s, and a third of the streams were late during a transfer.
-/// Behind one piece they wait 4 ms.
-constexpr size_t kUploadPiece = 4096;
-constexpr double kUploadShare = 0.8;
-constexpr Duration kUploadCredit = 20ms;
-
-uint64_t UploadRate(const TargetOptions& options) {
-  return static_cast<uint64_t>(static_cast<double>(options.m_link_rate) *
-                               kUploadShare);
-}
-
 http::ClientOptions Connections() {
   http::ClientOptions options;
   options.m_connect_timeout = kConnectTimeout;
@@ -89,8 +73,10 @@
         m_origin_http(OriginConnections()),
         m_origin(m_origin_http),
         m_fetcher(m_state, m_http, m_origin),
-        m_upload(UploadRate(m_state.m_options), kUploadCredit),
-        m_keeper(m_state, m_engine, m_fetcher, [this] { TellEntries(); }),
+        m_datagrams(m_threads.main(), m_state.m_options.m_peers),
+        m_places(m_state, m_datagrams, [this] { return m_keeper.News(); }),
+        m_chunks(m_state, [this] { return m_places.Calls().m_calls > 0; }),
+        m_keeper(m_state, m_engine, m_fetcher, [this] { m_places.TellAll(); }),
         m_operator_rows(
             m_threads.main(),
             m_store,
@@ -110,78 +96,24 @@
             [this](const platform::Rows& rows, bool whole) {
               target::TakeReplicaRows(m_state, rows, whole);
             }),
-        m_datagrams(m_threads.main(), m_state.m_options.m_peers),
-        m_chunks(
+        m_chunk_server(
             m_threads,
             {},
             [this](const wire::Request& request, wire::ResponseWriter& caller) {
-              return TellWeights(request, caller);
+              return m_chunks.Tell(request, caller);
             }),
         m_metrics(m_threads, {}, links::MetricsHandler(m_state.m_metrics)),
         m_signals(m_threads.main(), SIGTERM, SIGINT, SIGHUP) {}
 
-  Awaitable<void> TellWeights(const wire::Request& request,
-                              wire::ResponseWriter& caller) {
-    if (const CachedVersion* cached = FindDigests(request.m_path)) {
-      co_await caller.Send(
-          wire::Response(200, {}, FormatDigests(cached->m_digests)));
-      co_return;
-    }
-    std::shared_ptr<const std::string> bytes = FindChunk(request.m_path);
-    if (!bytes) {
-      co_await caller.Send(wire::Response(404, {}, ""));
-      co_return;
-    }
-    wire::ResponseHead head(200,
-                            {{"content-type", "application/octet-stream"}});
-    if (!co_await caller.Start(std::move(head)))
-      co_return;
-    for (size_t begin = 0; begin < bytes->size(); begin += kUploadPiece) {
-      std::string piece = bytes->substr(begin, kUploadPiece);
-      // With no calls there is nothing that chunks could hold up.
-      if (AllCalls().m_calls > 0)
-        co_await m_upload.Take(piece.size());
-      if (!co_await caller.Write(std::move(piece)))
-        co_return;
-    }
-    co_await caller.Finish({});
-  }
-
-  const CachedVersion* FindDigests(const std::string& path) const {
-    for (const auto& [version, cached] : m_state.m_cache.versions()) {
-      if (m_state.m_engine &&
-          path == DigestsPath(m_state.m_engine->m_model, version))
-        return &cached;
-    }
-    return nullptr;
-  }
-
-  std::shared_ptr<const std::string> FindChunk(const std::string& path) const {
-    for (const auto& [version, cached] : m_state.m_cache.versions()) {
-      const std::string prefix = ChunkPrefix(version);
-      if (!path.starts_with(prefix))
-        continue;
-      const uint64_t chunk =
-          std::strtoull(path.c_str() + prefix.size(), nullptr, 10);
-      if (chunk < cached.m_chunks.size())
-        return cached.m_chunks[chunk];
-    }
-    return nullptr;
-  }
-
-  std::string ChunkPrefix(uint64_t version) const {
-    const std::string path = ChunkPath(
-        m_state.m_engine ? m_state.m_engine->m_model : "", version, 0);
-    return path.substr(0, path.rfind('/') + 1);
-  }
-
   void TakeMessage(const Endpoint& sender, const links::Message& message) {
     if (const auto* follow = std::get_if<links::FollowRequest>(&message)) {
       TakeFollower(sender, *follow);
     } else if (const auto* calls = std::get_if<links::CallNews>(&message)) {
-      TakeCalls(sender, *calls);
+      if (IsOwn(calls->m_replica))
+        m_places.TakeCalls(sender, *calls);
     } else if (const auto* ask = std::get_if<links::PlaceRequest>(&message)) {
-      TakeRequest(sender, *ask);
+      if (IsOwn(ask->m_replica))
+        m_places.Grant(sender, *ask);
     } else if (const auto* news = std::get_if<links::ChunkNews>(&message)) {
       m_fetcher.TakeNews(*news);
     }
@@ -202,58 +134,6 @@
     return false;
   }
 
-  /// Grants a place if the replica has room for one more call.
-  void TakeRequest(const Endpoint& sender, const links::PlaceRequest& request) {
-    if (!IsOwn(request.m_replica) || !m_state.m_engine)
-      return;
-    EntryFollower& follower = m_entries[sender];
-    follower.m_calls = request.m_calls;
-    follower.m_calls_at = Now();
-    links::PlaceAnswer answer;
-    answer.m_ticket = request.m_ticket;
-    answer.m_news = NewsFor(follower);
-    const links::ReplicaCalls all = AllCalls();
-    answer.m_granted = !answer.m_news.m_loading &&
-                       decide::HasRoom(m_state.m_engine->m_slots,
-                                       m_state.m_engine->m_prefill_rate,
-                                       all.m_calls, all.m_unread);
-    follower.m_denied = !answer.m_granted;
-    if (answer.m_granted) {
-      ++follower.m_calls.m_calls;
-      follower.m_calls.m_unread += request.m_prompt_tokens;
-    }
-    m_datagrams.Send(sender, answer);
-  }
-
-  links::ReplicaCalls AllCalls() const {
-    links::ReplicaCalls sum;
-    for (const auto& [entry, follower] : m_entries) {
-      sum.m_calls += follower.m_calls.m_calls;
-      sum.m_unread += follower.m_calls.m_unread;
-    }
-    return sum;
-  }
-
-  links::ReplicaNews NewsFor(const EntryFollower& follower) const {
-    links::ReplicaNews news = m_keeper.News();
-    const links::ReplicaCalls all = AllCalls();
-    news.m_elsewhere.m_calls = all.m_calls - follower.m_calls.m_calls;
-    news.m_elsewhere.m_unread = all.m_unread - follower.m_calls.m_unread;
-    return news;
-  }
-
-  void TakeCalls(const Endpoint& sender, const links::CallNews& news) {
-    if (!IsOwn(news.m_replica))
-      return;
-    EntryFollower& follower = m_entries[sender];
-    follower.m_calls = news.m_calls;
-    follower.m_calls_at = Now();
-    // Calls wait at those that were denied a place.
-    TellEntries([](const EntryFollower& other, const links::ReplicaNews&) {
-      return other.m_denied;
-    });
-  }
-
   /// Takes the operator's rows over from a near entry, or asks the store if
   /// that fails.
   Awaitable<void> FetchFrom(Endpoint entry) {
@@ -296,41 +176,7 @@
       Spawn(m_threads.main(), FetchFrom(sender), "fetch");
     else if (source == decide::ChangeSource::kStore)
       m_operator_rows.Poke();
-    EntryFollower& follower = m_entries[sender];
-    follower.m_until = until;
-    follower.m_near = request.m_near;
-  }
-
-  /// Tells the followers that `which` picks what changed for them.
-  template <typename Which>
-  void TellEntries(Which which) {
-    if (!OwnReplica(m_state))
-      return;
-    for (auto& [entry, follower] : m_entries) {
-      const links::ReplicaNews news = NewsFor(follower);
-      if (follower.m_until <= Now() || !which(follower, news))
-        continue;
-      follower.m_told = news;
-      follower.m_denied = false;
-      m_datagrams.Send(entry, news);
-    }
-  }
-
-  /// The engine's state has changed: all have to know at once.
-  void TellEntries() {
-    TellEntries(
-        [](const EntryFollower&, const links::ReplicaNews&) { return true; });
-  }
-
-  void ForgetEntries(TimePoint now) {
-    // An entry that died told nothing of the end of its calls.
-    for (auto& [entry, follower] : m_entries) {
-      if (follower.m_calls_at + kCallsHold <= now)
-        follower.m_calls = {};
-    }
-    std::erase_if(m_entries, [now](const auto& entry) {
-      return entry.second.m_until <= now && entry.second.m_calls.m_calls == 0;
-    });
+    m_places.Follow(sender, request.m_near, until);
   }
 
   void TellChunks(const Endpoint& to) {
@@ -362,20 +208,18 @@
       std::erase_if(m_chunk_followers, [now](const auto& follower) {
         return follower.second <= now;
       });
-      ForgetEntries(now);
+      m_places.ForgetSilent(now);
       const bool all = ++round % kRoundsToTellAll == 0;
       if (HeldChunks() != told || all) {
         told = HeldChunks();
         for (const auto& [host, until] : m_chunk_followers)
           TellChunks(host);
       }
-      const bool near = round % kRoundsToTellNear == 0;
-      const bool far = round % kRoundsToTellFar == 0;
-      TellEntries(
-          [=](const EntryFollower& follower, const links::ReplicaNews& news) {
-            const bool due = follower.m_near ? near : far;
-            return all || (due && news != follower.m_told);
-          });
+      if (all)
+        m_places.TellAll();
+      else
+        m_places.TellChanges(round % kRoundsToTellNear == 0,
+                             round % kRoundsToTellFar == 0);
     }
   }
 
@@ -422,12 +266,13 @@
   http::Client m_origin_http;
   platform::OriginClient m_origin;
   ChunkFetcher m_fetcher;
-  Pacer m_upload;
+  links::Datagrams m_datagrams;
+  PlaceGranter m_places;
+  ChunkServer m_chunks;
   EngineKeeper m_keeper;
   links::TableFollower m_operator_rows;
   links::TableFollower m_replica_rows;
-  links::Datagrams m_datagrams;
-  http::Server m_chunks;
+  http::Server m_chunk_server;
   http::Server m_metrics;
   asio::signal_set m_signals;
   decide::ChangeWatch m_changes;
@@ -435,7 +280,6 @@
   TimePoint m_next_poke{};
   /// Who wants news, until when.
   std::map<Endpoint, TimePoint> m_chunk_followers;
-  std::map<Endpoint, EntryFollower> m_entries;
 };
 
 PlatformTarget::PlatformTarget(const Settings& settings)
@@ -452,7 +296,7 @@
       .With("engine", ToString(options.m_engine))
       .With("store", ToString(options.m_store))
       .Info();
-  if (!links::ListenAll({{&parts.m_chunks, options.m_peers},
+  if (!links::ListenAll({{&parts.m_chunk_server, options.m_peers},
                          {&parts.m_metrics, options.m_metrics}}))
     return 1;
   const auto main = parts.m_threads.main();
