Begin transfers without reading staged chunks that can't help

Cause: before it fetched a newer version, each host read all 48 staged chunks back to see whether they were of that version, though it knew that they were those of the loaded one. An origin that went away 2.5 s after a declaration left no time to draw one copy, which takes 2.1 s. Ruled out: skipping it always (a process that started anew does find chunks that its predecessor staged; platform_path covers that start).

--- a/src/libverbenalead/target/engine_keeper.cc
+++ b/src/libverbenalead/target/engine_keeper.cc
@@ -187,8 +187,12 @@
     co_return;
   if (!co_await m_fetcher.LearnDigests(version))
     co_return;
-  if (m_adopted < version) {
-    // What the engine still has staged needn't be fetched.
+  // What the engine still has staged needn't be fetched. Where all chunks of
+  // the loaded version were found there, none of a newer one is: reading 48 of
+  // them held up each transfer.
+  const bool loaded_is_staged = m_adopted > 0 && m_adopted == Loaded() &&
+                                m_state.m_cache.Complete(Loaded());
+  if (m_adopted < version && !loaded_is_staged) {
     m_adopted = version;
     co_await Adopt(version);
   }
