--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -179,6 +179,10 @@
         return self.start(name, program, settings, ["--platform"])
 
     def start(self, name, program, settings, options=()):
+        # A second process of that name would hide the first, which then nobody
+        # ends: it went on writing into the store of a later run.
+        assert name not in self.processes or \
+            not self.processes[name].alive(), name + " is running"
         path = self.path(name + ".json")
         with open(path, "w") as file:
             json.dump(settings, file, indent=1)
--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -27,6 +27,7 @@
             self.directory_port, self.replica_port, self.metrics_port = ports[2:]
         self.entries = []
         self.replicas = []
+        self.replicas_started = 0
         self.version = 0
         self.keys = [KEY]
         self.guest_keys = []
@@ -112,7 +113,8 @@
 
     def add_replica(self, service="pool", model="model", version=0,
                     data_center="a", **extra):
-        number = len(self.replicas) + 1
+        self.replicas_started += 1
+        number = self.replicas_started
         ip = "127.0.2.%d" % number
         name = "replica-%d" % number
         replica = {"name": name, "target": "target-%d" % number,
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -3,7 +3,6 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/json.hpp>
 #include <cstdlib>
-#include <iostream>
 
 #include "base/log.h"
 #include "base/sleep.h"
@@ -28,13 +27,12 @@
   Running(Replica& replica, const wire::Request& request) : m_replica(replica) {
     ++m_replica.m_active;
     ++m_replica.m_runs;
-    // At once and by one write: a replica that is killed right after it began
-    // to run a call must not be taken for one that didn't.
-    std::cerr << "event=ran call=" +
-                     wire::Get(request.m_headers, platform::kRequestId) +
-                     " organisation=" +
-                     wire::Get(request.m_headers, platform::kOrganisation) +
-                     " weights=" + std::to_string(m_replica.m_version) + "\n";
+    LogLine("ran")
+        .With("call", wire::Get(request.m_headers, platform::kRequestId))
+        .With("organisation",
+              wire::Get(request.m_headers, platform::kOrganisation))
+        .With("weights", m_replica.m_version)
+        .Info();
   }
   ~Running() { --m_replica.m_active; }
   Running(const Running&) = delete;
