Fetch weights before the engine answers; stage chunks as they come

Cause: an added host is up a second before its engine, and its target process waited for it; then it staged 48 chunks, read them back, and read them back once more (0.28 s). Chunks lived in the process's memory, two versions of 2.4 MB, and were gone when it was killed.

Change: a host fetches from others that have the version while its engine is silent; never from nothing, so a first start doesn't draw what the engines have staged. Each chunk goes to the staging area as it comes and leaves the memory; it is served and verified from there, and adopted by a process that starts anew. Read back once, before the order; a chunk that has gone bad is fetched again. A newer version's chunks wait in memory while an older one is needed (staging_area).

--- a/src/libverbenalead/target/chunk_cache.cc
+++ b/src/libverbenalead/target/chunk_cache.cc
@@ -1,5 +1,7 @@
 #include "target/chunk_cache.h"
 
+#include <algorithm>
+
 namespace verbenalead::target {
 namespace {
 
@@ -7,14 +9,43 @@
 /// may still want the former.
 constexpr size_t kVersionsKept = 2;
 
+using Chunk = CachedVersion::Chunk;
+
+/// Numbers of the chunks of `version`, or none, that `which` picks.
+template <typename Which>
+std::vector<uint32_t> NumbersOf(const CachedVersion* version, Which which) {
+  std::vector<uint32_t> numbers;
+  if (!version)
+    return numbers;
+  for (uint32_t number = 0; number < version->m_chunks.size(); ++number) {
+    if (which(version->m_chunks[number]))
+      numbers.push_back(number);
+  }
+  return numbers;
+}
+
+bool IsHere(const Chunk& chunk) {
+  return chunk.IsHere();
+}
+
+bool IsStaged(const Chunk& chunk) {
+  return chunk.m_staged;
+}
+
+bool AreAll(const CachedVersion* version, bool (*which)(const Chunk&)) {
+  return version && !version->m_chunks.empty() &&
+         std::all_of(version->m_chunks.begin(), version->m_chunks.end(), which);
+}
+
 }  // namespace
 
-void ChunkCache::Begin(uint64_t version, std::vector<Digest> digests) {
+void ChunkCache::Begin(uint64_t version, const std::vector<Digest>& digests) {
   if (m_versions.contains(version))
     return;
   CachedVersion cached;
   cached.m_chunks.resize(digests.size());
-  cached.m_digests = std::move(digests);
+  for (size_t number = 0; number < digests.size(); ++number)
+    cached.m_chunks[number].m_digest = digests[number];
   m_versions.emplace(version, std::move(cached));
   while (m_versions.size() > kVersionsKept)
     m_versions.erase(m_versions.begin());
@@ -26,43 +57,84 @@
 }
 
 bool ChunkCache::Complete(uint64_t version) const {
-  const CachedVersion* cached = Find(version);
-  return cached && !cached->m_chunks.empty() &&
-         cached->m_held == cached->m_chunks.size();
+  return AreAll(Find(version), IsHere);
+}
+
+bool ChunkCache::Staged(uint64_t version) const {
+  return AreAll(Find(version), IsStaged);
 }
 
 double ChunkCache::ShareHeld(uint64_t version) const {
   const CachedVersion* cached = Find(version);
   if (!cached || cached->m_chunks.empty())
     return 0;
-  return static_cast<double>(cached->m_held) /
+  return static_cast<double>(Held(version).size()) /
          static_cast<double>(cached->m_chunks.size());
 }
 
 std::vector<uint32_t> ChunkCache::Held(uint64_t version) const {
-  std::vector<uint32_t> held;
-  const CachedVersion* cached = Find(version);
-  if (!cached)
-    return held;
-  for (uint32_t chunk = 0; chunk < cached->m_chunks.size(); ++chunk) {
-    if (cached->m_chunks[chunk])
-      held.push_back(chunk);
-  }
-  return held;
+  return NumbersOf(Find(version), IsHere);
+}
+
+std::vector<uint32_t> ChunkCache::Unstaged(uint64_t version) const {
+  return NumbersOf(Find(version), [](const Chunk& chunk) {
+    return chunk.m_bytes && !chunk.m_staged;
+  });
 }
 
 bool ChunkCache::Put(uint64_t version, uint32_t chunk, std::string bytes) {
-  const auto found = m_versions.find(version);
-  if (found == m_versions.end() || chunk >= found->second.m_chunks.size())
+  Chunk* found = FindChunk(version, chunk);
+  if (!found || Sha256(bytes) != found->m_digest)
+    return false;
+  if (!found->IsHere())
+    found->m_bytes = std::make_shared<const std::string>(std::move(bytes));
+  return true;
+}
+
+void ChunkCache::NoteStaged(uint64_t version, uint32_t chunk) {
+  // There is one place for each chunk number of a model.
+  for (auto& [other, cached] : m_versions) {
+    if (chunk < cached.m_chunks.size())
+      cached.m_chunks[chunk].m_staged = false;
+  }
+  Chunk* found = FindChunk(version, chunk);
+  if (!found)
+    return;
+  found->m_staged = true;
+  found->m_bytes.reset();
+}
+
+bool ChunkCache::CheckStaged(uint64_t version,
+                             uint32_t chunk,
+                             const std::string& bytes) {
+  Chunk* found = FindChunk(version, chunk);
+  if (!found)
     return false;
-  CachedVersion& cached = found->second;
-  if (Sha256(bytes) != cached.m_digests[chunk])
+  if (Sha256(bytes) != found->m_digest) {
+    found->m_staged = false;
     return false;
-  if (!cached.m_chunks[chunk])
-    ++cached.m_held;
-  cached.m_chunks[chunk] =
-      std::make_shared<const std::string>(std::move(bytes));
+  }
+  NoteStaged(version, chunk);
   return true;
 }
 
+void ChunkCache::ForgetStaged(uint64_t version, uint32_t chunk) {
+  if (Chunk* found = FindChunk(version, chunk))
+    found->m_staged = false;
+}
+
+void ChunkCache::ForgetAllStaged() {
+  for (auto& [version, cached] : m_versions) {
+    for (Chunk& chunk : cached.m_chunks)
+      chunk.m_staged = false;
+  }
+}
+
+CachedVersion::Chunk* ChunkCache::FindChunk(uint64_t version, uint32_t chunk) {
+  const auto found = m_versions.find(version);
+  if (found == m_versions.end() || chunk >= found->second.m_chunks.size())
+    return nullptr;
+  return &found->second.m_chunks[chunk];
+}
+
 }  // namespace verbenalead::target
--- a/src/libverbenalead/target/chunk_cache_test.cc
+++ b/src/libverbenalead/target/chunk_cache_test.cc
@@ -10,6 +10,8 @@
   CPPUNIT_TEST(TakesOnlyWhatIsDeclared);
   CPPUNIT_TEST(NeverMixesVersions);
   CPPUNIT_TEST(KeepsTheTwoNewest);
+  CPPUNIT_TEST(StagedChunksLeaveMemory);
+  CPPUNIT_TEST(ASpoiltStagedChunkIsMissing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -44,6 +46,36 @@
     CPPUNIT_ASSERT(!cache.Find(1) && !cache.Find(2));
     CPPUNIT_ASSERT(cache.Find(3) && cache.Find(4));
   }
+
+  // One place for each number: what is staged of one version is gone for the
+  // other, and is never told to be here.
+  void StagedChunksLeaveMemory() {
+    ChunkCache cache;
+    cache.Begin(1, {Sha256("old")});
+    cache.Begin(2, {Sha256("new")});
+    CPPUNIT_ASSERT(cache.Put(1, 0, "old"));
+    CPPUNIT_ASSERT(!cache.Staged(1));
+    cache.NoteStaged(1, 0);
+    CPPUNIT_ASSERT(cache.Staged(1) && cache.Unstaged(1).empty());
+    CPPUNIT_ASSERT(!cache.Find(1)->m_chunks[0].m_bytes);
+    CPPUNIT_ASSERT(cache.Put(2, 0, "new"));
+    cache.NoteStaged(2, 0);
+    CPPUNIT_ASSERT(cache.Staged(2) && !cache.Complete(1));
+  }
+
+  // Tokens would be made from spoilt weights: a staged chunk goes bad by
+  // itself. Read back, it is found missing, and has to come anew.
+  void ASpoiltStagedChunkIsMissing() {
+    ChunkCache cache;
+    cache.Begin(1, {Sha256("right")});
+    CPPUNIT_ASSERT(cache.CheckStaged(1, 0, "right"));
+    CPPUNIT_ASSERT(cache.Complete(1));
+    CPPUNIT_ASSERT(!cache.CheckStaged(1, 0, "wrong"));
+    CPPUNIT_ASSERT(!cache.Complete(1) && cache.Held(1).empty());
+    cache.NoteStaged(1, 0);
+    cache.ForgetAllStaged();
+    CPPUNIT_ASSERT(!cache.Complete(1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ChunkCacheTest);
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -180,7 +180,7 @@
       (ReadsDigests(version) || Now() - m_digests_since > kDigestsPatience))
     agreed = co_await DigestsFromOrigin(version, std::move(answers));
   if (agreed) {
-    m_state.m_cache.Begin(version, std::move(*agreed));
+    m_state.m_cache.Begin(version, *agreed);
     co_return true;
   }
   m_next_digests = Now() + Duration(std::uniform_int_distribution<int64_t>(
@@ -447,10 +447,10 @@
   return "/v1/digests/" + model + "/" + std::to_string(version);
 }
 
-std::string FormatDigests(const std::vector<Digest>& digests) {
+std::string FormatDigests(const CachedVersion& version) {
   std::string text;
-  for (const Digest& digest : digests)
-    text += ToString(digest) + "\n";
+  for (const CachedVersion::Chunk& chunk : version.m_chunks)
+    text += ToString(chunk.m_digest) + "\n";
   return text;
 }
 
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -83,7 +83,7 @@
 
 /// Where other targets get the digests of a version, a line each.
 std::string DigestsPath(const std::string& model, uint64_t version);
-std::string FormatDigests(const std::vector<Digest>& digests);
+std::string FormatDigests(const CachedVersion& version);
 
 /// Where other targets get a chunk.
 std::string ChunkPath(const std::string& model,
--- a/src/libverbenalead/target/chunk_server.cc
+++ b/src/libverbenalead/target/chunk_server.cc
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 
+#include "base/log.h"
 #include "target/chunk_fetcher.h"
 
 namespace verbenalead::target {
@@ -22,20 +23,22 @@
 
 }  // namespace
 
-ChunkServer::ChunkServer(const TargetState& state,
+ChunkServer::ChunkServer(TargetState& state,
+                         platform::EngineClient& engine,
                          std::function<bool()> has_calls)
     : m_state(state),
+      m_engine(engine),
       m_has_calls(std::move(has_calls)),
       m_upload(UploadRate(state.m_options), kUploadCredit) {}
 
 Awaitable<void> ChunkServer::Tell(const wire::Request& request,
                                   wire::ResponseWriter& caller) {
   if (const CachedVersion* cached = FindDigests(request.m_path)) {
-    co_await caller.Send(
-        wire::Response(200, {}, FormatDigests(cached->m_digests)));
+    co_await caller.Send(wire::Response(200, {}, FormatDigests(*cached)));
     co_return;
   }
-  std::shared_ptr<const std::string> bytes = FindChunk(request.m_path);
+  const std::shared_ptr<const std::string> bytes =
+      co_await ReadChunk(request.m_path);
   if (!bytes) {
     co_await caller.Send(wire::Response(404, {}, ""));
     co_return;
@@ -63,18 +66,38 @@
   return nullptr;
 }
 
-std::shared_ptr<const std::string> ChunkServer::FindChunk(
-    const std::string& path) const {
+Awaitable<std::shared_ptr<const std::string>> ChunkServer::ReadChunk(
+    std::string path) {
   for (const auto& [version, cached] : m_state.m_cache.versions()) {
     const std::string prefix = ChunkPrefix(version);
     if (!path.starts_with(prefix))
       continue;
-    const uint64_t chunk =
+    const uint64_t number =
         std::strtoull(path.c_str() + prefix.size(), nullptr, 10);
-    if (chunk < cached.m_chunks.size())
-      return cached.m_chunks[chunk];
+    if (number >= cached.m_chunks.size())
+      continue;
+    const CachedVersion::Chunk& chunk = cached.m_chunks[number];
+    if (chunk.m_staged)
+      co_return co_await ReadStaged(version, static_cast<uint32_t>(number));
+    co_return chunk.m_bytes;
   }
-  return nullptr;
+  co_return nullptr;
+}
+
+Awaitable<std::shared_ptr<const std::string>> ChunkServer::ReadStaged(
+    uint64_t version,
+    uint32_t chunk) {
+  auto bytes = co_await m_engine.ReadStaged(m_state.m_engine->m_model, chunk);
+  if (!bytes)
+    co_return nullptr;
+  if (!m_state.m_cache.CheckStaged(version, chunk, *bytes)) {
+    LogLine("staged_chunk_spoilt")
+        .With("version", version)
+        .With("chunk", uint64_t{chunk})
+        .Info();
+    co_return nullptr;
+  }
+  co_return std::make_shared<const std::string>(std::move(*bytes));
 }
 
 std::string ChunkServer::ChunkPrefix(uint64_t version) const {
--- a/src/libverbenalead/target/chunk_server.h
+++ b/src/libverbenalead/target/chunk_server.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/pacer.h"
+#include "platform/engine_client.h"
 #include "target/target_state.h"
 #include "wire/response_writer.h"
 
@@ -14,19 +15,27 @@
 /// Hands chunks and digests to other hosts.
 class ChunkServer {
  public:
-  /// `has_calls`: whether live calls use the link now.
-  ChunkServer(const TargetState& state, std::function<bool()> has_calls);
+  /// `engine` has the chunks that are staged. `has_calls`: whether live calls
+  /// use the link now.
+  ChunkServer(TargetState& state,
+              platform::EngineClient& engine,
+              std::function<bool()> has_calls);
 
   Awaitable<void> Tell(const wire::Request& request,
                        wire::ResponseWriter& caller);
 
  private:
   const CachedVersion* FindDigests(const std::string& path) const;
-  std::shared_ptr<const std::string> FindChunk(const std::string& path) const;
+  /// The bytes of the chunk that `path` names; null: they aren't here.
+  Awaitable<std::shared_ptr<const std::string>> ReadChunk(std::string path);
+  /// Reads a chunk from the engine, and forgets it if it has gone bad there.
+  Awaitable<std::shared_ptr<const std::string>> ReadStaged(uint64_t version,
+                                                           uint32_t chunk);
   /// The path of a chunk of `version`, but for its number.
   std::string ChunkPrefix(uint64_t version) const;
 
-  const TargetState& m_state;
+  TargetState& m_state;
+  platform::EngineClient& m_engine;
   const std::function<bool()> m_has_calls;
   Pacer m_upload;
 };
--- /dev/null
+++ b/src/libverbenalead/target/chunk_stager.cc
@@ -0,0 +1,91 @@
+#include "target/chunk_stager.h"
+
+#include "base/log.h"
+
+namespace verbenalead::target {
+
+Awaitable<void> ChunkStager::Adopt(uint64_t version) {
+  const std::string model = m_state.m_engine->m_model;
+  for (uint32_t chunk = 0; chunk < m_state.m_engine->m_chunks; ++chunk) {
+    auto bytes = co_await m_engine.ReadStaged(model, chunk);
+    if (!bytes && bytes.error().m_code != FailureCode::kNotFound)
+      break;
+    if (bytes && m_state.m_cache.CheckStaged(version, chunk, *bytes))
+      m_version = version;
+  }
+  LogLine("staged_adopted")
+      .With("version", version)
+      .With("chunks",
+            static_cast<uint64_t>(m_state.m_cache.Held(version).size()))
+      .Info();
+}
+
+Awaitable<void> ChunkStager::Stage(uint64_t version, uint64_t loaded) {
+  const std::vector<uint32_t> chunks = m_state.m_cache.Unstaged(version);
+  if (chunks.empty() ||
+      !decide::MayStage(Held(m_version), Held(version), loaded))
+    co_return;
+  if (m_version != version) {
+    LogLine("staging")
+        .With("version", version)
+        .With("before", m_version)
+        .With("loaded", loaded)
+        .Info();
+    m_version = version;
+  }
+  for (uint32_t chunk : chunks) {
+    if (!co_await Put(version, chunk))
+      co_return;
+  }
+}
+
+Awaitable<bool> ChunkStager::Put(uint64_t version, uint32_t chunk) {
+  const CachedVersion* cached = m_state.m_cache.Find(version);
+  if (!cached || !cached->m_chunks[chunk].m_bytes)
+    co_return true;
+  std::string bytes = *cached->m_chunks[chunk].m_bytes;
+  auto put = co_await m_engine.Stage(m_state.m_engine->m_model, chunk,
+                                     std::move(bytes));
+  if (!put) {
+    LogLine("not_staged")
+        .With("version", version)
+        .With("chunk", uint64_t{chunk})
+        .With(put.error())
+        .Warn();
+    co_return false;
+  }
+  m_state.m_cache.NoteStaged(version, chunk);
+  co_return true;
+}
+
+Awaitable<bool> ChunkStager::Verify(uint64_t version) {
+  const std::string model = m_state.m_engine->m_model;
+  uint64_t spoilt = 0;
+  for (uint32_t chunk = 0; chunk < m_state.m_engine->m_chunks; ++chunk) {
+    auto bytes = co_await m_engine.ReadStaged(model, chunk);
+    if (bytes && m_state.m_cache.CheckStaged(version, chunk, *bytes))
+      continue;
+    if (!bytes && bytes.error().m_code != FailureCode::kNotFound) {
+      LogLine("not_verified")
+          .With("version", version)
+          .With(bytes.error())
+          .Warn();
+      co_return false;
+    }
+    m_state.m_cache.ForgetStaged(version, chunk);
+    ++spoilt;
+  }
+  LogLine("staged").With("version", version).With("spoilt", spoilt).Info();
+  co_return spoilt == 0;
+}
+
+void ChunkStager::ForgetAll() {
+  m_state.m_cache.ForgetAllStaged();
+  m_version = 0;
+}
+
+decide::StagedVersion ChunkStager::Held(uint64_t version) const {
+  return {version, m_state.m_cache.ShareHeld(version)};
+}
+
+}  // namespace verbenalead::target
--- /dev/null
+++ b/src/libverbenalead/target/chunk_stager_test.cc
@@ -0,0 +1,134 @@
+#include "target/chunk_stager.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "target/staging_engine.h"
+
+namespace verbenalead::target {
+namespace {
+
+const std::vector<std::string> kOld = {"old 0", "old 1", "old 2", "old 3"};
+const std::vector<std::string> kNew = {"new 0", "new 1", "new 2", "new 3"};
+
+std::vector<Digest> DigestsOf(const std::vector<std::string>& chunks) {
+  std::vector<Digest> digests;
+  for (const std::string& chunk : chunks)
+    digests.push_back(Sha256(chunk));
+  return digests;
+}
+
+class ChunkStagerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ChunkStagerTest);
+  CPPUNIT_TEST(AProcessThatStartsAnewFindsWhatWasStaged);
+  CPPUNIT_TEST(ASpoiltChunkIsFoundBeforeTheLoad);
+  CPPUNIT_TEST(ANewerVersionWaitsWhileTheOlderOneIsNeeded);
+  CPPUNIT_TEST(AnEngineThatIsDownLosesNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_http = std::make_unique<StagingEngine>();
+    m_engine = std::make_unique<platform::EngineClient>(
+        *m_http, Endpoint("127.0.0.1", 1));
+    Restart();
+  }
+
+  // New weights come 3 s late on a host whose process was killed in the middle
+  // of the transfer, if it has to fetch all chunks anew. Each is staged beside
+  // the engine as it comes, so that the next process fetches only the rest.
+  void AProcessThatStartsAnewFindsWhatWasStaged() {
+    Take(2, kNew, 3);
+    Run(m_stager->Stage(2, 1));
+    CPPUNIT_ASSERT_EQUAL(3, m_http->m_puts);
+    Restart();
+    Run(m_stager->Adopt(2));
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, m_state->m_cache.Held(2).size());
+    CPPUNIT_ASSERT(m_state->m_cache.Unstaged(2).empty());
+  }
+
+  // Tokens would be made from spoilt weights: a chunk goes bad after it was
+  // staged. It is read back before the load and has to be fetched again.
+  void ASpoiltChunkIsFoundBeforeTheLoad() {
+    Take(2, kNew, 4);
+    Run(m_stager->Stage(2, 1));
+    CPPUNIT_ASSERT(Verify(2));
+    m_http->m_chunks["1"] = "rotten";
+    CPPUNIT_ASSERT(!Verify(2));
+    CPPUNIT_ASSERT(!m_state->m_cache.Complete(2));
+    CPPUNIT_ASSERT(m_state->m_cache.Put(2, 1, kNew[1]));
+    Run(m_stager->Stage(2, 1));
+    CPPUNIT_ASSERT(Verify(2));
+  }
+
+  // No replica may be used once version 2 binds, if the first chunks of version
+  // 3 have taken its places and the rest doesn't come.
+  void ANewerVersionWaitsWhileTheOlderOneIsNeeded() {
+    Take(2, kOld, 4);
+    Run(m_stager->Stage(2, 1));
+    Take(3, kNew, 3);
+    Run(m_stager->Stage(3, 1));
+    CPPUNIT_ASSERT(m_state->m_cache.Staged(2));
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, m_state->m_cache.Unstaged(3).size());
+    Run(m_stager->Stage(3, 2));
+    CPPUNIT_ASSERT(m_state->m_cache.Unstaged(3).empty());
+    CPPUNIT_ASSERT(!m_state->m_cache.Complete(2));
+  }
+
+  void AnEngineThatIsDownLosesNothing() {
+    Take(2, kNew, 4);
+    m_http->m_down = true;
+    Run(m_stager->Stage(2, 1));
+    CPPUNIT_ASSERT(!Verify(2));
+    CPPUNIT_ASSERT(m_state->m_cache.Complete(2));
+  }
+
+ private:
+  /// The target process starts; the engine has what it had.
+  void Restart() {
+    m_state = std::make_unique<TargetState>(TargetOptions());
+    m_state->m_engine = model::EngineProfile();
+    m_state->m_engine->m_model = "m";
+    m_state->m_engine->m_chunks = static_cast<uint32_t>(kNew.size());
+    m_state->m_cache.Begin(2, DigestsOf(kNew));
+    m_stager = std::make_unique<ChunkStager>(*m_state, *m_engine);
+  }
+
+  /// The first `count` chunks of `version` come in.
+  void Take(uint64_t version,
+            const std::vector<std::string>& chunks,
+            uint32_t count) {
+    m_state->m_cache.Drop(version);
+    m_state->m_cache.Begin(version, DigestsOf(chunks));
+    for (uint32_t chunk = 0; chunk < count; ++chunk)
+      CPPUNIT_ASSERT(m_state->m_cache.Put(version, chunk, chunks[chunk]));
+  }
+
+  void Run(Awaitable<void> task) {
+    boost::asio::io_context io;
+    boost::asio::co_spawn(io, std::move(task), boost::asio::detached);
+    io.run();
+  }
+
+  Awaitable<void> NoteVerified(uint64_t version) {
+    m_verified = co_await m_stager->Verify(version);
+  }
+  bool Verify(uint64_t version) {
+    Run(NoteVerified(version));
+    return m_verified;
+  }
+
+  std::unique_ptr<StagingEngine> m_http;
+  std::unique_ptr<platform::EngineClient> m_engine;
+  std::unique_ptr<TargetState> m_state;
+  std::unique_ptr<ChunkStager> m_stager;
+  bool m_verified = false;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ChunkStagerTest);
+
+}  // namespace
+}  // namespace verbenalead::target
--- a/src/libverbenalead/target/engine_keeper.cc
+++ b/src/libverbenalead/target/engine_keeper.cc
@@ -13,9 +13,6 @@
 /// How often the engine is looked at. It answers its own host at once and
 /// without a price; what it does is known to callers within this and one way.
 constexpr Duration kLookInterval = 100ms;
-/// Passes over the staged chunks: one to stage, one to read back, and more for
-/// chunks that go bad in between.
-constexpr int kMostPasses = 5;
 /// The load must be done so long before its bound: entries stop using older
 /// weights a little before it.
 constexpr Duration kBoundMargin = 500ms;
@@ -34,8 +31,6 @@
 /// 2.3 s in place of 1.1 s.
 constexpr Duration kLetCallsEnd = 550ms;
 constexpr Duration kLoadPoll = 25ms;
-/// A transfer that has come so far isn't stopped for a newer version.
-constexpr double kShareToEnd = 0.4;
 
 Duration CopyTime(const model::EngineProfile& engine, uint64_t rate) {
   const double bytes = static_cast<double>(engine.m_chunk_bytes) *
@@ -70,7 +65,8 @@
     : m_state(state),
       m_engine(engine),
       m_fetcher(fetcher),
-      m_tell(std::move(tell)) {}
+      m_tell(std::move(tell)),
+      m_stager(state, engine) {}
 
 Awaitable<void> EngineKeeper::Run() {
   while (true) {
@@ -119,8 +115,10 @@
         .With("started_ms", report->m_started_ms)
         .Info();
   }
-  if (restarted)
-    m_staged = 0;
+  if (restarted) {
+    m_stager.ForgetAll();
+    m_adopted = 0;
+  }
   m_report = *report;
 }
 
@@ -148,35 +146,47 @@
   // becomes of the origin; the newer one may not be had for long.
   const uint64_t version = m_fetcher.version();
   return version > Loaded() && m_fetcher.progressing() &&
-         m_state.m_cache.ShareHeld(version) >= kShareToEnd;
+         m_state.m_cache.ShareHeld(version) >= decide::kShareToEnd;
+}
+
+bool EngineKeeper::OthersHave(uint64_t version) const {
+  for (const auto& [id, replica] : m_state.m_replicas) {
+    const auto loaded = replica.m_weights.find(m_state.m_engine->m_model);
+    if (replica.m_service == m_state.m_options.m_service &&
+        replica.m_endpoint != m_state.m_options.m_engine &&
+        loaded != replica.m_weights.end() && loaded->second >= version)
+      return true;
+  }
+  return false;
 }
 
 Awaitable<void> EngineKeeper::Look() {
   NoteReport(co_await m_engine.Report());
-  if (!m_report || m_report->m_loading)
+  if (m_report && m_report->m_loading)
     co_return;
   m_stopped_calls = false;
   const auto plan = Plan();
-  if (!plan) {
-    // Others may want what this engine has.
-    co_await Obtain(Loaded());
+  const uint64_t version = plan ? plan->m_version : Loaded();
+  if (!m_report) {
+    // An added host is up a second before its engine. Fetching from then on
+    // brings its replica into service a second earlier, 2.5 s after its start.
+    if (OthersHave(version))
+      co_await Obtain(version);
     co_return;
   }
-  const uint64_t version = plan->m_version;
+  co_await m_stager.Stage(version, Loaded());
   if (!m_state.m_cache.Complete(version)) {
     co_await Obtain(version);
     co_return;
   }
-  // The newest comes in while this one is staged and loaded.
+  if (!plan)
+    co_return;
+  // The newest comes in while this one waits for its turn.
   if (m_fetcher.version() == 0)
     co_await Obtain(NewestVersion(m_state));
-  if (m_staged != version) {
-    if (co_await StageAll(version))
-      m_staged = version;
-    co_return;
-  }
   // An engine without weights is of no use until it has some.
-  if (Loaded() == 0 || Now() >= Turn(*plan))
+  if (m_state.m_cache.Staged(version) &&
+      (Loaded() == 0 || Now() >= Turn(*plan)))
     co_await Load(version);
 }
 
@@ -192,9 +202,10 @@
   // them let transfers begin 0.49 s after the declaration in place of 0.43 s.
   const bool loaded_is_staged = m_adopted > 0 && m_adopted == Loaded() &&
                                 m_state.m_cache.Complete(Loaded());
-  if (m_adopted < version && !loaded_is_staged) {
+  if (m_report && m_adopted < version && !loaded_is_staged) {
     m_adopted = version;
-    co_await Adopt(version);
+    co_await m_stager.Adopt(version);
+    m_tell();
   }
   if (m_state.m_cache.Complete(version))
     co_return;
@@ -212,65 +223,6 @@
   return decide::LoadTurn(plan, own ? own->m_id : "", std::move(replicas));
 }
 
-Awaitable<void> EngineKeeper::Adopt(uint64_t version) {
-  for (uint32_t chunk = 0; chunk < m_state.m_engine->m_chunks; ++chunk) {
-    auto bytes = co_await m_engine.ReadStaged(m_state.m_engine->m_model, chunk);
-    if (!bytes && bytes.error().m_code != FailureCode::kNotFound)
-      break;
-    if (bytes)
-      m_state.m_cache.Put(version, chunk, std::move(*bytes));
-  }
-  LogLine("staged_adopted")
-      .With("version", version)
-      .With("chunks",
-            static_cast<uint64_t>(m_state.m_cache.Held(version).size()))
-      .Info();
-  m_tell();
-}
-
-Awaitable<AsyncResult<uint32_t>> EngineKeeper::StagePass(uint64_t version) {
-  uint32_t staged = 0;
-  const std::string model = m_state.m_engine->m_model;
-  for (uint32_t chunk = 0; chunk < m_state.m_engine->m_chunks; ++chunk) {
-    const CachedVersion* cached = m_state.m_cache.Find(version);
-    if (!cached || !cached->m_chunks[chunk]) {
-      co_return Failure{FailureCode::kCancelled, "stage", model,
-                        "another version is wanted"};
-    }
-    const std::shared_ptr<const std::string> wanted = cached->m_chunks[chunk];
-    auto there = co_await m_engine.ReadStaged(model, chunk);
-    if (there && *there == *wanted)
-      continue;
-    if (!there && there.error().m_code != FailureCode::kNotFound)
-      co_return there.error();
-    auto put = co_await m_engine.Stage(model, chunk, *wanted);
-    if (!put)
-      co_return put.error();
-    ++staged;
-  }
-  co_return staged;
-}
-
-Awaitable<bool> EngineKeeper::StageAll(uint64_t version) {
-  for (int pass = 0; pass < kMostPasses; ++pass) {
-    auto staged = co_await StagePass(version);
-    if (!staged) {
-      LogLine("not_staged")
-          .With("version", version)
-          .With(staged.error())
-          .Warn();
-      co_return false;
-    }
-    LogLine("staged")
-        .With("version", version)
-        .With("chunks_put", uint64_t{*staged})
-        .Info();
-    if (*staged == 0)
-      co_return true;
-  }
-  co_return false;
-}
-
 Awaitable<void> EngineKeeper::LetCallsEnd(TimePoint end) {
   while (m_report && m_report->m_active + m_report->m_queued > 0 &&
          Now() < end) {
@@ -280,18 +232,14 @@
 }
 
 Awaitable<void> EngineKeeper::Load(uint64_t version) {
+  // Read back right before the order, at most kLetCallsEnd and 0.2 s: the
+  // engine takes what lies there, and staged chunks go bad by themselves.
+  if (!co_await m_stager.Verify(version) || !m_report)
+    co_return;
   m_stopped_calls = true;
   m_tell();
-  const TimePoint cut_at = Now() + kLetCallsEnd;
-  // Read back right before the order: the engine takes what lies there, and
-  // staged chunks go bad by themselves.
-  if (!co_await StageAll(version) || !m_report) {
-    m_staged = 0;
-    m_stopped_calls = false;
-    co_return;
-  }
   if (Loaded() > 0)
-    co_await LetCallsEnd(cut_at);
+    co_await LetCallsEnd(Now() + kLetCallsEnd);
   if (!m_report)
     co_return;
   auto loading = co_await m_engine.Load(m_state.m_engine->m_model, version,
--- a/src/libverbenalead/target/engine_keeper.h
+++ b/src/libverbenalead/target/engine_keeper.h
@@ -8,6 +8,7 @@
 #include "links/replica_news.h"
 #include "platform/engine_client.h"
 #include "target/chunk_fetcher.h"
+#include "target/chunk_stager.h"
 #include "target/target_state.h"
 
 namespace verbenalead::target {
@@ -31,12 +32,9 @@
   /// One look at the engine, and what follows from it.
   Awaitable<void> Look();
   void NoteReport(AsyncResult<model::EngineReport> report);
-  /// Reads what is staged already into the cache, so that others can have it.
-  Awaitable<void> Adopt(uint64_t version);
-  /// Stages all chunks; true: each was read back and is right.
-  Awaitable<bool> StageAll(uint64_t version);
-  /// Stages what isn't there or has gone bad; returns how many.
-  Awaitable<AsyncResult<uint32_t>> StagePass(uint64_t version);
+  /// Whether other hosts have `version`, so that it can be fetched from them
+  /// before the engine on this host answers.
+  bool OthersHave(uint64_t version) const;
   Awaitable<void> Load(uint64_t version);
   /// Waits until the engine's calls have ended, or until `end`.
   Awaitable<void> LetCallsEnd(TimePoint end);
@@ -54,8 +52,7 @@
   ChunkFetcher& m_fetcher;
   const std::function<void()> m_tell;
   std::optional<model::EngineReport> m_report;
-  /// The version that is staged, as far as we know; 0: none.
-  uint64_t m_staged = 0;
+  ChunkStager m_stager;
   uint64_t m_adopted = 0;
   bool m_stopped_calls = false;
   links::ReplicaNews m_told;
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -75,7 +75,9 @@
         m_fetcher(m_state, m_http, m_origin),
         m_datagrams(m_threads.main(), m_state.m_options.m_peers),
         m_places(m_state, m_datagrams, [this] { return m_keeper.News(); }),
-        m_chunks(m_state, [this] { return m_places.Calls().m_calls > 0; }),
+        m_chunks(m_state,
+                 m_engine,
+                 [this] { return m_places.Calls().m_calls > 0; }),
         m_keeper(m_state, m_engine, m_fetcher, [this] { m_places.TellAll(); }),
         m_operator_rows(
             m_threads.main(),
@@ -195,7 +197,7 @@
   uint64_t HeldChunks() const {
     uint64_t held = 0;
     for (const auto& [version, cached] : m_state.m_cache.versions())
-      held += cached.m_held + version;
+      held += m_state.m_cache.Held(version).size() + version;
     return held;
   }
 
