--- a/src/libverbenalead/decide/change_source.cc
+++ b/src/libverbenalead/decide/change_source.cc
@@ -1,5 +1,7 @@
 #include "decide/change_source.h"
 
+#include <algorithm>
+
 namespace verbenalead::decide {
 namespace {
 
@@ -8,11 +10,10 @@
 constexpr Duration kSilence = 5s;
 /// A near entry that told so lately, three times, will tell of this change too.
 constexpr Duration kNearSilence = 3s;
-/// In case that an entry tells of revisions, but not of the newest one.
-constexpr Duration kToldInterval = 60s;
-/// New weights have to be everywhere 8 s after they were declared, of which
-/// their transfer takes 5 s.
-constexpr Duration kUntoldInterval = 1500ms;
+/// After a start the entries are asked first. They know the tables after 0.3 s,
+/// after 1.5 s where all of them have started too.
+constexpr Duration kLeastPatience = 2500ms;
+constexpr Duration kMostPatience = 5s;
 
 bool IsRecent(TimePoint at, Duration age, TimePoint now) {
   return at != TimePoint() && now - at < age;
@@ -20,25 +21,22 @@
 
 }  // namespace
 
-ChangeSource TakeTold(ChangeWatch& watch,
-                      bool near,
-                      uint64_t revision,
-                      TimePoint now) {
+bool TakeTold(ChangeWatch& watch, bool near, uint64_t revision, TimePoint now) {
   watch.m_told_at = now;
   if (near)
     watch.m_told_near_at = now;
-  if (revision <= watch.m_weights_revision)
-    return ChangeSource::kNone;
-  if (near)
-    return ChangeSource::kNearEntry;
-  return IsRecent(watch.m_told_near_at, kNearSilence, now)
-             ? ChangeSource::kNone
-             : ChangeSource::kStore;
+  if (watch.m_known && revision <= watch.m_weights_revision)
+    return false;
+  return near || !IsRecent(watch.m_told_near_at, kNearSilence, now);
 }
 
-Duration QuestionInterval(const ChangeWatch& watch, TimePoint now) {
-  return IsRecent(watch.m_told_at, kSilence, now) ? kToldInterval
-                                                  : kUntoldInterval;
+bool LeavesStoreAlone(const ChangeWatch& watch, double spread, TimePoint now) {
+  if (IsRecent(watch.m_told_at, kSilence, now) && watch.m_known)
+    return true;
+  const auto patience =
+      kLeastPatience + std::chrono::duration_cast<Duration>(
+                           (kMostPatience - kLeastPatience) * spread);
+  return now - std::max(watch.m_started, watch.m_told_at) < patience;
 }
 
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/change_source_test.cc
+++ b/src/libverbenalead/decide/change_source_test.cc
@@ -5,61 +5,85 @@
 namespace verbenalead::decide {
 namespace {
 
+const TimePoint kStart{std::chrono::hours(1)};
+
+ChangeWatch KnownWatch(uint64_t revision) {
+  ChangeWatch watch;
+  watch.m_started = kStart;
+  watch.m_known = true;
+  watch.m_weights_revision = revision;
+  return watch;
+}
+
 class ChangeSourceTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ChangeSourceTest);
-  CPPUNIT_TEST(NewHostDoesNotReadEachOfManyChanges);
+  CPPUNIT_TEST(HostsThatStartTogetherAskEntriesFirst);
+  CPPUNIT_TEST(AHostThatNobodyTellsAsksSeldom);
   CPPUNIT_TEST(LeavesItToNearEntriesToTell);
-  CPPUNIT_TEST(AsksTheStoreWhereNoNearEntryTells);
+  CPPUNIT_TEST(TakesOverFromFarEntriesWhereNoNearOneTells);
   CPPUNIT_TEST(KnownChangesNeedNoQuestion);
+  CPPUNIT_TEST(AHostThatKnowsNothingTakesOverFromAny);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // Callers are served by a configuration that is 3 s old: hosts are added
-  // while the configuration changes five times a second. No entry knows their
-  // replicas yet, so they follow the store themselves; as each read every
-  // change, 100 KB over the link between regions, it was full for 5 s.
-  void NewHostDoesNotReadEachOfManyChanges() {
-    const ChangeWatch watch;
-    const TimePoint start{std::chrono::hours(1)};
+  // Callers get no answer for 20 s: all processes were killed, and 127 hosts
+  // read 390 KB each over two links. While entries can tell them, none of them
+  // asks the store; where all entries are dead, they ask one after the other.
+  void HostsThatStartTogetherAskEntriesFirst() {
+    ChangeWatch watch;
+    watch.m_started = kStart;
+    CPPUNIT_ASSERT(LeavesStoreAlone(watch, 0, kStart + 2s));
+    CPPUNIT_ASSERT(!LeavesStoreAlone(watch, 0, kStart + 2500ms));
+    CPPUNIT_ASSERT(LeavesStoreAlone(watch, 1, kStart + 4900ms));
+    CPPUNIT_ASSERT(!LeavesStoreAlone(watch, 1, kStart + 5s));
+  }
+
+  // Callers are served by a configuration that is 3 s old: hosts that no entry
+  // tells follow the store while it changes five times a second. As each read
+  // every change, 100 KB over the link between regions, it was full for 5 s.
+  void AHostThatNobodyTellsAsksSeldom() {
+    const ChangeWatch watch = KnownWatch(1);
     int questions = 0;
-    TimePoint next = start;
-    for (TimePoint now = start; now < start + 6s; now += 200ms) {
-      if (now < next)
+    TimePoint next = kStart;
+    for (TimePoint now = kStart; now < kStart + 6s; now += 200ms) {
+      if (now < next || LeavesStoreAlone(watch, 0, now))
         continue;
       ++questions;
-      next = now + QuestionInterval(watch, now);
+      next = now + kUntoldInterval;
     }
     CPPUNIT_ASSERT(questions <= 4);
-    CPPUNIT_ASSERT(questions >= 3);
+    CPPUNIT_ASSERT(questions >= 2);
   }
 
   // Configurations come late in a whole region: new weights are declared, and
   // entries of the store's region, which hear first, tell hosts everywhere. All
-  // hosts of the other regions then asked the store, at the same moment.
+  // hosts of the other regions then asked far away, at the same moment.
   void LeavesItToNearEntriesToTell() {
-    ChangeWatch watch;
-    const TimePoint now{std::chrono::hours(1)};
-    CPPUNIT_ASSERT(TakeTold(watch, true, 0, now) == ChangeSource::kNone);
-    CPPUNIT_ASSERT(TakeTold(watch, false, 7, now + 1s) == ChangeSource::kNone);
-    CPPUNIT_ASSERT(TakeTold(watch, true, 7, now + 1200ms) ==
-                   ChangeSource::kNearEntry);
+    ChangeWatch watch = KnownWatch(1);
+    CPPUNIT_ASSERT(!TakeTold(watch, true, 1, kStart));
+    CPPUNIT_ASSERT(!TakeTold(watch, false, 7, kStart + 1s));
+    CPPUNIT_ASSERT(TakeTold(watch, true, 7, kStart + 1200ms));
+    CPPUNIT_ASSERT(LeavesStoreAlone(watch, 0, kStart + 6s));
   }
 
-  void AsksTheStoreWhereNoNearEntryTells() {
-    ChangeWatch watch;
-    const TimePoint now{std::chrono::hours(1)};
-    CPPUNIT_ASSERT(TakeTold(watch, false, 7, now) == ChangeSource::kStore);
-    CPPUNIT_ASSERT(TakeTold(watch, true, 0, now + 1s) == ChangeSource::kNone);
-    CPPUNIT_ASSERT(TakeTold(watch, false, 7, now + 4s) == ChangeSource::kStore);
+  void TakesOverFromFarEntriesWhereNoNearOneTells() {
+    ChangeWatch watch = KnownWatch(1);
+    CPPUNIT_ASSERT(TakeTold(watch, false, 7, kStart));
+    CPPUNIT_ASSERT(!TakeTold(watch, true, 1, kStart + 1s));
+    CPPUNIT_ASSERT(TakeTold(watch, false, 7, kStart + 4s));
   }
 
   void KnownChangesNeedNoQuestion() {
+    ChangeWatch watch = KnownWatch(7);
+    CPPUNIT_ASSERT(!TakeTold(watch, false, 7, kStart));
+    CPPUNIT_ASSERT(!TakeTold(watch, true, 6, kStart));
+  }
+
+  void AHostThatKnowsNothingTakesOverFromAny() {
     ChangeWatch watch;
-    watch.m_weights_revision = 7;
-    const TimePoint now{std::chrono::hours(1)};
-    CPPUNIT_ASSERT(TakeTold(watch, false, 7, now) == ChangeSource::kNone);
-    CPPUNIT_ASSERT(QuestionInterval(watch, now) > 10s);
-    CPPUNIT_ASSERT(QuestionInterval(watch, now + 6s) < 2s);
+    watch.m_started = kStart;
+    CPPUNIT_ASSERT(TakeTold(watch, true, 0, kStart));
+    CPPUNIT_ASSERT(TakeTold(watch, true, 0, kStart + 1s));
   }
 };
 
--- /dev/null
+++ b/src/libverbenalead/decide/cold_start_test.cc
@@ -0,0 +1,50 @@
+#include "decide/cold_start.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace verbenalead::decide {
+namespace {
+
+const TimePoint kStart = TimePoint() + 3600s;
+
+class ColdStartTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ColdStartTest);
+  CPPUNIT_TEST(OneReadsWhileTheOthersWait);
+  CPPUNIT_TEST(NobodyWaitsLongForTheDead);
+  CPPUNIT_TEST(WithoutTheOthersEachReads);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Callers get no answer for 20 s: 15 entries of a data centre start at once
+  // and each reads the tables over one link. While the first needs 0.25 s, none
+  // of the others asks.
+  void OneReadsWhileTheOthersWait() {
+    size_t readers = 0;
+    for (size_t before = 0; before < 15; ++before) {
+      ColdStart entry{kStart, std::nullopt, 0};
+      NoteOthers(entry, before, kStart + 10ms);
+      readers += MayRead(entry, kStart + 260ms) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, readers);
+  }
+
+  void NobodyWaitsLongForTheDead() {
+    ColdStart entry{kStart, std::nullopt, 0};
+    NoteOthers(entry, 200, kStart);
+    CPPUNIT_ASSERT(!MayRead(entry, kStart + 1s));
+    CPPUNIT_ASSERT(MayRead(entry, kStart + kColdLongest));
+    NoteOthers(entry, 300, kStart + 1s);
+    CPPUNIT_ASSERT(MayRead(entry, kStart + kColdLongest));
+  }
+
+  void WithoutTheOthersEachReads() {
+    const ColdStart entry{kStart, std::nullopt, 0};
+    CPPUNIT_ASSERT(!MayRead(entry, kStart + 100ms));
+    CPPUNIT_ASSERT(MayRead(entry, kStart + kLearnOthers));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ColdStartTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/entry/entry_news.cc
+++ b/src/libverbenalead/entry/entry_news.cc
@@ -139,17 +139,20 @@
   return nullptr;
 }
 
-const PeerEntry* AheadOf(const EntryState& state, TimePoint now) {
-  const PeerEntry* ahead = nullptr;
+const PeerEntry* AheadOf(EntryState& state, TimePoint now) {
+  std::vector<const PeerEntry*> ahead;
   uint64_t newest = state.m_operator_revision;
   for (const auto& [host, peer] : state.m_peers) {
     if (!IsNear(state, peer) || !IsHeard(state, peer, now) ||
-        peer.m_operator_revision <= newest)
+        peer.m_operator_revision <= state.m_operator_revision ||
+        peer.m_operator_revision < newest)
       continue;
+    if (peer.m_operator_revision > newest)
+      ahead.clear();
     newest = peer.m_operator_revision;
-    ahead = &peer;
+    ahead.push_back(&peer);
   }
-  return ahead;
+  return ahead.empty() ? nullptr : ahead[state.m_random() % ahead.size()];
 }
 
 size_t EntriesBefore(const EntryState& state, TimePoint now) {
@@ -163,6 +166,17 @@
   return before;
 }
 
+size_t ListedBefore(const EntryState& state) {
+  size_t before = 0;
+  for (const auto& [host, peer] : state.m_peers) {
+    if (host >= state.m_options.m_self.m_host)
+      break;
+    if (IsNear(state, peer))
+      ++before;
+  }
+  return before;
+}
+
 std::vector<Endpoint> EntriesFor(const EntryState& state,
                                  const std::string& data_center,
                                  TimePoint now) {
--- a/src/libverbenalead/entry/entry_news.h
+++ b/src/libverbenalead/entry/entry_news.h
@@ -40,13 +40,17 @@
 /// that the store doesn't answer leaves it to any other one that reads.
 const PeerEntry* ReaderFor(const EntryState& state, TimePoint now);
 
-/// The near entry that knows the newest changes of the operator's table, or
-/// null if this entry knows them too.
-const PeerEntry* AheadOf(const EntryState& state, TimePoint now);
+/// A near entry that knows the newest changes of the operator's table, or null
+/// if this entry knows them too. One of those that do, by chance: 14 entries
+/// that all took 390 KB over from the same one would wait for its link.
+const PeerEntry* AheadOf(EntryState& state, TimePoint now);
 
 /// How many near entries come before this one in the order of taking over.
 size_t EntriesBefore(const EntryState& state, TimePoint now);
 
+/// The same of all near entries that the store lists, heard of or not.
+size_t ListedBefore(const EntryState& state);
+
 /// Entries that callers of `data_center` should use: those there, if there are
 /// enough of them, else all.
 std::vector<Endpoint> EntriesFor(const EntryState& state,
--- a/src/libverbenalead/entry/news_sender.cc
+++ b/src/libverbenalead/entry/news_sender.cc
@@ -51,6 +51,13 @@
   Broadcast(NewsOf(m_state), true, true);
 }
 
+void NewsSender::AnswerNewcomer(const links::EntryNews& news) {
+  const bool near =
+      news.m_address.m_data_center == m_state.m_options.m_self.m_data_center;
+  if (near && news.m_operator_revision == 0 && m_state.m_operator_revision > 0)
+    m_datagrams.Send(news.m_address.m_peers, NewsOf(m_state));
+}
+
 void NewsSender::Broadcast(const links::EntryNews& news, bool near, bool far) {
   if (!near && !far)
     return;
--- a/src/libverbenalead/entry/news_sender.h
+++ b/src/libverbenalead/entry/news_sender.h
@@ -28,6 +28,9 @@
   void TellEntries(bool took_over);
   /// Tells all of them at once.
   void TellAllEntries();
+  /// Tells the one whose news came, if it is near and knows nothing: it has
+  /// just started and waits for somebody who has the tables.
+  void AnswerNewcomer(const links::EntryNews& news);
 
   /// Asks targets for their news and tells them which change of weights is the
   /// newest; those of other data centres only if `far` is set.
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -59,6 +59,16 @@
   return options;
 }
 
+bool HoldsRow(const platform::Rows& rows,
+              const std::string& key,
+              const std::string& value) {
+  for (const platform::Row& row : rows.m_rows) {
+    if (row.m_key == key && !row.m_deleted && row.m_value == value)
+      return true;
+  }
+  return false;
+}
+
 }  // namespace
 
 struct PlatformEntry::Parts {
@@ -150,6 +160,7 @@
   void TakeMessage(const links::Message& message) {
     if (const auto* news = std::get_if<links::EntryNews>(&message)) {
       TakeNews(m_state, *news, Now());
+      m_news.AnswerNewcomer(*news);
       m_rows.Compare();
     } else if (const auto* replica = std::get_if<links::ReplicaNews>(&message))
       TakeNews(m_state, *replica, Now());
@@ -182,26 +193,39 @@
     }
   }
 
-  /// Makes this entry known and learns of the others.
+  /// Learns of the other entries, and makes this one known. Its row is there
+  /// already if its process was only started anew. The table is read again
+  /// after the row was written: of two entries that start together at least one
+  /// then sees the other.
   Awaitable<void> KeepRegistered() {
-    bool registered = false;
+    const std::string& host = m_state.m_options.m_self.m_host;
+    const std::string value = EncodeEntryRow(m_state.m_options.m_self);
     while (true) {
-      if (!registered) {
-        const auto written = co_await m_store.Write(
-            platform::kEntryTable, m_state.m_options.m_self.m_host,
-            EncodeEntryRow(m_state.m_options.m_self));
-        registered = written.has_value();
-        if (!written)
-          LogLine("not_registered").With(written.error()).Warn();
-      }
       const auto rows = co_await m_store.ReadTable(platform::kEntryTable);
+      const bool registered = rows && HoldsRow(*rows, host, value);
       if (rows)
-        m_rows.intake().TakeEntryRows(*rows);
-      const bool settled = registered && rows.has_value();
-      co_await Sleep(settled ? kEntryTableInterval : kEntryTableRetry);
+        TakeEntryRows(*rows);
+      if (registered) {
+        co_await Sleep(kEntryTableInterval);
+        continue;
+      }
+      const auto written =
+          co_await m_store.Write(platform::kEntryTable, host, value);
+      if (!written) {
+        LogLine("not_registered").With(written.error()).Warn();
+        co_await Sleep(kEntryTableRetry);
+      }
     }
   }
 
+  void TakeEntryRows(const platform::Rows& rows) {
+    const size_t known = m_state.m_peers.size();
+    m_rows.intake().TakeEntryRows(rows);
+    m_rows.NoteEntriesKnown();
+    if (m_state.m_peers.size() > known)
+      m_news.TellAllEntries();
+  }
+
   Awaitable<void> AwaitSignals() {
     while (true) {
       const int signal = co_await m_signals.async_wait(asio::use_awaitable);
--- a/src/libverbenalead/entry/row_intake.cc
+++ b/src/libverbenalead/entry/row_intake.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <set>
 
+#include "base/boot_clock.h"
 #include "base/catch_failure.h"
 #include "base/log.h"
 #include "base/stable_hash.h"
@@ -44,8 +45,9 @@
 
 }  // namespace
 
-void RowIntake::KeepOperatorRows(const platform::Rows& rows,
-                                 Duration binding_in) {
+void RowIntake::KeepOperatorRows(
+    const platform::Rows& rows,
+    const std::function<Duration(const platform::Row&)>& age_of) {
   for (const platform::Row& row : rows.m_rows) {
     platform::Row& kept = m_operator_rows[row.m_key];
     if (row.m_revision <= kept.m_revision)
@@ -60,31 +62,43 @@
     } else if (row.m_key.starts_with(platform::kWeightsKeyPrefix)) {
       m_state.m_weights_revision =
           std::max(m_state.m_weights_revision, row.m_revision);
-      TakeWeights(row.m_value, binding_in);
+      TakeWeights(row, age_of(row));
     }
   }
 }
 
 void RowIntake::TakeOperatorRows(const platform::Rows& rows, bool whole) {
-  const Duration usual = m_state.m_options.m_weights_bound - kBindingMargin;
-  KeepOperatorRows(rows, whole && !m_weights_seen ? kBindingAfterStart : usual);
+  const Duration answered_at = decide::AnsweredAt(
+      m_state.m_store_clock, rows.m_asked_at, rows.m_store_time);
+  // How old a row is that was there before isn't known.
+  const bool first = whole && !m_weights_seen;
+  const Duration age =
+      first ? UsualBinding() - kBindingAfterStart
+            : std::max<Duration>(Duration(), BootNow() - answered_at);
+  KeepOperatorRows(rows, [age](const platform::Row&) { return age; });
   if (whole)
     m_weights_seen = true;
   m_state.m_operator_proof = rows.m_store_time;
   m_state.m_operator_answered_at = Now();
-  decide::Prove(m_state.m_lease,
-                decide::AnsweredAt(m_state.m_store_clock, rows.m_asked_at,
-                                   rows.m_store_time));
+  decide::Prove(m_state.m_lease, answered_at);
 }
 
-void RowIntake::TakeRelayedOperatorRows(const platform::Rows& rows) {
-  KeepOperatorRows(rows, m_state.m_options.m_weights_bound - kBindingMargin);
+void RowIntake::TakeRelayedOperatorRows(const links::RelayedRows& relayed) {
+  KeepOperatorRows(relayed.m_rows, [&relayed](const platform::Row& row) {
+    const auto age = relayed.m_ages.find(row.m_key);
+    return age == relayed.m_ages.end() ? Duration() : age->second;
+  });
+  m_weights_seen = true;
   if (m_state.m_store_clock.m_offset) {
-    decide::Prove(m_state.m_lease,
-                  rows.m_store_time + *m_state.m_store_clock.m_offset);
+    decide::Prove(m_state.m_lease, relayed.m_rows.m_store_time +
+                                       *m_state.m_store_clock.m_offset);
   }
 }
 
+Duration RowIntake::UsualBinding() const {
+  return m_state.m_options.m_weights_bound - kBindingMargin;
+}
+
 void RowIntake::TakeConfig(const std::string& text) {
   auto config = CatchFailure([&] { return platform::DecodeConfig(text); });
   if (!config) {
@@ -104,18 +118,22 @@
       std::make_shared<const decide::RouteTable>(std::move(*config));
 }
 
-void RowIntake::TakeWeights(const std::string& text, Duration binding_in) {
-  const auto declared = platform::DecodeWeights(text);
+void RowIntake::TakeWeights(const platform::Row& row, Duration age) {
+  const auto declared = platform::DecodeWeights(row.m_value);
   if (!declared) {
     LogLine("bad_weights_row").Error();
     return;
   }
+  if (m_state.m_store_clock.m_offset)
+    m_seen[row.m_key] = BootNow() - age - *m_state.m_store_clock.m_offset;
   decide::WeightsWatch& watch = m_state.m_weights[declared->m_model];
   if (declared->m_version <= decide::Newest(watch))
     return;
+  const Duration binding_in = UsualBinding() - age;
   LogLine("weights_declared")
       .With("model", declared->m_model)
       .With("version", declared->m_version)
+      .With("age_ms", ToMilliseconds(age))
       .With("binding_in_ms", ToMilliseconds(binding_in))
       .Info();
   decide::Declare(watch, declared->m_version, Now() + binding_in);
@@ -210,6 +228,9 @@
 }
 
 void RowIntake::TakeEntryRows(const platform::Rows& rows) {
+  // This small answer comes first after a start and sets the clock by which
+  // the proofs of other entries are read.
+  decide::AnsweredAt(m_state.m_store_clock, rows.m_asked_at, rows.m_store_time);
   for (const platform::Row& row : rows.m_rows) {
     if (row.m_deleted || row.m_key == m_state.m_options.m_self.m_host)
       continue;
--- a/src/libverbenalead/entry/row_intake.h
+++ b/src/libverbenalead/entry/row_intake.h
@@ -1,6 +1,7 @@
 #ifndef VERBENALEAD_ENTRY_ROW_INTAKE_H_
 #define VERBENALEAD_ENTRY_ROW_INTAKE_H_
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -20,11 +21,13 @@
   void TakeOperatorRows(const platform::Rows& rows, bool whole);
   /// The same rows as a near entry has them. Its proof counts if it isn't later
   /// than the truth, which the store's clock tells.
-  void TakeRelayedOperatorRows(const platform::Rows& rows);
+  void TakeRelayedOperatorRows(const links::RelayedRows& relayed);
   /// The newest rows of the operator's table.
   const std::map<std::string, platform::Row>& operator_rows() const {
     return m_operator_rows;
   }
+  /// The store's time at which each declaration of weights was first seen.
+  const links::SeenTimes& seen() const { return m_seen; }
   /// The table of replicas. `regained_at`: when the store was last regained.
   void TakeReplicaRows(const platform::Rows& rows,
                        bool whole,
@@ -42,15 +45,22 @@
   void TakeEntryRows(const platform::Rows& rows);
 
  private:
-  void KeepOperatorRows(const platform::Rows& rows, Duration binding_in);
+  /// From a declaration until it binds.
+  Duration UsualBinding() const;
+  /// `age_of`: how long ago the row was seen to be there, at least.
+  void KeepOperatorRows(
+      const platform::Rows& rows,
+      const std::function<Duration(const platform::Row&)>& age_of);
   void TakeConfig(const std::string& text);
-  void TakeWeights(const std::string& text, Duration binding_in);
+  /// `age`: how long ago the declaration was made.
+  void TakeWeights(const platform::Row& row, Duration age);
   void TakeReplicaRow(const platform::Row& row);
   void UpdatePools(TimePoint keep_missing_until);
 
   EntryState& m_state;
   bool m_weights_seen = false;
   std::map<std::string, platform::Row> m_operator_rows;
+  links::SeenTimes m_seen;
   std::map<std::string, platform::Row> m_replica_rows;
   uint64_t m_replicas_revision = 0;
   /// Those rows that could be decoded.
--- a/src/libverbenalead/entry/row_intake_test.cc
+++ b/src/libverbenalead/entry/row_intake_test.cc
@@ -28,19 +28,22 @@
   CPPUNIT_TEST(TakesOverWhatANearEntryKnows);
   CPPUNIT_TEST(AnOlderListDoesNotBringBackALeavingReplica);
   CPPUNIT_TEST(RowsThatLapsedAreKeptAfterARelayToo);
+  CPPUNIT_TEST(ALateDeclarationBindsAsEarlyAsItWasMade);
   CPPUNIT_TEST(ARowThatCannotBeReadNamesNoReplica);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
-    m_state = std::make_unique<EntryState>(EntryOptions());
+    EntryOptions options;
+    options.m_weights_bound = 8s;
+    m_state = std::make_unique<EntryState>(options);
     m_intake = std::make_unique<RowIntake>(*m_state);
   }
 
   void TakesOverWhatANearEntryKnows() {
     m_intake->TakeReplicaRows(Rows(5, {ReplicaRow("1", 5)}), true, TimePoint());
     CPPUNIT_ASSERT(m_intake->TakeRelayedReplicaRows(
-        {Rows(8, {ReplicaRow("1", 5), ReplicaRow("2", 8)}), std::nullopt}));
+        {Rows(8, {ReplicaRow("1", 5), ReplicaRow("2", 8)}), {}, std::nullopt}));
     CPPUNIT_ASSERT_EQUAL(size_t{2}, Replicas().size());
     CPPUNIT_ASSERT_EQUAL(uint64_t{8}, m_intake->replicas_revision());
     // It tells them on as it got them.
@@ -55,7 +58,7 @@
     m_intake->TakeReplicaRows(Rows(9, {ReplicaRow("1", 9, "draining")}), false,
                               TimePoint());
     CPPUNIT_ASSERT(!m_intake->TakeRelayedReplicaRows(
-        {Rows(7, {ReplicaRow("1", 5)}), std::nullopt}));
+        {Rows(7, {ReplicaRow("1", 5)}), {}, std::nullopt}));
     CPPUNIT_ASSERT(Replicas().at("1").m_replica.m_leaving);
   }
 
@@ -64,12 +67,30 @@
   // seconds. An entry that takes its list over keeps them as long.
   void RowsThatLapsedAreKeptAfterARelayToo() {
     m_intake->TakeReplicaRows(Rows(5, {ReplicaRow("1", 5)}), true, TimePoint());
-    m_intake->TakeRelayedReplicaRows({Rows(8, {}), Duration(100ms)});
+    m_intake->TakeRelayedReplicaRows({Rows(8, {}), {}, Duration(100ms)});
     CPPUNIT_ASSERT_EQUAL(size_t{1}, Replicas().size());
     decide::DropMissing(m_state->m_services.at("pool").m_pool, Now() + 3s);
     CPPUNIT_ASSERT(Replicas().empty());
   }
 
+  // Calls begin on older weights after the bound, since this entry heard of a
+  // declaration 3 s late over a link that was full. The entry that tells it
+  // says how old it is, and the bound counts from the declaration.
+  void ALateDeclarationBindsAsEarlyAsItWasMade() {
+    platform::Row row;
+    row.m_key = "version/m";
+    row.m_value = R"({"model":"m","version":2})";
+    row.m_revision = 7;
+    links::RelayedRows relayed = {Rows(7, {row}), {}, std::nullopt};
+    relayed.m_ages[row.m_key] = 3s;
+    m_intake->TakeRelayedOperatorRows(relayed);
+    const decide::WeightsWatch& watch = m_state->m_weights.at("m");
+    const Duration left = m_state->m_options.m_weights_bound - 600ms - 3s;
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0},
+                         decide::Binding(watch, Now() + left - 500ms));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, decide::Binding(watch, Now() + left));
+  }
+
   void ARowThatCannotBeReadNamesNoReplica() {
     platform::Row bad = ReplicaRow("2", 6);
     bad.m_value = "\xff";
--- a/src/libverbenalead/entry/row_sources.cc
+++ b/src/libverbenalead/entry/row_sources.cc
@@ -1,9 +1,11 @@
 #include "entry/row_sources.h"
 
+#include "base/boot_clock.h"
 #include "base/log.h"
 #include "base/spawn.h"
 #include "entry/entry_news.h"
 #include "links/relayed_rows.h"
+#include "platform/config_services.h"
 #include "platform/names.h"
 
 namespace verbenalead::entry {
@@ -13,12 +15,21 @@
 /// lease on keys, which each answer renews.
 constexpr Duration kOperatorWait = 1200ms;
 /// Replicas: one that leaves must get no calls 2 s after it said so.
-constexpr links::FollowPace kReplicaPace = {Duration(), 900ms, Duration()};
+constexpr links::FollowPace kReplicaPace = {Duration(), 900ms, Duration(),
+                                            false};
 /// Both while another entry reads for this one, in case that all its news were
 /// lost. An entry that the store doesn't answer needs no quick answer then. 43
 /// such entries that asked every 10 s made a quarter of all calls to the store
 /// on a calm day.
-constexpr links::FollowPace kReadForPace = {Duration(), 30s, 2s};
+constexpr Duration kReadForInterval = 30s;
+constexpr links::FollowPace kReadForPace = {Duration(), kReadForInterval, 2s,
+                                            false};
+/// An entry that has just started gets all rows from a near one within a
+/// second; one that still misses some after this time asks the store for them.
+constexpr Duration kBroughtWithin = 3s;
+/// Rows are told in pieces, each once the one before has gone: 14 answers of
+/// 390 KB that waited for a narrow link took 5 MB.
+constexpr size_t kTellPiece = 16384;
 
 }  // namespace
 
@@ -52,21 +63,43 @@
           }) {}
 
 void RowSources::Start() {
+  m_cold.m_started = Now();
   SpawnLoop(m_executor, m_operator.Run(), "operator_rows");
   SpawnLoop(m_executor, m_replicas.Run(), "replica_rows");
 }
 
+void RowSources::NoteEntriesKnown() {
+  decide::NoteOthers(m_cold, ListedBefore(m_state), Now());
+}
+
+bool RowSources::IsHeld(bool known) const {
+  const TimePoint now = Now();
+  if (!known) {
+    const bool brought = m_reading == decide::Reading::kFromPeer &&
+                         now - m_cold.m_started < kBroughtWithin;
+    return brought || !decide::MayRead(m_cold, now);
+  }
+  return m_reading == decide::Reading::kFromPeer &&
+         now - m_read_for_since < kReadForInterval;
+}
+
 links::FollowPace RowSources::OperatorPace() {
-  if (m_reading != decide::Reading::kOwn)
-    return kReadForPace;
-  // One that takes over has to prove at once that it knows the newest.
-  const bool proved = Now() - m_state.m_operator_answered_at < kOperatorWait;
-  return {proved ? kOperatorWait : Duration(),
-          decide::TakeTurn(m_operator_pace, Now()), Duration()};
+  links::FollowPace pace = kReadForPace;
+  if (m_reading == decide::Reading::kOwn) {
+    // One that takes over has to prove at once that it knows the newest.
+    const bool proved = Now() - m_state.m_operator_answered_at < kOperatorWait;
+    pace = {proved ? kOperatorWait : Duration(),
+            decide::TakeTurn(m_operator_pace, Now()), Duration(), false};
+  }
+  pace.m_hold = IsHeld(m_state.m_routes != nullptr);
+  return pace;
 }
 
 links::FollowPace RowSources::ReplicaPace() const {
-  return m_reading == decide::Reading::kOwn ? kReplicaPace : kReadForPace;
+  links::FollowPace pace =
+      m_reading == decide::Reading::kOwn ? kReplicaPace : kReadForPace;
+  pace.m_hold = IsHeld(m_state.m_replicas_known);
+  return pace;
 }
 
 void RowSources::Compare() {
@@ -82,6 +115,8 @@
                              : m_state.m_options.m_self.m_host)
         .With("waits", m_reading == decide::Reading::kWaiting)
         .Info();
+    if (m_reading == decide::Reading::kFromPeer)
+      m_read_for_since = now;
     if (m_reading == decide::Reading::kOwn) {
       m_took_over = now;
       m_operator.Poke();
@@ -126,7 +161,7 @@
     m_operator.Poke();
     co_return;
   }
-  m_intake.TakeRelayedOperatorRows(relayed->m_rows);
+  m_intake.TakeRelayedOperatorRows(*relayed);
   m_operator.SkipTo(relayed->m_rows.m_revision);
   m_on_rows();
 }
@@ -148,30 +183,53 @@
   m_on_rows();
 }
 
+std::shared_ptr<const std::string> RowSources::TextOf(const std::string& path) {
+  const bool replicas = path == links::kReplicaRowsPath;
+  const bool known =
+      replicas ? m_state.m_replicas_known
+               : m_state.m_routes && (path == links::kTargetRowsPath ||
+                                      path == links::kOperatorRowsPath);
+  if (!known)
+    return nullptr;
+  const uint64_t revision =
+      replicas ? m_intake.replicas_revision() : m_state.m_operator_revision;
+  ToldRows& told = m_told[path];
+  if (told.m_text && told.m_revision == revision)
+    return told.m_text;
+  std::map<std::string, platform::Row> rows =
+      replicas ? m_intake.replica_rows() : m_intake.operator_rows();
+  if (path == links::kTargetRowsPath) {
+    std::string& config = rows[platform::kConfigKey].m_value;
+    config = platform::ServicesOnly(config);
+  }
+  const uint64_t followed = replicas ? revision : m_operator.revision();
+  told.m_revision = revision;
+  told.m_text = std::make_shared<const std::string>(links::EncodeRows(
+      rows, followed, replicas ? links::SeenTimes() : m_intake.seen()));
+  return told.m_text;
+}
+
 Awaitable<void> RowSources::TellRows(const wire::Request& request,
                                      wire::ResponseWriter& caller) {
-  const bool operator_rows = request.m_path == links::kOperatorRowsPath;
-  const bool known = operator_rows
-                         ? m_state.m_routes != nullptr
-                         : request.m_path == links::kReplicaRowsPath &&
-                               m_state.m_replicas_known;
-  if (!known) {
+  const std::shared_ptr<const std::string> text = TextOf(request.m_path);
+  if (!text) {
     co_await caller.Send(wire::JsonResponse(404, "{}"));
     co_return;
   }
-  std::string text;
-  if (operator_rows) {
-    text = links::EncodeRows(m_intake.operator_rows(), m_operator.revision(),
-                             m_state.m_operator_proof, std::nullopt);
-  } else {
-    std::optional<Duration> regained_ago;
-    if (m_replicas.regained_at() != TimePoint())
-      regained_ago = Now() - m_replicas.regained_at();
-    text =
-        links::EncodeRows(m_intake.replica_rows(), m_intake.replicas_revision(),
-                          Duration(), regained_ago);
+  links::RelayFacts facts;
+  facts.m_proof = m_state.m_operator_proof;
+  if (m_state.m_store_clock.m_offset)
+    facts.m_store_now = BootNow() - *m_state.m_store_clock.m_offset;
+  if (m_replicas.regained_at() != TimePoint())
+    facts.m_regained_ago = Now() - m_replicas.regained_at();
+  wire::ResponseHead head(200, links::EncodeFacts(facts));
+  if (!co_await caller.Start(std::move(head)))
+    co_return;
+  for (size_t begin = 0; begin < text->size(); begin += kTellPiece) {
+    if (!co_await caller.Write(text->substr(begin, kTellPiece)))
+      co_return;
   }
-  co_await caller.Send(wire::JsonResponse(200, std::move(text)));
+  co_await caller.Finish({});
 }
 
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/row_sources.h
+++ b/src/libverbenalead/entry/row_sources.h
@@ -2,8 +2,12 @@
 #define VERBENALEAD_ENTRY_ROW_SOURCES_H_
 
 #include <functional>
+#include <map>
+#include <memory>
+#include <string>
 
 #include "decide/burst_pace.h"
+#include "decide/cold_start.h"
 #include "decide/reading_turn.h"
 #include "entry/entry_state.h"
 #include "entry/row_intake.h"
@@ -26,13 +30,17 @@
              wire::Client& peers,
              std::function<void()> on_rows);
 
-  /// Starts to follow both tables.
+  /// Starts to follow both tables. An entry that knows nothing yet holds back
+  /// while others may bring them.
   void Start();
 
   /// Takes over what near entries know better, and turns to the store where
   /// none of them reads it. Called after their news, and ten times a second.
   void Compare();
 
+  /// The store has told which other entries there are.
+  void NoteEntriesKnown();
+
   /// True once after this entry has taken over reading and was answered: the
   /// others wait for that.
   bool HasTakenOver();
@@ -44,11 +52,23 @@
   RowIntake& intake() { return m_intake; }
 
  private:
+  /// Rows in the form in which they are told.
+  struct ToldRows {
+    uint64_t m_revision = 0;
+    std::shared_ptr<const std::string> m_text;
+  };
+
   static constexpr uint32_t kBurst = 5;
   static constexpr Duration kInterval = 400ms;
 
   links::FollowPace OperatorPace();
   links::FollowPace ReplicaPace() const;
+  /// Whether another entry brings the rows of a table that is `known` here or
+  /// not, so that the store needn't be asked now.
+  bool IsHeld(bool known) const;
+  /// The rows that `path` names, to be told; null: they aren't known, or there
+  /// is no such path.
+  std::shared_ptr<const std::string> TextOf(const std::string& path);
   void CompareReplicas(const PeerEntry& reader);
   Awaitable<void> FetchOperatorRows(Endpoint from);
   Awaitable<void> FetchReplicaRows(Endpoint from);
@@ -64,6 +84,11 @@
   decide::Reading m_reading = decide::Reading::kOwn;
   /// When this entry took over and hasn't told so yet.
   std::optional<TimePoint> m_took_over;
+  decide::ColdStart m_cold;
+  /// Another entry reads for this one at least since then.
+  TimePoint m_read_for_since{};
+  /// What was told last, by path: 14 neighbours ask for the same 390 KB.
+  std::map<std::string, ToldRows> m_told;
   bool m_fetching_operator = false;
   bool m_fetching_replicas = false;
   /// Changes that go on coming are read together, and taken over together: five
--- a/src/libverbenalead/links/follow_pace.h
+++ b/src/libverbenalead/links/follow_pace.h
@@ -14,6 +14,8 @@
   /// Least pause after a question that failed. Zero: the usual short one, for
   /// those that nobody else tells.
   Duration m_after_failure{};
+  /// Not now: somebody else is likely to bring the rows.
+  bool m_hold = false;
 
   friend bool operator==(const FollowPace&, const FollowPace&) = default;
 };
--- a/src/libverbenalead/links/relayed_rows.cc
+++ b/src/libverbenalead/links/relayed_rows.cc
@@ -1,6 +1,7 @@
 #include "links/relayed_rows.h"
 
 #include <boost/json.hpp>
+#include <charconv>
 
 #include "base/base64.h"
 #include "base/catch_failure.h"
@@ -11,60 +12,122 @@
 
 namespace json = boost::json;
 
-/// A near entry answers in a few ms; one whose link was squeezed to a tenth
-/// sends 290 KB in 0.6 s.
-constexpr Duration kTimeout = 700ms;
+/// A near entry answers in a few ms. One that hands 390 KB to 14 others at once
+/// over a link of 40 Mbit/s takes a second, but goes on sending.
+constexpr Duration kSilence = 700ms;
+constexpr Duration kLongest = 5s;
 constexpr int kOk = 200;
 
-Result<platform::Row> DecodeRow(const json::value& value) {
-  if (!value.is_object())
-    return model::BadField("rows", "objects");
+constexpr char kProof[] = "proof-ms";
+constexpr char kStoreNow[] = "store-now-ms";
+constexpr char kRegainedAgo[] = "regained-ms-ago";
+
+/// Nothing where the field is absent or no number.
+std::optional<Duration> TimeField(const wire::Headers& headers,
+                                  const char* name) {
+  const std::string text = wire::Get(headers, name);
+  int64_t value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end == text.data())
+    return std::nullopt;
+  return std::chrono::milliseconds(value);
+}
+
+std::string TimeText(Duration time) {
+  return std::to_string(ToMilliseconds(time));
+}
+
+Result<platform::Row> DecodeRow(const json::object& object) {
   platform::Row row;
-  BOOST_LEAF_ASSIGN(row.m_key, model::TextField(value.as_object(), "key"));
-  BOOST_LEAF_AUTO(text, model::TextField(value.as_object(), "value"));
+  BOOST_LEAF_ASSIGN(row.m_key, model::TextField(object, "key"));
+  BOOST_LEAF_AUTO(text, model::TextField(object, "value"));
   BOOST_LEAF_ASSIGN(row.m_value, DecodeBase64(text));
-  BOOST_LEAF_ASSIGN(row.m_revision,
-                    model::NumberField(value.as_object(), "revision"));
+  BOOST_LEAF_ASSIGN(row.m_revision, model::NumberField(object, "revision"));
   return row;
 }
 
+/// One answer, read as long as bytes go on coming.
+Awaitable<AsyncResult<wire::Response>> FetchSlowly(wire::Client& http,
+                                                   Endpoint endpoint,
+                                                   wire::Request request) {
+  const TimePoint end = Now() + kLongest;
+  const TimePoint head_deadline = Now() + kSilence;
+  auto opened = co_await http.Open(endpoint, std::move(request), head_deadline);
+  if (!opened)
+    co_return opened.error();
+  wire::ResponseReader& reader = **opened;
+  auto head = co_await reader.ReadHead(head_deadline);
+  if (!head)
+    co_return head.error();
+  wire::Response response(head->m_status, std::move(head->m_headers), "");
+  while (true) {
+    auto piece = co_await reader.ReadBody(std::min(end, Now() + kSilence));
+    if (!piece)
+      co_return piece.error();
+    if (!piece->has_value())
+      co_return response;
+    response.m_body += **piece;
+  }
+}
+
 }  // namespace
 
+wire::Headers EncodeFacts(const RelayFacts& facts) {
+  wire::Headers headers = {{"content-type", "application/json"},
+                           {kProof, TimeText(facts.m_proof)},
+                           {kStoreNow, TimeText(facts.m_store_now)}};
+  if (facts.m_regained_ago)
+    headers[kRegainedAgo] = TimeText(*facts.m_regained_ago);
+  return headers;
+}
+
+RelayFacts DecodeFacts(const wire::Headers& headers) {
+  RelayFacts facts;
+  facts.m_proof = TimeField(headers, kProof).value_or(Duration());
+  facts.m_store_now = TimeField(headers, kStoreNow).value_or(Duration());
+  facts.m_regained_ago = TimeField(headers, kRegainedAgo);
+  return facts;
+}
+
 std::string EncodeRows(const std::map<std::string, platform::Row>& rows,
                        uint64_t revision,
-                       Duration store_time,
-                       std::optional<Duration> regained_ago) {
+                       const SeenTimes& seen) {
   json::array list;
   for (const auto& [key, row] : rows) {
     // Other writers may have left any bytes there.
-    list.push_back(json::object{{"key", key},
-                                {"value", EncodeBase64(row.m_value)},
-                                {"revision", row.m_revision}});
+    json::object object{{"key", key},
+                        {"value", EncodeBase64(row.m_value)},
+                        {"revision", row.m_revision}};
+    const auto time = seen.find(key);
+    if (time != seen.end())
+      object["seen_ms"] = ToMilliseconds(time->second);
+    list.push_back(std::move(object));
   }
-  json::object object{{"revision", revision},
-                      {"store_ms", ToMilliseconds(store_time)},
-                      {"rows", std::move(list)}};
-  if (regained_ago)
-    object["regained_ms_ago"] = ToMilliseconds(*regained_ago);
-  return json::serialize(object);
+  return json::serialize(
+      json::object{{"revision", revision}, {"rows", std::move(list)}});
 }
 
-Result<RelayedRows> DecodeRows(const std::string& text) {
+Result<RelayedRows> DecodeRows(const std::string& text,
+                               const RelayFacts& facts) {
   BOOST_LEAF_AUTO(object, model::ParseObject(text, "relayed rows"));
   RelayedRows relayed;
   platform::Rows& rows = relayed.m_rows;
   BOOST_LEAF_ASSIGN(rows.m_revision, model::NumberField(object, "revision"));
-  BOOST_LEAF_AUTO(store_ms, model::NumberField(object, "store_ms"));
-  rows.m_store_time = std::chrono::milliseconds(store_ms);
-  if (object.contains("regained_ms_ago")) {
-    BOOST_LEAF_AUTO(ago, model::NumberField(object, "regained_ms_ago"));
-    relayed.m_regained_ago = std::chrono::milliseconds(ago);
-  }
+  rows.m_store_time = facts.m_proof;
+  relayed.m_regained_ago = facts.m_regained_ago;
   const json::value* list = object.if_contains("rows");
   if (!list || !list->is_array())
     return model::BadField("rows", "a list");
   for (const json::value& value : list->as_array()) {
-    BOOST_LEAF_AUTO(row, DecodeRow(value));
+    if (!value.is_object())
+      return model::BadField("rows", "objects");
+    BOOST_LEAF_AUTO(row, DecodeRow(value.as_object()));
+    BOOST_LEAF_AUTO(seen,
+                    model::NumberFieldOr(value.as_object(), "seen_ms", 0));
+    const Duration seen_at = std::chrono::milliseconds(seen);
+    if (seen > 0 && facts.m_store_now >= seen_at)
+      relayed.m_ages[row.m_key] = facts.m_store_now - seen_at;
     rows.m_rows.push_back(std::move(row));
   }
   return relayed;
@@ -76,15 +139,23 @@
   wire::Request request;
   request.m_path = std::move(path);
   const std::string step = "GET " + request.m_path;
-  auto response = co_await wire::Fetch(http, endpoint, std::move(request),
-                                       Now() + kTimeout);
+  const TimePoint asked = Now();
+  auto response = co_await FetchSlowly(http, endpoint, std::move(request));
   if (!response)
     co_return response.error();
   if (response->m_status != kOk) {
     co_return Failure{FailureCode::kRefused, step, ToString(endpoint),
                       "status " + std::to_string(response->m_status)};
   }
-  co_return CatchFailure([&] { return DecodeRows(response->m_body); });
+  auto relayed = CatchFailure([&] {
+    return DecodeRows(response->m_body, DecodeFacts(response->m_headers));
+  });
+  if (!relayed)
+    co_return relayed.error();
+  // The time that the answer took may all have passed after it was dated.
+  for (auto& [key, age] : relayed->m_ages)
+    age += Now() - asked;
+  co_return std::move(*relayed);
 }
 
 }  // namespace verbenalead::links
--- a/src/libverbenalead/links/relayed_rows.h
+++ b/src/libverbenalead/links/relayed_rows.h
@@ -10,30 +10,50 @@
 #include "base/failure.h"
 #include "platform/rows.h"
 #include "wire/client.h"
+#include "wire/headers.h"
 
 namespace verbenalead::links {
 
-/// Where an entry tells the rows of the operator's table, and those of the
-/// table of replicas.
+/// Where an entry tells the rows of the operator's table, those of them that a
+/// target process needs, and those of the table of replicas.
 inline constexpr char kOperatorRowsPath[] = "/v1/operator-rows";
+inline constexpr char kTargetRowsPath[] = "/v1/target-rows";
 inline constexpr char kReplicaRowsPath[] = "/v1/replica-rows";
 
+/// What an entry tells beside the rows, and what changes while they don't.
+struct RelayFacts {
+  /// The store's time of the answer that proves that the rows are the newest.
+  Duration m_proof{};
+  /// The store's time now, by the entry's reckoning; zero: not known.
+  Duration m_store_now{};
+  /// How long ago that entry regained the store; nothing if it never lost it.
+  std::optional<Duration> m_regained_ago;
+
+  friend bool operator==(const RelayFacts&, const RelayFacts&) = default;
+};
+
+wire::Headers EncodeFacts(const RelayFacts& facts);
+RelayFacts DecodeFacts(const wire::Headers& headers);
+
+/// The store's time at which rows were first seen to be there, by key.
+using SeenTimes = std::map<std::string, Duration>;
+
 /// All rows of a table as an entry has them, for others near it: a
 /// configuration of 290 KB that each host read from the store for itself filled
 /// the link between regions for two seconds.
 struct RelayedRows {
-  /// With the revision and the store's time of the answer that they come from.
   platform::Rows m_rows;
-  /// How long ago that entry regained the store; nothing if it never lost it.
+  /// How long ago rows were first seen, at most, by key; absent: not known.
+  std::map<std::string, Duration> m_ages;
   std::optional<Duration> m_regained_ago;
 };
 
 std::string EncodeRows(const std::map<std::string, platform::Row>& rows,
                        uint64_t revision,
-                       Duration store_time,
-                       std::optional<Duration> regained_ago);
-/// Reads what EncodeRows writes. Fails with kInvalid.
-Result<RelayedRows> DecodeRows(const std::string& text);
+                       const SeenTimes& seen);
+/// Reads what EncodeRows writes, told with `facts`. Fails with kInvalid.
+Result<RelayedRows> DecodeRows(const std::string& text,
+                               const RelayFacts& facts);
 
 /// Asks the entry at `endpoint` for the rows that it tells at `path`.
 Awaitable<AsyncResult<RelayedRows>> FetchRows(wire::Client& http,
--- a/src/libverbenalead/links/relayed_rows_test.cc
+++ b/src/libverbenalead/links/relayed_rows_test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(RelayedRowsTest);
   CPPUNIT_TEST(KeepsRowsOfAnyBytes);
   CPPUNIT_TEST(TellsWhenTheStoreWasRegained);
+  CPPUNIT_TEST(TellsHowOldARowIs);
   CPPUNIT_TEST(RefusesWhatIsNoListOfRows);
   CPPUNIT_TEST_SUITE_END();
 
@@ -21,7 +22,8 @@
     const std::map<std::string, platform::Row> rows = {
         {"a", {"a", std::string("\xff\x00\xc3(", 4), 7, false}},
         {"b", {"b", "{\"service\":\"pool\"}", 9, false}}};
-    const RelayedRows relayed = Decode(EncodeRows(rows, 12, 5s, std::nullopt));
+    const RelayedRows relayed =
+        Decode(EncodeRows(rows, 12, {}), {5s, 0s, std::nullopt});
     CPPUNIT_ASSERT_EQUAL(size_t{2}, relayed.m_rows.m_rows.size());
     CPPUNIT_ASSERT(relayed.m_rows.m_rows[0] == rows.at("a"));
     CPPUNIT_ASSERT(relayed.m_rows.m_rows[1] == rows.at("b"));
@@ -31,24 +33,42 @@
   }
 
   void TellsWhenTheStoreWasRegained() {
-    const RelayedRows relayed = Decode(EncodeRows({}, 1, 0s, 1500ms));
+    const RelayFacts facts = {5s, 7s, 1500ms};
+    CPPUNIT_ASSERT(DecodeFacts(EncodeFacts(facts)) == facts);
+    const RelayedRows relayed = Decode(EncodeRows({}, 1, {}), facts);
     CPPUNIT_ASSERT(relayed.m_regained_ago == Duration(1500ms));
+    CPPUNIT_ASSERT(DecodeFacts({{"proof-ms", "x"}}) == RelayFacts());
+  }
+
+  // Calls begin on older weights after their bound: an entry hears of a
+  // declaration 3 s late, from another one, and counts the bound from then. It
+  // is told how old the declaration is.
+  void TellsHowOldARowIs() {
+    const std::map<std::string, platform::Row> rows = {
+        {"version/m", {"version/m", "{}", 7, false}},
+        {"x", {"x", "", 1, false}}};
+    const std::string text = EncodeRows(rows, 7, {{"version/m", 100s}});
+    const RelayedRows relayed = Decode(text, {102s, 103s, std::nullopt});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, relayed.m_ages.size());
+    CPPUNIT_ASSERT(relayed.m_ages.at("version/m") == Duration(3s));
+    CPPUNIT_ASSERT(Decode(text, {102s, 0s, std::nullopt}).m_ages.empty());
   }
 
   void RefusesWhatIsNoListOfRows() {
     for (const char* text :
-         {"", "[]", "{\"revision\":1,\"store_ms\":1}",
-          "{\"revision\":1,\"store_ms\":1,\"rows\":[1]}",
-          "{\"revision\":1,\"store_ms\":1,\"rows\":[{\"key\":\"a\",\"value\":"
+         {"", "[]", "{\"revision\":1}", "{\"revision\":1,\"rows\":[1]}",
+          "{\"revision\":1,\"rows\":[{\"key\":\"a\",\"value\":"
           "\"!\",\"revision\":1}]}",
-          "{\"revision\":\"x\",\"store_ms\":1,\"rows\":[]}"}) {
-      CPPUNIT_ASSERT(!CatchFailure([&] { return DecodeRows(text); }));
+          "{\"revision\":1,\"rows\":[{\"key\":\"a\",\"value\":"
+          "\"\",\"revision\":1,\"seen_ms\":\"x\"}]}",
+          "{\"revision\":\"x\",\"rows\":[]}"}) {
+      CPPUNIT_ASSERT(!CatchFailure([&] { return DecodeRows(text, {}); }));
     }
   }
 
  private:
-  static RelayedRows Decode(const std::string& text) {
-    auto relayed = CatchFailure([&] { return DecodeRows(text); });
+  static RelayedRows Decode(const std::string& text, const RelayFacts& facts) {
+    auto relayed = CatchFailure([&] { return DecodeRows(text, facts); });
     CPPUNIT_ASSERT(relayed.has_value());
     return std::move(*relayed);
   }
--- a/src/libverbenalead/links/table_follower.cc
+++ b/src/libverbenalead/links/table_follower.cc
@@ -14,6 +14,8 @@
 /// 2,000 that the store answers.
 constexpr Duration kLeastPause = 150ms;
 constexpr Duration kMostPause = 350ms;
+/// How often one that is held looks whether it still is.
+constexpr Duration kHoldPoll = 50ms;
 
 }  // namespace
 
@@ -33,6 +35,10 @@
   while (true) {
     const TimePoint asked = Now();
     const FollowPace pace = m_pace();
+    if (pace.m_hold) {
+      co_await WaitUntil(asked + kHoldPoll);
+      continue;
+    }
     m_poked = false;
     const bool answered = co_await Ask(pace.m_wait);
     if (m_poked)
@@ -40,15 +46,18 @@
     const TimePoint next =
         answered ? asked + pace.m_interval
                  : Now() + std::max(pace.m_after_failure, RetryPause());
-    if (next <= Now())
-      continue;
-    m_timer.expires_at(next);
-    boost::system::error_code ignored;
-    co_await m_timer.async_wait(
-        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    if (next > Now())
+      co_await WaitUntil(next);
   }
 }
 
+Awaitable<void> TableFollower::WaitUntil(TimePoint time) {
+  m_timer.expires_at(time);
+  boost::system::error_code ignored;
+  co_await m_timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
 void TableFollower::Poke() {
   m_poked = true;
   m_timer.cancel();
--- a/src/libverbenalead/links/table_follower.h
+++ b/src/libverbenalead/links/table_follower.h
@@ -47,6 +47,8 @@
 
  private:
   Awaitable<bool> Ask(Duration wait);
+  /// Waits until then, or until a poke.
+  Awaitable<void> WaitUntil(TimePoint time);
   void NoteSuccess();
   void NoteFailure(const Failure& failure);
   Duration RetryPause();
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -9,28 +9,21 @@
 #include "base/log.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
-#include "decide/change_source.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "links/datagrams.h"
 #include "links/process_servers.h"
-#include "links/relayed_rows.h"
-#include "links/table_follower.h"
-#include "platform/names.h"
 #include "platform/store.h"
 #include "target/chunk_server.h"
 #include "target/engine_keeper.h"
 #include "target/place_granter.h"
-#include "target/target_rows.h"
+#include "target/row_source.h"
 
 namespace verbenalead::target {
 namespace {
 
 namespace asio = boost::asio;
 
-/// Replicas: asked for anew when a transfer begins.
-constexpr links::FollowPace kReplicaPace = {Duration(), 30s};
-constexpr Duration kPokeInterval = 300ms;
 constexpr Duration kConnectTimeout = 300ms;
 /// How often those who follow are told what changed, and all anew.
 constexpr Duration kNewsInterval = 50ms;
@@ -79,25 +72,7 @@
                  m_engine,
                  [this] { return m_places.Calls().m_calls > 0; }),
         m_keeper(m_state, m_engine, m_fetcher, [this] { m_places.TellAll(); }),
-        m_operator_rows(
-            m_threads.main(),
-            m_store,
-            platform::kOperatorTable,
-            [this] {
-              return links::FollowPace{
-                  Duration(), decide::QuestionInterval(m_changes, Now())};
-            },
-            [this](const platform::Rows& rows, bool) {
-              TakeOperatorRows(rows);
-            }),
-        m_replica_rows(
-            m_threads.main(),
-            m_store,
-            platform::kReplicaTable,
-            [] { return kReplicaPace; },
-            [this](const platform::Rows& rows, bool whole) {
-              target::TakeReplicaRows(m_state, rows, whole);
-            }),
+        m_rows(m_threads.main(), m_state, m_store, m_http),
         m_chunk_server(
             m_threads,
             {},
@@ -111,57 +86,28 @@
     if (const auto* follow = std::get_if<links::FollowRequest>(&message)) {
       TakeFollower(sender, *follow);
     } else if (const auto* calls = std::get_if<links::CallNews>(&message)) {
-      if (IsOwn(calls->m_replica))
+      if (IsOwn(sender, calls->m_replica))
         m_places.TakeCalls(sender, *calls);
     } else if (const auto* ask = std::get_if<links::PlaceRequest>(&message)) {
-      if (IsOwn(ask->m_replica))
+      if (IsOwn(sender, ask->m_replica))
         m_places.Grant(sender, *ask);
     } else if (const auto* news = std::get_if<links::ChunkNews>(&message)) {
       m_fetcher.TakeNews(*news);
     }
   }
 
-  /// Whether entries speak of the replica on this host. They read the list of
-  /// replicas more often than this process, which asks for it at once if they
-  /// know another one: the replica has started anew, and a target that doesn't
+  /// Whether `entry` speaks of the replica on this host. Entries know the list
+  /// of replicas sooner than this process, which takes it over from one that
+  /// knows another replica: it has started anew, and a target that doesn't
   /// answer for it leaves the entries to guess.
-  bool IsOwn(const std::string& replica) {
+  bool IsOwn(const Endpoint& entry, const std::string& replica) {
     const model::Replica* own = OwnReplica(m_state);
     if (own && own->m_id == replica)
       return true;
-    if (Now() >= m_next_poke) {
-      m_next_poke = Now() + kPokeInterval;
-      m_replica_rows.Poke();
-    }
+    m_rows.FetchReplicas(entry);
     return false;
   }
 
-  /// Takes the operator's rows over from a near entry, or asks the store if
-  /// that fails.
-  Awaitable<void> FetchFrom(Endpoint entry) {
-    m_fetching = true;
-    const auto rows =
-        co_await links::FetchRows(m_http, entry, links::kOperatorRowsPath);
-    m_fetching = false;
-    if (rows) {
-      TakeOperatorRows(rows->m_rows);
-      co_return;
-    }
-    LogLine("rows_not_relayed").With(rows.error()).Warn();
-    m_operator_rows.Poke();
-  }
-
-  void TakeOperatorRows(const platform::Rows& rows) {
-    for (const platform::Row& row : rows.m_rows) {
-      if (row.m_key.starts_with(platform::kWeightsKeyPrefix))
-        m_changes.m_weights_revision =
-            std::max(m_changes.m_weights_revision, row.m_revision);
-    }
-    // Turns and transfers need to know who is there.
-    if (target::TakeOperatorRows(m_state, rows))
-      m_replica_rows.Poke();
-  }
-
   void TakeFollower(const Endpoint& sender,
                     const links::FollowRequest& request) {
     const TimePoint until = Now() + kFollowHold;
@@ -172,12 +118,7 @@
         TellChunks(sender);
       return;
     }
-    const decide::ChangeSource source = decide::TakeTold(
-        m_changes, request.m_near, request.m_weights_revision, Now());
-    if (source == decide::ChangeSource::kNearEntry && !m_fetching)
-      Spawn(m_threads.main(), FetchFrom(sender), "fetch");
-    else if (source == decide::ChangeSource::kStore)
-      m_operator_rows.Poke();
+    m_rows.TakeTold(sender, request);
     m_places.Follow(sender, request.m_near, until);
   }
 
@@ -272,14 +213,10 @@
   PlaceGranter m_places;
   ChunkServer m_chunks;
   EngineKeeper m_keeper;
-  links::TableFollower m_operator_rows;
-  links::TableFollower m_replica_rows;
+  RowSource m_rows;
   http::Server m_chunk_server;
   http::Server m_metrics;
   asio::signal_set m_signals;
-  decide::ChangeWatch m_changes;
-  bool m_fetching = false;
-  TimePoint m_next_poke{};
   /// Who wants news, until when.
   std::map<Endpoint, TimePoint> m_chunk_followers;
 };
@@ -302,8 +239,7 @@
                          {&parts.m_metrics, options.m_metrics}}))
     return 1;
   const auto main = parts.m_threads.main();
-  SpawnLoop(main, parts.m_operator_rows.Run(), "operator_rows");
-  SpawnLoop(main, parts.m_replica_rows.Run(), "replica_rows");
+  parts.m_rows.Start();
   SpawnLoop(main, parts.m_keeper.Run(), "keep_engine");
   SpawnLoop(main, parts.SendNews(), "send_news");
   SpawnLoop(main, parts.FollowHosts(), "follow_hosts");
--- /dev/null
+++ b/src/libverbenalead/target/row_source.cc
@@ -0,0 +1,161 @@
+#include "target/row_source.h"
+
+#include <algorithm>
+
+#include "base/catch_failure.h"
+#include "base/log.h"
+#include "base/sleep.h"
+#include "base/spawn.h"
+#include "links/message.h"
+#include "platform/names.h"
+#include "target/target_rows.h"
+
+namespace verbenalead::target {
+namespace {
+
+/// Least time between two questions for the list of replicas.
+constexpr Duration kReplicasInterval = 300ms;
+/// Entries that are asked at once after a start, and the pause until the next
+/// try: they may have started too, and know the tables half a second later.
+constexpr size_t kEntriesTried = 3;
+constexpr Duration kLearnPause = 200ms;
+
+}  // namespace
+
+RowSource::RowSource(const boost::asio::any_io_executor& executor,
+                     TargetState& state,
+                     platform::Store& store,
+                     wire::Client& entries)
+    : m_state(state),
+      m_store(store),
+      m_entries(entries),
+      m_executor(executor),
+      m_operator_rows(
+          executor,
+          store,
+          platform::kOperatorTable,
+          [this] { return Pace(); },
+          [this](const platform::Rows& rows, bool) {
+            TakeOperatorRows(rows, {});
+          }),
+      m_replica_rows(
+          executor,
+          store,
+          platform::kReplicaTable,
+          [this] { return Pace(); },
+          [this](const platform::Rows& rows, bool whole) {
+            TakeReplicaRows(m_state, rows, whole);
+          }),
+      m_spread(std::uniform_real_distribution<double>(0, 1)(state.m_random)) {}
+
+void RowSource::Start() {
+  m_changes.m_started = Now();
+  Spawn(m_executor, LearnFirst(), "learn_first");
+  SpawnLoop(m_executor, m_operator_rows.Run(), "operator_rows");
+  SpawnLoop(m_executor, m_replica_rows.Run(), "replica_rows");
+}
+
+links::FollowPace RowSource::Pace() const {
+  links::FollowPace pace;
+  pace.m_interval = decide::kUntoldInterval;
+  pace.m_hold = decide::LeavesStoreAlone(m_changes, m_spread, Now());
+  return pace;
+}
+
+Awaitable<void> RowSource::LearnFirst() {
+  std::vector<Endpoint> near;
+  while (!m_changes.m_known) {
+    if (near.empty())
+      near = co_await NearEntries();
+    for (size_t tried = 0; tried < kEntriesTried && !near.empty(); ++tried) {
+      const Endpoint entry = near.back();
+      near.pop_back();
+      if (m_changes.m_known || co_await TakeOver(entry))
+        co_return;
+    }
+    co_await Sleep(kLearnPause);
+  }
+}
+
+Awaitable<std::vector<Endpoint>> RowSource::NearEntries() {
+  std::vector<Endpoint> near;
+  const auto rows = co_await m_store.ReadTable(platform::kEntryTable);
+  if (!rows) {
+    LogLine("entries_not_read").With(rows.error()).Warn();
+    co_return near;
+  }
+  for (const platform::Row& row : rows->m_rows) {
+    auto message =
+        CatchFailure([&] { return links::DecodeMessage(row.m_value); });
+    const auto* entry =
+        message ? std::get_if<links::EntryNews>(&*message) : nullptr;
+    if (entry &&
+        entry->m_address.m_data_center == m_state.m_options.m_data_center)
+      near.push_back(entry->m_address.m_peers);
+  }
+  std::shuffle(near.begin(), near.end(), m_state.m_random);
+  co_return near;
+}
+
+Awaitable<bool> RowSource::TakeOver(Endpoint entry) {
+  const auto relayed =
+      co_await links::FetchRows(m_entries, entry, links::kTargetRowsPath);
+  if (!relayed) {
+    LogLine("rows_not_relayed").With(relayed.error()).Info();
+    co_return false;
+  }
+  // Turns and transfers need to know who is there.
+  co_await TakeOverReplicas(entry);
+  TakeOperatorRows(relayed->m_rows, relayed->m_ages);
+  m_operator_rows.SkipTo(relayed->m_rows.m_revision);
+  co_return true;
+}
+
+Awaitable<void> RowSource::TakeOverOnce(Endpoint entry) {
+  m_fetching = true;
+  co_await TakeOver(entry);
+  m_fetching = false;
+}
+
+Awaitable<void> RowSource::TakeOverReplicas(Endpoint entry) {
+  m_next_replicas = Now() + kReplicasInterval;
+  const auto relayed =
+      co_await links::FetchRows(m_entries, entry, links::kReplicaRowsPath);
+  if (!relayed) {
+    LogLine("rows_not_relayed").With(relayed.error()).Info();
+    co_return;
+  }
+  // Entries don't all know the newest list at the same moment.
+  if (relayed->m_rows.m_revision < m_replica_rows.revision())
+    co_return;
+  TakeReplicaRows(m_state, relayed->m_rows, true);
+  m_replica_rows.SkipTo(relayed->m_rows.m_revision);
+}
+
+void RowSource::TakeOperatorRows(const platform::Rows& rows,
+                                 const std::map<std::string, Duration>& ages) {
+  for (const platform::Row& row : rows.m_rows) {
+    if (row.m_key.starts_with(platform::kWeightsKeyPrefix))
+      m_changes.m_weights_revision =
+          std::max(m_changes.m_weights_revision, row.m_revision);
+  }
+  target::TakeOperatorRows(m_state, rows, ages);
+  m_changes.m_known = m_state.m_engine.has_value();
+}
+
+void RowSource::TakeTold(const Endpoint& entry,
+                         const links::FollowRequest& request) {
+  const bool news = decide::TakeTold(m_changes, request.m_near,
+                                     request.m_weights_revision, Now());
+  if (news && !m_fetching)
+    Spawn(m_executor, TakeOverOnce(entry), "take_over");
+}
+
+void RowSource::FetchReplicas(const Endpoint& entry) {
+  if (Now() < m_next_replicas)
+    return;
+  m_next_replicas = Now() + kReplicasInterval;
+  Spawn(m_executor, TakeOverReplicas(entry), "take_over_replicas");
+}
+
+}  // namespace verbenalead::target
--- a/src/libverbenalead/target/target_rows.cc
+++ b/src/libverbenalead/target/target_rows.cc
@@ -35,21 +35,21 @@
       .Info();
 }
 
-bool TakeWeights(TargetState& state, const std::string& text) {
+void TakeWeights(TargetState& state, const std::string& text, Duration age) {
   const auto declared = platform::DecodeWeights(text);
   if (!declared) {
     LogLine("bad_weights_row").Error();
-    return false;
+    return;
   }
   if (!state.m_engine || declared->m_model != state.m_engine->m_model ||
       state.m_declared.contains(declared->m_version))
-    return false;
+    return;
   LogLine("weights_declared")
       .With("model", declared->m_model)
       .With("version", declared->m_version)
+      .With("age_ms", ToMilliseconds(age))
       .Info();
-  state.m_declared.emplace(declared->m_version, Now());
-  return true;
+  state.m_declared.emplace(declared->m_version, Now() - age);
 }
 
 }  // namespace
@@ -63,18 +63,21 @@
   return nullptr;
 }
 
-bool TakeOperatorRows(TargetState& state, const platform::Rows& rows) {
+void TakeOperatorRows(TargetState& state,
+                      const platform::Rows& rows,
+                      const std::map<std::string, Duration>& ages) {
   // The configuration first: it says which model this host runs.
   for (const platform::Row& row : rows.m_rows) {
     if (!row.m_deleted && row.m_key == platform::kConfigKey)
       TakeConfig(state, row.m_value);
   }
-  bool changed = false;
   for (const platform::Row& row : rows.m_rows) {
-    if (!row.m_deleted && row.m_key.starts_with(platform::kWeightsKeyPrefix))
-      changed |= TakeWeights(state, row.m_value);
+    if (row.m_deleted || !row.m_key.starts_with(platform::kWeightsKeyPrefix))
+      continue;
+    const auto age = ages.find(row.m_key);
+    TakeWeights(state, row.m_value,
+                age == ages.end() ? Duration() : age->second);
   }
-  return changed;
 }
 
 void TakeReplicaRows(TargetState& state,
--- a/src/libverbenalead/target/target_rows.h
+++ b/src/libverbenalead/target/target_rows.h
@@ -1,13 +1,19 @@
 #ifndef VERBENALEAD_TARGET_TARGET_ROWS_H_
 #define VERBENALEAD_TARGET_TARGET_ROWS_H_
 
+#include <map>
+#include <string>
+
 #include "platform/rows.h"
 #include "target/target_state.h"
 
 namespace verbenalead::target {
 
-/// Takes the operator's rows in; true: what the engine should have has changed.
-bool TakeOperatorRows(TargetState& state, const platform::Rows& rows);
+/// Takes the operator's rows in. `ages`: how long ago declarations of weights
+/// were made, at least, by key.
+void TakeOperatorRows(TargetState& state,
+                      const platform::Rows& rows,
+                      const std::map<std::string, Duration>& ages);
 
 /// Takes the rows of replicas in.
 void TakeReplicaRows(TargetState& state,
