Let an entry that loses the store say so; tests of rows taken over

Change: an entry that the store doesn't answer tells no proof any more, at once, and the next one takes over. The test fails without it.

Also: tests of what targets take over after a start (row_source), of the part of the configuration that they get, and of whom a newcomer asks.

Changed test: case silent_connection failed once beside a load of 24: six of eight calls had not begun when their connection was silenced 0.3 s after they were sent; their log lines say so (refused, then completed over a new connection, run once). It now waits until calls run, and those that do must be told unknown, which is stricter than before; only others may complete.

--- a/src/libverbenalead/entry/entry_news.cc
+++ b/src/libverbenalead/entry/entry_news.cc
@@ -65,7 +65,11 @@
   news.m_ready = IsReady(state);
   news.m_crashes = state.m_own_crashes;
   news.m_operator_revision = state.m_operator_revision;
-  news.m_operator_proof = state.m_operator_proof;
+  // Failure: the store turns away the entry that reads for others. Symptom:
+  // they wait until its proof is old, 1.5 to 2.2 s, and send calls to a replica
+  // that left 2.3 s ago. Without a proof they take over at once.
+  news.m_operator_proof =
+      state.m_store_lost ? Duration() : state.m_operator_proof;
   news.m_replicas_hash = state.m_replicas_hash;
   news.m_replicas_age =
       std::min<Duration>(Now() - state.m_replicas_at, kOldest);
--- /dev/null
+++ b/src/libverbenalead/entry/entry_news_test.cc
@@ -0,0 +1,80 @@
+#include "entry/entry_news.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+#include "base/boot_clock.h"
+
+namespace verbenalead::entry {
+namespace {
+
+EntryOptions OptionsOf(const std::string& host) {
+  EntryOptions options;
+  options.m_self = {host, "a", Endpoint("127.0.0.1", 1),
+                    Endpoint("127.0.0.1", 2)};
+  options.m_key_bound = 5s;
+  return options;
+}
+
+/// An entry that the store has just answered.
+std::unique_ptr<EntryState> Entry(const std::string& host) {
+  auto state = std::make_unique<EntryState>(OptionsOf(host));
+  state->m_routes =
+      std::make_shared<decide::RouteTable>(model::RoutingConfig());
+  state->m_replicas_known = true;
+  state->m_replicas_at = Now();
+  state->m_operator_revision = 5;
+  // Its clock and the store's are the same here.
+  state->m_store_clock.m_offset = Duration();
+  state->m_operator_proof = BootNow();
+  decide::Prove(state->m_lease, BootNow());
+  return state;
+}
+
+class EntryNewsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EntryNewsTest);
+  CPPUNIT_TEST(AReaderThatLosesTheStoreSaysSo);
+  CPPUNIT_TEST(AnyOfThoseThatKnowTheNewestIsAsked);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Calls reach a replica that left 2.3 s ago: the store turned away the entry
+  // that reads for its data centre, and the others waited until its last proof
+  // was old. It tells them, and nobody reads for them any more.
+  void AReaderThatLosesTheStoreSaysSo() {
+    const auto reader = Entry("e1");
+    const auto other = Entry("e2");
+    TakeNews(*other, NewsOf(*reader), Now());
+    CPPUNIT_ASSERT(ReaderFor(*other, Now()));
+    reader->m_store_lost = true;
+    TakeNews(*other, NewsOf(*reader), Now());
+    CPPUNIT_ASSERT(!ReaderFor(*other, Now()));
+    reader->m_store_lost = false;
+    TakeNews(*other, NewsOf(*reader), Now());
+    CPPUNIT_ASSERT(ReaderFor(*other, Now()));
+  }
+
+  // A data centre gets a configuration of 390 KB a second late: 14 entries all
+  // took it over from the one that read it. Each takes any that has it.
+  void AnyOfThoseThatKnowTheNewestIsAsked() {
+    const auto newcomer = Entry("e0");
+    newcomer->m_operator_revision = 0;
+    for (const char* host : {"e1", "e2", "e3"}) {
+      const auto entry = Entry(host);
+      entry->m_operator_revision = host == std::string("e3") ? 4 : 5;
+      TakeNews(*newcomer, NewsOf(*entry), Now());
+    }
+    std::set<std::string> asked;
+    for (int i = 0; i < 50; ++i)
+      asked.insert(AheadOf(*newcomer, Now())->m_address.m_host);
+    CPPUNIT_ASSERT(asked == std::set<std::string>({"e1", "e2"}));
+    newcomer->m_operator_revision = 5;
+    CPPUNIT_ASSERT(!AheadOf(*newcomer, Now()));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryNewsTest);
+
+}  // namespace
+}  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/news_sender.cc
+++ b/src/libverbenalead/entry/news_sender.cc
@@ -39,8 +39,10 @@
   links::EntryNews news = NewsOf(m_state);
   ++m_news_rounds;
   const bool changed = news.m_ready != m_last_news.m_ready || crashes;
+  const bool lost = news.m_operator_proof == Duration() &&
+                    m_last_news.m_operator_proof != Duration();
   const bool read =
-      news.m_operator_revision != m_last_news.m_operator_revision ||
+      lost || news.m_operator_revision != m_last_news.m_operator_revision ||
       news.m_replicas_hash != m_last_news.m_replicas_hash || took_over;
   Broadcast(news, changed || read || m_news_rounds % kRoundsToTellNear == 0,
             changed || m_news_rounds % kRoundsToTellFar == 0);
--- /dev/null
+++ b/src/libverbenalead/target/row_source_test.cc
@@ -0,0 +1,139 @@
+#include "target/row_source.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+
+#include "base/base64.h"
+#include "links/message.h"
+#include "platform/names.h"
+#include "target/routed_client.h"
+
+namespace verbenalead::target {
+namespace {
+
+constexpr char kConfig[] =
+    R"({"version":7,"services":[{"name":"pool","engine":{"slots":16,)"
+    R"("chunks":48,"models":[{"name":"m"}]}}]})";
+constexpr char kDeclared[] = R"({"model":"m","version":2})";
+constexpr char kReplica[] =
+    R"({"service":"pool","address":"10.0.1.1:80","zone":"a","slots":4,)"
+    R"("state":"ready"})";
+
+class RowSourceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RowSourceTest);
+  CPPUNIT_TEST(AfterAStartItTakesOverFromANearEntry);
+  CPPUNIT_TEST(AnEntryThatKnowsNothingYetIsPassedOver);
+  CPPUNIT_TEST(NewWeightsAreTakenOverFromWhoTells);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    TargetOptions options;
+    options.m_data_center = "a";
+    options.m_service = "pool";
+    m_state = std::make_unique<TargetState>(options);
+    m_http = std::make_unique<RoutedClient>();
+    m_store = std::make_unique<platform::Store>(*m_http, Endpoint("store", 1));
+    m_io = std::make_unique<boost::asio::io_context>();
+    m_rows = std::make_unique<RowSource>(m_io->get_executor(), *m_state,
+                                         *m_store, *m_http);
+    m_http->m_answers["store/rows-get"] = EntryRows({"10.0.0.1", "10.0.0.3"});
+  }
+
+  // Callers get no answer for 20 s: all processes were killed, and each host
+  // reads 390 KB from the store over one link. It takes what it needs over from
+  // an entry of its data centre, and asks the store for the table of entries
+  // only.
+  void AfterAStartItTakesOverFromANearEntry() {
+    Tells("10.0.0.1", 5, 3s);
+    m_rows->Start();
+    m_io->run_for(100ms);
+    CPPUNIT_ASSERT(m_state->m_engine);
+    CPPUNIT_ASSERT_EQUAL(48U, m_state->m_engine->m_chunks);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_state->m_replicas.size());
+    // Turns count from the declaration, not from when it is heard of.
+    CPPUNIT_ASSERT(Now() - m_state->m_declared.at(2) >= Duration(3s));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                         std::count(m_http->m_asked.begin(),
+                                    m_http->m_asked.end(), "store/rows-get"));
+    CPPUNIT_ASSERT(m_http->m_targets.front().find(platform::kEntryTable) !=
+                   std::string::npos);
+    for (const std::string& asked : m_http->m_asked)
+      CPPUNIT_ASSERT(!asked.starts_with("10.0.0.3"));
+  }
+
+  void AnEntryThatKnowsNothingYetIsPassedOver() {
+    m_http->m_answers["store/rows-get"] = EntryRows({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
+    Tells("10.0.0.2", 5, 0s);
+    m_rows->Start();
+    m_io->run_for(500ms);
+    CPPUNIT_ASSERT(m_state->m_engine);
+  }
+
+  void NewWeightsAreTakenOverFromWhoTells() {
+    Tells("10.0.0.1", 5, 0s);
+    m_rows->Start();
+    m_io->run_for(400ms);
+    m_http->m_asked.clear();
+    links::FollowRequest request;
+    request.m_near = true;
+    request.m_weights_revision = 5;
+    request.m_replicas_hash = 0;
+    m_rows->TakeTold(Endpoint("10.0.0.1", 2), request);
+    m_io->restart();
+    m_io->run_for(20ms);
+    // Nothing new but another list of replicas.
+    CPPUNIT_ASSERT(m_http->m_asked ==
+                   std::vector<std::string>({"10.0.0.1/v1/replica-rows"}));
+    m_http->m_asked.clear();
+    request.m_weights_revision = 6;
+    m_rows->TakeTold(Endpoint("10.0.0.1", 2), request);
+    m_io->restart();
+    m_io->run_for(20ms);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1/v1/target-rows"),
+                         m_http->m_asked.at(0));
+  }
+
+ private:
+  /// The store's answer about entries on these hosts; "10.0.0.3" is elsewhere.
+  static wire::Response EntryRows(const std::vector<std::string>& hosts) {
+    std::string rows;
+    for (const std::string& host : hosts) {
+      links::EntryNews news;
+      news.m_address = {host, host == "10.0.0.3" ? "b" : "a", Endpoint(host, 1),
+                        Endpoint(host, 2)};
+      rows += std::string(rows.empty() ? "" : ",") + R"({"key":")" + host +
+              R"(","ver":1,"value":")" +
+              EncodeBase64(links::EncodeMessage(news)) + "\"}";
+    }
+    return wire::JsonResponse(
+        200, R"({"ver":9,"now_ms":1000,"rows":[)" + rows + "]}");
+  }
+
+  /// An entry tells its rows, of which the declaration is `age` old.
+  void Tells(const std::string& host, uint64_t revision, Duration age) {
+    const std::map<std::string, platform::Row> operator_rows = {
+        {"config", {"config", kConfig, 1, false}},
+        {"version/m", {"version/m", kDeclared, revision, false}}};
+    const links::RelayFacts facts = {100s, 100s + age, std::nullopt};
+    m_http->m_answers[host + links::kTargetRowsPath] = wire::Response(
+        200, links::EncodeFacts(facts),
+        links::EncodeRows(operator_rows, revision, {{"version/m", 100s}}));
+    m_http->m_answers[host + links::kReplicaRowsPath] = wire::Response(
+        200, links::EncodeFacts(facts),
+        links::EncodeRows({{"i-1", {"i-1", kReplica, 3, false}}}, 3, {}));
+  }
+
+  std::unique_ptr<TargetState> m_state;
+  std::unique_ptr<RoutedClient> m_http;
+  std::unique_ptr<platform::Store> m_store;
+  std::unique_ptr<boost::asio::io_context> m_io;
+  std::unique_ptr<RowSource> m_rows;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RowSourceTest);
+
+}  // namespace
+}  // namespace verbenalead::target
--- a/testsuite/cases/silent_connection/run.py
+++ b/testsuite/cases/silent_connection/run.py
@@ -18,12 +18,24 @@
 SHORT_MS = 1500
 
 
+def flights(cluster):
+    """Calls of this round that have begun at the service."""
+    return {key for key in harness.service_runs(*cluster.targets)
+            if key.startswith("flight-")}
+
+
 def call_while_silenced(cluster, relay, entry):
-    """Calls are running at the service when the connection is dropped."""
+    """Calls are running at the service when the connection is dropped.
+
+    One that runs then can't be answered any more. One that hasn't begun, on a
+    busy machine, may go to the target over a new connection and complete.
+    """
     told = {}
+    begun = set()
 
     def silence():
-        time.sleep(0.3)
+        harness.wait_for("a call to run", lambda: flights(cluster))
+        begun.update(flights(cluster))
         cluster.faults(relay, silent=True)
 
     silencer = threading.Thread(target=silence)
@@ -31,9 +43,13 @@
     replies = harness.in_parallel(
         IN_FLIGHT, lambda number: harness.confirm(entry, "flight-%d" % number))
     silencer.join()
+    assert begun
     for number, reply in enumerate(replies):
-        told["flight-%d" % number] = reply.outcome
-        assert reply.outcome in ("unknown", "refused"), reply.outcome
+        key = "flight-%d" % number
+        told[key] = reply.outcome
+        allowed = {"unknown"} if key in begun else {
+            "unknown", "refused", "completed"}
+        assert reply.outcome in allowed, (key, reply.outcome, begun)
     return told
 
 
