--- a/src/libverbenalead/target/row_source_test.cc
+++ b/src/libverbenalead/target/row_source_test.cc
@@ -65,7 +65,8 @@
   }
 
   void AnEntryThatKnowsNothingYetIsPassedOver() {
-    m_http->m_answers["store/rows-get"] = EntryRows({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
+    m_http->m_answers["store/rows-get"] =
+        EntryRows({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
     Tells("10.0.0.2", 5, 0s);
     m_rows->Start();
     m_io->run_for(500ms);
