Date declarations by what is known of them, not by when they are heard

Two ways to it, both seen in the logs of all entries (event=weights_declared): - An entry that was started anew took the rows over from a neighbour that had just started as well and hadn't heard the store's clock yet, so that it told no age; the declaration, 6.85 s old, was taken for new, and told on so. - The entry that reads for its data centre had no question open for up to 0.78 s while a configuration of 290 KB came; what was declared meanwhile counted from the answer that brought it.

Change: ages are told by the teller's own clock, an unknown age is taken for old, and a row may be as old as the pause before the question that brought it.

--- /dev/null
+++ b/src/libverbenalead/decide/earliest_write_test.cc
@@ -0,0 +1,51 @@
+#include "decide/earliest_write.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace verbenalead::decide {
+namespace {
+
+class EarliestWriteTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EarliestWriteTest);
+  CPPUNIT_TEST(AQuestionThatWasOpenDatesTheRow);
+  CPPUNIT_TEST(TimeWithoutAQuestionMayBeTheRowsAge);
+  CPPUNIT_TEST(ARowIsYoungerThanTheLastProof);
+  CPPUNIT_TEST(AnOutageIsNoAge);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void AQuestionThatWasOpenDatesTheRow() {
+    CPPUNIT_ASSERT(EarliestWrite(10s, 11s, Duration(10s)) == Duration(11s));
+    CPPUNIT_ASSERT(EarliestWrite(10s, 11s, std::nullopt) == Duration(11s));
+  }
+
+  // Calls begin on older weights 0.1 s after their bound: a configuration of
+  // 290 KB took a second to come, and new weights were declared meanwhile. The
+  // next question brought them, and their bound was counted from its answer.
+  void TimeWithoutAQuestionMayBeTheRowsAge() {
+    const Duration proved = 10s;
+    const Duration asked = 11s;
+    CPPUNIT_ASSERT(EarliestWrite(asked, 11005ms, proved) == Duration(10005ms));
+  }
+
+  void ARowIsYoungerThanTheLastProof() {
+    CPPUNIT_ASSERT(EarliestWrite(12s, 10500ms, Duration(10s)) == Duration(10s));
+    // A neighbour proved it while the question was open.
+    CPPUNIT_ASSERT(EarliestWrite(10s, 12s, Duration(11s)) == Duration(12s));
+  }
+
+  // Callers find no replica for five seconds: the store was away for eight, and
+  // the weights that were declared meanwhile barred the older ones as soon as
+  // they were heard of, when no host had them yet.
+  void AnOutageIsNoAge() {
+    CPPUNIT_ASSERT(EarliestWrite(18s, 18005ms, Duration(10s)) ==
+                   Duration(18005ms));
+    CPPUNIT_ASSERT(EarliestWrite(13s, 13005ms, Duration(10s)) ==
+                   Duration(10005ms));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EarliestWriteTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/entry/row_intake.cc
+++ b/src/libverbenalead/entry/row_intake.cc
@@ -6,6 +6,7 @@
 #include "base/boot_clock.h"
 #include "base/catch_failure.h"
 #include "base/log.h"
+#include "decide/earliest_write.h"
 #include "decide/live_replicas.h"
 #include "links/message.h"
 #include "platform/decode_config.h"
@@ -55,11 +56,12 @@
 void RowIntake::TakeOperatorRows(const platform::Rows& rows, bool whole) {
   const Duration answered_at = decide::AnsweredAt(
       m_state.m_store_clock, rows.m_asked_at, rows.m_store_time);
-  // How old a row is that was there before isn't known.
   const bool first = whole && !m_weights_seen;
+  const Duration written_at = decide::EarliestWrite(
+      rows.m_asked_at, answered_at, m_state.m_lease.m_proved_at);
   const Duration age =
-      first ? UsualBinding() - kBindingAfterStart
-            : std::max<Duration>(Duration(), BootNow() - answered_at);
+      first ? UnknownAge()
+            : std::max<Duration>(Duration(), BootNow() - written_at);
   KeepOperatorRows(rows, [age](const platform::Row&) { return age; });
   if (whole)
     m_weights_seen = true;
@@ -69,9 +71,10 @@
 }
 
 void RowIntake::TakeRelayedOperatorRows(const links::RelayedRows& relayed) {
-  KeepOperatorRows(relayed.m_rows, [&relayed](const platform::Row& row) {
+  const Duration unknown = UnknownAge();
+  KeepOperatorRows(relayed.m_rows, [&](const platform::Row& row) {
     const auto age = relayed.m_ages.find(row.m_key);
-    return age == relayed.m_ages.end() ? Duration() : age->second;
+    return age == relayed.m_ages.end() ? unknown : age->second;
   });
   m_weights_seen = true;
   if (m_state.m_store_clock.m_offset) {
@@ -84,6 +87,13 @@
   return m_state.m_options.m_weights_bound - kBindingMargin;
 }
 
+Duration RowIntake::UnknownAge() const {
+  const Duration now = BootNow();
+  if (m_state.m_lease.m_proved_at)
+    return now - decide::EarliestWrite(now, now, m_state.m_lease.m_proved_at);
+  return UsualBinding() - kBindingAfterStart;
+}
+
 void RowIntake::TakeConfig(const std::string& text) {
   auto config = CatchFailure([&] { return platform::DecodeConfig(text); });
   if (!config) {
@@ -109,8 +119,7 @@
     LogLine("bad_weights_row").Error();
     return;
   }
-  if (m_state.m_store_clock.m_offset)
-    m_seen[row.m_key] = BootNow() - age - *m_state.m_store_clock.m_offset;
+  m_seen[row.m_key] = BootNow() - age;
   decide::WeightsWatch& watch = m_state.m_weights[declared->m_model];
   if (declared->m_version <= decide::Newest(watch))
     return;
--- a/src/libverbenalead/entry/row_intake.h
+++ b/src/libverbenalead/entry/row_intake.h
@@ -26,7 +26,7 @@
   const std::map<std::string, platform::Row>& operator_rows() const {
     return m_operator_rows;
   }
-  /// The store's time at which each declaration of weights was first seen.
+  /// When each declaration of weights may have been made at the earliest.
   const links::SeenTimes& seen() const { return m_seen; }
   /// The table of replicas. `regained_at`: when the store was last regained.
   void TakeReplicaRows(const platform::Rows& rows,
@@ -47,7 +47,10 @@
  private:
   /// From a declaration until it binds.
   Duration UsualBinding() const;
-  /// `age_of`: how long ago the row was seen to be there, at least.
+  /// How old a declaration is taken to be that may have been made at any time
+  /// since the store last proved that this entry knew the newest.
+  Duration UnknownAge() const;
+  /// `age_of`: how long ago the row was written, at most.
   void KeepOperatorRows(
       const platform::Rows& rows,
       const std::function<Duration(const platform::Row&)>& age_of);
--- a/src/libverbenalead/entry/row_intake_test.cc
+++ b/src/libverbenalead/entry/row_intake_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "base/boot_clock.h"
+
 namespace verbenalead::entry {
 namespace {
 
@@ -16,6 +18,10 @@
   return row;
 }
 
+platform::Row DeclarationRow(uint64_t revision) {
+  return {"version/m", R"({"model":"m","version":2})", revision, false};
+}
+
 platform::Rows Rows(uint64_t revision, std::vector<platform::Row> rows) {
   platform::Rows all;
   all.m_revision = revision;
@@ -29,6 +35,9 @@
   CPPUNIT_TEST(AnOlderListDoesNotBringBackALeavingReplica);
   CPPUNIT_TEST(RowsThatLapsedAreKeptAfterARelayToo);
   CPPUNIT_TEST(ALateDeclarationBindsAsEarlyAsItWasMade);
+  CPPUNIT_TEST(ADeclarationOfUnknownAgeBindsSoonAfterAStart);
+  CPPUNIT_TEST(ADeclarationBetweenTwoQuestionsIsAsOldAsThePause);
+  CPPUNIT_TEST(AgesAreToldWithoutTheStoresClock);
   CPPUNIT_TEST(ARowThatCannotBeReadNamesNoReplica);
   CPPUNIT_TEST_SUITE_END();
 
@@ -77,12 +86,9 @@
   // declaration 3 s late over a link that was full. The entry that tells it
   // says how old it is, and the bound counts from the declaration.
   void ALateDeclarationBindsAsEarlyAsItWasMade() {
-    platform::Row row;
-    row.m_key = "version/m";
-    row.m_value = R"({"model":"m","version":2})";
-    row.m_revision = 7;
-    links::RelayedRows relayed = {Rows(7, {row}), {}, std::nullopt};
-    relayed.m_ages[row.m_key] = 3s;
+    links::RelayedRows relayed = {
+        Rows(7, {DeclarationRow(7)}), {}, std::nullopt};
+    relayed.m_ages["version/m"] = 3s;
     m_intake->TakeRelayedOperatorRows(relayed);
     const decide::WeightsWatch& watch = m_state->m_weights.at("m");
     const Duration left = m_state->m_options.m_weights_bound - 600ms - 3s;
@@ -91,6 +97,42 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{2}, decide::Binding(watch, Now() + left));
   }
 
+  // Calls begin on older weights 7 s after their bound: an entry was started
+  // anew and took the rows over from a neighbour that doesn't know how old the
+  // declaration is. It isn't taken for new.
+  void ADeclarationOfUnknownAgeBindsSoonAfterAStart() {
+    m_intake->TakeRelayedOperatorRows(
+        {Rows(7, {DeclarationRow(7)}), {}, std::nullopt});
+    const decide::WeightsWatch& watch = m_state->m_weights.at("m");
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, decide::Binding(watch, Now() + 2600ms));
+  }
+
+  // Calls begin on older weights 0.1 s after their bound: this entry asked the
+  // store no question for a second, in which they were declared.
+  void ADeclarationBetweenTwoQuestionsIsAsOldAsThePause() {
+    const Duration now = BootNow();
+    TakeAnswer(now - 2s, now - 2s, {});
+    TakeAnswer(now - 1s, now - 1s, {DeclarationRow(7)});
+    const decide::WeightsWatch& watch = m_state->m_weights.at("m");
+    const Duration left = m_state->m_options.m_weights_bound - 600ms - 2s;
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0},
+                         decide::Binding(watch, Now() + left - 500ms));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, decide::Binding(watch, Now() + left));
+  }
+
+  // The neighbours of an entry that was started anew take a declaration for
+  // new: the store hasn't answered it yet, so that it couldn't tell them the
+  // age in the store's time. It tells it by its own clock.
+  void AgesAreToldWithoutTheStoresClock() {
+    links::RelayedRows relayed = {
+        Rows(7, {DeclarationRow(7)}), {}, std::nullopt};
+    relayed.m_ages["version/m"] = 3s;
+    m_intake->TakeRelayedOperatorRows(relayed);
+    CPPUNIT_ASSERT(!m_state->m_store_clock.m_offset);
+    const Duration age = BootNow() - m_intake->seen().at("version/m");
+    CPPUNIT_ASSERT(age >= 3s && age < 4s);
+  }
+
   void ARowThatCannotBeReadNamesNoReplica() {
     platform::Row bad = ReplicaRow("2", 6);
     bad.m_value = "\xff";
@@ -101,12 +143,24 @@
   }
 
  private:
+  /// The store, whose clock is this host's, answers a question.
+  void TakeAnswer(Duration asked_at,
+                  Duration answered_at,
+                  std::vector<platform::Row> rows) {
+    platform::Rows answer = Rows(7, std::move(rows));
+    answer.m_asked_at = asked_at;
+    answer.m_store_time = answered_at;
+    m_intake->TakeOperatorRows(answer, m_first_answer);
+    m_first_answer = false;
+  }
+
   const std::map<std::string, decide::ReplicaState>& Replicas() const {
     return m_state->m_services.at("pool").m_pool.m_replicas;
   }
 
   std::unique_ptr<EntryState> m_state;
   std::unique_ptr<RowIntake> m_intake;
+  bool m_first_answer = true;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RowIntakeTest);
--- a/src/libverbenalead/entry/row_sources.cc
+++ b/src/libverbenalead/entry/row_sources.cc
@@ -228,8 +228,7 @@
   }
   links::RelayFacts facts;
   facts.m_proof = m_state.m_operator_proof;
-  if (m_state.m_store_clock.m_offset)
-    facts.m_store_now = BootNow() - *m_state.m_store_clock.m_offset;
+  facts.m_told_at = BootNow();
   if (m_replicas.regained_at() != TimePoint())
     facts.m_regained_ago = Now() - m_replicas.regained_at();
   wire::ResponseHead head(200, links::EncodeFacts(facts));
--- a/src/libverbenalead/links/relayed_rows.cc
+++ b/src/libverbenalead/links/relayed_rows.cc
@@ -19,7 +19,7 @@
 constexpr int kOk = 200;
 
 constexpr char kProof[] = "proof-ms";
-constexpr char kStoreNow[] = "store-now-ms";
+constexpr char kToldAt[] = "told-at-ms";
 constexpr char kRegainedAgo[] = "regained-ms-ago";
 
 /// Nothing where the field is absent or no number.
@@ -52,7 +52,7 @@
 wire::Headers EncodeFacts(const RelayFacts& facts) {
   wire::Headers headers = {{"content-type", "application/json"},
                            {kProof, TimeText(facts.m_proof)},
-                           {kStoreNow, TimeText(facts.m_store_now)}};
+                           {kToldAt, TimeText(facts.m_told_at)}};
   if (facts.m_regained_ago)
     headers[kRegainedAgo] = TimeText(*facts.m_regained_ago);
   return headers;
@@ -61,7 +61,7 @@
 RelayFacts DecodeFacts(const wire::Headers& headers) {
   RelayFacts facts;
   facts.m_proof = TimeField(headers, kProof).value_or(Duration());
-  facts.m_store_now = TimeField(headers, kStoreNow).value_or(Duration());
+  facts.m_told_at = TimeField(headers, kToldAt).value_or(Duration());
   facts.m_regained_ago = TimeField(headers, kRegainedAgo);
   return facts;
 }
@@ -102,8 +102,8 @@
     BOOST_LEAF_AUTO(seen,
                     model::NumberFieldOr(value.as_object(), "seen_ms", 0));
     const Duration seen_at = std::chrono::milliseconds(seen);
-    if (seen > 0 && facts.m_store_now >= seen_at)
-      relayed.m_ages[row.m_key] = facts.m_store_now - seen_at;
+    if (seen > 0 && facts.m_told_at >= seen_at)
+      relayed.m_ages[row.m_key] = facts.m_told_at - seen_at;
     rows.m_rows.push_back(std::move(row));
   }
   return relayed;
--- a/src/libverbenalead/links/relayed_rows.h
+++ b/src/libverbenalead/links/relayed_rows.h
@@ -24,8 +24,8 @@
 struct RelayFacts {
   /// The store's time of the answer that proves that the rows are the newest.
   Duration m_proof{};
-  /// The store's time now, by the entry's reckoning; zero: not known.
-  Duration m_store_now{};
+  /// When it tells this, by its clock that counts suspension.
+  Duration m_told_at{};
   /// How long ago that entry regained the store; nothing if it never lost it.
   std::optional<Duration> m_regained_ago;
 
@@ -35,7 +35,7 @@
 wire::Headers EncodeFacts(const RelayFacts& facts);
 RelayFacts DecodeFacts(const wire::Headers& headers);
 
-/// The store's time at which rows were first seen to be there, by key.
+/// When rows may have been written at the earliest, by key, on the same clock.
 using SeenTimes = std::map<std::string, Duration>;
 
 /// All rows of a table as an entry has them, for others near it: a
@@ -43,7 +43,7 @@
 /// the link between regions for two seconds.
 struct RelayedRows {
   platform::Rows m_rows;
-  /// How long ago rows were first seen, at most, by key; absent: not known.
+  /// How long ago rows were written, at most, by key; absent: not known.
   std::map<std::string, Duration> m_ages;
   std::optional<Duration> m_regained_ago;
 };
