Let calls that were broken off find free places, and wait longer for one

A call that is broken off before its first event (a replica loads weights) kept the time by which its prompt had to be read. That is over by then, so it fits no replica, waits for 0.3 s and fails.

Change: before it is placed again it becomes one that can't be on time, which takes what places others leave. Once a call has run, it waits up to 1.5 s for a place in place of 0.3 s: nothing better can be told its caller, who stays for two seconds. Streams first look for a place in time, then for any.

Ruled out: placing those that may not be broken off again where the newest weights are loaded.

--- a/src/libverbenalead/decide/call_policy.cc
+++ b/src/libverbenalead/decide/call_policy.cc
@@ -151,4 +151,16 @@
   return std::min(left, std::max<Duration>(timeout, 1ms));
 }
 
+void PrepareRepeat(PoolCall& call, double prefill_rate, TimePoint now) {
+  if (call.m_read_by == TimePoint::max() || prefill_rate <= 0)
+    return;
+  const auto reading =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          static_cast<double>(call.m_prompt_tokens) / prefill_rate));
+  if (now + reading < call.m_read_by)
+    return;
+  call.m_fresh = false;
+  call.m_read_by = TimePoint::max();
+}
+
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/call_policy.h
+++ b/src/libverbenalead/decide/call_policy.h
@@ -100,6 +100,25 @@
 /// How long a repeat may wait for a place.
 constexpr Duration kRepeatWait = 300ms;
 
+/// How long one may wait whose call has run: it can't be told that it didn't,
+/// so a late answer is all that its caller can still get. Callers leave a
+/// stream after a pause of two seconds or more.
+constexpr Duration kRepeatWaitAfterRun = 1500ms;
+
+/// How long a repeat waits for a place, by how far its call has come.
+inline Duration RepeatWait(const CallProgress& progress) {
+  return progress.m_runs > 0 ? kRepeatWaitAfterRun : kRepeatWait;
+}
+
+/// Fits `call`, which was broken off or turned away, to its next placing.
+///
+/// Failure: a call is broken off before its first event, by a replica that
+/// loads weights, say. Symptom: the time within which its prompt had to be read
+/// is over, so it fits no replica, waits beside free places and fails. It goes
+/// on as one that can't be on time any more, which takes what places others
+/// leave.
+void PrepareRepeat(PoolCall& call, double prefill_rate, TimePoint now);
+
 }  // namespace verbenalead::decide
 
 #endif  // VERBENALEAD_DECIDE_CALL_POLICY_H_
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -108,8 +108,10 @@
       co_await GiveUp();
       co_return false;
     }
-    wait_until = std::min(m_plan.m_deadline,
-                          std::max(wait_until, Now() + decide::kRepeatWait));
+    PrepareRepeat();
+    wait_until =
+        std::min(m_plan.m_deadline,
+                 std::max(wait_until, Now() + decide::RepeatWait(m_progress)));
   }
 }
 
@@ -252,6 +254,12 @@
   m_replica.clear();
 }
 
+void CallRun::PrepareRepeat() {
+  decide::PrepareRepeat(
+      m_pool_call, StateOf(m_state, m_plan.m_service).m_pool.m_prefill_rate,
+      Now());
+}
+
 bool CallRun::TakeRepeat(AttemptEnd end) {
   // What never arrived anywhere isn't repeated by going elsewhere.
   if (end == AttemptEnd::kUnreachable)
--- a/src/libverbenalead/entry/call_run.h
+++ b/src/libverbenalead/entry/call_run.h
@@ -72,6 +72,11 @@
   /// Ends the attempt at the present replica.
   void EndAttempt(decide::AttemptEnd end);
   bool TakeRepeat(decide::AttemptEnd end);
+  /// Before the call is placed again.
+  void PrepareRepeat();
+  /// Takes a place for a stream that was broken off, and sends it there: in
+  /// time for its caller if possible, else late; false: no place.
+  Awaitable<bool> SendAgain();
   platform::ForwardedCall Forwarded(const decide::ReplicaState& replica) const;
   /// When a call that hasn't begun at `replica` must not begin there any more.
   /// A call may wait in a replica's queue for a second: it was sent while older
--- a/src/libverbenalead/entry/call_run_stream.cc
+++ b/src/libverbenalead/entry/call_run_stream.cc
@@ -105,13 +105,24 @@
                          *m_times.m_first_event > m_plan.m_route.m_objective);
 }
 
-Awaitable<bool> CallRun::Resume() {
+Awaitable<bool> CallRun::SendAgain() {
   m_pool_call.m_fresh = true;  // Its caller waits for the next event.
   m_pool_call.m_read_by = Now() + decide::kResumeWithin;
+  PrepareRepeat();
+  const TimePoint begun = Now();
+  if (co_await SendOnce(
+          std::min(m_plan.m_deadline, begun + decide::kRepeatWait)))
+    co_return true;
+  if (m_caller.gone() || Left() <= Duration())
+    co_return false;
+  PrepareRepeat();
+  co_return co_await SendOnce(
+      std::min(m_plan.m_deadline, begun + decide::RepeatWait(m_progress)));
+}
+
+Awaitable<bool> CallRun::Resume() {
   while (true) {
-    const TimePoint wait_until =
-        std::min(m_plan.m_deadline, Now() + decide::kRepeatWait);
-    if (!co_await SendOnce(wait_until))
+    if (!co_await SendAgain())
       co_return false;
     const AttemptEnd end = m_attempt.m_end;
     if (end == AttemptEnd::kGood && m_attempt.m_head.m_status == kOk)
