--- a/src/libverbenalead/decide/load_plan.cc
+++ b/src/libverbenalead/decide/load_plan.cc
@@ -5,23 +5,46 @@
 namespace verbenalead::decide {
 namespace {
 
-/// A version is skipped only if all replicas can load the newer one within no
-/// less than this: each is out of service for a second, so that in less than
-/// two more than half of them would be.
+/// A version is skipped for a newer one only if all replicas can load that
+/// within no less than this: each is out of service for a second, so that in
+/// less than two more than half of them would be. For the same reason one that
+/// would serve for less than this isn't loaded at all.
 constexpr Duration kLeastWindow = 2s;
 /// The first hosts have a version whole after this part of the time that it
 /// takes to all.
 constexpr double kFirstWhole = 0.85;
 
+/// Nearly all streams end within the longest drain, half within the shortest.
+constexpr Duration kLongestDrain = 1500ms;
+constexpr Duration kShortestDrain = 550ms;
+/// With so many places taken, those that are left take the calls that replicas
+/// turn away while they drain.
+constexpr double kRoomForDrains = 0.8;
+
+/// Whether the version at `candidate` would come so late that a newer one bars
+/// it soon after.
+bool IsBarredSoon(
+    const LoadTimes& times,
+    const std::map<uint64_t, DeclaredVersion>& declared,
+    std::map<uint64_t, DeclaredVersion>::const_iterator candidate) {
+  return std::any_of(std::next(candidate), declared.end(),
+                     [&](const auto& newer) {
+                       return newer.second.m_declared + times.m_bound <
+                              candidate->second.m_here + kLeastWindow;
+                     });
+}
+
 }  // namespace
 
 std::optional<LoadPlan> PlanLoad(
     const LoadTimes& times,
     const std::map<uint64_t, DeclaredVersion>& declared,
     uint64_t loaded) {
-  const auto oldest = declared.upper_bound(loaded);
+  auto oldest = declared.upper_bound(loaded);
   if (oldest == declared.end())
     return std::nullopt;
+  while (IsBarredSoon(times, declared, oldest))
+    ++oldest;
   TimePoint binds = TimePoint::max();
   for (auto version = oldest; version != declared.end(); ++version)
     binds = std::min(binds, version->second.m_declared + times.m_bound);
@@ -40,6 +63,13 @@
   return plan;
 }
 
+Duration DrainTime(double fullness) {
+  const double room =
+      std::clamp((1 - fullness) / (1 - kRoomForDrains), 0.0, 1.0);
+  return kShortestDrain + std::chrono::duration_cast<Duration>(
+                              (kLongestDrain - kShortestDrain) * room);
+}
+
 TimePoint LoadTurn(const LoadPlan& plan,
                    const std::string& replica,
                    std::vector<std::string> replicas) {
--- a/src/libverbenalead/decide/load_plan.h
+++ b/src/libverbenalead/decide/load_plan.h
@@ -47,9 +47,9 @@
 /// Versions may come faster than they can be loaded. A replica then skips one
 /// where the newer one can be everywhere before the older one binds, for each
 /// load takes it out of service; else it takes them one after the other, for
-/// between the two bounds a replica with neither takes no calls. (Before, each
-/// newer version stopped the older one: of two that came 4 s apart, 8 of 15
-/// replicas took no calls for 2 s, and 195 of 254 streams were late.)
+/// between the two bounds a replica with neither takes no calls. One that
+/// comes so late that the newer one bars it soon after is skipped as well: it
+/// would cost a second load, and the newer one would come later for it.
 ///
 /// The turns fill all the time that there is. Load: 27 replicas that each are
 /// out of service for a second, at three quarters of what they can do. With
@@ -71,6 +71,16 @@
                    const std::string& replica,
                    std::vector<std::string> replicas);
 
+/// How long calls may run on at a replica that stops taking them to load.
+///
+/// Load: a rollout beside live streams of a second and more. Harm: each one
+/// that is broken off is read anew elsewhere, pauses there, and is lost if that
+/// replica loads next or the repeats are used up. With room elsewhere all may
+/// end. Where the pool is full the replica itself is needed, and half of them
+/// may. `fullness`: the part of the places at usable replicas that is taken; as
+/// replicas that drain for long fill the others, it settles in between.
+Duration DrainTime(double fullness);
+
 }  // namespace verbenalead::decide
 
 #endif  // VERBENALEAD_DECIDE_LOAD_PLAN_H_
--- a/src/libverbenalead/decide/load_plan_test.cc
+++ b/src/libverbenalead/decide/load_plan_test.cc
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(NoVersionIsSkippedForAStampede);
   CPPUNIT_TEST(AVersionIsSkippedIfTheNewerComesInTime);
   CPPUNIT_TEST(AnOlderVersionIsLoadedWhileTheOriginIsDown);
+  CPPUNIT_TEST(AVersionThatIsBarredSoonIsSkipped);
+  CPPUNIT_TEST(AFullPoolDrainsForLess);
   CPPUNIT_TEST(EachReplicaHasItsOwnTurnBeforeTheBound);
   CPPUNIT_TEST_SUITE_END();
 
@@ -87,6 +89,30 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{2}, plan->m_version);
   }
 
+  // Callers find no replica for seven seconds: the origin died while the older
+  // of two versions was drawn, and returned when the newer one was about to bar
+  // it. All replicas loaded the older one, used it for half a second, and
+  // loaded again once the newer one had come, which had to wait.
+  void AVersionThatIsBarredSoonIsSkipped() {
+    const std::map<uint64_t, DeclaredVersion> late = {{2, Declared(0s, 8s)},
+                                                      {3, Declared(2s, 11s)}};
+    CPPUNIT_ASSERT_EQUAL(uint64_t{3}, PlanLoad(kTimes, late, 1)->m_version);
+    const std::map<uint64_t, DeclaredVersion> in_time = {
+        {2, Declared(0s, 7200ms)}, {3, Declared(2s, 11s)}};
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, PlanLoad(kTimes, in_time, 1)->m_version);
+    // The newest is loaded however late it comes.
+    CPPUNIT_ASSERT_EQUAL(
+        uint64_t{2}, PlanLoad(kTimes, {{2, Declared(0s, 99s)}}, 1)->m_version);
+  }
+
+  void AFullPoolDrainsForLess() {
+    CPPUNIT_ASSERT(DrainTime(0.5) == DrainTime(0.8));
+    CPPUNIT_ASSERT(DrainTime(0.8) > DrainTime(0.9));
+    CPPUNIT_ASSERT(DrainTime(0.9) > DrainTime(1));
+    CPPUNIT_ASSERT(DrainTime(1) == DrainTime(1.2));
+    CPPUNIT_ASSERT(DrainTime(1) > Duration());
+  }
+
   // Each host works out its turn alone. For any number of replicas no two turns
   // are the same, and all leave time for the load before the bound.
   void EachReplicaHasItsOwnTurnBeforeTheBound() {
--- /dev/null
+++ b/src/libverbenalead/decide/rollout_load_test.cc
@@ -0,0 +1,291 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <queue>
+
+#include "decide/call_policy.h"
+#include "decide/load_plan.h"
+#include "decide/replica_pool.h"
+
+namespace verbenalead::decide {
+namespace {
+
+constexpr size_t kReplicas = 40;
+constexpr uint32_t kSlots = 8;
+constexpr double kPrefillRate = 20400;
+constexpr Duration kTurns = 4400ms;
+constexpr Duration kClosingNotice = 1200ms;
+constexpr Duration kLoad = 300ms;
+/// Drains that let half of the streams end, and nearly all.
+constexpr Duration kShort = 550ms;
+constexpr Duration kLong = 1500ms;
+/// How often a call that waits looks for a place.
+constexpr Duration kLook = 20ms;
+
+/// What became of the streams of a rollout.
+struct Outcome {
+  int m_asked = 0;
+  /// They ended, and how many of them were broken off once.
+  int m_whole = 0;
+  int m_broken_off = 0;
+  /// They were broken off and didn't come to their end.
+  int m_lost = 0;
+  /// They found no place at first.
+  int m_refused = 0;
+};
+
+/// Streams on replicas that load new weights one after the other, in virtual
+/// time, placed by the pool's core. One that is broken off goes on elsewhere,
+/// at two replicas at most.
+class Rollout {
+ public:
+  /// `streams_per_second`: a replica does seven. `drain`: how long streams may
+  /// run on at a replica whose turn has come; nothing: as the core decides.
+  Rollout(double streams_per_second,
+          std::optional<Duration> drain,
+          uint64_t seed)
+      : m_drain(drain), m_random(seed) {
+    m_pool.m_prefill_rate = kPrefillRate;
+    std::vector<model::Replica> replicas(kReplicas);
+    for (size_t r = 0; r < kReplicas; ++r) {
+      replicas[r].m_id = std::to_string(r);
+      replicas[r].m_endpoint = Endpoint(std::to_string(r), 1);
+      replicas[r].m_slots = kSlots;
+      replicas[r].m_weights["m"] = 1;
+      const TimePoint turn =
+          m_now + 2s +
+          kTurns * static_cast<int>(r) / static_cast<int>(kReplicas - 1);
+      PlanLoad(std::to_string(r), turn);
+    }
+    SetReplicas(m_pool, replicas, TimePoint(), m_now);
+    std::exponential_distribution<double> gap(streams_per_second);
+    for (TimePoint at = m_now; at < m_now + 8s;
+         at += std::chrono::duration_cast<Duration>(
+             std::chrono::duration<double>(gap(m_random)))) {
+      const size_t number = m_streams.size();
+      m_streams.push_back(NewStream());
+      At(at, [this, number] { Begin(number); });
+    }
+  }
+
+  Outcome Play() {
+    while (!m_events.empty()) {
+      const Event event = m_events.top();
+      m_events.pop();
+      m_now = event.m_at;
+      event.m_what();
+    }
+    return m_outcome;
+  }
+
+ private:
+  struct Event {
+    TimePoint m_at;
+    uint64_t m_number;
+    std::function<void()> m_what;
+    bool operator<(const Event& other) const {
+      return std::tie(m_at, m_number) > std::tie(other.m_at, other.m_number);
+    }
+  };
+  struct Stream {
+    PoolCall m_call;
+    CallProgress m_progress;
+    Duration m_left{};
+    std::string m_replica;
+    TimePoint m_placed_at{};
+    uint64_t m_run = 0;
+  };
+
+  void At(TimePoint at, std::function<void()> what) {
+    m_events.push({at, m_next++, std::move(what)});
+  }
+
+  Stream NewStream() {
+    std::uniform_int_distribution<int> length(500, 1700);
+    Stream stream;
+    stream.m_left = std::chrono::milliseconds(length(m_random));
+    stream.m_call.m_ticket = m_streams.size();
+    stream.m_call.m_prompt_tokens = 900;
+    stream.m_call.m_length = stream.m_left;
+    stream.m_progress.m_kind = model::CallKind::kStream;
+    stream.m_progress.m_resumable = true;
+    stream.m_progress.m_max_attempts = 2;
+    return stream;
+  }
+
+  void PlanLoad(const std::string& id, TimePoint turn) {
+    At(turn - kClosingNotice,
+       [this, id, turn] { State(id).m_closing_until = turn; });
+    At(turn, [this, id] {
+      State(id).m_loading_until = TimePoint::max();
+      Drain(id, m_now + m_drain.value_or(DrainTime(Fullness())));
+    });
+  }
+
+  double Fullness() const {
+    const PoolLoad load = LoadOf(m_pool, m_now);
+    return static_cast<double>(load.m_taken) / load.m_places;
+  }
+
+  /// Loads once all streams have ended, or at `end`.
+  void Drain(const std::string& id, TimePoint end) {
+    if (State(id).m_in_flight > 0 && m_now < end) {
+      At(m_now + kLook, [this, id, end] { Drain(id, end); });
+      return;
+    }
+    BreakOff(id);
+    State(id).m_loading_until = m_now + kLoad;
+  }
+
+  ReplicaState& State(const std::string& id) {
+    return m_pool.m_replicas.at(id);
+  }
+
+  void Begin(size_t number) {
+    ++m_outcome.m_asked;
+    m_streams[number].m_call.m_read_by = m_now + 400ms;
+    Place(number, m_now + 300ms);
+  }
+
+  void Place(size_t number, TimePoint until) {
+    Stream& stream = m_streams[number];
+    const auto replica = TakePlace(m_pool, stream.m_call, m_now, m_random);
+    if (!replica) {
+      if (m_now + kLook <= until)
+        At(m_now + kLook, [this, number, until] { Place(number, until); });
+      else
+        ++(stream.m_progress.m_runs > 0 ? m_outcome.m_lost
+                                        : m_outcome.m_refused);
+      return;
+    }
+    stream.m_replica = *replica;
+    stream.m_placed_at = m_now;
+    stream.m_call.m_tried.insert(*replica);
+    ++stream.m_progress.m_sent;
+    ++stream.m_progress.m_runs;
+    At(m_now + 150ms,
+       [this, replica = *replica] { NoteBegun(m_pool, replica, 900); });
+    const uint64_t run = ++stream.m_run;
+    At(m_now + 150ms + stream.m_left, [this, number, run] {
+      if (m_streams[number].m_run == run)
+        End(number);
+    });
+  }
+
+  void End(size_t number) {
+    Release(m_pool, m_streams[number].m_replica, AttemptEnd::kGood, m_now);
+    m_streams[number].m_replica.clear();
+    ++m_outcome.m_whole;
+  }
+
+  void BreakOff(const std::string& id) {
+    for (size_t number = 0; number < m_streams.size(); ++number) {
+      Stream& stream = m_streams[number];
+      if (stream.m_replica != id)
+        continue;
+      ++stream.m_run;
+      stream.m_replica.clear();
+      Release(m_pool, id, AttemptEnd::kAbandoned, m_now);
+      if (!MayTryAgain(stream.m_progress, AttemptEnd::kBroken)) {
+        ++m_outcome.m_lost;
+        continue;
+      }
+      stream.m_left -=
+          std::min<Duration>(stream.m_left, m_now - stream.m_placed_at - 150ms);
+      ++m_outcome.m_broken_off;
+      PrepareRepeat(stream.m_call, kPrefillRate, m_now);
+      Place(number, m_now + RepeatWait(stream.m_progress));
+    }
+  }
+
+  const std::optional<Duration> m_drain;
+  std::mt19937_64 m_random;
+  TimePoint m_now = TimePoint() + 3600s;
+  uint64_t m_next = 0;
+  std::priority_queue<Event> m_events;
+  std::vector<Stream> m_streams;
+  ReplicaPool m_pool;
+  Outcome m_outcome;
+};
+
+Outcome Play(double share_of_capacity, std::optional<Duration> drain) {
+  const double streams = share_of_capacity * 7 * kReplicas;
+  Outcome sum;
+  for (uint64_t seed = 1; seed <= 3; ++seed) {
+    const Outcome one = Rollout(streams, drain, seed).Play();
+    sum.m_asked += one.m_asked;
+    sum.m_whole += one.m_whole;
+    sum.m_broken_off += one.m_broken_off;
+    sum.m_lost += one.m_lost;
+    sum.m_refused += one.m_refused;
+  }
+  std::cout << share_of_capacity << " of capacity, drained for "
+            << (drain ? std::to_string(ToMilliseconds(*drain)) : "as many")
+            << " ms: asked " << sum.m_asked << ", whole " << sum.m_whole
+            << ", broken off " << sum.m_broken_off << ", lost " << sum.m_lost
+            << ", refused " << sum.m_refused << "\n";
+  return sum;
+}
+
+class RolloutLoadTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RolloutLoadTest);
+  CPPUNIT_TEST(WithRoomElsewhereStreamsEnd);
+  CPPUNIT_TEST(AtCapacityReplicasAreNotKeptAway);
+  CPPUNIT_TEST(ABrokenCallFindsAFreePlace);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Streams pause, or end in the middle: the replica that runs them loads new
+  // weights, they go on elsewhere, and that one loads next. At half of what the
+  // pool can do no more than one in a hundred may be broken off, and none lost.
+  void WithRoomElsewhereStreamsEnd() {
+    const Outcome before = Play(0.5, kShort);
+    const Outcome after = Play(0.5, std::nullopt);
+    CPPUNIT_ASSERT(after.m_broken_off < before.m_broken_off);
+    CPPUNIT_ASSERT(after.m_broken_off * 100 <= after.m_asked);
+    CPPUNIT_ASSERT_EQUAL(0, after.m_lost);
+    CPPUNIT_ASSERT_EQUAL(0, after.m_refused);
+  }
+
+  // Callers are refused while replicas wait for the end of a few streams: close
+  // to what the pool can do each is needed, so that it loads sooner.
+  void AtCapacityReplicasAreNotKeptAway() {
+    const Outcome lengthy = Play(0.9, kLong);
+    const Outcome after = Play(0.9, std::nullopt);
+    CPPUNIT_ASSERT(after.m_refused < lengthy.m_refused);
+  }
+
+  // A call fails beside free places: it was broken off before its first event,
+  // and its prompt had to be read before a time that is over by then.
+  void ABrokenCallFindsAFreePlace() {
+    ReplicaPool pool;
+    pool.m_prefill_rate = kPrefillRate;
+    model::Replica replica;
+    replica.m_id = "1";
+    replica.m_endpoint = Endpoint("1", 1);
+    replica.m_slots = kSlots;
+    SetReplicas(pool, {replica}, TimePoint(), TimePoint() + 9s);
+    PoolCall call;
+    call.m_prompt_tokens = 900;
+    call.m_read_by = TimePoint() + 9s;
+    std::mt19937_64 random(7);
+    const TimePoint now = TimePoint() + 10s;
+    CPPUNIT_ASSERT(!TakePlace(pool, call, now, random));
+    PrepareRepeat(call, kPrefillRate, now);
+    CPPUNIT_ASSERT(!call.m_fresh);
+    CPPUNIT_ASSERT(TakePlace(pool, call, now, random));
+    // One that can still be on time stays so.
+    call.m_fresh = true;
+    call.m_read_by = now + 100ms;
+    PrepareRepeat(call, kPrefillRate, now);
+    CPPUNIT_ASSERT(call.m_fresh);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RolloutLoadTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/transfer.cc
+++ b/src/libverbenalead/decide/transfer.cc
@@ -25,7 +25,10 @@
 /// The origin's link is shared: a burst of hosts that all tried again at once
 /// would hold it down, so the wait doubles and is spread.
 constexpr Duration kMinOriginBackOff = 200ms;
-constexpr Duration kMaxOriginBackOff = 10s;
+/// Hosts that go before all others for a chunk after a draw of it has failed,
+/// and for how many patiences each of them is waited for.
+constexpr uint16_t kFirstDrawers = 3;
+constexpr int kWaitForDrawer = 2;
 /// The new sample's part in a smoothed wait is 1 / kSmoothing.
 constexpr int kSmoothing = 8;
 /// A chunk that can't be brought in at its turn is looked at again then.
@@ -253,13 +256,28 @@
                        std::mt19937_64& random) {
   const uint32_t doublings = std::min<uint32_t>(state.m_origin_failures, 6);
   ++state.m_origin_failures;
-  const Duration longest = std::min<Duration>(
-      kMaxOriginBackOff, kMinOriginBackOff * (1 << doublings));
+  const Duration longest =
+      std::min<Duration>(state.m_limits.m_max_origin_back_off,
+                         kMinOriginBackOff * (1 << doublings));
   std::uniform_int_distribution<int64_t> jitter(longest.count() / 2,
                                                 longest.count());
   state.m_origin_retry_at = now + Duration(jitter(random));
 }
 
+/// Failure: the origin is away for seconds, in which the turns of many hosts
+/// come for the same chunks. Symptom: all of them draw these when it returns,
+/// and its link carries each chunk many times. A host that found it away waits
+/// for the first ones again, which try often. It doesn't wait for all that come
+/// before it, since those may be dead.
+void WaitForDrawer(TransferState& state, uint32_t chunk, TimePoint now) {
+  TransferState::Chunk& entry = state.m_chunks[chunk];
+  const Duration patience = state.m_limits.m_patience;
+  entry.m_draw_base =
+      now - entry.m_rank * patience +
+      kWaitForDrawer * std::min(entry.m_rank, kFirstDrawers) * patience;
+  FileChunk(state, chunk);
+}
+
 void Replace(TransferState& state,
              size_t index,
              TimePoint now,
@@ -358,7 +376,8 @@
 TransferState StartTransfer(TransferMember self,
                             uint32_t chunk_count,
                             TransferLimits limits,
-                            TimePoint now) {
+                            TimePoint now,
+                            TimePoint scheduled) {
   TransferState state;
   state.m_self = std::move(self);
   state.m_limits = limits;
@@ -367,7 +386,8 @@
   state.m_chunks.resize(chunk_count);
   state.m_rarest = ChunkBuckets(chunk_count);
   for (uint32_t i = 0; i < chunk_count; ++i)
-    state.m_chunks[i].m_draw_base = now + i * limits.m_origin_interval;
+    state.m_chunks[i].m_draw_base =
+        std::max(now, scheduled + i * limits.m_origin_interval);
   return state;
 }
 
@@ -456,12 +476,15 @@
   if (!fetch)
     return;
   const std::string& host = fetch->m_source.m_host;
-  if (fetch->m_source.IsOrigin())
+  if (fetch->m_source.IsOrigin()) {
     BackOffFromOrigin(state, now, random);
-  else if (corrupt)
+    if (!corrupt)
+      WaitForDrawer(state, chunk, now);
+  } else if (corrupt) {
     HostSentBadChunk(state, host, chunk, now);
-  else
+  } else {
     HostFailed(state, host, now, random);
+  }
 }
 
 TransferActions Step(TransferState& state,
--- a/src/libverbenalead/decide/transfer.h
+++ b/src/libverbenalead/decide/transfer.h
@@ -25,10 +25,23 @@
 /// schedule; Step O(1) while nothing is due or all fetches are under way, else
 /// O(chunks looked at), of which most often the first will do. SetMembers costs
 /// O(chunks x hosts) hashes of 2 ns and is called when hosts change.
+///
+/// `scheduled`: when the first chunk is due, the same on all hosts where they
+/// know it. Failure: hosts hear of a version one by one, and each counts its
+/// draws from then. Symptom: the last chunks leave the origin as late as the
+/// last host heard, while its link stood idle before.
 TransferState StartTransfer(TransferMember self,
                             uint32_t chunk_count,
                             TransferLimits limits,
-                            TimePoint now);
+                            TimePoint now,
+                            TimePoint scheduled);
+/// The same where the draws are due from now on.
+inline TransferState StartTransfer(TransferMember self,
+                                   uint32_t chunk_count,
+                                   TransferLimits limits,
+                                   TimePoint now) {
+  return StartTransfer(std::move(self), chunk_count, limits, now, now);
+}
 
 /// Sets who takes part, this host included, when that has changed.
 void SetMembers(TransferState& state,
--- a/src/libverbenalead/decide/transfer_limits.h
+++ b/src/libverbenalead/decide/transfer_limits.h
@@ -56,6 +56,8 @@
   /// chunk to come through a full queue and be heard of, so that a drawer
   /// that is only slow isn't doubled.
   Duration m_patience = 8s;
+  /// The longest pause of a host after draws that failed in a row.
+  Duration m_max_origin_back_off = 10s;
   /// A fetch without a byte for this many times the usual wait has stalled,
   /// whatever its connection says; the two bounds hold where little is known.
   uint32_t m_stall_factor = 4;
--- a/src/libverbenalead/decide/transfer_plan.cc
+++ b/src/libverbenalead/decide/transfer_plan.cc
@@ -53,6 +53,24 @@
   }
 }
 
+/// The last rank that follows the host which draws a chunk.
+constexpr uint16_t kNextInLine = 2;
+
+/// The hosts that draw chunks which would be ours to draw next. Failure: news
+/// of a chunk take longer through a large fleet than the patience. Symptom: it
+/// is drawn once more, by hosts that haven't heard of it yet, and a third of
+/// the origin's link carries chunks that are there already. Those whose turn
+/// would come next hear from the drawer itself.
+void PickDrawersBefore(const TransferState& state,
+                       std::set<TransferMember>& picked) {
+  for (uint32_t chunk = 0; chunk < state.m_chunks.size(); ++chunk) {
+    const uint16_t rank = state.m_chunks[chunk].m_rank;
+    if (rank == 0 || rank > kNextInLine)
+      continue;
+    picked.insert(state.m_members[RendezvousIndex(state.m_members, chunk)]);
+  }
+}
+
 /// The hosts of other regions that draw chunks which are ours to bring over.
 void PickDrawers(const TransferState& state, std::set<TransferMember>& picked) {
   uint32_t added = 0;
@@ -120,6 +138,7 @@
   PickFromRing(state, RingAt(state, Distance::kFar), place,
                limits.m_far_neighbours, state.m_self.m_region, picked);
   PickDrawers(state, picked);
+  PickDrawersBefore(state, picked);
   return {picked.begin(), picked.end()};
 }
 
--- a/src/libverbenalead/decide/transfer_test.cc
+++ b/src/libverbenalead/decide/transfer_test.cc
@@ -20,6 +20,9 @@
   CPPUNIT_TEST(DrawsAreSharedOut);
   CPPUNIT_TEST(DrawsWaitForTheirTurn);
   CPPUNIT_TEST(NextInRankTakesOverALostDraw);
+  CPPUNIT_TEST(LateHostsKeepToTheSchedule);
+  CPPUNIT_TEST(NextInRankHearsFromTheDrawer);
+  CPPUNIT_TEST(AReturnedOriginIsNotAskedByAllAtOnce);
   CPPUNIT_TEST(RarestChunkGoesFirst);
   CPPUNIT_TEST(OnlyOneHostBringsAChunkIntoItsRegion);
   CPPUNIT_TEST(OnlyHostOfItsRegionUsesAllFetches);
@@ -91,6 +94,77 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, later);
   }
 
+  // New weights come as late as the last host hears of them, and an origin that
+  // dies meanwhile has them alone: each host counted its draws from when it
+  // heard. Those that hear late are due at once with what others draw by then.
+  void LateHostsKeepToTheSchedule() {
+    m_limits.m_origin_interval = 100ms;
+    m_limits.m_max_origin = 10;
+    const TimePoint late = kStart + 250ms;
+    TransferState state = StartTransfer(kSelf, 5, m_limits, late, kStart);
+    SetMembers(state, {kSelf}, late, m_random);
+    CPPUNIT_ASSERT(Draws(state, late) == std::vector<uint32_t>({0, 1, 2}));
+    CPPUNIT_ASSERT(Draws(state, kStart + 300ms) == std::vector<uint32_t>{3});
+  }
+
+  // The origin's link carries chunks twice: the host whose turn is next hadn't
+  // heard that a far one has drawn a chunk. It follows that host itself.
+  void NextInRankHearsFromTheDrawer() {
+    std::vector<TransferMember> members;
+    for (int host = 0; host < 100; ++host) {
+      const std::string center = std::to_string(host % 5);
+      members.push_back({"host-" + std::to_string(host), center, center});
+    }
+    constexpr uint32_t kChunks = 48;
+    std::vector<std::string> drawers(kChunks);
+    std::vector<TransferState> states;
+    for (const TransferMember& self : members) {
+      states.push_back(Start(self, members, kChunks));
+      for (uint32_t chunk = 0; chunk < kChunks; ++chunk) {
+        if (states.back().m_chunks[chunk].m_rank == 0)
+          drawers[chunk] = self.m_name;
+      }
+    }
+    for (const TransferState& state : states) {
+      for (uint32_t chunk = 0; chunk < kChunks; ++chunk) {
+        const uint16_t rank = state.m_chunks[chunk].m_rank;
+        CPPUNIT_ASSERT(rank == 0 || rank > 2 || Follows(state, drawers[chunk]));
+      }
+    }
+  }
+
+  // New weights come seconds after the origin's return: while it was away the
+  // turns of many hosts came, all of which draw the same chunks then. They wait
+  // for the first ones, of which each chunk is drawn soon.
+  void AReturnedOriginIsNotAskedByAllAtOnce() {
+    m_limits.m_patience = 1s;
+    m_limits.m_max_origin_back_off = 500ms;
+    std::vector<TransferMember> members;
+    for (int host = 0; host < 20; ++host)
+      members.push_back({"host-" + std::to_string(host), "a", "a"});
+    std::vector<TransferState> states;
+    for (const TransferMember& self : members)
+      states.push_back(Start(self, members, 1));
+    const TimePoint back = kStart + 8s;
+    size_t drawn = 0;
+    TimePoint first = TimePoint::max();
+    for (TimePoint now = kStart; now < back + 1s; now += 10ms) {
+      for (TransferState& state : states) {
+        if (Draws(state, now).empty())
+          continue;
+        if (now < back) {
+          ChunkFailed(state, 0, false, now, m_random);
+        } else {
+          ++drawn;
+          first = std::min(first, now);
+        }
+      }
+    }
+    CPPUNIT_ASSERT(first <= back + 500ms);
+    // One drawer, and a third of those that wait their turn.
+    CPPUNIT_ASSERT(drawn <= 6);
+  }
+
   void RarestChunkGoesFirst() {
     m_limits.m_max_fetches = 1;
     m_limits.m_max_origin = 0;
@@ -209,6 +283,12 @@
   }
 
  private:
+  static bool Follows(const TransferState& state, const std::string& host) {
+    return std::any_of(
+        state.m_neighbours.begin(), state.m_neighbours.end(),
+        [&](const TransferNeighbour& each) { return each.m_name == host; });
+  }
+
   TransferLimits m_limits;
   std::mt19937_64 m_random{7};
 };
--- /dev/null
+++ b/src/libverbenalead/decide/upload_turns_test.cc
@@ -0,0 +1,69 @@
+#include "decide/upload_turns.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace verbenalead::decide {
+namespace {
+
+const TimePoint kStart = TimePoint() + 10s;
+
+UploadRequest Request(uint64_t id, uint32_t chunk) {
+  return {id, chunk, false, 0};
+}
+
+class UploadTurnsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(UploadTurnsTest);
+  CPPUNIT_TEST(FewGoSideBySide);
+  CPPUNIT_TEST(OneThatIsHeldUpHoldsUpNobody);
+  CPPUNIT_TEST(TheOlderVersionGoesFirst);
+  CPPUNIT_TEST(AHostThatLeftIsPassedOver);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A version spreads at half of its speed: a host sends five chunks side by
+  // side over its link, and until all are over nobody has one to pass on.
+  void FewGoSideBySide() {
+    for (uint64_t id = 1; id <= 5; ++id)
+      Ask(m_turns, 2, Request(id, static_cast<uint32_t>(id)));
+    CPPUNIT_ASSERT(Next(m_turns, kStart) == uint64_t{1});
+    CPPUNIT_ASSERT(Next(m_turns, kStart) == uint64_t{2});
+    CPPUNIT_ASSERT(!Next(m_turns, kStart));
+    End(m_turns, 1);
+    CPPUNIT_ASSERT(Next(m_turns, kStart) == uint64_t{3});
+    CPPUNIT_ASSERT(!Next(m_turns, kStart));
+  }
+
+  // A version stops to spread: two hosts whose links have become narrow take
+  // all the turns of a third one.
+  void OneThatIsHeldUpHoldsUpNobody() {
+    for (uint64_t id = 1; id <= 3; ++id)
+      Ask(m_turns, 2, Request(id, 0));
+    Next(m_turns, kStart);
+    Next(m_turns, kStart);
+    CPPUNIT_ASSERT(!Next(m_turns, kStart + 299ms));
+    CPPUNIT_ASSERT(Next(m_turns, kStart + 300ms) == uint64_t{3});
+  }
+
+  void TheOlderVersionGoesFirst() {
+    Ask(m_turns, 3, Request(1, 0));
+    Ask(m_turns, 2, Request(2, 0));
+    CPPUNIT_ASSERT(Next(m_turns, kStart) == uint64_t{2});
+    CPPUNIT_ASSERT(Next(m_turns, kStart) == uint64_t{1});
+  }
+
+  void AHostThatLeftIsPassedOver() {
+    Ask(m_turns, 2, Request(1, 0));
+    Ask(m_turns, 2, Request(2, 0));
+    End(m_turns, 1);
+    CPPUNIT_ASSERT(Next(m_turns, kStart) == uint64_t{2});
+    CPPUNIT_ASSERT(!Next(m_turns, kStart));
+  }
+
+ private:
+  UploadTurns m_turns;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UploadTurnsTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/entry/news_sender.cc
+++ b/src/libverbenalead/entry/news_sender.cc
@@ -7,9 +7,15 @@
 
 /// Every so many times targets are told all, in case a datagram was lost.
 constexpr uint64_t kRoundsToTellAll = 12;
-/// If nothing changed, near entries are told 2.5 times a second.
+/// Of so many rounds, near entries are told in one if nothing changed.
 constexpr uint64_t kRoundsToTellNear = 4;
 
+/// The part of the places of usable replicas that is taken.
+uint32_t FullnessPercent(const decide::ReplicaPool& pool) {
+  const decide::PoolLoad load = decide::LoadOf(pool, Now());
+  return load.m_places == 0 ? 100 : 100 * load.m_taken / load.m_places;
+}
+
 }  // namespace
 
 void NewsSender::TellCalls() {
@@ -77,8 +83,10 @@
   for (const auto& [name, service] : m_state.m_services) {
     if (!IsEngineService(m_state, name))
       continue;
+    const uint32_t fullness = FullnessPercent(service.m_pool);
     for (const auto& [id, replica] : service.m_pool.m_replicas) {
       links::FollowRequest request;
+      request.m_fullness_percent = fullness;
       request.m_weights_revision = m_state.m_weights_revision;
       request.m_replicas_hash = m_state.m_replicas_hash;
       request.m_near = replica.m_replica.m_data_center ==
--- a/src/libverbenalead/links/follow_request.h
+++ b/src/libverbenalead/links/follow_request.h
@@ -18,6 +18,9 @@
   uint64_t m_weights_revision = 0;
   /// Stands for the sender's list of replicas; 0: it has none.
   uint64_t m_replicas_hash = 0;
+  /// The part of the places of the usable replicas of the target's service that
+  /// is taken, as far as the sender knows, in percent.
+  uint32_t m_fullness_percent = 100;
 
   friend bool operator==(const FollowRequest&, const FollowRequest&) = default;
 };
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -83,7 +83,8 @@
           {"chunks", request.m_chunks},
           {"near", request.m_near},
           {"revision", request.m_weights_revision},
-          {"replicas", std::to_string(request.m_replicas_hash)}};
+          {"replicas", std::to_string(request.m_replicas_hash)},
+          {"fullness", request.m_fullness_percent}};
 }
 
 json::object Encode(const PlaceRequest& request) {
@@ -127,6 +128,8 @@
                     model::NumberFieldOr(object, "revision", 0));
   BOOST_LEAF_AUTO(hash, model::TextFieldOr(object, "replicas", "0"));
   request.m_replicas_hash = std::strtoull(hash.c_str(), nullptr, 10);
+  BOOST_LEAF_AUTO(fullness, model::NumberFieldOr(object, "fullness", 100));
+  request.m_fullness_percent = static_cast<uint32_t>(fullness);
   return request;
 }
 
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -30,11 +30,22 @@
 /// A draw that hasn't been seen this long after it was due is taken over by the
 /// next host: the whole of a version must be everywhere within 8 s.
 constexpr Duration kPatience = 1s;
+/// After an outage of the origin the chunks that are missing hold up all hosts,
+/// so those that draw them ask often; few of them do.
+constexpr Duration kLongestOriginPause = 500ms;
+/// Hosts hear of a version and learn its digests within this time. Draws are
+/// due from then on, by the time of the declaration.
+constexpr Duration kDrawsBegin = 150ms;
+/// A version that was declared longer ago is held by other hosts.
+constexpr Duration kNewVersion = 1s;
 /// Live calls get the rest of the link.
 constexpr double kLinkShare = 0.8;
 /// Copies of a version drawn from the origin, in percent: it is paid by byte.
 constexpr uint32_t kOriginBudgetPercent = 103;
 constexpr Duration kAskTimeout = 1s;
+/// A chunk waits for its turn at the host that sends it. The transfer gives it
+/// up sooner where others answer faster.
+constexpr Duration kTurnTimeout = 4s;
 constexpr Duration kOriginTimeout = 3s;
 /// Hosts that ask the origin for the digests of a version, and how many of them
 /// each other host asks. 76 hosts that all asked the origin held up its first
@@ -55,8 +66,8 @@
 /// Chunks from the origin that don't fit the digests before these are doubted.
 constexpr uint32_t kMismatchesToDoubt = 3;
 
-bool IsTimeout(const Failure& failure) {
-  return failure.m_code == FailureCode::kTimeout;
+Failure GivenUp(const std::string& host) {
+  return Failure{FailureCode::kCancelled, "fetch chunk", host, "given up"};
 }
 
 /// An answer that was given twice.
@@ -99,24 +110,43 @@
   limits.m_slow_wait = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(chunk_seconds * kMostFetches * kNarrow));
   limits.m_patience = kPatience;
+  limits.m_max_origin_back_off = kLongestOriginPause;
   return limits;
 }
 
+/// When the draws of `version` begin.
+TimePoint ScheduleOf(const TargetState& state,
+                     uint64_t version,
+                     TimePoint now) {
+  const auto declared = state.m_declared.find(version);
+  if (declared == state.m_declared.end() ||
+      declared->second + kNewVersion < now)
+    return now;
+  return declared->second + kDrawsBegin;
+}
+
 }  // namespace
 
 struct ChunkFetcher::Transfer {
   explicit Transfer(const asio::any_io_executor& executor) : m_wake(executor) {}
 
+  /// The host that sends the chunk is told by the end of the connection, and
+  /// its link is free for others.
+  static void Cancel(Arrival& arrival) {
+    arrival.m_cancelled = true;
+    if (arrival.m_reader)
+      arrival.m_reader->Cancel();
+  }
   void CancelAll() {
-    for (auto& [chunk, cancelled] : m_fetches)
-      *cancelled = true;
+    for (auto& [chunk, arrival] : m_fetches)
+      Cancel(*arrival);
   }
 
   uint64_t m_version = 0;
   decide::TransferState m_core;
   asio::steady_timer m_wake;
   TimePoint m_next_members{};
-  std::map<uint32_t, std::shared_ptr<bool>> m_fetches;
+  std::map<uint32_t, std::shared_ptr<Arrival>> m_fetches;
   std::vector<std::string> m_followed;
   uint32_t m_origin_mismatches = 0;
   /// Chunks kept, by where they came from.
@@ -142,25 +172,42 @@
   return m_transfer && Now() - m_transfer->m_last_chunk < kProgress;
 }
 
-void ChunkFetcher::Stop() {
-  if (!m_transfer)
+bool ChunkFetcher::IsDrawn() const {
+  return m_transfer && m_transfer->m_core.m_draws.empty() &&
+         m_transfer->m_core.m_origin_fetching == 0;
+}
+
+void ChunkFetcher::StopTransfer(std::shared_ptr<Transfer>& transfer) {
+  if (!transfer)
     return;
-  m_transfer->m_stopped = true;
-  m_transfer->m_wake.cancel();
-  m_transfer.reset();
+  transfer->m_stopped = true;
+  transfer->m_wake.cancel();
+  transfer.reset();
+}
+
+void ChunkFetcher::Stop() {
+  StopTransfer(m_transfer);
+  StopTransfer(m_ahead);
 }
 
 std::vector<std::string> ChunkFetcher::Followed() const {
-  return m_transfer ? m_transfer->m_followed : std::vector<std::string>();
+  std::set<std::string> hosts;
+  for (const auto& transfer : {m_transfer, m_ahead}) {
+    if (transfer)
+      hosts.insert(transfer->m_followed.begin(), transfer->m_followed.end());
+  }
+  return {hosts.begin(), hosts.end()};
 }
 
 void ChunkFetcher::TakeNews(const links::ChunkNews& news) {
-  if (!m_transfer || !m_state.m_engine ||
-      news.m_model != m_state.m_engine->m_model ||
-      news.m_version != m_transfer->m_version)
+  if (!m_state.m_engine || news.m_model != m_state.m_engine->m_model)
     return;
-  decide::NeighbourHas(m_transfer->m_core, news.m_host, news.m_chunks, Now());
-  m_transfer->m_wake.cancel();
+  for (const auto& transfer : {m_transfer, m_ahead}) {
+    if (!transfer || transfer->m_version != news.m_version)
+      continue;
+    decide::NeighbourHas(transfer->m_core, news.m_host, news.m_chunks, Now());
+    transfer->m_wake.cancel();
+  }
 }
 
 Awaitable<bool> ChunkFetcher::LearnDigests(uint64_t version) {
@@ -251,19 +298,29 @@
   co_return answers;
 }
 
-Awaitable<void> ChunkFetcher::Fetch(uint64_t version) {
-  const auto executor = co_await asio::this_coro::executor;
+std::shared_ptr<ChunkFetcher::Transfer> ChunkFetcher::Begin(
+    uint64_t version,
+    const decide::TransferLimits& limits,
+    const asio::any_io_executor& executor) {
   auto transfer = std::make_shared<Transfer>(executor);
   transfer->m_version = version;
   transfer->m_core = decide::StartTransfer(
       {m_state.m_options.m_peers.address(), m_state.m_options.m_data_center,
        m_state.m_options.m_data_center},
-      m_state.m_engine->m_chunks, LimitsOf(m_state), Now());
+      m_state.m_engine->m_chunks, limits, Now(),
+      ScheduleOf(m_state, version, Now()));
   for (uint32_t chunk : m_state.m_cache.Held(version))
     decide::ChunkArrived(transfer->m_core, chunk, Now());
-  m_transfer = transfer;
+  LogLine("transfer_begun")
+      .With("version", version)
+      .With("draws_only", limits.m_max_fetches == 0)
+      .Info();
+  return transfer;
+}
+
+Awaitable<void> ChunkFetcher::Run(std::shared_ptr<Transfer> transfer,
+                                  asio::any_io_executor executor) {
   const TimePoint begun = Now();
-  LogLine("transfer_begun").With("version", version).Info();
   while (!transfer->m_stopped && !decide::IsComplete(transfer->m_core) &&
          transfer->m_origin_mismatches < kMismatchesToDoubt) {
     UpdateMembers(*transfer);
@@ -274,15 +331,13 @@
         asio::redirect_error(asio::use_awaitable, ignored));
   }
   transfer->CancelAll();
-  if (m_transfer == transfer)
-    m_transfer.reset();
   if (transfer->m_origin_mismatches >= kMismatchesToDoubt) {
-    LogLine("digests_doubted").With("version", version).Warn();
-    m_state.m_cache.Drop(version);
+    LogLine("digests_doubted").With("version", transfer->m_version).Warn();
+    m_state.m_cache.Drop(transfer->m_version);
   }
   LogLine("transfer_ended")
-      .With("version", version)
-      .With("whole", m_state.m_cache.Complete(version))
+      .With("version", transfer->m_version)
+      .With("whole", m_state.m_cache.Complete(transfer->m_version))
       .With("from_origin", transfer->m_from_origin)
       .With("from_near", transfer->m_from_near)
       .With("from_far", transfer->m_from_far)
@@ -290,6 +345,37 @@
       .Info();
 }
 
+Awaitable<void> ChunkFetcher::Fetch(uint64_t version) {
+  const auto executor = co_await asio::this_coro::executor;
+  StopTransfer(m_ahead);
+  const auto transfer = Begin(version, LimitsOf(m_state), executor);
+  m_transfer = transfer;
+  co_await Run(transfer, executor);
+  if (m_transfer != transfer)
+    co_return;
+  m_transfer.reset();
+  StopTransfer(m_ahead);
+}
+
+Awaitable<void> ChunkFetcher::DrawAhead(uint64_t version) {
+  if (m_ahead_version == version)
+    co_return;
+  m_ahead_version = version;
+  const auto executor = co_await asio::this_coro::executor;
+  const uint64_t before = this->version();
+  const bool learned = co_await LearnDigests(version);
+  if (learned && !m_ahead && this->version() == before && IsDrawn()) {
+    decide::TransferLimits limits = LimitsOf(m_state);
+    limits.m_max_fetches = 0;
+    const auto transfer = Begin(version, limits, executor);
+    m_ahead = transfer;
+    co_await Run(transfer, executor);
+    if (m_ahead == transfer)
+      m_ahead.reset();
+  }
+  m_ahead_version = 0;
+}
+
 bool ChunkFetcher::IsNear(const std::string& host) const {
   for (const auto& [id, replica] : m_state.m_replicas) {
     if (replica.m_endpoint.address() == host)
@@ -334,17 +420,17 @@
         .With("chunk", uint64_t{cancel.m_chunk})
         .With("source", cancel.m_source.m_host)
         .Info();
-    *transfer->m_fetches[cancel.m_chunk] = true;
+    Transfer::Cancel(*transfer->m_fetches[cancel.m_chunk]);
   }
   for (const std::string& name : actions.m_unfollows)
     std::erase(transfer->m_followed, name);
   for (const std::string& name : actions.m_follows)
     transfer->m_followed.push_back(name);
   for (const decide::FetchChunk& fetch : actions.m_fetches) {
-    auto cancelled = std::make_shared<bool>(false);
-    transfer->m_fetches[fetch.m_chunk] = cancelled;
+    auto arrival = std::make_shared<Arrival>();
+    transfer->m_fetches[fetch.m_chunk] = arrival;
     Spawn(executor,
-          FetchChunk(transfer, fetch.m_chunk, fetch.m_source.m_host, cancelled),
+          FetchChunk(transfer, fetch.m_chunk, fetch.m_source.m_host, arrival),
           "fetch_chunk");
   }
 }
@@ -353,20 +439,33 @@
     std::shared_ptr<Transfer> transfer,
     uint32_t chunk,
     std::string host,
-    std::shared_ptr<const bool> cancelled) {
+    std::shared_ptr<Arrival> arrival) {
   wire::Request request;
   request.m_path =
-      ChunkPath(m_state.m_engine->m_model, transfer->m_version, chunk);
+      ChunkPath(m_state.m_engine->m_model, transfer->m_version, chunk) + "?" +
+      kHeldField + "=" + std::to_string(transfer->m_core.m_have_count);
+  if (!IsNear(host))
+    request.m_path += std::string("&") + kFarField + "=1";
   const Endpoint endpoint(host, m_state.m_options.m_peers.port());
   auto opened =
       co_await m_peers.Open(endpoint, std::move(request), Now() + kAskTimeout);
   if (!opened)
     co_return opened.error();
   wire::ResponseReader& reader = **opened;
-  AsyncResult<wire::ResponseHead> head = wire::ResponseHead();
-  do {
-    head = co_await reader.ReadHead(Now() + kAskTimeout);
-  } while (!head && IsTimeout(head.error()) && !*cancelled);
+  if (arrival->m_cancelled)
+    co_return GivenUp(host);
+  arrival->m_reader = &reader;
+  auto bytes = co_await ReadChunkFrom(transfer, chunk, host, reader);
+  arrival->m_reader = nullptr;
+  co_return bytes;
+}
+
+Awaitable<AsyncResult<std::string>> ChunkFetcher::ReadChunkFrom(
+    std::shared_ptr<Transfer> transfer,
+    uint32_t chunk,
+    std::string host,
+    wire::ResponseReader& reader) {
+  const auto head = co_await reader.ReadHead(Now() + kTurnTimeout);
   if (!head)
     co_return head.error();
   if (head->m_status != 200) {
@@ -374,7 +473,7 @@
                       "status " + std::to_string(head->m_status)};
   }
   std::string bytes;
-  while (!*cancelled) {
+  while (true) {
     auto piece = co_await reader.ReadBody(Now() + kAskTimeout);
     if (!piece)
       co_return piece.error();
@@ -385,17 +484,14 @@
       co_return Failure{FailureCode::kCorrupt, "fetch chunk", host,
                         "longer than declared"};
     }
-    if (!*cancelled)
-      decide::ChunkProgress(transfer->m_core, chunk, Now());
+    decide::ChunkProgress(transfer->m_core, chunk, Now());
   }
-  co_return Failure{FailureCode::kCancelled, "fetch chunk", host, "given up"};
 }
 
-Awaitable<void> ChunkFetcher::FetchChunk(
-    std::shared_ptr<Transfer> transfer,
-    uint32_t chunk,
-    std::string host,
-    std::shared_ptr<const bool> cancelled) {
+Awaitable<void> ChunkFetcher::FetchChunk(std::shared_ptr<Transfer> transfer,
+                                         uint32_t chunk,
+                                         std::string host,
+                                         std::shared_ptr<Arrival> arrival) {
   const bool from_origin = host.empty();
   AsyncResult<std::string> bytes = std::string();
   if (from_origin) {
@@ -403,7 +499,7 @@
         m_state.m_origin, m_state.m_engine->m_model, transfer->m_version, chunk,
         Now() + kOriginTimeout);
   } else {
-    bytes = co_await ReadFromHost(transfer, chunk, host, cancelled);
+    bytes = co_await ReadFromHost(transfer, chunk, host, arrival);
   }
   if (bytes) {
     m_state.m_metrics.Count(
@@ -415,15 +511,24 @@
   const bool kept =
       bytes.has_value() &&
       m_state.m_cache.Put(transfer->m_version, chunk, std::move(*bytes));
-  if (*cancelled)
+  if (arrival->m_cancelled) {
+    // Another transfer of this version may have begun meanwhile.
+    if (kept && m_transfer && m_transfer->m_version == transfer->m_version)
+      decide::ChunkArrived(m_transfer->m_core, chunk, Now());
     co_return;
+  }
   if (kept) {
-    if (from_origin)
+    if (from_origin) {
       ++transfer->m_from_origin;
-    else if (IsNear(host))
+      LogLine("chunk_drawn")
+          .With("chunk", uint64_t{chunk})
+          .With("version", transfer->m_version)
+          .Info();
+    } else if (IsNear(host)) {
       ++transfer->m_from_near;
-    else
+    } else {
       ++transfer->m_from_far;
+    }
     transfer->m_last_chunk = Now();
     decide::ChunkArrived(transfer->m_core, chunk, Now());
     co_return;
--- a/src/libverbenalead/target/chunk_server.cc
+++ b/src/libverbenalead/target/chunk_server.cc
@@ -16,6 +16,16 @@
 constexpr double kUploadShare = 0.8;
 constexpr Duration kUploadCredit = 20ms;
 
+/// What a request for `chunk` says of its sender.
+decide::UploadRequest UploadOf(const wire::Request& request, uint32_t chunk) {
+  decide::UploadRequest upload;
+  upload.m_chunk = chunk;
+  upload.m_far = wire::QueryValue(request, kFarField) == "1";
+  upload.m_held = static_cast<uint32_t>(
+      std::strtoul(wire::QueryValue(request, kHeldField).c_str(), nullptr, 10));
+  return upload;
+}
+
 uint64_t UploadRate(const TargetOptions& options) {
   return static_cast<uint64_t>(static_cast<double>(options.m_link_rate) *
                                kUploadShare);
@@ -37,8 +47,21 @@
     co_await caller.Send(wire::Response(200, {}, FormatDigests(*cached)));
     co_return;
   }
-  const std::shared_ptr<const std::string> bytes =
-      co_await ReadChunk(request.m_path);
+  const auto name = FindChunk(wire::PathOf(request));
+  if (!name) {
+    co_await caller.Send(wire::Response(404, {}, ""));
+    co_return;
+  }
+  const uint64_t id = m_gate.NewId();
+  co_await m_gate.Wait(id, name->m_version, UploadOf(request, name->m_chunk));
+  if (!caller.gone())
+    co_await Upload(*name, caller);
+  m_gate.End(id);
+}
+
+Awaitable<void> ChunkServer::Upload(ChunkName name,
+                                    wire::ResponseWriter& caller) {
+  const std::shared_ptr<const std::string> bytes = co_await ReadChunk(name);
   if (!bytes) {
     co_await caller.Send(wire::Response(404, {}, ""));
     co_return;
@@ -66,22 +89,30 @@
   return nullptr;
 }
 
-Awaitable<std::shared_ptr<const std::string>> ChunkServer::ReadChunk(
-    std::string path) {
+std::optional<ChunkServer::ChunkName> ChunkServer::FindChunk(
+    const std::string& path) const {
   for (const auto& [version, cached] : m_state.m_cache.versions()) {
     const std::string prefix = ChunkPrefix(version);
     if (!path.starts_with(prefix))
       continue;
     const uint64_t number =
         std::strtoull(path.c_str() + prefix.size(), nullptr, 10);
-    if (number >= cached.m_chunks.size())
-      continue;
-    const CachedVersion::Chunk& chunk = cached.m_chunks[number];
-    if (chunk.m_staged)
-      co_return co_await ReadStaged(version, static_cast<uint32_t>(number));
-    co_return chunk.m_bytes;
+    if (number < cached.m_chunks.size() && cached.m_chunks[number].IsHere())
+      return ChunkName{version, static_cast<uint32_t>(number)};
   }
-  co_return nullptr;
+  return std::nullopt;
+}
+
+Awaitable<std::shared_ptr<const std::string>> ChunkServer::ReadChunk(
+    ChunkName name) {
+  // It may have gone while it waited for its turn.
+  const CachedVersion* cached = m_state.m_cache.Find(name.m_version);
+  if (!cached)
+    co_return nullptr;
+  const CachedVersion::Chunk& chunk = cached->m_chunks[name.m_chunk];
+  if (chunk.m_staged)
+    co_return co_await ReadStaged(name.m_version, name.m_chunk);
+  co_return chunk.m_bytes;
 }
 
 Awaitable<std::shared_ptr<const std::string>> ChunkServer::ReadStaged(
--- a/src/libverbenalead/target/chunk_server.h
+++ b/src/libverbenalead/target/chunk_server.h
@@ -3,11 +3,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/pacer.h"
 #include "platform/engine_client.h"
 #include "target/target_state.h"
+#include "target/upload_gate.h"
 #include "wire/response_writer.h"
 
 namespace verbenalead::target {
@@ -25,9 +27,19 @@
                        wire::ResponseWriter& caller);
 
  private:
+  /// A chunk that is here.
+  struct ChunkName {
+    uint64_t m_version = 0;
+    uint32_t m_chunk = 0;
+  };
+
   const CachedVersion* FindDigests(const std::string& path) const;
-  /// The bytes of the chunk that `path` names; null: they aren't here.
-  Awaitable<std::shared_ptr<const std::string>> ReadChunk(std::string path);
+  /// The chunk that `path` names; nothing where it isn't here.
+  std::optional<ChunkName> FindChunk(const std::string& path) const;
+  /// Its bytes; null: they have gone bad.
+  Awaitable<std::shared_ptr<const std::string>> ReadChunk(ChunkName name);
+  /// Sends a chunk whose turn has come.
+  Awaitable<void> Upload(ChunkName name, wire::ResponseWriter& caller);
   /// Reads a chunk from the engine, and forgets it if it has gone bad there.
   Awaitable<std::shared_ptr<const std::string>> ReadStaged(uint64_t version,
                                                            uint32_t chunk);
@@ -38,6 +50,7 @@
   platform::EngineClient& m_engine;
   const std::function<bool()> m_has_calls;
   Pacer m_upload;
+  UploadGate m_gate;
 };
 
 }  // namespace verbenalead::target
--- a/src/libverbenalead/target/chunk_stager.cc
+++ b/src/libverbenalead/target/chunk_stager.cc
@@ -3,8 +3,16 @@
 #include "base/log.h"
 
 namespace verbenalead::target {
+namespace {
+
+/// A version that was read back so lately needn't be once more: it would keep a
+/// replica out of service for longer after a loss of power.
+constexpr Duration kFreshlyRead = 1s;
+
+}  // namespace
 
 Awaitable<void> ChunkStager::Adopt(uint64_t version) {
+  const TimePoint begun = Now();
   const std::string model = m_state.m_engine->m_model;
   for (uint32_t chunk = 0; chunk < m_state.m_engine->m_chunks; ++chunk) {
     auto bytes = co_await m_engine.ReadStaged(model, chunk);
@@ -13,6 +21,10 @@
     if (bytes && m_state.m_cache.CheckStaged(version, chunk, *bytes))
       m_version = version;
   }
+  if (m_state.m_cache.Staged(version)) {
+    m_found_version = version;
+    m_found_at = begun;
+  }
   LogLine("staged_adopted")
       .With("version", version)
       .With("chunks",
@@ -59,6 +71,9 @@
 }
 
 Awaitable<bool> ChunkStager::Verify(uint64_t version) {
+  if (m_found_version == version && Now() - m_found_at < kFreshlyRead &&
+      m_state.m_cache.Staged(version))
+    co_return true;
   const std::string model = m_state.m_engine->m_model;
   uint64_t spoilt = 0;
   for (uint32_t chunk = 0; chunk < m_state.m_engine->m_chunks; ++chunk) {
@@ -82,6 +97,7 @@
 void ChunkStager::ForgetAll() {
   m_state.m_cache.ForgetAllStaged();
   m_version = 0;
+  m_found_version = 0;
 }
 
 decide::StagedVersion ChunkStager::Held(uint64_t version) const {
--- a/src/libverbenalead/target/chunk_stager.h
+++ b/src/libverbenalead/target/chunk_stager.h
@@ -24,7 +24,7 @@
   Awaitable<void> Stage(uint64_t version, uint64_t loaded);
   /// Reads all chunks of `version` back; true: each is right. One that isn't
   /// leaves the cache and has to be fetched anew: chunks go bad there by
-  /// themselves.
+  /// themselves. What has just been adopted was read back already.
   Awaitable<bool> Verify(uint64_t version);
   /// The engine started anew, and what it had staged may be gone.
   void ForgetAll();
@@ -37,6 +37,10 @@
   platform::EngineClient& m_engine;
   /// The version that was staged last; 0: none.
   uint64_t m_version = 0;
+  /// The version all of which was found there, and since when it is known to be
+  /// right; 0: none.
+  uint64_t m_found_version = 0;
+  TimePoint m_found_at{};
 };
 
 }  // namespace verbenalead::target
--- a/src/libverbenalead/target/chunk_stager_test.cc
+++ b/src/libverbenalead/target/chunk_stager_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(ASpoiltChunkIsFoundBeforeTheLoad);
   CPPUNIT_TEST(ANewerVersionWaitsWhileTheOlderOneIsNeeded);
   CPPUNIT_TEST(AnEngineThatIsDownLosesNothing);
+  CPPUNIT_TEST(WhatWasJustAdoptedIsNotReadAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -86,6 +87,27 @@
     CPPUNIT_ASSERT(m_state->m_cache.Complete(2));
   }
 
+  // After a loss of power a replica is out of service longer than need
+  // be: its chunks were read back to see what was there, and again before the
+  // load. What is incomplete, or was staged meanwhile, is still read.
+  void WhatWasJustAdoptedIsNotReadAgain() {
+    Take(2, kNew, 4);
+    Run(m_stager->Stage(2, 1));
+    Restart();
+    Run(m_stager->Adopt(2));
+    m_http->m_reads = 0;
+    CPPUNIT_ASSERT(Verify(2));
+    CPPUNIT_ASSERT_EQUAL(0, m_http->m_reads);
+    m_stager->ForgetAll();
+    CPPUNIT_ASSERT(!Verify(2) || m_http->m_reads > 0);
+    Restart();
+    m_http->m_chunks.erase("3");
+    Run(m_stager->Adopt(2));
+    m_http->m_reads = 0;
+    CPPUNIT_ASSERT(!Verify(2));
+    CPPUNIT_ASSERT_EQUAL(3, m_http->m_reads);
+  }
+
  private:
   /// The target process starts; the engine has what it had.
   void Restart() {
--- a/src/libverbenalead/target/engine_keeper.cc
+++ b/src/libverbenalead/target/engine_keeper.cc
@@ -31,11 +31,6 @@
 constexpr double kLinkCopies = 1.25;
 constexpr double kOriginCopies = 0.45;
 constexpr Duration kForEachDoubling = 130ms;
-/// Calls may run on for so long after the last new one. Half of the streams at
-/// the users end within this; the others go on at another replica, for which
-/// callers wait 0.15 s. Were all let end, a replica would be out of service for
-/// 2.3 s in place of 1.1 s.
-constexpr Duration kLetCallsEnd = 550ms;
 constexpr Duration kLoadPoll = 25ms;
 
 Duration CopyTime(const model::EngineProfile& engine, uint64_t rate) {
@@ -47,14 +42,20 @@
                              bytes / static_cast<double>(rate)));
 }
 
+/// Time until a chunk that one host has is everywhere.
+Duration SpreadTime(const TargetState& state) {
+  const double hosts =
+      static_cast<double>(std::max<size_t>(2, state.m_replicas.size()));
+  return std::chrono::duration_cast<Duration>(kForEachDoubling *
+                                              std::log2(hosts));
+}
+
 Duration TransferTime(const TargetState& state) {
   const Duration link = CopyTime(*state.m_engine, state.m_options.m_link_rate);
   const Duration origin = CopyTime(*state.m_engine, state.m_origin_rate);
-  const double hosts =
-      static_cast<double>(std::max<size_t>(2, state.m_replicas.size()));
-  return std::chrono::duration_cast<Duration>(
-      link * kLinkCopies + origin * kOriginCopies +
-      kForEachDoubling * std::log2(hosts));
+  return std::chrono::duration_cast<Duration>(link * kLinkCopies +
+                                              origin * kOriginCopies) +
+         SpreadTime(state);
 }
 
 decide::LoadTimes TimesOf(const TargetState& state) {
@@ -66,11 +67,13 @@
 EngineKeeper::EngineKeeper(TargetState& state,
                            platform::EngineClient& engine,
                            ChunkFetcher& fetcher,
-                           std::function<void()> tell)
+                           std::function<void()> tell,
+                           std::function<double()> fullness)
     : m_state(state),
       m_engine(engine),
       m_fetcher(fetcher),
       m_tell(std::move(tell)),
+      m_fullness(std::move(fullness)),
       m_stager(state, engine) {}
 
 Awaitable<void> EngineKeeper::Run() {
@@ -141,9 +144,11 @@
   const decide::LoadTimes times = TimesOf(m_state);
   std::map<uint64_t, decide::DeclaredVersion> declared;
   for (const auto& [version, when] : m_state.m_declared) {
+    // However few chunks are missing, they have to be drawn and to spread.
     const double left = 1 - m_state.m_cache.ShareHeld(version);
-    const auto needed =
-        std::chrono::duration_cast<Duration>(times.m_transfer * left);
+    const Duration needed =
+        std::max(SpreadTime(m_state),
+                 std::chrono::duration_cast<Duration>(times.m_transfer * left));
     const auto whole = m_whole_at.find(version);
     declared[version] = {
         when, whole == m_whole_at.end() ? Now() + needed : whole->second};
@@ -195,6 +200,7 @@
   co_await m_stager.Stage(version, Loaded());
   if (!m_state.m_cache.Complete(version)) {
     co_await Obtain(version);
+    co_await DrawNewestAhead();
     co_return;
   }
   if (!plan)
@@ -231,6 +237,14 @@
   Spawn(executor, m_fetcher.Fetch(version), "fetch");
 }
 
+Awaitable<void> EngineKeeper::DrawNewestAhead() {
+  const uint64_t newest = NewestVersion(m_state);
+  if (newest <= m_fetcher.version() || !m_fetcher.IsDrawn())
+    co_return;
+  Spawn(co_await boost::asio::this_coro::executor, m_fetcher.DrawAhead(newest),
+        "draw_ahead");
+}
+
 TimePoint EngineKeeper::Turn(const decide::LoadPlan& plan) const {
   const model::Replica* own = OwnReplica(m_state);
   std::vector<std::string> replicas;
@@ -250,20 +264,22 @@
 }
 
 Awaitable<void> EngineKeeper::Load(uint64_t version) {
-  // Read back right before the order, at most kLetCallsEnd and 0.2 s: the
+  // Read back right before the order, but for the time in which calls end: the
   // engine takes what lies there, and staged chunks go bad by themselves.
   if (!co_await m_stager.Verify(version) || !m_report)
     co_return;
   m_stopped_calls = true;
   m_tell();
+  const double fullness = m_fullness();
   if (Loaded() > 0)
-    co_await LetCallsEnd(Now() + kLetCallsEnd);
+    co_await LetCallsEnd(Now() + decide::DrainTime(fullness));
   if (!m_report)
     co_return;
   auto loading = co_await m_engine.Load(m_state.m_engine->m_model, version,
                                         m_report->m_orders);
   LogLine line("load_ordered");
   line.With("version", version)
+      .With("pool_fullness", fullness)
       .With("before", Loaded())
       .With("orders", m_report->m_orders)
       .With("accepted", loading.has_value());
--- a/src/libverbenalead/target/engine_keeper.h
+++ b/src/libverbenalead/target/engine_keeper.h
@@ -17,11 +17,13 @@
 class EngineKeeper {
  public:
   /// `tell` is called when the news about the engine have changed, and again
-  /// while it loads.
+  /// while it loads. `fullness`: the part of the places of its service
+  /// that is taken.
   EngineKeeper(TargetState& state,
                platform::EngineClient& engine,
                ChunkFetcher& fetcher,
-               std::function<void()> tell);
+               std::function<void()> tell,
+               std::function<double()> fullness);
 
   /// Doesn't return.
   Awaitable<void> Run();
@@ -40,6 +42,9 @@
   Awaitable<void> LetCallsEnd(TimePoint end);
   /// Brings `version` into the cache.
   Awaitable<void> Obtain(uint64_t version);
+  /// Two versions came in quick succession: draws the newer one where only
+  /// other hosts are needed for the older.
+  Awaitable<void> DrawNewestAhead();
   /// Whether what is under way should end before anything else is fetched.
   bool LetFetchEnd() const;
   /// Notes which versions have come whole.
@@ -53,6 +58,7 @@
   platform::EngineClient& m_engine;
   ChunkFetcher& m_fetcher;
   const std::function<void()> m_tell;
+  const std::function<double()> m_fullness;
   std::optional<model::EngineReport> m_report;
   ChunkStager m_stager;
   uint64_t m_adopted = 0;
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -25,10 +25,14 @@
 namespace asio = boost::asio;
 
 constexpr Duration kConnectTimeout = 300ms;
+/// While draws fill the origin's link, answers to new connections wait behind
+/// them.
+constexpr Duration kOriginConnectTimeout = 1s;
+constexpr double kPercent = 100;
 /// How often those who follow are told what changed, and all anew.
 constexpr Duration kNewsInterval = 50ms;
 constexpr uint64_t kRoundsToTellAll = 20;
-/// Near entries are told what changed every 0.1 s.
+/// Of so many rounds, near entries are told what changed in one.
 constexpr uint64_t kRoundsToTellChanges = 2;
 /// How often hosts are asked for their chunk news, and how long such a question
 /// holds.
@@ -46,6 +50,7 @@
 http::ClientOptions OriginConnections() {
   http::ClientOptions options = Connections();
   options.m_keep = false;
+  options.m_connect_timeout = kOriginConnectTimeout;
   return options;
 }
 
@@ -66,7 +71,12 @@
         m_chunks(m_state,
                  m_engine,
                  [this] { return m_places.Calls().m_calls > 0; }),
-        m_keeper(m_state, m_engine, m_fetcher, [this] { m_places.TellAll(); }),
+        m_keeper(
+            m_state,
+            m_engine,
+            m_fetcher,
+            [this] { m_places.TellAll(); },
+            [this] { return m_pool_fullness; }),
         m_rows(m_threads.main(), m_state, m_store, m_http),
         m_chunk_server(
             m_threads,
@@ -118,8 +128,10 @@
     }
     m_rows.TakeTold(sender, request);
     // Far entries learn of this replica from their near ones.
-    if (request.m_near)
+    if (request.m_near) {
       m_places.Follow(sender, until);
+      m_pool_fullness = request.m_fullness_percent / kPercent;
+    }
   }
 
   void TellChunks(const Endpoint& to) {
@@ -216,6 +228,9 @@
   http::Server m_chunk_server;
   http::Server m_metrics;
   asio::signal_set m_signals;
+  /// The part of the places of this service that is taken, by the last word of
+  /// a near entry.
+  double m_pool_fullness = 1;
   /// Who wants news, until when.
   std::map<Endpoint, TimePoint> m_chunk_followers;
 };
--- a/src/libverbenalead/target/staging_engine.h
+++ b/src/libverbenalead/target/staging_engine.h
@@ -25,6 +25,7 @@
       ++m_puts;
     } else if (m_chunks.contains(chunk)) {
       response.m_body = m_chunks[chunk];
+      ++m_reads;
     } else {
       response.m_status = 404;
     }
@@ -35,6 +36,7 @@
   /// By chunk number.
   std::map<std::string, std::string> m_chunks;
   int m_puts = 0;
+  int m_reads = 0;
   bool m_down = false;
 };
 
--- /dev/null
+++ b/src/libverbenalead/target/upload_gate.cc
@@ -0,0 +1,51 @@
+#include "target/upload_gate.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace verbenalead::target {
+namespace {
+
+/// How often a waiting upload looks whether those under way are held up.
+constexpr Duration kLook = 100ms;
+
+}  // namespace
+
+Awaitable<void> UploadGate::Wait(uint64_t id,
+                                 uint64_t version,
+                                 decide::UploadRequest request) {
+  request.m_id = id;
+  decide::Ask(m_turns, version, request);
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      co_await boost::asio::this_coro::executor);
+  m_waiting[id] = timer;
+  Admit();
+  while (m_waiting.contains(id)) {
+    timer->expires_after(kLook);
+    boost::system::error_code ignored;
+    co_await timer->async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    Admit();
+  }
+}
+
+void UploadGate::End(uint64_t id) {
+  decide::End(m_turns, id);
+  m_waiting.erase(id);
+  Admit();
+}
+
+void UploadGate::Admit() {
+  while (const auto id = decide::Next(m_turns, Now())) {
+    const auto found = m_waiting.find(*id);
+    if (found == m_waiting.end()) {
+      decide::End(m_turns, *id);
+      continue;
+    }
+    found->second->cancel();
+    m_waiting.erase(found);
+  }
+}
+
+}  // namespace verbenalead::target
--- /dev/null
+++ b/src/libverbenalead/target/upload_gate.h
@@ -0,0 +1,40 @@
+#ifndef VERBENALEAD_TARGET_UPLOAD_GATE_H_
+#define VERBENALEAD_TARGET_UPLOAD_GATE_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+
+#include "base/awaitable.h"
+#include "decide/upload_turns.h"
+
+namespace verbenalead::target {
+
+/// Holds uploads until it is their turn (`decide::UploadTurns`). Not safe for
+/// concurrent use.
+///
+///     const uint64_t id = gate.NewId();
+///     co_await gate.Wait(id, version, request);
+///     ...
+///     gate.End(id);
+class UploadGate {
+ public:
+  uint64_t NewId() { return ++m_last_id; }
+  /// Returns when the upload may begin. `request.m_id` is set by this.
+  Awaitable<void> Wait(uint64_t id,
+                       uint64_t version,
+                       decide::UploadRequest request);
+  /// The upload is over, or was given up.
+  void End(uint64_t id);
+
+ private:
+  void Admit();
+
+  decide::UploadTurns m_turns;
+  uint64_t m_last_id = 0;
+  std::map<uint64_t, std::shared_ptr<boost::asio::steady_timer>> m_waiting;
+};
+
+}  // namespace verbenalead::target
+
+#endif  // VERBENALEAD_TARGET_UPLOAD_GATE_H_
