Split the fetching of chunks: learning digests, paths and members stand apart

Digests are learned by DigestLearner; the paths by which targets ask each other, which the server uses as well, and the members of a transfer have files of their own.

--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -6,14 +6,13 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <optional>
-#include <sstream>
 
-#include "base/catch_failure.h"
 #include "base/log.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
-#include "decide/rendezvous.h"
 #include "decide/transfer.h"
+#include "target/chunk_paths.h"
+#include "target/transfer_members.h"
 
 namespace verbenalead::target {
 namespace {
@@ -47,18 +46,6 @@
 /// up sooner where others answer faster.
 constexpr Duration kTurnTimeout = 4s;
 constexpr Duration kOriginTimeout = 3s;
-/// Hosts that ask the origin for the digests of a version, and how many of them
-/// each other host asks. 76 hosts that all asked the origin held up its first
-/// chunks by half a second.
-constexpr uint64_t kDigestReaders = 4;
-constexpr size_t kHostsAsked = 2;
-constexpr Duration kDigestsTimeout = 300ms;
-constexpr int kDigestTries = 3;
-/// A host that learns nothing from those asks the origin itself after this.
-constexpr Duration kDigestsPatience = 1s;
-/// Pause after the digests couldn't be had.
-constexpr Duration kLeastDigestsPause = 80ms;
-constexpr Duration kMostDigestsPause = 160ms;
 constexpr Duration kMembersInterval = 500ms;
 /// A transfer without a chunk for so long, ten times the time of one, stands
 /// still.
@@ -70,32 +57,6 @@
   return Failure{FailureCode::kCancelled, "fetch chunk", host, "given up"};
 }
 
-/// An answer that was given twice.
-std::optional<std::vector<Digest>> FindAgreed(
-    const std::vector<std::vector<Digest>>& answers) {
-  for (size_t first = 0; first < answers.size(); ++first) {
-    for (size_t second = first + 1; second < answers.size(); ++second) {
-      if (answers[first] == answers[second])
-        return answers[first];
-    }
-  }
-  return std::nullopt;
-}
-
-/// Empty where `text` can't be read.
-std::vector<Digest> ParseDigests(const std::string& text) {
-  std::vector<Digest> digests;
-  std::istringstream lines(text);
-  std::string line;
-  while (std::getline(lines, line)) {
-    auto digest = CatchFailure([&] { return ParseDigest(line); });
-    if (!digest)
-      return {};
-    digests.push_back(*digest);
-  }
-  return digests;
-}
-
 decide::TransferLimits LimitsOf(const TargetState& state) {
   decide::TransferLinks links;
   links.m_chunk_bytes = state.m_engine->m_chunk_bytes;
@@ -160,7 +121,10 @@
 ChunkFetcher::ChunkFetcher(TargetState& state,
                            wire::Client& peers,
                            platform::OriginClient& origin)
-    : m_state(state), m_peers(peers), m_origin(origin) {}
+    : m_state(state),
+      m_peers(peers),
+      m_origin(origin),
+      m_digests(state, peers, origin) {}
 
 ChunkFetcher::~ChunkFetcher() = default;
 
@@ -210,94 +174,6 @@
   }
 }
 
-Awaitable<bool> ChunkFetcher::LearnDigests(uint64_t version) {
-  if (m_state.m_cache.Find(version))
-    co_return true;
-  if (Now() < m_next_digests)
-    co_return false;
-  if (m_digests_version != version) {
-    m_digests_version = version;
-    m_digests_since = Now();
-  }
-  // What the origin sends may be wrong, and so may be what another host took
-  // from it: two answers must agree.
-  std::vector<std::vector<Digest>> answers = co_await DigestsFromHosts(version);
-  auto agreed = FindAgreed(answers);
-  if (!agreed &&
-      (ReadsDigests(version) || Now() - m_digests_since > kDigestsPatience))
-    agreed = co_await DigestsFromOrigin(version, std::move(answers));
-  if (agreed) {
-    m_state.m_cache.Begin(version, *agreed);
-    co_return true;
-  }
-  m_next_digests = Now() + Duration(std::uniform_int_distribution<int64_t>(
-                               kLeastDigestsPause.count(),
-                               kMostDigestsPause.count())(m_state.m_random));
-  co_return false;
-}
-
-std::set<std::string> ChunkFetcher::DigestReaders(uint64_t version) const {
-  std::vector<std::string> hosts = {m_state.m_options.m_peers.address()};
-  for (const decide::TransferMember& member : OtherMembers())
-    hosts.push_back(member.m_name);
-  std::sort(hosts.begin(), hosts.end());
-  std::set<std::string> readers;
-  for (uint64_t number = 0; number < kDigestReaders; ++number)
-    readers.insert(decide::RendezvousChoice(
-        hosts, static_cast<uint32_t>(version * kDigestReaders + number)));
-  return readers;
-}
-
-bool ChunkFetcher::ReadsDigests(uint64_t version) const {
-  return DigestReaders(version).contains(m_state.m_options.m_peers.address());
-}
-
-Awaitable<std::optional<std::vector<Digest>>> ChunkFetcher::DigestsFromOrigin(
-    uint64_t version,
-    std::vector<std::vector<Digest>> answers) {
-  for (int tries = 0; tries < kDigestTries; ++tries) {
-    auto digests = co_await m_origin.ReadDigests(
-        m_state.m_origin, m_state.m_engine->m_model, version,
-        Now() + kOriginTimeout);
-    if (!digests) {
-      LogLine("digests_not_read")
-          .With("version", version)
-          .With(digests.error())
-          .Warn();
-      break;
-    }
-    if (digests->size() == m_state.m_engine->m_chunks)
-      answers.push_back(std::move(*digests));
-    if (auto agreed = FindAgreed(answers))
-      co_return agreed;
-  }
-  co_return std::nullopt;
-}
-
-Awaitable<std::vector<std::vector<Digest>>> ChunkFetcher::DigestsFromHosts(
-    uint64_t version) {
-  std::vector<std::vector<Digest>> answers;
-  std::set<std::string> readers = DigestReaders(version);
-  readers.erase(m_state.m_options.m_peers.address());
-  std::vector<std::string> hosts(readers.begin(), readers.end());
-  std::shuffle(hosts.begin(), hosts.end(), m_state.m_random);
-  if (hosts.size() > kHostsAsked)
-    hosts.resize(kHostsAsked);
-  for (const std::string& host : hosts) {
-    wire::Request request;
-    request.m_path = DigestsPath(m_state.m_engine->m_model, version);
-    const Endpoint endpoint(host, m_state.m_options.m_peers.port());
-    auto response = co_await wire::Fetch(m_peers, endpoint, std::move(request),
-                                         Now() + kDigestsTimeout);
-    if (!response || response->m_status != 200)
-      continue;
-    auto digests = ParseDigests(response->m_body);
-    if (digests.size() == m_state.m_engine->m_chunks)
-      answers.push_back(std::move(digests));
-  }
-  co_return answers;
-}
-
 std::shared_ptr<ChunkFetcher::Transfer> ChunkFetcher::Begin(
     uint64_t version,
     const decide::TransferLimits& limits,
@@ -363,7 +239,7 @@
   m_ahead_version = version;
   const auto executor = co_await asio::this_coro::executor;
   const uint64_t before = this->version();
-  const bool learned = co_await LearnDigests(version);
+  const bool learned = co_await m_digests.Learn(version);
   if (learned && !m_ahead && this->version() == before && IsDrawn()) {
     decide::TransferLimits limits = LimitsOf(m_state);
     limits.m_max_fetches = 0;
@@ -384,24 +260,11 @@
   return false;
 }
 
-std::vector<decide::TransferMember> ChunkFetcher::OtherMembers() const {
-  const TargetOptions& options = m_state.m_options;
-  std::vector<decide::TransferMember> members;
-  for (const auto& [id, replica] : m_state.m_replicas) {
-    if (replica.m_service != options.m_service || replica.m_leaving ||
-        replica.m_endpoint == options.m_engine)
-      continue;
-    members.push_back({replica.m_endpoint.address(), replica.m_data_center,
-                       replica.m_data_center});
-  }
-  return members;
-}
-
 void ChunkFetcher::UpdateMembers(Transfer& transfer) {
   if (Now() < transfer.m_next_members)
     return;
   transfer.m_next_members = Now() + kMembersInterval;
-  std::vector<decide::TransferMember> members = OtherMembers();
+  std::vector<decide::TransferMember> members = OtherMembers(m_state);
   const TargetOptions& options = m_state.m_options;
   members.push_back({options.m_peers.address(), options.m_data_center,
                      options.m_data_center});
@@ -548,22 +411,4 @@
                       m_state.m_random);
 }
 
-std::string DigestsPath(const std::string& model, uint64_t version) {
-  return "/v1/digests/" + model + "/" + std::to_string(version);
-}
-
-std::string FormatDigests(const CachedVersion& version) {
-  std::string text;
-  for (const CachedVersion::Chunk& chunk : version.m_chunks)
-    text += ToString(chunk.m_digest) + "\n";
-  return text;
-}
-
-std::string ChunkPath(const std::string& model,
-                      uint64_t version,
-                      uint32_t chunk) {
-  return "/v1/weights/" + model + "/" + std::to_string(version) + "/" +
-         std::to_string(chunk);
-}
-
 }  // namespace verbenalead::target
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -3,15 +3,13 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "decide/transfer_limits.h"
-#include "decide/transfer_member.h"
 #include "links/chunk_news.h"
 #include "platform/origin_client.h"
+#include "target/digest_learner.h"
 #include "target/target_state.h"
 #include "wire/client.h"
 
@@ -46,9 +44,10 @@
   void TakeNews(const links::ChunkNews& news);
   /// Hosts whose news are wanted.
   std::vector<std::string> Followed() const;
-  /// The digests of `version`, from other hosts and the origin; false: they are
-  /// not to be had now.
-  Awaitable<bool> LearnDigests(uint64_t version);
+  /// As in DigestLearner.
+  Awaitable<bool> LearnDigests(uint64_t version) {
+    return m_digests.Learn(version);
+  }
 
  private:
   struct Transfer;
@@ -59,16 +58,6 @@
     wire::ResponseReader* m_reader = nullptr;
   };
 
-  /// Hosts that ask the origin for the digests of `version`.
-  std::set<std::string> DigestReaders(uint64_t version) const;
-  bool ReadsDigests(uint64_t version) const;
-  /// What two of `answers` and of the origin's say.
-  Awaitable<std::optional<std::vector<Digest>>> DigestsFromOrigin(
-      uint64_t version,
-      std::vector<std::vector<Digest>> answers);
-  /// Digests that other hosts tell, as many as answer.
-  Awaitable<std::vector<std::vector<Digest>>> DigestsFromHosts(
-      uint64_t version);
   /// A transfer of `version` that begins now.
   std::shared_ptr<Transfer> Begin(uint64_t version,
                                   const decide::TransferLimits& limits,
@@ -77,9 +66,7 @@
   Awaitable<void> Run(std::shared_ptr<Transfer> transfer,
                       boost::asio::any_io_executor executor);
   static void StopTransfer(std::shared_ptr<Transfer>& transfer);
-  /// The hosts that take part beside this one.
   bool IsNear(const std::string& host) const;
-  std::vector<decide::TransferMember> OtherMembers() const;
   void UpdateMembers(Transfer& transfer);
   void DoStep(const std::shared_ptr<Transfer>& transfer,
               const boost::asio::any_io_executor& executor);
@@ -101,32 +88,14 @@
   TargetState& m_state;
   wire::Client& m_peers;
   platform::OriginClient& m_origin;
+  DigestLearner m_digests;
   std::shared_ptr<Transfer> m_transfer;
   /// The one that only draws.
   std::shared_ptr<Transfer> m_ahead;
   /// A version is about to be drawn ahead; 0: none.
   uint64_t m_ahead_version = 0;
-  /// The digests aren't asked for before.
-  TimePoint m_next_digests{};
-  /// Since when the digests of this version are wanted.
-  uint64_t m_digests_version = 0;
-  TimePoint m_digests_since{};
 };
 
-/// Where other targets get the digests of a version, a line each.
-std::string DigestsPath(const std::string& model, uint64_t version);
-std::string FormatDigests(const CachedVersion& version);
-
-/// Fields of the query of a request for a chunk: 1 where the sender is in
-/// another data centre, and how many chunks of the version it has.
-inline constexpr char kFarField[] = "far";
-inline constexpr char kHeldField[] = "held";
-
-/// Where other targets get a chunk.
-std::string ChunkPath(const std::string& model,
-                      uint64_t version,
-                      uint32_t chunk);
-
 }  // namespace verbenalead::target
 
 #endif  // VERBENALEAD_TARGET_CHUNK_FETCHER_H_
--- a/src/libverbenalead/target/chunk_server.cc
+++ b/src/libverbenalead/target/chunk_server.cc
@@ -3,7 +3,7 @@
 #include <cstdlib>
 
 #include "base/log.h"
-#include "target/chunk_fetcher.h"
+#include "target/chunk_paths.h"
 
 namespace verbenalead::target {
 namespace {
--- /dev/null
+++ b/src/libverbenalead/target/transfer_members.h
@@ -0,0 +1,16 @@
+#ifndef VERBENALEAD_TARGET_TRANSFER_MEMBERS_H_
+#define VERBENALEAD_TARGET_TRANSFER_MEMBERS_H_
+
+#include <vector>
+
+#include "decide/transfer_member.h"
+#include "target/target_state.h"
+
+namespace verbenalead::target {
+
+/// The hosts that exchange weights with this one.
+std::vector<decide::TransferMember> OtherMembers(const TargetState& state);
+
+}  // namespace verbenalead::target
+
+#endif  // VERBENALEAD_TARGET_TRANSFER_MEMBERS_H_
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -184,8 +184,8 @@
   http::Client http;
   platform::Store store(http, replica->m_store);
   while (true) {
-    auto written = co_await store.Write(platform::kReplicaTable, "", replica->m_id,
-                                        EncodeRow(*replica));
+    auto written = co_await store.Write(platform::kReplicaTable, "",
+                                        replica->m_id, EncodeRow(*replica));
     if (!written)
       LogLine("not_registered").With(written.error()).Debug();
     co_await Sleep(kHeartbeat);
