Bound the crash notes that a datagram tells

Failure: entries tell the crashes of three seconds in one datagram, and the sums of data centres those of all their entries. Thousands of them don't fit into one: it isn't sent, and the entry, or its data centre, is taken for lost. The newest 256 are told. Notes of near entries are kept by request and replica, as looking through all of them for each was the square of their number.

--- a/src/libverbenalead/entry/entry_news.cc
+++ b/src/libverbenalead/entry/entry_news.cc
@@ -26,6 +26,7 @@
 /// Notes are told again for this long, so that losing some datagrams loses no
 /// note.
 constexpr Duration kNoteAge = 3s;
+constexpr size_t kMostNotes = 256;
 /// A target tells every second that it loads; one that dies meanwhile doesn't
 /// keep its replica out of use for longer than this.
 constexpr Duration kLoadingHold = 1500ms;
@@ -42,21 +43,21 @@
 void KeepNearCrashes(EntryState& state,
                      const std::vector<decide::CrashNote>& crashes,
                      TimePoint now) {
-  ForgetOldNotes(state.m_near_crashes, now);
-  for (decide::CrashNote note : crashes) {
-    const bool known = std::any_of(
-        state.m_near_crashes.begin(), state.m_near_crashes.end(),
-        [&note](const decide::CrashNote& other) {
-          return other.m_key == note.m_key && other.m_target == note.m_target;
-        });
-    note.m_at = now;
-    if (!known)
-      state.m_near_crashes.push_back(std::move(note));
-  }
+  std::erase_if(state.m_near_crashes, [now](const auto& crash) {
+    return now - crash.second >= kNoteAge;
+  });
+  for (const decide::CrashNote& note : crashes)
+    state.m_near_crashes.try_emplace({note.m_key, note.m_target}, now);
 }
 
 }  // namespace
 
+void KeepNewest(std::vector<decide::CrashNote>& notes) {
+  if (notes.size() > kMostNotes)
+    notes.erase(notes.begin(),
+                notes.end() - static_cast<std::ptrdiff_t>(kMostNotes));
+}
+
 bool IsNear(const EntryState& state, const PeerEntry& peer) {
   return peer.m_address.m_data_center == state.m_options.m_self.m_data_center;
 }
@@ -89,6 +90,7 @@
   news.m_address = state.m_options.m_self;
   news.m_ready = IsReady(state);
   news.m_crashes = state.m_own_crashes;
+  KeepNewest(news.m_crashes);
   news.m_operator_revision = state.m_operator_revision;
   news.m_operator_proof = ProofOf(state);
   news.m_replicas_hash = state.m_replicas_hash;
--- a/src/libverbenalead/entry/entry_news.h
+++ b/src/libverbenalead/entry/entry_news.h
@@ -20,6 +20,12 @@
 /// ones.
 bool TakeOwnCrashes(EntryState& state, TimePoint now);
 
+/// Leaves as many notes as fit into a datagram. Failure: hundreds of calls
+/// break with their replicas at once. Symptom: news that hold all of them are
+/// too large to be sent, and the entry is taken for dead. The newest are told;
+/// a request that goes on to crash replicas is among them again.
+void KeepNewest(std::vector<decide::CrashNote>& notes);
+
 /// What this entry tells the others.
 links::EntryNews NewsOf(const EntryState& state);
 
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -67,8 +67,9 @@
   decide::QuarantineState m_crashes{kQuarantine, {}, {}, {}};
   /// Crashes that this entry saw, as long as the others are told of them.
   std::vector<decide::CrashNote> m_own_crashes;
-  /// Those that near entries told of, as long as other data centres are told.
-  std::vector<decide::CrashNote> m_near_crashes;
+  /// Those that near entries told of, as long as other data centres are told:
+  /// by request and replica, when they were first heard of.
+  std::map<std::pair<uint64_t, std::string>, TimePoint> m_near_crashes;
   /// Other entries by host.
   std::map<std::string, PeerEntry> m_peers;
   /// By data centre, those of others only.
--- a/src/libverbenalead/entry/summary.cc
+++ b/src/libverbenalead/entry/summary.cc
@@ -1,5 +1,7 @@
 #include "entry/summary.h"
 
+#include <algorithm>
+
 #include "base/log.h"
 #include "entry/entry_news.h"
 
@@ -113,9 +115,13 @@
     }
   }
   summary.m_crashes = state.m_own_crashes;
-  summary.m_crashes.insert(summary.m_crashes.end(),
-                           state.m_near_crashes.begin(),
-                           state.m_near_crashes.end());
+  for (const auto& [crash, at] : state.m_near_crashes)
+    summary.m_crashes.push_back({crash.first, crash.second, at});
+  std::sort(summary.m_crashes.begin(), summary.m_crashes.end(),
+            [](const decide::CrashNote& a, const decide::CrashNote& b) {
+              return a.m_at < b.m_at;
+            });
+  KeepNewest(summary.m_crashes);
   return summary;
 }
 
--- a/src/libverbenalead/entry/summary_test.cc
+++ b/src/libverbenalead/entry/summary_test.cc
@@ -6,11 +6,14 @@
 
 #include "base/boot_clock.h"
 #include "entry/entry_news.h"
+#include "links/message.h"
 
 namespace verbenalead::entry {
 namespace {
 
 constexpr char kService[] = "pool";
+/// The most that a datagram holds.
+constexpr size_t kDatagram = 65507;
 
 model::Replica Replica(const std::string& id, const std::string& data_center) {
   model::Replica replica;
@@ -57,6 +60,7 @@
   CPPUNIT_TEST(AnOlderSummaryIsRefused);
   CPPUNIT_TEST(AnEntryThatDiedThereIsNotGivenToCallers);
   CPPUNIT_TEST(ACrashIsKnownFarAway);
+  CPPUNIT_TEST(ManyCrashesFitIntoADatagram);
   CPPUNIT_TEST(ProofsRenewTheLeaseFarAway);
   CPPUNIT_TEST(ManyEntriesShareTheRepeatsBeforeTheyAreKnown);
   CPPUNIT_TEST_SUITE_END();
@@ -150,6 +154,24 @@
     CPPUNIT_ASSERT(decide::IsSetAside(m_receiver->m_crashes, 5, Now()));
   }
 
+  // A data centre is taken for lost: thousands of calls broke with their
+  // replicas at once, and what tells of all of them is no datagram any more.
+  void ManyCrashesFitIntoADatagram() {
+    links::EntryNews news;
+    news.m_address = {"a2", "a", Endpoint("10.0.0.2", 80),
+                      Endpoint("10.0.0.2", 81)};
+    for (uint64_t request = 0; request < 5000; ++request)
+      news.m_crashes.push_back({request, "i-1/1790000000000", TimePoint()});
+    TakeNews(*m_sender, news, Now());
+    m_sender->m_own_crashes = news.m_crashes;
+    m_sender->m_own_crashes.push_back({7777, "i-2/7", Now() + 1s});
+    CPPUNIT_ASSERT(links::EncodeMessage(SummaryOf(*m_sender, Now())).size() <
+                   kDatagram);
+    CPPUNIT_ASSERT(links::EncodeMessage(NewsOf(*m_sender)).size() < kDatagram);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{7777},
+                         SummaryOf(*m_sender, Now()).m_crashes.back().m_key);
+  }
+
   // Calls with a key are refused in a data centre that lost its way to the
   // store, though the others hear it: what they prove holds there too, if it
   // knows as much.
