Calls in tests come from an entry that knows its fleet

That is meant, and summary_test holds it; here the entry is alone, and the store has told it so. Checks and bounds are as they were.

--- a/src/libverbenalead/entry/call_server_test.cc
+++ b/src/libverbenalead/entry/call_server_test.cc
@@ -102,6 +102,8 @@
     config.m_organisations = {{"acme", {"key"}, std::nullopt}};
     m_state->m_routes = std::make_shared<decide::RouteTable>(config);
     m_state->m_replicas_known = true;
+    // The store lists no other entries.
+    m_state->m_far_entries = 0;
     decide::Prove(m_state->m_lease, BootNow());
     std::vector<model::Replica> replicas(4);
     for (size_t i = 0; i < replicas.size(); ++i) {
