Learn a newer version's digests at its declaration, and let few ask a returned origin

Change: digests are learned while the older version comes in, and drawing ahead then waits until that one is drawn. Hosts that learn nothing from the first four turn to the origin in an order, twice as many each time the wait has doubled; all did after a second.

--- /dev/null
+++ b/src/libverbenalead/decide/digest_readers.cc
@@ -0,0 +1,37 @@
+#include "decide/digest_readers.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "decide/rendezvous.h"
+
+namespace verbenalead::decide {
+namespace {
+
+/// The wait of those that come right after the first ones.
+constexpr Duration kFirstPatience = 1s;
+
+}  // namespace
+
+std::vector<std::string> DigestOrder(std::vector<std::string> hosts,
+                                     uint64_t version) {
+  std::sort(hosts.begin(), hosts.end());
+  hosts.erase(std::unique(hosts.begin(), hosts.end()), hosts.end());
+  std::stable_sort(hosts.begin(), hosts.end(),
+                   [version](const std::string& a, const std::string& b) {
+                     return MixHash(a, version) > MixHash(b, version);
+                   });
+  return hosts;
+}
+
+Duration DigestPatience(size_t place) {
+  Duration patience{};
+  Duration next = kFirstPatience;
+  for (size_t asking = kDigestReaders; asking <= place; asking *= 2) {
+    patience += next;
+    next *= 2;
+  }
+  return patience;
+}
+
+}  // namespace verbenalead::decide
--- /dev/null
+++ b/src/libverbenalead/decide/digest_readers_test.cc
@@ -0,0 +1,51 @@
+#include "decide/digest_readers.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+namespace verbenalead::decide {
+namespace {
+
+std::vector<std::string> Hosts(size_t count) {
+  std::vector<std::string> hosts;
+  for (size_t i = 0; i < count; ++i)
+    hosts.push_back("host-" + std::to_string(i));
+  return hosts;
+}
+
+class DigestReadersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DigestReadersTest);
+  CPPUNIT_TEST(AllHostsAgreeOnTheOrder);
+  CPPUNIT_TEST(AReturnedOriginIsAskedByFew);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void AllHostsAgreeOnTheOrder() {
+    std::vector<std::string> reversed = Hosts(20);
+    std::reverse(reversed.begin(), reversed.end());
+    CPPUNIT_ASSERT(DigestOrder(Hosts(20), 3) == DigestOrder(reversed, 3));
+    std::set<std::string> first;
+    for (uint64_t version = 0; version < 40; ++version)
+      first.insert(DigestOrder(Hosts(20), version).front());
+    // The work goes round.
+    CPPUNIT_ASSERT(first.size() > 10);
+  }
+
+  // The first chunks of new weights come a second late: the origin was away for
+  // 6 s, and all hosts ask it for the digests when it returns.
+  void AReturnedOriginIsAskedByFew() {
+    size_t asking = 0;
+    for (size_t place = 0; place < 300; ++place)
+      asking += DigestPatience(place) <= Duration(6s);
+    CPPUNIT_ASSERT(asking > kDigestReaders);
+    CPPUNIT_ASSERT(asking <= 20);
+    CPPUNIT_ASSERT(DigestPatience(kDigestReaders - 1) == Duration());
+    CPPUNIT_ASSERT(DigestPatience(kDigestReaders) == Duration(1s));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DigestReadersTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -269,7 +269,12 @@
   const auto executor = co_await asio::this_coro::executor;
   const uint64_t before = this->version();
   const bool learned = co_await m_digests.Learn(version);
-  if (learned && !m_ahead && this->version() == before && IsDrawn()) {
+  const auto waits = [&] {
+    return m_ahead_version == version && this->version() == before;
+  };
+  while (learned && waits() && !IsDrawn())
+    co_await Sleep(decide::kTransferTick);
+  if (learned && waits() && !m_ahead) {
     decide::TransferLimits limits = LimitsOf(m_state);
     limits.m_max_fetches = 0;
     const auto transfer = Begin(version, limits, executor);
@@ -278,7 +283,8 @@
     if (m_ahead == transfer)
       m_ahead.reset();
   }
-  m_ahead_version = 0;
+  if (m_ahead_version == version)
+    m_ahead_version = 0;
 }
 
 bool ChunkFetcher::IsNear(const std::string& host) const {
--- a/src/libverbenalead/target/digest_learner.cc
+++ b/src/libverbenalead/target/digest_learner.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "base/log.h"
-#include "decide/rendezvous.h"
+#include "decide/digest_readers.h"
 #include "target/chunk_paths.h"
 #include "target/transfer_members.h"
 
@@ -11,15 +11,10 @@
 namespace {
 
 constexpr Duration kOriginTimeout = 3s;
-/// Hosts that ask the origin for the digests of a version, and how many of them
-/// each other host asks. 76 hosts that all asked the origin held up its first
-/// chunks by half a second.
-constexpr uint64_t kDigestReaders = 4;
+/// Of the hosts that ask the origin, each other one asks so many.
 constexpr size_t kHostsAsked = 2;
 constexpr Duration kDigestsTimeout = 300ms;
 constexpr int kDigestTries = 3;
-/// A host that learns nothing from those asks the origin itself after this.
-constexpr Duration kDigestsPatience = 1s;
 /// Pause after the digests couldn't be had.
 constexpr Duration kLeastDigestsPause = 80ms;
 constexpr Duration kMostDigestsPause = 160ms;
@@ -44,9 +39,13 @@
   const TimePoint since = m_wanted.try_emplace(version, Now()).first->second;
   if (Now() < m_next)
     co_return false;
-  std::vector<std::vector<Digest>> answers = co_await ReadFromHosts(version);
+  const std::vector<std::string> order = Order(version);
+  const auto place = static_cast<size_t>(
+      std::find(order.begin(), order.end(), Self()) - order.begin());
+  std::vector<std::vector<Digest>> answers =
+      co_await ReadFromHosts(version, order);
   auto agreed = FindAgreed(answers);
-  if (!agreed && (ReadsOrigin(version) || Now() - since > kDigestsPatience))
+  if (!agreed && Now() - since >= decide::DigestPatience(place))
     agreed = co_await ReadFromOrigin(version, std::move(answers));
   if (agreed) {
     m_state.m_cache.Begin(version, *agreed);
@@ -59,20 +58,15 @@
   co_return false;
 }
 
-std::set<std::string> DigestLearner::Readers(uint64_t version) const {
-  std::vector<std::string> hosts = {m_state.m_options.m_peers.address()};
-  for (const decide::TransferMember& member : OtherMembers(m_state))
-    hosts.push_back(member.m_name);
-  std::sort(hosts.begin(), hosts.end());
-  std::set<std::string> readers;
-  for (uint64_t number = 0; number < kDigestReaders; ++number)
-    readers.insert(decide::RendezvousChoice(
-        hosts, static_cast<uint32_t>(version * kDigestReaders + number)));
-  return readers;
+std::string DigestLearner::Self() const {
+  return m_state.m_options.m_peers.address();
 }
 
-bool DigestLearner::ReadsOrigin(uint64_t version) const {
-  return Readers(version).contains(m_state.m_options.m_peers.address());
+std::vector<std::string> DigestLearner::Order(uint64_t version) const {
+  std::vector<std::string> hosts = {Self()};
+  for (const decide::TransferMember& member : OtherMembers(m_state))
+    hosts.push_back(member.m_name);
+  return decide::DigestOrder(std::move(hosts), version);
 }
 
 Awaitable<std::optional<std::vector<Digest>>> DigestLearner::ReadFromOrigin(
@@ -98,11 +92,12 @@
 }
 
 Awaitable<std::vector<std::vector<Digest>>> DigestLearner::ReadFromHosts(
-    uint64_t version) {
+    uint64_t version,
+    std::vector<std::string> order) {
   std::vector<std::vector<Digest>> answers;
-  std::set<std::string> readers = Readers(version);
-  readers.erase(m_state.m_options.m_peers.address());
-  std::vector<std::string> hosts(readers.begin(), readers.end());
+  std::vector<std::string> hosts = std::move(order);
+  hosts.resize(std::min(hosts.size(), decide::kDigestReaders));
+  std::erase(hosts, Self());
   std::shuffle(hosts.begin(), hosts.end(), m_state.m_random);
   if (hosts.size() > kHostsAsked)
     hosts.resize(kHostsAsked);
--- a/src/libverbenalead/target/digest_learner.h
+++ b/src/libverbenalead/target/digest_learner.h
@@ -3,7 +3,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -28,15 +27,18 @@
   Awaitable<bool> Learn(uint64_t version);
 
  private:
-  /// Hosts that ask the origin for the digests of `version`.
-  std::set<std::string> Readers(uint64_t version) const;
-  bool ReadsOrigin(uint64_t version) const;
+  std::string Self() const;
+  /// The hosts of the service, those first that ask the origin for the digests
+  /// of `version`.
+  std::vector<std::string> Order(uint64_t version) const;
   /// What two of `answers` and of the origin's say.
   Awaitable<std::optional<std::vector<Digest>>> ReadFromOrigin(
       uint64_t version,
       std::vector<std::vector<Digest>> answers);
   /// Digests that other hosts tell, as many as answer.
-  Awaitable<std::vector<std::vector<Digest>>> ReadFromHosts(uint64_t version);
+  Awaitable<std::vector<std::vector<Digest>>> ReadFromHosts(
+      uint64_t version,
+      std::vector<std::string> order);
 
   TargetState& m_state;
   wire::Client& m_peers;
--- a/src/libverbenalead/target/engine_keeper.cc
+++ b/src/libverbenalead/target/engine_keeper.cc
@@ -239,7 +239,7 @@
 
 Awaitable<void> EngineKeeper::DrawNewestAhead() {
   const uint64_t newest = NewestVersion(m_state);
-  if (newest <= m_fetcher.version() || !m_fetcher.IsDrawn())
+  if (m_fetcher.version() == 0 || newest <= m_fetcher.version())
     co_return;
   Spawn(co_await boost::asio::this_coro::executor, m_fetcher.DrawAhead(newest),
         "draw_ahead");
--- a/src/libverbenalead/target/engine_keeper.h
+++ b/src/libverbenalead/target/engine_keeper.h
@@ -42,8 +42,9 @@
   Awaitable<void> LetCallsEnd(TimePoint end);
   /// Brings `version` into the cache.
   Awaitable<void> Obtain(uint64_t version);
-  /// Two versions came in quick succession: draws the newer one where only
-  /// other hosts are needed for the older.
+  /// Two versions came in quick succession: learns the newer one's digests now,
+  /// as the origin may be gone later, and draws it once only other hosts are
+  /// needed for the older.
   Awaitable<void> DrawNewestAhead();
   /// Whether what is under way should end before anything else is fetched.
   bool LetFetchEnd() const;
