A process beside a replica without an engine leaves the store alone

Entries tell target processes of engines only, so none of these was told anything; their rows counted as not known, and 2.5 to 5 s after the start each read the configuration and the table of 3,000 replicas, 1 MB, from the store: 150 MB over links of 24 Mbit/s, 17 s a region at best, with timeouts that throw away half a table.

Change: such a process takes the services over from a near entry, sees that it has nothing to do, and asks again every 10 s. row_source_test plays it: before, both tables were read from the store within 6 s.

--- a/src/libverbenalead/target/row_source.cc
+++ b/src/libverbenalead/target/row_source.cc
@@ -24,6 +24,9 @@
 constexpr size_t kEntriesTried = 3;
 constexpr size_t kTriesForEntry = 2;
 constexpr Duration kLearnPause = 200ms;
+/// How often a process beside a replica without an engine asks whether it has
+/// one now.
+constexpr Duration kIdleInterval = 10s;
 
 }  // namespace
 
@@ -63,10 +66,15 @@
 links::FollowPace RowSource::Pace() const {
   links::FollowPace pace;
   pace.m_interval = decide::kUntoldInterval;
-  pace.m_hold = decide::LeavesStoreAlone(m_changes, m_spread, Now());
+  pace.m_hold =
+      IsIdle() || decide::LeavesStoreAlone(m_changes, m_spread, Now());
   return pace;
 }
 
+bool RowSource::IsIdle() const {
+  return m_state.m_config_version > 0 && !m_state.m_engine;
+}
+
 Awaitable<void> RowSource::LearnFirst() {
   std::vector<Endpoint> near;
   size_t tries = 0;
@@ -77,13 +85,17 @@
       near = co_await NearEntries();
       tries = 0;
     }
-    for (size_t tried = 0; tried < kEntriesTried && !near.empty(); ++tried) {
+    bool learned = false;
+    for (size_t tried = 0; tried < kEntriesTried && !near.empty() &&
+                           !m_changes.m_known && !learned;
+         ++tried) {
       ++tries;
       std::rotate(near.begin(), near.begin() + 1, near.end());
-      if (m_changes.m_known || co_await TakeOver(near.back(), true))
-        co_return;
+      learned = co_await TakeOver(near.back(), true);
     }
-    co_await Sleep(kLearnPause);
+    if (learned)
+      tries = 0;
+    co_await Sleep(IsIdle() ? kIdleInterval : kLearnPause);
   }
 }
 
@@ -119,7 +131,7 @@
   // Turns and transfers need to know who is there. Hosts that all took the
   // list over again with each declaration filled the link of the entry that
   // tells them, and heard of new weights late.
-  if (with_replicas)
+  if (with_replicas && RunsEngine(m_state, relayed->m_rows))
     co_await TakeOverReplicas(entry);
   TakeOperatorRows(relayed->m_rows, relayed->m_ages);
   m_operator_rows.SkipTo(relayed->m_rows.m_revision);
--- a/src/libverbenalead/target/row_source.h
+++ b/src/libverbenalead/target/row_source.h
@@ -44,6 +44,13 @@
   void TakeOperatorRows(const platform::Rows& rows,
                         const std::map<std::string, Duration>& ages);
   links::FollowPace Pace() const;
+  /// The replica on this host has no engine, so that this process has nothing
+  /// to do and needs neither weights nor the list of replicas.
+  ///
+  /// Failure: no entry tells such a process anything. Symptom: it reads both
+  /// tables from the store; 150 of them, each 1 MB, filled the links between
+  /// regions after a start of everything, and calls were refused for 30 s.
+  bool IsIdle() const;
 
   TargetState& m_state;
   platform::Store& m_store;
--- a/src/libverbenalead/target/row_source_test.cc
+++ b/src/libverbenalead/target/row_source_test.cc
@@ -17,6 +17,8 @@
 constexpr char kConfig[] =
     R"({"version":7,"services":[{"name":"pool","engine":{"slots":16,)"
     R"("chunks":48,"models":[{"name":"m"}]}}]})";
+constexpr char kPlainConfig[] =
+    R"({"version":7,"services":[{"name":"pool","engine":null}]})";
 constexpr char kDeclared[] = R"({"model":"m","version":2})";
 constexpr char kReplica[] =
     R"({"service":"pool","address":"10.0.1.1:80","zone":"a","slots":4,)"
@@ -26,6 +28,7 @@
   CPPUNIT_TEST_SUITE(RowSourceTest);
   CPPUNIT_TEST(AfterAStartItTakesOverFromANearEntry);
   CPPUNIT_TEST(AnEntryThatKnowsNothingYetIsPassedOver);
+  CPPUNIT_TEST(WithoutAnEngineTheStoreIsLeftAlone);
   CPPUNIT_TEST(NewWeightsAreTakenOverFromWhoTells);
   CPPUNIT_TEST(AKnownListOfReplicasIsNotTakenOverAgain);
   CPPUNIT_TEST_SUITE_END();
@@ -72,6 +75,23 @@
     CPPUNIT_ASSERT(m_state->m_engine);
   }
 
+  // Calls are refused for 30 s after a start of everything: the processes
+  // beside plain replicas, which no entry tells anything, read both tables from
+  // the store over the links that entries need.
+  void WithoutAnEngineTheStoreIsLeftAlone() {
+    Tells("10.0.0.1", 5, 0s, kPlainConfig);
+    m_rows->Start();
+    m_io->run_for(6s);
+    CPPUNIT_ASSERT(m_state->m_config_version > 0);
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                         std::count(m_http->m_asked.begin(),
+                                    m_http->m_asked.end(), "store/rows-get"));
+    CPPUNIT_ASSERT_EQUAL(
+        std::ptrdiff_t{0},
+        std::count(m_http->m_asked.begin(), m_http->m_asked.end(),
+                   "10.0.0.1/v1/replica-rows"));
+  }
+
   void NewWeightsAreTakenOverFromWhoTells() {
     Tells("10.0.0.1", 5, 0s);
     m_rows->Start();
@@ -131,9 +151,12 @@
   }
 
   /// An entry tells its rows, of which the declaration is `age` old.
-  void Tells(const std::string& host, uint64_t revision, Duration age) {
+  void Tells(const std::string& host,
+             uint64_t revision,
+             Duration age,
+             const std::string& config = kConfig) {
     const std::map<std::string, platform::Row> operator_rows = {
-        {"config", {"config", kConfig, 1, false}},
+        {"config", {"config", config, 1, false}},
         {"version/m", {"version/m", kDeclared, revision, false}}};
     const links::RelayFacts facts = {100s, 100s + age, std::nullopt};
     m_http->m_answers[host + links::kTargetRowsPath] = wire::Response(
--- a/src/libverbenalead/target/target_rows.cc
+++ b/src/libverbenalead/target/target_rows.cc
@@ -1,5 +1,7 @@
 #include "target/target_rows.h"
 
+#include <algorithm>
+
 #include "base/catch_failure.h"
 #include "base/log.h"
 #include "decide/live_replicas.h"
@@ -80,6 +82,24 @@
   }
 }
 
+bool RunsEngine(const TargetState& state, const platform::Rows& rows) {
+  for (const platform::Row& row : rows.m_rows) {
+    if (row.m_deleted || row.m_key != platform::kConfigKey)
+      continue;
+    auto config =
+        CatchFailure([&] { return platform::DecodeConfig(row.m_value); });
+    // TakeOperatorRows says why it can't be read.
+    if (!config)
+      return false;
+    return std::any_of(config->m_services.begin(), config->m_services.end(),
+                       [&](const model::Service& service) {
+                         return service.m_name == state.m_options.m_service &&
+                                service.m_engine;
+                       });
+  }
+  return false;
+}
+
 void TakeReplicaRows(TargetState& state,
                      const platform::Rows& rows,
                      bool whole) {
--- a/src/libverbenalead/target/target_rows.h
+++ b/src/libverbenalead/target/target_rows.h
@@ -15,6 +15,9 @@
                       const platform::Rows& rows,
                       const std::map<std::string, Duration>& ages);
 
+/// Whether by `rows` of the operator the replica on this host has an engine.
+bool RunsEngine(const TargetState& state, const platform::Rows& rows);
+
 /// Takes the rows of replicas in.
 void TakeReplicaRows(TargetState& state,
                      const platform::Rows& rows,
