A list of replicas is taken over from any near entry that has it

The operator's rows already come from any entry that has the newest; the list of replicas now does too, by the hash that each entry tells.

Test: entry_news_test, which asks whom a newcomer turns to.

--- a/src/libverbenalead/entry/entry_news.cc
+++ b/src/libverbenalead/entry/entry_news.cc
@@ -207,6 +207,18 @@
   return ahead.empty() ? nullptr : ahead[state.m_random() % ahead.size()];
 }
 
+const PeerEntry& ReplicaSource(EntryState& state,
+                               const PeerEntry& reader,
+                               TimePoint now) {
+  std::vector<const PeerEntry*> same;
+  for (const auto& [host, peer] : state.m_peers) {
+    if (IsNear(state, peer) && IsHeard(state, peer, now) &&
+        peer.m_replicas_hash == reader.m_replicas_hash)
+      same.push_back(&peer);
+  }
+  return same.empty() ? reader : *same[state.m_random() % same.size()];
+}
+
 size_t EntriesBefore(const EntryState& state, TimePoint now) {
   size_t before = 0;
   for (const auto& [host, peer] : state.m_peers) {
--- a/src/libverbenalead/entry/entry_news.h
+++ b/src/libverbenalead/entry/entry_news.h
@@ -68,6 +68,14 @@
 /// that all took 390 KB over from the same one would wait for its link.
 const PeerEntry* AheadOf(EntryState& state, TimePoint now);
 
+/// A near entry that has the same replicas as `reader`, by chance, to take them
+/// over from. At 100 processes a data centre and 3,000 replicas the reader
+/// alone would hand on 100 MB over a link of 40 Mbit/s after a start of
+/// everything.
+const PeerEntry& ReplicaSource(EntryState& state,
+                               const PeerEntry& reader,
+                               TimePoint now);
+
 /// How many near entries come before this one in the order of taking over.
 size_t EntriesBefore(const EntryState& state, TimePoint now);
 
--- a/src/libverbenalead/entry/entry_news_test.cc
+++ b/src/libverbenalead/entry/entry_news_test.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST_SUITE(EntryNewsTest);
   CPPUNIT_TEST(AReaderThatLosesTheStoreSaysSo);
   CPPUNIT_TEST(AnyOfThoseThatKnowTheNewestIsAsked);
+  CPPUNIT_TEST(AListOfReplicasIsTakenFromAnyThatHasIt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -72,6 +73,22 @@
     newcomer->m_operator_revision = 5;
     CPPUNIT_ASSERT(!AheadOf(*newcomer, Now()));
   }
+
+  // Calls are refused for seconds after a start of everything: all entries of a
+  // data centre took 1 MB of replicas over from the one that read them.
+  void AListOfReplicasIsTakenFromAnyThatHasIt() {
+    const auto newcomer = Entry("e0");
+    for (const char* host : {"e1", "e2", "e3"}) {
+      const auto entry = Entry(host);
+      entry->m_replicas_hash = host == std::string("e3") ? 4 : 5;
+      TakeNews(*newcomer, NewsOf(*entry), Now());
+    }
+    const PeerEntry reader = newcomer->m_peers.at("e1");
+    std::set<std::string> asked;
+    for (int i = 0; i < 50; ++i)
+      asked.insert(ReplicaSource(*newcomer, reader, Now()).m_address.m_host);
+    CPPUNIT_ASSERT(asked == std::set<std::string>({"e1", "e2"}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryNewsTest);
--- a/src/libverbenalead/entry/row_sources.cc
+++ b/src/libverbenalead/entry/row_sources.cc
@@ -148,11 +148,13 @@
 
 void RowSources::CompareReplicas(const PeerEntry& reader) {
   const TimePoint now = Now();
-  if (reader.m_replicas_hash == m_state.m_replicas_hash)
+  if (reader.m_replicas_hash == m_state.m_replicas_hash) {
     m_state.m_replicas_at = now;
-  else if (!m_fetching_replicas && now >= m_next_replica_fetch)
-    Spawn(m_executor, FetchReplicaRows(reader.m_address.m_peers),
+  } else if (!m_fetching_replicas && now >= m_next_replica_fetch) {
+    const PeerEntry& source = ReplicaSource(m_state, reader, now);
+    Spawn(m_executor, FetchReplicaRows(source.m_address.m_peers),
           "fetch_replica_rows");
+  }
 }
 
 bool RowSources::HasTakenOver() {
