Turn second tries away at once while first ones are refused

Change: an entry that refused a call in the last second that could have been on time turns away at once what can't be (decide/late_calls.h).

--- a/src/libverbenalead/decide/fake_fleet.h
+++ b/src/libverbenalead/decide/fake_fleet.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "decide/fake_replica.h"
+#include "decide/late_calls.h"
 #include "decide/place_queue.h"
 #include "decide/replica_pool.h"
 
@@ -24,6 +25,8 @@
   /// Whether targets let calls wait, and grant by urgency; else they grant in
   /// the order of asking.
   bool m_queue_at_targets = true;
+  /// Whether entries turn second tries away while they refuse first ones.
+  bool m_turns_late_away = true;
 };
 
 /// What became of one kind of calls.
@@ -49,6 +52,7 @@
       m_targets.back().m_queue.m_prefill_rate = m_engine.m_prefill_rate;
     }
     m_entries.resize(load.m_entries);
+    m_late.resize(load.m_entries);
     for (ReplicaPool& pool : m_entries) {
       pool.m_prefill_rate = m_engine.m_prefill_rate;
       SetReplicas(pool, Replicas(), TimePoint(), m_now);
@@ -167,6 +171,9 @@
     Call& call = m_calls[number];
     ++call.m_tries;
     call.m_entry = m_random() % m_entries.size();
+    if (call.m_tries > 1 && m_load.m_turns_late_away &&
+        TurnsLateAway(m_late[call.m_entry], m_now))
+      return;
     const Duration patience =
         call.m_tries == 1 ? kObjective - kSlack - Reading(call) : kLateWait;
     call.m_waits = true;
@@ -391,6 +398,7 @@
       Withdraw(target.m_queue, EntryAddress(call.m_entry), number);
     if (call.m_tries > 1)
       return;
+    NoteRefusedInTime(m_late[call.m_entry], m_now);
     std::uniform_int_distribution<int> pause(300, 1500);
     At(m_now + std::chrono::milliseconds(pause(m_random)),
        [this, number] { Try(number); });
@@ -422,6 +430,8 @@
   std::priority_queue<Event> m_events;
   std::vector<Call> m_calls;
   std::vector<ReplicaPool> m_entries;
+  /// By entry.
+  std::vector<LateCalls> m_late;
   std::vector<Target> m_targets;
 };
 
--- a/src/libverbenalead/decide/overload_test.cc
+++ b/src/libverbenalead/decide/overload_test.cc
@@ -43,6 +43,7 @@
   CPPUNIT_TEST_SUITE(OverloadTest);
   CPPUNIT_TEST(AboveCapacityPlacesGoToThoseWhoCanBeOnTime);
   CPPUNIT_TEST(FarAboveCapacityItHoldsToo);
+  CPPUNIT_TEST(SecondTriesTakeNoPlacesOfFirstOnes);
   CPPUNIT_TEST(BelowCapacityNobodyIsLate);
   CPPUNIT_TEST_SUITE_END();
 
@@ -74,6 +75,23 @@
                    kFairShare * outcome.m_all.OnTime());
   }
 
+  // A caller who could be on time is refused, since the place that was free a
+  // moment before went to a second try that can't be.
+  void SecondTriesTakeNoPlacesOfFirstOnes() {
+    for (const double calls : {215.0, 290.0}) {
+      FakeLoad load;
+      load.m_calls_per_second = calls;
+      load.m_turns_late_away = false;
+      const Outcome before = Play("second tries wait too", load);
+      load.m_turns_late_away = true;
+      const Outcome after = Play("second tries turned away", load);
+      CPPUNIT_ASSERT(after.m_all.OnTime() > before.m_all.OnTime());
+      CPPUNIT_ASSERT(after.m_all.Late() < before.m_all.Late());
+      CPPUNIT_ASSERT(after.m_longest.OnTime() >=
+                     kFairShare * after.m_all.OnTime());
+    }
+  }
+
   void BelowCapacityNobodyIsLate() {
     FakeLoad load;
     load.m_calls_per_second = 110;
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -71,6 +71,11 @@
 Awaitable<void> CallRun::Run() {
   decide::CountCall(StateOf(m_state, m_plan.m_service).m_repeats,
                     m_state.m_options.m_repeats, Now());
+  if (!m_plan.m_patience.m_fresh &&
+      decide::TurnsLateAway(StateOf(m_state, m_plan.m_service).m_late, Now())) {
+    co_await Refuse(decide::Refusal::kFull);
+    co_return;
+  }
   if (!co_await Begin())
     co_return;
   const bool stream = m_progress.m_kind == model::CallKind::kStream &&
@@ -226,6 +231,8 @@
   }
   const bool usable = decide::HasUsableReplica(
       StateOf(m_state, m_plan.m_service).m_pool, Now());
+  if (usable && m_plan.m_patience.m_fresh)
+    decide::NoteRefusedInTime(StateOf(m_state, m_plan.m_service).m_late, Now());
   co_await Refuse(usable ? decide::Refusal::kFull
                          : decide::Refusal::kNoReplica);
 }
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -9,6 +9,7 @@
 
 #include "base/metrics.h"
 #include "decide/config_lease.h"
+#include "decide/late_calls.h"
 #include "decide/patience_share.h"
 #include "decide/quarantine.h"
 #include "decide/replica_pool.h"
@@ -33,6 +34,7 @@
   decide::ReplicaPool m_pool;
   decide::RetryWindow m_repeats;
   decide::PatienceShare m_patience;
+  decide::LateCalls m_late;
 };
 
 /// All that an entry believes. Belongs to its one thread: a host of this
