Draw chunks in their order, so many at once, by what hosts tell of their draws

Change: hosts also tell of draws that have ended. The first chunks, in their order, that nobody has and nobody draws are drawn without waiting for their time, four at once over all hosts; a draw that ended anywhere ends the pauses. The schedule, a quarter slower than the link, stays for chunks whose host is late.

--- a/src/libverbenalead/decide/transfer.cc
+++ b/src/libverbenalead/decide/transfer.cc
@@ -154,6 +154,36 @@
     Begin(state, state.m_draws.begin()->second, {}, now, actions);
 }
 
+uint32_t DrawsElsewhere(const TransferState& state, TimePoint now) {
+  uint32_t draws = 0;
+  for (const auto& [host, told] : state.m_draws_elsewhere) {
+    if (now - told.first < state.m_limits.m_draw_hold)
+      draws += told.second;
+  }
+  return draws;
+}
+
+/// The first chunks that nobody has and nobody draws are drawn without waiting
+/// for their time, as many as the origin's link has room for. All hosts count
+/// in the same order, so that each chunk is taken by the host that it is for.
+void DrawInOrder(TransferState& state,
+                 TimePoint now,
+                 TransferActions& actions) {
+  const uint32_t under_way =
+      state.m_origin_fetching + DrawsElsewhere(state, now);
+  uint32_t room = state.m_limits.m_draws_at_once;
+  room -= std::min(room, under_way);
+  for (uint32_t chunk = 0; chunk < state.m_chunks.size() && room > 0; ++chunk) {
+    const TransferState::Chunk& entry = state.m_chunks[chunk];
+    if (entry.m_place != TransferState::Place::kDraws ||
+        entry.m_held_until > now)
+      continue;
+    --room;
+    if (entry.m_rank == 0 && OriginReady(state, now))
+      Begin(state, chunk, {}, now, actions);
+  }
+}
+
 /// Chunks that are ours to bring into the region and have come up elsewhere.
 void ImportDue(TransferState& state,
                TimePoint now,
@@ -278,6 +308,14 @@
   FileChunk(state, chunk);
 }
 
+void HoldDraw(TransferState& state, uint32_t chunk, TimePoint until) {
+  if (chunk >= state.m_chunks.size())
+    return;
+  TransferState::Chunk& entry = state.m_chunks[chunk];
+  entry.m_held_until = std::max(entry.m_held_until, until);
+  FileChunk(state, chunk);
+}
+
 void Replace(TransferState& state,
              size_t index,
              TimePoint now,
@@ -432,14 +470,16 @@
   }
 }
 
-void HostDraws(TransferState& state,
-               const std::vector<uint32_t>& chunks,
-               TimePoint now) {
-  for (uint32_t chunk : chunks) {
-    if (chunk >= state.m_chunks.size())
-      continue;
-    state.m_chunks[chunk].m_held_until = now + state.m_limits.m_draw_hold;
-    FileChunk(state, chunk);
+void HostDraws(TransferState& state, const DrawReport& report, TimePoint now) {
+  state.m_draws_elsewhere[report.m_host] = {
+      now, static_cast<uint32_t>(report.m_under_way.size())};
+  for (uint32_t chunk : report.m_under_way)
+    HoldDraw(state, chunk, now + state.m_limits.m_draw_hold);
+  for (uint32_t chunk : report.m_drawn)
+    HoldDraw(state, chunk, now + state.m_limits.m_patience);
+  if (!report.m_drawn.empty()) {
+    state.m_origin_failures = 0;
+    state.m_origin_retry_at = std::min(state.m_origin_retry_at, now);
   }
 }
 
@@ -506,6 +546,7 @@
   TransferActions actions = std::move(state.m_pending);
   state.m_pending = TransferActions();
   DrawDue(state, now, actions);
+  DrawInOrder(state, now, actions);
   ImportDue(state, now, random, actions);
   PullRarest(state, now, random, actions);
   DrawSpare(state, now, actions);
--- a/src/libverbenalead/decide/transfer.h
+++ b/src/libverbenalead/decide/transfer.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "decide/draw_report.h"
 #include "decide/transfer_state.h"
 
 namespace verbenalead::decide {
@@ -54,16 +55,18 @@
                   const std::string& host,
                   const std::vector<uint32_t>& chunks,
                   TimePoint now);
-/// Another host draws `chunks` from the origin, or says again that it does.
+/// Another host tells of its draws from the origin, when they begin and end
+/// and in between.
 ///
 /// Load: an origin that was away for seconds, or whose link is full, so that
 /// draws take longer than the patience. Harm: the turns of several hosts have
 /// come for each chunk that is missing; all of them draw it, and a link that
 /// carries each chunk twice brings the last one twice as late. They wait for
-/// the one that began, as long as it goes on saying so.
-void HostDraws(TransferState& state,
-               const std::vector<uint32_t>& chunks,
-               TimePoint now);
+/// the one that began, as long as it goes on saying so. And hosts that begin
+/// late would each count their draws from then, while the link stands idle:
+/// where limits.m_draws_at_once is set, chunks are drawn in their order, so
+/// many at once.
+void HostDraws(TransferState& state, const DrawReport& report, TimePoint now);
 /// News of `host` can't be had: it is replaced by another one.
 void NeighbourLost(TransferState& state,
                    const std::string& host,
--- a/src/libverbenalead/decide/transfer_limits.h
+++ b/src/libverbenalead/decide/transfer_limits.h
@@ -56,6 +56,9 @@
   /// chunk to come through a full queue and be heard of, so that a drawer
   /// that is only slow isn't doubled.
   Duration m_patience = 8s;
+  /// Draws of all hosts together that go on at once where each tells the others
+  /// of its own; 0: hosts don't, and go by the interval alone.
+  uint32_t m_draws_at_once = 0;
   /// How long a host that says that it draws a chunk is waited for; it says so
   /// again meanwhile, twice as often.
   Duration m_draw_hold = 600ms;
--- a/src/libverbenalead/decide/transfer_outage_test.cc
+++ b/src/libverbenalead/decide/transfer_outage_test.cc
@@ -98,11 +98,14 @@
     std::string m_from;
     size_t m_to = 0;
     std::vector<uint32_t> m_chunks;
+    DrawReport m_report;
   };
 
-  static TransferLimits Limits() {
+  TransferLimits Limits() const {
     TransferLimits limits;
     limits.m_origin_interval = kOriginChunk;
+    if (m_load.m_announced)
+      limits.m_draws_at_once = 4;
     limits.m_patience = 1s;
     limits.m_max_fetches = 5;
     limits.m_max_origin_back_off = 500ms;
@@ -152,6 +155,8 @@
     for (const Draw& draw : done) {
       ++m_draws;
       Arrive(draw.m_host, draw.m_chunk);
+      if (!m_hosts[draw.m_host].m_dead)
+        Announce(draw.m_host, {draw.m_chunk});
     }
   }
 
@@ -200,7 +205,7 @@
         return false;
       TransferState& state = m_hosts[news.m_to].m_state;
       if (news.m_from.empty())
-        HostDraws(state, news.m_chunks, m_now);
+        HostDraws(state, news.m_report, m_now);
       else
         NeighbourHas(state, news.m_from, news.m_chunks, m_now);
       return true;
@@ -218,7 +223,7 @@
     for (const std::string& name : actions.m_follows) {
       const Host& other = m_hosts[Index(name)];
       if (!other.m_dead)
-        m_news.push_back({m_now + kNewsDelay, name, index, other.m_held});
+        m_news.push_back({m_now + kNewsDelay, name, index, other.m_held, {}});
     }
     bool draws = false;
     for (const FetchChunk& fetch : actions.m_fetches) {
@@ -226,7 +231,7 @@
       Send(index, fetch);
     }
     if (draws || m_now - host.m_announced >= kAnnounceInterval)
-      Announce(index);
+      Announce(index, {});
   }
 
   void UpdateMembers(Host& host) {
@@ -238,18 +243,20 @@
     SetMembers(host.m_state, std::move(members), m_now, m_random);
   }
 
-  void Announce(size_t from) {
-    std::vector<uint32_t> chunks;
+  void Announce(size_t from, std::vector<uint32_t> drawn) {
+    DrawReport report;
+    report.m_host = m_hosts[from].m_state.m_self.m_name;
     for (const auto& [chunk, fetch] : m_hosts[from].m_state.m_fetching) {
       if (fetch.m_source.IsOrigin())
-        chunks.push_back(chunk);
+        report.m_under_way.push_back(chunk);
     }
-    if (!m_load.m_announced || chunks.empty())
+    if (!m_load.m_announced || (report.m_under_way.empty() && drawn.empty()))
       return;
+    report.m_drawn = std::move(drawn);
     m_hosts[from].m_announced = m_now;
     for (size_t to = 0; to < m_hosts.size(); ++to) {
       if (to != from)
-        m_news.push_back({m_now + kAnnounceDelay, "", to, chunks});
+        m_news.push_back({m_now + kAnnounceDelay, "", to, {}, report});
     }
   }
 
--- a/src/libverbenalead/decide/transfer_state.h
+++ b/src/libverbenalead/decide/transfer_state.h
@@ -73,6 +73,9 @@
   /// Missing chunks that only neighbours of other regions have.
   ChunkSchedule m_imports;
 
+  /// Draws under way at other hosts, and when they last said so.
+  std::map<std::string, std::pair<TimePoint, uint32_t>> m_draws_elsewhere;
+
   TimePoint m_next_stall_check{};
   TimePoint m_next_refill{};
   TimePoint m_origin_retry_at{};
--- a/src/libverbenalead/decide/transfer_test.cc
+++ b/src/libverbenalead/decide/transfer_test.cc
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(AnAnnouncedDrawIsNotDoubled);
   CPPUNIT_TEST(AnAnnouncedDrawThatDiesIsPassedOver);
   CPPUNIT_TEST(AHostThatOnlyAnnouncesHoldsNobodyForGood);
+  CPPUNIT_TEST(ChunksAreDrawnInOrderSoManyAtOnce);
+  CPPUNIT_TEST(AnyDrawThatEndsSaysThatTheOriginIsBack);
   CPPUNIT_TEST(RarestChunkGoesFirst);
   CPPUNIT_TEST(OnlyOneHostBringsAChunkIntoItsRegion);
   CPPUNIT_TEST(OnlyHostOfItsRegionUsesAllFetches);
@@ -175,7 +177,7 @@
     TransferState next = NextInRank();
     TimePoint now = kStart;
     for (; now < kStart + 3s; now += 250ms) {
-      HostDraws(next, {0, 77}, now);
+      HostDraws(next, {"x", {0, 77}, {}}, now);
       CPPUNIT_ASSERT(Draws(next, now).empty());
     }
     NeighbourHas(next, DrawerOf(next), {0}, now);
@@ -185,7 +187,7 @@
   // A chunk never comes: the host that announced its draw has died.
   void AnAnnouncedDrawThatDiesIsPassedOver() {
     TransferState next = NextInRank();
-    HostDraws(next, {0}, kStart + 900ms);
+    HostDraws(next, {"x", {0}, {}}, kStart + 900ms);
     const TimePoint over = kStart + 900ms + 3 * m_limits.m_draw_hold / 2;
     CPPUNIT_ASSERT(Draws(next, over - 1ms).empty());
     CPPUNIT_ASSERT_EQUAL(size_t{1}, Draws(next, over).size());
@@ -198,11 +200,42 @@
     TimePoint now = kStart;
     while (Draws(next, now).empty() && now < kStart + 60s) {
       now += 250ms;
-      HostDraws(next, {0}, now);
+      HostDraws(next, {"x", {0}, {}}, now);
     }
     CPPUNIT_ASSERT(now <= kStart + 5 * m_limits.m_patience);
   }
 
+  // New weights come seconds late: hosts that began late each counted their
+  // draws from then, and the origin's link stood idle half of the time.
+  void ChunksAreDrawnInOrderSoManyAtOnce() {
+    m_limits.m_origin_interval = 100ms;
+    m_limits.m_draws_at_once = 3;
+    m_limits.m_max_origin = 10;
+    TransferState state = Start(kSelf, {kSelf}, 10);
+    CPPUNIT_ASSERT(Draws(state, kStart) == std::vector<uint32_t>({0, 1, 2}));
+    ChunkArrived(state, 1, kStart + 10ms);
+    CPPUNIT_ASSERT(Draws(state, kStart + 10ms) == std::vector<uint32_t>{3});
+    // Another host took a place, and gives it back.
+    ChunkArrived(state, 0, kStart + 20ms);
+    HostDraws(state, {"x", {4}, {}}, kStart + 20ms);
+    CPPUNIT_ASSERT(Draws(state, kStart + 20ms).empty());
+    HostDraws(state, {"x", {}, {4}}, kStart + 30ms);
+    CPPUNIT_ASSERT(Draws(state, kStart + 30ms) == std::vector<uint32_t>{5});
+  }
+
+  // New weights come half a second later than they could: the origin is back,
+  // and hosts that found it away pause until they ask again.
+  void AnyDrawThatEndsSaysThatTheOriginIsBack() {
+    m_limits.m_draws_at_once = 1;
+    m_limits.m_origin_interval = 100ms;
+    TransferState state = Start(kSelf, {kSelf}, 2);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Draws(state, kStart).size());
+    ChunkFailed(state, 0, false, kStart, m_random);
+    CPPUNIT_ASSERT(Draws(state, kStart + 10ms).empty());
+    HostDraws(state, {"x", {}, {1}}, kStart + 20ms);
+    CPPUNIT_ASSERT(Draws(state, kStart + 20ms) == std::vector<uint32_t>{0});
+  }
+
   void RarestChunkGoesFirst() {
     m_limits.m_max_fetches = 1;
     m_limits.m_max_origin = 0;
--- a/src/libverbenalead/links/draw_news.h
+++ b/src/libverbenalead/links/draw_news.h
@@ -3,16 +3,17 @@
 
 #include <cstdint>
 #include <string>
-#include <vector>
+
+#include "decide/draw_report.h"
 
 namespace verbenalead::links {
 
-/// What a target process tells all others that take part in a transfer: the
-/// chunks that it draws from the origin now.
+/// What a target process tells all others of its service: its draws from the
+/// origin.
 struct DrawNews {
   std::string m_model;
   uint64_t m_version = 0;
-  std::vector<uint32_t> m_chunks;
+  decide::DrawReport m_report;
 
   friend bool operator==(const DrawNews&, const DrawNews&) = default;
 };
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -81,11 +81,14 @@
 }
 
 json::object Encode(const DrawNews& news) {
-  json::array chunks(news.m_chunks.begin(), news.m_chunks.end());
+  const decide::DrawReport& report = news.m_report;
   return {{"kind", kDraws},
+          {"host", report.m_host},
           {"model", news.m_model},
           {"version", news.m_version},
-          {"chunks", std::move(chunks)}};
+          {"under_way",
+           json::array(report.m_under_way.begin(), report.m_under_way.end())},
+          {"drawn", json::array(report.m_drawn.begin(), report.m_drawn.end())}};
 }
 
 json::object Encode(const FollowRequest& request) {
@@ -232,15 +235,16 @@
   return withdrawal;
 }
 
-Result<std::vector<uint32_t>> ChunksField(const json::object& object) {
-  const json::value* list = object.if_contains("chunks");
+Result<std::vector<uint32_t>> ChunksField(const json::object& object,
+                                          const char* name) {
+  const json::value* list = object.if_contains(name);
   if (!list || !list->is_array())
-    return model::BadField("chunks", "a list");
+    return model::BadField(name, "a list");
   std::vector<uint32_t> chunks;
   for (const json::value& chunk : list->as_array()) {
     if (!chunk.is_int64() || chunk.as_int64() < 0 ||
         chunk.as_int64() > std::numeric_limits<uint32_t>::max())
-      return model::BadField("chunks", "numbers of chunks");
+      return model::BadField(name, "numbers of chunks");
     chunks.push_back(static_cast<uint32_t>(chunk.as_int64()));
   }
   return chunks;
@@ -251,7 +255,7 @@
   BOOST_LEAF_ASSIGN(news.m_host, model::TextField(object, "host"));
   BOOST_LEAF_ASSIGN(news.m_model, model::TextField(object, "model"));
   BOOST_LEAF_ASSIGN(news.m_version, model::NumberField(object, "version"));
-  BOOST_LEAF_ASSIGN(news.m_chunks, ChunksField(object));
+  BOOST_LEAF_ASSIGN(news.m_chunks, ChunksField(object, "chunks"));
   return news;
 }
 
@@ -259,7 +263,10 @@
   DrawNews news;
   BOOST_LEAF_ASSIGN(news.m_model, model::TextField(object, "model"));
   BOOST_LEAF_ASSIGN(news.m_version, model::NumberField(object, "version"));
-  BOOST_LEAF_ASSIGN(news.m_chunks, ChunksField(object));
+  decide::DrawReport& report = news.m_report;
+  BOOST_LEAF_ASSIGN(report.m_host, model::TextField(object, "host"));
+  BOOST_LEAF_ASSIGN(report.m_under_way, ChunksField(object, "under_way"));
+  BOOST_LEAF_ASSIGN(report.m_drawn, ChunksField(object, "drawn"));
   return news;
 }
 
--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -57,7 +57,7 @@
         replica,
         CallNews{"i-1", {2, 100}},
         ChunkNews{"10.0.0.2", "m", 2, {0, 3, 47}},
-        DrawNews{"m", 2, {7}},
+        DrawNews{"m", 2, {"10.0.0.2", {7, 9}, {8}}},
         FollowRequest{true, true, 77, uint64_t{1} << 63, 85},
         PlaceRequest{"i-1", 9, 1290, false, 120ms, 250ms, {2, 100}},
         PlaceAnswer{9, true, false, replica},
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -50,6 +50,12 @@
 /// A transfer without a chunk for so long, ten times the time of one, stands
 /// still.
 constexpr Duration kProgress = 500ms;
+/// Draws of all hosts that share the origin's link: with fewer it stands idle
+/// while the next host hears that one has ended.
+constexpr uint32_t kDrawsAtOnce = 4;
+/// The schedule, in percent of what the origin's link needs, is for chunks
+/// whose host is late: draws by it come on top of the others.
+constexpr int kScheduleSlack = 125;
 /// How often others are told again of draws that go on.
 constexpr Duration kTellDrawsInterval = 250ms;
 /// Chunks from the origin that don't fit the digests before these are doubted.
@@ -73,6 +79,8 @@
   limits.m_slow_wait = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(chunk_seconds * kMostFetches * kNarrow));
   limits.m_patience = kPatience;
+  limits.m_draws_at_once = kDrawsAtOnce;
+  limits.m_origin_interval = limits.m_origin_interval * kScheduleSlack / 100;
   limits.m_max_origin_back_off = kLongestOriginPause;
   return limits;
 }
@@ -184,21 +192,27 @@
   if (!m_state.m_engine || news.m_model != m_state.m_engine->m_model)
     return;
   for (const auto& transfer : {m_transfer, m_ahead}) {
-    if (transfer && transfer->m_version == news.m_version)
-      decide::HostDraws(transfer->m_core, news.m_chunks, Now());
+    if (!transfer || transfer->m_version != news.m_version)
+      continue;
+    decide::HostDraws(transfer->m_core, news.m_report, Now());
+    // There is room for the next draw.
+    if (!news.m_report.m_drawn.empty())
+      transfer->m_wake.cancel();
   }
 }
 
-void ChunkFetcher::TellDraws(Transfer& transfer) {
+void ChunkFetcher::TellDraws(Transfer& transfer, std::vector<uint32_t> drawn) {
   links::DrawNews news;
   news.m_model = m_state.m_engine->m_model;
   news.m_version = transfer.m_version;
+  news.m_report.m_host = m_state.m_options.m_peers.address();
   for (const auto& [chunk, fetch] : transfer.m_core.m_fetching) {
     if (fetch.m_source.IsOrigin())
-      news.m_chunks.push_back(chunk);
+      news.m_report.m_under_way.push_back(chunk);
   }
-  if (news.m_chunks.empty())
+  if (news.m_report.m_under_way.empty() && drawn.empty())
     return;
+  news.m_report.m_drawn = std::move(drawn);
   m_tell_draws(news);
   transfer.m_next_telling = Now() + kTellDrawsInterval;
 }
@@ -334,7 +348,7 @@
           "fetch_chunk");
   }
   if (draws || Now() >= transfer->m_next_telling)
-    TellDraws(*transfer);
+    TellDraws(*transfer, {});
 }
 
 Awaitable<AsyncResult<std::string>> ChunkFetcher::ReadFromHost(
@@ -433,6 +447,8 @@
     }
     transfer->m_last_chunk = Now();
     decide::ChunkArrived(transfer->m_core, chunk, Now());
+    if (from_origin)
+      TellDraws(*transfer, std::vector<uint32_t>(1, chunk));
     co_return;
   }
   const bool corrupt =
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -71,8 +71,8 @@
   Awaitable<void> Run(std::shared_ptr<Transfer> transfer,
                       boost::asio::any_io_executor executor);
   static void StopTransfer(std::shared_ptr<Transfer>& transfer);
-  /// Tells others which chunks are drawn here, if any are.
-  void TellDraws(Transfer& transfer);
+  /// Tells others which chunks are drawn here, and that `drawn` have come.
+  void TellDraws(Transfer& transfer, std::vector<uint32_t> drawn);
   bool IsNear(const std::string& host) const;
   void UpdateMembers(Transfer& transfer);
   void DoStep(const std::shared_ptr<Transfer>& transfer,
