Go on with what was drawn ahead, remember what others drew, draw eight at once

Version 3 stood still from 29.5 to 30.5: the transfer that drew ahead was ended and begun anew, and chunks that far hosts had drawn, of which this one hears no news, counted as not drawn again.

Change: the transfer that drew ahead becomes the one that fetches; a chunk that a host said it has drawn is left to the schedule; eight draws at once, the schedule by the link's whole rate.

--- a/src/libverbenalead/decide/transfer.cc
+++ b/src/libverbenalead/decide/transfer.cc
@@ -175,7 +175,7 @@
   room -= std::min(room, under_way);
   for (uint32_t chunk = 0; chunk < state.m_chunks.size() && room > 0; ++chunk) {
     const TransferState::Chunk& entry = state.m_chunks[chunk];
-    if (entry.m_place != TransferState::Place::kDraws ||
+    if (entry.m_place != TransferState::Place::kDraws || entry.m_drawn ||
         entry.m_held_until > now)
       continue;
     --room;
@@ -418,8 +418,7 @@
                             TimePoint scheduled) {
   TransferState state;
   state.m_self = std::move(self);
-  state.m_limits = limits;
-  state.m_window = {limits.m_max_fetches, limits.m_slow_wait};
+  SetLimits(state, limits);
   state.m_started = now;
   state.m_chunks.resize(chunk_count);
   state.m_rarest = ChunkBuckets(chunk_count);
@@ -429,6 +428,11 @@
   return state;
 }
 
+void SetLimits(TransferState& state, TransferLimits limits) {
+  state.m_limits = limits;
+  state.m_window = {limits.m_max_fetches, limits.m_slow_wait};
+}
+
 void SetMembers(TransferState& state,
                 std::vector<TransferMember> members,
                 TimePoint now,
@@ -475,8 +479,11 @@
       now, static_cast<uint32_t>(report.m_under_way.size())};
   for (uint32_t chunk : report.m_under_way)
     HoldDraw(state, chunk, now + state.m_limits.m_draw_hold);
-  for (uint32_t chunk : report.m_drawn)
+  for (uint32_t chunk : report.m_drawn) {
     HoldDraw(state, chunk, now + state.m_limits.m_patience);
+    if (chunk < state.m_chunks.size())
+      state.m_chunks[chunk].m_drawn = true;
+  }
   if (!report.m_drawn.empty()) {
     state.m_origin_failures = 0;
     state.m_origin_retry_at = std::min(state.m_origin_retry_at, now);
--- a/src/libverbenalead/decide/transfer.h
+++ b/src/libverbenalead/decide/transfer.h
@@ -44,6 +44,9 @@
   return StartTransfer(std::move(self), chunk_count, limits, now, now);
 }
 
+/// Sets other bounds for what is under way.
+void SetLimits(TransferState& state, TransferLimits limits);
+
 /// Sets who takes part, this host included, when that has changed.
 void SetMembers(TransferState& state,
                 std::vector<TransferMember> members,
--- a/src/libverbenalead/decide/transfer_state.h
+++ b/src/libverbenalead/decide/transfer_state.h
@@ -45,6 +45,9 @@
     /// the last copy begins them again.
     TimePoint m_draw_base{};
     TimePoint m_import_base{};
+    /// Another host said that it has drawn it, whether or not its news reach
+    /// this one.
+    bool m_drawn = false;
     /// Until when another host that said that it draws it is waited for.
     TimePoint m_held_until{};
     /// When it is our turn, if it is in m_draws or m_imports.
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -52,10 +52,7 @@
 constexpr Duration kProgress = 500ms;
 /// Draws of all hosts that share the origin's link: with fewer it stands idle
 /// while the next host hears that one has ended.
-constexpr uint32_t kDrawsAtOnce = 4;
-/// The schedule, in percent of what the origin's link needs, is for chunks
-/// whose host is late: draws by it come on top of the others.
-constexpr int kScheduleSlack = 125;
+constexpr uint32_t kDrawsAtOnce = 8;
 /// How often others are told again of draws that go on.
 constexpr Duration kTellDrawsInterval = 250ms;
 /// Chunks from the origin that don't fit the digests before these are doubted.
@@ -80,7 +77,6 @@
       std::chrono::duration<double>(chunk_seconds * kMostFetches * kNarrow));
   limits.m_patience = kPatience;
   limits.m_draws_at_once = kDrawsAtOnce;
-  limits.m_origin_interval = limits.m_origin_interval * kScheduleSlack / 100;
   limits.m_max_origin_back_off = kLongestOriginPause;
   return limits;
 }
@@ -266,12 +262,26 @@
 
 Awaitable<void> ChunkFetcher::Fetch(uint64_t version) {
   const auto executor = co_await asio::this_coro::executor;
+  if (m_ahead && m_ahead->m_version == version) {
+    // What it draws goes on, and what is known of others' draws stays known.
+    m_transfer = std::move(m_ahead);
+    m_ahead.reset();
+    decide::SetLimits(m_transfer->m_core, LimitsOf(m_state));
+    m_transfer->m_wake.cancel();
+    co_return;
+  }
   StopTransfer(m_ahead);
   const auto transfer = Begin(version, LimitsOf(m_state), executor);
   m_transfer = transfer;
   co_await Run(transfer, executor);
+  End(transfer);
+}
+
+void ChunkFetcher::End(const std::shared_ptr<Transfer>& transfer) {
+  if (m_ahead == transfer)
+    m_ahead.reset();
   if (m_transfer != transfer)
-    co_return;
+    return;
   m_transfer.reset();
   StopTransfer(m_ahead);
 }
@@ -294,8 +304,7 @@
     const auto transfer = Begin(version, limits, executor);
     m_ahead = transfer;
     co_await Run(transfer, executor);
-    if (m_ahead == transfer)
-      m_ahead.reset();
+    End(transfer);
   }
   if (m_ahead_version == version)
     m_ahead_version = 0;
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -27,12 +27,14 @@
                std::function<void(const links::DrawNews&)> tell_draws);
   ~ChunkFetcher();
 
-  /// Fetches `version` until it is whole or `Stop` is called.
+  /// Fetches `version` until it is whole or `Stop` is called; goes on with what
+  /// was drawn of it ahead.
   Awaitable<void> Fetch(uint64_t version);
   /// Learns the digests of `version` while another one comes in, and draws what
   /// is this host's part of it once the other needs nothing of the origin any
   /// more: its link would stand idle meanwhile, and it may be gone later. Ends
-  /// when that one does. Does nothing while it is under way.
+  /// when that one does, unless `version` is fetched then. Does nothing while
+  /// it is under way.
   Awaitable<void> DrawAhead(uint64_t version);
   /// Each chunk of the version under way is held by some host, so that the
   /// origin isn't needed for it any more.
@@ -70,6 +72,8 @@
   /// Does what the transfer asks for until it is whole or stopped.
   Awaitable<void> Run(std::shared_ptr<Transfer> transfer,
                       boost::asio::any_io_executor executor);
+  /// `transfer` is over.
+  void End(const std::shared_ptr<Transfer>& transfer);
   static void StopTransfer(std::shared_ptr<Transfer>& transfer);
   /// Tells others which chunks are drawn here, and that `drawn` have come.
   void TellDraws(Transfer& transfer, std::vector<uint32_t> drawn);
