--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -159,11 +159,6 @@
   transfer.reset();
 }
 
-void ChunkFetcher::Stop() {
-  StopTransfer(m_transfer);
-  StopTransfer(m_ahead);
-}
-
 std::vector<std::string> ChunkFetcher::Followed() const {
   std::set<std::string> hosts;
   for (const auto& transfer : {m_transfer, m_ahead}) {
@@ -262,6 +257,7 @@
 
 Awaitable<void> ChunkFetcher::Fetch(uint64_t version) {
   const auto executor = co_await asio::this_coro::executor;
+  StopTransfer(m_transfer);
   if (m_ahead && m_ahead->m_version == version) {
     // What it draws goes on, and what is known of others' draws stays known.
     m_transfer = std::move(m_ahead);
@@ -280,10 +276,8 @@
 void ChunkFetcher::End(const std::shared_ptr<Transfer>& transfer) {
   if (m_ahead == transfer)
     m_ahead.reset();
-  if (m_transfer != transfer)
-    return;
-  m_transfer.reset();
-  StopTransfer(m_ahead);
+  if (m_transfer == transfer)
+    m_transfer.reset();
 }
 
 Awaitable<void> ChunkFetcher::DrawAhead(uint64_t version) {
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -27,8 +27,8 @@
                std::function<void(const links::DrawNews&)> tell_draws);
   ~ChunkFetcher();
 
-  /// Fetches `version` until it is whole or `Stop` is called; goes on with what
-  /// was drawn of it ahead.
+  /// Fetches `version`, in place of any other one, until it is whole; goes on
+  /// with what was drawn of it ahead.
   Awaitable<void> Fetch(uint64_t version);
   /// Learns the digests of `version` while another one comes in, and draws what
   /// is this host's part of it once the other needs nothing of the origin any
@@ -39,8 +39,6 @@
   /// Each chunk of the version under way is held by some host, so that the
   /// origin isn't needed for it any more.
   bool IsDrawn() const;
-  /// Gives up what is under way: another version is wanted more.
-  void Stop();
   /// The version under way; 0: none.
   uint64_t version() const;
   /// A chunk came in not long ago.
--- a/src/libverbenalead/target/engine_keeper.cc
+++ b/src/libverbenalead/target/engine_keeper.cc
@@ -233,7 +233,6 @@
   }
   if (m_state.m_cache.Complete(version))
     co_return;
-  m_fetcher.Stop();
   Spawn(executor, m_fetcher.Fetch(version), "fetch");
 }
 
