Fetch a newer version ahead, not only draw it

Change: what comes in ahead is fetched as well, two chunks at once; hosts that send still send the older version first.

--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -23,6 +23,9 @@
 /// and serves several; five from different hosts keep the downlink, 42 ms a
 /// chunk at 9.4 Mbit/s, busy meanwhile.
 constexpr uint32_t kMostFetches = 5;
+/// The same for a version that comes in ahead: what is left of the older one is
+/// waited for more than fetched.
+constexpr uint32_t kAheadFetches = 2;
 /// A link on which that many chunks take this many times their time has become
 /// narrow. Where hosts that send are busy, chunks take twice their time.
 constexpr int kNarrow = 2;
@@ -223,7 +226,7 @@
     decide::ChunkArrived(transfer->m_core, chunk, Now());
   LogLine("transfer_begun")
       .With("version", version)
-      .With("draws_only", limits.m_max_fetches == 0)
+      .With("ahead", limits.m_max_fetches == kAheadFetches)
       .Info();
   return transfer;
 }
@@ -280,7 +283,7 @@
     m_transfer.reset();
 }
 
-Awaitable<void> ChunkFetcher::DrawAhead(uint64_t version) {
+Awaitable<void> ChunkFetcher::FetchAhead(uint64_t version) {
   if (m_ahead_version == version)
     co_return;
   m_ahead_version = version;
@@ -294,7 +297,7 @@
     co_await Sleep(decide::kTransferTick);
   if (learned && waits() && !m_ahead) {
     decide::TransferLimits limits = LimitsOf(m_state);
-    limits.m_max_fetches = 0;
+    limits.m_max_fetches = kAheadFetches;
     const auto transfer = Begin(version, limits, executor);
     m_ahead = transfer;
     co_await Run(transfer, executor);
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -28,14 +28,13 @@
   ~ChunkFetcher();
 
   /// Fetches `version`, in place of any other one, until it is whole; goes on
-  /// with what was drawn of it ahead.
+  /// with what was fetched of it ahead.
   Awaitable<void> Fetch(uint64_t version);
-  /// Learns the digests of `version` while another one comes in, and draws what
-  /// is this host's part of it once the other needs nothing of the origin any
-  /// more: its link would stand idle meanwhile, and it may be gone later. Ends
-  /// when that one does, unless `version` is fetched then. Does nothing while
-  /// it is under way.
-  Awaitable<void> DrawAhead(uint64_t version);
+  /// Learns the digests of `version` while another one comes in, and brings it
+  /// in as well once the other needs nothing of the origin any more: the
+  /// origin's link and this host's would stand idle meanwhile, and the origin
+  /// may be gone later. Does nothing while it is under way.
+  Awaitable<void> FetchAhead(uint64_t version);
   /// Each chunk of the version under way is held by some host, so that the
   /// origin isn't needed for it any more.
   bool IsDrawn() const;
@@ -100,9 +99,9 @@
   DigestLearner m_digests;
   const std::function<void(const links::DrawNews&)> m_tell_draws;
   std::shared_ptr<Transfer> m_transfer;
-  /// The one that only draws.
+  /// The one of a newer version.
   std::shared_ptr<Transfer> m_ahead;
-  /// A version is about to be drawn ahead; 0: none.
+  /// A version is about to be fetched ahead; 0: none.
   uint64_t m_ahead_version = 0;
 };
 
--- a/src/libverbenalead/target/engine_keeper.cc
+++ b/src/libverbenalead/target/engine_keeper.cc
@@ -200,7 +200,7 @@
   co_await m_stager.Stage(version, Loaded());
   if (!m_state.m_cache.Complete(version)) {
     co_await Obtain(version);
-    co_await DrawNewestAhead();
+    co_await FetchNewestAhead();
     co_return;
   }
   if (!plan)
@@ -236,12 +236,12 @@
   Spawn(executor, m_fetcher.Fetch(version), "fetch");
 }
 
-Awaitable<void> EngineKeeper::DrawNewestAhead() {
+Awaitable<void> EngineKeeper::FetchNewestAhead() {
   const uint64_t newest = NewestVersion(m_state);
   if (m_fetcher.version() == 0 || newest <= m_fetcher.version())
     co_return;
-  Spawn(co_await boost::asio::this_coro::executor, m_fetcher.DrawAhead(newest),
-        "draw_ahead");
+  Spawn(co_await boost::asio::this_coro::executor, m_fetcher.FetchAhead(newest),
+        "fetch_ahead");
 }
 
 TimePoint EngineKeeper::Turn(const decide::LoadPlan& plan) const {
--- a/src/libverbenalead/target/engine_keeper.h
+++ b/src/libverbenalead/target/engine_keeper.h
@@ -43,9 +43,9 @@
   /// Brings `version` into the cache.
   Awaitable<void> Obtain(uint64_t version);
   /// Two versions came in quick succession: learns the newer one's digests now,
-  /// as the origin may be gone later, and draws it once only other hosts are
+  /// as the origin may be gone later, and fetches it once only other hosts are
   /// needed for the older.
-  Awaitable<void> DrawNewestAhead();
+  Awaitable<void> FetchNewestAhead();
   /// Whether what is under way should end before anything else is fetched.
   bool LetFetchEnd() const;
   /// Notes which versions have come whole.
