--- a/src/libverbenalead/decide/transfer.cc
+++ b/src/libverbenalead/decide/transfer.cc
@@ -163,9 +163,19 @@
   return draws;
 }
 
+/// Whether the hosts that come before this one for a chunk that is open have
+/// had their time to say that they draw it.
+bool IsOurs(const TransferState& state,
+            const TransferState::Chunk& chunk,
+            TimePoint now) {
+  return now - chunk.m_open_since.value_or(now) >=
+         chunk.m_rank * (state.m_limits.m_draw_hold / 2);
+}
+
 /// The first chunks that nobody has and nobody draws are drawn without waiting
 /// for their time, as many as the origin's link has room for. All hosts count
-/// in the same order, so that each chunk is taken by the host that it is for.
+/// in the same order, so that each chunk is taken by the host that it is for,
+/// or by the next one if that host is dead or late.
 void DrawInOrder(TransferState& state,
                  TimePoint now,
                  TransferActions& actions) {
@@ -174,12 +184,16 @@
   uint32_t room = state.m_limits.m_draws_at_once;
   room -= std::min(room, under_way);
   for (uint32_t chunk = 0; chunk < state.m_chunks.size() && room > 0; ++chunk) {
-    const TransferState::Chunk& entry = state.m_chunks[chunk];
+    TransferState::Chunk& entry = state.m_chunks[chunk];
     if (entry.m_place != TransferState::Place::kDraws || entry.m_drawn ||
-        entry.m_held_until > now)
+        entry.m_held_until > now) {
+      entry.m_open_since.reset();
       continue;
+    }
     --room;
-    if (entry.m_rank == 0 && OriginReady(state, now))
+    if (!entry.m_open_since)
+      entry.m_open_since = now;
+    if (IsOurs(state, entry, now) && OriginReady(state, now))
       Begin(state, chunk, {}, now, actions);
   }
 }
--- a/src/libverbenalead/decide/transfer_state.h
+++ b/src/libverbenalead/decide/transfer_state.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -48,6 +49,8 @@
     /// Another host said that it has drawn it, whether or not its news reach
     /// this one.
     bool m_drawn = false;
+    /// Since when it is among the first that nobody has or draws.
+    std::optional<TimePoint> m_open_since;
     /// Until when another host that said that it draws it is waited for.
     TimePoint m_held_until{};
     /// When it is our turn, if it is in m_draws or m_imports.
--- a/src/libverbenalead/decide/transfer_test.cc
+++ b/src/libverbenalead/decide/transfer_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(AnAnnouncedDrawThatDiesIsPassedOver);
   CPPUNIT_TEST(AHostThatOnlyAnnouncesHoldsNobodyForGood);
   CPPUNIT_TEST(ChunksAreDrawnInOrderSoManyAtOnce);
+  CPPUNIT_TEST(AChunkOfADeadHostIsDrawnByTheNextSoon);
   CPPUNIT_TEST(AnyDrawThatEndsSaysThatTheOriginIsBack);
   CPPUNIT_TEST(RarestChunkGoesFirst);
   CPPUNIT_TEST(OnlyOneHostBringsAChunkIntoItsRegion);
@@ -223,6 +224,19 @@
     CPPUNIT_ASSERT(Draws(state, kStart + 30ms) == std::vector<uint32_t>{5});
   }
 
+  // The last chunks of new weights come seconds after the others: the hosts
+  // that were to draw them are dead, though still listed, and the next in line
+  // wait for their own time in the schedule.
+  void AChunkOfADeadHostIsDrawnByTheNextSoon() {
+    m_limits.m_origin_interval = 10s;
+    m_limits.m_draws_at_once = 2;
+    TransferState next = NextInRank();
+    CPPUNIT_ASSERT(Draws(next, kStart).empty());
+    const TimePoint soon = kStart + m_limits.m_draw_hold / 2;
+    CPPUNIT_ASSERT(Draws(next, soon - 1ms).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Draws(next, soon).size());
+  }
+
   // New weights come half a second later than they could: the origin is back,
   // and hosts that found it away pause until they ask again.
   void AnyDrawThatEndsSaysThatTheOriginIsBack() {
