Split the draws from the origin off the transfer

transfer.cc had grown to 560 lines with two jobs; which chunks this host draws and when stands in transfer_draws now. Behaviour unchanged, tests unchanged.

--- a/src/libverbenalead/decide/transfer.cc
+++ b/src/libverbenalead/decide/transfer.cc
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "decide/transfer_book.h"
+#include "decide/transfer_draws.h"
 #include "decide/transfer_plan.h"
 
 namespace verbenalead::decide {
@@ -22,22 +23,10 @@
 /// hundred, but a host with bad memory goes on.
 constexpr size_t kMaxBadChunks = 4;
 constexpr Duration kShunAfterBadChunks = 10s;
-/// The origin's link is shared: a burst of hosts that all tried again at once
-/// would hold it down, so the wait doubles and is spread.
-constexpr Duration kMinOriginBackOff = 200ms;
-/// Hosts that go before all others for a chunk after a draw of it has failed,
-/// and for how many patiences each of them is waited for.
-constexpr uint16_t kFirstDrawers = 3;
-constexpr int kWaitForDrawer = 2;
 /// The new sample's part in a smoothed wait is 1 / kSmoothing.
 constexpr int kSmoothing = 8;
 /// A chunk that can't be brought in at its turn is looked at again then.
 constexpr Duration kTurnRetry = 20ms;
-/// Spare draws are for the end: with more missing than this, a host's link is
-/// kept busy by its neighbours anyhow, and the origin's is needed for first
-/// copies.
-constexpr uint32_t kSpareDrawMissing = 8;
-
 constexpr Duration kRefillInterval = 1s;
 
 using Neighbour = TransferNeighbour;
@@ -131,73 +120,6 @@
          state.m_origin_fetching;
 }
 
-void Begin(TransferState& state,
-           uint32_t chunk,
-           ChunkSource source,
-           TimePoint now,
-           TransferActions& actions) {
-  actions.m_fetches.push_back({chunk, std::move(source)});
-  BeginFetch(state, actions.m_fetches.back(), now);
-}
-
-bool OriginReady(const TransferState& state, TimePoint now) {
-  return state.m_origin_fetching < state.m_limits.m_max_origin &&
-         now >= state.m_origin_retry_at;
-}
-
-/// Chunks whose turn has come and that no neighbour is known to have. Each is
-/// drawn by one host: load of all hosts at once, where every doubled draw is
-/// paid for and takes the origin's link from a first copy.
-void DrawDue(TransferState& state, TimePoint now, TransferActions& actions) {
-  while (OriginReady(state, now) && !state.m_draws.empty() &&
-         state.m_draws.begin()->first <= now)
-    Begin(state, state.m_draws.begin()->second, {}, now, actions);
-}
-
-uint32_t DrawsElsewhere(const TransferState& state, TimePoint now) {
-  uint32_t draws = 0;
-  for (const auto& [host, told] : state.m_draws_elsewhere) {
-    if (now - told.first < state.m_limits.m_draw_hold)
-      draws += told.second;
-  }
-  return draws;
-}
-
-/// Whether the hosts that come before this one for a chunk that is open have
-/// had their time to say that they draw it.
-bool IsOurs(const TransferState& state,
-            const TransferState::Chunk& chunk,
-            TimePoint now) {
-  return now - chunk.m_open_since.value_or(now) >=
-         chunk.m_rank * (state.m_limits.m_draw_hold / 2);
-}
-
-/// The first chunks that nobody has and nobody draws are drawn without waiting
-/// for their time, as many as the origin's link has room for. All hosts count
-/// in the same order, so that each chunk is taken by the host that it is for,
-/// or by the next one if that host is dead or late.
-void DrawInOrder(TransferState& state,
-                 TimePoint now,
-                 TransferActions& actions) {
-  const uint32_t under_way =
-      state.m_origin_fetching + DrawsElsewhere(state, now);
-  uint32_t room = state.m_limits.m_draws_at_once;
-  room -= std::min(room, under_way);
-  for (uint32_t chunk = 0; chunk < state.m_chunks.size() && room > 0; ++chunk) {
-    TransferState::Chunk& entry = state.m_chunks[chunk];
-    if (entry.m_place != TransferState::Place::kDraws || entry.m_drawn ||
-        entry.m_held_until > now) {
-      entry.m_open_since.reset();
-      continue;
-    }
-    --room;
-    if (!entry.m_open_since)
-      entry.m_open_since = now;
-    if (IsOurs(state, entry, now) && OriginReady(state, now))
-      Begin(state, chunk, {}, now, actions);
-  }
-}
-
 /// Chunks that are ours to bring into the region and have come up elsewhere.
 void ImportDue(TransferState& state,
                TimePoint now,
@@ -209,7 +131,8 @@
         state.m_chunks[chunk].m_holders & Askable(state, now);
     if (sources != 0) {
       const size_t index = BestNeighbour(state, sources, random);
-      Begin(state, chunk, {state.m_neighbours[index].m_name}, now, actions);
+      StartFetch(state, chunk, {state.m_neighbours[index].m_name}, now,
+                 actions);
       continue;
     }
     PostponeImport(state, chunk, now + kTurnRetry);
@@ -229,41 +152,7 @@
       return;
     const size_t index = BestNeighbour(
         state, state.m_chunks[*chunk].m_holders & askable, random);
-    Begin(state, *chunk, {state.m_neighbours[index].m_name}, now, actions);
-  }
-}
-
-/// The fetch from a host that has waited longest, if that is longer than usual.
-std::optional<FetchChunk> LongestWait(const TransferState& state,
-                                      TimePoint now) {
-  std::optional<FetchChunk> longest;
-  TimePoint begun = now - state.m_wait;
-  for (const auto& [chunk, fetch] : state.m_fetching) {
-    if (fetch.m_source.IsOrigin() || fetch.m_begun >= begun)
-      continue;
-    begun = fetch.m_begun;
-    longest = FetchChunk{chunk, fetch.m_source};
-  }
-  return longest;
-}
-
-/// The end of a time-first transfer: a host that lacks few chunks waits in its
-/// neighbours' queues while the origin's link, done with the first copies,
-/// stands idle. It may draw its share of the budget's surplus there, in place
-/// of what it has waited for longest.
-void DrawSpare(TransferState& state, TimePoint now, TransferActions& actions) {
-  const uint32_t missing =
-      static_cast<uint32_t>(state.m_chunks.size()) - state.m_have_count;
-  if (missing > kSpareDrawMissing || !state.m_draws.empty())
-    return;
-  while (state.m_spare_draws > 0 && OriginReady(state, now)) {
-    const auto waiting = LongestWait(state, now);
-    if (!waiting)
-      return;
-    --state.m_spare_draws;
-    EndFetch(state, waiting->m_chunk);
-    actions.m_cancels.push_back(*waiting);
-    Begin(state, waiting->m_chunk, {}, now, actions);
+    StartFetch(state, *chunk, {state.m_neighbours[index].m_name}, now, actions);
   }
 }
 
@@ -295,41 +184,6 @@
       now + std::min<Duration>(kMaxShun, kShunAfterFailure * (1 << doublings));
 }
 
-void BackOffFromOrigin(TransferState& state,
-                       TimePoint now,
-                       std::mt19937_64& random) {
-  const uint32_t doublings = std::min<uint32_t>(state.m_origin_failures, 6);
-  ++state.m_origin_failures;
-  const Duration longest =
-      std::min<Duration>(state.m_limits.m_max_origin_back_off,
-                         kMinOriginBackOff * (1 << doublings));
-  std::uniform_int_distribution<int64_t> jitter(longest.count() / 2,
-                                                longest.count());
-  state.m_origin_retry_at = now + Duration(jitter(random));
-}
-
-/// Failure: the origin is away for seconds, in which the turns of many hosts
-/// come for the same chunks. Symptom: all of them draw these when it returns,
-/// and its link carries each chunk many times. A host that found it away waits
-/// for the first ones again, which try often. It doesn't wait for all that come
-/// before it, since those may be dead.
-void WaitForDrawer(TransferState& state, uint32_t chunk, TimePoint now) {
-  TransferState::Chunk& entry = state.m_chunks[chunk];
-  const Duration patience = state.m_limits.m_patience;
-  entry.m_draw_base =
-      now - entry.m_rank * patience +
-      kWaitForDrawer * std::min(entry.m_rank, kFirstDrawers) * patience;
-  FileChunk(state, chunk);
-}
-
-void HoldDraw(TransferState& state, uint32_t chunk, TimePoint until) {
-  if (chunk >= state.m_chunks.size())
-    return;
-  TransferState::Chunk& entry = state.m_chunks[chunk];
-  entry.m_held_until = std::max(entry.m_held_until, until);
-  FileChunk(state, chunk);
-}
-
 void Replace(TransferState& state,
              size_t index,
              TimePoint now,
@@ -409,20 +263,6 @@
   }
 }
 
-/// This host's part of the draws beyond the first copy. The remainder of the
-/// division goes to hosts by chance, so that the sum is right on the mean.
-uint32_t SpareDraws(const TransferState& state, std::mt19937_64& random) {
-  const TransferLimits& limits = state.m_limits;
-  if (limits.m_preference != TransferPreference::kTimeFirst ||
-      limits.m_origin_budget_percent <= 100)
-    return 0;
-  const uint64_t spare =
-      state.m_chunks.size() * (limits.m_origin_budget_percent - 100) / 100;
-  const uint64_t hosts = std::max<uint64_t>(1, state.m_members.size());
-  const bool one_more = random() % hosts < spare % hosts;
-  return static_cast<uint32_t>(spare / hosts) + one_more;
-}
-
 }  // namespace
 
 TransferState StartTransfer(TransferMember self,
@@ -488,22 +328,6 @@
   }
 }
 
-void HostDraws(TransferState& state, const DrawReport& report, TimePoint now) {
-  state.m_draws_elsewhere[report.m_host] = {
-      now, static_cast<uint32_t>(report.m_under_way.size())};
-  for (uint32_t chunk : report.m_under_way)
-    HoldDraw(state, chunk, now + state.m_limits.m_draw_hold);
-  for (uint32_t chunk : report.m_drawn) {
-    HoldDraw(state, chunk, now + state.m_limits.m_patience);
-    if (chunk < state.m_chunks.size())
-      state.m_chunks[chunk].m_drawn = true;
-  }
-  if (!report.m_drawn.empty()) {
-    state.m_origin_failures = 0;
-    state.m_origin_retry_at = std::min(state.m_origin_retry_at, now);
-  }
-}
-
 void NeighbourLost(TransferState& state,
                    const std::string& host,
                    TimePoint now,
@@ -549,9 +373,7 @@
     return;
   const std::string& host = fetch->m_source.m_host;
   if (fetch->m_source.IsOrigin()) {
-    BackOffFromOrigin(state, now, random);
-    if (!corrupt)
-      WaitForDrawer(state, chunk, now);
+    DrawFailed(state, chunk, corrupt, now, random);
   } else if (corrupt) {
     HostSentBadChunk(state, host, chunk, now);
   } else {
--- a/src/libverbenalead/decide/transfer_book.cc
+++ b/src/libverbenalead/decide/transfer_book.cc
@@ -154,15 +154,20 @@
   state.m_pending.m_unfollows.push_back(name);
 }
 
-void BeginFetch(TransferState& state, const FetchChunk& fetch, TimePoint now) {
-  state.m_fetching[fetch.m_chunk] = {fetch.m_source, now, now};
-  state.m_chunks[fetch.m_chunk].m_under_way = true;
-  if (fetch.m_source.IsOrigin()) {
+void StartFetch(TransferState& state,
+                uint32_t chunk,
+                ChunkSource source,
+                TimePoint now,
+                TransferActions& actions) {
+  state.m_fetching[chunk] = {source, now, now};
+  state.m_chunks[chunk].m_under_way = true;
+  if (source.IsOrigin()) {
     ++state.m_origin_fetching;
-  } else if (auto index = FindNeighbour(state, fetch.m_source.m_host)) {
+  } else if (auto index = FindNeighbour(state, source.m_host)) {
     ++state.m_neighbours[*index].m_fetching;
   }
-  FileChunk(state, fetch.m_chunk);
+  FileChunk(state, chunk);
+  actions.m_fetches.push_back({chunk, std::move(source)});
 }
 
 std::optional<TransferState::Fetch> EndFetch(TransferState& state,
--- a/src/libverbenalead/decide/transfer_book.h
+++ b/src/libverbenalead/decide/transfer_book.h
@@ -35,7 +35,12 @@
 /// Forgets neighbour `index`; fetches from it are given up.
 void RemoveNeighbour(TransferState& state, size_t index, TimePoint now);
 
-void BeginFetch(TransferState& state, const FetchChunk& fetch, TimePoint now);
+/// Begins the fetch of `chunk` and hands it out in `actions`.
+void StartFetch(TransferState& state,
+                uint32_t chunk,
+                ChunkSource source,
+                TimePoint now,
+                TransferActions& actions);
 /// Ends the fetch of `chunk`; nullopt if none was under way.
 std::optional<TransferState::Fetch> EndFetch(TransferState& state,
                                              uint32_t chunk);
--- /dev/null
+++ b/src/libverbenalead/decide/transfer_draws.cc
@@ -0,0 +1,180 @@
+#include "decide/transfer_draws.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "decide/transfer.h"
+#include "decide/transfer_book.h"
+
+namespace verbenalead::decide {
+namespace {
+
+/// The origin's link is shared: a burst of hosts that all tried again at once
+/// would hold it down, so the wait doubles and is spread.
+constexpr Duration kMinOriginBackOff = 200ms;
+/// Hosts that go before all others for a chunk after a draw of it has failed,
+/// and for how many patiences each of them is waited for.
+constexpr uint16_t kFirstDrawers = 3;
+constexpr int kWaitForDrawer = 2;
+/// Spare draws are for the end: with more missing than this, a host's link is
+/// kept busy by its neighbours anyhow, and the origin's is needed for first
+/// copies.
+constexpr uint32_t kSpareDrawMissing = 8;
+
+bool OriginReady(const TransferState& state, TimePoint now) {
+  return state.m_origin_fetching < state.m_limits.m_max_origin &&
+         now >= state.m_origin_retry_at;
+}
+
+/// The fetch from a host that has waited longest, if that is longer than usual.
+std::optional<FetchChunk> LongestWait(const TransferState& state,
+                                      TimePoint now) {
+  std::optional<FetchChunk> longest;
+  TimePoint begun = now - state.m_wait;
+  for (const auto& [chunk, fetch] : state.m_fetching) {
+    if (fetch.m_source.IsOrigin() || fetch.m_begun >= begun)
+      continue;
+    begun = fetch.m_begun;
+    longest = FetchChunk{chunk, fetch.m_source};
+  }
+  return longest;
+}
+
+uint32_t DrawsElsewhere(const TransferState& state, TimePoint now) {
+  uint32_t draws = 0;
+  for (const auto& [host, told] : state.m_draws_elsewhere) {
+    if (now - told.first < state.m_limits.m_draw_hold)
+      draws += told.second;
+  }
+  return draws;
+}
+
+/// Whether the hosts that come before this one for a chunk that is open have
+/// had their time to say that they draw it.
+bool IsOurs(const TransferState& state,
+            const TransferState::Chunk& chunk,
+            TimePoint now) {
+  return now - chunk.m_open_since.value_or(now) >=
+         chunk.m_rank * (state.m_limits.m_draw_hold / 2);
+}
+
+void BackOffFromOrigin(TransferState& state,
+                       TimePoint now,
+                       std::mt19937_64& random) {
+  const uint32_t doublings = std::min<uint32_t>(state.m_origin_failures, 6);
+  ++state.m_origin_failures;
+  const Duration longest =
+      std::min<Duration>(state.m_limits.m_max_origin_back_off,
+                         kMinOriginBackOff * (1 << doublings));
+  std::uniform_int_distribution<int64_t> jitter(longest.count() / 2,
+                                                longest.count());
+  state.m_origin_retry_at = now + Duration(jitter(random));
+}
+
+/// Failure: the origin is away for seconds, in which the turns of many hosts
+/// come for the same chunks. Symptom: all of them draw these when it returns,
+/// and its link carries each chunk many times. A host that found it away waits
+/// for the first ones again, which try often. It doesn't wait for all that come
+/// before it, since those may be dead.
+void WaitForDrawer(TransferState& state, uint32_t chunk, TimePoint now) {
+  TransferState::Chunk& entry = state.m_chunks[chunk];
+  const Duration patience = state.m_limits.m_patience;
+  entry.m_draw_base =
+      now - entry.m_rank * patience +
+      kWaitForDrawer * std::min(entry.m_rank, kFirstDrawers) * patience;
+  FileChunk(state, chunk);
+}
+
+void HoldDraw(TransferState& state, uint32_t chunk, TimePoint until) {
+  if (chunk >= state.m_chunks.size())
+    return;
+  TransferState::Chunk& entry = state.m_chunks[chunk];
+  entry.m_held_until = std::max(entry.m_held_until, until);
+  FileChunk(state, chunk);
+}
+
+}  // namespace
+
+uint32_t SpareDraws(const TransferState& state, std::mt19937_64& random) {
+  const TransferLimits& limits = state.m_limits;
+  if (limits.m_preference != TransferPreference::kTimeFirst ||
+      limits.m_origin_budget_percent <= 100)
+    return 0;
+  const uint64_t spare =
+      state.m_chunks.size() * (limits.m_origin_budget_percent - 100) / 100;
+  const uint64_t hosts = std::max<uint64_t>(1, state.m_members.size());
+  const bool one_more = random() % hosts < spare % hosts;
+  return static_cast<uint32_t>(spare / hosts) + one_more;
+}
+
+void DrawDue(TransferState& state, TimePoint now, TransferActions& actions) {
+  while (OriginReady(state, now) && !state.m_draws.empty() &&
+         state.m_draws.begin()->first <= now)
+    StartFetch(state, state.m_draws.begin()->second, {}, now, actions);
+}
+
+void DrawInOrder(TransferState& state,
+                 TimePoint now,
+                 TransferActions& actions) {
+  const uint32_t under_way =
+      state.m_origin_fetching + DrawsElsewhere(state, now);
+  uint32_t room = state.m_limits.m_draws_at_once;
+  room -= std::min(room, under_way);
+  for (uint32_t chunk = 0; chunk < state.m_chunks.size() && room > 0; ++chunk) {
+    TransferState::Chunk& entry = state.m_chunks[chunk];
+    if (entry.m_place != TransferState::Place::kDraws || entry.m_drawn ||
+        entry.m_held_until > now) {
+      entry.m_open_since.reset();
+      continue;
+    }
+    --room;
+    if (!entry.m_open_since)
+      entry.m_open_since = now;
+    if (IsOurs(state, entry, now) && OriginReady(state, now))
+      StartFetch(state, chunk, {}, now, actions);
+  }
+}
+
+void DrawSpare(TransferState& state, TimePoint now, TransferActions& actions) {
+  const uint32_t missing =
+      static_cast<uint32_t>(state.m_chunks.size()) - state.m_have_count;
+  if (missing > kSpareDrawMissing || !state.m_draws.empty())
+    return;
+  while (state.m_spare_draws > 0 && OriginReady(state, now)) {
+    const auto waiting = LongestWait(state, now);
+    if (!waiting)
+      return;
+    --state.m_spare_draws;
+    EndFetch(state, waiting->m_chunk);
+    actions.m_cancels.push_back(*waiting);
+    StartFetch(state, waiting->m_chunk, {}, now, actions);
+  }
+}
+
+void DrawFailed(TransferState& state,
+                uint32_t chunk,
+                bool corrupt,
+                TimePoint now,
+                std::mt19937_64& random) {
+  BackOffFromOrigin(state, now, random);
+  if (!corrupt)
+    WaitForDrawer(state, chunk, now);
+}
+
+void HostDraws(TransferState& state, const DrawReport& report, TimePoint now) {
+  state.m_draws_elsewhere[report.m_host] = {
+      now, static_cast<uint32_t>(report.m_under_way.size())};
+  for (uint32_t chunk : report.m_under_way)
+    HoldDraw(state, chunk, now + state.m_limits.m_draw_hold);
+  for (uint32_t chunk : report.m_drawn) {
+    HoldDraw(state, chunk, now + state.m_limits.m_patience);
+    if (chunk < state.m_chunks.size())
+      state.m_chunks[chunk].m_drawn = true;
+  }
+  if (!report.m_drawn.empty()) {
+    state.m_origin_failures = 0;
+    state.m_origin_retry_at = std::min(state.m_origin_retry_at, now);
+  }
+}
+
+}  // namespace verbenalead::decide
