--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -195,6 +195,17 @@
   }
 }
 
+void ChunkFetcher::NoteOrigin(bool answers, const std::string& reason) {
+  if (m_origin_answers == answers)
+    return;
+  m_origin_answers = answers;
+  LogLine line(answers ? "origin_regained" : "origin_lost");
+  line.With("origin", ToString(m_state.m_origin));
+  if (!answers)
+    line.With("reason", reason);
+  line.Info();
+}
+
 void ChunkFetcher::TellDraws(Transfer& transfer, std::vector<uint32_t> drawn) {
   links::DrawNews news;
   news.m_model = m_state.m_engine->m_model;
@@ -441,6 +452,7 @@
   }
   if (kept) {
     if (from_origin) {
+      NoteOrigin(true, "");
       ++transfer->m_from_origin;
       LogLine("chunk_drawn")
           .With("chunk", uint64_t{chunk})
@@ -461,6 +473,8 @@
       bytes.has_value() || bytes.error().m_code == FailureCode::kCorrupt;
   if (corrupt && from_origin)
     ++transfer->m_origin_mismatches;
+  if (from_origin && !corrupt)
+    NoteOrigin(false, ToString(bytes.error()));
   LogLine("chunk_failed")
       .With("chunk", uint64_t{chunk})
       .With("version", transfer->m_version)
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -74,6 +74,8 @@
   static void StopTransfer(std::shared_ptr<Transfer>& transfer);
   /// Tells others which chunks are drawn here, and that `drawn` have come.
   void TellDraws(Transfer& transfer, std::vector<uint32_t> drawn);
+  /// The origin has sent a chunk, or hasn't for this reason.
+  void NoteOrigin(bool answers, const std::string& reason);
   bool IsNear(const std::string& host) const;
   void UpdateMembers(Transfer& transfer);
   void DoStep(const std::shared_ptr<Transfer>& transfer,
@@ -101,6 +103,7 @@
   std::shared_ptr<Transfer> m_transfer;
   /// The one of a newer version.
   std::shared_ptr<Transfer> m_ahead;
+  bool m_origin_answers = true;
   /// A version is about to be fetched ahead; 0: none.
   uint64_t m_ahead_version = 0;
 };
