--- a/src/libverbenalead/decide/transfer_test.cc
+++ b/src/libverbenalead/decide/transfer_test.cc
@@ -254,8 +254,8 @@
     const TimePoint open = now - 250ms + m_limits.m_draw_hold;
     CPPUNIT_ASSERT(Draws(next, open).empty());
     CPPUNIT_ASSERT(Draws(next, open + m_limits.m_draw_hold / 2 - 1ms).empty());
-    CPPUNIT_ASSERT_EQUAL(
-        size_t{1}, Draws(next, open + m_limits.m_draw_hold / 2).size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         Draws(next, open + m_limits.m_draw_hold / 2).size());
   }
 
   // New weights come half a second later than they could: the origin is back,
