--- a/src/libverbenalead/decide/reading_turn.cc
+++ b/src/libverbenalead/decide/reading_turn.cc
@@ -57,7 +57,7 @@
 }
 
 Duration PauseAfterAnswer(size_t before, Duration usual, double spread) {
-  return before <= kSecond ? usual : std::max(usual, SeldomPause(spread));
+  return before < kAskOn ? usual : std::max(usual, SeldomPause(spread));
 }
 
 }  // namespace verbenalead::decide
