--- a/src/libverbenalead/decide/reading_turn.cc
+++ b/src/libverbenalead/decide/reading_turn.cc
@@ -12,9 +12,8 @@
 /// others, 100 ms.
 constexpr Duration kSecondDelay = 200ms;
 /// Time for one of the first to read a large configuration over a link that is
-/// half full, and to tell of it. There are so many entries only in fleets where
-/// what changed may take 3 s to be in force, of which the loss of the reader
-/// takes 1.5 s.
+/// half full, and to tell of it. Fleets with so many entries in a data centre
+/// have a second more than small ones to put changes into force.
 constexpr Duration kLastDelay = 900ms;
 
 /// Entries of a data centre that go on asking. One may be cut off by itself.
--- a/src/libverbenalead/decide/reading_turn_test.cc
+++ b/src/libverbenalead/decide/reading_turn_test.cc
@@ -67,8 +67,8 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, CountReaders(true));
   }
 
-  // Changes would stay unknown: no neighbour gets an answer. Within 0.9 s each
-  // entry asks for itself.
+  // Changes would stay unknown: no neighbour gets an answer. Within a second
+  // each entry asks for itself.
   void AllReadWhereNobodyCanTell() {
     CPPUNIT_ASSERT_EQUAL(size_t{14}, CountReaders(false));
   }
--- a/src/libverbenalead/decide/transfer_draws.cc
+++ b/src/libverbenalead/decide/transfer_draws.cc
@@ -164,8 +164,12 @@
 }
 
 void HostDraws(TransferState& state, const DrawReport& report, TimePoint now) {
-  state.m_draws_elsewhere[report.m_host] = {
-      now, static_cast<uint32_t>(report.m_under_way.size())};
+  if (report.m_under_way.empty()) {
+    state.m_draws_elsewhere.erase(report.m_host);
+  } else {
+    state.m_draws_elsewhere[report.m_host] = {
+        now, static_cast<uint32_t>(report.m_under_way.size())};
+  }
   for (uint32_t chunk : report.m_under_way)
     HoldDraw(state, chunk, now + state.m_limits.m_draw_hold);
   for (uint32_t chunk : report.m_drawn) {
--- a/src/libverbenalead/decide/transfer_test.cc
+++ b/src/libverbenalead/decide/transfer_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(NextInRankHearsFromTheDrawer);
   CPPUNIT_TEST(AReturnedOriginIsNotAskedByAllAtOnce);
   CPPUNIT_TEST(AnAnnouncedDrawIsNotDoubled);
+  CPPUNIT_TEST(AReportOfUnknownChunksIsKnownAsSuch);
   CPPUNIT_TEST(AnAnnouncedDrawThatDiesIsPassedOver);
   CPPUNIT_TEST(AHostThatOnlyAnnouncesHoldsNobodyForGood);
   CPPUNIT_TEST(ChunksAreDrawnInOrderSoManyAtOnce);
@@ -186,6 +187,13 @@
     CPPUNIT_ASSERT(Draws(next, now + 10s).empty());
   }
 
+  void AReportOfUnknownChunksIsKnownAsSuch() {
+    CPPUNIT_ASSERT(IsWithin({"x", {0, 2}, {1}}, 3));
+    CPPUNIT_ASSERT(IsWithin({}, 0));
+    CPPUNIT_ASSERT(!IsWithin({"x", {3}, {}}, 3));
+    CPPUNIT_ASSERT(!IsWithin({"x", {}, {0, 3}}, 3));
+  }
+
   // A chunk never comes: the host that announced its draw has died.
   void AnAnnouncedDrawThatDiesIsPassedOver() {
     TransferState next = NextInRank();
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -185,6 +185,14 @@
 void ChunkFetcher::TakeDraws(const links::DrawNews& news) {
   if (!m_state.m_engine || news.m_model != m_state.m_engine->m_model)
     return;
+  if (!decide::IsWithin(news.m_report, m_state.m_engine->m_chunks)) {
+    LogLine("bad_draw_news")
+        .With("peer", news.m_report.m_host)
+        .With("version", news.m_version)
+        .With("reason", "it names chunks that the version doesn't have")
+        .Warn();
+    return;
+  }
   for (const auto& transfer : {m_transfer, m_ahead}) {
     if (!transfer || transfer->m_version != news.m_version)
       continue;
