Revert: all that take over reading read at full pace again

Conclusion: what is declared must be heard at once, so that nobody who reads may pause; the link that is full after the loss of a reader in a storm of large configurations stays open. That a return with many chunks missing draws them all at once is open too.

--- a/src/libverbenalead/decide/reading_turn.cc
+++ b/src/libverbenalead/decide/reading_turn.cc
@@ -1,7 +1,5 @@
 #include "decide/reading_turn.h"
 
-#include <algorithm>
-
 namespace verbenalead::decide {
 namespace {
 
@@ -11,10 +9,9 @@
 /// Time for one that comes first to ask the store, 10 ms, and to tell the
 /// others, 100 ms.
 constexpr Duration kSecondDelay = 200ms;
-/// Time for one of the first to read a large configuration over a link that is
-/// half full, and to tell of it. Fleets with so many entries in a data centre
-/// have a second more than small ones to put changes into force.
-constexpr Duration kLastDelay = 900ms;
+/// A reader is missed 1.5 s after its last answer, and what changed must be in
+/// force after 2 s; so none waits longer than this.
+constexpr Duration kLastDelay = 350ms;
 
 /// Entries of a data centre that go on asking. One may be cut off by itself.
 constexpr size_t kAskOn = 2;
@@ -23,11 +20,6 @@
 constexpr Duration kLeastSeldom = 1200ms;
 constexpr Duration kMostSeldom = 1800ms;
 
-Duration SeldomPause(double spread) {
-  return kLeastSeldom + std::chrono::duration_cast<Duration>(
-                            (kMostSeldom - kLeastSeldom) * spread);
-}
-
 Duration DelayFor(size_t before) {
   if (before <= kFirst)
     return Duration();
@@ -52,11 +44,10 @@
 }
 
 Duration PauseAfterFailure(size_t before, double spread) {
-  return before < kAskOn ? Duration() : SeldomPause(spread);
-}
-
-Duration PauseAfterAnswer(size_t before, Duration usual, double spread) {
-  return before < kAskOn ? usual : std::max(usual, SeldomPause(spread));
+  if (before < kAskOn)
+    return Duration();
+  return kLeastSeldom + std::chrono::duration_cast<Duration>(
+                            (kMostSeldom - kLeastSeldom) * spread);
 }
 
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/reading_turn.h
+++ b/src/libverbenalead/decide/reading_turn.h
@@ -50,17 +50,6 @@
 /// asking together.
 Duration PauseAfterFailure(size_t before, double spread);
 
-/// The same from one question about a table with large rows to the next where
-/// the store answers; `usual`: that of an entry that reads alone.
-///
-/// Load: the entry that reads dies while the configuration, 390 KB, changes
-/// several times a second. Harm: 11 entries that had all taken over each read
-/// each change over one link of 24 Mbit/s, which was full for five seconds;
-/// none was answered soon enough to read for the others, and chunks and streams
-/// waited behind them. The first ones read on, the others hear of changes from
-/// whoever has them.
-Duration PauseAfterAnswer(size_t before, Duration usual, double spread);
-
 }  // namespace verbenalead::decide
 
 #endif  // VERBENALEAD_DECIDE_READING_TURN_H_
--- a/src/libverbenalead/entry/row_sources.cc
+++ b/src/libverbenalead/entry/row_sources.cc
@@ -87,25 +87,18 @@
   if (m_reading == decide::Reading::kOwn) {
     // One that takes over has to prove at once that it knows the newest.
     const bool proved = Now() - m_state.m_operator_answered_at < kOperatorWait;
-    pace = {proved ? kOperatorWait : Duration(), PauseAfterAnswer(),
-            PauseAfterFailure(), false};
+    pace = {proved ? kOperatorWait : Duration(),
+            decide::TakeTurn(m_operator_pace, Now()), PauseAfterFailure(),
+            false};
   }
   pace.m_hold = IsHeld(m_state.m_routes != nullptr);
   return pace;
 }
 
-double RowSources::Spread() {
-  return std::uniform_real_distribution<double>(0, 1)(m_state.m_random);
-}
-
 Duration RowSources::PauseAfterFailure() {
-  return decide::PauseAfterFailure(EntriesBefore(m_state, Now()), Spread());
-}
-
-Duration RowSources::PauseAfterAnswer() {
-  return decide::PauseAfterAnswer(EntriesBefore(m_state, Now()),
-                                  decide::TakeTurn(m_operator_pace, Now()),
-                                  Spread());
+  return decide::PauseAfterFailure(
+      EntriesBefore(m_state, Now()),
+      std::uniform_real_distribution<double>(0, 1)(m_state.m_random));
 }
 
 links::FollowPace RowSources::ReplicaPace() {
--- a/src/libverbenalead/entry/row_sources.h
+++ b/src/libverbenalead/entry/row_sources.h
@@ -65,10 +65,6 @@
   links::FollowPace ReplicaPace();
   /// How long this entry leaves a store alone that didn't answer it.
   Duration PauseAfterFailure();
-  /// How long it leaves the operator's table alone once that has been answered.
-  Duration PauseAfterAnswer();
-  /// 0 to 1, drawn anew each time.
-  double Spread();
   /// Whether another entry brings the rows of a table that is `known` here or
   /// not, so that the store needn't be asked now.
   bool IsHeld(bool known) const;
