--- a/src/libverbenalead/target/row_source.h
+++ b/src/libverbenalead/target/row_source.h
@@ -48,8 +48,8 @@
   /// to do and needs neither weights nor the list of replicas.
   ///
   /// Failure: no entry tells such a process anything. Symptom: it reads both
-  /// tables from the store; 150 of them, each 1 MB, filled the links between
-  /// regions after a start of everything, and calls were refused for 30 s.
+  /// tables from the store after each start, 1 MB where there are 3,000
+  /// replicas, over the links that entries need then.
   bool IsIdle() const;
 
   TargetState& m_state;
