--- a/src/libverbenalead/target/row_source_test.cc
+++ b/src/libverbenalead/target/row_source_test.cc
@@ -76,9 +76,9 @@
     CPPUNIT_ASSERT(m_state->m_engine);
   }
 
-  // Calls are refused for 30 s after a start of everything: the processes
-  // beside plain replicas, which no entry tells anything, read both tables from
-  // the store over the links that entries need.
+  // Entries know the tables later after a start of everything: the processes
+  // beside plain replicas, which no entry tells anything, read both from the
+  // store over the links that entries need.
   void WithoutAnEngineTheStoreIsLeftAlone() {
     Tells("10.0.0.1", 5, 0s, kPlainConfig);
     m_rows->Start();
