--- a/src/libverbenalead/decide/transfer_draws.cc
+++ b/src/libverbenalead/decide/transfer_draws.cc
@@ -78,7 +78,6 @@
 /// before it, since those may be dead.
 void WaitForDrawer(TransferState& state, uint32_t chunk, TimePoint now) {
   TransferState::Chunk& entry = state.m_chunks[chunk];
-  entry.m_open_since.reset();
   const Duration patience = state.m_limits.m_patience;
   entry.m_draw_base =
       now - entry.m_rank * patience +
@@ -91,7 +90,6 @@
     return;
   TransferState::Chunk& entry = state.m_chunks[chunk];
   entry.m_held_until = std::max(entry.m_held_until, until);
-  entry.m_open_since.reset();
   FileChunk(state, chunk);
 }
 
