--- a/src/libverbenalead/decide/load_plan.cc
+++ b/src/libverbenalead/decide/load_plan.cc
@@ -7,9 +7,12 @@
 
 /// A version is skipped for a newer one only if all replicas can load that
 /// within no less than this: each is out of service for a second, so that in
-/// less than two more than half of them would be. For the same reason one that
-/// would serve for less than this isn't loaded at all.
+/// less than two more than half of them would be.
 constexpr Duration kLeastWindow = 2s;
+/// A version that would serve for less than this isn't loaded at all. Where the
+/// version before is barred already, nothing else serves meanwhile, and the
+/// load takes none of it.
+constexpr Duration kLeastService = 1s;
 /// The first hosts have a version whole after this part of the time that it
 /// takes to all.
 constexpr double kFirstWhole = 0.85;
@@ -30,7 +33,7 @@
   return std::any_of(std::next(candidate), declared.end(),
                      [&](const auto& newer) {
                        return newer.second.m_declared + times.m_bound <
-                              candidate->second.m_here + kLeastWindow;
+                              candidate->second.m_here + kLeastService;
                      });
 }
 
