--- a/src/libverbenalead/decide/late_calls.h
+++ b/src/libverbenalead/decide/late_calls.h
@@ -24,7 +24,7 @@
 };
 
 /// A pool that refused so lately is still full.
-constexpr Duration kFullFor = 1s;
+constexpr Duration kFullFor = 3s;
 
 /// No place came for a call that could have been on time.
 inline void NoteRefusedInTime(LateCalls& late, TimePoint now) {
