A kept connection brings no call to an entry that is about to end

Cause: calls are taken for 3 s after the order, but only the listening socket was closed then. A connection that a caller had kept since before the order stayed open until the process ended, and brought a call of 4.4 s.

Change: closing the listening socket closes connections on which a next request is waited for as well; a request that crosses this is refused at once as not run. The time is 2.9 s, as the order is noticed late on a busy host, and the directory's answers hold for 3 s from before the order.

--- a/src/libverbenalead/entry/call_server.cc
+++ b/src/libverbenalead/entry/call_server.cc
@@ -56,6 +56,16 @@
   plan.m_began = Now();
   plan.m_call = platform::DecodeCall(request);
   const model::InboundCall& call = plan.m_call;
+  // Failure: a caller's kept connection brings a call after all others have
+  // gone elsewhere. Symptom: its answer is cut when the process ends. Idle
+  // connections are closed then, so only calls that cross that come here, and
+  // their callers are told at once that nothing ran.
+  if (!m_state.m_takes_calls) {
+    co_await Turn(
+        caller, m_state, call, kUnavailable, "not run: the entry stops",
+        decide::RetryAfter(decide::Refusal::kNotReady, m_state.m_random));
+    co_return;
+  }
   const auto routes = m_state.m_routes;
   if (!routes || !m_state.m_replicas_known) {
     co_await Turn(
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -84,6 +84,8 @@
   TimePoint m_replicas_at{};
   bool m_replicas_known = false;
   bool m_stopping = false;
+  /// Stopping, and what is taken on now might not end in time.
+  bool m_takes_calls = true;
 };
 
 /// The state of `service`, made where it wasn't known.
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -37,8 +37,9 @@
 /// A host without power answers nothing; the longest round trip is 4 ms.
 constexpr Duration kConnectTimeout = 250ms;
 /// From the order to stop: calls are taken for so long, as callers go on coming
-/// until they have asked the directory again.
-constexpr Duration kTakeCallsFor = 3s;
+/// until they have asked the directory again. A little less than the three
+/// times of kAddressesHold: the order is noticed late where the host is busy.
+constexpr Duration kTakeCallsFor = 2900ms;
 /// The process ends so long before it would be ended by force.
 constexpr Duration kStopMargin = 400ms;
 constexpr Duration kStopPoll = 20ms;
@@ -219,6 +220,7 @@
     m_callers.Drain();
     m_news.TellAllEntries();
     co_await Sleep(kTakeCallsFor);
+    m_state.m_takes_calls = false;
     m_callers.StopAccepting();
     m_directory.StopAccepting();
     const TimePoint end = begun + m_state.m_options.m_stop_bound - kStopMargin;
--- /dev/null
+++ b/src/libverbenalead/http/kept_connections.cc
@@ -0,0 +1,38 @@
+#include "http/kept_connections.h"
+
+#include <boost/asio/post.hpp>
+
+namespace verbenalead::http {
+
+void KeptConnection::EndIfIdle() {
+  if (!m_idle || m_socket == nullptr)
+    return;
+  boost::system::error_code ignored;
+  m_socket->cancel(ignored);
+}
+
+void KeptConnections::Add(const Pointer& connection) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_connections.insert(connection);
+}
+
+void KeptConnections::Remove(const Pointer& connection) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_connections.erase(connection);
+}
+
+void KeptConnections::EndIdle() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_ended = true;
+  for (const Pointer& connection : m_connections) {
+    boost::asio::post(connection->executor(),
+                      [connection] { connection->EndIfIdle(); });
+  }
+}
+
+bool KeptConnections::ended() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_ended;
+}
+
+}  // namespace verbenalead::http
--- a/src/libverbenalead/http/server.cc
+++ b/src/libverbenalead/http/server.cc
@@ -159,15 +159,22 @@
   const std::string peer =
       remote.address().to_string() + ":" + std::to_string(remote.port());
   auto watch = std::make_shared<CallerWatch>(lowest.socket());
+  auto kept = std::make_shared<KeptConnection>(lowest.socket());
+  state->m_connections.Add(kept);
   beast::flat_buffer buffer;
   bool more = true;
   while (more) {
     lowest.expires_after(state->limits().m_idle);
     if (!co_await AwaitRequest(stream, buffer))
       break;
+    kept->set_idle(false);
     const Busy busy(*state);
     more = co_await ServeRequest(stream, buffer, state, peer, *watch);
+    kept->set_idle(true);
+    more = more && !state->m_connections.ended();
   }
+  state->m_connections.Remove(kept);
+  kept->Detach();
   watch->Detach();
 }
 
@@ -214,6 +221,11 @@
         Serve(std::move(socket), state);
       }) {}
 
+void Server::StopAccepting() {
+  m_listener.Stop();
+  m_state->m_connections.EndIdle();
+}
+
 void Server::SetLimits(const ServerLimits& limits) {
   m_state->SetLimits(limits);
 }
--- a/src/libverbenalead/http/server.h
+++ b/src/libverbenalead/http/server.h
@@ -27,8 +27,9 @@
   AsyncResult<Endpoint> Listen(const Endpoint& endpoint) {
     return m_listener.Listen(endpoint);
   }
-  /// Stops accepting; answers under way are finished.
-  void StopAccepting() { m_listener.Stop(); }
+  /// Stops accepting, and closes connections on which a next request is waited
+  /// for; answers under way are finished.
+  void StopAccepting();
   /// Holds for each request that begins from now on.
   void SetLimits(const ServerLimits& limits);
   /// From now on each answer tells its caller to close the connection.
--- a/src/libverbenalead/http/server_state.h
+++ b/src/libverbenalead/http/server_state.h
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <utility>
 
+#include "http/kept_connections.h"
 #include "http/server_limits.h"
 #include "http/tls_keeper.h"
 #include "wire/response_writer.h"
@@ -33,6 +34,7 @@
   const wire::Handler m_handler;
   /// Null: plain TCP.
   const std::shared_ptr<const TlsKeeper> m_tls;
+  KeptConnections m_connections;
   std::atomic<bool> m_draining{false};
   /// Requests of which a byte has been read and whose answer is not written.
   std::atomic<int> m_busy{0};
