--- a/testsuite/run_ctest.py
+++ b/testsuite/run_ctest.py
@@ -1,8 +1,11 @@
 """Runs CTest, and passes over failures that KNOWN-RED.txt lists.
 
-Each line there starts with the name of a CTest test, and tells after a colon
-what was seen, the cause and the issue; three lines at most. Listed tests still
-run, and their failure is printed.
+    run_ctest.py BUILD [LABEL]
+
+With a label, only the tests that have it. Each line of the file starts with
+the name of a CTest test, and tells after a colon what was seen, the cause and
+the issue; three lines at most. Listed tests still run, and their failure is
+printed.
 """
 
 import os
@@ -26,6 +29,8 @@
 def main():
     build = sys.argv[1]
     command = ["ctest", "--test-dir", build, "--output-on-failure"]
+    if len(sys.argv) > 2:
+        command += ["-L", "^%s$" % sys.argv[2]]
     jobs = ["-j", str(max(2, (os.cpu_count() or 2) // 2))]
     red = known_red()
     for name, line in red.items():
