Tests of draws in a file of their own; vain draws leave room for others

All draw tests with announcements stand in transfer_draws_test, unchanged, AChunkThatWasHeldIsNotTakenByAllAtOnce among them. New: VainDrawsLeaveRoomForOthers, the bound of AHostThatOnlyAnnouncesHoldsNobodyForGood with all places for draws taken by hosts that can't reach the origin.

--- /dev/null
+++ b/src/libverbenalead/decide/transfer_draws_test.cc
@@ -0,0 +1,180 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "decide/transfer.h"
+#include "decide/transfer_fixture.h"
+
+namespace verbenalead::decide {
+namespace {
+
+/// Who draws which chunk from the origin, and when.
+class TransferDrawsTest : public TransferFixture {
+  CPPUNIT_TEST_SUITE(TransferDrawsTest);
+  CPPUNIT_TEST(AReturnedOriginIsNotAskedByAllAtOnce);
+  CPPUNIT_TEST(AnAnnouncedDrawIsNotDoubled);
+  CPPUNIT_TEST(AReportOfUnknownChunksIsKnownAsSuch);
+  CPPUNIT_TEST(AnAnnouncedDrawThatDiesIsPassedOver);
+  CPPUNIT_TEST(AHostThatOnlyAnnouncesHoldsNobodyForGood);
+  CPPUNIT_TEST(VainDrawsLeaveRoomForOthers);
+  CPPUNIT_TEST(ChunksAreDrawnInOrderSoManyAtOnce);
+  CPPUNIT_TEST(AChunkOfADeadHostIsDrawnByTheNextSoon);
+  CPPUNIT_TEST(AnyDrawThatEndsSaysThatTheOriginIsBack);
+  CPPUNIT_TEST(AChunkThatWasHeldIsNotTakenByAllAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // New weights come seconds after the origin's return: while it was away the
+  // turns of many hosts came, all of which draw the same chunks then. They wait
+  // for the first ones, of which each chunk is drawn soon.
+  void AReturnedOriginIsNotAskedByAllAtOnce() {
+    m_limits.m_patience = 1s;
+    m_limits.m_max_origin_back_off = 500ms;
+    std::vector<TransferMember> members;
+    for (int host = 0; host < 20; ++host)
+      members.push_back({"host-" + std::to_string(host), "a", "a"});
+    std::vector<TransferState> states;
+    for (const TransferMember& self : members)
+      states.push_back(Start(self, members, 1));
+    const TimePoint back = kStart + 8s;
+    size_t drawn = 0;
+    TimePoint first = TimePoint::max();
+    for (TimePoint now = kStart; now < back + 1s; now += 10ms) {
+      for (TransferState& state : states) {
+        if (Draws(state, now).empty())
+          continue;
+        if (now < back) {
+          ChunkFailed(state, 0, false, now, m_random);
+        } else {
+          ++drawn;
+          first = std::min(first, now);
+        }
+      }
+    }
+    CPPUNIT_ASSERT(first <= back + 500ms);
+    // One drawer, and a third of those that wait their turn.
+    CPPUNIT_ASSERT(drawn <= 6);
+  }
+
+  // New weights come twice as late: the origin's link is full, a draw takes
+  // longer than the patience, and the next in rank draws the same chunk.
+  void AnAnnouncedDrawIsNotDoubled() {
+    TransferState next = NextInRank();
+    TimePoint now = kStart;
+    for (; now < kStart + 3s; now += 250ms) {
+      HostDraws(next, {"x", {0, 77}, {}}, now);
+      CPPUNIT_ASSERT(Draws(next, now).empty());
+    }
+    NeighbourHas(next, DrawerOf(next), {0}, now);
+    CPPUNIT_ASSERT(Draws(next, now + 10s).empty());
+  }
+
+  void AReportOfUnknownChunksIsKnownAsSuch() {
+    CPPUNIT_ASSERT(IsWithin({"x", {0, 2}, {1}}, 3));
+    CPPUNIT_ASSERT(IsWithin({}, 0));
+    CPPUNIT_ASSERT(!IsWithin({"x", {3}, {}}, 3));
+    CPPUNIT_ASSERT(!IsWithin({"x", {}, {0, 3}}, 3));
+  }
+
+  // A chunk never comes: the host that announced its draw has died.
+  void AnAnnouncedDrawThatDiesIsPassedOver() {
+    TransferState next = NextInRank();
+    HostDraws(next, {"x", {0}, {}}, kStart + 900ms);
+    const TimePoint over = kStart + 900ms + 3 * m_limits.m_draw_hold / 2;
+    CPPUNIT_ASSERT(Draws(next, over - 1ms).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Draws(next, over).size());
+  }
+
+  // A chunk never comes: a host that is cut off from the origin alone announces
+  // one draw after the other, and all others wait for it.
+  void AHostThatOnlyAnnouncesHoldsNobodyForGood() {
+    TransferState next = NextInRank();
+    TimePoint now = kStart;
+    while (Draws(next, now).empty() && now < kStart + 60s) {
+      now += 250ms;
+      HostDraws(next, {"x", {0}, {}}, now);
+    }
+    CPPUNIT_ASSERT(now <= kStart + 5 * m_limits.m_patience);
+  }
+
+  // The same where few draws go on at once: hosts that can't reach the origin
+  // take all the places that there are for draws.
+  void VainDrawsLeaveRoomForOthers() {
+    m_limits.m_draws_at_once = 2;
+    TransferState next = NextInRank();
+    TimePoint now = kStart;
+    while (Draws(next, now).empty() && now < kStart + 60s) {
+      now += 250ms;
+      HostDraws(next, {"x", {0}, {}}, now);
+      HostDraws(next, {"y", {0}, {}}, now);
+    }
+    CPPUNIT_ASSERT(now <= kStart + 5 * m_limits.m_patience);
+  }
+
+  // New weights come seconds late: hosts that began late each counted their
+  // draws from then, and the origin's link stood idle half of the time.
+  void ChunksAreDrawnInOrderSoManyAtOnce() {
+    m_limits.m_origin_interval = 100ms;
+    m_limits.m_draws_at_once = 3;
+    m_limits.m_max_origin = 10;
+    TransferState state = Start(kSelf, {kSelf}, 10);
+    CPPUNIT_ASSERT(Draws(state, kStart) == std::vector<uint32_t>({0, 1, 2}));
+    ChunkArrived(state, 1, kStart + 10ms);
+    CPPUNIT_ASSERT(Draws(state, kStart + 10ms) == std::vector<uint32_t>{3});
+    // Another host took a place, and gives it back.
+    ChunkArrived(state, 0, kStart + 20ms);
+    HostDraws(state, {"x", {4}, {}}, kStart + 20ms);
+    CPPUNIT_ASSERT(Draws(state, kStart + 20ms).empty());
+    HostDraws(state, {"x", {}, {4}}, kStart + 30ms);
+    CPPUNIT_ASSERT(Draws(state, kStart + 30ms) == std::vector<uint32_t>{5});
+  }
+
+  // The last chunks of new weights come seconds after the others: the hosts
+  // that were to draw them are dead, though still listed, and the next in line
+  // wait for their own time in the schedule.
+  void AChunkOfADeadHostIsDrawnByTheNextSoon() {
+    m_limits.m_origin_interval = 10s;
+    m_limits.m_draws_at_once = 2;
+    TransferState next = NextInRank();
+    CPPUNIT_ASSERT(Draws(next, kStart).empty());
+    const TimePoint soon = kStart + m_limits.m_draw_hold / 2;
+    CPPUNIT_ASSERT(Draws(next, soon - 1ms).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Draws(next, soon).size());
+  }
+
+  // New weights come half a second later than they could: the origin is back,
+  // and hosts that found it away pause until they ask again.
+  void AnyDrawThatEndsSaysThatTheOriginIsBack() {
+    m_limits.m_draws_at_once = 1;
+    m_limits.m_origin_interval = 100ms;
+    TransferState state = Start(kSelf, {kSelf}, 2);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Draws(state, kStart).size());
+    ChunkFailed(state, 0, false, kStart, m_random);
+    CPPUNIT_ASSERT(Draws(state, kStart + 10ms).empty());
+    HostDraws(state, {"x", {}, {1}}, kStart + 20ms);
+    CPPUNIT_ASSERT(Draws(state, kStart + 20ms) == std::vector<uint32_t>{0});
+  }
+
+  // One chunk is drawn 16 times when the origin is back: it had been open for
+  // seconds, with others trying to draw it again and again, so that all hosts
+  // held their time to be over at once.
+  void AChunkThatWasHeldIsNotTakenByAllAtOnce() {
+    m_limits.m_draws_at_once = 1;
+    TransferState next = NextInRank();
+    CPPUNIT_ASSERT(Draws(next, kStart).empty());
+    TimePoint now = kStart + 10ms;
+    for (; now < kStart + 800ms; now += 250ms) {
+      HostDraws(next, {"x", {0}, {}}, now);
+      CPPUNIT_ASSERT(Draws(next, now).empty());
+    }
+    HostDraws(next, {"x", {}, {}}, now);
+    const TimePoint open = now - 250ms + m_limits.m_draw_hold;
+    CPPUNIT_ASSERT(Draws(next, open).empty());
+    CPPUNIT_ASSERT(Draws(next, open + m_limits.m_draw_hold / 2 - 1ms).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         Draws(next, open + m_limits.m_draw_hold / 2).size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TransferDrawsTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
--- /dev/null
+++ b/src/libverbenalead/decide/transfer_fixture.h
@@ -0,0 +1,72 @@
+#ifndef VERBENALEAD_DECIDE_TRANSFER_FIXTURE_H_
+#define VERBENALEAD_DECIDE_TRANSFER_FIXTURE_H_
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "decide/rendezvous.h"
+#include "decide/transfer.h"
+
+namespace verbenalead::decide {
+
+inline const TimePoint kStart{};
+inline const TransferMember kSelf{"a", "mtl", "mtl-1"};
+inline const TransferMember kNear{"b", "mtl", "mtl-1"};
+inline const TransferMember kOther{"c", "mtl", "mtl-2"};
+inline const TransferMember kFar{"d", "qc", "qc-1"};
+
+/// What tests of a transfer have in common.
+class TransferFixture : public CppUnit::TestFixture {
+ protected:
+  TransferState Start(const TransferMember& self,
+                      std::vector<TransferMember> members,
+                      uint32_t chunks) {
+    TransferState state = StartTransfer(self, chunks, m_limits, kStart);
+    SetMembers(state, std::move(members), kStart, m_random);
+    return state;
+  }
+
+  /// The origin draws that `state` asks for at `now`.
+  std::vector<uint32_t> Draws(TransferState& state, TimePoint now) {
+    std::vector<uint32_t> chunks;
+    for (const FetchChunk& fetch : Step(state, now, m_random).m_fetches) {
+      if (fetch.m_source.IsOrigin())
+        chunks.push_back(fetch.m_chunk);
+    }
+    return chunks;
+  }
+
+  /// The host whose turn for the only chunk is second.
+  TransferState NextInRank() {
+    m_limits.m_patience = 1s;
+    const std::vector<TransferMember> members = {kSelf, kNear, kOther};
+    for (const TransferMember& self : members) {
+      TransferState state = Start(self, members, 1);
+      if (state.m_chunks[0].m_rank == 1)
+        return state;
+    }
+    CPPUNIT_FAIL("nobody is second");
+    return {};
+  }
+
+  static std::string DrawerOf(const TransferState& state) {
+    return state.m_members[RendezvousIndex(state.m_members, 0)].m_name;
+  }
+
+  static bool Follows(const TransferState& state, const std::string& host) {
+    return std::any_of(
+        state.m_neighbours.begin(), state.m_neighbours.end(),
+        [&](const TransferNeighbour& each) { return each.m_name == host; });
+  }
+
+  TransferLimits m_limits;
+  std::mt19937_64 m_random{7};
+};
+
+}  // namespace verbenalead::decide
+
+#endif  // VERBENALEAD_DECIDE_TRANSFER_FIXTURE_H_
--- a/src/libverbenalead/decide/transfer_test.cc
+++ b/src/libverbenalead/decide/transfer_test.cc
@@ -4,33 +4,19 @@
 
 #include <algorithm>
 
-#include "decide/rendezvous.h"
+#include "decide/transfer_fixture.h"
 #include "decide/upload_queue.h"
 
 namespace verbenalead::decide {
 namespace {
 
-const TimePoint kStart{};
-const TransferMember kSelf{"a", "mtl", "mtl-1"};
-const TransferMember kNear{"b", "mtl", "mtl-1"};
-const TransferMember kOther{"c", "mtl", "mtl-2"};
-const TransferMember kFar{"d", "qc", "qc-1"};
-
-class TransferTest : public CppUnit::TestFixture {
+class TransferTest : public TransferFixture {
   CPPUNIT_TEST_SUITE(TransferTest);
   CPPUNIT_TEST(DrawsAreSharedOut);
   CPPUNIT_TEST(DrawsWaitForTheirTurn);
   CPPUNIT_TEST(NextInRankTakesOverALostDraw);
   CPPUNIT_TEST(LateHostsKeepToTheSchedule);
   CPPUNIT_TEST(NextInRankHearsFromTheDrawer);
-  CPPUNIT_TEST(AReturnedOriginIsNotAskedByAllAtOnce);
-  CPPUNIT_TEST(AnAnnouncedDrawIsNotDoubled);
-  CPPUNIT_TEST(AReportOfUnknownChunksIsKnownAsSuch);
-  CPPUNIT_TEST(AnAnnouncedDrawThatDiesIsPassedOver);
-  CPPUNIT_TEST(AHostThatOnlyAnnouncesHoldsNobodyForGood);
-  CPPUNIT_TEST(ChunksAreDrawnInOrderSoManyAtOnce);
-  CPPUNIT_TEST(AChunkOfADeadHostIsDrawnByTheNextSoon);
-  CPPUNIT_TEST(AnyDrawThatEndsSaysThatTheOriginIsBack);
   CPPUNIT_TEST(RarestChunkGoesFirst);
   CPPUNIT_TEST(OnlyOneHostBringsAChunkIntoItsRegion);
   CPPUNIT_TEST(OnlyHostOfItsRegionUsesAllFetches);
@@ -42,24 +28,6 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  TransferState Start(const TransferMember& self,
-                      std::vector<TransferMember> members,
-                      uint32_t chunks) {
-    TransferState state = StartTransfer(self, chunks, m_limits, kStart);
-    SetMembers(state, std::move(members), kStart, m_random);
-    return state;
-  }
-
-  /// The origin draws that `state` asks for at `now`.
-  std::vector<uint32_t> Draws(TransferState& state, TimePoint now) {
-    std::vector<uint32_t> chunks;
-    for (const FetchChunk& fetch : Step(state, now, m_random).m_fetches) {
-      if (fetch.m_source.IsOrigin())
-        chunks.push_back(fetch.m_chunk);
-    }
-    return chunks;
-  }
-
   void DrawsAreSharedOut() {
     m_limits.m_max_origin = 100;
     const std::vector<TransferMember> members = {kSelf, kNear, kOther, kFar};
@@ -141,123 +109,6 @@
     }
   }
 
-  // New weights come seconds after the origin's return: while it was away the
-  // turns of many hosts came, all of which draw the same chunks then. They wait
-  // for the first ones, of which each chunk is drawn soon.
-  void AReturnedOriginIsNotAskedByAllAtOnce() {
-    m_limits.m_patience = 1s;
-    m_limits.m_max_origin_back_off = 500ms;
-    std::vector<TransferMember> members;
-    for (int host = 0; host < 20; ++host)
-      members.push_back({"host-" + std::to_string(host), "a", "a"});
-    std::vector<TransferState> states;
-    for (const TransferMember& self : members)
-      states.push_back(Start(self, members, 1));
-    const TimePoint back = kStart + 8s;
-    size_t drawn = 0;
-    TimePoint first = TimePoint::max();
-    for (TimePoint now = kStart; now < back + 1s; now += 10ms) {
-      for (TransferState& state : states) {
-        if (Draws(state, now).empty())
-          continue;
-        if (now < back) {
-          ChunkFailed(state, 0, false, now, m_random);
-        } else {
-          ++drawn;
-          first = std::min(first, now);
-        }
-      }
-    }
-    CPPUNIT_ASSERT(first <= back + 500ms);
-    // One drawer, and a third of those that wait their turn.
-    CPPUNIT_ASSERT(drawn <= 6);
-  }
-
-  // New weights come twice as late: the origin's link is full, a draw takes
-  // longer than the patience, and the next in rank draws the same chunk.
-  void AnAnnouncedDrawIsNotDoubled() {
-    TransferState next = NextInRank();
-    TimePoint now = kStart;
-    for (; now < kStart + 3s; now += 250ms) {
-      HostDraws(next, {"x", {0, 77}, {}}, now);
-      CPPUNIT_ASSERT(Draws(next, now).empty());
-    }
-    NeighbourHas(next, DrawerOf(next), {0}, now);
-    CPPUNIT_ASSERT(Draws(next, now + 10s).empty());
-  }
-
-  void AReportOfUnknownChunksIsKnownAsSuch() {
-    CPPUNIT_ASSERT(IsWithin({"x", {0, 2}, {1}}, 3));
-    CPPUNIT_ASSERT(IsWithin({}, 0));
-    CPPUNIT_ASSERT(!IsWithin({"x", {3}, {}}, 3));
-    CPPUNIT_ASSERT(!IsWithin({"x", {}, {0, 3}}, 3));
-  }
-
-  // A chunk never comes: the host that announced its draw has died.
-  void AnAnnouncedDrawThatDiesIsPassedOver() {
-    TransferState next = NextInRank();
-    HostDraws(next, {"x", {0}, {}}, kStart + 900ms);
-    const TimePoint over = kStart + 900ms + 3 * m_limits.m_draw_hold / 2;
-    CPPUNIT_ASSERT(Draws(next, over - 1ms).empty());
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, Draws(next, over).size());
-  }
-
-  // A chunk never comes: a host that is cut off from the origin alone announces
-  // one draw after the other, and all others wait for it.
-  void AHostThatOnlyAnnouncesHoldsNobodyForGood() {
-    TransferState next = NextInRank();
-    TimePoint now = kStart;
-    while (Draws(next, now).empty() && now < kStart + 60s) {
-      now += 250ms;
-      HostDraws(next, {"x", {0}, {}}, now);
-    }
-    CPPUNIT_ASSERT(now <= kStart + 5 * m_limits.m_patience);
-  }
-
-  // New weights come seconds late: hosts that began late each counted their
-  // draws from then, and the origin's link stood idle half of the time.
-  void ChunksAreDrawnInOrderSoManyAtOnce() {
-    m_limits.m_origin_interval = 100ms;
-    m_limits.m_draws_at_once = 3;
-    m_limits.m_max_origin = 10;
-    TransferState state = Start(kSelf, {kSelf}, 10);
-    CPPUNIT_ASSERT(Draws(state, kStart) == std::vector<uint32_t>({0, 1, 2}));
-    ChunkArrived(state, 1, kStart + 10ms);
-    CPPUNIT_ASSERT(Draws(state, kStart + 10ms) == std::vector<uint32_t>{3});
-    // Another host took a place, and gives it back.
-    ChunkArrived(state, 0, kStart + 20ms);
-    HostDraws(state, {"x", {4}, {}}, kStart + 20ms);
-    CPPUNIT_ASSERT(Draws(state, kStart + 20ms).empty());
-    HostDraws(state, {"x", {}, {4}}, kStart + 30ms);
-    CPPUNIT_ASSERT(Draws(state, kStart + 30ms) == std::vector<uint32_t>{5});
-  }
-
-  // The last chunks of new weights come seconds after the others: the hosts
-  // that were to draw them are dead, though still listed, and the next in line
-  // wait for their own time in the schedule.
-  void AChunkOfADeadHostIsDrawnByTheNextSoon() {
-    m_limits.m_origin_interval = 10s;
-    m_limits.m_draws_at_once = 2;
-    TransferState next = NextInRank();
-    CPPUNIT_ASSERT(Draws(next, kStart).empty());
-    const TimePoint soon = kStart + m_limits.m_draw_hold / 2;
-    CPPUNIT_ASSERT(Draws(next, soon - 1ms).empty());
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, Draws(next, soon).size());
-  }
-
-  // New weights come half a second later than they could: the origin is back,
-  // and hosts that found it away pause until they ask again.
-  void AnyDrawThatEndsSaysThatTheOriginIsBack() {
-    m_limits.m_draws_at_once = 1;
-    m_limits.m_origin_interval = 100ms;
-    TransferState state = Start(kSelf, {kSelf}, 2);
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, Draws(state, kStart).size());
-    ChunkFailed(state, 0, false, kStart, m_random);
-    CPPUNIT_ASSERT(Draws(state, kStart + 10ms).empty());
-    HostDraws(state, {"x", {}, {1}}, kStart + 20ms);
-    CPPUNIT_ASSERT(Draws(state, kStart + 20ms) == std::vector<uint32_t>{0});
-  }
-
   void RarestChunkGoesFirst() {
     m_limits.m_max_fetches = 1;
     m_limits.m_max_origin = 0;
@@ -374,33 +225,6 @@
       order.push_back(next->m_id);
     CPPUNIT_ASSERT(order == std::vector<uint64_t>({3, 4, 2, 1}));
   }
-
- private:
-  /// The host whose turn for the only chunk is second.
-  TransferState NextInRank() {
-    m_limits.m_patience = 1s;
-    const std::vector<TransferMember> members = {kSelf, kNear, kOther};
-    for (const TransferMember& self : members) {
-      TransferState state = Start(self, members, 1);
-      if (state.m_chunks[0].m_rank == 1)
-        return state;
-    }
-    CPPUNIT_FAIL("nobody is second");
-    return {};
-  }
-
-  static std::string DrawerOf(const TransferState& state) {
-    return state.m_members[RendezvousIndex(state.m_members, 0)].m_name;
-  }
-
-  static bool Follows(const TransferState& state, const std::string& host) {
-    return std::any_of(
-        state.m_neighbours.begin(), state.m_neighbours.end(),
-        [&](const TransferNeighbour& each) { return each.m_name == host; });
-  }
-
-  TransferLimits m_limits;
-  std::mt19937_64 m_random{7};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TransferTest);
