--- a/src/libverbenalead/entry/row_sources.cc
+++ b/src/libverbenalead/entry/row_sources.cc
@@ -167,11 +167,17 @@
 
 Awaitable<void> RowSources::FetchOperatorRows(Endpoint from) {
   m_fetching_operator = true;
+  const decide::BurstPace before = m_operator_fetch_pace;
   m_next_operator_fetch =
       Now() + decide::TakeTurn(m_operator_fetch_pace, Now());
   const auto relayed =
-      co_await links::FetchRows(m_peers, from, links::kOperatorRowsPath);
+      co_await links::FetchRows(m_peers, from, links::kOperatorRowsPath, true);
   m_fetching_operator = false;
+  if (!relayed && relayed.error().m_code == FailureCode::kBusy) {
+    m_operator_fetch_pace = before;
+    m_next_operator_fetch = Now() + decide::PutOffFor(m_state.m_random);
+    co_return;
+  }
   if (!relayed) {
     LogLine("rows_not_relayed").With(relayed.error()).Warn();
     m_operator.Poke();
@@ -184,10 +190,16 @@
 
 Awaitable<void> RowSources::FetchReplicaRows(Endpoint from) {
   m_fetching_replicas = true;
+  const decide::BurstPace before = m_replica_fetch_pace;
   m_next_replica_fetch = Now() + decide::TakeTurn(m_replica_fetch_pace, Now());
   const auto relayed =
-      co_await links::FetchRows(m_peers, from, links::kReplicaRowsPath);
+      co_await links::FetchRows(m_peers, from, links::kReplicaRowsPath, true);
   m_fetching_replicas = false;
+  if (!relayed && relayed.error().m_code == FailureCode::kBusy) {
+    m_replica_fetch_pace = before;
+    m_next_replica_fetch = Now() + decide::PutOffFor(m_state.m_random);
+    co_return;
+  }
   if (!relayed) {
     LogLine("rows_not_relayed").With(relayed.error()).Warn();
     m_replicas.Poke();
@@ -225,6 +237,11 @@
   return told.m_text;
 }
 
+bool RowSources::MayTell(const wire::Request& request, uint64_t bytes) {
+  return !request.m_headers.contains(links::kMayBePutOff) ||
+         decide::TakeHandout(m_handouts, bytes, Now());
+}
+
 Awaitable<void> RowSources::TellRows(const wire::Request& request,
                                      wire::ResponseWriter& caller) {
   const std::shared_ptr<const std::string> text = TextOf(request.m_path);
@@ -232,6 +249,11 @@
     co_await caller.Send(wire::JsonResponse(404, "{}"));
     co_return;
   }
+  if (!MayTell(request, text->size())) {
+    m_state.m_metrics.Count("rows_put_off_total", "");
+    co_await caller.Send(wire::JsonResponse(503, "{}"));
+    co_return;
+  }
   links::RelayFacts facts;
   facts.m_proof = m_state.m_operator_proof;
   facts.m_told_at = BootNow();
--- a/src/libverbenalead/entry/row_sources.h
+++ b/src/libverbenalead/entry/row_sources.h
@@ -8,6 +8,7 @@
 
 #include "decide/burst_pace.h"
 #include "decide/cold_start.h"
+#include "decide/handout_pace.h"
 #include "decide/reading_turn.h"
 #include "entry/entry_state.h"
 #include "entry/row_intake.h"
@@ -72,6 +73,8 @@
   /// is no such path.
   std::shared_ptr<const std::string> TextOf(const std::string& path);
   void CompareReplicas(const PeerEntry& reader);
+  /// Whether rows of `bytes` are told now to the one that made `request`.
+  bool MayTell(const wire::Request& request, uint64_t bytes);
   Awaitable<void> FetchOperatorRows(Endpoint from);
   Awaitable<void> FetchReplicaRows(Endpoint from);
 
@@ -91,6 +94,7 @@
   TimePoint m_read_for_since{};
   /// What was told last, by path: 14 neighbours ask for the same 390 KB.
   std::map<std::string, ToldRows> m_told;
+  decide::HandoutPace m_handouts;
   bool m_fetching_operator = false;
   bool m_fetching_replicas = false;
   /// Changes that go on coming are read together, and taken over together: five
--- a/src/libverbenalead/links/relayed_rows.cc
+++ b/src/libverbenalead/links/relayed_rows.cc
@@ -19,6 +19,7 @@
 constexpr Duration kSilence = 700ms;
 constexpr Duration kLongest = 5s;
 constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
 /// The longest table: several times 3,000 replicas and a large configuration.
 constexpr size_t kMostBytes = size_t{64} << 20;
 
@@ -138,9 +139,12 @@
 
 Awaitable<AsyncResult<RelayedRows>> FetchRows(wire::Client& http,
                                               Endpoint endpoint,
-                                              std::string path) {
+                                              std::string path,
+                                              bool may_be_put_off) {
   wire::Request request;
   request.m_path = std::move(path);
+  if (may_be_put_off)
+    request.m_headers[kMayBePutOff] = "1";
   const std::string step = "GET " + request.m_path;
   const TimePoint asked = Now();
   const wire::ProgressTimeouts timeouts = {kSilence, kSilence, kLongest};
@@ -149,7 +153,10 @@
   if (!response)
     co_return response.error();
   if (response->m_status != kOk) {
-    co_return Failure{FailureCode::kRefused, step, ToString(endpoint),
+    const auto code = response->m_status == kUnavailable
+                          ? FailureCode::kBusy
+                          : FailureCode::kRefused;
+    co_return Failure{code, step, ToString(endpoint),
                       "status " + std::to_string(response->m_status)};
   }
   auto relayed = CatchFailure([&] { return ReadRelayed(*response); });
--- a/src/libverbenalead/links/relayed_rows.h
+++ b/src/libverbenalead/links/relayed_rows.h
@@ -55,11 +55,17 @@
 Result<RelayedRows> DecodeRows(const std::string& text,
                                const RelayFacts& facts);
 
+/// In a request for rows: who asks can ask others as well, and may be put off
+/// while many ask.
+inline constexpr char kMayBePutOff[] = "may-be-put-off";
+
 /// Asks the entry at `endpoint` for the rows that it tells at `path`,
-/// compressed as Deflate does.
+/// compressed as Deflate does. Fails with kRefused if it doesn't know them,
+/// with kBusy if it puts off who has said that this may be.
 Awaitable<AsyncResult<RelayedRows>> FetchRows(wire::Client& http,
                                               Endpoint endpoint,
-                                              std::string path);
+                                              std::string path,
+                                              bool may_be_put_off = false);
 
 }  // namespace verbenalead::links
 
