--- a/src/libverbenalead/base/failure.cc
+++ b/src/libverbenalead/base/failure.cc
@@ -20,8 +20,6 @@
       return "broken";
     case FailureCode::kRefused:
       return "refused";
-    case FailureCode::kBusy:
-      return "busy";
     case FailureCode::kCorrupt:
       return "corrupt";
     case FailureCode::kCancelled:
--- a/src/libverbenalead/base/failure.h
+++ b/src/libverbenalead/base/failure.h
@@ -22,7 +22,6 @@
   kUnreachable,  ///< No connection was made: nothing was sent.
   kBroken,       ///< The connection broke midway: the effect is unknown.
   kRefused,      ///< The peer answered that it did nothing.
-  kBusy,         ///< The peer did nothing, and asks to be asked again later.
   kCorrupt,      ///< The bytes are not those that were declared.
   kCancelled,    ///< This side gave up.
 };
--- a/src/libverbenalead/entry/row_sources.cc
+++ b/src/libverbenalead/entry/row_sources.cc
@@ -165,6 +165,14 @@
   return true;
 }
 
+bool RowSources::IsPutOff(const Failure& failure, TimePoint& ask_at) {
+  if (failure.m_code != FailureCode::kRefused)
+    return false;
+  LogLine("rows_put_off").With(failure).Info();
+  ask_at = Now() + decide::PutOffFor(m_state.m_random);
+  return true;
+}
+
 Awaitable<void> RowSources::FetchOperatorRows(Endpoint from) {
   m_fetching_operator = true;
   const decide::BurstPace before = m_operator_fetch_pace;
@@ -173,9 +181,8 @@
   const auto relayed =
       co_await links::FetchRows(m_peers, from, links::kOperatorRowsPath, true);
   m_fetching_operator = false;
-  if (!relayed && relayed.error().m_code == FailureCode::kBusy) {
+  if (!relayed && IsPutOff(relayed.error(), m_next_operator_fetch)) {
     m_operator_fetch_pace = before;
-    m_next_operator_fetch = Now() + decide::PutOffFor(m_state.m_random);
     co_return;
   }
   if (!relayed) {
@@ -195,9 +202,8 @@
   const auto relayed =
       co_await links::FetchRows(m_peers, from, links::kReplicaRowsPath, true);
   m_fetching_replicas = false;
-  if (!relayed && relayed.error().m_code == FailureCode::kBusy) {
+  if (!relayed && IsPutOff(relayed.error(), m_next_replica_fetch)) {
     m_replica_fetch_pace = before;
-    m_next_replica_fetch = Now() + decide::PutOffFor(m_state.m_random);
     co_return;
   }
   if (!relayed) {
--- a/src/libverbenalead/entry/row_sources.h
+++ b/src/libverbenalead/entry/row_sources.h
@@ -75,6 +75,9 @@
   void CompareReplicas(const PeerEntry& reader);
   /// Whether rows of `bytes` are told now to the one that made `request`.
   bool MayTell(const wire::Request& request, uint64_t bytes);
+  /// Whether an entry that was asked for rows has them but doesn't tell them
+  /// now; if so, `ask_at` is when to ask again.
+  bool IsPutOff(const Failure& failure, TimePoint& ask_at);
   Awaitable<void> FetchOperatorRows(Endpoint from);
   Awaitable<void> FetchReplicaRows(Endpoint from);
 
--- a/src/libverbenalead/links/relayed_rows.cc
+++ b/src/libverbenalead/links/relayed_rows.cc
@@ -19,7 +19,6 @@
 constexpr Duration kSilence = 700ms;
 constexpr Duration kLongest = 5s;
 constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
 /// The longest table: several times 3,000 replicas and a large configuration.
 constexpr size_t kMostBytes = size_t{64} << 20;
 
@@ -153,10 +152,7 @@
   if (!response)
     co_return response.error();
   if (response->m_status != kOk) {
-    const auto code = response->m_status == kUnavailable
-                          ? FailureCode::kBusy
-                          : FailureCode::kRefused;
-    co_return Failure{code, step, ToString(endpoint),
+    co_return Failure{FailureCode::kRefused, step, ToString(endpoint),
                       "status " + std::to_string(response->m_status)};
   }
   auto relayed = CatchFailure([&] { return ReadRelayed(*response); });
--- a/src/libverbenalead/links/relayed_rows.h
+++ b/src/libverbenalead/links/relayed_rows.h
@@ -60,8 +60,8 @@
 inline constexpr char kMayBePutOff[] = "may-be-put-off";
 
 /// Asks the entry at `endpoint` for the rows that it tells at `path`,
-/// compressed as Deflate does. Fails with kRefused if it doesn't know them,
-/// with kBusy if it puts off who has said that this may be.
+/// compressed as Deflate does. Fails with kRefused if it doesn't know them, or
+/// puts off one that has said that this may be.
 Awaitable<AsyncResult<RelayedRows>> FetchRows(wire::Client& http,
                                               Endpoint endpoint,
                                               std::string path,
