Callers aren't all sent to the first entries that are ready

Hypothesis for the 5 to 8.5 s at 300 hosts after all were killed: the first two entries of a data centre that are ready name only each other to callers, whose answers hold for one to three seconds and who leave connections to all others; so the callers of a hundred entries come to two. Ruled out before: the handing out of tables (6.5 s without that).

Change: while more near entries are known to be starting (heard of, without rows) than are ready anywhere, they are named as well. Stopping entries aren't. An answer names 64 at most, as callers take no more, and each entry names those that come after it by name, so that all get callers; before, entries past the 64th of a data centre were told in vain.

caller_addresses_test: fails before (2 in place of 20 named, 105 in place of 64).

--- /dev/null
+++ b/src/libverbenalead/entry/caller_addresses_test.cc
@@ -0,0 +1,109 @@
+#include "entry/caller_addresses.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+
+#include "base/boot_clock.h"
+#include "entry/entry_news.h"
+
+namespace verbenalead::entry {
+namespace {
+
+constexpr size_t kMost = 64;
+
+model::EntryAddress Address(size_t number) {
+  const std::string name = std::to_string(1000 + number);
+  return {"e" + name, "a", Endpoint("127.0.0." + name, 1),
+          Endpoint("127.0.0." + name, 2)};
+}
+
+EntryOptions Options(size_t number) {
+  EntryOptions options;
+  options.m_self = Address(number);
+  options.m_key_bound = 5s;
+  return options;
+}
+
+/// An entry that knows all that it needs.
+std::unique_ptr<EntryState> Ready(size_t number) {
+  auto state = std::make_unique<EntryState>(Options(number));
+  state->m_routes =
+      std::make_shared<decide::RouteTable>(model::RoutingConfig());
+  state->m_replicas_known = true;
+  state->m_operator_revision = 5;
+  state->m_replicas_hash = 7;
+  decide::Prove(state->m_lease, BootNow());
+  return state;
+}
+
+/// Near entries from `first` on have told `state` that they know so much.
+void Tell(EntryState& state, size_t first, size_t count, bool ready) {
+  for (size_t number = first; number < first + count; ++number) {
+    PeerEntry& peer = state.m_peers[Address(number).m_host];
+    peer.m_address = Address(number);
+    peer.m_heard_at = Now();
+    peer.m_ready = ready;
+    peer.m_operator_revision = ready ? 5 : 0;
+    peer.m_replicas_hash = ready ? 7 : 0;
+  }
+}
+
+size_t Told(const EntryState& state) {
+  return EntriesFor(state, "a", kMost, Now()).size();
+}
+
+class CallerAddressesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CallerAddressesTest);
+  CPPUNIT_TEST(TheFirstToBeReadyDoNotTakeAllCallers);
+  CPPUNIT_TEST(AStoppingEntryIsNotNamed);
+  CPPUNIT_TEST(ManyEntriesShareTheCallers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Calls are late or refused for seconds after a start of everything: the
+  // first two entries that were ready named only each other, and all callers
+  // of the data centre came to them.
+  void TheFirstToBeReadyDoNotTakeAllCallers() {
+    const auto first = Ready(0);
+    Tell(*first, 1, 1, true);
+    Tell(*first, 2, 18, false);
+    CPPUNIT_ASSERT_EQUAL(size_t{20}, Told(*first));
+    // Once most are ready, the others can wait for their callers.
+    Tell(*first, 2, 9, true);
+    CPPUNIT_ASSERT_EQUAL(size_t{11}, Told(*first));
+  }
+
+  // Callers are sent to entries that end, because these aren't ready either.
+  void AStoppingEntryIsNotNamed() {
+    const auto first = Ready(0);
+    Tell(*first, 1, 1, true);
+    Tell(*first, 2, 18, true);
+    for (size_t number = 2; number < 20; ++number)
+      first->m_peers.at(Address(number).m_host).m_ready = false;
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Told(*first));
+  }
+
+  // A data centre has more entries than one answer names, and those last by
+  // name get no callers.
+  void ManyEntriesShareTheCallers() {
+    constexpr size_t kEntries = 105;
+    std::map<std::string, size_t> named;
+    for (size_t number = 0; number < kEntries; ++number) {
+      const auto entry = Ready(number);
+      Tell(*entry, 0, number, true);
+      Tell(*entry, number + 1, kEntries - number - 1, true);
+      for (const Endpoint& each : EntriesFor(*entry, "a", kMost, Now()))
+        ++named[ToString(each)];
+    }
+    CPPUNIT_ASSERT_EQUAL(kEntries, named.size());
+    for (const auto& [address, times] : named)
+      CPPUNIT_ASSERT_EQUAL(kMost, times);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallerAddressesTest);
+
+}  // namespace
+}  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/entry_news.cc
+++ b/src/libverbenalead/entry/entry_news.cc
@@ -30,8 +30,6 @@
 /// A target tells every second that it loads; one that dies meanwhile doesn't
 /// keep its replica out of use for longer than this.
 constexpr Duration kLoadingHold = 1500ms;
-/// With fewer entries near, the death of one would leave callers with one.
-constexpr size_t kEnoughEntries = 2;
 
 void ForgetOldNotes(std::vector<decide::CrashNote>& notes, TimePoint now) {
   std::erase_if(notes, [now](const decide::CrashNote& note) {
@@ -241,30 +239,4 @@
   return before;
 }
 
-std::vector<Endpoint> EntriesFor(const EntryState& state,
-                                 const std::string& data_center,
-                                 TimePoint now) {
-  std::vector<Endpoint> near;
-  std::vector<Endpoint> all;
-  std::vector<Endpoint> unready;
-  const auto add = [&](const model::EntryAddress& entry, bool ready) {
-    if (!ready) {
-      unready.push_back(entry.m_callers);
-      return;
-    }
-    all.push_back(entry.m_callers);
-    if (entry.m_data_center == data_center)
-      near.push_back(entry.m_callers);
-  };
-  add(state.m_options.m_self, IsReady(state));
-  for (const auto& [host, peer] : state.m_peers) {
-    if (IsHeard(state, peer, now))
-      add(peer.m_address, peer.m_ready);
-  }
-  if (near.size() >= kEnoughEntries)
-    return near;
-  // With nobody ready, callers still learn from an answer when to come back.
-  return all.empty() ? unready : all;
-}
-
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/entry_news.h
+++ b/src/libverbenalead/entry/entry_news.h
@@ -82,12 +82,6 @@
 /// The same of all near entries that the store lists, heard of or not.
 size_t ListedBefore(const EntryState& state);
 
-/// Entries that callers of `data_center` should use: those there, if there are
-/// enough of them, else all.
-std::vector<Endpoint> EntriesFor(const EntryState& state,
-                                 const std::string& data_center,
-                                 TimePoint now);
-
 }  // namespace verbenalead::entry
 
 #endif  // VERBENALEAD_ENTRY_ENTRY_NEWS_H_
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -9,6 +9,7 @@
 #include "base/sleep.h"
 #include "base/spawn.h"
 #include "entry/call_server.h"
+#include "entry/caller_addresses.h"
 #include "entry/entry_news.h"
 #include "entry/entry_state.h"
 #include "entry/news_sender.h"
@@ -147,7 +148,8 @@
       co_return;
     }
     co_await caller.Send(platform::EncodeAddresses(
-        EntriesFor(m_state, platform::CallerDataCenter(request), Now()),
+        EntriesFor(m_state, platform::CallerDataCenter(request),
+                   platform::kMostAddresses, Now()),
         kAddressesHold));
   }
 
--- a/src/libverbenalead/entry/summary_test.cc
+++ b/src/libverbenalead/entry/summary_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "base/boot_clock.h"
+#include "entry/caller_addresses.h"
 #include "entry/entry_news.h"
 #include "links/message.h"
 
@@ -131,7 +132,8 @@
     peer.m_heard_at = Now();
     m_sender->m_lease.m_proved_at = BootNow();
     CPPUNIT_ASSERT(Tell(1));
-    CPPUNIT_ASSERT_EQUAL(size_t{2}, EntriesFor(*m_receiver, "a", Now()).size());
+    CPPUNIT_ASSERT_EQUAL(size_t{2},
+                         EntriesFor(*m_receiver, "a", 64, Now()).size());
     peer.m_heard_at = Now() - 2s;
     CPPUNIT_ASSERT(Tell(2));
     CPPUNIT_ASSERT(!m_receiver->m_peers.at("a2").m_ready);
--- a/src/libverbenalead/platform/directory_calls.h
+++ b/src/libverbenalead/platform/directory_calls.h
@@ -13,6 +13,8 @@
 
 inline constexpr char kReadinessPath[] = "/readyz";
 inline constexpr char kDirectoryPath[] = "/resolve";
+/// Addresses in one answer.
+inline constexpr size_t kMostAddresses = 64;
 
 /// The data centre of the caller that asks for addresses; empty: it tells none.
 std::string CallerDataCenter(const wire::Request& request);
