A first copy that goes bad beside its engine is drawn again

The host's transfer went on counting it as there, 27 requests of others were answered 404, nobody drew it, the origin went away at 21 s, and version 2 was whole nowhere until 26.7 s. Ruled out: the hold of announced draws (no draw of that chunk was under way or told of).

Change: the server of chunks tells the transfer what went bad; the chunk is wanted again, drawn at once, or fetched from a neighbour that is known to have it.

transfer_draws_test plays it (AFirstCopyThatWentBadIsDrawnAgain); before, nothing told the transfer.

--- a/src/libverbenalead/decide/transfer.cc
+++ b/src/libverbenalead/decide/transfer.cc
@@ -363,6 +363,20 @@
   FileChunk(state, chunk);
 }
 
+// Failure: the first copy of a chunk goes bad beside its engine before anybody
+// has fetched it. Symptom: the host goes on as if it had it, all others ask it
+// in vain, and the version is whole nowhere. It draws the chunk again at once,
+// unless a neighbour is known to have it.
+void ChunkLost(TransferState& state, uint32_t chunk, TimePoint now) {
+  if (chunk >= state.m_chunks.size() || !state.m_chunks[chunk].m_here)
+    return;
+  TransferState::Chunk& entry = state.m_chunks[chunk];
+  entry.m_here = false;
+  --state.m_have_count;
+  entry.m_draw_base = now - entry.m_rank * state.m_limits.m_patience;
+  FileChunk(state, chunk);
+}
+
 void ChunkFailed(TransferState& state,
                  uint32_t chunk,
                  bool corrupt,
--- a/src/libverbenalead/decide/transfer.h
+++ b/src/libverbenalead/decide/transfer.h
@@ -80,6 +80,8 @@
 void ChunkProgress(TransferState& state, uint32_t chunk, TimePoint now);
 /// A verified chunk is here, by a fetch or from an earlier transfer.
 void ChunkArrived(TransferState& state, uint32_t chunk, TimePoint now);
+/// A chunk that was here has gone bad, and is wanted again.
+void ChunkLost(TransferState& state, uint32_t chunk, TimePoint now);
 /// A fetch ended without a good chunk; `corrupt`: bytes came, but wrong ones.
 void ChunkFailed(TransferState& state,
                  uint32_t chunk,
--- a/src/libverbenalead/decide/transfer_draws_test.cc
+++ b/src/libverbenalead/decide/transfer_draws_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(AChunkOfADeadHostIsDrawnByTheNextSoon);
   CPPUNIT_TEST(AnyDrawThatEndsSaysThatTheOriginIsBack);
   CPPUNIT_TEST(AChunkThatWasHeldIsNotTakenByAllAtOnce);
+  CPPUNIT_TEST(AFirstCopyThatWentBadIsDrawnAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -153,6 +154,28 @@
     CPPUNIT_ASSERT(Draws(state, kStart + 20ms) == std::vector<uint32_t>{0});
   }
 
+  // New weights are whole nowhere before the origin goes away: the only copy of
+  // a chunk went bad, and its host still counted it as there.
+  void AFirstCopyThatWentBadIsDrawnAgain() {
+    m_limits.m_draws_at_once = 8;
+    const std::vector<TransferMember> members = {kSelf, kNear, kOther};
+    TransferState drawer = Start(kSelf, members, 1);
+    TimePoint now = kStart;
+    while (Draws(drawer, now).empty())
+      now += 10ms;
+    ChunkArrived(drawer, 0, now);
+    CPPUNIT_ASSERT(IsComplete(drawer));
+    ChunkLost(drawer, 0, now);
+    CPPUNIT_ASSERT(!IsComplete(drawer));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Draws(drawer, now).size());
+    // Where a neighbour has it, that one is asked.
+    ChunkArrived(drawer, 0, now);
+    NeighbourHas(drawer, "b", {0}, now);
+    ChunkLost(drawer, 0, now);
+    CPPUNIT_ASSERT(Draws(drawer, now).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, drawer.m_fetching.size());
+  }
+
   // One chunk is drawn 16 times when the origin is back: it had been open for
   // seconds, with others trying to draw it again and again, so that all hosts
   // held their time to be over at once.
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -203,6 +203,15 @@
   }
 }
 
+void ChunkFetcher::NoteSpoilt(uint64_t version, uint32_t chunk) {
+  for (const auto& transfer : {m_transfer, m_ahead}) {
+    if (!transfer || transfer->m_version != version)
+      continue;
+    decide::ChunkLost(transfer->m_core, chunk, Now());
+    transfer->m_wake.cancel();
+  }
+}
+
 void ChunkFetcher::NoteOrigin(bool answers, const std::string& reason) {
   if (m_origin_answers == answers)
     return;
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -46,6 +46,8 @@
   void TakeNews(const links::ChunkNews& news);
   /// Another host draws chunks.
   void TakeDraws(const links::DrawNews& news);
+  /// A chunk of `version` that had come has gone bad beside the engine.
+  void NoteSpoilt(uint64_t version, uint32_t chunk);
   /// Hosts whose news are wanted.
   std::vector<std::string> Followed() const;
   /// As in DigestLearner.
--- a/src/libverbenalead/target/chunk_server.cc
+++ b/src/libverbenalead/target/chunk_server.cc
@@ -35,10 +35,12 @@
 
 ChunkServer::ChunkServer(TargetState& state,
                          platform::EngineClient& engine,
-                         std::function<bool()> has_calls)
+                         std::function<bool()> has_calls,
+                         OnSpoilt on_spoilt)
     : m_state(state),
       m_engine(engine),
       m_has_calls(std::move(has_calls)),
+      m_on_spoilt(std::move(on_spoilt)),
       m_upload(UploadRate(state.m_options), kUploadCredit) {}
 
 Awaitable<void> ChunkServer::Tell(const wire::Request& request,
@@ -126,6 +128,7 @@
         .With("version", version)
         .With("chunk", uint64_t{chunk})
         .Info();
+    m_on_spoilt(version, chunk);
     co_return nullptr;
   }
   co_return std::make_shared<const std::string>(std::move(*bytes));
--- a/src/libverbenalead/target/chunk_server.h
+++ b/src/libverbenalead/target/chunk_server.h
@@ -17,11 +17,15 @@
 /// Hands chunks and digests to other hosts.
 class ChunkServer {
  public:
+  /// Told of a version and a chunk of it that went bad beside the engine.
+  using OnSpoilt = std::function<void(uint64_t, uint32_t)>;
+
   /// `engine` has the chunks that are staged. `has_calls`: whether live calls
   /// use the link now.
   ChunkServer(TargetState& state,
               platform::EngineClient& engine,
-              std::function<bool()> has_calls);
+              std::function<bool()> has_calls,
+              OnSpoilt on_spoilt);
 
   Awaitable<void> Tell(const wire::Request& request,
                        wire::ResponseWriter& caller);
@@ -49,6 +53,7 @@
   TargetState& m_state;
   platform::EngineClient& m_engine;
   const std::function<bool()> m_has_calls;
+  const OnSpoilt m_on_spoilt;
   Pacer m_upload;
   UploadGate m_gate;
 };
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -72,9 +72,13 @@
                   [this](const links::DrawNews& news) { TellDraws(news); }),
         m_datagrams(m_threads.main(), m_state.m_options.m_peers),
         m_places(m_state, m_datagrams, [this] { return m_keeper.News(); }),
-        m_chunks(m_state,
-                 m_engine,
-                 [this] { return m_places.Calls().m_calls > 0; }),
+        m_chunks(
+            m_state,
+            m_engine,
+            [this] { return m_places.Calls().m_calls > 0; },
+            [this](uint64_t version, uint32_t chunk) {
+              m_fetcher.NoteSpoilt(version, chunk);
+            }),
         m_keeper(
             m_state,
             m_engine,
