--- a/src/libverbenalead/decide/transfer_draws.cc
+++ b/src/libverbenalead/decide/transfer_draws.cc
@@ -90,6 +90,8 @@
     return;
   TransferState::Chunk& entry = state.m_chunks[chunk];
   entry.m_held_until = std::max(entry.m_held_until, until);
+  // Those that were held back for long must not begin together.
+  entry.m_open_since.reset();
   FileChunk(state, chunk);
 }
 
