--- a/src/libverbenalead/decide/transfer.cc
+++ b/src/libverbenalead/decide/transfer.cc
@@ -345,7 +345,7 @@
 void ChunkArrived(TransferState& state, uint32_t chunk, TimePoint now) {
   const auto fetch = EndFetch(state, chunk);
   if (fetch && fetch->m_source.IsOrigin()) {
-    state.m_origin_failures = 0;
+    NoteDrawn(state, now);
   } else if (fetch) {
     const Duration wait = now - fetch->m_begun;
     state.m_wait = Smoothed(state.m_wait, wait);
--- a/src/libverbenalead/decide/transfer_draws.cc
+++ b/src/libverbenalead/decide/transfer_draws.cc
@@ -20,6 +20,8 @@
 /// kept busy by its neighbours anyhow, and the origin's is needed for first
 /// copies.
 constexpr uint32_t kSpareDrawMissing = 8;
+/// Patiences without a draw after which a host doesn't go by what others say.
+constexpr int kDrawsAnyhow = 3;
 
 bool OriginReady(const TransferState& state, TimePoint now) {
   return state.m_origin_fetching < state.m_limits.m_max_origin &&
@@ -49,6 +51,38 @@
   return draws;
 }
 
+uint32_t RoomForDraws(const TransferState& state, TimePoint now) {
+  const uint32_t under_way =
+      state.m_origin_fetching + DrawsElsewhere(state, now);
+  const uint32_t most = state.m_limits.m_draws_at_once;
+  return most - std::min(most, under_way);
+}
+
+void Draw(TransferState& state,
+          uint32_t chunk,
+          TimePoint now,
+          TransferActions& actions) {
+  state.m_last_draw = now;
+  StartFetch(state, chunk, {}, now, actions);
+}
+
+/// Failure: the origin is away for seconds. Symptom: chunks are overdue at many
+/// hosts, and all of these draw at its return, a chunk by the first two in line
+/// for it or more, so that its link brings nothing whole for long. While no
+/// draw ends well, only DrawInOrder draws, which goes by rank and
+/// announcements. A host that others hold back by wrong or vain announcements
+/// still tries every few patiences.
+bool DrawsByTime(const TransferState& state, TimePoint now) {
+  const TransferLimits& limits = state.m_limits;
+  if (limits.m_draws_at_once == 0)
+    return true;
+  const TimePoint last = std::max(state.m_last_draw, state.m_started);
+  if (now - last >= kDrawsAnyhow * limits.m_patience)
+    return true;
+  const TimePoint drawn = std::max(state.m_last_drawn, state.m_started);
+  return now - drawn < limits.m_patience && RoomForDraws(state, now) > 0;
+}
+
 /// Whether the hosts that come before this one for a chunk that is open have
 /// had their time to say that they draw it.
 bool IsOurs(const TransferState& state,
@@ -111,17 +145,14 @@
 
 void DrawDue(TransferState& state, TimePoint now, TransferActions& actions) {
   while (OriginReady(state, now) && !state.m_draws.empty() &&
-         state.m_draws.begin()->first <= now)
-    StartFetch(state, state.m_draws.begin()->second, {}, now, actions);
+         state.m_draws.begin()->first <= now && DrawsByTime(state, now))
+    Draw(state, state.m_draws.begin()->second, now, actions);
 }
 
 void DrawInOrder(TransferState& state,
                  TimePoint now,
                  TransferActions& actions) {
-  const uint32_t under_way =
-      state.m_origin_fetching + DrawsElsewhere(state, now);
-  uint32_t room = state.m_limits.m_draws_at_once;
-  room -= std::min(room, under_way);
+  uint32_t room = RoomForDraws(state, now);
   for (uint32_t chunk = 0; chunk < state.m_chunks.size() && room > 0; ++chunk) {
     TransferState::Chunk& entry = state.m_chunks[chunk];
     if (entry.m_place != TransferState::Place::kDraws || entry.m_drawn ||
@@ -133,7 +164,7 @@
     if (!entry.m_open_since)
       entry.m_open_since = now;
     if (IsOurs(state, entry, now) && OriginReady(state, now))
-      StartFetch(state, chunk, {}, now, actions);
+      Draw(state, chunk, now, actions);
   }
 }
 
@@ -153,6 +184,27 @@
   }
 }
 
+void NoteDrawn(TransferState& state, TimePoint now) {
+  const TimePoint before = std::max(state.m_last_drawn, state.m_started);
+  state.m_last_drawn = now;
+  state.m_origin_failures = 0;
+  state.m_origin_retry_at = std::min(state.m_origin_retry_at, now);
+  if (state.m_limits.m_draws_at_once == 0 ||
+      now - before < state.m_limits.m_patience)
+    return;
+  // The origin is back: what became overdue meanwhile has its turns anew, in
+  // order, so that again one host goes first for each chunk.
+  TimePoint turn = now;
+  for (uint32_t chunk = 0; chunk < state.m_chunks.size(); ++chunk) {
+    TransferState::Chunk& entry = state.m_chunks[chunk];
+    if (entry.m_place != TransferState::Place::kDraws)
+      continue;
+    entry.m_draw_base = std::max(entry.m_draw_base, turn);
+    FileChunk(state, chunk);
+    turn += state.m_limits.m_origin_interval;
+  }
+}
+
 void DrawFailed(TransferState& state,
                 uint32_t chunk,
                 bool corrupt,
@@ -177,10 +229,8 @@
     if (chunk < state.m_chunks.size())
       state.m_chunks[chunk].m_drawn = true;
   }
-  if (!report.m_drawn.empty()) {
-    state.m_origin_failures = 0;
-    state.m_origin_retry_at = std::min(state.m_origin_retry_at, now);
-  }
+  if (!report.m_drawn.empty())
+    NoteDrawn(state, now);
 }
 
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/transfer_draws.h
+++ b/src/libverbenalead/decide/transfer_draws.h
@@ -26,6 +26,10 @@
 /// of what it has waited for longest.
 void DrawSpare(TransferState& state, TimePoint now, TransferActions& actions);
 
+/// A draw of this host, or one that another told of, brought a chunk: the
+/// origin gives.
+void NoteDrawn(TransferState& state, TimePoint now);
+
 /// A draw ended without a good chunk; `corrupt`: bytes came, but wrong ones.
 void DrawFailed(TransferState& state,
                 uint32_t chunk,
--- a/src/libverbenalead/decide/transfer_outage_test.cc
+++ b/src/libverbenalead/decide/transfer_outage_test.cc
@@ -19,14 +19,14 @@
 constexpr Duration kAnnounceDelay = 10ms;
 constexpr Duration kAnnounceInterval = 250ms;
 constexpr size_t kUploads = 2;
-/// The origin is away from then on.
-constexpr Duration kAwayAt = 2500ms;
 constexpr Duration kGiveUp = 60s;
 /// Who is there is known so late.
 constexpr Duration kListLag = 3s;
 
 struct OutageLoad {
   uint32_t m_hosts = 58;
+  /// The origin is away from then on, and for so long.
+  Duration m_away_at = 2500ms;
   Duration m_away = 6s;
   /// Hosts that die while the origin is away.
   uint32_t m_deaths = 0;
@@ -73,7 +73,9 @@
   /// Draws that sent a chunk, for each chunk.
   double DrawsEach() const { return static_cast<double>(m_draws) / kChunks; }
   /// From the origin's return until all hosts were whole.
-  Duration WholeAfter() const { return Elapsed() - kAwayAt - m_load.m_away; }
+  Duration WholeAfter() const {
+    return Elapsed() - m_load.m_away_at - m_load.m_away;
+  }
 
  private:
   struct Host {
@@ -114,7 +116,8 @@
 
   Duration Elapsed() const { return m_now - TimePoint(); }
   bool Away() const {
-    return Elapsed() >= kAwayAt && Elapsed() < kAwayAt + m_load.m_away;
+    return Elapsed() >= m_load.m_away_at &&
+           Elapsed() < m_load.m_away_at + m_load.m_away;
   }
   bool Whole() const {
     return std::all_of(m_hosts.begin(), m_hosts.end(), [](const Host& host) {
@@ -291,6 +294,7 @@
 class TransferOutageTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TransferOutageTest);
   CPPUNIT_TEST(AReturnedOriginSendsEachChunkOnce);
+  CPPUNIT_TEST(AnOriginThatWasLongAwaySendsEachChunkOnce);
   CPPUNIT_TEST(DeathsCostFewDraws);
   CPPUNIT_TEST_SUITE_END();
 
@@ -306,6 +310,20 @@
     }
   }
 
+  // Weights come seconds after they could: half of the chunks were missing when
+  // the origin went away, and the first two hosts in line for each of them draw
+  // it at its return, as both have waited longer than they wait for others.
+  void AnOriginThatWasLongAwaySendsEachChunkOnce() {
+    for (const uint64_t seed : {1, 2, 3, 4, 20261202}) {
+      OutageLoad load;
+      load.m_away_at = 1400ms;
+      load.m_away = 10s;
+      OutageFleet fleet(load, seed);
+      CPPUNIT_ASSERT(fleet.Play());
+      CPPUNIT_ASSERT_LESSEQUAL(1.05, fleet.DrawsEach());
+    }
+  }
+
   // The same while hosts die that others still count on.
   void DeathsCostFewDraws() {
     const bool held = rc::check("deaths cost few draws", [] {
--- a/src/libverbenalead/decide/transfer_state.h
+++ b/src/libverbenalead/decide/transfer_state.h
@@ -82,6 +82,11 @@
   /// Draws under way at other hosts, and when they last said so.
   std::map<std::string, std::pair<TimePoint, uint32_t>> m_draws_elsewhere;
 
+  /// When this host last began a draw, and when any host was last seen to have
+  /// ended one well.
+  TimePoint m_last_draw{};
+  TimePoint m_last_drawn{};
+
   TimePoint m_next_stall_check{};
   TimePoint m_next_refill{};
   TimePoint m_origin_retry_at{};
