Comments hold no figure of what was measured

Found in reading: the count of doubled draws and the seconds of a full link belong in commit messages and the account, where they stand. Comments only; behaviour unchanged, handout_pace_test and transfer_draws_test pass.

--- a/src/libverbenalead/decide/handout_pace.h
+++ b/src/libverbenalead/decide/handout_pace.h
@@ -14,9 +14,9 @@
 ///
 /// Load: all processes start at once, with 100 entries in a data centre, and
 /// one of them has tables of 150 KB that the others lack. Harm: it handed them
-/// to all others at the same time, its link of 40 Mbit/s was full for three
-/// seconds, and nobody had them before; answers were given up as too late, and
-/// all turned to the store. Few get them at once now, the others are put off,
+/// to all others at the same time, its link was full, and nobody had them
+/// before its end; answers were given up as too late, and all turned to the
+/// store. Few get them at once now, the others are put off,
 /// and find more entries that have them a moment later.
 struct HandoutPace {
   /// Until when the link has something to do with what was handed out.
--- a/src/libverbenalead/decide/transfer_draws_test.cc
+++ b/src/libverbenalead/decide/transfer_draws_test.cc
@@ -176,7 +176,7 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, drawer.m_fetching.size());
   }
 
-  // One chunk is drawn 16 times when the origin is back: it had been open for
+  // One chunk is drawn many times when the origin is back: it had been open for
   // seconds, with others trying to draw it again and again, so that all hosts
   // held their time to be over at once.
   void AChunkThatWasHeldIsNotTakenByAllAtOnce() {
