Tests' fixture of calls in a file of its own; scripted replicas can be silent

call_server_test's set-up is wanted by a second test. A scripted answer may be silent before its head or before a piece, ends that at the reader's deadline or when it is cancelled, and a recorded caller may leave.

--- /dev/null
+++ b/src/libverbenalead/entry/call_fixture.h
@@ -0,0 +1,169 @@
+#ifndef VERBENALEAD_ENTRY_CALL_FIXTURE_H_
+#define VERBENALEAD_ENTRY_CALL_FIXTURE_H_
+
+#include <cppunit/TestFixture.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/boot_clock.h"
+#include "entry/call_server.h"
+#include "entry/recording_caller.h"
+#include "entry/scripted_client.h"
+#include "platform/names.h"
+
+namespace verbenalead::entry {
+
+inline std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+inline wire::ResponseHead Head(int status = 200) {
+  return {status, {{platform::kRequestId, "call-1"}, {platform::kStamp, "s"}}};
+}
+
+inline ScriptedAnswer Answer(int status,
+                             std::vector<std::string> pieces,
+                             bool breaks = false) {
+  ScriptedAnswer answer;
+  answer.m_head = Head(status);
+  answer.m_pieces = std::move(pieces);
+  answer.m_breaks = breaks;
+  return answer;
+}
+
+inline ScriptedAnswer NotRun() {
+  ScriptedAnswer answer = Answer(503, {});
+  answer.m_head.m_headers[platform::kNotExecuted] = "1";
+  return answer;
+}
+
+inline ScriptedAnswer Broken() {
+  ScriptedAnswer answer;
+  answer.m_failure = FailureCode::kBroken;
+  return answer;
+}
+
+inline model::Route MakeRoute(const std::string& prefix, model::CallKind kind) {
+  model::Route route;
+  route.m_name = prefix;
+  route.m_host = "h";
+  route.m_path_prefix = prefix;
+  route.m_kind = kind;
+  route.m_services = {{"pool", 1}};
+  route.m_timeout = 6s;
+  route.m_objective = 100ms;
+  route.m_max_attempts = 2;
+  route.m_resumable = true;
+  return route;
+}
+
+inline EntryOptions Options() {
+  EntryOptions options;
+  options.m_self = {"e1", "a", Endpoint("127.0.0.1", 1),
+                    Endpoint("127.0.0.1", 0)};
+  options.m_key_bound = 5s;
+  return options;
+}
+
+/// An entry with scripted replicas, `kReplicas` of them with four places each,
+/// and one organisation.
+class CallFixture : public CppUnit::TestFixture {
+ public:
+  static constexpr size_t kReplicas = 4;
+
+  void setUp() override {
+    m_state = std::make_unique<EntryState>(Options());
+    m_io = std::make_unique<boost::asio::io_context>();
+    m_datagrams = std::make_unique<links::Datagrams>(m_io->get_executor(),
+                                                     Endpoint("127.0.0.1", 0));
+    m_asker = std::make_unique<PlaceAsker>(*m_state, *m_datagrams);
+    m_places = std::make_unique<PlaceWaiter>(
+        *m_state, *m_asker, [](const decide::ReplicaState&) {});
+    m_server = std::make_unique<CallServer>(*m_state, *m_places, m_replicas);
+    model::RoutingConfig config;
+    config.m_version = 1;
+    config.m_routes = {MakeRoute("/stream/", model::CallKind::kStream),
+                       MakeRoute("/read/", model::CallKind::kIdempotent),
+                       MakeRoute("/pay/", model::CallKind::kAtMostOnce)};
+    config.m_organisations = {{"acme", {"key"}, std::nullopt}};
+    m_state->m_routes = std::make_shared<decide::RouteTable>(config);
+    m_state->m_replicas_known = true;
+    // The store lists no other entries.
+    m_state->m_far_entries = 0;
+    decide::Prove(m_state->m_lease, BootNow());
+    std::vector<model::Replica> replicas(kReplicas);
+    for (size_t i = 0; i < replicas.size(); ++i) {
+      replicas[i].m_id = "i-" + std::to_string(i);
+      replicas[i].m_service = "pool";
+      replicas[i].m_slots = 4;
+      replicas[i].m_endpoint = Endpoint("10.0.0.1", 80);
+    }
+    decide::SetReplicas(StateOf(*m_state, "pool").m_pool, replicas, TimePoint(),
+                        Now());
+  }
+
+  void tearDown() override {
+    m_replicas.m_answers.clear();
+    m_replicas.m_requests.clear();
+  }
+
+ protected:
+  /// Makes one call and returns when nothing of it goes on any more. A caller
+  /// with patience leaves when that is over.
+  RecordingCaller Call(const std::string& path,
+                       const std::string& key = "key",
+                       Duration patience = Duration()) {
+    wire::Request request;
+    request.m_method = "POST";
+    request.m_path = path;
+    request.m_headers = {{"host", "h"},
+                         {platform::kRequestId, "call-1"},
+                         {platform::kKey, key},
+                         {platform::kTimeLeft, "6000"}};
+    RecordingCaller caller;
+    boost::asio::co_spawn(*m_io, m_server->Serve(request, caller),
+                          boost::asio::detached);
+    boost::asio::steady_timer leaves(*m_io);
+    if (patience > Duration()) {
+      leaves.expires_after(patience);
+      leaves.async_wait(
+          [&](const boost::system::error_code&) { caller.Leave(); });
+    }
+    m_io->restart();
+    m_io->run();
+    return caller;
+  }
+
+  /// The replica that attempt `number` was meant for.
+  std::string Asked(size_t number) const {
+    return wire::Get(m_replicas.m_requests.at(number).m_headers,
+                     platform::kExpectReplica);
+  }
+
+  uint32_t InFlight() {
+    uint32_t calls = 0;
+    for (const auto& [id, replica] :
+         StateOf(*m_state, "pool").m_pool.m_replicas)
+      calls += replica.m_in_flight;
+    return calls;
+  }
+
+  std::unique_ptr<EntryState> m_state;
+  std::unique_ptr<boost::asio::io_context> m_io;
+  std::unique_ptr<links::Datagrams> m_datagrams;
+  std::unique_ptr<PlaceAsker> m_asker;
+  std::unique_ptr<PlaceWaiter> m_places;
+  ScriptedClient m_replicas;
+  std::unique_ptr<CallServer> m_server;
+};
+
+}  // namespace verbenalead::entry
+
+#endif  // VERBENALEAD_ENTRY_CALL_FIXTURE_H_
--- a/src/libverbenalead/entry/recording_caller.h
+++ b/src/libverbenalead/entry/recording_caller.h
@@ -1,6 +1,7 @@
 #ifndef VERBENALEAD_ENTRY_RECORDING_CALLER_H_
 #define VERBENALEAD_ENTRY_RECORDING_CALLER_H_
 
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -33,7 +34,17 @@
     m_whole = true;
     co_return true;
   }
-  bool gone() const override { return false; }
+  bool gone() const override { return m_gone; }
+  void OnGone(std::function<void()> function) override {
+    m_on_gone = std::move(function);
+  }
+
+  /// The caller closes its connection.
+  void Leave() {
+    m_gone = true;
+    if (const auto on_gone = std::exchange(m_on_gone, nullptr))
+      on_gone();
+  }
 
   /// Heads that were sent: one for each sound answer.
   int m_heads = 0;
@@ -42,6 +53,10 @@
   std::string m_body;
   /// The answer came to its end.
   bool m_whole = false;
+
+ private:
+  std::function<void()> m_on_gone;
+  bool m_gone = false;
 };
 
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/scripted_client.h
+++ b/src/libverbenalead/entry/scripted_client.h
@@ -1,7 +1,13 @@
 #ifndef VERBENALEAD_ENTRY_SCRIPTED_CLIENT_H_
 #define VERBENALEAD_ENTRY_SCRIPTED_CLIENT_H_
 
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -19,6 +25,10 @@
   std::vector<std::string> m_pieces;
   /// The connection breaks after the last piece.
   bool m_breaks = false;
+  /// How long nothing comes before the head.
+  Duration m_head_silence{};
+  /// The same before a piece, by its number from 0 on.
+  std::map<size_t, Duration> m_silences;
 };
 
 /// Stands for replicas in tests: gives the answers of a script in order and
@@ -37,29 +47,42 @@
     if (answer.m_failure == FailureCode::kUnreachable)
       co_return Failure{FailureCode::kUnreachable, "connect", "replica", "no"};
     co_return AsyncResult<std::unique_ptr<wire::ResponseReader>>(
-        std::make_unique<Reader>(std::move(answer), m_head_deadlines));
+        std::make_unique<Reader>(std::move(answer), *this));
   }
 
   std::deque<ScriptedAnswer> m_answers;
   std::vector<wire::Request> m_requests;
   /// Until when each head was waited for.
   std::vector<TimePoint> m_head_deadlines;
+  /// Answers whose reading was cancelled.
+  size_t m_cancelled = 0;
 
  private:
   class Reader : public wire::ResponseReader {
    public:
-    Reader(ScriptedAnswer answer, std::vector<TimePoint>& head_deadlines)
-        : m_answer(std::move(answer)), m_head_deadlines(head_deadlines) {}
+    Reader(ScriptedAnswer answer, ScriptedClient& client)
+        : m_answer(std::move(answer)), m_client(client) {}
 
     Awaitable<AsyncResult<wire::ResponseHead>> ReadHead(
         TimePoint deadline) override {
-      m_head_deadlines.push_back(deadline);
+      m_client.m_head_deadlines.push_back(deadline);
+      const auto silence = m_answer.m_head_silence;
+      if (const auto ended = co_await WaitInSilence(silence, deadline))
+        co_return Failure{*ended, "read head", "replica", "silent"};
       if (m_answer.m_failure)
         co_return Failure{*m_answer.m_failure, "read head", "replica", "no"};
       co_return m_answer.m_head;
     }
     Awaitable<AsyncResult<std::optional<std::string>>> ReadBody(
-        TimePoint) override {
+        TimePoint deadline) override {
+      const auto found = m_answer.m_silences.find(m_next);
+      if (found != m_answer.m_silences.end()) {
+        const Duration silence = std::exchange(found->second, Duration());
+        if (const auto ended = co_await WaitInSilence(silence, deadline))
+          co_return Failure{*ended, "read body", "replica", "silent"};
+      }
+      if (m_cancelled)
+        co_return Failure{FailureCode::kCancelled, "read body", "replica", ""};
       if (m_next < m_answer.m_pieces.size())
         co_return std::optional<std::string>(m_answer.m_pieces[m_next++]);
       if (m_answer.m_breaks)
@@ -67,10 +90,37 @@
       co_return std::optional<std::string>();
     }
     const wire::Headers& trailers() const override { return m_trailers; }
+    void Cancel() override {
+      if (std::exchange(m_cancelled, true))
+        return;
+      ++m_client.m_cancelled;
+      if (m_timer)
+        m_timer->cancel();
+    }
 
    private:
+    /// Why the wait ended before its time; absent: the silence is over.
+    Awaitable<std::optional<FailureCode>> WaitInSilence(Duration silence,
+                                                        TimePoint deadline) {
+      const TimePoint over = Now() + silence;
+      if (silence > Duration() && !m_cancelled) {
+        m_timer.emplace(co_await boost::asio::this_coro::executor,
+                        std::min(over, deadline));
+        boost::system::error_code ignored;
+        co_await m_timer->async_wait(
+            boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+      }
+      if (m_cancelled)
+        co_return FailureCode::kCancelled;
+      if (silence > Duration() && over > deadline)
+        co_return FailureCode::kTimeout;
+      co_return std::nullopt;
+    }
+
     ScriptedAnswer m_answer;
-    std::vector<TimePoint>& m_head_deadlines;
+    ScriptedClient& m_client;
+    std::optional<boost::asio::steady_timer> m_timer;
+    bool m_cancelled = false;
     size_t m_next = 0;
     wire::Headers m_trailers;
   };
