Calls' lines say who ended an answer, after what silence and at what lag

Now event=call has ended_by (replica, caller, time, silence), left_ms, silent_ms, config_now beside the configuration it was planned on, and lag_ms, the worst lag of the entry's own loop in the last 5 s; event=attempt has silent_ms; event=loop_late tells each lag of 200 ms and more. answers_cut_total{by=} and loop_lag_seconds are served.

No decision is changed. The lag is taken by a loop that ran before, each 200 ms: no further wake-ups. loop_lag_test passes.

--- /dev/null
+++ b/src/libverbenalead/base/loop_lag_test.cc
@@ -0,0 +1,36 @@
+#include "base/loop_lag.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace verbenalead {
+namespace {
+
+class LoopLagTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LoopLagTest);
+  CPPUNIT_TEST(TheWorstIsRememberedForAWhile);
+  CPPUNIT_TEST(ATimerThatIsEarlyIsNoLag);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TheWorstIsRememberedForAWhile() {
+    const TimePoint start{100s};
+    LoopLag lag;
+    NoteLag(lag, 300ms, start);
+    NoteLag(lag, 2ms, start + 1s);
+    CPPUNIT_ASSERT(WorstLag(lag, start + 1s) == Duration(300ms));
+    CPPUNIT_ASSERT(WorstLag(lag, start + kLagRemembered) == Duration());
+    NoteLag(lag, 2ms, start + kLagRemembered);
+    CPPUNIT_ASSERT(WorstLag(lag, start + kLagRemembered) == Duration(2ms));
+  }
+
+  void ATimerThatIsEarlyIsNoLag() {
+    LoopLag lag;
+    NoteLag(lag, -1ms, TimePoint{100s});
+    CPPUNIT_ASSERT(WorstLag(lag, TimePoint{100s}) == Duration());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LoopLagTest);
+
+}  // namespace
+}  // namespace verbenalead
--- a/src/libverbenalead/entry/attempt.cc
+++ b/src/libverbenalead/entry/attempt.cc
@@ -47,6 +47,7 @@
     result.m_end =
         sent ? decide::AttemptEnd::kBroken : decide::AttemptEnd::kUnreachable;
     result.m_reason = ToString(opened.error());
+    result.m_failure = opened.error().m_code;
     co_return result;
   }
   result.m_may_have_run = true;
@@ -56,6 +57,7 @@
   if (!head) {
     result.m_end = decide::AttemptEnd::kBroken;
     result.m_reason = ToString(head.error());
+    result.m_failure = head.error().m_code;
     result.m_reader.reset();
     co_return result;
   }
--- a/src/libverbenalead/entry/attempt.h
+++ b/src/libverbenalead/entry/attempt.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/awaitable.h"
+#include "base/failure.h"
 #include "decide/replica_pool.h"
 #include "platform/call_headers.h"
 #include "wire/client.h"
@@ -24,6 +25,8 @@
   std::unique_ptr<wire::ResponseReader> m_reader;
   /// What went wrong.
   std::string m_reason;
+  /// Why no more of the answer came; absent: it did, or the replica ended it.
+  std::optional<FailureCode> m_failure;
 };
 
 /// Sends `request` to `endpoint` and waits for the head of the answer until
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -39,6 +39,8 @@
   return "unknown";
 }
 
+constexpr char kCut[] = "cut";
+
 int64_t MillisecondsSince(TimePoint then) {
   return ToMilliseconds(Now() - then);
 }
@@ -146,6 +148,7 @@
   m_pool_call.m_tried.insert(m_replica);
   ++m_attempts;
   m_sent_at = Now();
+  m_times.m_heard_at = m_sent_at;
   const Endpoint endpoint = replica.m_replica.m_endpoint;
   wire::Request request =
       platform::EncodeForReplica(m_request, Forwarded(replica));
@@ -155,6 +158,8 @@
   m_attempt = co_await SendAttempt(m_http, endpoint, std::move(request),
                                    m_plan.m_call.m_id, head_deadline, m_caller);
   m_places.NoteBegun(m_plan.m_service, m_replica, m_pool_call.m_prompt_tokens);
+  if (!m_attempt.m_failure)
+    m_times.m_heard_at = Now();
   if (m_attempt.m_end != AttemptEnd::kUnreachable)
     ++m_progress.m_sent;
   if (m_attempt.m_may_have_run)
@@ -311,12 +316,27 @@
       .With("weights", m_attempt.m_facts.m_weights.value_or(0))
       .With("replicas_age_ms", MillisecondsSince(m_state.m_replicas_at))
       .With("ms", MillisecondsSince(m_sent_at))
+      .With("silent_ms", MillisecondsSince(m_times.m_heard_at))
       .With("reason", m_attempt.m_reason)
       .Info();
 }
 
+const char* CallRun::EndedBy() const {
+  if (m_caller.gone())
+    return "caller";
+  if (Left() <= Duration())
+    return "time";
+  // What is left of the call's time would have let the replica go on.
+  return m_attempt.m_failure == FailureCode::kTimeout ? "silence" : "replica";
+}
+
 void CallRun::LogCall(const std::string& outcome, int status) {
   m_state.m_metrics.Count("calls_total", "outcome=\"" + outcome + "\"");
+  const bool cut = outcome == kCut;
+  const std::string ended_by = cut ? EndedBy() : "";
+  if (cut) {
+    m_state.m_metrics.Count("answers_cut_total", "by=\"" + ended_by + "\"");
+  }
   m_state.m_metrics.Observe(
       "call_seconds", "",
       std::chrono::duration<double>(Now() - m_plan.m_began).count());
@@ -326,7 +346,10 @@
       .With("service", m_plan.m_service)
       .With("organisation", m_plan.m_organisation)
       .With("config", m_plan.m_config_version)
+      .With("config_now",
+            m_state.m_routes ? m_state.m_routes->config().m_version : 0)
       .With("outcome", outcome)
+      .With("ended_by", ended_by)
       .With("status", status)
       .With("ran", m_progress.m_runs > 0)
       .With("attempts", static_cast<uint64_t>(m_attempts))
@@ -345,6 +368,10 @@
             m_times.m_first_event ? ToMilliseconds(*m_times.m_first_event) : -1)
       .With("longest_pause_ms", ToMilliseconds(m_times.m_longest_pause))
       .With("ms", MillisecondsSince(m_plan.m_began))
+      .With("left_ms", ToMilliseconds(Left()))
+      .With("silent_ms",
+            m_attempts > 0 ? MillisecondsSince(m_times.m_heard_at) : 0)
+      .With("lag_ms", ToMilliseconds(WorstLag(m_state.m_lag, Now())))
       .With("reason", m_attempt.m_reason)
       .Info();
 }
--- a/src/libverbenalead/entry/call_run.h
+++ b/src/libverbenalead/entry/call_run.h
@@ -85,6 +85,9 @@
   void NoteBreak();
   void LogAttempt(decide::AttemptEnd end);
   void LogCall(const std::string& outcome, int status);
+  /// Who ended an answer before it was whole: `replica`, `caller`, `time` (of
+  /// the caller or the route), `silence` (this entry, with time left).
+  const char* EndedBy() const;
   Duration Left() const { return m_plan.m_deadline - Now(); }
 
   EntryState& m_state;
--- a/src/libverbenalead/entry/call_run_stream.cc
+++ b/src/libverbenalead/entry/call_run_stream.cc
@@ -66,6 +66,7 @@
       piece = co_await m_attempt.m_reader->ReadBody(deadline);
     }
     if (!piece) {
+      m_attempt.m_failure = piece.error().m_code;
       m_attempt.m_reason = Left() <= Duration()
                                ? "the time of the caller or the route is over"
                                : ToString(piece.error());
--- a/src/libverbenalead/entry/call_times.h
+++ b/src/libverbenalead/entry/call_times.h
@@ -17,6 +17,8 @@
   /// The longest pause between two events.
   Duration m_longest_pause{};
   TimePoint m_last_event{};
+  /// When a replica was last sent to, or sent anything.
+  TimePoint m_heard_at{};
 };
 
 /// An event came, of a call that began at `began`.
@@ -27,6 +29,7 @@
     times.m_longest_pause =
         std::max<Duration>(times.m_longest_pause, now - times.m_last_event);
   times.m_last_event = now;
+  times.m_heard_at = now;
 }
 
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <string>
 
+#include "base/loop_lag.h"
 #include "base/metrics.h"
 #include "decide/config_lease.h"
 #include "decide/late_calls.h"
@@ -45,6 +46,7 @@
 
   const EntryOptions m_options;
   Metrics m_metrics;
+  LoopLag m_lag;
   std::mt19937_64 m_random{std::random_device{}()};
   /// Null until the first configuration is known.
   std::shared_ptr<const decide::RouteTable> m_routes;
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -44,6 +44,8 @@
 /// The process ends so long before it would be ended by force.
 constexpr Duration kStopMargin = 400ms;
 constexpr Duration kStopPoll = 20ms;
+/// A stop of the loop that calls notice is told in the log.
+constexpr Duration kNotableLag = 200ms;
 
 http::ClientOptions ReplicaConnections() {
   http::ClientOptions options;
@@ -170,9 +172,19 @@
     m_places.WakeAll();
   }
 
+  void NoteLoopLag(Duration late) {
+    NoteLag(m_state.m_lag, late, Now());
+    m_state.m_metrics.Observe("loop_lag_seconds", "",
+                              std::chrono::duration<double>(late).count());
+    if (late >= kNotableLag)
+      LogLine("loop_late").With("ms", ToMilliseconds(late)).Warn();
+  }
+
   Awaitable<void> SendCallNews() {
     while (true) {
+      const TimePoint due = Now() + kCallNewsInterval;
       co_await Sleep(kCallNewsInterval);
+      NoteLoopLag(Now() - due);
       UpdatePools(m_state, Now());
       m_places.WakeAll();
       m_news.TellCalls();
