Failing tests: a silent replica's answer is cut

What callers see: status 200, some events, a closed connection, with most of their time left. The replica paused for 1.1 s and would have gone on; no other had a place.

--- /dev/null
+++ b/src/libverbenalead/entry/silent_replica_test.cc
@@ -0,0 +1,156 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "entry/call_fixture.h"
+
+namespace verbenalead::entry {
+namespace {
+
+/// Longer than an entry waits before it looks for another replica, and well
+/// below the time of the callers.
+constexpr Duration kPause = 1600ms;
+/// Longer than a test takes, unless it waits for a replica that it shouldn't.
+constexpr Duration kForGood = 5s;
+
+ScriptedAnswer Paused(ScriptedAnswer answer, size_t before, Duration pause) {
+  answer.m_silences[before] = pause;
+  return answer;
+}
+
+ScriptedAnswer LateHead(ScriptedAnswer answer, Duration pause) {
+  answer.m_head_silence = pause;
+  return answer;
+}
+
+/// Replicas that say nothing for a while with an answer under way.
+class SilentReplicaTest : public CallFixture {
+  CPPUNIT_TEST_SUITE(SilentReplicaTest);
+  CPPUNIT_TEST(APausedStreamIsWholeThoughNoOtherReplicaHasAPlace);
+  CPPUNIT_TEST(ALateHeadIsWaitedForThoughNoOtherReplicaHasAPlace);
+  CPPUNIT_TEST(ALatePlainAnswerIsWaitedForThoughNoOtherReplicaHasAPlace);
+  CPPUNIT_TEST(AStreamThatMayNotBeRepeatedIsWaitedFor);
+  CPPUNIT_TEST(AnotherReplicaGoesOnWhileTheFirstSaysNothing);
+  CPPUNIT_TEST(AnotherReplicaAnswersWhereTheFirstSaysNothing);
+  CPPUNIT_TEST(TheFirstGoesOnIfItSpeaksBeforeTheSecond);
+  CPPUNIT_TEST(TheSecondIsKeptWhenTheFirstBreaksOff);
+  CPPUNIT_TEST(ACallerThatLeavesEndsBoth);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void APausedStreamIsWholeThoughNoOtherReplicaHasAPlace() {
+    LeaveOneReplica();
+    m_replicas.m_answers = {
+        Paused(Answer(200, {Event(1), Event(2)}), 1, kPause)};
+    const RecordingCaller caller = Call("/stream/1");
+    CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2), caller.m_body);
+    CPPUNIT_ASSERT(caller.m_whole);
+    AssertAllPlacesFree();
+  }
+
+  void ALateHeadIsWaitedForThoughNoOtherReplicaHasAPlace() {
+    LeaveOneReplica();
+    m_replicas.m_answers = {LateHead(Answer(200, {Event(1)}), kPause)};
+    const RecordingCaller caller = Call("/stream/1");
+    CPPUNIT_ASSERT_EQUAL(200, caller.m_status);
+    CPPUNIT_ASSERT_EQUAL(Event(1), caller.m_body);
+    AssertAllPlacesFree();
+  }
+
+  void ALatePlainAnswerIsWaitedForThoughNoOtherReplicaHasAPlace() {
+    LeaveOneReplica();
+    m_replicas.m_answers = {LateHead(Answer(200, {"late"}), kPause)};
+    const RecordingCaller caller = Call("/read/1");
+    CPPUNIT_ASSERT_EQUAL(200, caller.m_status);
+    CPPUNIT_ASSERT_EQUAL(std::string("late"), caller.m_body);
+    AssertAllPlacesFree();
+  }
+
+  void AStreamThatMayNotBeRepeatedIsWaitedFor() {
+    model::RoutingConfig config = m_state->m_routes->config();
+    config.m_routes[0].m_resumable = false;
+    m_state->m_routes = std::make_shared<decide::RouteTable>(config);
+    m_replicas.m_answers = {
+        Paused(Answer(200, {Event(1), Event(2)}), 1, kPause)};
+    const RecordingCaller caller = Call("/stream/1");
+    CPPUNIT_ASSERT(caller.m_whole);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_replicas.m_requests.size());
+  }
+
+  void AnotherReplicaGoesOnWhileTheFirstSaysNothing() {
+    m_replicas.m_answers = {
+        Paused(Answer(200, {Event(1), Event(2)}), 1, kForGood),
+        Answer(200, {Event(2), Event(3)})};
+    const RecordingCaller caller = Call("/stream/1");
+    CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2) + Event(3), caller.m_body);
+    CPPUNIT_ASSERT_EQUAL(1, caller.m_heads);
+    CPPUNIT_ASSERT(caller.m_whole);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"),
+                         wire::Get(m_replicas.m_requests.at(1).m_headers,
+                                   platform::kLastEventId));
+    CPPUNIT_ASSERT(Asked(0) != Asked(1));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_replicas.m_cancelled);
+    AssertAllPlacesFree();
+  }
+
+  void AnotherReplicaAnswersWhereTheFirstSaysNothing() {
+    for (const std::string path : {"/stream/1", "/read/1"}) {
+      m_replicas.m_answers = {LateHead(Answer(200, {Event(1)}), kForGood),
+                              Answer(200, {Event(1)})};
+      const RecordingCaller caller = Call(path);
+      CPPUNIT_ASSERT_EQUAL(200, caller.m_status);
+      CPPUNIT_ASSERT_EQUAL(Event(1), caller.m_body);
+      AssertAllPlacesFree();
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_replicas.m_cancelled);
+  }
+
+  // No event is missing, doubled or taken from both.
+  void TheFirstGoesOnIfItSpeaksBeforeTheSecond() {
+    m_replicas.m_answers = {
+        Paused(Answer(200, {Event(1), Event(2), Event(3)}), 1, kPause),
+        LateHead(Answer(200, {Event(2), "id: 3\ndata: other\n\n"}), kForGood)};
+    const RecordingCaller caller = Call("/stream/1");
+    CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2) + Event(3), caller.m_body);
+    CPPUNIT_ASSERT(caller.m_whole);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_replicas.m_requests.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_replicas.m_cancelled);
+    AssertAllPlacesFree();
+  }
+
+  void TheSecondIsKeptWhenTheFirstBreaksOff() {
+    m_replicas.m_answers = {Paused(Answer(200, {Event(1)}, true), 1, kPause),
+                            LateHead(Answer(200, {Event(2)}), kPause)};
+    const RecordingCaller caller = Call("/stream/1");
+    CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2), caller.m_body);
+    CPPUNIT_ASSERT(caller.m_whole);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_replicas.m_requests.size());
+    AssertAllPlacesFree();
+  }
+
+  void ACallerThatLeavesEndsBoth() {
+    m_replicas.m_answers = {
+        Paused(Answer(200, {Event(1), Event(2)}), 1, kForGood),
+        LateHead(Answer(200, {Event(2)}), kForGood)};
+    const RecordingCaller caller = Call("/stream/1", "key", kPause);
+    CPPUNIT_ASSERT(!caller.m_whole);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_replicas.m_requests.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_replicas.m_cancelled);
+    AssertAllPlacesFree();
+  }
+
+ private:
+  /// All other replicas have as many calls as they run at once.
+  void LeaveOneReplica() {
+    auto& replicas = StateOf(*m_state, "pool").m_pool.m_replicas;
+    for (auto found = std::next(replicas.begin()); found != replicas.end();
+         ++found) {
+      found->second.m_elsewhere = found->second.m_replica.m_slots;
+    }
+  }
+
+  void AssertAllPlacesFree() { CPPUNIT_ASSERT_EQUAL(uint32_t{0}, InFlight()); }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SilentReplicaTest);
+
+}  // namespace
+}  // namespace verbenalead::entry
--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -75,7 +75,9 @@
             dict(common, name="draft", prefix="/draft/", service="pool",
                  route_kind="streaming", max_attempts=3, resumable=True),
             dict(common, name="pay", prefix="/pay/", service="ledger",
-                 route_kind="unsafe", max_attempts=1)]
+                 route_kind="unsafe", max_attempts=1),
+            dict(common, name="look", prefix="/look/", service="ledger",
+                 route_kind="safe", max_attempts=2, slo_ms=200)]
         self.write("op", "config", {
             "version": self.version, "routes": routes,
             "services": [
@@ -176,6 +178,10 @@
         return harness.call(entry["callers"], "POST", "/pay/%d" % number,
                             "fee", self.headers("pay-%d" % number, key))
 
+    def look(self, entry, number, key=KEY):
+        return harness.call(entry["callers"], "GET", "/look/%d" % number,
+                            headers=self.headers("look-%d" % number, key))
+
     @staticmethod
     def headers(call, key, extra=None):
         headers = {"Host": "h", "Api-Key": key,
