A silent replica's answer is kept while another replica is asked

What callers saw: a stream of a few events, then a closed connection, with most of their time left; or a 502 before the first event.

Cause: silence was taken for a break. After 0.9 s without an event, or 1.2 s without a head (three objectives for a plain call), the entry closed the connection on which the answer was still to come, and only then looked for another place, for 1.5 s. In a full pool there is none, so it cut its caller, while the replica went on a moment later. A stream that may not be repeated was cut without even a chance. Class of fault: break before make, a time-out that decides what only the other side can know.

Change: the two steps are turned round. The first try is read until the call's time is over. When it has been silent for as long as before, a Standby takes a place at another replica and sends the call there, from the last event on; the first of the two that gives the next event is kept, the other is cancelled and its place given back. Without a place, a repeat left, or a run left by the route, the first is simply waited for. decide/second_try says when, a free function; a try is a class of its own (place, connection, what was read), so that a call may have two; heads of streams, plain idempotent calls and events in mid-stream go the same way. Silence and what we cancel ourselves is no longer noted as a crash under the request. While its caller is slow to read, a replica isn't taken for silent.

ASilentReplicaIsLeftOnlyIfAnotherMayBeAsked is replaced: no replica is left for its silence now. second_try_test holds the same bounds of when another may be asked (within 2 s, not before 0.5 s, never beyond the route's attempts), with a property over both runs together.

What it costs: the first place stays taken until one of the two answers.

--- a/src/libverbenalead/decide/call_policy.cc
+++ b/src/libverbenalead/decide/call_policy.cc
@@ -21,14 +21,9 @@
 /// Wait of calls that can't be on time any more.
 constexpr Duration kLateWait = 250ms;
 
-/// Shortest and longest waits for a head. A plain service answers within a
-/// fifth of its objective when it is not overloaded.
 /// By then whoever looks after the request has been asked.
 constexpr Duration kCrashesRetryAfter = 60s;
 
-constexpr int kObjectivesForHead = 3;
-constexpr Duration kStreamHeadTimeout = 1200ms;
-
 Duration Draw(Duration least, Duration most, std::mt19937_64& random) {
   return Duration(std::uniform_int_distribution<int64_t>(least.count(),
                                                          most.count())(random));
@@ -140,17 +135,6 @@
   return 1s;
 }
 
-Duration HeadTimeout(const CallProgress& progress,
-                     const model::Route& route,
-                     Duration left) {
-  if (!MayRunAgain(progress) || progress.m_runs + 1 >= progress.m_max_attempts)
-    return left;
-  const Duration timeout = progress.m_kind == model::CallKind::kStream
-                               ? kStreamHeadTimeout
-                               : kObjectivesForHead * route.m_objective;
-  return std::min(left, std::max<Duration>(timeout, 1ms));
-}
-
 void PrepareRepeat(PoolCall& call, double prefill_rate, TimePoint now) {
   if (call.m_read_by == TimePoint::max() || prefill_rate <= 0)
     return;
--- a/src/libverbenalead/decide/call_policy.h
+++ b/src/libverbenalead/decide/call_policy.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <random>
 
+#include "decide/call_progress.h"
 #include "decide/quarantine.h"
 #include "decide/replica_pool.h"
 #include "model/engine_profile.h"
@@ -12,17 +13,6 @@
 
 namespace verbenalead::decide {
 
-/// How far one call has come.
-struct CallProgress {
-  model::CallKind m_kind = model::CallKind::kAtMostOnce;
-  bool m_resumable = false;
-  uint32_t m_max_attempts = 1;
-  /// Attempts that went out to a replica.
-  uint32_t m_sent = 0;
-  /// Attempts of which nothing says that they didn't run.
-  uint32_t m_runs = 0;
-};
-
 /// Whether another run does no harm.
 bool MayRunAgain(const CallProgress& progress);
 
@@ -81,22 +71,6 @@
 /// When the caller should come back.
 Duration RetryAfter(Refusal refusal, std::mt19937_64& random);
 
-/// How long to wait for the head of an answer from one replica; after that it
-/// is taken for silent. `left`: what is left of the call's time.
-Duration HeadTimeout(const CallProgress& progress,
-                     const model::Route& route,
-                     Duration left);
-
-/// A stream without an event for so long has broken. The longest gap of a
-/// working replica was 0.2 s; callers leave after 2 s, and the rest is for
-/// another replica to go on.
-constexpr Duration kStreamGap = 900ms;
-
-/// The prompt of a stream that goes on elsewhere, and all before it, should be
-/// read within this time: with a pass before and one after it the pause is 0.4
-/// s, which callers take for a stream that is on time.
-constexpr Duration kResumeWithin = 300ms;
-
 /// How long a repeat may wait for a place.
 constexpr Duration kRepeatWait = 300ms;
 
--- /dev/null
+++ b/src/libverbenalead/decide/second_try_test.cc
@@ -0,0 +1,80 @@
+#include "decide/second_try.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace verbenalead::decide {
+namespace {
+
+model::Route MakeRoute(model::CallKind kind) {
+  model::Route route;
+  route.m_kind = kind;
+  route.m_objective = 400ms;
+  return route;
+}
+
+CallProgress StreamProgress() {
+  CallProgress progress;
+  progress.m_kind = model::CallKind::kStream;
+  progress.m_resumable = true;
+  progress.m_max_attempts = 2;
+  return progress;
+}
+
+class SecondTryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SecondTryTest);
+  CPPUNIT_TEST(AnotherReplicaIsAskedBeforeCallersLeave);
+  CPPUNIT_TEST(NoneIsAskedWhereTheCallMayNotRunThere);
+  CPPUNIT_TEST(BothTogetherRunNoMoreOftenThanTheRouteAllows);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void AnotherReplicaIsAskedBeforeCallersLeave() {
+    const model::Route route = MakeRoute(model::CallKind::kStream);
+    CallProgress progress = StreamProgress();
+    CPPUNIT_ASSERT(SilenceBeforeSecondTry(progress, route) < Duration(2s));
+    progress.m_sent = progress.m_runs = 1;
+    progress.m_begun = true;
+    CPPUNIT_ASSERT(SilenceBeforeSecondTry(progress, route) < Duration(2s));
+    CPPUNIT_ASSERT(SilenceBeforeSecondTry(progress, route) > Duration(500ms));
+  }
+
+  void NoneIsAskedWhereTheCallMayNotRunThere() {
+    CallProgress once;
+    once.m_max_attempts = 3;
+    CPPUNIT_ASSERT(
+        !SilenceBeforeSecondTry(once, MakeRoute(model::CallKind::kAtMostOnce)));
+    const model::Route route = MakeRoute(model::CallKind::kStream);
+    CallProgress progress = StreamProgress();
+    progress.m_resumable = false;
+    CPPUNIT_ASSERT(!SilenceBeforeSecondTry(progress, route));
+    // It has run once, and is on its way to its last replica.
+    progress = StreamProgress();
+    progress.m_sent = progress.m_runs = 1;
+    CPPUNIT_ASSERT(!SilenceBeforeSecondTry(progress, route));
+  }
+
+  void BothTogetherRunNoMoreOftenThanTheRouteAllows() {
+    const bool held = rc::check("runs", [] {
+      CallProgress progress;
+      progress.m_kind = *rc::gen::element(model::CallKind::kStream,
+                                          model::CallKind::kIdempotent);
+      progress.m_resumable = true;
+      progress.m_max_attempts = *rc::gen::inRange<uint32_t>(1, 4);
+      progress.m_begun = *rc::gen::arbitrary<bool>();
+      progress.m_runs = *rc::gen::inRange<uint32_t>(progress.m_begun, 5);
+      progress.m_sent = progress.m_runs + *rc::gen::inRange<uint32_t>(0, 5);
+      const uint32_t first = progress.m_begun ? 0 : 1;
+      if (SilenceBeforeSecondTry(progress, MakeRoute(progress.m_kind))) {
+        RC_ASSERT(progress.m_runs + first + 1 <= progress.m_max_attempts);
+        RC_ASSERT(progress.m_sent + first + 1 <= 4u);
+      }
+    });
+    CPPUNIT_ASSERT(held);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SecondTryTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/entry/attempt.cc
+++ b/src/libverbenalead/entry/attempt.cc
@@ -1,7 +1,5 @@
 #include "entry/attempt.h"
 
-#include "wire/cancel_when_gone.h"
-
 namespace verbenalead::entry {
 namespace {
 
@@ -33,37 +31,38 @@
 
 }  // namespace
 
-Awaitable<AttemptResult> SendAttempt(wire::Client& http,
-                                     Endpoint endpoint,
-                                     wire::Request request,
-                                     std::string request_id,
-                                     TimePoint head_deadline,
-                                     wire::ResponseWriter& caller) {
-  AttemptResult result;
-  auto opened = co_await http.Open(endpoint, std::move(request), head_deadline);
-  if (!opened) {
-    const bool sent = opened.error().m_code != FailureCode::kUnreachable;
-    result.m_may_have_run = sent;
-    result.m_end =
-        sent ? decide::AttemptEnd::kBroken : decide::AttemptEnd::kUnreachable;
-    result.m_reason = ToString(opened.error());
-    result.m_failure = opened.error().m_code;
-    co_return result;
+Awaitable<void> OpenAttempt(wire::Client& http,
+                            Endpoint endpoint,
+                            wire::Request request,
+                            TimePoint deadline,
+                            AttemptResult& result) {
+  auto opened = co_await http.Open(endpoint, std::move(request), deadline);
+  if (opened) {
+    result.m_may_have_run = true;
+    result.m_reader = std::move(*opened);
+    co_return;
   }
-  result.m_may_have_run = true;
-  result.m_reader = std::move(*opened);
-  const wire::CancelWhenGone cancel(caller, *result.m_reader);
-  auto head = co_await result.m_reader->ReadHead(head_deadline);
+  const bool sent = opened.error().m_code != FailureCode::kUnreachable;
+  result.m_may_have_run = sent;
+  result.m_end =
+      sent ? decide::AttemptEnd::kBroken : decide::AttemptEnd::kUnreachable;
+  result.m_reason = ToString(opened.error());
+  result.m_failure = opened.error().m_code;
+}
+
+Awaitable<void> ReadAnswerHead(std::string request_id,
+                               TimePoint deadline,
+                               AttemptResult& result) {
+  auto head = co_await result.m_reader->ReadHead(deadline);
   if (!head) {
     result.m_end = decide::AttemptEnd::kBroken;
     result.m_reason = ToString(head.error());
     result.m_failure = head.error().m_code;
     result.m_reader.reset();
-    co_return result;
+    co_return;
   }
   result.m_head = std::move(*head);
   Judge(result, request_id);
-  co_return result;
 }
 
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/attempt.h
+++ b/src/libverbenalead/entry/attempt.h
@@ -10,7 +10,6 @@
 #include "decide/replica_pool.h"
 #include "platform/call_headers.h"
 #include "wire/client.h"
-#include "wire/response_writer.h"
 
 namespace verbenalead::entry {
 
@@ -29,14 +28,18 @@
   std::optional<FailureCode> m_failure;
 };
 
-/// Sends `request` to `endpoint` and waits for the head of the answer until
-/// `head_deadline`. `request_id`: an answer to another request is none.
-Awaitable<AttemptResult> SendAttempt(wire::Client& http,
-                                     Endpoint endpoint,
-                                     wire::Request request,
-                                     std::string request_id,
-                                     TimePoint head_deadline,
-                                     wire::ResponseWriter& caller);
+/// Sends `request` to `endpoint`. `result` has a reader then, or why not.
+Awaitable<void> OpenAttempt(wire::Client& http,
+                            Endpoint endpoint,
+                            wire::Request request,
+                            TimePoint deadline,
+                            AttemptResult& result);
+
+/// Waits for the head of the answer until `deadline`. `request_id`: an answer
+/// to another request is none.
+Awaitable<void> ReadAnswerHead(std::string request_id,
+                               TimePoint deadline,
+                               AttemptResult& result);
 
 }  // namespace verbenalead::entry
 
--- a/src/libverbenalead/entry/call_run.h
+++ b/src/libverbenalead/entry/call_run.h
@@ -1,17 +1,12 @@
 #ifndef VERBENALEAD_ENTRY_CALL_RUN_H_
 #define VERBENALEAD_ENTRY_CALL_RUN_H_
 
+#include <boost/asio/any_io_executor.hpp>
 #include <memory>
 #include <optional>
 #include <string>
 
-#include "decide/call_policy.h"
-#include "decide/event_splitter.h"
-#include "entry/attempt.h"
-#include "entry/call_times.h"
-#include "entry/entry_state.h"
-#include "entry/place_waiter.h"
-#include "wire/client.h"
+#include "entry/standby.h"
 #include "wire/response_writer.h"
 
 namespace verbenalead::entry {
@@ -19,40 +14,21 @@
 /// One admitted call, from its first placing to its answer.
 class CallRun {
  public:
-  struct Plan {
-    model::InboundCall m_call;
-    model::Route m_route;
-    std::string m_service;
-    /// Empty: a plain service.
-    std::string m_model;
-    std::string m_organisation;
-    uint64_t m_config_version = 0;
-    uint64_t m_fingerprint = 0;
-    decide::Patience m_patience;
-    /// How long ago its caller began, by what the caller says is left.
-    Duration m_elapsed{};
-    /// How long it is likely to run; zero: not known.
-    Duration m_length{};
-    TimePoint m_began{};
-    /// When the caller, or the route, gives up.
-    TimePoint m_deadline{};
-  };
-
-  CallRun(EntryState& state,
-          PlaceWaiter& places,
-          wire::Client& http,
-          Plan plan,
+  CallRun(CallServices services,
+          CallPlan plan,
           const wire::Request& request,
           wire::ResponseWriter& caller);
 
   Awaitable<void> Run();
 
  private:
+  Awaitable<void> Answer();
   /// Places and sends until an answer is there; false: the caller was told why
   /// not, or left.
   Awaitable<bool> Begin();
-  /// Takes a place and sends one attempt; false: no place.
-  Awaitable<bool> SendOnce(TimePoint wait_until);
+  /// Sends to one replica, and to a second one beside it if the first is
+  /// silent; false: no place. `again`: to go on with a stream.
+  Awaitable<bool> SendOnce(TimePoint wait_until, bool again);
   Awaitable<void> AnswerWhole();
   Awaitable<void> AnswerStream();
   /// Passes on events until the replica's answer ends or breaks; true: it came
@@ -62,6 +38,9 @@
   void LearnFromFirstEvent();
   /// Goes on with the stream at another replica; false: none is to be had.
   Awaitable<bool> Resume();
+  /// Whether the answer goes on at a second replica that was asked beside the
+  /// present one, which broke off.
+  Awaitable<bool> GoesOnBeside();
   /// No answer will come: says what is known of the call.
   Awaitable<void> GiveUp();
   Awaitable<void> Refuse(decide::Refusal refusal);
@@ -69,44 +48,43 @@
                        const std::string& reason,
                        Duration retry_after);
 
+  /// The present try has a place, and is on its way.
+  void NoteSent(TimePoint asked);
+  /// From now on another replica may be asked beside the present one.
+  void WatchSilence();
+  void StopWatching();
+  bool SecondAnswers() const { return m_standby && m_standby->ready(); }
+  /// The second try has begun to answer, and takes the place of the first.
+  void TakeSecond();
+  /// The caller left: nothing is worth waiting for.
+  void CancelAll();
   /// Ends the attempt at the present replica.
   void EndAttempt(decide::AttemptEnd end);
-  bool TakeRepeat(decide::AttemptEnd end);
-  /// Before the call is placed again.
-  void PrepareRepeat();
-  /// Takes a place for a stream that was broken off, and sends it there: in
-  /// time for its caller if possible, else late; false: no place.
-  Awaitable<bool> SendAgain();
-  platform::ForwardedCall Forwarded(const decide::ReplicaState& replica) const;
-  /// When a call that hasn't begun at `replica` must not begin there any more.
-  /// A call may wait in a replica's queue for a second: it was sent while older
-  /// weights were allowed and would begin when they aren't.
-  TimePoint WeightsDeadline(const decide::ReplicaState& replica) const;
+  bool TakeRepeatAfter(decide::AttemptEnd end);
   void NoteBreak();
-  void LogAttempt(decide::AttemptEnd end);
   void LogCall(const std::string& outcome, int status);
   /// Who ended an answer before it was whole: `replica`, `caller`, `time` (of
   /// the caller or the route), `silence` (this entry, with time left).
   const char* EndedBy() const;
-  Duration Left() const { return m_plan.m_deadline - Now(); }
+  AttemptResult& attempt() { return m_try->result(); }
+  Duration Left() const { return m_record->Left(Now()); }
 
+  const CallServices m_services;
   EntryState& m_state;
-  PlaceWaiter& m_places;
-  wire::Client& m_http;
-  const Plan m_plan;
-  const wire::Request& m_request;
+  const std::shared_ptr<CallRecord> m_record;
+  const CallPlan& m_plan;
   wire::ResponseWriter& m_caller;
-  decide::CallProgress m_progress;
-  decide::PoolCall m_pool_call;
-  /// The replica that has a place taken for this call; empty: none.
-  std::string m_replica;
-  std::string m_incarnation;
-  AttemptResult m_attempt;
-  decide::EventSplitter m_events;
+  boost::asio::any_io_executor m_executor;
+  /// The try whose answer is passed on.
+  std::shared_ptr<ReplicaTry> m_try;
+  /// Asks another replica while that one is silent; null: none may be asked.
+  std::shared_ptr<Standby> m_standby;
+  /// What callers of streams get first: the head of the first replica.
+  wire::ResponseHead m_head;
   bool m_head_sent = false;
-  TimePoint m_sent_at{};
-  uint32_t m_attempts = 0;
-  CallTimes m_times;
+  /// What went wrong last.
+  std::string m_reason;
+  std::optional<FailureCode> m_failure;
 };
 
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/call_run_stream.cc
+++ b/src/libverbenalead/entry/call_run_stream.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 
 #include "entry/call_run.h"
-#include "wire/cancel_when_gone.h"
+#include "entry/send_again.h"
 
 // The part of a call that concerns answers in events.
 
@@ -15,38 +15,41 @@
 /// Longer than the question to a target takes: the call waited for a place.
 constexpr Duration kWaited = 20ms;
 
+constexpr char kTimeOver[] = "the time of the caller or the route is over";
+
 }  // namespace
 
 Awaitable<void> CallRun::AnswerStream() {
-  const wire::ResponseHead head =
-      platform::EncodeForCaller(std::move(m_attempt.m_head));
-  m_attempt.m_head = head;
+  m_head = platform::EncodeForCaller(std::move(attempt().m_head));
   while (true) {
     if (co_await RelayEvents()) {
       EndAttempt(AttemptEnd::kGood);
       decide::NoteSuccess(m_state.m_crashes, m_plan.m_fingerprint, Now());
       // A caller that goes on after the last event gets a stream without any.
       if (!m_head_sent)
-        co_await m_caller.Start(head);
+        co_await m_caller.Start(m_head);
       const bool delivered = co_await m_caller.Finish({});
       LogCall(delivered ? "delivered" : "caller_gone", kOk);
       co_return;
     }
+    if (!m_caller.gone()) {
+      NoteBreak();
+      m_try->Log(AttemptEnd::kBroken, attempt().m_reason);
+      if (co_await GoesOnBeside())
+        continue;
+    }
     if (m_caller.gone()) {
       EndAttempt(AttemptEnd::kAbandoned);
       LogCall("caller_gone", kOk);
       co_return;
     }
-    NoteBreak();
-    LogAttempt(AttemptEnd::kBroken);
-    const bool again = Left() > Duration() &&
-                       decide::MayTryAgain(m_progress, AttemptEnd::kBroken) &&
-                       TakeRepeat(AttemptEnd::kBroken);
+    const bool again =
+        Left() > Duration() &&
+        decide::MayTryAgain(m_record->m_progress, AttemptEnd::kBroken) &&
+        TakeRepeatAfter(AttemptEnd::kBroken);
     EndAttempt(AttemptEnd::kBroken);
-    if (again && co_await Resume()) {
-      m_attempt.m_head = head;
+    if (again && co_await Resume())
       continue;
-    }
     if (!m_head_sent && !m_caller.gone())
       co_await GiveUp();
     else
@@ -56,42 +59,43 @@
 }
 
 Awaitable<bool> CallRun::RelayEvents() {
-  decide::DropPartial(m_events);
+  decide::EventSplitter& events = m_record->m_events;
+  CallTimes& times = m_record->m_times;
+  decide::DropPartial(events);
   while (true) {
-    const TimePoint deadline =
-        std::min(m_plan.m_deadline, Now() + decide::kStreamGap);
-    AsyncResult<std::optional<std::string>> piece = Failure();
-    {
-      const wire::CancelWhenGone cancel(m_caller, *m_attempt.m_reader);
-      piece = co_await m_attempt.m_reader->ReadBody(deadline);
-    }
-    if (!piece) {
-      m_attempt.m_failure = piece.error().m_code;
-      m_attempt.m_reason = Left() <= Duration()
-                               ? "the time of the caller or the route is over"
-                               : ToString(piece.error());
-      co_return false;
+    Listen(times, Now());
+    auto piece = co_await m_try->ReadBody();
+    times.m_listens = false;
+    const bool ended = piece && !piece->has_value();
+    if (ended && events.m_partial.empty())
+      co_return true;
+    if (SecondAnswers()) {
+      TakeSecond();
+      decide::DropPartial(events);
+      continue;
     }
-    if (!piece->has_value()) {
-      if (m_events.m_partial.empty())
-        co_return true;
-      m_attempt.m_reason = "the stream ends inside an event";
+    if (ended)
+      attempt().m_reason = "the stream ends inside an event";
+    else if (!piece && Left() <= Duration())
+      attempt().m_reason = kTimeOver;
+    if (ended || !piece)
       co_return false;
-    }
-    std::string events = decide::TakeEvents(m_events, **piece);
-    if (events.empty())
+    std::string whole = decide::TakeEvents(events, **piece);
+    if (whole.empty())
       continue;
-    NoteEvent(m_times, m_plan.m_began, Now());
+    NoteEvent(times, m_plan.m_began, Now());
+    if (m_standby)
+      m_standby->NoteHeard();
     if (!m_head_sent) {
       m_head_sent = true;
       LearnFromFirstEvent();
       m_state.m_metrics.Observe(
           "first_event_seconds", "",
-          std::chrono::duration<double>(*m_times.m_first_event).count());
-      if (!co_await m_caller.Start(m_attempt.m_head))
+          std::chrono::duration<double>(*times.m_first_event).count());
+      if (!co_await m_caller.Start(m_head))
         co_return false;
     }
-    if (!co_await m_caller.Write(std::move(events)))
+    if (!co_await m_caller.Write(std::move(whole)))
       co_return false;
   }
 }
@@ -99,38 +103,27 @@
 void CallRun::LearnFromFirstEvent() {
   // One that found a place at once had time to spare, and one that went to
   // another replica says nothing of the time that a replica needs.
-  if (!m_plan.m_patience.m_fresh || m_attempts > 1 ||
-      m_times.m_waited < kWaited)
+  const CallTimes& times = m_record->m_times;
+  if (!m_plan.m_patience.m_fresh || m_record->m_attempts > 1 ||
+      times.m_waited < kWaited)
     return;
   decide::NoteFirstEvent(StateOf(m_state, m_plan.m_service).m_patience,
-                         *m_times.m_first_event > m_plan.m_route.m_objective);
-}
-
-Awaitable<bool> CallRun::SendAgain() {
-  m_pool_call.m_fresh = true;  // Its caller waits for the next event.
-  m_pool_call.m_read_by = Now() + decide::kResumeWithin;
-  PrepareRepeat();
-  const TimePoint begun = Now();
-  if (co_await SendOnce(
-          std::min(m_plan.m_deadline, begun + decide::kRepeatWait)))
-    co_return true;
-  if (m_caller.gone() || Left() <= Duration())
-    co_return false;
-  PrepareRepeat();
-  co_return co_await SendOnce(
-      std::min(m_plan.m_deadline, begun + decide::RepeatWait(m_progress)));
+                         *times.m_first_event > m_plan.m_route.m_objective);
 }
 
 Awaitable<bool> CallRun::Resume() {
   while (true) {
-    if (!co_await SendAgain())
+    const TimePoint until = std::min(
+        m_plan.m_deadline, Now() + decide::RepeatWait(m_record->m_progress));
+    if (!co_await SendOnce(until, true))
       co_return false;
-    const AttemptEnd end = m_attempt.m_end;
-    if (end == AttemptEnd::kGood && m_attempt.m_head.m_status == kOk)
+    const AttemptEnd end = attempt().m_end;
+    if (end == AttemptEnd::kGood && attempt().m_head.m_status == kOk)
       co_return true;
     EndAttempt(m_caller.gone() ? AttemptEnd::kAbandoned : end);
     if (m_caller.gone() || Left() <= Duration() ||
-        !decide::MayTryAgain(m_progress, end) || !TakeRepeat(end))
+        !decide::MayTryAgain(m_record->m_progress, end) ||
+        !TakeRepeatAfter(end))
       co_return false;
   }
 }
--- a/src/libverbenalead/entry/call_server.cc
+++ b/src/libverbenalead/entry/call_server.cc
@@ -52,7 +52,7 @@
 
 Awaitable<void> CallServer::Serve(const wire::Request& request,
                                   wire::ResponseWriter& caller) {
-  CallRun::Plan plan;
+  CallPlan plan;
   plan.m_began = Now();
   plan.m_call = platform::DecodeCall(request);
   const model::InboundCall& call = plan.m_call;
@@ -130,7 +130,8 @@
   plan.m_patience =
       decide::PatienceFor(*route, engine, call, plan.m_elapsed,
                           StateOf(m_state, plan.m_service).m_patience.m_share);
-  CallRun run(m_state, m_places, m_http, std::move(plan), request, caller);
+  CallRun run(CallServices{m_state, m_places, m_http}, std::move(plan), request,
+              caller);
   co_await run.Run();
 }
 
--- /dev/null
+++ b/src/libverbenalead/entry/call_services.h
@@ -0,0 +1,20 @@
+#ifndef VERBENALEAD_ENTRY_CALL_SERVICES_H_
+#define VERBENALEAD_ENTRY_CALL_SERVICES_H_
+
+#include "entry/entry_state.h"
+#include "entry/place_waiter.h"
+#include "wire/client.h"
+
+namespace verbenalead::entry {
+
+/// What all calls of an entry use. It outlives them.
+struct CallServices {
+  EntryState& m_state;
+  PlaceWaiter& m_places;
+  /// Connections to replicas.
+  wire::Client& m_replicas;
+};
+
+}  // namespace verbenalead::entry
+
+#endif  // VERBENALEAD_ENTRY_CALL_SERVICES_H_
--- a/src/libverbenalead/entry/call_times.h
+++ b/src/libverbenalead/entry/call_times.h
@@ -17,10 +17,18 @@
   /// The longest pause between two events.
   Duration m_longest_pause{};
   TimePoint m_last_event{};
-  /// When a replica was last sent to, or sent anything.
+  /// When the replica at work was last heard, or its answer last waited for.
   TimePoint m_heard_at{};
+  /// An answer is waited for; false: the caller is slow to take what is there.
+  bool m_listens = false;
 };
 
+/// From now on an answer is waited for.
+inline void Listen(CallTimes& times, TimePoint now) {
+  times.m_heard_at = now;
+  times.m_listens = true;
+}
+
 /// An event came, of a call that began at `began`.
 inline void NoteEvent(CallTimes& times, TimePoint began, TimePoint now) {
   if (!times.m_first_event)
--- /dev/null
+++ b/src/libverbenalead/entry/replica_try.cc
@@ -0,0 +1,177 @@
+#include "entry/replica_try.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace verbenalead::entry {
+namespace {
+
+using decide::AttemptEnd;
+
+/// A replica stops work this much before the caller gives up, so that its
+/// verdict still gets back.
+constexpr Duration kReplicaMargin = 20ms;
+
+const char* ToString(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kGood:
+      return "answered";
+    case AttemptEnd::kFailed:
+      return "failed";
+    case AttemptEnd::kNotRun:
+      return "not_run";
+    case AttemptEnd::kWrongHost:
+      return "wrong_incarnation";
+    case AttemptEnd::kUnreachable:
+      return "unreachable";
+    case AttemptEnd::kBroken:
+      return "broken";
+    case AttemptEnd::kAbandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+ReplicaTry::ReplicaTry(CallServices services,
+                       std::shared_ptr<CallRecord> record)
+    : m_services(services), m_record(std::move(record)) {}
+
+Awaitable<bool> ReplicaTry::Send(TimePoint wait_until,
+                                 const std::function<void()>& on_sent) {
+  PlaceWaiter& places = m_services.m_places;
+  const CallPlan& plan = m_record->m_plan;
+  decide::PoolCall wanted = m_record->m_pool_call;
+  m_ticket = wanted.m_ticket = places.NewTicket();
+  const uint32_t prompt_tokens = wanted.m_prompt_tokens;
+  auto place =
+      co_await places.Take(plan.m_service, std::move(wanted), wait_until);
+  if (!place)
+    co_return false;
+  m_replica = *place;
+  auto& replicas =
+      StateOf(m_services.m_state, plan.m_service).m_pool.m_replicas;
+  const auto found = replicas.find(m_replica);
+  if (m_cancelled || found == replicas.end() ||
+      m_record->Left(Now()) <= Duration()) {
+    places.NoteBegun(plan.m_service, m_replica, prompt_tokens);
+    End(AttemptEnd::kAbandoned);
+    co_return false;
+  }
+  const decide::ReplicaState& replica = found->second;
+  m_incarnation =
+      m_replica + "/" + std::to_string(replica.m_replica.m_started_ms);
+  m_record->m_pool_call.m_tried.insert(m_replica);
+  m_number = ++m_record->m_attempts;
+  m_sent_at = Now();
+  const Endpoint endpoint = replica.m_replica.m_endpoint;
+  const TimePoint head_deadline =
+      std::min(plan.m_deadline, WeightsDeadline(replica));
+  wire::Request request =
+      platform::EncodeForReplica(m_record->m_request, Forwarded(replica));
+  on_sent();
+  co_await OpenAttempt(m_services.m_replicas, endpoint, std::move(request),
+                       head_deadline, m_result);
+  if (m_cancelled && m_result.m_reader)
+    m_result.m_reader->Cancel();
+  if (m_result.m_reader)
+    co_await ReadAnswerHead(plan.m_call.m_id, head_deadline, m_result);
+  places.NoteBegun(plan.m_service, m_replica, prompt_tokens);
+  NoteHead();
+  Log(m_result.m_end, m_result.m_reason);
+  co_return true;
+}
+
+void ReplicaTry::NoteHead() {
+  if (m_result.m_end != AttemptEnd::kUnreachable)
+    ++m_record->m_progress.m_sent;
+  if (m_result.m_may_have_run)
+    ++m_record->m_progress.m_runs;
+  if (!m_result.m_facts.m_weights)
+    return;
+  auto& replicas =
+      StateOf(m_services.m_state, m_record->m_plan.m_service).m_pool.m_replicas;
+  const auto known = replicas.find(m_replica);
+  if (known != replicas.end()) {
+    known->second.m_weights =
+        std::max(known->second.m_weights, *m_result.m_facts.m_weights);
+  }
+}
+
+Awaitable<void> ReplicaTry::ReadAhead() {
+  auto piece = co_await ReadBody();
+  // An end, or a break, is found again by whoever reads on.
+  if (piece && piece->has_value())
+    m_ahead = std::move(**piece);
+  else if (!piece)
+    m_result.m_end = AttemptEnd::kBroken;
+}
+
+Awaitable<AsyncResult<std::optional<std::string>>> ReplicaTry::ReadBody() {
+  if (m_ahead) {
+    std::optional<std::string> piece = std::exchange(m_ahead, std::nullopt);
+    co_return piece;
+  }
+  auto piece =
+      co_await m_result.m_reader->ReadBody(m_record->m_plan.m_deadline);
+  if (!piece) {
+    m_result.m_failure = piece.error().m_code;
+    m_result.m_reason = verbenalead::ToString(piece.error());
+  }
+  co_return piece;
+}
+
+void ReplicaTry::Cancel() {
+  m_cancelled = true;
+  m_services.m_places.Cancel(m_ticket);
+  if (m_result.m_reader)
+    m_result.m_reader->Cancel();
+}
+
+void ReplicaTry::End(AttemptEnd end) {
+  m_result.m_reader.reset();
+  if (m_replica.empty())
+    return;
+  m_services.m_places.Release(m_record->m_plan.m_service,
+                              std::exchange(m_replica, std::string()), end);
+}
+
+platform::ForwardedCall ReplicaTry::Forwarded(
+    const decide::ReplicaState& replica) const {
+  platform::ForwardedCall call;
+  call.m_replica = replica.m_replica.m_id;
+  call.m_time_left = m_record->Left(Now()) - kReplicaMargin;
+  call.m_organisation = m_record->m_plan.m_organisation;
+  call.m_last_event = m_record->m_events.m_last_id;
+  return call;
+}
+
+TimePoint ReplicaTry::WeightsDeadline(
+    const decide::ReplicaState& replica) const {
+  const auto& watches = m_services.m_state.m_weights;
+  const auto watch = watches.find(m_record->m_plan.m_model);
+  if (m_record->m_plan.m_model.empty() || watch == watches.end())
+    return TimePoint::max();
+  return decide::BindsAgainst(watch->second, replica.m_weights);
+}
+
+void ReplicaTry::Log(AttemptEnd end, const std::string& reason) const {
+  const TimePoint now = Now();
+  LogLine("attempt")
+      .With("call", m_record->m_plan.m_call.m_id)
+      .With("replica", m_replica)
+      .With("end", ToString(end))
+      .With("number", static_cast<uint64_t>(m_number))
+      .With("weights", m_result.m_facts.m_weights.value_or(0))
+      .With("replicas_age_ms",
+            ToMilliseconds(now - m_services.m_state.m_replicas_at))
+      .With("ms", ToMilliseconds(now - m_sent_at))
+      .With("silent_ms", ToMilliseconds(now - m_record->m_times.m_heard_at))
+      .With("reason", reason)
+      .Info();
+}
+
+}  // namespace verbenalead::entry
--- /dev/null
+++ b/src/libverbenalead/entry/send_again.cc
@@ -0,0 +1,52 @@
+#include "entry/send_again.h"
+
+#include <algorithm>
+
+namespace verbenalead::entry {
+namespace {
+
+/// The prompt of a stream that goes on elsewhere, and all before it, should be
+/// read within this time: with a pass before and one after it the pause is
+/// still one that callers take for a stream that is on time.
+constexpr Duration kResumeWithin = 300ms;
+
+/// Fits the call to its next placing.
+void Prepare(EntryState& state, CallRecord& record) {
+  decide::PrepareRepeat(
+      record.m_pool_call,
+      StateOf(state, record.m_plan.m_service).m_pool.m_prefill_rate, Now());
+}
+
+}  // namespace
+
+bool TakeRepeat(EntryState& state, const std::string& service) {
+  const bool taken = decide::TakeRepeat(StateOf(state, service).m_repeats,
+                                        state.m_options.m_repeats,
+                                        EntriesAtMost(state), Now());
+  if (!taken)
+    state.m_metrics.Count("repeats_denied_total", "");
+  return taken;
+}
+
+Awaitable<bool> SendAgain(EntryState& state,
+                          CallRecord& record,
+                          ReplicaTry& again,
+                          TimePoint wait_until,
+                          const std::function<void()>& on_sent) {
+  if (record.m_events.m_events > 0) {
+    // Its caller waits for the next event.
+    record.m_pool_call.m_fresh = true;
+    record.m_pool_call.m_read_by = Now() + kResumeWithin;
+  }
+  Prepare(state, record);
+  const TimePoint in_time = Now() + decide::kRepeatWait;
+  bool sent = co_await again.Send(std::min(wait_until, in_time), on_sent);
+  const bool over = again.cancelled() || record.Left(Now()) <= Duration();
+  if (!sent && !over) {
+    Prepare(state, record);
+    sent = co_await again.Send(wait_until, on_sent);
+  }
+  co_return sent;
+}
+
+}  // namespace verbenalead::entry
--- /dev/null
+++ b/src/libverbenalead/entry/standby.cc
@@ -0,0 +1,192 @@
+#include "entry/standby.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "base/log.h"
+#include "base/spawn.h"
+#include "decide/second_try.h"
+#include "entry/send_again.h"
+
+namespace verbenalead::entry {
+namespace {
+
+namespace asio = boost::asio;
+using decide::AttemptEnd;
+
+constexpr int kOk = 200;
+/// Between two second tries, of which the first wasn't allowed or was turned
+/// away.
+constexpr Duration kPause = 100ms;
+
+Awaitable<void> WaitFor(asio::steady_timer& timer) {
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace
+
+Standby::Standby(const asio::any_io_executor& executor,
+                 CallServices services,
+                 std::shared_ptr<CallRecord> record,
+                 std::function<void()> on_ready)
+    : m_services(services),
+      m_record(std::move(record)),
+      m_on_ready(std::move(on_ready)),
+      m_silence(executor),
+      m_finished(executor) {
+  m_finished.expires_at(TimePoint::max());
+}
+
+void Standby::Watch() {
+  Spawn(m_silence.get_executor(), RunHeld(shared_from_this()), "standby");
+}
+
+Awaitable<void> Standby::RunHeld(std::shared_ptr<Standby> self) {
+  try {
+    co_await self->Run();
+  } catch (...) {
+    self->m_finished.cancel();
+    throw;
+  }
+  self->m_finished.cancel();
+}
+
+void Standby::NoteHeard() {
+  if (!m_ready && m_try)
+    m_try->Cancel();
+}
+
+void Standby::Stop() {
+  if (std::exchange(m_stopped, true))
+    return;
+  m_on_ready = nullptr;
+  m_silence.cancel();
+  m_finished.cancel();
+  if (m_ready)
+    Drop();
+  else if (m_try)
+    m_try->Cancel();
+}
+
+std::shared_ptr<ReplicaTry> Standby::Take() {
+  m_ready = false;
+  m_stopped = true;
+  return std::exchange(m_try, nullptr);
+}
+
+Awaitable<bool> Standby::Finish() {
+  if (m_stopped || !m_try || !m_try->sent()) {
+    Stop();
+    co_return false;
+  }
+  m_alone = true;
+  if (!m_ready)
+    co_await WaitFor(m_finished);
+  co_return m_ready;
+}
+
+Awaitable<void> Standby::Run() {
+  bool more = true;
+  while (more) {
+    if (!co_await WaitForSilence())
+      co_return;
+    more = co_await TryOnce();
+  }
+}
+
+Awaitable<bool> Standby::WaitForSilence() {
+  const CallTimes& times = m_record->m_times;
+  while (!m_stopped && !m_alone) {
+    const auto allowed = decide::SilenceBeforeSecondTry(
+        m_record->m_progress, m_record->m_plan.m_route);
+    const TimePoint now = Now();
+    if (!allowed || now >= m_record->m_plan.m_deadline)
+      co_return false;
+    // While its caller is slow to read, nothing is asked of the replica.
+    const TimePoint due = (times.m_listens ? times.m_heard_at : now) + *allowed;
+    if (now >= due)
+      co_return true;
+    m_silence.expires_at(std::min(due, m_record->m_plan.m_deadline));
+    co_await WaitFor(m_silence);
+  }
+  co_return false;
+}
+
+Awaitable<bool> Standby::TryOnce() {
+  if (!TakeRepeat(m_services.m_state, m_record->m_plan.m_service)) {
+    Log("denied");
+    co_await Pause();
+    co_return true;
+  }
+  const auto second = std::make_shared<ReplicaTry>(m_services, m_record);
+  m_try = second;
+  const std::function<void()> nothing = [] {};
+  const bool sent = co_await SendAgain(m_services.m_state, *m_record, *second,
+                                       m_record->m_plan.m_deadline, nothing);
+  bool proved = false;
+  if (sent)
+    proved = co_await Proves();
+  if (proved) {
+    Log("answered");
+    m_ready = true;
+    m_finished.cancel();
+    if (const auto on_ready = std::exchange(m_on_ready, nullptr))
+      on_ready();
+    co_return false;
+  }
+  Drop();
+  if (second->cancelled()) {
+    Log("overtaken");
+    co_return !m_stopped;
+  }
+  Log(sent ? "failed" : "no_place");
+  if (!sent || m_alone)
+    co_return false;
+  co_await Pause();
+  co_return true;
+}
+
+Awaitable<bool> Standby::Proves() {
+  AttemptResult& result = m_try->result();
+  if (result.m_end != AttemptEnd::kGood || m_try->cancelled())
+    co_return false;
+  if (m_record->m_progress.m_kind != model::CallKind::kStream)
+    co_return true;
+  if (result.m_head.m_status != kOk) {
+    result.m_end = AttemptEnd::kFailed;
+    co_return false;
+  }
+  const auto proving = m_try;
+  co_await proving->ReadAhead();
+  co_return result.m_end == AttemptEnd::kGood && !proving->cancelled();
+}
+
+void Standby::Drop() {
+  const auto dropped = std::exchange(m_try, nullptr);
+  m_ready = false;
+  dropped->End(dropped->cancelled() || m_stopped ? AttemptEnd::kAbandoned
+                                                 : dropped->result().m_end);
+}
+
+Awaitable<void> Standby::Pause() {
+  m_silence.expires_after(kPause);
+  co_await WaitFor(m_silence);
+}
+
+void Standby::Log(const char* outcome) const {
+  const TimePoint now = Now();
+  m_services.m_state.m_metrics.Count(
+      "second_tries_total", std::string("outcome=\"") + outcome + "\"");
+  LogLine("second_try")
+      .With("call", m_record->m_plan.m_call.m_id)
+      .With("outcome", outcome)
+      .With("events", m_record->m_events.m_events)
+      .With("silent_ms", ToMilliseconds(now - m_record->m_times.m_heard_at))
+      .With("left_ms", ToMilliseconds(m_record->Left(now)))
+      .Info();
+}
+
+}  // namespace verbenalead::entry
