--- a/src/libverbenalead/entry/call_fixture.h
+++ b/src/libverbenalead/entry/call_fixture.h
@@ -14,9 +14,9 @@
 
 #include "base/boot_clock.h"
 #include "entry/call_server.h"
-#include "entry/recording_caller.h"
-#include "entry/scripted_client.h"
 #include "platform/names.h"
+#include "wire/recording_writer.h"
+#include "wire/scripted_client.h"
 
 namespace verbenalead::entry {
 
@@ -28,24 +28,24 @@
   return {status, {{platform::kRequestId, "call-1"}, {platform::kStamp, "s"}}};
 }
 
-inline ScriptedAnswer Answer(int status,
-                             std::vector<std::string> pieces,
-                             bool breaks = false) {
-  ScriptedAnswer answer;
+inline wire::ScriptedAnswer Answer(int status,
+                                   std::vector<std::string> pieces,
+                                   bool breaks = false) {
+  wire::ScriptedAnswer answer;
   answer.m_head = Head(status);
   answer.m_pieces = std::move(pieces);
   answer.m_breaks = breaks;
   return answer;
 }
 
-inline ScriptedAnswer NotRun() {
-  ScriptedAnswer answer = Answer(503, {});
+inline wire::ScriptedAnswer NotRun() {
+  wire::ScriptedAnswer answer = Answer(503, {});
   answer.m_head.m_headers[platform::kNotExecuted] = "1";
   return answer;
 }
 
-inline ScriptedAnswer Broken() {
-  ScriptedAnswer answer;
+inline wire::ScriptedAnswer Broken() {
+  wire::ScriptedAnswer answer;
   answer.m_failure = FailureCode::kBroken;
   return answer;
 }
@@ -117,9 +117,9 @@
  protected:
   /// Makes one call and returns when nothing of it goes on any more. A caller
   /// with patience leaves when that is over.
-  RecordingCaller Call(const std::string& path,
-                       const std::string& key = "key",
-                       Duration patience = Duration()) {
+  wire::RecordingWriter Call(const std::string& path,
+                             const std::string& key = "key",
+                             Duration patience = Duration()) {
     wire::Request request;
     request.m_method = "POST";
     request.m_path = path;
@@ -127,7 +127,7 @@
                          {platform::kRequestId, "call-1"},
                          {platform::kKey, key},
                          {platform::kTimeLeft, "6000"}};
-    RecordingCaller caller;
+    wire::RecordingWriter caller;
     boost::asio::co_spawn(*m_io, m_server->Serve(request, caller),
                           boost::asio::detached);
     boost::asio::steady_timer leaves(*m_io);
@@ -160,7 +160,7 @@
   std::unique_ptr<links::Datagrams> m_datagrams;
   std::unique_ptr<PlaceAsker> m_asker;
   std::unique_ptr<PlaceWaiter> m_places;
-  ScriptedClient m_replicas;
+  wire::ScriptedClient m_replicas;
   std::unique_ptr<CallServer> m_server;
 };
 
--- a/src/libverbenalead/entry/call_server_test.cc
+++ b/src/libverbenalead/entry/call_server_test.cc
@@ -27,7 +27,7 @@
  public:
   void DeliversAPlainAnswer() {
     m_replicas.m_answers = {Answer(200, {"he", "llo"})};
-    const RecordingCaller caller = Call("/read/1");
+    const wire::RecordingWriter caller = Call("/read/1");
     CPPUNIT_ASSERT_EQUAL(200, caller.m_status);
     CPPUNIT_ASSERT_EQUAL(std::string("hello"), caller.m_body);
     CPPUNIT_ASSERT_EQUAL(std::string("acme"),
@@ -41,7 +41,7 @@
   // without a head, which no client can read.
   void AStreamWithoutEventsStillHasAHead() {
     m_replicas.m_answers = {Answer(200, {})};
-    const RecordingCaller caller = Call("/stream/1");
+    const wire::RecordingWriter caller = Call("/stream/1");
     CPPUNIT_ASSERT_EQUAL(1, caller.m_heads);
     CPPUNIT_ASSERT(caller.m_whole);
     CPPUNIT_ASSERT_EQUAL(std::string(), caller.m_body);
@@ -52,7 +52,7 @@
   void ABrokenStreamGoesOnElsewhere() {
     m_replicas.m_answers = {Answer(200, {Event(1), Event(2) + "id: 3"}, true),
                             Answer(200, {Event(3), Event(4)})};
-    const RecordingCaller caller = Call("/stream/1");
+    const wire::RecordingWriter caller = Call("/stream/1");
     CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2) + Event(3) + Event(4),
                          caller.m_body);
     CPPUNIT_ASSERT_EQUAL(1, caller.m_heads);
@@ -67,7 +67,7 @@
   void AStreamThatCannotGoOnIsNeverShownAsWhole() {
     m_replicas.m_answers = {Answer(200, {Event(1)}, true),
                             Answer(200, {Event(2)}, true)};
-    const RecordingCaller caller = Call("/stream/1");
+    const wire::RecordingWriter caller = Call("/stream/1");
     CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2), caller.m_body);
     CPPUNIT_ASSERT(!caller.m_whole);
   }
@@ -84,7 +84,7 @@
   // be sent again, and the caller must not be told that it didn't run.
   void AtMostOnceIsNotSentAgainAfterABreak() {
     m_replicas.m_answers = {Broken(), Answer(200, {"second"})};
-    const RecordingCaller caller = Call("/pay/1");
+    const wire::RecordingWriter caller = Call("/pay/1");
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_replicas.m_requests.size());
     CPPUNIT_ASSERT_EQUAL(502, caller.m_status);
   }
@@ -96,7 +96,7 @@
   }
 
   void ARefusalIsTrueAndTellsWhenToComeBack() {
-    const RecordingCaller caller = Call("/pay/1");  // No replica answers.
+    const wire::RecordingWriter caller = Call("/pay/1");  // No replica answers.
     CPPUNIT_ASSERT_EQUAL(503, caller.m_status);
     CPPUNIT_ASSERT(caller.m_headers.contains("retry-after"));
   }
@@ -104,7 +104,7 @@
   // A replica's answer to an earlier request comes late. It belongs to nobody
   // here and must not be delivered.
   void AnAnswerToAnotherRequestIsNone() {
-    ScriptedAnswer late = Answer(200, {"other"});
+    wire::ScriptedAnswer late = Answer(200, {"other"});
     late.m_head.m_headers[platform::kRequestId] = "call-0";
     m_replicas.m_answers = {late, Answer(200, {"own"})};
     CPPUNIT_ASSERT_EQUAL(std::string("own"), Call("/read/1").m_body);
--- a/src/libverbenalead/entry/silent_replica_test.cc
+++ b/src/libverbenalead/entry/silent_replica_test.cc
@@ -11,12 +11,14 @@
 /// Longer than a test takes, unless it waits for a replica that it shouldn't.
 constexpr Duration kForGood = 5s;
 
-ScriptedAnswer Paused(ScriptedAnswer answer, size_t before, Duration pause) {
+wire::ScriptedAnswer Paused(wire::ScriptedAnswer answer,
+                            size_t before,
+                            Duration pause) {
   answer.m_silences[before] = pause;
   return answer;
 }
 
-ScriptedAnswer LateHead(ScriptedAnswer answer, Duration pause) {
+wire::ScriptedAnswer LateHead(wire::ScriptedAnswer answer, Duration pause) {
   answer.m_head_silence = pause;
   return answer;
 }
@@ -40,7 +42,7 @@
     LeaveOneReplica();
     m_replicas.m_answers = {
         Paused(Answer(200, {Event(1), Event(2)}), 1, kPause)};
-    const RecordingCaller caller = Call("/stream/1");
+    const wire::RecordingWriter caller = Call("/stream/1");
     CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2), caller.m_body);
     CPPUNIT_ASSERT(caller.m_whole);
     AssertAllPlacesFree();
@@ -49,7 +51,7 @@
   void ALateHeadIsWaitedForThoughNoOtherReplicaHasAPlace() {
     LeaveOneReplica();
     m_replicas.m_answers = {LateHead(Answer(200, {Event(1)}), kPause)};
-    const RecordingCaller caller = Call("/stream/1");
+    const wire::RecordingWriter caller = Call("/stream/1");
     CPPUNIT_ASSERT_EQUAL(200, caller.m_status);
     CPPUNIT_ASSERT_EQUAL(Event(1), caller.m_body);
     AssertAllPlacesFree();
@@ -58,7 +60,7 @@
   void ALatePlainAnswerIsWaitedForThoughNoOtherReplicaHasAPlace() {
     LeaveOneReplica();
     m_replicas.m_answers = {LateHead(Answer(200, {"late"}), kPause)};
-    const RecordingCaller caller = Call("/read/1");
+    const wire::RecordingWriter caller = Call("/read/1");
     CPPUNIT_ASSERT_EQUAL(200, caller.m_status);
     CPPUNIT_ASSERT_EQUAL(std::string("late"), caller.m_body);
     AssertAllPlacesFree();
@@ -70,7 +72,7 @@
     m_state->m_routes = std::make_shared<decide::RouteTable>(config);
     m_replicas.m_answers = {
         Paused(Answer(200, {Event(1), Event(2)}), 1, kPause)};
-    const RecordingCaller caller = Call("/stream/1");
+    const wire::RecordingWriter caller = Call("/stream/1");
     CPPUNIT_ASSERT(caller.m_whole);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_replicas.m_requests.size());
   }
@@ -79,7 +81,7 @@
     m_replicas.m_answers = {
         Paused(Answer(200, {Event(1), Event(2)}), 1, kForGood),
         Answer(200, {Event(2), Event(3)})};
-    const RecordingCaller caller = Call("/stream/1");
+    const wire::RecordingWriter caller = Call("/stream/1");
     CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2) + Event(3), caller.m_body);
     CPPUNIT_ASSERT_EQUAL(1, caller.m_heads);
     CPPUNIT_ASSERT(caller.m_whole);
@@ -95,7 +97,7 @@
     for (const std::string path : {"/stream/1", "/read/1"}) {
       m_replicas.m_answers = {LateHead(Answer(200, {Event(1)}), kForGood),
                               Answer(200, {Event(1)})};
-      const RecordingCaller caller = Call(path);
+      const wire::RecordingWriter caller = Call(path);
       CPPUNIT_ASSERT_EQUAL(200, caller.m_status);
       CPPUNIT_ASSERT_EQUAL(Event(1), caller.m_body);
       AssertAllPlacesFree();
@@ -108,7 +110,7 @@
     m_replicas.m_answers = {
         Paused(Answer(200, {Event(1), Event(2), Event(3)}), 1, kPause),
         LateHead(Answer(200, {Event(2), "id: 3\ndata: other\n\n"}), kForGood)};
-    const RecordingCaller caller = Call("/stream/1");
+    const wire::RecordingWriter caller = Call("/stream/1");
     CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2) + Event(3), caller.m_body);
     CPPUNIT_ASSERT(caller.m_whole);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, m_replicas.m_requests.size());
@@ -119,7 +121,7 @@
   void TheSecondIsKeptWhenTheFirstBreaksOff() {
     m_replicas.m_answers = {Paused(Answer(200, {Event(1)}, true), 1, kPause),
                             LateHead(Answer(200, {Event(2)}), kPause)};
-    const RecordingCaller caller = Call("/stream/1");
+    const wire::RecordingWriter caller = Call("/stream/1");
     CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2), caller.m_body);
     CPPUNIT_ASSERT(caller.m_whole);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, m_replicas.m_requests.size());
@@ -130,7 +132,7 @@
     m_replicas.m_answers = {
         Paused(Answer(200, {Event(1), Event(2)}), 1, kForGood),
         LateHead(Answer(200, {Event(2)}), kForGood)};
-    const RecordingCaller caller = Call("/stream/1", "key", kPause);
+    const wire::RecordingWriter caller = Call("/stream/1", "key", kPause);
     CPPUNIT_ASSERT(!caller.m_whole);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, m_replicas.m_requests.size());
     CPPUNIT_ASSERT_EQUAL(size_t{2}, m_replicas.m_cancelled);
--- a/src/libverbenalead/entry/recording_caller.h
+++ b/src/libverbenalead/wire/recording_writer.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_ENTRY_RECORDING_CALLER_H_
-#define VERBENALEAD_ENTRY_RECORDING_CALLER_H_
+#ifndef VERBENALEAD_WIRE_RECORDING_WRITER_H_
+#define VERBENALEAD_WIRE_RECORDING_WRITER_H_
 
 #include <functional>
 #include <string>
@@ -7,12 +7,12 @@
 
 #include "wire/response_writer.h"
 
-namespace verbenalead::entry {
+namespace verbenalead::wire {
 
 /// Stands for a caller in tests: keeps what it is sent.
-class RecordingCaller : public wire::ResponseWriter {
+class RecordingWriter : public ResponseWriter {
  public:
-  Awaitable<bool> Send(wire::Response response) override {
+  Awaitable<bool> Send(Response response) override {
     m_heads += m_whole ? 2 : 1;
     m_status = response.m_status;
     m_headers = std::move(response.m_headers);
@@ -20,7 +20,7 @@
     m_whole = true;
     co_return true;
   }
-  Awaitable<bool> Start(wire::ResponseHead head) override {
+  Awaitable<bool> Start(ResponseHead head) override {
     ++m_heads;
     m_status = head.m_status;
     m_headers = std::move(head.m_headers);
@@ -30,7 +30,7 @@
     m_body += bytes;
     co_return true;
   }
-  Awaitable<bool> Finish(wire::Headers) override {
+  Awaitable<bool> Finish(Headers) override {
     m_whole = true;
     co_return true;
   }
@@ -49,7 +49,7 @@
   /// Heads that were sent: one for each sound answer.
   int m_heads = 0;
   int m_status = 0;
-  wire::Headers m_headers;
+  Headers m_headers;
   std::string m_body;
   /// The answer came to its end.
   bool m_whole = false;
@@ -59,6 +59,6 @@
   bool m_gone = false;
 };
 
-}  // namespace verbenalead::entry
+}  // namespace verbenalead::wire
 
-#endif  // VERBENALEAD_ENTRY_RECORDING_CALLER_H_
+#endif  // VERBENALEAD_WIRE_RECORDING_WRITER_H_
--- a/src/libverbenalead/entry/scripted_client.h
+++ b/src/libverbenalead/wire/scripted_client.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_ENTRY_SCRIPTED_CLIENT_H_
-#define VERBENALEAD_ENTRY_SCRIPTED_CLIENT_H_
+#ifndef VERBENALEAD_WIRE_SCRIPTED_CLIENT_H_
+#define VERBENALEAD_WIRE_SCRIPTED_CLIENT_H_
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -15,13 +15,13 @@
 
 #include "wire/client.h"
 
-namespace verbenalead::entry {
+namespace verbenalead::wire {
 
 /// One answer that a scripted replica gives.
 struct ScriptedAnswer {
   /// Set: no connection is made, or it breaks before the head.
   std::optional<FailureCode> m_failure;
-  wire::ResponseHead m_head;
+  ResponseHead m_head;
   std::vector<std::string> m_pieces;
   /// The connection breaks after the last piece.
   bool m_breaks = false;
@@ -33,10 +33,10 @@
 
 /// Stands for replicas in tests: gives the answers of a script in order and
 /// keeps what it was sent.
-class ScriptedClient : public wire::Client {
+class ScriptedClient : public Client {
  public:
-  Awaitable<AsyncResult<std::unique_ptr<wire::ResponseReader>>>
-  Open(Endpoint, wire::Request request, TimePoint) override {
+  Awaitable<AsyncResult<std::unique_ptr<ResponseReader>>>
+  Open(Endpoint, Request request, TimePoint) override {
     m_requests.push_back(std::move(request));
     ScriptedAnswer answer;
     answer.m_failure = FailureCode::kUnreachable;
@@ -46,25 +46,25 @@
     }
     if (answer.m_failure == FailureCode::kUnreachable)
       co_return Failure{FailureCode::kUnreachable, "connect", "replica", "no"};
-    co_return AsyncResult<std::unique_ptr<wire::ResponseReader>>(
+    co_return AsyncResult<std::unique_ptr<ResponseReader>>(
         std::make_unique<Reader>(std::move(answer), *this));
   }
 
   std::deque<ScriptedAnswer> m_answers;
-  std::vector<wire::Request> m_requests;
-  /// Until when each head was waited for.
+  std::vector<Request> m_requests;
+  /// Until when each head, and each piece, was waited for.
   std::vector<TimePoint> m_head_deadlines;
+  std::vector<TimePoint> m_body_deadlines;
   /// Answers whose reading was cancelled.
   size_t m_cancelled = 0;
 
  private:
-  class Reader : public wire::ResponseReader {
+  class Reader : public ResponseReader {
    public:
     Reader(ScriptedAnswer answer, ScriptedClient& client)
         : m_answer(std::move(answer)), m_client(client) {}
 
-    Awaitable<AsyncResult<wire::ResponseHead>> ReadHead(
-        TimePoint deadline) override {
+    Awaitable<AsyncResult<ResponseHead>> ReadHead(TimePoint deadline) override {
       m_client.m_head_deadlines.push_back(deadline);
       const auto silence = m_answer.m_head_silence;
       if (const auto ended = co_await WaitInSilence(silence, deadline))
@@ -75,6 +75,7 @@
     }
     Awaitable<AsyncResult<std::optional<std::string>>> ReadBody(
         TimePoint deadline) override {
+      m_client.m_body_deadlines.push_back(deadline);
       const auto found = m_answer.m_silences.find(m_next);
       if (found != m_answer.m_silences.end()) {
         const Duration silence = std::exchange(found->second, Duration());
@@ -89,7 +90,7 @@
         co_return Failure{FailureCode::kBroken, "read body", "replica", "cut"};
       co_return std::optional<std::string>();
     }
-    const wire::Headers& trailers() const override { return m_trailers; }
+    const Headers& trailers() const override { return m_trailers; }
     void Cancel() override {
       if (std::exchange(m_cancelled, true))
         return;
@@ -122,10 +123,10 @@
     std::optional<boost::asio::steady_timer> m_timer;
     bool m_cancelled = false;
     size_t m_next = 0;
-    wire::Headers m_trailers;
+    Headers m_trailers;
   };
 };
 
-}  // namespace verbenalead::entry
+}  // namespace verbenalead::wire
 
-#endif  // VERBENALEAD_ENTRY_SCRIPTED_CLIENT_H_
+#endif  // VERBENALEAD_WIRE_SCRIPTED_CLIENT_H_
