A target waits for an engine's next piece as long as its caller does

A call that may be repeated is now read until its deadline; one that may run once is read on for 60 s a piece beyond it, as before, so that its outcome is recorded.

attempt_server_test, new, failed at the deadline of the body's reads (60 s where the call had 300 s) and passes; its second test, that a call that may run once is read on after its caller's time, passed before and passes.

--- a/src/libverbenalead/daemon/attempt_server.cc
+++ b/src/libverbenalead/daemon/attempt_server.cc
@@ -1,5 +1,6 @@
 #include "daemon/attempt_server.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <memory>
 
@@ -13,7 +14,8 @@
 namespace verbenalead::daemon {
 namespace {
 
-/// Longest silence of an engine in the middle of an answer.
+/// How long the answer to a call that may run only once is waited for, piece by
+/// piece, beyond its caller's time: its outcome is to be recorded.
 constexpr Duration kPieceTimeout = 60s;
 constexpr int kFirstErrorStatus = 400;
 
@@ -63,6 +65,13 @@
   headers[peer::kAttempt] = std::to_string(attempt.m_number);
 }
 
+/// Until when the next piece of an answer is waited for. An engine that pauses
+/// within its caller's time still answers; to end it sooner would cut what the
+/// caller waits for.
+TimePoint PieceDeadline(TimePoint deadline, bool may_repeat) {
+  return may_repeat ? deadline : std::max(deadline, Now() + kPieceTimeout);
+}
+
 }  // namespace
 
 /// An attempt that the gate let in, and what was in force then.
@@ -76,6 +85,8 @@
   bool m_may_repeat = true;
   /// Attempts that ran when it came.
   uint32_t m_running = 0;
+  /// When its caller stops waiting.
+  TimePoint m_deadline{};
 };
 
 Awaitable<void> AttemptServer::Serve(wire::Request request,
@@ -152,6 +163,7 @@
   const auto wait =
       std::chrono::milliseconds(NumberIn(request.m_headers, peer::kDeadline));
   const TimePoint deadline = Now() + wait;
+  entered.m_deadline = deadline;
   auto opened = co_await m_engine.Send(ForEngine(request), deadline);
   if (!opened && opened.error().m_code == FailureCode::kUnreachable) {
     co_await Refuse(entered, "engine_unreachable", writer);
@@ -215,7 +227,8 @@
       reason = "version_changed";
       break;
     }
-    auto piece = co_await reader.ReadBody(Now() + kPieceTimeout);
+    auto piece = co_await reader.ReadBody(
+        PieceDeadline(entered.m_deadline, entered.m_may_repeat));
     if (!piece) {
       reason = ToString(piece.error());
       break;
