No answer of the store ends a process

A number of milliseconds beyond a century is no time now, where it overflowed. Ruled out by reading: the codecs of configuration, replicas, relayed rows and datagrams return failures for each such form.

--- a/src/libverbenalead/platform/json_read.cc
+++ b/src/libverbenalead/platform/json_read.cc
@@ -50,8 +50,10 @@
 
 std::optional<Duration> ReadMilliseconds(const json::object& object,
                                          std::string_view name) {
+  // More than a century, and well within what Duration holds.
+  constexpr double kLargest = 4e12;
   const auto number = ReadNumber(object, name);
-  if (!number || !std::isfinite(*number))
+  if (!number || !(std::abs(*number) <= kLargest))
     return std::nullopt;
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(*number));
--- a/src/libverbenalead/platform/store.cc
+++ b/src/libverbenalead/platform/store.cc
@@ -6,6 +6,7 @@
 #include "base/boot_clock.h"
 #include "base/catch_failure.h"
 #include "base/log.h"
+#include "platform/json_read.h"
 
 namespace verbenalead::platform {
 namespace {
@@ -84,15 +85,13 @@
   if (!object)
     return std::nullopt;
   const json::value* revision = object->if_contains("ver");
-  const json::value* time = object->if_contains("now_ms");
+  const auto time = ReadMilliseconds(*object, "now_ms");
   const json::value* rows = object->if_contains("rows");
-  if (!revision || !revision->is_int64() || !time || !time->is_number() ||
-      !rows || !rows->is_array())
+  if (!revision || !revision->is_int64() || !time || !rows || !rows->is_array())
     return std::nullopt;
   Page page;
   page.m_rows.m_revision = static_cast<uint64_t>(revision->as_int64());
-  page.m_rows.m_store_time =
-      std::chrono::milliseconds(time->to_number<int64_t>());
+  page.m_rows.m_store_time = *time;
   for (const json::value& entry : rows->as_array()) {
     if (auto row = ReadRow(entry))
       page.m_rows.m_rows.push_back(std::move(*row));
