The soak judges lost answers, and plays planned work alone on a full pool

It couldn't have shown the incident: its check of answers let a stream pass that was cut, whoever cut it, and its pool was never full. judge_lost finds calls that a replica had and whose connection ended without a whole answer, from what callers and replicas saw (the stand-in logs how each run ended), and excuses what the rule excuses: the caller's time was over, the replica broke off or died, a disturbance that nobody planned. A replica's silence excuses nothing.

--planned draws stops, SIGHUP, configurations, storms of them, 1,000 routes, revoked keys, versions, and pauses of replicas up to 2.8 s, for 24 callers on 16 places; sizes are options, out of range they are refused by name with exit code 2.

--- a/Makefile
+++ b/Makefile
@@ -38,10 +38,12 @@
 fuzz: all
 	python3 testsuite/run_fuzz.py --bin $(BUILD) --seconds $(FUZZ_SECONDS)
 
-# Real processes under random faults; SOAK_SEEDS runs with fresh seeds.
+# Real processes under random faults, and under planned work alone, where no cut
+# is excused; SOAK_SEEDS runs of each with fresh seeds.
 SOAK_SEEDS ?= 10
 soak: all
 	python3 testsuite/soak/run_soak.py --bin $(BUILD) --seeds $(SOAK_SEEDS)
+	python3 testsuite/soak/run_soak.py --bin $(BUILD) --seeds $(SOAK_SEEDS) --planned
 
 lint: check-format check-tidy
 
--- a/testsuite/cases/platform_soak/run.py
+++ b/testsuite/cases/platform_soak/run.py
@@ -19,9 +19,9 @@
 
 
 def body(cluster):
-    assert not run_soak.play(cluster, SEED, SECONDS)
-    for seed, seconds in run_soak.kept_seeds():
-        assert run_soak.play_alone(cluster.bin, seed, seconds), seed
+    assert not run_soak.play(cluster, run_soak.run_of(SEED, SECONDS, False))
+    for run in run_soak.kept_runs():
+        assert run_soak.play_alone(cluster.bin, run), run
 
 
 if __name__ == "__main__":
--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -31,6 +31,8 @@
         self.version = 0
         self.keys = [KEY]
         self.guest_keys = []
+        # Routes beside those that are used.
+        self.more_routes = 0
 
     def store_for(self, name):
         """Where the process `name` reaches the store."""
@@ -78,6 +80,10 @@
                  route_kind="unsafe", max_attempts=1),
             dict(common, name="look", prefix="/look/", service="ledger",
                  route_kind="safe", max_attempts=2, slo_ms=200)]
+        routes += [dict(common, name="more-%d" % number,
+                        prefix="/more/%d/" % number, service="pool",
+                        route_kind="streaming", max_attempts=2)
+                   for number in range(self.more_routes)]
         self.write("op", "config", {
             "version": self.version, "routes": routes,
             "services": [
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -1,5 +1,7 @@
 """The deployment that the soak runs: real programs, with relays between them."""
 
+import collections
+
 import harness
 import platform_fleet
 
@@ -8,8 +10,16 @@
 KEY_BOUND = 5.0
 
 
+# Entries, engines and plain services, callers, places of an engine, time
+# between two events in ms.
+Size = collections.namedtuple("Size", "entries engines plain callers slots event")
+SMALL = Size(3, 4, 2, 6, 8, 8)
+# More callers than places.
+FULL = Size(3, 4, 2, 24, 4, 40)
+
+
 class Deployment(platform_fleet.PlatformFleet):
-    """Three entries and six replicas in two data centres.
+    """Entries and replicas in two data centres.
 
     Each entry and target reaches the store by a relay of its own, and each
     replica is reached by one. `relays` holds where they take commands, by the
@@ -19,8 +29,9 @@
     # Faults that are due must not wait behind a store that hangs.
     WRITE_TIMEOUT = 0.5
 
-    def __init__(self, cluster):
+    def __init__(self, cluster, size=SMALL):
         super().__init__(cluster)
+        self.size = size
         self.relays = {}
         self.guest_keys = [GUEST_KEY]
 
@@ -56,11 +67,12 @@
 
     def start(self):
         self.start_platform()
-        for data_center in ("a", "a", "b", "b"):
-            self.add_replica(data_center=data_center, event=8)
-        for data_center in ("a", "b"):
+        for data_center in self.spread(self.size.engines):
+            self.add_replica(data_center=data_center, slots=self.size.slots,
+                             event=self.size.event)
+        for data_center in self.spread(self.size.plain):
             self.add_replica("ledger", "", data_center=data_center, work=30)
-        for data_center in ("a", "a", "b"):
+        for data_center in self.spread(self.size.entries):
             self.add_entry(data_center)
         self.wait_ready()
         self.serve_all("at the start")
@@ -75,6 +87,12 @@
                 "%s to serve payments %s" % (entry["name"], when),
                 lambda: self.answers(self.pay, entry, "p%d" % number))
 
+    @staticmethod
+    def spread(count):
+        """The data centres of `count` processes."""
+        return ["a" if number < (count + 1) // 2 else "b"
+                for number in range(count)]
+
     @staticmethod
     def answers(call, entry, number):
         try:
--- a/testsuite/soak/fault_plan.py
+++ b/testsuite/soak/fault_plan.py
@@ -14,20 +14,29 @@
     "store_forgets": 1, "store_loses": 1, "link_silent": 4, "link_one_way": 3,
     "link_cut": 4, "link_slow": 2, "revoke": 2, "revoke_asleep": 3, "configure": 3, "storm": 2,
     "declare": 2}
+# Planned work, and replicas that say nothing for a while: none of it excuses an
+# answer that is cut.
+PLANNED = {"stop_entry": 3, "hup_entry": 2, "configure": 3, "storm": 3,
+           "large": 2, "revoke": 1, "declare": 1, "pause_replica": 6}
 LONGEST_FREEZE = 6.5
+LONGEST_PAUSE = 2.8
 LONGEST_OUTAGE = 3.0
 
 
-def draw(seed, seconds):
-    """Faults of the first three quarters of a run, in the order of time."""
+def draw(seed, seconds, planned=False):
+    """Faults of the first three quarters of a run, in the order of time.
+
+    `planned`: planned work only, and pauses of replicas.
+    """
     source = random.Random(seed)
-    kinds = list(KINDS)
+    weights = PLANNED if planned else KINDS
+    kinds = list(weights)
     faults = []
     at = 0.5
     while at < seconds * 0.75:
-        kind = source.choices(kinds, list(KINDS.values()))[0]
-        longest = LONGEST_FREEZE if kind.startswith("freeze") else \
-            LONGEST_OUTAGE
+        kind = source.choices(kinds, list(weights.values()))[0]
+        longest = {"freeze": LONGEST_FREEZE, "pause": LONGEST_PAUSE}.get(
+            kind.split("_")[0], LONGEST_OUTAGE)
         faults.append(Fault(round(at, 2), kind, source.randrange(100),
                             round(source.uniform(0.1, longest), 2)))
         # Faults come in series: some right after each other, then a pause.
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -4,10 +4,12 @@
 import http.client
 import itertools
 import json
+import signal
 import time
 
 import harness
 from soak.deployment import GUEST_KEY, KEY_BOUND
+from soak.judge_lost import Disturbance
 
 RETRY = 0.3
 SLOW_MS = 150
@@ -16,6 +18,11 @@
 # An entry sleeps over the bound on a removed key, and a little longer.
 SLEEP_OVER_BOUND = 6.3
 PROBE_AFTER = KEY_BOUND + 0.1
+LARGE_ROUTES = 1000
+# Faults that nobody plans. What runs on a connection that was silenced is
+# harmed for as long as a call may last.
+UNPLANNED = ("kill", "freeze", "store", "link", "revoke_asleep")
+HARM_OF_LINKS = 8.0
 
 
 class Injector:
@@ -33,9 +40,10 @@
         # acknowledgement of its removal until its return was sent.
         self.barred = []
         self.ended = []
+        self.disturbances = []
         self.stopping = set()
         for fault in plan:
-            self.later(fault.at, getattr(self, fault.kind), fault)
+            self.later(fault.at, self.bring, fault)
 
     def later(self, at, action, *arguments):
         heapq.heappush(self.queue,
@@ -50,6 +58,18 @@
             self.note_ended()
             action(*arguments)
 
+    def bring(self, fault):
+        if fault.kind.startswith(UNPLANNED):
+            begin = time.monotonic()
+            lasts = fault.lasts
+            if fault.kind.startswith("link"):
+                lasts += HARM_OF_LINKS
+            elif fault.kind == "revoke_asleep":
+                lasts = SLEEP_OVER_BOUND
+            self.disturbances.append(
+                Disturbance(begin, begin + lasts, fault.kind))
+        getattr(self, fault.kind)(fault)
+
     def now(self):
         return time.monotonic() - self.begun
 
@@ -141,6 +161,15 @@
     def freeze_replica(self, fault):
         self.freeze(self.pick(self.replicas(), fault), fault)
 
+    def pause_replica(self, fault):
+        """The replica says nothing for a while, and works on after it."""
+        self.freeze_replica(fault)
+
+    def hup_entry(self, fault):
+        name = self.pick(self.entries(), fault)
+        if name not in self.stopping:
+            self.cluster.processes[name].send(signal.SIGHUP)
+
     # The store.
 
     def store(self, fault, **faults):
@@ -204,6 +233,10 @@
         for number in range(STORM):
             self.later(self.now() + number * 0.05, self.configure, fault)
 
+    def large(self, fault):
+        self.deployment.more_routes = LARGE_ROUTES
+        self.publish()
+
     def declare(self, fault):
         self.weights += 1
         self.declare_again(self.weights)
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -2,30 +2,28 @@
 replicas saw."""
 
 import collections
-import re
 
 import harness
 import platform_fleet
+from soak import judge_lost
+from soak.callers import DEADLINE_MS
 from soak.deployment import KEY_BOUND
 
 # An entry reads a call that was sent while it was frozen when it wakes, 6.5 s
 # later at most, and the caller's 6 s begin then.
 LATEST = 13.5
 OWN_REFUSALS = (502, 503, 504)
-RAN = re.compile(r"event=ran call=(\S+) organisation=(\S+) weights=(\d+)")
 
 
-def runs_of(cluster, replicas):
-    """How often each call ran, from the replicas' logs."""
-    runs = collections.Counter()
+def ends_of_runs(cluster, replicas):
+    """How each run of a call ended, from the replicas' logs, by call."""
+    ends = collections.defaultdict(list)
     for replica in replicas:
         with open(cluster.path(replica["name"] + ".log"),
                   errors="replace") as log:
-            for line in log:
-                found = RAN.search(line)
-                if found:
-                    runs[found.group(1)] += 1
-    return runs
+            for call, how in judge_lost.ends_of_runs(log).items():
+                ends[call] += how
+    return ends
 
 
 def check_answer(outcome, problems):
@@ -72,11 +70,14 @@
 def find_broken(deployment, outcomes, injector):
     """A line for each broken promise."""
     broken = ["%s ended by itself" % name for name in injector.ended]
-    runs = runs_of(deployment.cluster, deployment.replicas)
+    ends = ends_of_runs(deployment.cluster, deployment.replicas)
+    lost = judge_lost.find_lost(outcomes, ends, injector.disturbances,
+                                DEADLINE_MS / 1000)
     for outcome in outcomes:
-        problems = []
+        problems = ["lost: its runs ended %s" % ends[outcome.call]] \
+            if outcome in lost else []
         check_answer(outcome, problems)
-        check_runs(outcome, runs[outcome.call], injector.barred, problems)
+        check_runs(outcome, len(ends[outcome.call]), injector.barred, problems)
         for problem in problems:
             broken.append("%s (%s by %s, sent at %.2f s, status %s): %s" % (
                 outcome.call, outcome.kind, outcome.entry,
--- a/testsuite/soak/run_soak.py
+++ b/testsuite/soak/run_soak.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import collections
 import os
 import random
 import shutil
@@ -19,19 +20,22 @@
 import harness  # noqa: E402
 from soak import fault_plan, promises  # noqa: E402
 from soak.callers import Callers  # noqa: E402
-from soak.deployment import Deployment  # noqa: E402
+from soak.deployment import FULL, SMALL, Deployment, Size  # noqa: E402
 from soak.injector import Injector  # noqa: E402
 
+# Addresses of hosts stand in one byte; a few hundred processes in all.
+MOST = {"entries": 60, "engines": 60, "plain": 20, "callers": 400, "slots": 64,
+        "event": 1000}
 SEEDS = os.path.join(os.path.dirname(os.path.abspath(__file__)), "seeds.txt")
-CALLERS = 6
 
 
-def play(cluster, seed, seconds):
-    """One run; returns a line for each broken promise."""
-    plan = fault_plan.draw(seed, seconds)
-    deployment = Deployment(cluster)
+def play(cluster, run):
+    """Plays a run; returns a line for each broken promise."""
+    seed, seconds, planned, size = run
+    plan = fault_plan.draw(seed, seconds, planned)
+    deployment = Deployment(cluster, size)
     deployment.start()
-    callers = Callers(deployment, seed, CALLERS)
+    callers = Callers(deployment, seed, size.callers)
     injector = Injector(deployment, plan, callers.probe_guest)
     callers.start()
     broken = []
@@ -54,12 +58,12 @@
     return broken
 
 
-def play_alone(bin_folder, seed, seconds):
+def play_alone(bin_folder, run):
     """One run in a folder of its own; true if it kept all promises."""
     work = tempfile.mkdtemp(prefix="verbenalead-soak-")
     cluster = harness.Cluster(bin_folder, work)
     try:
-        broken = play(cluster, seed, seconds)
+        broken = play(cluster, run)
     finally:
         cluster.stop()
     if broken:
@@ -69,11 +73,19 @@
     return True
 
 
-def kept_seeds():
-    """Seeds that broke a promise once, each with the length of its run."""
+Run = collections.namedtuple("Run", "seed seconds planned size")
+
+
+def run_of(seed, seconds, planned):
+    return Run(seed, seconds, planned, FULL if planned else SMALL)
+
+
+def kept_runs():
+    """Those that broke a promise once."""
     with open(SEEDS) as file:
         lines = [line.split("#")[0].split() for line in file]
-    return [(int(line[0]), float(line[1])) for line in lines if line]
+    return [run_of(int(line[0]), float(line[1]), "planned" in line[2:])
+            for line in lines if line]
 
 
 def main():
@@ -84,12 +96,27 @@
     parser.add_argument("--seed", type=int, help="the first; default: random")
     parser.add_argument("--kept", action="store_true",
                         help="the seeds that broke a promise once")
+    parser.add_argument("--planned", action="store_true",
+                        help="planned work and pauses of replicas only, on a "
+                        "full pool: no cut is excused")
+    for field in Size._fields:
+        parser.add_argument("--" + field, type=int, help="default: %d, with "
+                            "--planned %d" % (getattr(SMALL, field),
+                                              getattr(FULL, field)))
     options = parser.parse_args()
+    size = FULL if options.planned else SMALL
+    size = size._replace(**{
+        field: getattr(options, field) for field in Size._fields
+        if getattr(options, field) is not None})
+    for field, value in size._asdict().items():
+        if not 1 <= value <= MOST[field]:
+            parser.error("--%s is %d: 1 to %d are allowed" % (
+                field, value, MOST[field]))
     first = options.seed or random.SystemRandom().randrange(1, 1 << 31)
-    runs = kept_seeds() if options.kept else [
-        (first + number, options.seconds) for number in range(options.seeds)]
-    failed = [seed for seed, seconds in runs
-              if not play_alone(options.bin, seed, seconds)]
+    runs = kept_runs() if options.kept else [
+        Run(first + number, options.seconds, options.planned, size)
+        for number in range(options.seeds)]
+    failed = [run.seed for run in runs if not play_alone(options.bin, run)]
     print("%d runs, failed: %s" % (len(runs), failed or "none"))
     return 1 if failed else 0
 
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -21,25 +21,38 @@
   return std::strtoull(wire::QueryValue(request, name).c_str(), nullptr, 10);
 }
 
-/// Counts one call as running for as long as it lives, and logs that it runs.
+/// Counts one call as running for as long as it lives, and logs that it runs
+/// and how that ended.
 class Running {
  public:
-  Running(Replica& replica, const wire::Request& request) : m_replica(replica) {
+  Running(Replica& replica, const wire::Request& request)
+      : m_replica(replica),
+        m_call(wire::Get(request.m_headers, platform::kRequestId)) {
     ++m_replica.m_active;
     ++m_replica.m_runs;
     LogLine("ran")
-        .With("call", wire::Get(request.m_headers, platform::kRequestId))
+        .With("call", m_call)
         .With("organisation",
               wire::Get(request.m_headers, platform::kOrganisation))
         .With("weights", m_replica.m_version)
         .Info();
   }
-  ~Running() { --m_replica.m_active; }
+  ~Running() {
+    --m_replica.m_active;
+    LogLine("run_ended").With("call", m_call).With("how", m_how).Info();
+  }
   Running(const Running&) = delete;
   Running& operator=(const Running&) = delete;
 
+  /// All of the answer was sent.
+  void NoteWhole() { m_how = "whole"; }
+  /// This replica ended the answer itself.
+  void NoteBrokenOff() { m_how = "broken_off"; }
+
  private:
   Replica& m_replica;
+  const std::string m_call;
+  const char* m_how = "caller_left";
 };
 
 wire::Headers AnswerHeaders(const wire::Request& request,
@@ -88,7 +101,7 @@
 Awaitable<void> Stream(std::shared_ptr<Replica> replica,
                        const wire::Request& request,
                        wire::ResponseWriter& writer) {
-  const Running running(*replica, request);
+  Running running(*replica, request);
   const std::string usage = wire::Get(request.m_headers, platform::kTokenUsage);
   const uint64_t events =
       std::strtoull(usage.c_str() + usage.find(',') + 1, nullptr, 10);
@@ -101,13 +114,16 @@
     co_return;
   for (uint64_t event = after + 1; event <= events; ++event) {
     co_await Sleep(replica->m_event);
-    if (replica->m_loading)
-      co_return;  // Broken off by the load.
+    if (replica->m_loading) {
+      running.NoteBrokenOff();
+      co_return;
+    }
     const std::string id = std::to_string(event);
     if (!co_await writer.Write("id: " + id + "\ndata: token " + id + "\n\n"))
       co_return;
   }
-  co_await writer.Finish({});
+  if (co_await writer.Finish({}))
+    running.NoteWhole();
 }
 
 Awaitable<void> Call(std::shared_ptr<Replica> replica,
@@ -129,11 +145,13 @@
     co_await Stream(replica, request, writer);
     co_return;
   }
-  const Running running(*replica, request);
+  Running running(*replica, request);
   if (replica->m_work > Duration())
     co_await Sleep(replica->m_work);
-  co_await writer.Send(wire::Response(200, AnswerHeaders(request, *replica),
-                                      "ran: " + request.m_path));
+  wire::Response response(200, AnswerHeaders(request, *replica),
+                          "ran: " + request.m_path);
+  if (co_await writer.Send(std::move(response)))
+    running.NoteWhole();
 }
 
 std::string EncodeState(const Replica& replica) {
