What is sent beside a silent replica is a hedge; each try an attempt

Found in reading: "second try" is the glossary's word for a caller's call after a refusal, and "attempt" its word for one try of a call at one target. Standby is Hedge now, second_try decide/hedge, ReplicaTry CallAttempt, the log line and the counter are called hedge and hedges_total. Names only: hedge_test, call_server_test and silent_replica_test pass.

--- a/src/libverbenalead/decide/second_try.cc
+++ b/src/libverbenalead/decide/hedge.cc
@@ -1,4 +1,4 @@
-#include "decide/second_try.h"
+#include "decide/hedge.h"
 
 #include "decide/call_policy.h"
 
@@ -16,8 +16,8 @@
 
 }  // namespace
 
-std::optional<Duration> SilenceBeforeSecondTry(const CallProgress& progress,
-                                               const model::Route& route) {
+std::optional<Duration> SilenceBeforeHedge(const CallProgress& progress,
+                                           const model::Route& route) {
   CallProgress running = progress;
   if (!running.m_begun) {
     ++running.m_sent;
--- a/src/libverbenalead/decide/second_try.h
+++ b/src/libverbenalead/decide/hedge.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_SECOND_TRY_H_
-#define VERBENALEAD_DECIDE_SECOND_TRY_H_
+#ifndef VERBENALEAD_DECIDE_HEDGE_H_
+#define VERBENALEAD_DECIDE_HEDGE_H_
 
 #include <optional>
 
@@ -18,9 +18,9 @@
 /// off from an answer that would have come. So the first replica is kept, and
 /// the second costs its place and a repeat only once silence has lasted longer
 /// than a sound replica pauses.
-std::optional<Duration> SilenceBeforeSecondTry(const CallProgress& progress,
-                                               const model::Route& route);
+std::optional<Duration> SilenceBeforeHedge(const CallProgress& progress,
+                                           const model::Route& route);
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_SECOND_TRY_H_
+#endif  // VERBENALEAD_DECIDE_HEDGE_H_
--- a/src/libverbenalead/decide/second_try_test.cc
+++ b/src/libverbenalead/decide/hedge_test.cc
@@ -1,4 +1,4 @@
-#include "decide/second_try.h"
+#include "decide/hedge.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -21,8 +21,8 @@
   return progress;
 }
 
-class SecondTryTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(SecondTryTest);
+class HedgeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HedgeTest);
   CPPUNIT_TEST(AnotherReplicaIsAskedBeforeCallersLeave);
   CPPUNIT_TEST(NoneIsAskedWhereTheCallMayNotRunThere);
   CPPUNIT_TEST(BothTogetherRunNoMoreOftenThanTheRouteAllows);
@@ -32,26 +32,26 @@
   void AnotherReplicaIsAskedBeforeCallersLeave() {
     const model::Route route = MakeRoute(model::CallKind::kStream);
     CallProgress progress = StreamProgress();
-    CPPUNIT_ASSERT(SilenceBeforeSecondTry(progress, route) < Duration(2s));
+    CPPUNIT_ASSERT(SilenceBeforeHedge(progress, route) < Duration(2s));
     progress.m_sent = progress.m_runs = 1;
     progress.m_begun = true;
-    CPPUNIT_ASSERT(SilenceBeforeSecondTry(progress, route) < Duration(2s));
-    CPPUNIT_ASSERT(SilenceBeforeSecondTry(progress, route) > Duration(500ms));
+    CPPUNIT_ASSERT(SilenceBeforeHedge(progress, route) < Duration(2s));
+    CPPUNIT_ASSERT(SilenceBeforeHedge(progress, route) > Duration(500ms));
   }
 
   void NoneIsAskedWhereTheCallMayNotRunThere() {
     CallProgress once;
     once.m_max_attempts = 3;
     CPPUNIT_ASSERT(
-        !SilenceBeforeSecondTry(once, MakeRoute(model::CallKind::kAtMostOnce)));
+        !SilenceBeforeHedge(once, MakeRoute(model::CallKind::kAtMostOnce)));
     const model::Route route = MakeRoute(model::CallKind::kStream);
     CallProgress progress = StreamProgress();
     progress.m_resumable = false;
-    CPPUNIT_ASSERT(!SilenceBeforeSecondTry(progress, route));
+    CPPUNIT_ASSERT(!SilenceBeforeHedge(progress, route));
     // It has run once, and is on its way to its last replica.
     progress = StreamProgress();
     progress.m_sent = progress.m_runs = 1;
-    CPPUNIT_ASSERT(!SilenceBeforeSecondTry(progress, route));
+    CPPUNIT_ASSERT(!SilenceBeforeHedge(progress, route));
   }
 
   void BothTogetherRunNoMoreOftenThanTheRouteAllows() {
@@ -65,7 +65,7 @@
       progress.m_runs = *rc::gen::inRange<uint32_t>(progress.m_begun, 5);
       progress.m_sent = progress.m_runs + *rc::gen::inRange<uint32_t>(0, 5);
       const uint32_t first = progress.m_begun ? 0 : 1;
-      if (SilenceBeforeSecondTry(progress, MakeRoute(progress.m_kind))) {
+      if (SilenceBeforeHedge(progress, MakeRoute(progress.m_kind))) {
         RC_ASSERT(progress.m_runs + first + 1 <= progress.m_max_attempts);
         RC_ASSERT(progress.m_sent + first + 1 <= 4u);
       }
@@ -74,7 +74,7 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(SecondTryTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(HedgeTest);
 
 }  // namespace
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/entry/replica_try.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -1,4 +1,4 @@
-#include "entry/replica_try.h"
+#include "entry/call_attempt.h"
 
 #include <algorithm>
 #include <utility>
@@ -36,12 +36,12 @@
 
 }  // namespace
 
-ReplicaTry::ReplicaTry(CallServices services,
-                       std::shared_ptr<CallRecord> record)
+CallAttempt::CallAttempt(CallServices services,
+                         std::shared_ptr<CallRecord> record)
     : m_services(services), m_record(std::move(record)) {}
 
-Awaitable<bool> ReplicaTry::Send(TimePoint wait_until,
-                                 const std::function<void()>& on_sent) {
+Awaitable<bool> CallAttempt::Send(TimePoint wait_until,
+                                  const std::function<void()>& on_sent) {
   PlaceWaiter& places = m_services.m_places;
   const CallPlan& plan = m_record->m_plan;
   decide::PoolCall wanted = m_record->m_pool_call;
@@ -85,7 +85,7 @@
   co_return true;
 }
 
-void ReplicaTry::NoteHead() {
+void CallAttempt::NoteHead() {
   if (m_result.m_end != AttemptEnd::kUnreachable)
     ++m_record->m_progress.m_sent;
   if (m_result.m_may_have_run)
@@ -101,7 +101,7 @@
   }
 }
 
-Awaitable<void> ReplicaTry::ReadAhead() {
+Awaitable<void> CallAttempt::ReadAhead() {
   auto piece = co_await ReadBody();
   // An end, or a break, is found again by whoever reads on.
   if (piece && piece->has_value())
@@ -110,7 +110,7 @@
     m_result.m_end = AttemptEnd::kBroken;
 }
 
-Awaitable<AsyncResult<std::optional<std::string>>> ReplicaTry::ReadBody() {
+Awaitable<AsyncResult<std::optional<std::string>>> CallAttempt::ReadBody() {
   if (m_ahead) {
     std::optional<std::string> piece = std::exchange(m_ahead, std::nullopt);
     co_return piece;
@@ -124,14 +124,14 @@
   co_return piece;
 }
 
-void ReplicaTry::Cancel() {
+void CallAttempt::Cancel() {
   m_cancelled = true;
   m_services.m_places.Cancel(m_ticket);
   if (m_result.m_reader)
     m_result.m_reader->Cancel();
 }
 
-void ReplicaTry::End(AttemptEnd end) {
+void CallAttempt::End(AttemptEnd end) {
   m_result.m_reader.reset();
   if (m_replica.empty())
     return;
@@ -139,7 +139,7 @@
                               std::exchange(m_replica, std::string()), end);
 }
 
-platform::ForwardedCall ReplicaTry::Forwarded(
+platform::ForwardedCall CallAttempt::Forwarded(
     const decide::ReplicaState& replica) const {
   platform::ForwardedCall call;
   call.m_replica = replica.m_replica.m_id;
@@ -149,7 +149,7 @@
   return call;
 }
 
-TimePoint ReplicaTry::WeightsDeadline(
+TimePoint CallAttempt::WeightsDeadline(
     const decide::ReplicaState& replica) const {
   const auto& watches = m_services.m_state.m_weights;
   const auto watch = watches.find(m_record->m_plan.m_model);
@@ -158,7 +158,7 @@
   return decide::BindsAgainst(watch->second, replica.m_weights);
 }
 
-void ReplicaTry::Log(AttemptEnd end, const std::string& reason) const {
+void CallAttempt::Log(AttemptEnd end, const std::string& reason) const {
   const TimePoint now = Now();
   LogLine("attempt")
       .With("call", m_record->m_plan.m_call.m_id)
--- a/src/libverbenalead/entry/replica_try.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_ENTRY_REPLICA_TRY_H_
-#define VERBENALEAD_ENTRY_REPLICA_TRY_H_
+#ifndef VERBENALEAD_ENTRY_CALL_ATTEMPT_H_
+#define VERBENALEAD_ENTRY_CALL_ATTEMPT_H_
 
 #include <functional>
 #include <memory>
@@ -12,15 +12,15 @@
 
 namespace verbenalead::entry {
 
-/// One try of a call at one replica: its place there, its connection, and what
-/// of the answer has been read. A call may have two at once. A try that has got
-/// a place must be ended by End().
-class ReplicaTry {
+/// One attempt of a call at one replica: its place there, its connection, and
+/// what of the answer has been read. A call may have two at once. An attempt
+/// that has got a place must be ended by End().
+class CallAttempt {
  public:
-  ReplicaTry(CallServices services, std::shared_ptr<CallRecord> record);
+  CallAttempt(CallServices services, std::shared_ptr<CallRecord> record);
 
-  ReplicaTry(const ReplicaTry&) = delete;
-  ReplicaTry& operator=(const ReplicaTry&) = delete;
+  CallAttempt(const CallAttempt&) = delete;
+  CallAttempt& operator=(const CallAttempt&) = delete;
 
   /// Waits for a place until `wait_until`, sends the call there and waits for
   /// the head of the answer. False: it got no place, or was cancelled before it
@@ -59,10 +59,10 @@
   const std::shared_ptr<CallRecord> m_record;
   uint64_t m_ticket = 0;
   bool m_cancelled = false;
-  /// The replica that has a place taken for this try; empty: none.
+  /// The replica that has a place taken for this attempt; empty: none.
   std::string m_replica;
   std::string m_incarnation;
-  /// Which try of its call it is, from 1 on; 0: it has no place yet.
+  /// Which attempt of its call it is, from 1 on; 0: it has no place yet.
   uint32_t m_number = 0;
   TimePoint m_sent_at{};
   AttemptResult m_result;
@@ -71,4 +71,4 @@
 
 }  // namespace verbenalead::entry
 
-#endif  // VERBENALEAD_ENTRY_REPLICA_TRY_H_
+#endif  // VERBENALEAD_ENTRY_CALL_ATTEMPT_H_
--- a/src/libverbenalead/entry/call_record.h
+++ b/src/libverbenalead/entry/call_record.h
@@ -12,8 +12,8 @@
 
 namespace verbenalead::entry {
 
-/// One call, and how far it has come. All its tries at replicas share it, and
-/// keep it for as long as they need to let go of their places.
+/// One call, and how far it has come. All its attempts at replicas share it,
+/// and keep it for as long as they need to let go of their places.
 struct CallRecord {
   CallRecord(CallPlan plan, wire::Request request)
       : m_plan(std::move(plan)), m_request(std::move(request)) {}
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -4,7 +4,7 @@
 #include <boost/asio/this_coro.hpp>
 
 #include "base/log.h"
-#include "decide/second_try.h"
+#include "decide/hedge.h"
 #include "entry/send_again.h"
 
 namespace verbenalead::entry {
@@ -67,7 +67,7 @@
   if (!co_await Begin())
     co_return;
   const bool stream = m_record->m_progress.m_kind == model::CallKind::kStream &&
-                      attempt().m_head.m_status == kOk;
+                      result().m_head.m_status == kOk;
   if (stream)
     co_await AnswerStream();
   else
@@ -82,7 +82,7 @@
       co_await GiveUp();
       co_return false;
     }
-    const AttemptEnd end = attempt().m_end;
+    const AttemptEnd end = result().m_end;
     if (end == AttemptEnd::kGood)
       co_return true;
     if (m_caller.gone()) {
@@ -116,47 +116,48 @@
     co_return false;
   const TimePoint asked = Now();
   m_record->m_progress.m_begun = false;
-  m_try = std::make_shared<ReplicaTry>(m_services, m_record);
+  m_attempt = std::make_shared<CallAttempt>(m_services, m_record);
   const std::function<void()> on_sent = [this, asked] { NoteSent(asked); };
   bool sent = false;
   if (again)
-    sent = co_await SendAgain(m_state, *m_record, *m_try, wait_until, on_sent);
+    sent =
+        co_await SendAgain(m_state, *m_record, *m_attempt, wait_until, on_sent);
   else
-    sent = co_await m_try->Send(wait_until, on_sent);
+    sent = co_await m_attempt->Send(wait_until, on_sent);
   if (!sent) {
     m_record->m_times.m_waited += Now() - asked;
     co_return false;
   }
-  const bool good = attempt().m_end == AttemptEnd::kGood;
-  if (!good || SecondAnswers()) {
-    if (!co_await GoesOnBeside())
+  const bool good = result().m_end == AttemptEnd::kGood;
+  if (!good || HedgeAnswers()) {
+    if (!co_await GoesOnAtHedge())
       StopWatching();
     co_return true;
   }
   m_record->m_progress.m_begun = true;
   m_record->m_times.m_heard_at = Now();
-  if (m_standby)
-    m_standby->NoteHeard();
+  if (m_hedge)
+    m_hedge->NoteHeard();
   co_return true;
 }
 
-Awaitable<bool> CallRun::GoesOnBeside() {
-  if (!m_standby || m_caller.gone())
+Awaitable<bool> CallRun::GoesOnAtHedge() {
+  if (!m_hedge || m_caller.gone())
     co_return false;
-  const std::shared_ptr<Standby> standby = m_standby;
-  const bool answers = co_await standby->Finish();
+  const std::shared_ptr<Hedge> hedge = m_hedge;
+  const bool answers = co_await hedge->Finish();
   if (answers)
-    TakeSecond();
+    TakeHedge();
   co_return answers;
 }
 
 Awaitable<void> CallRun::AnswerWhole() {
   StopWatching();
-  wire::Response response{attempt().m_head.m_status, {}, ""};
-  const AttemptEnd good = attempt().m_end;
+  wire::Response response{result().m_head.m_status, {}, ""};
+  const AttemptEnd good = result().m_end;
   bool whole = false;
   while (true) {
-    auto piece = co_await m_try->ReadBody();
+    auto piece = co_await m_attempt->ReadBody();
     whole = piece && !piece->has_value();
     if (!piece || whole)
       break;
@@ -184,7 +185,7 @@
     co_return;
   }
   response.m_headers =
-      platform::EncodeForCaller(std::move(attempt().m_head)).m_headers;
+      platform::EncodeForCaller(std::move(result().m_head)).m_headers;
   decide::NoteSuccess(m_state.m_crashes, m_plan.m_fingerprint, Now());
   EndAttempt(good);
   const int status = response.m_status;
@@ -237,28 +238,27 @@
 
 void CallRun::WatchSilence() {
   StopWatching();
-  if (!decide::SilenceBeforeSecondTry(m_record->m_progress, m_plan.m_route))
+  if (!decide::SilenceBeforeHedge(m_record->m_progress, m_plan.m_route))
     return;
-  const std::weak_ptr<ReplicaTry> first = m_try;
+  const std::weak_ptr<CallAttempt> first = m_attempt;
   const auto on_ready = [first] {
     if (const auto silent = first.lock())
       silent->Cancel();
   };
-  m_standby =
-      std::make_shared<Standby>(m_executor, m_services, m_record, on_ready);
-  m_standby->Watch();
+  m_hedge = std::make_shared<Hedge>(m_executor, m_services, m_record, on_ready);
+  m_hedge->Watch();
 }
 
 void CallRun::StopWatching() {
-  if (m_standby)
-    m_standby->Stop();
-  m_standby.reset();
+  if (m_hedge)
+    m_hedge->Stop();
+  m_hedge.reset();
 }
 
-void CallRun::TakeSecond() {
+void CallRun::TakeHedge() {
   EndAttempt(AttemptEnd::kBroken);
-  m_try = m_standby->Take();
-  m_standby.reset();
+  m_attempt = m_hedge->Take();
+  m_hedge.reset();
   m_record->m_progress.m_begun = true;
   m_record->m_times.m_heard_at = Now();
   WatchSilence();
@@ -266,14 +266,14 @@
 
 void CallRun::CancelAll() {
   StopWatching();
-  if (m_try)
-    m_try->Cancel();
+  if (m_attempt)
+    m_attempt->Cancel();
 }
 
 void CallRun::EndAttempt(AttemptEnd end) {
-  m_reason = attempt().m_reason;
-  m_failure = attempt().m_failure;
-  m_try->End(end);
+  m_reason = result().m_reason;
+  m_failure = result().m_failure;
+  m_attempt->End(end);
 }
 
 bool CallRun::TakeRepeatAfter(AttemptEnd end) {
@@ -284,11 +284,11 @@
 
 void CallRun::NoteBreak() {
   // Silence is no crash, and neither is what this entry ended itself.
-  if (attempt().m_failure == FailureCode::kTimeout ||
-      attempt().m_failure == FailureCode::kCancelled)
+  if (result().m_failure == FailureCode::kTimeout ||
+      result().m_failure == FailureCode::kCancelled)
     return;
   decide::NoteCrash(m_state.m_crashes, m_plan.m_fingerprint,
-                    m_try->incarnation(), Now());
+                    m_attempt->incarnation(), Now());
 }
 
 const char* CallRun::EndedBy() const {
--- a/src/libverbenalead/entry/call_run.h
+++ b/src/libverbenalead/entry/call_run.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-#include "entry/standby.h"
+#include "entry/hedge.h"
 #include "wire/response_writer.h"
 
 namespace verbenalead::entry {
@@ -40,7 +40,7 @@
   Awaitable<bool> Resume();
   /// Whether the answer goes on at a second replica that was asked beside the
   /// present one, which broke off.
-  Awaitable<bool> GoesOnBeside();
+  Awaitable<bool> GoesOnAtHedge();
   /// No answer will come: says what is known of the call.
   Awaitable<void> GiveUp();
   Awaitable<void> Refuse(decide::Refusal refusal);
@@ -48,14 +48,14 @@
                        const std::string& reason,
                        Duration retry_after);
 
-  /// The present try has a place, and is on its way.
+  /// The present attempt has a place, and is on its way.
   void NoteSent(TimePoint asked);
   /// From now on another replica may be asked beside the present one.
   void WatchSilence();
   void StopWatching();
-  bool SecondAnswers() const { return m_standby && m_standby->ready(); }
-  /// The second try has begun to answer, and takes the place of the first.
-  void TakeSecond();
+  bool HedgeAnswers() const { return m_hedge && m_hedge->ready(); }
+  /// The second attempt has begun to answer, and takes the place of the first.
+  void TakeHedge();
   /// The caller left: nothing is worth waiting for.
   void CancelAll();
   /// Ends the attempt at the present replica.
@@ -66,7 +66,7 @@
   /// Who ended an answer before it was whole: `replica`, `caller`, `time` (of
   /// the caller or the route), `silence` (this entry, with time left).
   const char* EndedBy() const;
-  AttemptResult& attempt() { return m_try->result(); }
+  AttemptResult& result() { return m_attempt->result(); }
   Duration Left() const { return m_record->Left(Now()); }
 
   const CallServices m_services;
@@ -75,10 +75,10 @@
   const CallPlan& m_plan;
   wire::ResponseWriter& m_caller;
   boost::asio::any_io_executor m_executor;
-  /// The try whose answer is passed on.
-  std::shared_ptr<ReplicaTry> m_try;
+  /// The attempt whose answer is passed on.
+  std::shared_ptr<CallAttempt> m_attempt;
   /// Asks another replica while that one is silent; null: none may be asked.
-  std::shared_ptr<Standby> m_standby;
+  std::shared_ptr<Hedge> m_hedge;
   /// What callers of streams get first: the head of the first replica.
   wire::ResponseHead m_head;
   bool m_head_sent = false;
--- a/src/libverbenalead/entry/call_run_stream.cc
+++ b/src/libverbenalead/entry/call_run_stream.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 Awaitable<void> CallRun::AnswerStream() {
-  m_head = platform::EncodeForCaller(std::move(attempt().m_head));
+  m_head = platform::EncodeForCaller(std::move(result().m_head));
   while (true) {
     if (co_await RelayEvents()) {
       EndAttempt(AttemptEnd::kGood);
@@ -34,8 +34,8 @@
     }
     if (!m_caller.gone()) {
       NoteBreak();
-      m_try->Log(AttemptEnd::kBroken, attempt().m_reason);
-      if (co_await GoesOnBeside())
+      m_attempt->Log(AttemptEnd::kBroken, result().m_reason);
+      if (co_await GoesOnAtHedge())
         continue;
     }
     if (m_caller.gone()) {
@@ -64,28 +64,28 @@
   decide::DropPartial(events);
   while (true) {
     Listen(times, Now());
-    auto piece = co_await m_try->ReadBody();
+    auto piece = co_await m_attempt->ReadBody();
     times.m_listens = false;
     const bool ended = piece && !piece->has_value();
     if (ended && events.m_partial.empty())
       co_return true;
-    if (SecondAnswers()) {
-      TakeSecond();
+    if (HedgeAnswers()) {
+      TakeHedge();
       decide::DropPartial(events);
       continue;
     }
     if (ended)
-      attempt().m_reason = "the stream ends inside an event";
+      result().m_reason = "the stream ends inside an event";
     else if (!piece && Left() <= Duration())
-      attempt().m_reason = kTimeOver;
+      result().m_reason = kTimeOver;
     if (ended || !piece)
       co_return false;
     std::string whole = decide::TakeEvents(events, **piece);
     if (whole.empty())
       continue;
     NoteEvent(times, m_plan.m_began, Now());
-    if (m_standby)
-      m_standby->NoteHeard();
+    if (m_hedge)
+      m_hedge->NoteHeard();
     if (!m_head_sent) {
       m_head_sent = true;
       LearnFromFirstEvent();
@@ -117,8 +117,8 @@
         m_plan.m_deadline, Now() + decide::RepeatWait(m_record->m_progress));
     if (!co_await SendOnce(until, true))
       co_return false;
-    const AttemptEnd end = attempt().m_end;
-    if (end == AttemptEnd::kGood && attempt().m_head.m_status == kOk)
+    const AttemptEnd end = result().m_end;
+    if (end == AttemptEnd::kGood && result().m_head.m_status == kOk)
       co_return true;
     EndAttempt(m_caller.gone() ? AttemptEnd::kAbandoned : end);
     if (m_caller.gone() || Left() <= Duration() ||
--- a/src/libverbenalead/entry/standby.cc
+++ b/src/libverbenalead/entry/hedge.cc
@@ -1,4 +1,4 @@
-#include "entry/standby.h"
+#include "entry/hedge.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -7,7 +7,7 @@
 
 #include "base/log.h"
 #include "base/spawn.h"
-#include "decide/second_try.h"
+#include "decide/hedge.h"
 #include "entry/send_again.h"
 
 namespace verbenalead::entry {
@@ -17,7 +17,7 @@
 using decide::AttemptEnd;
 
 constexpr int kOk = 200;
-/// Between two second tries, of which the first wasn't allowed or was turned
+/// Between two second attempts, of which the first wasn't allowed or was turned
 /// away.
 constexpr Duration kPause = 100ms;
 
@@ -28,10 +28,10 @@
 
 }  // namespace
 
-Standby::Standby(const asio::any_io_executor& executor,
-                 CallServices services,
-                 std::shared_ptr<CallRecord> record,
-                 std::function<void()> on_ready)
+Hedge::Hedge(const asio::any_io_executor& executor,
+             CallServices services,
+             std::shared_ptr<CallRecord> record,
+             std::function<void()> on_ready)
     : m_services(services),
       m_record(std::move(record)),
       m_on_ready(std::move(on_ready)),
@@ -40,11 +40,11 @@
   m_finished.expires_at(TimePoint::max());
 }
 
-void Standby::Watch() {
-  Spawn(m_silence.get_executor(), RunHeld(shared_from_this()), "standby");
+void Hedge::Watch() {
+  Spawn(m_silence.get_executor(), RunHeld(shared_from_this()), "hedge");
 }
 
-Awaitable<void> Standby::RunHeld(std::shared_ptr<Standby> self) {
+Awaitable<void> Hedge::RunHeld(std::shared_ptr<Hedge> self) {
   try {
     co_await self->Run();
   } catch (...) {
@@ -54,12 +54,12 @@
   self->m_finished.cancel();
 }
 
-void Standby::NoteHeard() {
-  if (!m_ready && m_try)
-    m_try->Cancel();
+void Hedge::NoteHeard() {
+  if (!m_ready && m_attempt)
+    m_attempt->Cancel();
 }
 
-void Standby::Stop() {
+void Hedge::Stop() {
   if (std::exchange(m_stopped, true))
     return;
   m_on_ready = nullptr;
@@ -67,18 +67,18 @@
   m_finished.cancel();
   if (m_ready)
     Drop();
-  else if (m_try)
-    m_try->Cancel();
+  else if (m_attempt)
+    m_attempt->Cancel();
 }
 
-std::shared_ptr<ReplicaTry> Standby::Take() {
+std::shared_ptr<CallAttempt> Hedge::Take() {
   m_ready = false;
   m_stopped = true;
-  return std::exchange(m_try, nullptr);
+  return std::exchange(m_attempt, nullptr);
 }
 
-Awaitable<bool> Standby::Finish() {
-  if (m_stopped || !m_try || !m_try->sent()) {
+Awaitable<bool> Hedge::Finish() {
+  if (m_stopped || !m_attempt || !m_attempt->sent()) {
     Stop();
     co_return false;
   }
@@ -88,20 +88,20 @@
   co_return m_ready;
 }
 
-Awaitable<void> Standby::Run() {
+Awaitable<void> Hedge::Run() {
   bool more = true;
   while (more) {
     if (!co_await WaitForSilence())
       co_return;
-    more = co_await TryOnce();
+    more = co_await AttemptOnce();
   }
 }
 
-Awaitable<bool> Standby::WaitForSilence() {
+Awaitable<bool> Hedge::WaitForSilence() {
   const CallTimes& times = m_record->m_times;
   while (!m_stopped && !m_alone) {
-    const auto allowed = decide::SilenceBeforeSecondTry(
-        m_record->m_progress, m_record->m_plan.m_route);
+    const auto allowed = decide::SilenceBeforeHedge(m_record->m_progress,
+                                                    m_record->m_plan.m_route);
     const TimePoint now = Now();
     if (!allowed || now >= m_record->m_plan.m_deadline)
       co_return false;
@@ -115,14 +115,14 @@
   co_return false;
 }
 
-Awaitable<bool> Standby::TryOnce() {
+Awaitable<bool> Hedge::AttemptOnce() {
   if (!TakeRepeat(m_services.m_state, m_record->m_plan.m_service)) {
     Log("denied");
     co_await Pause();
     co_return true;
   }
-  const auto second = std::make_shared<ReplicaTry>(m_services, m_record);
-  m_try = second;
+  const auto second = std::make_shared<CallAttempt>(m_services, m_record);
+  m_attempt = second;
   const std::function<void()> nothing = [] {};
   const bool sent = co_await SendAgain(m_services.m_state, *m_record, *second,
                                        m_record->m_plan.m_deadline, nothing);
@@ -149,9 +149,9 @@
   co_return true;
 }
 
-Awaitable<bool> Standby::Proves() {
-  AttemptResult& result = m_try->result();
-  if (result.m_end != AttemptEnd::kGood || m_try->cancelled())
+Awaitable<bool> Hedge::Proves() {
+  AttemptResult& result = m_attempt->result();
+  if (result.m_end != AttemptEnd::kGood || m_attempt->cancelled())
     co_return false;
   if (m_record->m_progress.m_kind != model::CallKind::kStream)
     co_return true;
@@ -159,28 +159,28 @@
     result.m_end = AttemptEnd::kFailed;
     co_return false;
   }
-  const auto proving = m_try;
+  const auto proving = m_attempt;
   co_await proving->ReadAhead();
   co_return result.m_end == AttemptEnd::kGood && !proving->cancelled();
 }
 
-void Standby::Drop() {
-  const auto dropped = std::exchange(m_try, nullptr);
+void Hedge::Drop() {
+  const auto dropped = std::exchange(m_attempt, nullptr);
   m_ready = false;
   dropped->End(dropped->cancelled() || m_stopped ? AttemptEnd::kAbandoned
                                                  : dropped->result().m_end);
 }
 
-Awaitable<void> Standby::Pause() {
+Awaitable<void> Hedge::Pause() {
   m_silence.expires_after(kPause);
   co_await WaitFor(m_silence);
 }
 
-void Standby::Log(const char* outcome) const {
+void Hedge::Log(const char* outcome) const {
   const TimePoint now = Now();
   m_services.m_state.m_metrics.Count(
-      "second_tries_total", std::string("outcome=\"") + outcome + "\"");
-  LogLine("second_try")
+      "hedges_total", std::string("outcome=\"") + outcome + "\"");
+  LogLine("hedge")
       .With("call", m_record->m_plan.m_call.m_id)
       .With("outcome", outcome)
       .With("events", m_record->m_events.m_events)
--- a/src/libverbenalead/entry/send_again.cc
+++ b/src/libverbenalead/entry/send_again.cc
@@ -30,7 +30,7 @@
 
 Awaitable<bool> SendAgain(EntryState& state,
                           CallRecord& record,
-                          ReplicaTry& again,
+                          CallAttempt& again,
                           TimePoint wait_until,
                           const std::function<void()>& on_sent) {
   if (record.m_events.m_events > 0) {
--- a/src/libverbenalead/entry/send_again.h
+++ b/src/libverbenalead/entry/send_again.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <string>
 
-#include "entry/replica_try.h"
+#include "entry/call_attempt.h"
 
 namespace verbenalead::entry {
 
@@ -15,7 +15,7 @@
 /// else to what place others leave until `wait_until`. False: no place.
 Awaitable<bool> SendAgain(EntryState& state,
                           CallRecord& record,
-                          ReplicaTry& again,
+                          CallAttempt& again,
                           TimePoint wait_until,
                           const std::function<void()>& on_sent);
 
