--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -15,6 +15,7 @@
 #include "entry/news_sender.h"
 #include "entry/registration.h"
 #include "entry/row_sources.h"
+#include "entry/start_progress.h"
 #include "entry/summary_sender.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -185,6 +186,8 @@
       const TimePoint due = Now() + kCallNewsInterval;
       co_await Sleep(kCallNewsInterval);
       NoteLoopLag(Now() - due);
+      if (!m_started)
+        m_started = NoteStart(m_state, m_start, Now());
       UpdatePools(m_state, Now());
       m_places.WakeAll();
       m_news.TellCalls();
@@ -266,6 +269,9 @@
   /// What was acted on last.
   std::shared_ptr<const decide::RouteTable> m_applied_routes;
   uint64_t m_told_weights = 0;
+  StartProgress m_start;
+  /// Nothing of the start is waited for any more.
+  bool m_started = false;
 };
 
 PlatformEntry::PlatformEntry(const Settings& settings)
@@ -288,6 +294,7 @@
                          {&parts.m_row_server, options.m_self.m_peers},
                          {&parts.m_metrics, options.m_metrics}}))
     return 1;
+  parts.m_start.m_started = Now();
   const auto main = parts.m_threads.main();
   parts.m_rows.Start();
   SpawnLoop(main, parts.m_registration.KeepRegistered(), "keep_registered");
--- /dev/null
+++ b/src/libverbenalead/entry/start_progress.cc
@@ -0,0 +1,59 @@
+#include "entry/start_progress.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "base/log.h"
+#include "entry/entry_state.h"
+
+namespace verbenalead::entry {
+namespace {
+
+/// Each service with engines has a replica that takes calls.
+bool EnginesUsable(const EntryState& state, TimePoint now) {
+  if (!state.m_routes)
+    return false;
+  const auto& services = state.m_routes->config().m_services;
+  return std::all_of(
+      services.begin(), services.end(), [&](const model::Service& service) {
+        const auto known = state.m_services.find(service.m_name);
+        return !service.m_engine ||
+               (known != state.m_services.end() &&
+                decide::HasUsableReplica(known->second.m_pool, now));
+      });
+}
+
+std::vector<std::pair<std::string, bool>> StepsOf(const EntryState& state,
+                                                  TimePoint now) {
+  return {{"others", state.m_far_entries.has_value()},
+          {"configuration", state.m_routes != nullptr},
+          {"replicas", state.m_replicas_known},
+          {"lease", LeaseHolds(state)},
+          {"usable_replica", EnginesUsable(state, now)}};
+}
+
+}  // namespace
+
+bool NoteStart(EntryState& state, StartProgress& progress, TimePoint now) {
+  const auto steps = StepsOf(state, now);
+  for (const auto& [step, done] : steps) {
+    if (progress.m_done.contains(step))
+      continue;
+    const std::string label = "step=\"" + step + "\"";
+    state.m_metrics.Set("start_waits", label, done ? 0 : 1);
+    if (!done)
+      continue;
+    progress.m_done.insert(step);
+    const Duration after = now - progress.m_started;
+    state.m_metrics.Set("start_step_seconds", label,
+                        std::chrono::duration<double>(after).count());
+    LogLine("start_step")
+        .With("step", step)
+        .With("after_ms", ToMilliseconds(after))
+        .Info();
+  }
+  return progress.m_done.size() == steps.size();
+}
+
+}  // namespace verbenalead::entry
