--- a/src/libverbenalead/decide/admit.cc
+++ b/src/libverbenalead/decide/admit.cc
@@ -77,7 +77,7 @@
 /// Units a second that `queue` may count on: what the others leave, each taking
 /// what it asks for up to its share. By the queues alone it would look as if
 /// a flooding organisation had the pool for itself, since the others are served
-/// at once and seldom wait; 19% of refusals then came only after a long wait.
+/// at once and seldom wait; its calls would be refused only after a long wait.
 double RateOf(const AdmitState& state, const OrganisationQueue& queue) {
   double weights = 0;
   for (const auto& [name, other] : state.m_queues) {
--- a/src/libverbenalead/decide/admit.h
+++ b/src/libverbenalead/decide/admit.h
@@ -50,8 +50,7 @@
 constexpr uint32_t kQueuePerSlot = 4;
 /// Waits come out longer than estimated when service times vary. A call that is
 /// refused too early costs a caller one retry; one that is admitted in vain
-/// costs it its deadline. In bench=requests, 1.25 left 2.9% of
-/// refusals late, 1.5 1.0%, 1.75 0.6%, at the same goodput.
+/// costs it its deadline.
 constexpr double kWaitMargin = 1.75;
 /// Step back of the limit when targets are full; at most one step in
 /// kLowerEvery, as a burst of refusals has one cause.
--- a/src/libverbenalead/decide/burst_pace.h
+++ b/src/libverbenalead/decide/burst_pace.h
@@ -12,9 +12,9 @@
 /// longer row.
 ///
 /// Load: a configuration of 100 KB that changes five times a second for
-/// seconds, beside a single change that has to be known at once: with a plain
-/// interval of 0.4 s at each of two steps new weights were known 0.9 s after
-/// they were declared, in place of 0.2 s.
+/// seconds, beside a single change that has to be known at once. Harm: with a
+/// plain interval at each step on its way the single change waits for all of
+/// them.
 struct BurstPace {
   uint32_t m_burst = 1;
   Duration m_interval{};
--- a/src/libverbenalead/decide/call_policy.cc
+++ b/src/libverbenalead/decide/call_policy.cc
@@ -16,7 +16,7 @@
 /// Part of a plain call's objective that its work takes.
 constexpr double kPlainWorkShare = 0.5;
 /// Callers whose time differs by no more than this part may all be at their
-/// first try. Measured: 0.85 and more.
+/// first try.
 constexpr double kFirstTryShare = 0.8;
 /// Wait of calls that can't be on time any more.
 constexpr Duration kLateWait = 250ms;
--- a/src/libverbenalead/decide/call_policy.h
+++ b/src/libverbenalead/decide/call_policy.h
@@ -23,11 +23,10 @@
 /// How long ago, at least, a caller began that has `left`, where callers of the
 /// same kind have had up to `longest`.
 ///
-/// Callers of one kind don't all wait equally long: at the users a first try
-/// has between 5.1 and 6.0 s. Taken by the longest alone, two of three first
-/// tries seemed to be second ones that can't be on time any more; they waited
-/// behind the others, and gave up early. Only what is well below the longest is
-/// known to be a second try.
+/// Callers of one kind don't all wait equally long. Taken by the longest alone,
+/// first tries of less patient callers would seem to be second ones that can't
+/// be on time any more, and would wait behind the others. Only what is well
+/// below the longest is known to be a second try.
 Duration KnownElapsed(Duration longest, Duration left);
 
 /// How long a call may wait for a place.
--- a/src/libverbenalead/decide/fetch_window.h
+++ b/src/libverbenalead/decide/fetch_window.h
@@ -12,10 +12,9 @@
 /// take.
 ///
 /// Load: a transfer beside live calls, on a link that has become narrow without
-/// anybody being told (9.4 to 1.2 Mbit/s). Harm: five chunks of 48 KB on their
-/// way there hold up whatever comes behind them by 1.6 s and more; calls
-/// reached the replica after their callers had left, and it worked for nobody.
-/// With one or two on their way it is 0.3 to 0.6 s.
+/// anybody being told. Harm: chunks on their way there hold up whatever comes
+/// behind them; calls reach the replica after their callers have left, and it
+/// works for nobody.
 struct FetchWindow {
   uint32_t m_most = 0;
   /// A wait for a chunk from which on the link is taken for narrow; zero: the
@@ -31,8 +30,8 @@
 
 /// A chunk came after `wait`. Grows by one and is cut in half, so that hosts
 /// that share a link end up with equal parts of it. A chunk that doesn't come
-/// tells nothing: hosts that were cut off made the windows of all others small,
-/// and a transfer took 11 s in place of 4 s.
+/// tells nothing: hosts that are cut off would make the windows of all others
+/// small.
 inline void NoteArrival(FetchWindow& window, Duration wait) {
   if (window.m_slow == Duration())
     return;
--- a/src/libverbenalead/decide/place_queue.cc
+++ b/src/libverbenalead/decide/place_queue.cc
@@ -24,9 +24,7 @@
 
 /// The order of fresh wishes. By the latest start alone, a long prompt would
 /// often find too little time left: it has a short one to begin with, and comes
-/// behind all whose time is nearly up. So its reading counts thrice: in virtual
-/// time 56 in 100 of the longest tenth are on time then in place of 48, and 70
-/// of all in place of 71.
+/// behind all whose time is nearly up. So its reading counts thrice.
 TimePoint RankOf(const PlaceQueue& queue, const PlaceWish& wish) {
   return StartBy(queue, wish) - 2 * ReadingTime(queue, wish.m_prompt_tokens);
 }
@@ -42,8 +40,7 @@
 
 /// Whether calls that were promised a place still begin in time behind a prompt
 /// that is read until `read_at`. Prompts that come between two passes are all
-/// read before the next one writes: one of 3,900 tokens makes all that came
-/// with it wait for 0.2 s.
+/// read before the next one writes: a long one makes all that came with it wait.
 bool KeepsPromises(const PlaceQueue& queue, TimePoint read_at) {
   return std::all_of(queue.m_promises.begin(), queue.m_promises.end(),
                      [read_at](const PlaceQueue::Promise& promise) {
--- a/src/libverbenalead/decide/replica_pool.cc
+++ b/src/libverbenalead/decide/replica_pool.cc
@@ -20,15 +20,15 @@
 
 /// Prompts that a replica has yet to read delay the first event of each further
 /// call. A replica that is empty, after a load say, would otherwise be filled
-/// at once, and of 16 prompts of 42 ms each the last is read after 0.7 s, when
-/// 0.4 s are on time. With so much unread it gets no more.
+/// at once, and the last of its prompts be read long after its call was to
+/// begin. With so much unread it gets no more.
 constexpr double kMostUnreadSeconds = 0.2;
 /// What unread prompts of that length cost in choosing.
 constexpr double kUnreadCost = 0.5;
 
 /// A target whose link is full of chunks answers late, and an entry that goes
-/// by its own view puts calls on top of those of all others: first events came
-/// after 0.5 to 0.7 s. Such a replica is used where others are fuller by half.
+/// by its own view puts calls on top of those of all others, which all begin
+/// late then. Such a replica is used where others are fuller by half.
 constexpr double kSilentCost = 0.5;
 /// A replica that is about to load breaks off what runs on for longer. Calls go
 /// there if all others are full, short ones first.
@@ -40,8 +40,8 @@
 constexpr Duration kLongestAvoidance = 3s;
 constexpr uint32_t kMostDoublings = 4;
 /// A replica that turned a call away is full with calls that weren't told of
-/// yet. In this time two of 16 calls of 1.2 s each end; without the pause an
-/// entry whose view was wrong asked again at each round trip.
+/// yet. Without a pause an entry whose view is wrong would ask again at each
+/// round trip.
 constexpr Duration kFullAvoidance = 30ms;
 /// The address belongs to somebody else, or the weights changed; news of that
 /// comes within this time.
--- a/src/libverbenalead/entry/row_sources.cc
+++ b/src/libverbenalead/entry/row_sources.cc
@@ -26,8 +26,8 @@
 /// An entry that has just started gets all rows from a near one within a
 /// second; one that still misses some after this time asks the store for them.
 constexpr Duration kBroughtWithin = 3s;
-/// Rows are told in pieces, each once the one before has gone: 14 answers of
-/// 390 KB that waited for a narrow link took 5 MB.
+/// Rows are told in pieces, each once the one before has gone, so that answers
+/// that wait for a narrow link don't stand in memory whole.
 constexpr size_t kTellPiece = 16384;
 
 }  // namespace
--- a/src/libverbenalead/http/client.cc
+++ b/src/libverbenalead/http/client.cc
@@ -23,7 +23,7 @@
 /// Idle connections kept for each endpoint; more are closed.
 constexpr size_t kMaxIdle = 16;
 /// A read starts small, as one token of a stream is, and grows while pieces
-/// come full: 64 KB for each of 2,000 waiting streams took 189 MB.
+/// come full: thousands of waiting streams must not hold the largest each.
 constexpr size_t kFirstRead = 4 * 1024;
 constexpr size_t kLargestRead = 64 * 1024;
 
--- a/src/libverbenalead/target/chunk_server.cc
+++ b/src/libverbenalead/target/chunk_server.cc
@@ -9,9 +9,8 @@
 namespace {
 
 /// Chunks go out in pieces of this size at this part of the link's rate. Events
-/// of live streams leave by the same link: behind three chunks at once they
-/// waited over 0.12 s, and a third of the streams were late during a transfer.
-/// Behind one piece they wait 4 ms.
+/// of live streams leave by the same link, and would be late behind whole
+/// chunks.
 constexpr size_t kUploadPiece = 4096;
 constexpr double kUploadShare = 0.8;
 constexpr Duration kUploadCredit = 20ms;
--- a/src/libverbenalead/target/engine_keeper.cc
+++ b/src/libverbenalead/target/engine_keeper.cc
@@ -26,8 +26,7 @@
 /// is read anew elsewhere and pauses for longer than its caller likes.
 constexpr Duration kClosingNotice = 1200ms;
 /// Time until the chunks are everywhere, in copies over the hosts' links,
-/// copies over the origin's link, and doublings of the hosts. Measured: 3.3 s
-/// at 15 hosts with 15 Mbit/s at the origin, 4.4 s at 76 with 9 Mbit/s.
+/// copies over the origin's link, and doublings of the hosts.
 constexpr double kLinkCopies = 1.25;
 constexpr double kOriginCopies = 0.45;
 constexpr Duration kForEachDoubling = 130ms;
@@ -192,7 +191,7 @@
               Now() + kClosingNotice >= Turn(*plan);
   if (!m_report) {
     // An added host is up a second before its engine. Fetching from then on
-    // brings its replica into service a second earlier, 2.5 s after its start.
+    // brings its replica into service that much earlier.
     if (OthersHave(version))
       co_await Obtain(version);
     co_return;
@@ -222,8 +221,8 @@
   if (!co_await m_fetcher.LearnDigests(version))
     co_return;
   // What the engine still has staged needn't be fetched. Where all chunks of
-  // the loaded version were found there, none of a newer one is: reading 48 of
-  // them let transfers begin 0.49 s after the declaration in place of 0.43 s.
+  // the loaded version were found there, none of a newer one is, and reading
+  // them would only hold up the transfer.
   const bool loaded_is_staged = m_adopted > 0 && m_adopted == Loaded() &&
                                 m_state.m_cache.Complete(Loaded());
   if (m_report && m_adopted < version && !loaded_is_staged) {
--- a/src/libverbenalead/target/row_source.cc
+++ b/src/libverbenalead/target/row_source.cc
@@ -15,9 +15,8 @@
 namespace {
 
 /// Least time between two questions for the list of replicas. Hosts that have
-/// left must not be waited for: with seven of 27 on a list that was 8 s old, a
-/// transfer took 7 s in place of 3.4 s, as chunks that they were to draw from
-/// the origin came from the next host in turn.
+/// left must not be waited for: chunks that they were to draw from the origin
+/// come late, from the next host in turn.
 constexpr Duration kReplicasInterval = 300ms;
 /// Entries that are asked at once after a start, and the pause until the next
 /// try: they may have started too, and know the tables half a second later.
