--- a/src/libverbenalead/decide/patience_share.h
+++ b/src/libverbenalead/decide/patience_share.h
@@ -11,8 +11,9 @@
 /// Load: a pool above what it can do, where calls are placed at the last moment
 /// at which they can be on time. Harm: what isn't reckoned with, such as slow
 /// replicas and queues on links, makes them late, and each takes a place from a
-/// call that would have been on time. Long prompts have little patience; a time that all had to keep free would leave
-/// them none, so that each kind gives up the same part of its own.
+/// call that would have been on time. Long prompts have little patience; a time
+/// that all had to keep free would leave them none, so that each kind gives up
+/// the same part of its own.
 struct PatienceShare {
   double m_share = 1;
 
--- a/src/libverbenalead/decide/place_queue.cc
+++ b/src/libverbenalead/decide/place_queue.cc
@@ -40,7 +40,8 @@
 
 /// Whether calls that were promised a place still begin in time behind a prompt
 /// that is read until `read_at`. Prompts that come between two passes are all
-/// read before the next one writes: a long one makes all that came with it wait.
+/// read before the next one writes: a long one makes all that came with it
+/// wait.
 bool KeepsPromises(const PlaceQueue& queue, TimePoint read_at) {
   return std::all_of(queue.m_promises.begin(), queue.m_promises.end(),
                      [read_at](const PlaceQueue::Promise& promise) {
--- a/src/libverbenalead/decide/place_queue.h
+++ b/src/libverbenalead/decide/place_queue.h
@@ -41,11 +41,11 @@
 /// calls only. Harm: a place that came free at one entry went to a caller's
 /// second try, though calls that could still be on time waited at another; and
 /// calls were placed behind prompts that took all the time that they had left.
-/// The place is granted where it comes free, to the most urgent call; nobody is placed
-/// before it, not even a call that could start while the replica still has too
-/// much to read for the first, for its prompt would be read before the other's.
-/// A call that can't be on time any more gets a place only if no other wants
-/// it.
+/// The place is granted where it comes free, to the most urgent call; nobody is
+/// placed before it, not even a call that could start while the replica still
+/// has too much to read for the first, for its prompt would be read before the
+/// other's. A call that can't be on time any more gets a place only if no other
+/// wants it.
 ///
 ///     if (Ask(queue, wish, load, now) == PlaceVerdict::kGranted) ...
 ///     for (const PlaceWish& granted : Grant(queue, load, now)) ...
