Attempts log the rate limit that an answer names, and unknown header fields

Callers see nothing. A replica that names the rate of requests that it takes was indistinguishable in our lines from one that names none, so the hypotheses of docs/incidents/more-calls-than-a-replica-takes.md couldn't be told apart: nobody reads the limit, or each entry keeps to it alone, or the excess is not of first attempts. The line event=attempt now has rate_limit (-1: none named); event=answer_field_unknown names, once a process, each header field that nothing here reads, so that another spelling shows.

The value is decoded in platform/ only: a finite decimal number, negative as zero, at most 1e6; other text counts as malformed. Nothing is decided by it yet. Ruled out: a line for each answer with the field, as attempts have a line each already. Not yet measured: the cost of the longer line.

--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -14,6 +14,9 @@
 /// status still reaches the caller in time.
 constexpr Duration kReplicaMargin = 20ms;
 
+/// Limit of the names that LogUnknownFields() logs and remembers.
+constexpr size_t kMaxLoggedFields = 64;
+
 const char* ToString(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kGood:
@@ -90,6 +93,7 @@
     ++m_record->m_progress.m_sent_attempts;
   if (m_result.m_may_have_run)
     ++m_record->m_progress.m_possible_runs;
+  LogUnknownFields();
   if (!m_result.m_metadata.m_weights)
     return;
   auto& replicas =
@@ -102,6 +106,20 @@
   }
 }
 
+void CallAttempt::LogUnknownFields() {
+  std::set<std::string>& logged = m_services.m_state.m_logged_answer_fields;
+  for (const std::string& name :
+       platform::UnknownAnswerFields(m_result.m_head)) {
+    if (logged.size() >= kMaxLoggedFields || !logged.insert(name).second)
+      continue;
+    LogLine("answer_field_unknown")
+        .With("name", name)
+        .With("value", wire::Get(m_result.m_head.m_headers, name))
+        .With("replica", m_replica)
+        .Warn();
+  }
+}
+
 Awaitable<void> CallAttempt::PrefetchBody() {
   auto piece = co_await ReadBody();
   // Only a piece is stored: the end of the body, or a failure, shows again at
@@ -169,6 +187,7 @@
       .With("end", ToString(end))
       .With("number", static_cast<uint64_t>(m_number))
       .With("weights", m_result.m_metadata.m_weights.value_or(0))
+      .With("rate_limit", m_result.m_metadata.m_rate_limit.value_or(-1))
       .With("replicas_age_ms",
             ToMilliseconds(now - m_services.m_state.m_replicas_confirmed_at))
       .With("ms", ToMilliseconds(now - m_sent_at))
--- a/src/libverbenalead/entry/call_attempt.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -64,6 +64,9 @@
   /// Updates the call's progress, and the replica's known weights version, from
   /// the head of the answer.
   void ApplyHead();
+  /// Logs each header field of answers that this project doesn't know, once in
+  /// the lifetime of the process, with its value.
+  void LogUnknownFields();
 
   const CallServices m_services;
   const std::shared_ptr<CallRecord> m_record;
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include "base/loop_lag.h"
@@ -87,6 +88,8 @@
   /// this entry or reported by one of its data centre; absent: not known yet.
   std::optional<uint32_t> m_remote_entries;
   ReplicaChangeLog m_replica_changes;
+  /// Names of the unknown header fields of replicas' answers that were logged.
+  std::set<std::string> m_logged_answer_fields;
   /// When the list of replicas was last known to be current.
   TimePoint m_replicas_confirmed_at{};
   bool m_replicas_known = false;
--- a/src/libverbenalead/platform/answer_metadata.h
+++ b/src/libverbenalead/platform/answer_metadata.h
@@ -19,6 +19,11 @@
   bool m_signed = false;
   /// Version of the weights that the replica used; absent if not stated.
   std::optional<uint64_t> m_weights;
+  /// Requests per second that the replica takes from all entries together;
+  /// absent if not stated.
+  std::optional<double> m_rate_limit;
+  /// The answer states such a limit, but its text is no number.
+  bool m_rate_limit_malformed = false;
 
   friend bool operator==(const AnswerMetadata&,
                          const AnswerMetadata&) = default;
--- a/src/libverbenalead/platform/call_headers.h
+++ b/src/libverbenalead/platform/call_headers.h
@@ -1,6 +1,9 @@
 #ifndef VERBENALEAD_PLATFORM_CALL_HEADERS_H_
 #define VERBENALEAD_PLATFORM_CALL_HEADERS_H_
 
+#include <string>
+#include <vector>
+
 #include "model/inbound_call.h"
 #include "platform/answer_metadata.h"
 #include "platform/forwarded_call.h"
@@ -21,6 +24,11 @@
 
 AnswerMetadata DecodeAnswer(const wire::ResponseHead& head);
 
+/// Names of the header fields of an answer that this project neither reads nor
+/// knows as fields of HTTP. A replica that asks something of its callers in
+/// such a field gets no response to it.
+std::vector<std::string> UnknownAnswerFields(const wire::ResponseHead& head);
+
 /// Returns `head` without the header fields of the replica's connection, to be
 /// sent to the caller.
 wire::ResponseHead EncodeForCaller(wire::ResponseHead head);
--- a/src/libverbenalead/platform/call_headers_test.cc
+++ b/src/libverbenalead/platform/call_headers_test.cc
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(ForwardsOnlyPermittedFields);
   CPPUNIT_TEST(ForwardsLastEventId);
   CPPUNIT_TEST(DetectsRequestsThatDidNotRun);
+  CPPUNIT_TEST(ReadsRateLimits);
+  CPPUNIT_TEST(NamesUnknownAnswerFields);
   CPPUNIT_TEST(SetsRetryAfter);
   CPPUNIT_TEST_SUITE_END();
 
@@ -84,6 +86,31 @@
     CPPUNIT_ASSERT(!DecodeAnswer({500, {{kStamp, "s"}}}).m_not_run);
   }
 
+  // Guards against a rate limit that is overlooked or misread.
+  void ReadsRateLimits() {
+    const auto read = [](const char* name, const std::string& text) {
+      return DecodeAnswer({200, {{name, text}}});
+    };
+    CPPUNIT_ASSERT(read(kRateLimit, "2.3").m_rate_limit == 2.3);
+    CPPUNIT_ASSERT(read(kPrefixedRateLimit, "1").m_rate_limit == 1.0);
+    CPPUNIT_ASSERT(read(kRateLimit, "0").m_rate_limit == 0.0);
+    CPPUNIT_ASSERT(read(kRateLimit, "-1").m_rate_limit == 0.0);
+    CPPUNIT_ASSERT(read(kRateLimit, "999999999999").m_rate_limit == 1e6);
+    for (const char* text : {"x", "1 2", "nan", "inf", "1e3", "2.3,1", "-"}) {
+      CPPUNIT_ASSERT(!read(kRateLimit, text).m_rate_limit);
+      CPPUNIT_ASSERT(read(kRateLimit, text).m_rate_limit_malformed);
+    }
+    CPPUNIT_ASSERT(!DecodeAnswer({200, {}}).m_rate_limit);
+    CPPUNIT_ASSERT(!DecodeAnswer({200, {}}).m_rate_limit_malformed);
+  }
+
+  void NamesUnknownAnswerFields() {
+    const std::vector<std::string> unknown = UnknownAnswerFields(
+        {200,
+         {{kStamp, "s"}, {"x-new", "1"}, {"keep-alive", "4"}, {"date", "d"}}});
+    CPPUNIT_ASSERT(unknown == std::vector<std::string>{"x-new"});
+  }
+
   void SetsRetryAfter() {
     const wire::Response response = EncodeRefusal(503, "abc", "full", 1250ms);
     CPPUNIT_ASSERT_EQUAL(std::string("1.25"),
--- a/src/libverbenalead/platform/names.h
+++ b/src/libverbenalead/platform/names.h
@@ -26,6 +26,11 @@
 inline constexpr char kLengthHint[] = "x-verbenalead-length-hint";
 /// Rank in a replica's queue; 0 is served first, 5 is the default.
 inline constexpr char kQueueRank[] = "x-verbenalead-request-priority";
+/// Requests per second that the replica takes from all entries together, a
+/// decimal number. The platform writes most of its own fields with a prefix and
+/// some without, so both spellings are read.
+inline constexpr char kRateLimit[] = "server-limit";
+inline constexpr char kPrefixedRateLimit[] = "x-verbenalead-server-limit";
 inline constexpr char kKey[] = "api-key";
 inline constexpr char kLastEventId[] = "last-event-id";
 
