--- a/testsuite/standins/platform_replica/main.cc
+++ b/testsuite/standins/platform_replica/main.cc
@@ -21,6 +21,8 @@
       .Integer("event", 10, 1, 10000, "ms", "time between events")
       .Integer("work", 0, 0, 10000, "ms", "time that a plain call takes")
       .Integer("load", 50, 0, 10000, "ms", "time that a load takes")
+      .Text("rate_limit", "",
+            "requests a second that its answers name as its limit; empty: none")
       .Integer("version", 0, 0, 1000000, "",
                "version that it has loaded at its start; 0: none");
 }
--- a/testsuite/standins/platform_replica/replica.cc
+++ b/testsuite/standins/platform_replica/replica.cc
@@ -43,7 +43,8 @@
       m_event_interval(settings.Milliseconds("event")),
       m_call_duration(settings.Milliseconds("work")),
       m_load_duration(settings.Milliseconds("load")),
-      m_started_ms(UnixMilliseconds()) {}
+      m_started_ms(UnixMilliseconds()),
+      m_rate_limit(settings.Text("rate_limit")) {}
 
 std::string EncodeRow(const Replica& replica) {
   json::object row = {{"service", replica.m_service},
--- a/testsuite/standins/platform_replica/replica.h
+++ b/testsuite/standins/platform_replica/replica.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/endpoint.h"
 #include "base/settings.h"
@@ -38,6 +39,11 @@
   bool m_leaving = false;
   uint32_t m_active = 0;
   uint64_t m_runs = 0;
+  /// Rate limit that its answers name, as the text of the header field; empty:
+  /// none.
+  std::string m_rate_limit;
+  /// When each call arrived, whatever became of it.
+  std::vector<TimePoint> m_arrivals;
   /// Loads in which a staged chunk was missing or not that of the version.
   uint64_t m_bad_loads = 0;
 };
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -62,6 +62,8 @@
                            {platform::kStamp, "stamp-of-" + replica.m_id}};
   if (replica.m_version > 0)
     headers[platform::kWeightVersion] = std::to_string(replica.m_version);
+  if (!replica.m_rate_limit.empty())
+    headers[platform::kRateLimit] = replica.m_rate_limit;
   return headers;
 }
 
@@ -129,6 +131,7 @@
 Awaitable<void> Call(std::shared_ptr<Replica> replica,
                      const wire::Request& request,
                      wire::ResponseWriter& writer) {
+  replica->m_arrivals.push_back(Now());
   const std::string expected =
       wire::Get(request.m_headers, platform::kExpectReplica);
   if (!expected.empty() && expected != replica->m_id) {
@@ -163,6 +166,13 @@
                           {"bad_loads", replica.m_bad_loads}});
 }
 
+std::string EncodeArrivals(const Replica& replica) {
+  boost::json::array arrivals;
+  for (const TimePoint at : replica.m_arrivals)
+    arrivals.push_back(ToMilliseconds(at.time_since_epoch()));
+  return boost::json::serialize(arrivals);
+}
+
 Awaitable<void> Serve(std::shared_ptr<Replica> replica,
                       const wire::Request& request,
                       wire::ResponseWriter& writer) {
@@ -172,6 +182,11 @@
     response = wire::JsonResponse(200, EncodeReport(*replica));
   } else if (path == "/state") {
     response = wire::JsonResponse(200, EncodeState(*replica));
+  } else if (path == "/arrivals") {
+    response = wire::JsonResponse(200, EncodeArrivals(*replica));
+  } else if (path == "/limit") {
+    replica->m_rate_limit = request.m_body;
+    response = wire::Response(200, {}, "");
   } else if (path == "/order") {
     response = co_await Order(replica, request.m_body);
   } else if (path.starts_with("/stage-put/")) {
