A replica's rate limit holds for all entries together

Cause: no process read the limit. Class: a bound that a back end sets for all of us, while each entry decides by what it sees alone.

Now the head of each answer tells an entry the limit, or, if signed, its end. The target process of a model replica, which grants each of its slots anyway, holds the token bucket: a grant takes a token. Entries tell it the limit with each slot request and report of calls, and it tells all subscribed entries. For a replica without a target process, an entry of its data centre holds the bucket, and other entries ask it for a token for each call; entries tell each other such limits. First attempts, retries, hedges and resumed streams all acquire slots in the same place, so all take tokens. If the holder is silent, a limited replica gets no call: the bound holds without news, at the cost of use. Where no token is there, calls go to other replicas; if all usable replicas are limited and the limits don't reach, they are refused at once.

--- a/src/libverbenalead/base/metrics.cc
+++ b/src/libverbenalead/base/metrics.cc
@@ -92,6 +92,12 @@
   shard.m_gauges[{name, labels}] = value;
 }
 
+void Metrics::Remove(const std::string& name, const std::string& labels) {
+  State::Shard& shard = m_state->ShardOf(name);
+  const std::lock_guard lock(shard.m_mutex);
+  shard.m_gauges.erase({name, labels});
+}
+
 void Metrics::Observe(const std::string& name,
                       const std::string& labels,
                       double sample) {
--- a/src/libverbenalead/base/metrics.h
+++ b/src/libverbenalead/base/metrics.h
@@ -24,6 +24,8 @@
              double amount = 1);
   /// Sets a gauge.
   void Set(const std::string& name, const std::string& labels, double value);
+  /// Removes a gauge, for example of a replica that has gone.
+  void Remove(const std::string& name, const std::string& labels);
   /// Adds a sample to a summary, which exports count, sum and the quantiles
   /// 0.5, 0.95 and 0.99. Boost.Accumulators estimates the quantiles (extended
   /// P-square) over all samples since the process started.
--- a/src/libverbenalead/decide/call_policy.cc
+++ b/src/libverbenalead/decide/call_policy.cc
@@ -116,6 +116,8 @@
       return "no_replica";
     case Refusal::kFull:
       return "full";
+    case Refusal::kRateLimit:
+      return "rate_limit";
     case Refusal::kCrashes:
       return "crashes_replicas";
   }
@@ -132,6 +134,7 @@
       // retries earlier only uses up its attempts.
       return RandomDuration(1500ms, 2500ms, random);
     case Refusal::kFull:
+    case Refusal::kRateLimit:
       // A full pool stays full for a second or two, while many calls arrive at
       // once or replicas load weights. A caller that retries sooner finds the
       // same queue and has used up its retry.
@@ -142,6 +145,10 @@
   return 1s;
 }
 
+Duration RetryAfterRateLimit(Duration rate_wait, std::mt19937_64& random) {
+  return rate_wait + RetryAfter(Refusal::kRateLimit, random);
+}
+
 void PrepareRetry(PoolCall& call, double prefill_rate, TimePoint now) {
   if (call.m_read_deadline == TimePoint::max() || prefill_rate <= 0)
     return;
--- a/src/libverbenalead/decide/call_policy.h
+++ b/src/libverbenalead/decide/call_policy.h
@@ -68,6 +68,7 @@
   kNotReady,   ///< This entry stops or lacks configuration.
   kNoReplica,  ///< No replica is usable.
   kFull,       ///< All replicas are full.
+  kRateLimit,  ///< All replicas have rate limits that are used up.
   kCrashes,    ///< The request crashed replicas.
 };
 
@@ -77,6 +78,9 @@
 /// callers that were refused together don't return together, except for
 /// kCrashes.
 Duration RetryAfter(Refusal refusal, std::mt19937_64& random);
+/// The same for a call that is refused as kRateLimit, while no replica has a
+/// token for `rate_wait`.
+Duration RetryAfterRateLimit(Duration rate_wait, std::mt19937_64& random);
 
 /// How long a retried call may wait for a slot if it has not run yet.
 constexpr Duration kRetryWait = 300ms;
--- a/src/libverbenalead/decide/replica_pool.cc
+++ b/src/libverbenalead/decide/replica_pool.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decide/rate_gate.h"
+
 namespace verbenalead::decide {
 namespace {
 
@@ -60,6 +62,11 @@
          state.m_weights >= pool.m_required_weights;
 }
 
+/// Whether the replica has a rate limit and no token for this entry now.
+bool IsHeldBack(const ReplicaState& state, TimePoint now) {
+  return state.m_rate_limit.m_rate && state.m_rate_held_until > now;
+}
+
 uint32_t Load(const ReplicaState& state) {
   return state.m_in_flight + state.m_other_entries_calls;
 }
@@ -218,7 +225,8 @@
   ReplicaState* best = nullptr;
   double best_cost = 0;
   for (auto& [id, state] : pool.m_replicas) {
-    if (!Usable(pool, state, now) || call.m_attempted_replicas.contains(id) ||
+    if (!Usable(pool, state, now) || IsHeldBack(state, now) ||
+        call.m_attempted_replicas.contains(id) ||
         !HasRoom(state.m_replica.m_slots, pool.m_prefill_rate, Load(state),
                  state.m_unread_tokens + state.m_other_entries_unread_tokens) ||
         !CanReadInTime(pool, state, call, now))
@@ -243,12 +251,18 @@
                                           std::mt19937_64& random) {
   std::uniform_real_distribution<double> noise(0, kTieBreakNoise);
   std::vector<std::pair<double, std::string>> candidates;
+  std::vector<std::pair<double, std::string>> held_back;
   for (const auto& [id, state] : pool.m_replicas) {
     if (Usable(pool, state, now) && !call.m_attempted_replicas.contains(id)) {
-      candidates.emplace_back(
-          PlacementCost(pool, state, call, now) + noise(random), id);
+      auto& list = IsHeldBack(state, now) ? held_back : candidates;
+      list.emplace_back(PlacementCost(pool, state, call, now) + noise(random),
+                        id);
     }
   }
+  // A replica without a token seems idle, but a slot of another one comes free
+  // sooner.
+  if (candidates.empty())
+    candidates = std::move(held_back);
   count = std::min(count, candidates.size());
   std::partial_sort(candidates.begin(),
                     candidates.begin() + static_cast<std::ptrdiff_t>(count),
@@ -373,6 +387,47 @@
   }
 }
 
+void HoldBack(ReplicaState& replica, Duration hold_off, TimePoint now) {
+  replica.m_rate_held_until =
+      std::max(replica.m_rate_held_until, now + hold_off);
+}
+
+std::optional<Duration> RateWait(const ReplicaPool& pool, TimePoint now) {
+  std::optional<Duration> wait;
+  for (const auto& [id, state] : pool.m_replicas) {
+    if (IsHeldBack(state, now) && !state.m_replica.m_leaving) {
+      const Duration left = state.m_rate_held_until - now;
+      wait = std::min(wait.value_or(left), left);
+    } else if (Usable(pool, state, now)) {
+      return std::nullopt;
+    }
+  }
+  return wait;
+}
+
+bool MayStartBy(const ReplicaPool& pool, TimePoint deadline, TimePoint now) {
+  bool has_limits = false;
+  bool has_candidate = false;
+  double rate = 0;
+  for (const auto& [id, state] : pool.m_replicas) {
+    if (state.m_replica.m_leaving)
+      continue;
+    const TimePoint usable_at =
+        std::max(state.m_loading_until, state.m_backoff_until);
+    if (!state.m_rate_limit.m_rate && usable_at <= deadline)
+      return true;
+    has_limits |= state.m_rate_limit.m_rate.has_value();
+    if (std::max(usable_at, state.m_rate_held_until) > deadline)
+      continue;
+    has_candidate = true;
+    rate += std::max(kMinRequestRate, state.m_rate_limit.m_rate.value_or(0));
+  }
+  const double seconds = std::chrono::duration<double>(deadline - now).count();
+  return !has_limits ||
+         (has_candidate &&
+          static_cast<double>(pool.m_waiting.size()) < 1 + rate * seconds);
+}
+
 bool HasUsableReplica(const ReplicaPool& pool, TimePoint now) {
   return std::any_of(
       pool.m_replicas.begin(), pool.m_replicas.end(),
@@ -384,8 +439,10 @@
   for (const auto& [id, state] : pool.m_replicas) {
     if (!Usable(pool, state, now))
       continue;
-    load.m_slots += state.m_replica.m_slots;
-    load.m_used_slots += std::min(Load(state), state.m_replica.m_slots);
+    const uint32_t used = std::min(Load(state), state.m_replica.m_slots);
+    // Free slots of a replica that has no token aren't available.
+    load.m_slots += IsHeldBack(state, now) ? used : state.m_replica.m_slots;
+    load.m_used_slots += used;
   }
   return load;
 }
--- a/src/libverbenalead/decide/replica_pool.h
+++ b/src/libverbenalead/decide/replica_pool.h
@@ -131,6 +131,20 @@
                  AttemptEnd end,
                  TimePoint now);
 
+/// Records that a replica with a rate limit had no token for a call: it gets no
+/// calls for `hold_off`.
+void HoldBack(ReplicaState& replica, Duration hold_off, TimePoint now);
+
+/// If the only replicas that could take calls have rate limits and no token at
+/// present: the time until one may have. Otherwise nothing.
+std::optional<Duration> RateWait(const ReplicaPool& pool, TimePoint now);
+
+/// Whether a call that waits from now on might start by `deadline`. False if
+/// only replicas with rate limits can be used by then, and these don't allow as
+/// many requests as wait at this entry alone. Such a call would only wait in
+/// vain, so it should be refused at once.
+bool MayStartBy(const ReplicaPool& pool, TimePoint deadline, TimePoint now);
+
 /// Whether any replica may get calls, whether or not it has a free slot.
 bool HasUsableReplica(const ReplicaPool& pool, TimePoint now);
 
--- a/src/libverbenalead/decide/replica_pool_test.cc
+++ b/src/libverbenalead/decide/replica_pool_test.cc
@@ -55,6 +55,9 @@
   CPPUNIT_TEST(LeavingIsFinal);
   CPPUNIT_TEST(KeepsReplicasWhoseRowsExpired);
   CPPUNIT_TEST(DropsMissingReplicaWithoutUpdates);
+  CPPUNIT_TEST(ReplicaWithoutATokenGetsNoCalls);
+  CPPUNIT_TEST(CallsWaitAtLimitedReplicasOnlyIfAllAreLimited);
+  CPPUNIT_TEST(CallThatNoRateLimitLetsThroughDoesNotWait);
   CPPUNIT_TEST(AnySequenceKeepsTheLimits);
   CPPUNIT_TEST_SUITE_END();
 
@@ -238,6 +241,53 @@
     CPPUNIT_ASSERT(pool.m_replicas.contains("b"));
   }
 
+  void ReplicaWithoutATokenGetsNoCalls() {
+    ReplicaPool pool = MakePool({MakeReplica("a"), MakeReplica("b")});
+    Limit(pool, "a", 1, 500ms);
+    for (uint32_t call = 0; call < kSlots; ++call) {
+      CPPUNIT_ASSERT_EQUAL(
+          std::string("b"),
+          AcquireSlot(pool, MakeCall(call), kStart, m_random).value());
+    }
+    CPPUNIT_ASSERT(!AcquireSlot(pool, MakeCall(9), kStart, m_random));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("a"),
+        AcquireSlot(pool, MakeCall(9), kStart + 500ms, m_random).value());
+  }
+
+  // Guards against calls that queue at a limited replica because it seems idle.
+  void CallsWaitAtLimitedReplicasOnlyIfAllAreLimited() {
+    ReplicaPool pool = MakePool({MakeReplica("a"), MakeReplica("b")});
+    pool.m_replicas.at("b").m_in_flight = kSlots;
+    Limit(pool, "a", 1, 500ms);
+    CPPUNIT_ASSERT(ReplicasToWaitAt(pool, MakeCall(1), 2, kStart, m_random) ==
+                   std::vector<std::string>{"b"});
+    Limit(pool, "b", 1, 500ms);
+    CPPUNIT_ASSERT_EQUAL(
+        size_t{2},
+        ReplicasToWaitAt(pool, MakeCall(1), 2, kStart, m_random).size());
+  }
+
+  // Guards against calls that wait until their time is over although it was
+  // known on arrival that no replica would take them.
+  void CallThatNoRateLimitLetsThroughDoesNotWait() {
+    ReplicaPool pool = MakePool({MakeReplica("a"), MakeReplica("b")});
+    Limit(pool, "a", 1, 500ms);
+    CPPUNIT_ASSERT(MayStartBy(pool, kStart + 100ms, kStart));
+    CPPUNIT_ASSERT(!RateWait(pool, kStart));
+    Limit(pool, "b", 1, 300ms);
+    CPPUNIT_ASSERT(!MayStartBy(pool, kStart + 100ms, kStart));
+    CPPUNIT_ASSERT(MayStartBy(pool, kStart + 400ms, kStart));
+    CPPUNIT_ASSERT(RateWait(pool, kStart) == Duration(300ms));
+    for (uint64_t ticket = 0; ticket < 2; ++ticket)
+      AddWaitingCall(pool, MakeCall(ticket));
+    CPPUNIT_ASSERT(!MayStartBy(pool, kStart + 400ms, kStart));
+    // A replica that comes back from its backoff soon takes the call.
+    pool.m_replicas.at("b").m_rate_limit = {};
+    pool.m_replicas.at("b").m_backoff_until = kStart + 30ms;
+    CPPUNIT_ASSERT(MayStartBy(pool, kStart + 100ms, kStart));
+  }
+
   // Calls arrive, wait and end in any way, in any order. No replica ever has
   // more calls than slots, and each waiting call starts at most once.
   void AnySequenceKeepsTheLimits() {
@@ -285,6 +335,15 @@
   }
 
  private:
+  static void Limit(ReplicaPool& pool,
+                    const std::string& id,
+                    double rate,
+                    Duration hold_off) {
+    ReplicaState& replica = pool.m_replicas.at(id);
+    replica.m_rate_limit = {rate, kStart, true};
+    HoldBack(replica, hold_off, kStart);
+  }
+
   std::mt19937_64 m_random{7};
 };
 
--- a/src/libverbenalead/decide/slot_queue.cc
+++ b/src/libverbenalead/decide/slot_queue.cc
@@ -57,7 +57,8 @@
               TimePoint now) {
   const TimePoint read_at =
       now + ReadingTime(queue, load.m_unread_tokens + request.m_prompt_tokens);
-  if (!HasRoom(queue.m_slots, queue.m_prefill_rate, load.m_calls,
+  if (!HasToken(queue.m_rate, now) ||
+      !HasRoom(queue.m_slots, queue.m_prefill_rate, load.m_calls,
                load.m_unread_tokens) ||
       !KeepsGrantsOnTime(queue, read_at))
     return false;
@@ -75,6 +76,17 @@
          (request.m_can_be_on_time && StartBy(queue, request) < now);
 }
 
+/// Whether the rate limit has no token for the request before it expires, after
+/// those that wait already.
+bool GetsNoToken(const SlotQueue& queue,
+                 const SlotRequest& request,
+                 TimePoint now) {
+  const auto tokens = static_cast<double>(queue.m_slot_requests.size() + 1);
+  const TimePoint start = now + TimeToTokens(queue.m_rate, tokens, now);
+  return start > request.m_until ||
+         (request.m_can_be_on_time && start > StartBy(queue, request));
+}
+
 /// The most urgent request, or the end iterator.
 std::vector<SlotRequest>::iterator FindMostUrgent(SlotQueue& queue) {
   return std::min_element(queue.m_slot_requests.begin(),
@@ -110,11 +122,12 @@
       });
 }
 
-/// Records the grant of a slot to an on-time call.
+/// Records the grant of a slot.
 void RecordGrant(SlotQueue& queue,
                  const SlotRequest& request,
                  const ReplicaLoad& load,
                  TimePoint now) {
+  TakeToken(queue.m_rate, now);
   if (request.m_can_be_on_time) {
     queue.m_granted_calls.push_back(
         {request.m_read_deadline,
@@ -135,7 +148,7 @@
     RecordGrant(queue, request, load, now);
     return SlotVerdict::kGranted;
   }
-  if (IsExpired(queue, request, now) ||
+  if (IsExpired(queue, request, now) || GetsNoToken(queue, request, now) ||
       queue.m_slot_requests.size() >= kMaxQueuedRequests)
     return SlotVerdict::kDenied;
   WithdrawRequest(queue, request.m_entry, request.m_ticket);
--- a/src/libverbenalead/decide/slot_queue.h
+++ b/src/libverbenalead/decide/slot_queue.h
@@ -6,6 +6,7 @@
 
 #include "base/endpoint.h"
 #include "base/time.h"
+#include "decide/rate_gate.h"
 
 namespace verbenalead::decide {
 
@@ -68,6 +69,8 @@
   uint32_t m_slots = 0;
   /// Prompt tokens that the replica reads per second.
   double m_prefill_rate = 0;
+  /// Tokens of the replica's rate limit; a grant takes one.
+  RateGate m_rate;
   std::vector<SlotRequest> m_slot_requests;
   std::vector<GrantedCall> m_granted_calls;
 };
@@ -75,7 +78,8 @@
 enum class SlotVerdict {
   kGranted,
   kQueued,
-  /// The call can't be on time here or must not wait, or the queue is full.
+  /// The call can't be on time here, must not wait, or would get no token of
+  /// the rate limit in time; or the queue is full.
   kDenied,
 };
 
--- a/src/libverbenalead/decide/slot_queue_test.cc
+++ b/src/libverbenalead/decide/slot_queue_test.cc
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(LongPromptDoesNotDelayGrantedCalls);
   CPPUNIT_TEST(UnmeetableRequestIsDeniedAtOnce);
   CPPUNIT_TEST(WithdrawnRequestGetsNoSlot);
+  CPPUNIT_TEST(GrantsNoMoreThanTheRateLimit);
+  CPPUNIT_TEST(CallThatGetsNoTokenInTimeIsDeniedAtOnce);
   CPPUNIT_TEST(AnySequenceKeepsTheLimits);
   CPPUNIT_TEST_SUITE_END();
 
@@ -135,6 +137,32 @@
     CPPUNIT_ASSERT(GrantSlots(queue, {}, kStart).empty());
   }
 
+  // Guards against grants to queued calls that the rate limit doesn't count.
+  void GrantsNoMoreThanTheRateLimit() {
+    SlotQueue queue = MakeQueue();
+    SetRate(queue.m_rate, 1, kStart);
+    for (uint64_t ticket = 1; ticket <= 3; ++ticket) {
+      CPPUNIT_ASSERT(RequestSlot(queue, MakeRequest(ticket, 9s), {}, kStart) ==
+                     SlotVerdict::kQueued);
+    }
+    CPPUNIT_ASSERT(GrantSlots(queue, {}, kStart + 900ms).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, GrantSlots(queue, {}, kStart + 1s).size());
+    CPPUNIT_ASSERT(GrantSlots(queue, {}, kStart + 1s).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, GrantSlots(queue, {}, kStart + 3s).size());
+  }
+
+  // Guards against calls that wait in vain for a token of the rate limit.
+  void CallThatGetsNoTokenInTimeIsDeniedAtOnce() {
+    SlotQueue queue = MakeQueue();
+    SetRate(queue.m_rate, 1, kStart);
+    CPPUNIT_ASSERT(RequestSlot(queue, MakeRequest(1, 500ms), {}, kStart) ==
+                   SlotVerdict::kDenied);
+    CPPUNIT_ASSERT(RequestSlot(queue, MakeRequest(2, 1500ms), {}, kStart) ==
+                   SlotVerdict::kQueued);
+    CPPUNIT_ASSERT(RequestSlot(queue, MakeRequest(3, 1500ms), {}, kStart) ==
+                   SlotVerdict::kDenied);
+  }
+
   // Calls request slots, wait, withdraw and end in any order, and some messages
   // arrive twice. No more calls are granted than there are slots, and each
   // request is granted at most once.
--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "entry/rate_limits.h"
 
 namespace verbenalead::entry {
 namespace {
@@ -82,6 +83,9 @@
     m_result.m_reader->Cancel();
   if (m_result.m_reader)
     co_await ReadAnswerHead(plan.m_call.m_id, head_deadline, m_result);
+  // Before the update to the target that NotePromptRead() sends, which reports
+  // the limit.
+  ApplyRateLimit();
   slot_allocator.NotePromptRead(plan.m_service, m_replica, prompt_tokens);
   ApplyHead();
   Log(m_result.m_end, m_result.m_reason);
@@ -106,6 +110,32 @@
   }
 }
 
+void CallAttempt::ApplyRateLimit() {
+  const platform::AnswerMetadata& metadata = m_result.m_metadata;
+  const bool ran = m_result.m_end == AttemptEnd::kGood ||
+                   m_result.m_end == AttemptEnd::kFailed;
+  if (!ran && m_result.m_end != AttemptEnd::kNotRun)
+    return;
+  decide::ReplicaState* replica = FindReplica(m_services.m_state, m_replica);
+  if (!replica)
+    return;
+  if (metadata.m_rate_limit_malformed) {
+    LogLine("rate_limit_malformed")
+        .With("call", m_record->m_plan.m_call.m_id)
+        .With("replica", m_replica)
+        .Warn();
+    return;
+  }
+  // A rejection needn't come from the replica itself, so only a signed answer
+  // shows that it names no limit any more.
+  if (metadata.m_rate_limit || (ran && metadata.m_signed)) {
+    LearnRateLimit(m_services.m_state, *replica,
+                   {metadata.m_rate_limit,
+                    metadata.m_rate_limit ? Now() : m_sent_at, true},
+                   m_record->m_plan.m_call.m_id);
+  }
+}
+
 void CallAttempt::LogUnknownFields() {
   std::set<std::string>& logged = m_services.m_state.m_logged_answer_fields;
   for (const std::string& name :
--- a/src/libverbenalead/entry/call_attempt.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -64,6 +64,8 @@
   /// Updates the call's progress, and the replica's known weights version, from
   /// the head of the answer.
   void ApplyHead();
+  /// Learns the rate limit of the replica from the head of the answer.
+  void ApplyRateLimit();
   /// Logs each header field of answers that this project doesn't know, once in
   /// the lifetime of the process, with its value.
   void LogUnknownFields();
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -213,11 +213,21 @@
                          Duration());
     co_return;
   }
-  const bool usable = decide::HasUsableReplica(
-      GetOrCreateService(m_state, m_plan.m_service).m_pool, Now());
+  const decide::ReplicaPool& pool =
+      GetOrCreateService(m_state, m_plan.m_service).m_pool;
+  const bool usable = decide::HasUsableReplica(pool, Now());
   if (usable && m_plan.m_wait_limit.m_can_be_on_time)
     decide::NoteOnTimeRefusal(
         GetOrCreateService(m_state, m_plan.m_service).m_late_shedding, Now());
+  const auto rate_wait = decide::RateWait(pool, Now());
+  if (rate_wait) {
+    co_await SendRefusal(
+        kUnavailable,
+        std::string("not run: ") +
+            decide::ToString(decide::Refusal::kRateLimit),
+        decide::RetryAfterRateLimit(*rate_wait, m_state.m_random));
+    co_return;
+  }
   co_await Refuse(usable ? decide::Refusal::kFull
                          : decide::Refusal::kNoReplica);
 }
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -90,6 +90,8 @@
   ReplicaChangeLog m_replica_changes;
   /// Names of the unknown header fields of replicas' answers that were logged.
   std::set<std::string> m_logged_answer_fields;
+  /// Replicas whose rate limits are exported as gauges.
+  std::set<std::string> m_exported_rate_limits;
   /// When the list of replicas was last known to be current.
   TimePoint m_replicas_confirmed_at{};
   bool m_replicas_known = false;
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -13,6 +13,7 @@
 #include "entry/entry_registration.h"
 #include "entry/entry_state.h"
 #include "entry/peer_updates.h"
+#include "entry/rate_limits.h"
 #include "entry/row_synchroniser.h"
 #include "entry/startup_progress.h"
 #include "entry/summary_sender.h"
@@ -161,7 +162,7 @@
         kAddressListLifetime));
   }
 
-  void HandleMessage(const links::Message& message) {
+  void HandleMessage(const Endpoint& sender, const links::Message& message) {
     if (const auto* update = std::get_if<links::EntryUpdate>(&message)) {
       ApplyUpdate(m_state, *update, Now());
       m_update_sender.NotifyStartingEntry(*update);
@@ -174,6 +175,11 @@
       ApplyUpdate(m_state, *replica, Now());
     } else if (const auto* answer = std::get_if<links::SlotAnswer>(&message)) {
       m_slot_requester.HandleAnswer(*answer);
+    } else if (const auto* request =
+                   std::get_if<links::TokenRequest>(&message)) {
+      m_slot_requester.tokens().HandleRequest(sender, *request);
+    } else if (const auto* token = std::get_if<links::TokenAnswer>(&message)) {
+      m_slot_requester.tokens().HandleAnswer(*token);
     }
     m_slot_allocator.WakeAll();
   }
@@ -206,6 +212,7 @@
       m_update_sender.NotifyEntries(m_rows.ConsumeTakeover());
       m_summaries.SendIfDue();
       LogReplicaChanges(m_state.m_replica_changes, Now());
+      ExportRateLimits(m_state);
     }
   }
 
@@ -313,10 +320,10 @@
   SpawnLoop(main, parts.FollowTargets(), "follow_targets");
   SpawnLoop(main, parts.AwaitSignals(), "await_signals");
   SpawnLoop(main,
-            parts.m_datagrams.Receive(
-                [&parts](const Endpoint&, const links::Message& message) {
-                  parts.HandleMessage(message);
-                }),
+            parts.m_datagrams.Receive([&parts](const Endpoint& sender,
+                                               const links::Message& message) {
+              parts.HandleMessage(sender, message);
+            }),
             "receive");
   parts.m_threads.Run();
   return 0;
--- a/src/libverbenalead/entry/slot_allocator.cc
+++ b/src/libverbenalead/entry/slot_allocator.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "entry/rate_limits.h"
+
 namespace verbenalead::entry {
 
 namespace asio = boost::asio;
@@ -85,6 +87,8 @@
     slot.m_replica = *replica;
     co_return slot;
   }
+  if (!decide::MayStartBy(pool, deadline, Now()))
+    co_return std::nullopt;
   if (deadline <= Now())
     co_return std::nullopt;
   const uint64_t ticket = call.m_ticket;
@@ -166,7 +170,7 @@
                                 const std::string& replica) {
   const decide::ReplicaPool& pool = GetOrCreateService(m_state, service).m_pool;
   const auto found = pool.m_replicas.find(replica);
-  if (found != pool.m_replicas.end() && pool.m_prefill_rate > 0)
+  if (found != pool.m_replicas.end() && HasTargetProcesses(pool))
     m_on_change(found->second);
 }
 
--- a/src/libverbenalead/entry/slot_requester.cc
+++ b/src/libverbenalead/entry/slot_requester.cc
@@ -7,6 +7,7 @@
 
 #include "base/log.h"
 #include "entry/peer_updates.h"
+#include "entry/rate_limits.h"
 
 namespace verbenalead::entry {
 namespace {
@@ -42,10 +43,14 @@
                                            decide::PoolCall call) {
   decide::ReplicaPool& pool = GetOrCreateService(m_state, service).m_pool;
   const auto found = pool.m_replicas.find(replica);
-  if (pool.m_prefill_rate <= 0 || found == pool.m_replicas.end())
+  if (found == pool.m_replicas.end())
     co_return true;
+  if (!HasTargetProcesses(pool)) {
+    const bool has_token = co_await m_tokens.RequestToken(service, replica);
+    co_return has_token;
+  }
   if (found->second.m_unresponsive_until > Now())
-    co_return true;
+    co_return MayUseWithoutTarget(found->second);
   const auto executor = co_await asio::this_coro::executor;
   auto pending = std::make_shared<PendingRequest>(executor);
   decide::NoteSlotRequestSent(pool, replica, call.m_prompt_tokens);
@@ -61,12 +66,21 @@
   decide::NoteSlotRequestDone(pool, replica, call.m_prompt_tokens);
   if (pending->m_answered)
     co_return pending->m_granted;
-  const auto unresponsive = pool.m_replicas.find(replica);
-  if (unresponsive != pool.m_replicas.end())
-    unresponsive->second.m_unresponsive_until = Now() + kSilentTargetHoldOff;
   m_state.m_metrics.Count("targets_silent_total", "");
   LogLine("target_silent").With("replica", replica).Info();
-  co_return true;
+  const auto unresponsive = pool.m_replicas.find(replica);
+  if (unresponsive == pool.m_replicas.end())
+    co_return true;
+  unresponsive->second.m_unresponsive_until = Now() + kSilentTargetHoldOff;
+  co_return MayUseWithoutTarget(unresponsive->second);
+}
+
+bool SlotRequester::MayUseWithoutTarget(decide::ReplicaState& replica) {
+  if (!replica.m_rate_limit.m_rate)
+    return true;
+  HoldBackReplica(m_state, replica, "target (silent)",
+                  replica.m_unresponsive_until - Now());
+  return false;
 }
 
 std::optional<uint64_t> SlotRequester::Reserve(const std::string& service,
@@ -75,7 +89,7 @@
                                                TimePoint until) {
   const decide::ReplicaPool& pool = GetOrCreateService(m_state, service).m_pool;
   const auto found = pool.m_replicas.find(replica);
-  if (pool.m_prefill_rate <= 0 || found == pool.m_replicas.end() ||
+  if (!HasTargetProcesses(pool) || found == pool.m_replicas.end() ||
       found->second.m_unresponsive_until > Now())
     return std::nullopt;
   links::SlotRequestMessage request = RequestFor(found->second, call);
@@ -118,6 +132,7 @@
           ? kNoReadLimit
           : std::max<Duration>(Duration(), call.m_read_deadline - Now());
   request.m_calls = ReportedCallsAt(replica);
+  request.m_rate_limit = links::ReportOf(replica.m_rate_limit, Now());
   return request;
 }
 
--- a/src/libverbenalead/entry/slot_requester.h
+++ b/src/libverbenalead/entry/slot_requester.h
@@ -10,6 +10,7 @@
 
 #include "base/awaitable.h"
 #include "entry/entry_state.h"
+#include "entry/token_requester.h"
 #include "links/datagram_socket.h"
 
 namespace verbenalead::entry {
@@ -25,12 +26,16 @@
 class SlotRequester {
  public:
   SlotRequester(EntryState& state, links::DatagramSocket& datagrams)
-      : m_state(state), m_datagrams(datagrams) {}
+      : m_state(state), m_datagrams(datagrams), m_tokens(state, datagrams) {}
 
   /// Whether the target grants `call` a slot at `replica`. If the target
   /// doesn't answer, its replica stays in use: the result is true, as this
   /// entry has already chosen the replica by its own view, and no requests are
-  /// sent to the target for a while.
+  /// sent to the target for a while. A replica with a rate limit isn't used
+  /// then, because only the target knows what other entries send there.
+  ///
+  /// For a replica without a target, whether its rate limit, if it has one,
+  /// lets the call through.
   Awaitable<bool> RequestSlot(std::string service,
                               std::string replica,
                               decide::PoolCall call);
@@ -55,6 +60,9 @@
   /// Replica of a reservation; empty: it was withdrawn or has ended.
   std::string ReplicaOfReservation(uint64_t reservation) const;
 
+  /// Tokens of the rate limits of replicas without a target.
+  TokenRequester& tokens() { return m_tokens; }
+
   /// Handles a target's answer to RequestSlot() or Reserve(), or a later grant.
   void HandleAnswer(const links::SlotAnswer& answer);
 
@@ -63,11 +71,14 @@
 
   /// Address of the target process on the host of `replica`.
   Endpoint TargetOf(const decide::ReplicaState& replica) const;
+  /// Whether `replica` is used although its target doesn't answer.
+  bool MayUseWithoutTarget(decide::ReplicaState& replica);
   links::SlotRequestMessage RequestFor(const decide::ReplicaState& replica,
                                        const decide::PoolCall& call);
 
   EntryState& m_state;
   links::DatagramSocket& m_datagrams;
+  TokenRequester m_tokens;
   uint64_t m_last_ticket = 0;
   /// Requests of RequestSlot() that wait for an answer, by ticket.
   std::map<uint64_t, std::shared_ptr<PendingRequest>> m_pending_requests;
--- /dev/null
+++ b/src/libverbenalead/entry/token_requester.h
@@ -0,0 +1,63 @@
+#ifndef VERBENALEAD_ENTRY_TOKEN_REQUESTER_H_
+#define VERBENALEAD_ENTRY_TOKEN_REQUESTER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/awaitable.h"
+#include "decide/rate_gate.h"
+#include "entry/entry_state.h"
+#include "links/datagram_socket.h"
+
+namespace verbenalead::entry {
+
+/// Requests tokens for calls to replicas that name a rate limit and have no
+/// target process, and grants them to all entries where this entry holds the
+/// token bucket of such a replica.
+///
+/// If the holder is gone or its answer is lost, no call is sent: the replica
+/// asked for relief, other entries may send it all that it takes, and the calls
+/// go to other replicas or are refused.
+class TokenRequester {
+ public:
+  TokenRequester(EntryState& state, links::DatagramSocket& datagrams)
+      : m_state(state), m_datagrams(datagrams) {}
+
+  /// Whether a call may be sent to `replica` of `service` now. If not, the
+  /// replica is held back for a while.
+  Awaitable<bool> RequestToken(std::string service, std::string replica);
+
+  /// Answers another entry's request.
+  void HandleRequest(const Endpoint& sender,
+                     const links::TokenRequest& request);
+  /// Handles the answer to a request of this entry.
+  void HandleAnswer(const links::TokenAnswer& answer);
+
+ private:
+  struct PendingRequest;
+
+  /// The decision about one request to a replica whose bucket this entry holds.
+  struct Decision {
+    bool m_granted = false;
+    Duration m_hold_off{};
+  };
+
+  /// Host of the entry that holds the bucket of `replica`; "" if none can.
+  std::string HolderOf(const decide::ReplicaState& replica) const;
+  Decision Decide(const decide::ReplicaState& replica);
+  /// Sends a request to `holder` and waits for its answer.
+  Awaitable<bool> RequestFrom(std::string holder, std::string replica);
+  const std::string& OwnHost() const;
+
+  EntryState& m_state;
+  links::DatagramSocket& m_datagrams;
+  uint64_t m_last_ticket = 0;
+  std::map<uint64_t, std::shared_ptr<PendingRequest>> m_pending;
+  /// Token buckets that this entry holds, by replica.
+  std::map<std::string, decide::RateGate> m_gates;
+};
+
+}  // namespace verbenalead::entry
+
+#endif  // VERBENALEAD_ENTRY_TOKEN_REQUESTER_H_
--- a/src/libverbenalead/links/data_center_summary.h
+++ b/src/libverbenalead/links/data_center_summary.h
@@ -8,6 +8,7 @@
 #include "base/time.h"
 #include "decide/quarantine.h"
 #include "links/entry_summary.h"
+#include "links/rate_limit_report.h"
 #include "links/replica_summary.h"
 
 namespace verbenalead::links {
@@ -34,6 +35,8 @@
   std::vector<ReplicaSummary> m_replicas;
   /// Crashes of replicas that entries of the data centre saw recently.
   std::vector<decide::CrashRecord> m_crashes;
+  /// As in EntryUpdate.
+  std::vector<ReplicaRateLimit> m_rate_limits;
 
   friend bool operator==(const DataCenterSummary&,
                          const DataCenterSummary&) = default;
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <limits>
 
+#include "links/rate_limit_codec.h"
 #include "links/summary_codec.h"
 #include "model/json_fields.h"
 
@@ -21,6 +22,8 @@
 constexpr char kSlotAnswer[] = "answer";
 constexpr char kSlotWithdrawal[] = "withdraw";
 constexpr char kSummary[] = "summary";
+constexpr char kTokenRequest[] = "token_ask";
+constexpr char kTokenAnswer[] = "token_answer";
 
 json::array EncodeCalls(const ReplicaCalls& calls) {
   return {calls.m_calls, calls.m_unread_tokens};
@@ -41,6 +44,7 @@
       {"age_ms", ToMilliseconds(update.m_replicas_age)}};
   if (update.m_remote_entries)
     object["far_entries"] = *update.m_remote_entries;
+  EncodeRateLimits(object, update.m_rate_limits);
   return object;
 }
 
@@ -51,9 +55,11 @@
 }
 
 json::object Encode(const CallUpdate& update) {
-  return {{"kind", kCalls},
-          {"replica", update.m_replica},
-          {"calls", EncodeCalls(update.m_calls)}};
+  json::object object = {{"kind", kCalls},
+                         {"replica", update.m_replica},
+                         {"calls", EncodeCalls(update.m_calls)}};
+  EncodeRateLimit(object, update.m_rate_limit);
+  return object;
 }
 
 json::object Encode(const ReplicaUpdate& update) {
@@ -71,6 +77,9 @@
     object["loading"] = true;
   if (update.m_queued_calls > 0)
     object["waiting"] = update.m_queued_calls;
+  EncodeRateLimit(object, update.m_rate_limit);
+  if (update.m_rate_hold_off > Duration())
+    object["hold_ms"] = ToMilliseconds(update.m_rate_hold_off);
   return object;
 }
 
@@ -105,14 +114,16 @@
 }
 
 json::object Encode(const SlotRequestMessage& request) {
-  return {{"kind", kSlotRequest},
-          {"replica", request.m_replica},
-          {"ticket", request.m_ticket},
-          {"tokens", request.m_prompt_tokens},
-          {"fresh", request.m_can_be_on_time},
-          {"read_ms", ToMilliseconds(request.m_read_within)},
-          {"wait_ms", ToMilliseconds(request.m_max_wait)},
-          {"calls", EncodeCalls(request.m_calls)}};
+  json::object object = {{"kind", kSlotRequest},
+                         {"replica", request.m_replica},
+                         {"ticket", request.m_ticket},
+                         {"tokens", request.m_prompt_tokens},
+                         {"fresh", request.m_can_be_on_time},
+                         {"read_ms", ToMilliseconds(request.m_read_within)},
+                         {"wait_ms", ToMilliseconds(request.m_max_wait)},
+                         {"calls", EncodeCalls(request.m_calls)}};
+  EncodeRateLimit(object, request.m_rate_limit);
+  return object;
 }
 
 json::object Encode(const SlotAnswer& answer) {
@@ -130,6 +141,18 @@
           {"ticket", withdrawal.m_ticket}};
 }
 
+json::object Encode(const TokenRequest& request) {
+  json::object object = EncodeTokenRequest(request);
+  object["kind"] = kTokenRequest;
+  return object;
+}
+
+json::object Encode(const TokenAnswer& answer) {
+  json::object object = EncodeTokenAnswer(answer);
+  object["kind"] = kTokenAnswer;
+  return object;
+}
+
 /// Reads a number of milliseconds; zero if the field is absent.
 Result<Duration> TimeField(const json::object& object, const char* name) {
   BOOST_LEAF_AUTO(milliseconds, model::NumberFieldOr(object, name, 0));
@@ -184,6 +207,7 @@
     BOOST_LEAF_AUTO(remote_entries, model::NumberField(object, "far_entries"));
     update.m_remote_entries = static_cast<uint32_t>(remote_entries);
   }
+  BOOST_LEAF_ASSIGN(update.m_rate_limits, DecodeRateLimits(object));
   return update;
 }
 
@@ -191,6 +215,7 @@
   CallUpdate update;
   BOOST_LEAF_ASSIGN(update.m_replica, model::TextField(object, "replica"));
   BOOST_LEAF_ASSIGN(update.m_calls, DecodeCalls(object, "calls"));
+  BOOST_LEAF_ASSIGN(update.m_rate_limit, DecodeRateLimit(object));
   return update;
 }
 
@@ -207,6 +232,8 @@
                     DecodeCalls(object, "elsewhere"));
   BOOST_LEAF_AUTO(waiting, model::NumberFieldOr(object, "waiting", 0));
   update.m_queued_calls = static_cast<uint32_t>(waiting);
+  BOOST_LEAF_ASSIGN(update.m_rate_limit, DecodeRateLimit(object));
+  BOOST_LEAF_ASSIGN(update.m_rate_hold_off, TimeField(object, "hold_ms"));
   return update;
 }
 
@@ -221,6 +248,7 @@
   BOOST_LEAF_ASSIGN(request.m_read_within, TimeField(object, "read_ms"));
   BOOST_LEAF_ASSIGN(request.m_max_wait, TimeField(object, "wait_ms"));
   BOOST_LEAF_ASSIGN(request.m_calls, DecodeCalls(object, "calls"));
+  BOOST_LEAF_ASSIGN(request.m_rate_limit, DecodeRateLimit(object));
   return request;
 }
 
@@ -316,6 +344,10 @@
     return AsMessage(DecodeFollow(object));
   if (kind == kSummary)
     return AsMessage(DecodeSummary(object));
+  if (kind == kTokenRequest)
+    return AsMessage(DecodeTokenRequest(object));
+  if (kind == kTokenAnswer)
+    return AsMessage(DecodeTokenAnswer(object));
   return model::BadField("kind", "a kind of datagram that is known");
 }
 
--- a/src/libverbenalead/links/message.h
+++ b/src/libverbenalead/links/message.h
@@ -16,6 +16,8 @@
 #include "links/slot_request_message.h"
 #include "links/slot_withdrawal.h"
 #include "links/subscription_request.h"
+#include "links/token_answer.h"
+#include "links/token_request.h"
 
 namespace verbenalead::links {
 
@@ -31,7 +33,9 @@
                              SlotRequestMessage,
                              SlotAnswer,
                              SlotWithdrawal,
-                             DataCenterSummary>;
+                             DataCenterSummary,
+                             TokenRequest,
+                             TokenAnswer>;
 
 std::string EncodeMessage(const Message& message);
 /// Fails with kInvalid on text that EncodeMessage can't have written.
--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -41,6 +41,9 @@
     summary.m_replicas = {{"i-1", 3, true, false, {5, 900}, 2},
                           {"i-2", 0, false, true, {0, 0}, 0}};
     summary.m_crashes = entry.m_crashes;
+    entry_with_count.m_rate_limits = {{"i-1", {2.5, 40ms}},
+                                      {"i-2", {std::nullopt, 1s}}};
+    summary.m_rate_limits = entry_with_count.m_rate_limits;
     ReplicaUpdate replica;
     replica.m_replica = "i-1";
     replica.m_service = "pool";
@@ -49,13 +52,19 @@
     replica.m_loading = true;
     replica.m_other_entries_calls = {5, 900};
     replica.m_queued_calls = 3;
+    replica.m_rate_limit = RateLimitReport{std::nullopt, 3s};
+    replica.m_rate_hold_off = 250ms;
     const Message messages[] = {
         entry,
         entry_with_count,
         summary,
         DataCenterSummary(),
         replica,
-        CallUpdate{"i-1", {2, 100}},
+        CallUpdate{"i-1", {2, 100}, std::nullopt},
+        CallUpdate{"i-1", {2, 100}, RateLimitReport{1, 20ms}},
+        TokenRequest{"i-1", 7, {0.3, 10ms}},
+        TokenAnswer{"i-1", 7, true, 0ms, std::nullopt},
+        TokenAnswer{"i-1", 8, false, 700ms, RateLimitReport{2.3, 5ms}},
         ChunkUpdate{"10.0.0.2", "m", 2, {0, 3, 47}},
         OriginFetchUpdate{"m", 2, {"10.0.0.2", {7, 9}, {8}}},
         SubscriptionRequest{true, true, 77, uint64_t{1} << 63, 85},
--- a/src/libverbenalead/links/slot_request_message.h
+++ b/src/libverbenalead/links/slot_request_message.h
@@ -2,9 +2,11 @@
 #define VERBENALEAD_LINKS_SLOT_REQUEST_MESSAGE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/time.h"
+#include "links/rate_limit_report.h"
 #include "links/replica_calls.h"
 
 namespace verbenalead::links {
@@ -28,6 +30,8 @@
   /// like this one. Each request includes them, so that the first request after
   /// a restart of either process corrects the counts of the target process.
   ReplicaCalls m_calls;
+  /// What the entry knows of the replica's rate limit; absent: none.
+  std::optional<RateLimitReport> m_rate_limit;
 
   friend bool operator==(const SlotRequestMessage&,
                          const SlotRequestMessage&) = default;
--- a/src/libverbenalead/links/summary_codec.cc
+++ b/src/libverbenalead/links/summary_codec.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include "links/rate_limit_codec.h"
 #include "model/json_fields.h"
 
 namespace verbenalead::links {
@@ -114,15 +115,18 @@
   json::array replicas;
   for (const ReplicaSummary& replica : summary.m_replicas)
     replicas.push_back(EncodeReplica(replica));
-  return {{"data_center", summary.m_data_center},
-          {"sender", summary.m_sender},
-          {"number", summary.m_sequence},
-          {"relayed", summary.m_relayed},
-          {"revision", summary.m_operator_revision},
-          {"proof_ms", ToMilliseconds(summary.m_operator_confirmed_at)},
-          {"entries", std::move(entries)},
-          {"replicas", std::move(replicas)},
-          {"crashes", EncodeCrashes(summary.m_crashes)}};
+  json::object object = {
+      {"data_center", summary.m_data_center},
+      {"sender", summary.m_sender},
+      {"number", summary.m_sequence},
+      {"relayed", summary.m_relayed},
+      {"revision", summary.m_operator_revision},
+      {"proof_ms", ToMilliseconds(summary.m_operator_confirmed_at)},
+      {"entries", std::move(entries)},
+      {"replicas", std::move(replicas)},
+      {"crashes", EncodeCrashes(summary.m_crashes)}};
+  EncodeRateLimits(object, summary.m_rate_limits);
+  return object;
 }
 
 Result<DataCenterSummary> DecodeSummary(const json::object& object) {
@@ -148,6 +152,7 @@
     summary.m_replicas.push_back(std::move(replica));
   }
   BOOST_LEAF_ASSIGN(summary.m_crashes, DecodeCrashes(object));
+  BOOST_LEAF_ASSIGN(summary.m_rate_limits, DecodeRateLimits(object));
   return summary;
 }
 
--- a/src/libverbenalead/target/slot_granter.cc
+++ b/src/libverbenalead/target/slot_granter.cc
@@ -1,10 +1,14 @@
 #include "target/slot_granter.h"
 
+#include "base/log.h"
+
 namespace verbenalead::target {
 namespace {
 
 /// Time after the last report of an entry until its calls no longer count.
 constexpr Duration kCallReportLifetime = 2500ms;
+/// Logged in place of the rate where there is no limit.
+constexpr double kNoLimit = -1;
 
 }  // namespace
 
@@ -17,6 +21,7 @@
   follower.m_calls_reported_at = Now();
   m_queue.m_slots = m_state.m_engine->m_slots;
   m_queue.m_prefill_rate = m_state.m_engine->m_prefill_rate;
+  LearnRateLimit(request.m_replica, request.m_rate_limit, entry);
   const TimePoint now = Now();
   decide::SlotRequest slot_request;
   slot_request.m_entry = entry;
@@ -34,6 +39,11 @@
     answer.m_granted = decision == decide::SlotVerdict::kGranted;
     answer.m_queued = decision == decide::SlotVerdict::kQueued;
   }
+  if (!answer.m_granted && !decide::HasToken(m_queue.m_rate, now)) {
+    answer.m_update.m_rate_hold_off =
+        decide::RecordDenial(m_queue.m_rate, now, m_state.m_random);
+    m_state.m_metrics.Count("rate_limit_denials_total", "");
+  }
   follower.m_slot_denied = !answer.m_granted && !answer.m_queued;
   if (answer.m_granted)
     CountGranted(follower, request.m_prompt_tokens);
@@ -70,6 +80,7 @@
   EntrySubscription& follower = m_entries[entry];
   follower.m_calls = update.m_calls;
   follower.m_calls_reported_at = Now();
+  LearnRateLimit(update.m_replica, update.m_rate_limit, entry);
   GrantWaiting();
   // Entries that were denied a slot may have calls waiting, so they are
   // notified of the change at once.
@@ -78,6 +89,34 @@
   });
 }
 
+void SlotGranter::LearnRateLimit(
+    const std::string& replica,
+    const std::optional<links::RateLimitReport>& report,
+    const Endpoint& entry) {
+  const TimePoint now = Now();
+  if (replica != m_limited_replica) {
+    m_limited_replica = replica;
+    m_rate_limit = {};
+    decide::SetRate(m_queue.m_rate, std::nullopt, now);
+  }
+  if (!report)
+    return;
+  const double before = m_rate_limit.m_rate.value_or(kNoLimit);
+  if (!decide::MergeRateLimit(m_rate_limit, links::FromReport(*report, now)))
+    return;
+  decide::SetRate(m_queue.m_rate, m_rate_limit.m_rate, now);
+  m_state.m_metrics.Set("replica_rate_limit", "",
+                        m_rate_limit.m_rate.value_or(kNoLimit));
+  LogLine("rate_limit")
+      .With("replica", replica)
+      .With("source", ToString(entry))
+      .With("rate", m_rate_limit.m_rate.value_or(kNoLimit))
+      .With("before", before)
+      .With("age_ms", ToMilliseconds(report->m_age))
+      .Info();
+  SendToAll();
+}
+
 void SlotGranter::Follow(const Endpoint& entry, TimePoint until) {
   m_entries[entry].m_expires_at = until;
 }
@@ -130,6 +169,7 @@
   update.m_other_entries_calls.m_unread_tokens =
       all.m_unread_tokens - follower.m_calls.m_unread_tokens;
   update.m_queued_calls = static_cast<uint32_t>(m_queue.m_slot_requests.size());
+  update.m_rate_limit = links::ReportOf(m_rate_limit, Now());
   return update;
 }
 
--- a/src/libverbenalead/target/slot_granter.h
+++ b/src/libverbenalead/target/slot_granter.h
@@ -49,6 +49,11 @@
   links::ReplicaCalls Calls() const;
 
  private:
+  /// Takes over what an entry reports of the replica's rate limit, and tells
+  /// all entries if it changed.
+  void LearnRateLimit(const std::string& replica,
+                      const std::optional<links::RateLimitReport>& report,
+                      const Endpoint& entry);
   links::ReplicaUpdate UpdateFor(const EntrySubscription& follower) const;
   decide::ReplicaLoad Load() const;
   /// Adds a granted call to the calls of `follower`.
@@ -64,6 +69,10 @@
   const std::function<links::ReplicaUpdate()> m_engine_update;
   std::map<Endpoint, EntrySubscription> m_entries;
   decide::SlotQueue m_queue;
+  /// Rate limit of the replica, and the id of the replica that it is of: one
+  /// that has restarted has another id.
+  decide::RateLimit m_rate_limit;
+  std::string m_limited_replica;
 };
 
 }  // namespace verbenalead::target
--- a/src/libverbenalead/target/slot_granter_test.cc
+++ b/src/libverbenalead/target/slot_granter_test.cc
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(LearnsCallsOfEntriesAfterRestart);
   CPPUNIT_TEST(DropsCallsOfDeadEntry);
   CPPUNIT_TEST(GrantsNothingWhileLoading);
+  CPPUNIT_TEST(RateLimitOfOneEntryBindsAll);
+  CPPUNIT_TEST(NewReplicaHasNoRateLimit);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -63,10 +65,37 @@
     CPPUNIT_ASSERT_EQUAL(0U, m_slot_granter->Calls().m_calls);
   }
 
+  // Guards against a limit that only the entry keeps which got the answer.
+  void RateLimitOfOneEntryBindsAll() {
+    links::CallUpdate update;
+    update.m_replica = "i-1";
+    update.m_rate_limit = links::RateLimitReport{0, Duration()};
+    m_slot_granter->HandleCallReport(kEntry, update);
+    RequestSlot(kOther, 0);
+    RequestSlot(kEntry, 0);
+    CPPUNIT_ASSERT_EQUAL(0U, m_slot_granter->Calls().m_calls);
+    update.m_rate_limit = links::RateLimitReport{};
+    m_slot_granter->HandleCallReport(kEntry, update);
+    RequestSlot(kOther, 0);
+    CPPUNIT_ASSERT_EQUAL(1U, m_slot_granter->Calls().m_calls);
+  }
+
+  void NewReplicaHasNoRateLimit() {
+    links::CallUpdate update;
+    update.m_replica = "i-1";
+    update.m_rate_limit = links::RateLimitReport{0, Duration()};
+    m_slot_granter->HandleCallReport(kEntry, update);
+    RequestSlot(kEntry, 0, "i-2");
+    CPPUNIT_ASSERT_EQUAL(1U, m_slot_granter->Calls().m_calls);
+  }
+
  private:
   /// `entry`, which has `calls` at the replica, requests one more slot.
-  void RequestSlot(const Endpoint& entry, uint32_t calls) {
+  void RequestSlot(const Endpoint& entry,
+                   uint32_t calls,
+                   const std::string& replica = "i-1") {
     links::SlotRequestMessage request;
+    request.m_replica = replica;
     request.m_calls.m_calls = calls;
     m_slot_granter->Grant(entry, request);
   }
