Soak and a case with replicas that name rate limits

Cause, from the entries' lines: the injector repeated a declaration of version 3 that got no answer after it had declared 4, and replaced it; versions only grow on the users' platform. It doesn't repeat an overtaken one any more; the check is as it was.

--- a/testsuite/cases/limited_replica/run.py
+++ b/testsuite/cases/limited_replica/run.py
@@ -57,17 +57,9 @@
     return time.monotonic() * 1000
 
 
-def name_limit(replica, text):
-    harness.call(replica["address"], "POST", "/limit", text)
-
-
-def arrivals(replica):
-    return harness.call(replica["address"], "GET", "/arrivals").json()
-
-
-def check_limited(name, replica, begin, end):
+def check_limited(fleet, name, replica, begin, end):
     limit = float(LIMITS[name])
-    times = arrivals(replica)
+    times = fleet.arrivals(replica)
     worst = rate_judge.worst_window(times, begin, end)
     used = rate_judge.rate(times, begin, end) / limit
     print("%s, limit %s: at most %d in 4 s, allowed %.1f; %.2f of the limit "
@@ -94,20 +86,20 @@
     load = Load(fleet)
     time.sleep(2)
     for name, text in LIMITS.items():
-        name_limit(replicas[name], text)
+        fleet.name_limit(replicas[name], text)
     begin = now_ms() + rate_judge.SETTLE_MS
     time.sleep(rate_judge.SETTLE_MS / 1000 + LIMITED_S)
     end = now_ms()
     for name in LIMITS:
-        name_limit(replicas[name], "")
+        fleet.name_limit(replicas[name], "")
     time.sleep(rate_judge.SETTLE_MS / 1000)
     free = now_ms()
     time.sleep(3)
     load.stop()
     for name in LIMITS:
-        check_limited(name, replicas[name], begin, end)
+        check_limited(fleet, name, replicas[name], begin, end)
     for name, limit in LIMITS.items():
-        rate = rate_judge.rate(arrivals(replicas[name]), free, now_ms())
+        rate = rate_judge.rate(fleet.arrivals(replicas[name]), free, now_ms())
         print("%s after the limit: %.1f a second" % (name, rate))
         assert rate > 1.5 * float(limit), (name, rate)
     for kind, statuses in load.statuses.items():
--- a/testsuite/cases/soak_judges/run.py
+++ b/testsuite/cases/soak_judges/run.py
@@ -3,6 +3,7 @@
 
 import harness
 from soak.callers import Outcome
+from soak.judge_limits import Limit, find_exceeded
 from soak.judge_lost import Disturbance, ends_of_runs, find_lost
 
 DEADLINE = 6.0
@@ -58,7 +59,29 @@
     assert ends["c2"] == [None], ends
 
 
+def exceeded(text, arrivals, end=20000):
+    return find_exceeded([Limit("r", text, 1000, end)], {"r": arrivals})
+
+
+def check_limits():
+    # A limit of 1 allows 11 calls in 4 s from 3 s after its start.
+    burst = [5000 + 10 * number for number in range(12)]
+    assert exceeded("1", burst)
+    assert not exceeded("1", burst[1:])
+    assert not exceeded("1.2", burst)
+    assert not exceeded("x", burst)
+    assert exceeded("-1", burst[:6])
+    assert not exceeded("-1", burst[:5])
+    # Before it has to be kept, and after its end.
+    assert not exceeded("1", [3000 + at - 5000 for at in burst])
+    assert not exceeded("1", burst, end=5000)
+    # Calls in different windows.
+    assert not exceeded("1", burst[:6] + [at + 4000 for at in burst[6:]])
+    assert exceeded("1", burst[:6] + [at + 3800 for at in burst[6:]])
+
+
 def body(_):
+    check_limits()
     check_lost()
     check_excuses()
     check_runs()
--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -153,6 +153,14 @@
     def state(self, replica):
         return harness.call(replica["address"], "GET", "/state").json()
 
+    def arrivals(self, replica):
+        """Times (ms of the monotonic clock) at which calls arrived."""
+        return harness.call(replica["address"], "GET", "/arrivals").json()
+
+    def name_limit(self, replica, text):
+        """Sets the rate limit that the answers of `replica` name; "": none."""
+        harness.call(replica["address"], "POST", "/limit", text)
+
     def answers_at_all(self, replica):
         try:
             return self.state(replica)["runs"] >= 0
--- a/testsuite/soak/fault_plan.py
+++ b/testsuite/soak/fault_plan.py
@@ -23,6 +23,33 @@
 LONGEST_OUTAGE = 3.0
 
 
+# Limits that replicas name, in requests a second; the last is none.
+LIMITS = ("0.3", "1", "2.3", "10", "0", "-1", "x", "")
+LONGEST_LIMIT = 8.0
+
+
+def draw_limits(seed, seconds):
+    """Returns the limits that replicas name during a run.
+
+    They have a random sequence of their own, so that a seed gives the same
+    faults with and without them. `lasts` is the time until the replica's limit
+    changes again; `kind` has the text of the limit behind a space.
+    """
+    rng = random.Random("limits %d" % seed)
+    faults = []
+    # The first six replicas of a small deployment are four engines and two of
+    # the plain service.
+    for victim in rng.sample(range(6), 3):
+        at = 0.5
+        while at < seconds - LONGEST_LIMIT / 2:
+            lasts = round(rng.uniform(0.5, LONGEST_LIMIT), 2)
+            limit = rng.choice(LIMITS)
+            faults.append(Fault(round(at, 2), "limit " + limit,
+                                victim, lasts))
+            at += lasts
+    return sorted(faults)
+
+
 def draw(seed, seconds, planned=False):
     """Returns the faults of a run in order of time.
 
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -8,6 +8,7 @@
 import time
 
 import harness
+from soak import judge_limits
 from soak.deployment import GUEST_KEY, KEY_BOUND
 from soak.judge_lost import Disturbance
 
@@ -43,6 +44,9 @@
         self.barred = []
         self.ended = []
         self.disturbances = []
+        # Limits of replicas that hold now, and those that have ended.
+        self.limits = {}
+        self.ended_limits = []
         self.stopping = set()
         for fault in plan:
             self.later(fault.at, self.bring, fault)
@@ -70,7 +74,11 @@
                 lasts = SLEEP_OVER_BOUND
             self.disturbances.append(
                 Disturbance(begin, begin + lasts, fault.kind))
-        getattr(self, fault.kind)(fault)
+        kind, _, argument = fault.kind.partition(" ")
+        if kind == "limit":
+            self.limit(fault, argument)
+        else:
+            getattr(self, kind)(fault)
 
     def now(self):
         return time.monotonic() - self.begun
@@ -102,6 +110,7 @@
         if name in self.stopping:
             return
         self.stopping.add(name)
+        self.end_limit(name)
         self.cluster.processes[name].wake()
         self.cluster.processes[name].kill()
         self.later(self.now() + fault.lasts, self.restart, name)
@@ -151,6 +160,8 @@
         if name in self.stopping:
             return
         process = self.cluster.processes[name]
+        # Requests that were sent to a frozen replica all arrive at its wake.
+        self.end_limit(name)
         process.freeze()
         self.later(self.now() + fault.lasts, process.wake)
 
@@ -172,6 +183,27 @@
         if name not in self.stopping:
             self.cluster.processes[name].send(signal.SIGHUP)
 
+    # Rate limits.
+
+    def limit(self, fault, text):
+        name = self.pick(self.replicas(), fault)
+        if name in self.stopping:
+            return
+        self.end_limit(name)
+        try:
+            harness.call(self.cluster.settings[name][1]["listen"], "POST",
+                         "/limit", text, timeout=1)
+        except OSError:
+            return  # The replica is frozen.
+        self.limits[name] = judge_limits.Limit(
+            name, text, time.monotonic() * 1000, None)
+
+    def end_limit(self, name):
+        limit = self.limits.pop(name, None)
+        if limit:
+            self.ended_limits.append(
+                limit._replace(end=time.monotonic() * 1000))
+
     # The store.
 
     def store(self, fault, **faults):
@@ -244,6 +276,9 @@
         self.declare_again(self.weights)
 
     def declare_again(self, version):
+        # A retry must not replace a version that was declared meanwhile.
+        if version < self.weights:
+            return
         self.write(lambda: self.deployment.declare(version),
                    self.declare_again, version)
 
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -5,7 +5,7 @@
 
 import harness
 import platform_fleet
-from soak import judge_lost
+from soak import judge_limits, judge_lost
 from soak.callers import DEADLINE_MS
 from soak.deployment import KEY_BOUND
 
@@ -83,6 +83,12 @@
             broken.append("%s (%s by %s, sent at %.2f s, status %s): %s" % (
                 outcome.call, outcome.kind, outcome.entry,
                 outcome.sent - injector.begun, outcome.status, problem))
+    for name in list(injector.limits):
+        injector.end_limit(name)
+    broken += judge_limits.find_exceeded(
+        injector.ended_limits,
+        {replica["name"]: deployment.arrivals(replica)
+         for replica in deployment.replicas})
     for replica in deployment.replicas:
         if deployment.state(replica)["bad_loads"] != 0:
             broken.append("%s loaded chunks of another version" %
--- a/testsuite/soak/run_soak.py
+++ b/testsuite/soak/run_soak.py
@@ -32,8 +32,10 @@
 
 def play(cluster, run):
     """Executes a run; returns a line for each broken promise."""
-    seed, seconds, planned, size = run
+    seed, seconds, planned, size, limits = run
     plan = fault_plan.draw(seed, seconds, planned)
+    if limits:
+        plan += fault_plan.draw_limits(seed, seconds)
     deployment = Deployment(cluster, size)
     deployment.start()
     callers = Callers(deployment, seed, size.callers)
@@ -74,18 +76,19 @@
     return True
 
 
-Run = collections.namedtuple("Run", "seed seconds planned size")
+Run = collections.namedtuple("Run", "seed seconds planned size limits")
 
 
-def run_of(seed, seconds, planned):
-    return Run(seed, seconds, planned, FULL if planned else SMALL)
+def run_of(seed, seconds, planned, limits=False):
+    return Run(seed, seconds, planned, FULL if planned else SMALL, limits)
 
 
 def kept_runs():
     """Returns the runs of seeds.txt, each of which once broke a promise."""
     with open(SEEDS) as file:
         lines = [line.split("#")[0].split() for line in file]
-    return [run_of(int(line[0]), float(line[1]), "planned" in line[2:])
+    return [run_of(int(line[0]), float(line[1]), "planned" in line[2:],
+                   "limits" in line[2:])
             for line in lines if line]
 
 
@@ -100,6 +103,8 @@
     parser.add_argument("--planned", action="store_true",
                         help="planned work and pauses of replicas only, on a "
                         "full pool: no cut is excused")
+    parser.add_argument("--limits", action="store_true",
+                        help="replicas name rate limits, which change")
     for field in Size._fields:
         parser.add_argument("--" + field, type=int, help="default: %d, with "
                             "--planned %d" % (getattr(SMALL, field),
@@ -115,7 +120,8 @@
                 field, value, MOST[field]))
     first = options.seed or random.SystemRandom().randrange(1, 1 << 31)
     runs = kept_runs() if options.kept else [
-        Run(first + number, options.seconds, options.planned, size)
+        Run(first + number, options.seconds, options.planned, size,
+            options.limits)
         for number in range(options.seeds)]
     failed = [run.seed for run in runs if not play_alone(options.bin, run)]
     print("%d runs, failed: %s" % (len(runs), failed or "none"))
