A full pool isn't refused as rate limited

Cause: RateWait passed over replicas without a limit that were in the backoff of 30 ms after a denied slot, and saw only the limited ones. Any replica without a limit that isn't leaving or loading now means that the limits aren't the reason.

replica_pool_test has the case; it failed before. Only the reason and the Retry-After of a refusal depend on it, and only where a replica has a limit.

--- a/src/libverbenalead/decide/replica_pool.cc
+++ b/src/libverbenalead/decide/replica_pool.cc
@@ -408,12 +408,14 @@
 std::optional<Duration> RateWait(const ReplicaPool& pool, TimePoint now) {
   std::optional<Duration> wait;
   for (const auto& [id, state] : pool.m_replicas) {
-    if (IsHeldBack(state, now) && !state.m_replica.m_leaving) {
-      const Duration left = state.m_rate_held_until - now;
-      wait = std::min(wait.value_or(left), left);
-    } else if (Usable(pool, state, now)) {
+    if (state.m_replica.m_leaving || state.m_loading_until > now ||
+        state.m_weights < pool.m_required_weights)
+      continue;
+    // A replica without a limit that is in its backoff is full or fails.
+    if (!IsHeldBack(state, now))
       return std::nullopt;
-    }
+    const Duration left = state.m_rate_held_until - now;
+    wait = std::min(wait.value_or(left), left);
   }
   return wait;
 }
--- a/src/libverbenalead/decide/replica_pool_test.cc
+++ b/src/libverbenalead/decide/replica_pool_test.cc
@@ -293,6 +293,8 @@
     pool.m_replicas.at("b").m_rate_limit = {};
     pool.m_replicas.at("b").m_backoff_until = kStart + 30ms;
     CPPUNIT_ASSERT(MayStartBy(pool, kStart + 100ms, kStart));
+    // Then it is not the limits that keep calls out.
+    CPPUNIT_ASSERT(!RateWait(pool, kStart));
   }
 
   // Calls arrive, wait and end in any way, in any order. No replica ever has
