Test of overload sends four times the capacity

OverloadLeavesOthersTheirShare sent 820 calls a second to a pool that runs 800, and passed without admission as well, so it showed nothing. Now the large organisation sends four times the capacity, the small one a fortieth of it, as the test said. The bound of 98 in 100 on time stays, and a second run without admission has to miss by half.

--- a/src/libverbenalead/decide/routing_test.cc
+++ b/src/libverbenalead/decide/routing_test.cc
@@ -41,6 +41,33 @@
   return pool;
 }
 
+struct OnTimeCalls {
+  int m_calls = 0;
+  int m_on_time = 0;
+};
+
+/// The calls of an organisation that sends a fortieth of the pool's capacity,
+/// 800 calls per second, while another one sends four times the capacity.
+OnTimeCalls SmallCallsBesideOverload(const PoolSettings& settings) {
+  constexpr int kCallsPerSmallCall = 161;
+  constexpr int kSmallCalls = 160;
+  FakePool pool =
+      RunCalls(settings, kCallsPerSmallCall * kSmallCalls, 8, [](int i) {
+        model::CallBuilder builder;
+        builder.Organisation(i % kCallsPerSmallCall == 0 ? "small" : "large");
+        return builder.ExpectedTokens(kTokens);
+      });
+  pool.Run(20s);
+  OnTimeCalls small;
+  for (const CallRecord& record : pool.records()) {
+    if (record.m_call.organisation() != "small")
+      continue;
+    ++small.m_calls;
+    small.m_on_time += record.on_time() ? 1 : 0;
+  }
+  return small;
+}
+
 class RoutingTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RoutingTest);
   CPPUNIT_TEST(OverloadLeavesOthersTheirShare);
@@ -60,26 +87,17 @@
 
  public:
   // Guards against an organisation that uses the whole capacity of the pool and
-  // so delays the calls of another one. The large organisation sends as many
-  // calls as the pool can run, the small one a fortieth of that; the calls of
-  // the small one must be on time.
+  // so delays the calls of another one. The large organisation sends four times
+  // as many calls as the pool can run, the small one a fortieth of that; the
+  // calls of the small one must be on time. Without admission they are not.
   void OverloadLeavesOthersTheirShare() {
     PoolSettings settings;
-    FakePool pool = RunCalls(settings, 41 * 160, 8, [](int i) {
-      model::CallBuilder builder;
-      builder.Organisation(i % 41 == 0 ? "small" : "large");
-      return builder.ExpectedTokens(kTokens);
-    });
-    pool.Run(20s);
-    int small = 0, on_time = 0;
-    for (const CallRecord& record : pool.records()) {
-      if (record.m_call.organisation() != "small")
-        continue;
-      ++small;
-      on_time += record.on_time() ? 1 : 0;
-    }
-    CPPUNIT_ASSERT(small >= 160);
-    CPPUNIT_ASSERT(on_time >= small * 98 / 100);
+    const OnTimeCalls admitted = SmallCallsBesideOverload(settings);
+    CPPUNIT_ASSERT(admitted.m_calls >= 160);
+    CPPUNIT_ASSERT(admitted.m_on_time >= admitted.m_calls * 98 / 100);
+    settings.m_admission = false;
+    const OnTimeCalls unordered = SmallCallsBesideOverload(settings);
+    CPPUNIT_ASSERT(unordered.m_on_time < unordered.m_calls / 2);
   }
 
   void UrgentGoesFirstWithinItsOrganisation() {
