--- a/src/libverbenalead/decide/rate_gate.h
+++ b/src/libverbenalead/decide/rate_gate.h
@@ -37,8 +37,8 @@
 constexpr double kMinRequestRate = 0.1;
 /// Size of the bucket: this many tokens and those of kBurstTime. In any time t
 /// at most rate * t + size requests are admitted. A process that restarts, or
-/// that takes over from another one, starts with an empty bucket, so that this
-/// also holds for both together.
+/// that takes over from another one, starts with an empty bucket, so that the
+/// two, one after the other, admit no more than one would.
 constexpr double kBurstTokens = 2;
 constexpr Duration kBurstTime = 400ms;
 
