Answers' statements on leaving and rests are read and logged

Change: one table of the statements that an answer can make of its replica (model/replica_statements.h, platform/decode_statements); the line of an attempt has 'leaving' and 'rest_ms', that of a refused call the free slots of the usable replicas. The line rate_limit_malformed becomes answer_field_malformed, for all three fields. Nothing decides by them yet.

A malformed field leaves the others of the answer in force; as before, it doesn't end a known rate limit.

--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -112,6 +112,7 @@
 
 void CallAttempt::ApplyRateLimit() {
   const platform::AnswerMetadata& metadata = m_result.m_metadata;
+  const std::optional<double> rate_limit = metadata.m_statements.m_rate_limit;
   const bool ran = m_result.m_end == AttemptEnd::kGood ||
                    m_result.m_end == AttemptEnd::kFailed;
   if (!ran && m_result.m_end != AttemptEnd::kNotRun)
@@ -119,23 +120,29 @@
   decide::ReplicaState* replica = FindReplica(m_services.m_state, m_replica);
   if (!replica)
     return;
-  if (metadata.m_rate_limit_malformed) {
-    LogLine("rate_limit_malformed")
-        .With("call", m_record->m_plan.m_call.m_id)
-        .With("replica", m_replica)
-        .Warn();
-    return;
-  }
+  LogMalformedStatements();
+  const bool readable = metadata.m_statements.m_malformed.empty();
   // A rejection needn't come from the replica itself, so only a signed answer
   // shows that it names no limit any more.
-  if (metadata.m_rate_limit || (ran && metadata.m_signed)) {
+  if (rate_limit || (ran && readable && metadata.m_signed)) {
     LearnRateLimit(m_services.m_state, *replica,
-                   {metadata.m_rate_limit,
-                    metadata.m_rate_limit ? Now() : m_sent_at, true},
+                   {rate_limit, rate_limit ? Now() : m_sent_at, true},
                    m_record->m_plan.m_call.m_id);
   }
 }
 
+void CallAttempt::LogMalformedStatements() {
+  for (const std::string& name :
+       m_result.m_metadata.m_statements.m_malformed) {
+    LogLine("answer_field_malformed")
+        .With("call", m_record->m_plan.m_call.m_id)
+        .With("replica", m_replica)
+        .With("name", name)
+        .With("value", wire::Get(m_result.m_head.m_headers, name))
+        .Warn();
+  }
+}
+
 void CallAttempt::LogUnknownFields() {
   std::set<std::string>& logged = m_services.m_state.m_logged_answer_fields;
   for (const std::string& name :
@@ -211,13 +218,17 @@
 
 void CallAttempt::Log(AttemptEnd end, const std::string& reason) const {
   const TimePoint now = Now();
+  const model::ReplicaStatements& statements =
+      m_result.m_metadata.m_statements;
   LogLine("attempt")
       .With("call", m_record->m_plan.m_call.m_id)
       .With("replica", m_replica)
       .With("end", ToString(end))
       .With("number", static_cast<uint64_t>(m_number))
       .With("weights", m_result.m_metadata.m_weights.value_or(0))
-      .With("rate_limit", m_result.m_metadata.m_rate_limit.value_or(-1))
+      .With("rate_limit", statements.m_rate_limit.value_or(-1))
+      .With("leaving", statements.m_leaving)
+      .With("rest_ms", ToMilliseconds(statements.m_rest.value_or(Duration())))
       .With("replicas_age_ms",
             ToMilliseconds(now - m_services.m_state.m_replicas_confirmed_at))
       .With("ms", ToMilliseconds(now - m_sent_at))
--- a/src/libverbenalead/entry/call_attempt.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -66,6 +66,8 @@
   void ApplyHead();
   /// Learns the rate limit of the replica from the head of the answer.
   void ApplyRateLimit();
+  /// Logs the statements of the answer that can't be read.
+  void LogMalformedStatements();
   /// Logs each header field of answers that this project doesn't know, once in
   /// the lifetime of the process, with its value.
   void LogUnknownFields();
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -17,6 +17,7 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr char kCut[] = "cut";
+constexpr char kRefused[] = "refused";
 
 }  // namespace
 
@@ -244,7 +245,7 @@
   m_reason = reason;
   const bool delivered = co_await m_caller.Send(
       platform::EncodeRefusal(status, m_plan.m_call.m_id, reason, retry_after));
-  const char* outcome = status == kUnavailable ? "refused" : "unknown";
+  const char* outcome = status == kUnavailable ? kRefused : "unknown";
   LogCall(delivered ? outcome : "caller_gone", status);
 }
 
@@ -332,8 +333,8 @@
   m_state.m_metrics.Observe(
       "call_seconds", "",
       std::chrono::duration<double>(now - m_plan.m_started_at).count());
-  LogLine("call")
-      .With("call", m_plan.m_call.m_id)
+  LogLine line("call");
+  line.With("call", m_plan.m_call.m_id)
       .With("route", m_plan.m_route.m_name)
       .With("service", m_plan.m_service)
       .With("organisation", m_plan.m_organisation)
@@ -365,8 +366,19 @@
                              ? ToMilliseconds(now - times.m_last_seen_at)
                              : 0)
       .With("lag_ms", ToMilliseconds(WorstLag(m_state.m_lag, now)))
-      .With("reason", m_reason)
-      .Info();
+      .With("reason", m_reason);
+  if (outcome == kRefused)
+    LogPool(line);
+  line.Info();
+}
+
+void CallRun::LogPool(LogLine& line) const {
+  const decide::ReplicaPool& pool =
+      GetOrCreateService(m_state, m_plan.m_service).m_pool;
+  const decide::PoolLoad load = decide::LoadOf(pool, Now());
+  line.With("replicas", static_cast<uint64_t>(pool.m_replicas.size()))
+      .With("slots", uint64_t{load.m_slots})
+      .With("free_slots", uint64_t{load.m_slots - load.m_used_slots});
 }
 
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/call_run.h
+++ b/src/libverbenalead/entry/call_run.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "base/log.h"
 #include "entry/hedge.h"
 #include "wire/response_writer.h"
 
@@ -76,6 +77,9 @@
   /// out or was cancelled.
   void RecordReplicaCrash();
   void LogCall(const std::string& outcome, int status);
+  /// Adds to the line of a refused call the slots of all usable replicas of its
+  /// service, which show whether there was room.
+  void LogPool(LogLine& line) const;
   /// What cut an answer short: `replica`, `caller`, `time` (deadline of the
   /// caller or the route), `silence` (this entry timed out on the replica
   /// before the deadline).
--- a/src/libverbenalead/platform/answer_metadata.h
+++ b/src/libverbenalead/platform/answer_metadata.h
@@ -5,11 +5,14 @@
 #include <optional>
 #include <string>
 
+#include "model/replica_statements.h"
+
 namespace verbenalead::platform {
 
 /// What the header fields of a replica's answer state, beside its status: which
-/// request it answers, whether that request ran, and with which weights. An
-/// entry uses it to discard answers to other requests and to decide on retries.
+/// request it answers, whether that request ran, with which weights, and what
+/// the replica says of itself. An entry uses it to discard answers to other
+/// requests, to decide on retries and to choose replicas.
 struct AnswerMetadata {
   /// Id of the request that the answer belongs to; empty if not stated.
   std::string m_request_id;
@@ -19,11 +22,7 @@
   bool m_signed = false;
   /// Version of the weights that the replica used; absent if not stated.
   std::optional<uint64_t> m_weights;
-  /// Requests per second that the replica takes from all entries together;
-  /// absent if not stated.
-  std::optional<double> m_rate_limit;
-  /// The answer states such a limit, but its text is no number.
-  bool m_rate_limit_malformed = false;
+  model::ReplicaStatements m_statements;
 
   friend bool operator==(const AnswerMetadata&,
                          const AnswerMetadata&) = default;
--- a/src/libverbenalead/platform/call_headers.cc
+++ b/src/libverbenalead/platform/call_headers.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cmath>
 
+#include "platform/decode_statements.h"
 #include "platform/names.h"
 
 namespace verbenalead::platform {
@@ -29,33 +29,11 @@
   return value;
 }
 
-/// Fields of answers that are read or need no action.
-constexpr std::array<const char*, 13> kKnownAnswerFields = {
-    kRequestId, kNotExecuted,       kStamp,         kWeightVersion,
-    kRateLimit, kPrefixedRateLimit, "content-type", "date",
-    "server",   "cache-control",    "retry-after",  "content-encoding",
-    "at-server"};
-
-/// Upper bound of a rate limit, in requests per second: far above what a
-/// replica serves, and small enough for all arithmetic on rates.
-constexpr double kMaxRateLimit = 1e6;
-
-/// Reads a rate limit; nothing if `text` is no finite decimal number. A
-/// negative limit means the same as zero.
-std::optional<double> ParseRateLimit(std::string_view text) {
-  double value = 0;
-  const auto [end, error] = std::from_chars(
-      text.data(), text.data() + text.size(), value, std::chars_format::fixed);
-  if (error != std::errc() || end != text.data() + text.size() ||
-      !std::isfinite(value))
-    return std::nullopt;
-  return std::clamp(value, 0.0, kMaxRateLimit);
-}
-
-std::string RateLimitText(const wire::ResponseHead& head) {
-  const std::string text = wire::Get(head.m_headers, kRateLimit);
-  return text.empty() ? wire::Get(head.m_headers, kPrefixedRateLimit) : text;
-}
+/// Fields of answers that are read or need no action, besides statements.
+constexpr std::array<const char*, 10> kKnownAnswerFields = {
+    kRequestId,     kNotExecuted,      kStamp,   kWeightVersion,
+    "content-type", "date",            "server", "cache-control",
+    "content-encoding", "at-server"};
 
 uint32_t ClampTokens(uint64_t value) {
   constexpr uint64_t kLargest = 1'000'000'000;
@@ -125,9 +103,7 @@
       head.m_headers.contains(kNotExecuted) || head.m_status == kMisdirected;
   facts.m_signed = head.m_headers.contains(kStamp);
   facts.m_weights = ParseUnsigned(wire::Get(head.m_headers, kWeightVersion));
-  const std::string rate_limit = RateLimitText(head);
-  facts.m_rate_limit = ParseRateLimit(rate_limit);
-  facts.m_rate_limit_malformed = !rate_limit.empty() && !facts.m_rate_limit;
+  facts.m_statements = DecodeStatements(head);
   return facts;
 }
 
@@ -140,7 +116,7 @@
   };
   std::vector<std::string> unknown;
   for (const auto& [name, value] : head.m_headers) {
-    if (!known(name))
+    if (!known(name) && !IsStatement(name))
       unknown.push_back(name);
   }
   return unknown;
@@ -162,7 +138,7 @@
   if (retry_after > Duration()) {
     const double seconds = std::chrono::duration<double>(retry_after).count();
     std::string text = std::to_string(seconds);
-    response.m_headers["retry-after"] = text.substr(0, text.find('.') + 3);
+    response.m_headers[kRetryAfter] = text.substr(0, text.find('.') + 3);
   }
   return response;
 }
--- a/src/libverbenalead/platform/names.h
+++ b/src/libverbenalead/platform/names.h
@@ -31,6 +31,11 @@
 /// some without, so both spellings are read.
 inline constexpr char kRateLimit[] = "server-limit";
 inline constexpr char kPrefixedRateLimit[] = "x-verbenalead-server-limit";
+/// "1": the replica shuts down soon. Both spellings are read as well.
+inline constexpr char kLeaving[] = "server-leaving";
+inline constexpr char kPrefixedLeaving[] = "x-verbenalead-server-leaving";
+/// Seconds, possibly with a fraction.
+inline constexpr char kRetryAfter[] = "retry-after";
 inline constexpr char kKey[] = "api-key";
 inline constexpr char kLastEventId[] = "last-event-id";
 
