Failing cases: replicas that leave or rest by their answers get calls

Callers' view: calls go to a replica that shuts down, and calls are refused although other replicas have room, as their retries were used up at replicas that turn everything away.

The stand-in replica says both; case/limited_replica shares the callers.

--- a/testsuite/cases/limited_replica/run.py
+++ b/testsuite/cases/limited_replica/run.py
@@ -5,12 +5,13 @@
 it has a limit, and against a limit that is kept after its end.
 """
 
-import threading
 import time
 
+import fleet_callers
 import harness
 import platform_fleet
 import rate_judge
+from fleet_callers import now_ms
 
 ENTRIES = 3
 CALLERS = 6
@@ -24,39 +25,6 @@
 LIMITS = {"engine": "1", "plain": "2.3"}
 
 
-class Load:
-    """Callers that call all entries in turn until stopped."""
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.done = threading.Event()
-        self.statuses = {"draft": [], "look": []}
-        self.threads = [threading.Thread(target=self.run, args=(number,))
-                        for number in range(CALLERS)]
-        for thread in self.threads:
-            thread.start()
-
-    def run(self, caller):
-        number = 1000 * (caller + 1)
-        while not self.done.is_set():
-            number += 1
-            entry = self.fleet.entries[number % len(self.fleet.entries)]
-            draft = self.fleet.draft(entry, number, 2)
-            self.statuses["draft"].append(draft.status)
-            self.statuses["look"].append(
-                self.fleet.look(entry, number).status)
-            time.sleep(PAUSE_S)
-
-    def stop(self):
-        self.done.set()
-        for thread in self.threads:
-            thread.join()
-
-
-def now_ms():
-    return time.monotonic() * 1000
-
-
 def check_limited(fleet, name, replica, begin, end):
     limit = float(LIMITS[name])
     times = fleet.arrivals(replica)
@@ -83,7 +51,7 @@
     for name in ("engine", "other engine"):
         harness.wait_for("version 1 on the " + name, lambda: fleet.state(
             replicas[name])["version"] == 1)
-    load = Load(fleet)
+    callers = fleet_callers.FleetCallers(fleet, CALLERS, PAUSE_S)
     time.sleep(2)
     for name, text in LIMITS.items():
         fleet.name_limit(replicas[name], text)
@@ -95,14 +63,16 @@
     time.sleep(rate_judge.SETTLE_MS / 1000)
     free = now_ms()
     time.sleep(3)
-    load.stop()
+    callers.stop()
     for name in LIMITS:
         check_limited(fleet, name, replicas[name], begin, end)
     for name, limit in LIMITS.items():
         rate = rate_judge.rate(fleet.arrivals(replicas[name]), free, now_ms())
         print("%s after the limit: %.1f a second" % (name, rate))
         assert rate > 1.5 * float(limit), (name, rate)
-    for kind, statuses in load.statuses.items():
+    for kind in fleet_callers.KINDS:
+        statuses = [each.status for each in callers.outcomes
+                    if each.kind == kind]
         lost = sum(status != 200 for status in statuses)
         print("%s: %d calls, %d not answered" % (kind, len(statuses), lost))
         assert lost <= LOST, (kind, lost)
--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -161,6 +161,18 @@
         """Sets the rate limit that the answers of `replica` name; "": none."""
         harness.call(replica["address"], "POST", "/limit", text)
 
+    def call_log(self, replica):
+        """Calls that arrived, with what the answer to each stated."""
+        return harness.call(replica["address"], "GET", "/call-log").json()
+
+    def say_leaving(self, replica, text="1"):
+        """Makes the answers of `replica` state that it is leaving."""
+        harness.call(replica["address"], "POST", "/leaving", text)
+
+    def ask_rest(self, replica, text):
+        """Makes `replica` turn all calls away and ask for a rest; "": none."""
+        harness.call(replica["address"], "POST", "/rest", text)
+
     def answers_at_all(self, replica):
         try:
             return self.state(replica)["runs"] >= 0
@@ -180,7 +192,10 @@
                              lambda: self.ready(entry))
 
     def wait_version(self, version):
-        for replica in self.replicas:
+        self.wait_version_on(self.replicas, version)
+
+    def wait_version_on(self, replicas, version):
+        for replica in replicas:
             harness.wait_for(
                 "version %d on %s" % (version, replica["name"]),
                 lambda: self.state(replica)["version"] == version)
--- a/testsuite/standins/platform_replica/replica.h
+++ b/testsuite/standins/platform_replica/replica.h
@@ -12,6 +12,16 @@
 
 namespace verbenalead::standins {
 
+/// A call that arrived at a simulated replica.
+struct Arrival {
+  TimePoint m_at{};
+  std::string m_call;
+  /// `Retry-After` of the response; empty: none.
+  std::string m_retry_after;
+  /// The response stated that the replica is leaving.
+  bool m_said_leaving = false;
+};
+
 /// State of a simulated replica of the users' platform: an engine with a
 /// staging area for weights, or a plain service.
 struct Replica {
@@ -42,8 +52,14 @@
   /// Rate limit that its answers name, as the text of the header field; empty:
   /// none.
   std::string m_rate_limit;
-  /// When each call arrived, whatever became of it.
-  std::vector<TimePoint> m_arrivals;
+  /// Text with which its answers state that it is leaving; empty: they don't.
+  /// Its row in the store doesn't show it.
+  std::string m_leaving_text;
+  /// If not empty, it turns all calls away and asks for a rest of this many
+  /// seconds, as the text of the header field.
+  std::string m_rest;
+  /// All calls, whatever became of them.
+  std::vector<Arrival> m_arrivals;
   /// Loads in which a staged chunk was missing or not that of the version.
   uint64_t m_bad_loads = 0;
 };
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr Duration kHeartbeatInterval = 300ms;
+constexpr char kLeaving[] = "server-leaving";
 
 uint64_t Number(const wire::Request& request, const char* name) {
   return std::strtoull(wire::QueryValue(request, name).c_str(), nullptr, 10);
@@ -55,6 +56,14 @@
   const char* m_how = "caller_left";
 };
 
+/// Adds what the replica states of itself in all its answers.
+void AddStatements(const Replica& replica, wire::Headers& headers) {
+  if (!replica.m_rate_limit.empty())
+    headers[platform::kRateLimit] = replica.m_rate_limit;
+  if (!replica.m_leaving_text.empty())
+    headers[kLeaving] = replica.m_leaving_text;
+}
+
 wire::Headers AnswerHeaders(const wire::Request& request,
                             const Replica& replica) {
   wire::Headers headers = {{platform::kRequestId,
@@ -62,13 +71,14 @@
                            {platform::kStamp, "stamp-of-" + replica.m_id}};
   if (replica.m_version > 0)
     headers[platform::kWeightVersion] = std::to_string(replica.m_version);
-  if (!replica.m_rate_limit.empty())
-    headers[platform::kRateLimit] = replica.m_rate_limit;
+  AddStatements(replica, headers);
   return headers;
 }
 
-wire::Response NotRun(int status) {
-  return {status, {{platform::kNotExecuted, "1"}}, ""};
+wire::Response NotRun(int status, const Replica& replica) {
+  wire::Response response = {status, {{platform::kNotExecuted, "1"}}, ""};
+  AddStatements(replica, response.m_headers);
+  return response;
 }
 
 Awaitable<void> Load(std::shared_ptr<Replica> replica, uint64_t version) {
@@ -131,17 +141,26 @@
 Awaitable<void> Call(std::shared_ptr<Replica> replica,
                      const wire::Request& request,
                      wire::ResponseWriter& writer) {
-  replica->m_arrivals.push_back(Now());
+  replica->m_arrivals.push_back(
+      {Now(), wire::Get(request.m_headers, platform::kRequestId), "",
+       !replica->m_leaving_text.empty()});
   const std::string expected =
       wire::Get(request.m_headers, platform::kExpectReplica);
   if (!expected.empty() && expected != replica->m_id) {
-    co_await writer.Send(NotRun(421));
+    co_await writer.Send(NotRun(421, *replica));
+    co_return;
+  }
+  if (!replica->m_rest.empty()) {
+    replica->m_arrivals.back().m_retry_after = replica->m_rest;
+    wire::Response response = NotRun(503, *replica);
+    response.m_headers["retry-after"] = replica->m_rest;
+    co_await writer.Send(std::move(response));
     co_return;
   }
   const bool engine = !replica->m_model.empty();
   if (replica->m_active >= replica->m_slots ||
       (engine && replica->m_version == 0)) {
-    co_await writer.Send(NotRun(503));
+    co_await writer.Send(NotRun(503, *replica));
     co_return;
   }
   if (engine) {
@@ -168,11 +187,39 @@
 
 std::string EncodeArrivals(const Replica& replica) {
   boost::json::array arrivals;
-  for (const TimePoint at : replica.m_arrivals)
-    arrivals.push_back(ToMilliseconds(at.time_since_epoch()));
+  for (const Arrival& arrival : replica.m_arrivals)
+    arrivals.push_back(ToMilliseconds(arrival.m_at.time_since_epoch()));
   return boost::json::serialize(arrivals);
 }
 
+std::string EncodeCallLog(const Replica& replica) {
+  boost::json::array calls;
+  for (const Arrival& arrival : replica.m_arrivals) {
+    calls.push_back(boost::json::object{
+        {"at_ms", ToMilliseconds(arrival.m_at.time_since_epoch())},
+        {"call", arrival.m_call},
+        {"retry_after", arrival.m_retry_after},
+        {"said_leaving", arrival.m_said_leaving}});
+  }
+  return boost::json::serialize(calls);
+}
+
+/// Sets what the replica states of itself from the body of a request to
+/// `path`. False: there is no such statement.
+bool SetStatement(Replica& replica,
+                  const std::string& path,
+                  const std::string& body) {
+  if (path == "/limit")
+    replica.m_rate_limit = body;
+  else if (path == "/leaving")
+    replica.m_leaving_text = body;
+  else if (path == "/rest")
+    replica.m_rest = body;
+  else
+    return false;
+  return true;
+}
+
 Awaitable<void> Serve(std::shared_ptr<Replica> replica,
                       const wire::Request& request,
                       wire::ResponseWriter& writer) {
@@ -180,12 +227,14 @@
   wire::Response response(404, {}, "");
   if (path == "/report") {
     response = wire::JsonResponse(200, EncodeReport(*replica));
+    AddStatements(*replica, response.m_headers);
   } else if (path == "/state") {
     response = wire::JsonResponse(200, EncodeState(*replica));
   } else if (path == "/arrivals") {
     response = wire::JsonResponse(200, EncodeArrivals(*replica));
-  } else if (path == "/limit") {
-    replica->m_rate_limit = request.m_body;
+  } else if (path == "/call-log") {
+    response = wire::JsonResponse(200, EncodeCallLog(*replica));
+  } else if (SetStatement(*replica, path, request.m_body)) {
     response = wire::Response(200, {}, "");
   } else if (path == "/order") {
     response = co_await Order(replica, request.m_body);
