A replica that goes on rejecting calls gets fewer

Change: each rejection after a pause doubles the pause, from 30 to 480 ms, until the replica runs a call. A slot that its target denies is another thing (kNoSlot) and keeps its 30 ms. Unit: ReplicaThatRejectsAllCallsGetsFew (replica_pool_test).

--- a/src/libverbenalead/decide/fake_fleet.h
+++ b/src/libverbenalead/decide/fake_fleet.h
@@ -252,7 +252,7 @@
       return;
     }
     NotePromptRead(pool, Name(replica), call.m_prompt_tokens);
-    ReleaseSlot(pool, Name(replica), AttemptEnd::kNotRun, m_now);
+    ReleaseSlot(pool, Name(replica), AttemptEnd::kNoSlot, m_now);
     const TimePoint until = call.m_tries == 1 ? call.m_started_at + kObjective -
                                                     kSlack - PrefillTime(call)
                                               : m_now;
--- a/src/libverbenalead/decide/replica_pool.cc
+++ b/src/libverbenalead/decide/replica_pool.cc
@@ -49,10 +49,13 @@
 constexpr Duration kMinBackoff = 200ms;
 constexpr Duration kMaxBackoff = 3s;
 constexpr uint32_t kMaxDoublings = 4;
-/// A replica that rejected a call is full of calls that have not been reported
-/// to this entry yet. Without this pause an entry with an outdated view would
-/// send another slot request after each round trip.
+/// A replica whose slot was denied, or that rejected a call, is full of calls
+/// that have not been reported to this entry yet. Without this pause an entry
+/// with an outdated view would send another slot request after each round trip.
 constexpr Duration kFullBackoff = 30ms;
+/// Doublings of kFullBackoff for a replica that goes on rejecting calls, so
+/// that it gets two or three calls per second from each entry.
+constexpr uint32_t kMaxRejectionDoublings = 4;
 /// Backoff if the address belongs to another replica or the weights changed: an
 /// update about either arrives within this time.
 constexpr Duration kWrongHostBackoff = 500ms;
@@ -186,6 +189,18 @@
       now + std::min(kMinBackoff * (1 << doublings), kMaxBackoff);
 }
 
+/// Load: a replica rejects all calls at once for seconds, without asking for a
+/// rest. Harm: it seems idle, so it draws most calls, which use up the retries
+/// that are allowed and are then refused although other replicas have room. So
+/// each rejection after a pause doubles the pause, until it runs a call again.
+void BackOffAfterRejection(ReplicaState& state, TimePoint now) {
+  // Calls that were under way together are one sign, not several.
+  if (now < state.m_backoff_until)
+    return;
+  state.m_backoff_until = now + kFullBackoff * (1 << state.m_rejections);
+  state.m_rejections = std::min(kMaxRejectionDoublings, state.m_rejections + 1);
+}
+
 void CountOutcome(ReplicaState& state, bool failed) {
   state.m_failure_rate +=
       kFailureWeight * ((failed ? 1 : 0) - state.m_failure_rate);
@@ -495,14 +510,19 @@
   switch (end) {
     case AttemptEnd::kGood:
       state.m_consecutive_failures = 0;
+      state.m_rejections = 0;
       CountOutcome(state, false);
       return;
     case AttemptEnd::kFailed:
       state.m_consecutive_failures = 0;
       CountOutcome(state, true);
       return;
+    case AttemptEnd::kNoSlot:
+      state.m_backoff_until =
+          std::max(state.m_backoff_until, now + kFullBackoff);
+      return;
     case AttemptEnd::kNotRun:
-      state.m_backoff_until = now + kFullBackoff;
+      BackOffAfterRejection(state, now);
       return;
     case AttemptEnd::kWrongReplica:
       state.m_backoff_until = now + kWrongHostBackoff;
--- a/src/libverbenalead/decide/replica_pool.h
+++ b/src/libverbenalead/decide/replica_pool.h
@@ -18,7 +18,8 @@
 enum class AttemptEnd {
   kGood,          ///< The replica answered.
   kFailed,        ///< The replica answered with an error.
-  kNotRun,        ///< The replica is full and rejected the call, but healthy.
+  kNoSlot,        ///< Its target denied the slot, so nothing was sent.
+  kNotRun,        ///< The replica rejected the call.
   kWrongReplica,  ///< Another replica has the address, or the weights differ.
   kUnreachable,   ///< No connection was established.
   kBroken,        ///< The connection broke, or no answer came in time.
--- a/src/libverbenalead/decide/replica_pool_test.cc
+++ b/src/libverbenalead/decide/replica_pool_test.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(StatementsOutliveAMissingRow);
   CPPUNIT_TEST(ReplicaAtRestGetsNoCallsByAnyWay);
   CPPUNIT_TEST(LatestEndOfARestHolds);
+  CPPUNIT_TEST(ReplicaThatRejectsAllCallsGetsFew);
   CPPUNIT_TEST(CallsWaitForTheEndOfARestOnlyIfItIsInTime);
   CPPUNIT_TEST(CallsReturnAtAnEvenRateAfterARest);
   CPPUNIT_TEST(EntriesThatWereToldTogetherReturnApart);
@@ -367,6 +368,30 @@
                          StartWaitingCalls(pool, kStart + 4s, m_random).size());
   }
 
+  // Guards against calls that are refused although there is room, because a
+  // replica that rejects them at once seems idle and uses their retries up.
+  void ReplicaThatRejectsAllCallsGetsFew() {
+    ReplicaPool pool = MakePool({MakeReplica("a")});
+    const auto calls_in_a_second = [&](TimePoint begin, AttemptEnd end) {
+      uint32_t calls = 0;
+      for (TimePoint now = begin; now < begin + 1s; now += 1ms) {
+        if (AcquireSlot(pool, MakeCall(1), now, m_random)) {
+          ++calls;
+          ReleaseSlot(pool, "a", end, now);
+        }
+      }
+      return calls;
+    };
+    calls_in_a_second(kStart, AttemptEnd::kNotRun);
+    CPPUNIT_ASSERT(calls_in_a_second(kStart + 1s, AttemptEnd::kNotRun) <= 3);
+    // It is full now and then, which its target knows.
+    CPPUNIT_ASSERT(calls_in_a_second(kStart + 2s, AttemptEnd::kNoSlot) > 15);
+    calls_in_a_second(kStart + 3s, AttemptEnd::kGood);
+    ReleaseSlot(pool, "a", AttemptEnd::kNotRun, kStart + 4s);
+    CPPUNIT_ASSERT(
+        AcquireSlot(pool, MakeCall(1), kStart + 4s + 30ms, m_random));
+  }
+
   void LatestEndOfARestHolds() {
     ReplicaPool pool = MakePool({MakeReplica("a")});
     ReplicaState& replica = pool.m_replicas.at("a");
--- a/src/libverbenalead/decide/replica_state.h
+++ b/src/libverbenalead/decide/replica_state.h
@@ -48,6 +48,8 @@
   /// rejected.
   TimePoint m_backoff_until{};
   uint32_t m_consecutive_failures = 0;
+  /// Calls that it rejected since it last ran one, each after a pause.
+  uint32_t m_rejections = 0;
   /// Moving average of the share of calls that failed, 0 to 1.
   double m_failure_rate = 0;
   /// Set when its row disappears from the store: the replica is kept until this
--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -25,6 +25,8 @@
       return "answered";
     case AttemptEnd::kFailed:
       return "failed";
+    case AttemptEnd::kNoSlot:
+      return "no_slot";
     case AttemptEnd::kNotRun:
       return "not_run";
     case AttemptEnd::kWrongReplica:
--- a/src/libverbenalead/entry/slot_allocator.cc
+++ b/src/libverbenalead/entry/slot_allocator.cc
@@ -74,7 +74,7 @@
     // The target denied the slot. Its answer also updated this entry's view of
     // the replica, so the next round chooses another one.
     decide::NotePromptRead(pool, slot->m_replica, call.m_prompt_tokens);
-    decide::ReleaseSlot(pool, slot->m_replica, decide::AttemptEnd::kNotRun,
+    decide::ReleaseSlot(pool, slot->m_replica, decide::AttemptEnd::kNoSlot,
                         Now());
     if (granted)
       ReturnUnneededGrant(slot->m_replica);
