Soak and judges of replicas that leave or rest in their answers

Judged by the replicas' logs, which outlive their processes: no call from an entry later than 2 s after it was told, at most two in a rest; a restart, freeze or disturbed link of entry or replica excuses what lies behind it. soak_judges has histories that just break and just keep this.

--- a/testsuite/cases/platform_soak/run.py
+++ b/testsuite/cases/platform_soak/run.py
@@ -4,8 +4,9 @@
 silenced and slowed, and the store fails in its ways. Each caller gets a
 complete response of one replica or a truthful refusal, no payment runs twice,
 no removed key is accepted after its bound, and the system recovers. Then plays a
-run in which replicas name rate limits that change, and repeats each seed that
-once broke a promise.
+run in which replicas name rate limits that change, one in which they leave and
+ask for rests in their answers alone, and repeats each seed that once broke a
+promise.
 """
 
 import sys
@@ -19,12 +20,15 @@
 SECONDS = 20
 # In this run replicas name rate limits as well.
 LIMITS_SEED = 9001
+# In this one they leave and ask for rests in their answers.
+STATEMENTS_SEED = 9101
 
 
 def body(cluster):
     assert not run_soak.play(cluster, run_soak.run_of(SEED, SECONDS, False))
-    for run in [run_soak.run_of(LIMITS_SEED, SECONDS, False, limits=True)] + \
-            run_soak.kept_runs():
+    for run in [run_soak.run_of(LIMITS_SEED, SECONDS, False, limits=True),
+                run_soak.run_of(STATEMENTS_SEED, SECONDS, False,
+                                statements=True)] + run_soak.kept_runs():
         assert run_soak.play_alone(cluster.bin, run), run
 
 
--- a/testsuite/cases/soak_judges/run.py
+++ b/testsuite/cases/soak_judges/run.py
@@ -5,6 +5,7 @@
 from soak.callers import Outcome
 from soak.judge_limits import Limit, find_exceeded
 from soak.judge_lost import Disturbance, ends_of_runs, find_lost
+from soak.judge_statements import find_ignored
 
 DEADLINE = 6.0
 
@@ -48,6 +49,42 @@
     assert lost(stream(), left, [Disturbance(102.1, 103, "kill")])
 
 
+def arrived(call, at_ms, leaving=False, rest='""', started=1):
+    return ("time=x event=arrived call=%s started_ms=%d at_ms=%d "
+            "said_leaving=%s retry_after=%s" % (
+                call, started, at_ms, "true" if leaving else "false", rest))
+
+
+def ignored(lines, harmed=None):
+    entry_of = {"c%d" % number: "entry-1" for number in range(9)}
+    entry_of["other"] = "entry-2"
+    return find_ignored("replica-1", lines, entry_of, harmed or {})
+
+
+def check_statements():
+    told = arrived("c1", 1000, True)
+    assert ignored([told, arrived("c2", 3001, True)])
+    # In time, by an entry that wasn't told, or at a new process.
+    assert not ignored([told, arrived("c2", 3000, True)])
+    assert not ignored([told, arrived("other", 9000, True)])
+    assert not ignored([told, arrived("c2", 9000, True, started=2)])
+    # The entry, or the link to the replica, was disturbed.
+    late = [told, arrived("c2", 3001, True)]
+    assert not ignored(late, {"entry-1": [(1500, 2000)]})
+    assert not ignored(late, {None: [(2900, 3100)]})
+    assert ignored(late, {"entry-2": [(1500, 2000)]})
+    assert ignored(late, {"entry-1": [(100, 900)]})
+    rest = [arrived("c%d" % number, 1000 + 600 * number, rest=text)
+            for number, text in enumerate(("3", '""', '""', '""'))]
+    assert ignored(rest)
+    assert not ignored(rest[:3])
+    # Calls that were on their way, and calls after the rest.
+    assert not ignored([arrived("c1", 1000, rest="3")] + [
+        arrived("c%d" % number, 1500 - number) for number in range(2, 9)])
+    assert not ignored([arrived("c1", 1000, rest="0.4")] + rest[1:])
+    assert not ignored([arrived("c1", 1000, rest="x")] + rest[1:])
+
+
 def check_runs():
     ends = ends_of_runs([
         "time=x event=ran call=c1 organisation=acme weights=1",
@@ -85,6 +122,7 @@
     check_lost()
     check_excuses()
     check_runs()
+    check_statements()
 
 
 harness.run_case(body)
--- a/testsuite/soak/fault_plan.py
+++ b/testsuite/soak/fault_plan.py
@@ -50,6 +50,36 @@
     return sorted(faults)
 
 
+# Rests for which replicas ask, in seconds, while they turn all calls away.
+RESTS = ("0.4", "1", "3", "3", "0", "-1", "x", "")
+LONGEST_REST = 5.0
+# Longest time from the first answer that says that a replica leaves to its end.
+LONGEST_LEAVING = 6.0
+
+
+def draw_statements(seed, seconds):
+    """Returns when replicas leave or ask for rests in their answers.
+
+    Like the limits, these have a random sequence of their own, and the text of
+    a rest stands in `kind` behind a space. `lasts` is the time until the replica
+    takes calls again: after a rest, or as a new process.
+    """
+    rng = random.Random("statements %d" % seed)
+    faults = []
+    # Of the first six replicas of a small deployment one always stays.
+    for victim in rng.sample(range(6), 4):
+        at = rng.uniform(0.5, 3.0)
+        while at < seconds * 0.75:
+            leaves = rng.random() < 0.3
+            lasts = round(rng.uniform(
+                2.5 if leaves else 0.3,
+                LONGEST_LEAVING if leaves else LONGEST_REST), 2)
+            kind = "leave" if leaves else "rest " + rng.choice(RESTS)
+            faults.append(Fault(round(at, 2), kind, victim, lasts))
+            at += lasts + rng.choice((0.02, 0.5, 2.0))
+    return sorted(faults)
+
+
 def draw(seed, seconds, planned=False):
     """Returns the faults of a run in order of time.
 
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -1,5 +1,6 @@
 """Injects a plan's faults into a deployment, from outside its processes."""
 
+import collections
 import heapq
 import http.client
 import itertools
@@ -26,6 +27,10 @@
 # A call on a connection that was silenced can be affected for as long as the
 # call may last, in seconds.
 HARM_OF_LINKS = 8.0
+# Time after the end of a disturbance in which what was held up arrives, and
+# time that an entry may take to stop, in seconds.
+HARM_SETTLES = 1.0
+LONGEST_STOP = 9.0
 
 
 class Injector:
@@ -47,6 +52,8 @@
         # Limits of replicas that hold now, and those that have ended.
         self.limits = {}
         self.ended_limits = []
+        # Per process, the times (ms) in which it, or its links, were disturbed.
+        self.harmed = collections.defaultdict(list)
         self.stopping = set()
         for fault in plan:
             self.later(fault.at, self.bring, fault)
@@ -75,8 +82,8 @@
             self.disturbances.append(
                 Disturbance(begin, begin + lasts, fault.kind))
         kind, _, argument = fault.kind.partition(" ")
-        if kind == "limit":
-            self.limit(fault, argument)
+        if kind in ("limit", "rest"):
+            getattr(self, kind)(fault, argument)
         else:
             getattr(self, kind)(fault)
 
@@ -106,9 +113,14 @@
 
     # Processes.
 
+    def harm(self, name, lasts):
+        now = time.monotonic() * 1000
+        self.harmed[name].append((now, now + 1000 * (lasts + HARM_SETTLES)))
+
     def kill(self, name, fault):
         if name in self.stopping:
             return
+        self.harm(name, fault.lasts)
         self.stopping.add(name)
         self.end_limit(name)
         self.cluster.processes[name].wake()
@@ -145,6 +157,7 @@
         if name in self.stopping:
             return
         self.stopping.add(name)
+        self.harm(name, LONGEST_STOP)
         process = self.cluster.processes[name]
         process.wake()
         process.send(15)
@@ -160,6 +173,7 @@
         if name in self.stopping:
             return
         process = self.cluster.processes[name]
+        self.harm(name, fault.lasts)
         # Requests that were sent to a frozen replica all arrive at its wake.
         self.end_limit(name)
         process.freeze()
@@ -204,6 +218,32 @@
             self.ended_limits.append(
                 limit._replace(end=time.monotonic() * 1000))
 
+    # Replicas that leave or ask for rest in their answers.
+
+    def state(self, name, path, text):
+        """Sets a statement of a replica; False if it doesn't answer."""
+        try:
+            harness.call(self.cluster.settings[name][1]["listen"], "POST",
+                         path, text, timeout=1)
+            return True
+        except OSError:
+            return False
+
+    def leave(self, fault):
+        """The replica says that it leaves, then ends; a new process follows."""
+        name = self.pick(self.replicas(), fault)
+        if name not in self.stopping and self.state(name, "/leaving", "1"):
+            self.later(self.now() + fault.lasts, self.kill, name, fault)
+
+    def rest(self, fault, text):
+        name = self.pick(self.replicas(), fault)
+        if name not in self.stopping and self.state(name, "/rest", text):
+            self.later(self.now() + fault.lasts, self.end_rest, name)
+
+    def end_rest(self, name):
+        if name not in self.stopping and not self.state(name, "/rest", ""):
+            self.later(self.now() + RETRY, self.end_rest, name)
+
     # The store.
 
     def store(self, fault, **faults):
@@ -230,7 +270,9 @@
 
     def link(self, fault, **commands):
         names = sorted(self.deployment.relays)
-        address = self.deployment.relays[self.pick(names, fault)]
+        name = self.pick(names, fault)
+        self.harm(name, HARM_OF_LINKS)
+        address = self.deployment.relays[name]
         harness.call(address, "POST", "/faults", commands)
         if "delay_ms" in commands:
             self.later(self.now() + fault.lasts, harness.call, address, "POST",
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -5,7 +5,7 @@
 
 import harness
 import platform_fleet
-from soak import judge_limits, judge_lost
+from soak import judge_limits, judge_lost, judge_statements
 from soak.callers import DEADLINE_MS
 from soak.deployment import KEY_BOUND
 
@@ -89,6 +89,14 @@
         injector.ended_limits,
         {replica["name"]: deployment.arrivals(replica)
          for replica in deployment.replicas})
+    entry_of = {outcome.call: outcome.entry for outcome in outcomes}
+    for replica in deployment.replicas:
+        harmed = dict(injector.harmed)
+        harmed[None] = injector.harmed.get(replica["name"], [])
+        with open(deployment.cluster.path(replica["name"] + ".log"),
+                  errors="replace") as log:
+            broken += judge_statements.find_ignored(
+                replica["name"], log, entry_of, harmed)
     for replica in deployment.replicas:
         if deployment.state(replica)["bad_loads"] != 0:
             broken.append("%s loaded chunks of another version" %
--- a/testsuite/soak/run_soak.py
+++ b/testsuite/soak/run_soak.py
@@ -32,10 +32,12 @@
 
 def play(cluster, run):
     """Executes a run; returns a line for each broken promise."""
-    seed, seconds, planned, size, limits = run
+    seed, seconds, planned, size, limits, statements = run
     plan = fault_plan.draw(seed, seconds, planned)
     if limits:
         plan += fault_plan.draw_limits(seed, seconds)
+    if statements:
+        plan += fault_plan.draw_statements(seed, seconds)
     deployment = Deployment(cluster, size)
     deployment.start()
     callers = Callers(deployment, seed, size.callers)
@@ -76,11 +78,12 @@
     return True
 
 
-Run = collections.namedtuple("Run", "seed seconds planned size limits")
+Run = collections.namedtuple("Run", "seed seconds planned size limits statements")
 
 
-def run_of(seed, seconds, planned, limits=False):
-    return Run(seed, seconds, planned, FULL if planned else SMALL, limits)
+def run_of(seed, seconds, planned, limits=False, statements=False):
+    return Run(seed, seconds, planned, FULL if planned else SMALL, limits,
+               statements)
 
 
 def kept_runs():
@@ -88,7 +91,7 @@
     with open(SEEDS) as file:
         lines = [line.split("#")[0].split() for line in file]
     return [run_of(int(line[0]), float(line[1]), "planned" in line[2:],
-                   "limits" in line[2:])
+                   "limits" in line[2:], "statements" in line[2:])
             for line in lines if line]
 
 
@@ -105,6 +108,9 @@
                         "full pool: no cut is excused")
     parser.add_argument("--limits", action="store_true",
                         help="replicas name rate limits, which change")
+    parser.add_argument("--statements", action="store_true",
+                        help="replicas leave and ask for rests in their "
+                        "answers")
     for field in Size._fields:
         parser.add_argument("--" + field, type=int, help="default: %d, with "
                             "--planned %d" % (getattr(SMALL, field),
@@ -121,7 +127,7 @@
     first = options.seed or random.SystemRandom().randrange(1, 1 << 31)
     runs = kept_runs() if options.kept else [
         Run(first + number, options.seconds, options.planned, size,
-            options.limits)
+            options.limits, options.statements)
         for number in range(options.seeds)]
     failed = [run.seed for run in runs if not play_alone(options.bin, run)]
     print("%d runs, failed: %s" % (len(runs), failed or "none"))
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -138,12 +138,26 @@
     running.MarkComplete();
 }
 
+/// Records the arrival of a call, and logs it for checks of runs in which
+/// replicas are killed.
+void RecordArrival(Replica& replica, const wire::Request& request) {
+  const Arrival arrival{Now(),
+                        wire::Get(request.m_headers, platform::kRequestId),
+                        replica.m_rest, !replica.m_leaving_text.empty()};
+  replica.m_arrivals.push_back(arrival);
+  LogLine("arrived")
+      .With("call", arrival.m_call)
+      .With("started_ms", replica.m_started_ms)
+      .With("at_ms", ToMilliseconds(arrival.m_at.time_since_epoch()))
+      .With("said_leaving", arrival.m_said_leaving)
+      .With("retry_after", arrival.m_retry_after)
+      .Info();
+}
+
 Awaitable<void> Call(std::shared_ptr<Replica> replica,
                      const wire::Request& request,
                      wire::ResponseWriter& writer) {
-  replica->m_arrivals.push_back(
-      {Now(), wire::Get(request.m_headers, platform::kRequestId), "",
-       !replica->m_leaving_text.empty()});
+  RecordArrival(*replica, request);
   const std::string expected =
       wire::Get(request.m_headers, platform::kExpectReplica);
   if (!expected.empty() && expected != replica->m_id) {
@@ -151,7 +165,6 @@
     co_return;
   }
   if (!replica->m_rest.empty()) {
-    replica->m_arrivals.back().m_retry_after = replica->m_rest;
     wire::Response response = NotRun(503, *replica);
     response.m_headers["retry-after"] = replica->m_rest;
     co_await writer.Send(std::move(response));
