--- a/src/libverbenalead/model/replica_statements.h
+++ b/src/libverbenalead/model/replica_statements.h
@@ -11,11 +11,11 @@
 
 /// What one answer of a replica states of the replica itself.
 ///
-/// | statement  | binds                                | holds until              |
-/// |------------|--------------------------------------|--------------------------|
-/// | rate limit | all entries together                 | a newer answer           |
-/// | leaving    | all entries and the target process   | the incarnation ends     |
-/// | rest       | the entry that the answer was for    | the stated time is over  |
+/// | statement  | binds                            | holds until            |
+/// |------------|----------------------------------|------------------------|
+/// | rate limit | all entries together             | a newer answer         |
+/// | leaving    | all entries, the target process  | the incarnation ends   |
+/// | rest       | the entry that got the answer    | the stated time passes |
 struct ReplicaStatements {
   /// Requests per second that it takes from all entries together.
   std::optional<double> m_rate_limit;
--- a/src/libverbenalead/platform/call_headers.cc
+++ b/src/libverbenalead/platform/call_headers.cc
@@ -31,8 +31,8 @@
 
 /// Fields of answers that are read or need no action, besides statements.
 constexpr std::array<const char*, 10> kKnownAnswerFields = {
-    kRequestId,     kNotExecuted,      kStamp,   kWeightVersion,
-    "content-type", "date",            "server", "cache-control",
+    kRequestId,         kNotExecuted, kStamp,   kWeightVersion,
+    "content-type",     "date",       "server", "cache-control",
     "content-encoding", "at-server"};
 
 uint32_t ClampTokens(uint64_t value) {
--- a/src/libverbenalead/platform/decode_statements_test.cc
+++ b/src/libverbenalead/platform/decode_statements_test.cc
@@ -80,11 +80,9 @@
   }
 
   void MalformedFieldLeavesTheOthers() {
-    const model::ReplicaStatements statements =
-        DecodeStatements({kUnavailable,
-                          {{kRateLimit, "x"},
-                           {kLeaving, "1"},
-                           {kRetryAfter, "2"}}});
+    const model::ReplicaStatements statements = DecodeStatements(
+        {kUnavailable,
+         {{kRateLimit, "x"}, {kLeaving, "1"}, {kRetryAfter, "2"}}});
     CPPUNIT_ASSERT(statements.m_leaving);
     CPPUNIT_ASSERT(statements.m_rest == Duration(2s));
     CPPUNIT_ASSERT(statements.m_malformed ==
