--- a/testsuite/cases/soak_judges/run.py
+++ b/testsuite/cases/soak_judges/run.py
@@ -5,7 +5,7 @@
 from soak.callers import Outcome
 from soak.judge_limits import Limit, find_exceeded
 from soak.judge_lost import Disturbance, ends_of_runs, find_lost
-from soak.judge_statements import find_ignored
+from soak.judge_statements import find_ignored, heard_statements
 
 DEADLINE = 6.0
 
@@ -55,10 +55,15 @@
                 call, started, at_ms, "true" if leaving else "false", rest))
 
 
-def ignored(lines, harmed=None):
+ATTEMPT = "time=x event=attempt call=%s replica=i-1 end=not_run number=1 " \
+    "weights=0 rate_limit=-1.000 leaving=%s rest_ms=%d replicas_age_ms=1"
+
+
+def ignored(lines, harmed=None, unheard=()):
     entry_of = {"c%d" % number: "entry-1" for number in range(9)}
     entry_of["other"] = "entry-2"
-    return find_ignored("replica-1", lines, entry_of, harmed or {})
+    heard = set(entry_of) - set(unheard)
+    return find_ignored("replica-1", lines, entry_of, harmed or {}, heard)
 
 
 def check_statements():
@@ -78,6 +83,12 @@
             for number, text in enumerate(("3", '""', '""', '""'))]
     assert ignored(rest)
     assert not ignored(rest[:3])
+    # The answer reached nobody.
+    assert not ignored(late, unheard=["c1"])
+    assert not ignored(rest, unheard=["c0"])
+    assert heard_statements([
+        ATTEMPT % ("c1", "true", 0), ATTEMPT % ("c2", "false", 0),
+        ATTEMPT % ("c3", "false", 400)]) == {("c1", "i-1"), ("c3", "i-1")}
     # Calls that were on their way, and calls after the rest.
     assert not ignored([arrived("c1", 1000, rest="3")] + [
         arrived("c%d" % number, 1500 - number) for number in range(2, 9)])
@@ -85,6 +96,20 @@
     assert not ignored([arrived("c1", 1000, rest="x")] + rest[1:])
 
 
+def check_stops():
+    def cut(sent, took, stopped):
+        outcome = stream(sent=sent, took=took)
+        return bool(find_lost([outcome], {"c1": ["caller_left"]}, (), DEADLINE,
+                              {"entry-1": [stopped], "entry-2": [sent]}))
+
+    # Sent in time after the signal, and cut at the end of the grace period.
+    assert not cut(102.6, 5.0, 100.0)
+    # Cut before its last sixth, sent too late, or by another entry's stop.
+    assert cut(102.6, 4.0, 100.0)
+    assert cut(103.1, 4.5, 100.0)
+    assert cut(102.6, 5.0, 90.0)
+
+
 def check_runs():
     ends = ends_of_runs([
         "time=x event=ran call=c1 organisation=acme weights=1",
@@ -121,6 +146,7 @@
     check_limits()
     check_lost()
     check_excuses()
+    check_stops()
     check_runs()
     check_statements()
 
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -54,6 +54,8 @@
         self.ended_limits = []
         # Per process, the times (ms) in which it, or its links, were disturbed.
         self.harmed = collections.defaultdict(list)
+        # Per process, the times at which it was told to stop.
+        self.stops = collections.defaultdict(list)
         self.stopping = set()
         for fault in plan:
             self.later(fault.at, self.bring, fault)
@@ -161,6 +163,7 @@
         process = self.cluster.processes[name]
         process.wake()
         process.send(15)
+        self.stops[name].append(time.monotonic())
         self.later(self.now() + RETRY, self.restart, name)
 
     def stop_entry(self, fault):
@@ -221,7 +224,10 @@
     # Replicas that leave or ask for rest in their answers.
 
     def state(self, name, path, text):
-        """Sets a statement of a replica; False if it doesn't answer."""
+        """Sets a statement of a replica; False if it doesn't answer.
+
+        One that is frozen takes it over when it wakes.
+        """
         try:
             harness.call(self.cluster.settings[name][1]["listen"], "POST",
                          path, text, timeout=1)
@@ -232,13 +238,17 @@
     def leave(self, fault):
         """The replica says that it leaves, then ends; a new process follows."""
         name = self.pick(self.replicas(), fault)
-        if name not in self.stopping and self.state(name, "/leaving", "1"):
-            self.later(self.now() + fault.lasts, self.kill, name, fault)
+        if name in self.stopping:
+            return
+        self.state(name, "/leaving", "1")
+        self.later(self.now() + fault.lasts, self.kill, name, fault)
 
     def rest(self, fault, text):
         name = self.pick(self.replicas(), fault)
-        if name not in self.stopping and self.state(name, "/rest", text):
-            self.later(self.now() + fault.lasts, self.end_rest, name)
+        if name in self.stopping:
+            return
+        self.state(name, "/rest", text)
+        self.later(self.now() + fault.lasts, self.end_rest, name)
 
     def end_rest(self, name):
         if name not in self.stopping and not self.state(name, "/rest", ""):
--- a/testsuite/soak/judge_lost.py
+++ b/testsuite/soak/judge_lost.py
@@ -15,6 +15,10 @@
 # In seconds. At its deadline a caller may close the connection at the moment at
 # which the response that reports the deadline arrives.
 TIME_MARGIN = 0.3
+# In seconds: the grace period of an entry that is told to stop, and the time
+# for which callers may still send it calls.
+STOP_GRACE = 8.0
+STOP_TAKES_CALLS = 3.0
 
 RAN = re.compile(r"event=(ran|run_ended) call=(\S+)(?:.* how=(\w+))?")
 
@@ -56,16 +60,33 @@
                for each in disturbances)
 
 
-def is_lost(outcome, ends, disturbances, deadline):
+def ended_by_stop(outcome, stops):
+    """Whether its entry, told to stop, gave the call all the time it has.
+
+    `stops` has the times at which entries were sent SIGTERM. A replica that is
+    still at work in the last sixth of the grace period is cut off, if the call
+    was sent no later than STOP_TAKES_CALLS after the signal.
+    """
+    ended = outcome.sent + outcome.took
+    return any(outcome.sent <= at + STOP_TAKES_CALLS and
+               at + STOP_GRACE * 5 / 6 <= ended <= at + STOP_GRACE + TIME_MARGIN
+               for at in stops)
+
+
+def is_lost(outcome, ends, disturbances, deadline, stops=()):
     """`ends`: how the runs of the call ended, at all replicas."""
     return bool(ends) and not is_whole(outcome) and \
         not broken_off(ends) and \
         outcome.took < deadline - TIME_MARGIN and \
-        not disturbed(outcome, disturbances)
+        not disturbed(outcome, disturbances) and \
+        not ended_by_stop(outcome, stops)
+
 
+def find_lost(outcomes, ends, disturbances, deadline, stops=None):
+    """Returns those of `outcomes` whose responses were lost.
 
-def find_lost(outcomes, ends, disturbances, deadline):
-    """Returns those of `outcomes` whose responses were lost."""
+    `stops` maps the names of entries to the times at which they were stopped.
+    """
     return [outcome for outcome in outcomes
             if is_lost(outcome, ends.get(outcome.call, ()), disturbances,
-                       deadline)]
+                       deadline, (stops or {}).get(outcome.entry, ()))]
--- a/testsuite/soak/judge_statements.py
+++ b/testsuite/soak/judge_statements.py
@@ -10,6 +10,8 @@
 
 import statement_judge
 
+ATTEMPT = re.compile(
+    r"event=attempt call=(\S+) replica=(\S+) .* leaving=(\w+) rest_ms=(\d+)")
 ARRIVED = re.compile(
     r"event=arrived call=(\S+) started_ms=(\d+) at_ms=(\d+) "
     r"said_leaving=(\w+) retry_after=(\S+)")
@@ -29,6 +31,19 @@
     return calls
 
 
+def heard_statements(lines):
+    """Calls, with their replicas, whose answers told an entry something.
+
+    A replica that was frozen answers calls that their entries have given up.
+    """
+    heard = set()
+    for line in lines:
+        found = ATTEMPT.search(line)
+        if found and (found.group(3) == "true" or found.group(4) != "0"):
+            heard.add((found.group(1), found.group(2)))
+    return heard
+
+
 def undisturbed(log, entry_of, harmed):
     """`log` without the calls that a disturbance excuses.
 
@@ -46,10 +61,15 @@
     return kept
 
 
-def find_ignored(name, lines, entry_of, harmed):
-    """Returns a line for each statement of replica `name` that was ignored."""
+def find_ignored(name, lines, entry_of, harmed, heard):
+    """Returns a line for each statement of replica `name` that was ignored.
+
+    `heard` has the calls whose answers told an entry of a statement.
+    """
     ignored = []
     for log in read_calls(lines).values():
+        for call in log:
+            call["heard"] = call["call"] in heard
         kept = undisturbed(log, entry_of, harmed)
         calls = [call for call, _ in kept]
         epochs = {call["call"]: entry for call, entry in kept}
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -73,7 +73,7 @@
     broken = ["%s ended by itself" % name for name in injector.ended]
     ends = ends_of_runs(deployment.cluster, deployment.replicas)
     lost = judge_lost.find_lost(outcomes, ends, injector.disturbances,
-                                DEADLINE_MS / 1000)
+                                DEADLINE_MS / 1000, injector.stops)
     for outcome in outcomes:
         problems = ["lost: its runs ended %s" % ends[outcome.call]] \
             if outcome in lost else []
@@ -90,13 +90,20 @@
         {replica["name"]: deployment.arrivals(replica)
          for replica in deployment.replicas})
     entry_of = {outcome.call: outcome.entry for outcome in outcomes}
+    heard = set()
+    for entry in deployment.entries:
+        with open(deployment.cluster.path(entry["name"] + ".log"),
+                  errors="replace") as log:
+            heard |= judge_statements.heard_statements(log)
     for replica in deployment.replicas:
         harmed = dict(injector.harmed)
+        own_id = deployment.cluster.settings[replica["name"]][1]["id"]
         harmed[None] = injector.harmed.get(replica["name"], [])
         with open(deployment.cluster.path(replica["name"] + ".log"),
                   errors="replace") as log:
             broken += judge_statements.find_ignored(
-                replica["name"], log, entry_of, harmed)
+                replica["name"], log, entry_of, harmed,
+                {call for call, at in heard if at == own_id})
     for replica in deployment.replicas:
         if deployment.state(replica)["bad_loads"] != 0:
             broken.append("%s loaded chunks of another version" %
--- a/testsuite/statement_judge.py
+++ b/testsuite/statement_judge.py
@@ -1,7 +1,8 @@
 """Judges whether entries keep to what a replica states in its answers.
 
 Works on the log of the calls that arrived at a replica (`PlatformFleet.call_log`)
-and on a map from the id of each call to the entry that sent it.
+and on a map from the id of each call to the entry that sent it. A call whose
+`heard` is false had no answer that reached its entry.
 """
 
 import collections
@@ -19,7 +20,7 @@
     told = {}
     for call in log:
         entry = entry_of.get(call["call"])
-        if entry and call["said_leaving"]:
+        if entry and call["said_leaving"] and call.get("heard", True):
             told.setdefault(entry, call["at_ms"])
     return told
 
@@ -59,6 +60,8 @@
     worst = (0, None)
     for entry, calls in by_entry.items():
         for told in calls:
+            if not told.get("heard", True):
+                continue
             rest_ms = 1000 * seconds_of(told["retry_after"])
             begin = told["at_ms"] + REST_GRACE_MS
             end = told["at_ms"] + rest_ms
