Hedges do not go to replicas that leave or rest: a test each

The last way of a call to a replica that had no test of its own for these statements. The fixture has the function that three tests had each.

--- a/src/libverbenalead/entry/call_fixture.h
+++ b/src/libverbenalead/entry/call_fixture.h
@@ -72,6 +72,13 @@
   return options;
 }
 
+/// An answer that comes after any entry has begun to hedge.
+inline wire::ScriptedAnswer Silent() {
+  wire::ScriptedAnswer answer = Answer(200, {"late"});
+  answer.m_head_delay = 2s;
+  return answer;
+}
+
 /// An entry with one organisation and `kReplicas` scripted replicas of four
 /// slots each.
 class CallFixture : public CppUnit::TestFixture {
@@ -148,6 +155,11 @@
                      platform::kExpectReplica);
   }
 
+  /// The replica `id` of the pool.
+  decide::ReplicaState& Replica(const std::string& id) {
+    return GetOrCreateService(*m_state, "pool").m_pool.m_replicas.at(id);
+  }
+
   /// Calls in flight at all replicas of the pool.
   uint32_t CallsInFlight() {
     uint32_t calls = 0;
--- a/src/libverbenalead/entry/call_leaving_test.cc
+++ b/src/libverbenalead/entry/call_leaving_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST_SUITE(CallLeavingTest);
   CPPUNIT_TEST(NoCallGoesToALeavingReplica);
   CPPUNIT_TEST(RetryDoesNotGoToALeavingReplica);
+  CPPUNIT_TEST(HedgeDoesNotGoToALeavingReplica);
   CPPUNIT_TEST(StreamIsNotResumedAtALeavingReplica);
   CPPUNIT_TEST(RunningStreamOfALeavingReplicaGoesOn);
   CPPUNIT_TEST(CallIsRefusedIfAllReplicasLeave);
@@ -55,6 +56,14 @@
     CPPUNIT_ASSERT(Asked(0) != Asked(1));
   }
 
+  void HedgeDoesNotGoToALeavingReplica() {
+    for (const char* id : {"i-0", "i-1"})
+      decide::NoteLeaving(Replica(id));
+    m_replicas.m_answers = {Silent(), Answer(200, {"ok"})};
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), Call("/read/1").m_body);
+    CPPUNIT_ASSERT(Asked(1) == "i-2" || Asked(1) == "i-3");
+  }
+
   void StreamIsNotResumedAtALeavingReplica() {
     for (const char* id : {"i-0", "i-1"})
       decide::NoteLeaving(Replica(id));
@@ -115,11 +124,6 @@
     ApplyStatements(*m_state, Replica("i-1"), {std::nullopt, 5}, "e2", Now());
     CPPUNIT_ASSERT(Replica("i-1").m_known.m_leaving);
   }
-
- private:
-  decide::ReplicaState& Replica(const std::string& id) {
-    return GetOrCreateService(*m_state, "pool").m_pool.m_replicas.at(id);
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallLeavingTest);
--- a/src/libverbenalead/entry/call_rate_limit_test.cc
+++ b/src/libverbenalead/entry/call_rate_limit_test.cc
@@ -114,10 +114,6 @@
   }
 
  private:
-  decide::ReplicaState& Replica(const std::string& id) {
-    return GetOrCreateService(*m_state, "pool").m_pool.m_replicas.at(id);
-  }
-
   static void Limit(decide::ReplicaState& replica,
                     double rate,
                     Duration hold_off) {
--- a/src/libverbenalead/entry/call_rest_test.cc
+++ b/src/libverbenalead/entry/call_rest_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST_SUITE(CallRestTest);
   CPPUNIT_TEST(RejectedCallGoesOnAndTheNextOnesElsewhere);
   CPPUNIT_TEST(RetryDoesNotGoToAReplicaAtRest);
+  CPPUNIT_TEST(HedgeDoesNotGoToAReplicaAtRest);
   CPPUNIT_TEST(StreamIsNotResumedAtAReplicaAtRest);
   CPPUNIT_TEST(FailureMayAskForARestToo);
   CPPUNIT_TEST(MisdirectedCallAsksForNoRest);
@@ -48,6 +49,14 @@
     CPPUNIT_ASSERT(Asked(0) != Asked(1));
   }
 
+  void HedgeDoesNotGoToAReplicaAtRest() {
+    for (const char* id : {"i-0", "i-1"})
+      BeginRest(id);
+    m_replicas.m_answers = {Silent(), Answer(200, {"ok"})};
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), Call("/read/1").m_body);
+    CPPUNIT_ASSERT(Asked(1) == "i-2" || Asked(1) == "i-3");
+  }
+
   void StreamIsNotResumedAtAReplicaAtRest() {
     for (const char* id : {"i-0", "i-1"})
       BeginRest(id);
@@ -98,10 +107,6 @@
   }
 
  private:
-  decide::ReplicaState& Replica(const std::string& id) {
-    return GetOrCreateService(*m_state, "pool").m_pool.m_replicas.at(id);
-  }
-
   void BeginRest(const std::string& id) {
     decide::NoteRest(Replica(id), 30s, Now(), m_state->m_random);
   }
