Each decision on a retry is logged with the figures behind it

A denial was counted and an allowed retry left no trace, so the hypotheses on retries beyond the limit couldn't be told apart: how many a process had counted when it allowed one, and how many entries it shared the slack with. One line for each decision, gauges of the count and the limit, a counter of allowed ones. No decision changes; retry_window_test, rest_fleet_test, call_hedge_test and call_server_test pass.

--- a/src/libverbenalead/decide/fake_rest_fleet.h
+++ b/src/libverbenalead/decide/fake_rest_fleet.h
@@ -180,8 +180,9 @@
     }
     ReleaseSlot(pool, *id, AttemptEnd::kNotRun, m_now);
     call.m_attempted_replicas.insert(*id);
-    if (attempt < kMaxAttempts && TryTakeRetry(m_retries[entry], m_allowance,
-                                               m_settings.m_entries, m_now))
+    if (attempt < kMaxAttempts &&
+        TryTakeRetry(m_retries[entry], m_allowance, m_settings.m_entries, m_now)
+            .m_allowed)
       Place(entry, call, attempt + 1);
     else
       Refuse();
--- a/src/libverbenalead/decide/retry_window.cc
+++ b/src/libverbenalead/decide/retry_window.cc
@@ -31,10 +31,10 @@
   ++PartAt(window, PartNumber(allowance, now)).m_calls;
 }
 
-bool TryTakeRetry(RetryWindow& window,
-                  const RetryAllowance& allowance,
-                  uint32_t entries,
-                  TimePoint now) {
+RetryDecision TryTakeRetry(RetryWindow& window,
+                           const RetryAllowance& allowance,
+                           uint32_t entries,
+                           TimePoint now) {
   const int64_t number = PartNumber(allowance, now);
   RetryWindow::Interval& current = PartAt(window, number);
   uint32_t calls = 0;
@@ -51,10 +51,10 @@
   const double allowed =
       kUsedShare * (allowance.m_ratio * calls +
                     allowance.m_slack / std::max<uint32_t>(1, entries));
-  if (retries + 1 > allowed)
-    return false;
-  ++current.m_retries;
-  return true;
+  const RetryDecision decision{retries + 1 <= allowed, calls, retries, allowed};
+  if (decision.m_allowed)
+    ++current.m_retries;
+  return decision;
 }
 
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/retry_window.h
+++ b/src/libverbenalead/decide/retry_window.h
@@ -42,15 +42,27 @@
   std::array<Interval, kIntervals + 1> m_intervals{};
 };
 
+/// Whether one more retry is within the limit, and what that was decided by.
+struct RetryDecision {
+  bool m_allowed = false;
+  /// Calls and retries in the window; the latter without this one.
+  uint32_t m_calls = 0;
+  uint32_t m_retries = 0;
+  /// Retries that this entry may send in the window.
+  double m_limit = 0;
+
+  friend bool operator==(const RetryDecision&, const RetryDecision&) = default;
+};
+
 void CountCall(RetryWindow& window,
                const RetryAllowance& allowance,
                TimePoint now);
-/// Counts one more retry if the allowance permits it, and returns whether it
-/// does. `entries` is the maximum number of entries.
-bool TryTakeRetry(RetryWindow& window,
-                  const RetryAllowance& allowance,
-                  uint32_t entries,
-                  TimePoint now);
+/// Counts one more retry if the allowance permits it. `entries` is the maximum
+/// number of entries.
+RetryDecision TryTakeRetry(RetryWindow& window,
+                           const RetryAllowance& allowance,
+                           uint32_t entries,
+                           TimePoint now);
 
 }  // namespace verbenalead::decide
 
--- a/src/libverbenalead/decide/retry_window_test.cc
+++ b/src/libverbenalead/decide/retry_window_test.cc
@@ -24,7 +24,7 @@
     const RetryAllowance allowance{0.2, 100, 10s};
     RetryWindow window;
     int granted = 0;
-    while (TryTakeRetry(window, allowance, kEntries, kStart))
+    while (TryTakeRetry(window, allowance, kEntries, kStart).m_allowed)
       ++granted;
     CPPUNIT_ASSERT_EQUAL(20, granted);
   }
@@ -32,10 +32,12 @@
   void RetriesExpireAfterWindow() {
     const RetryAllowance allowance{0.2, 100, 10s};
     RetryWindow window;
-    while (TryTakeRetry(window, allowance, kEntries, kStart)) {
+    while (TryTakeRetry(window, allowance, kEntries, kStart).m_allowed) {
     }
-    CPPUNIT_ASSERT(!TryTakeRetry(window, allowance, kEntries, kStart + 9s));
-    CPPUNIT_ASSERT(TryTakeRetry(window, allowance, kEntries, kStart + 12s));
+    CPPUNIT_ASSERT(
+        !TryTakeRetry(window, allowance, kEntries, kStart + 9s).m_allowed);
+    CPPUNIT_ASSERT(
+        TryTakeRetry(window, allowance, kEntries, kStart + 12s).m_allowed);
   }
 
   // Guards against a retry storm after the failure of replicas: every entry
@@ -56,7 +58,7 @@
         RetryWindow& window = entries[static_cast<size_t>(step) % kEntries];
         CountCall(window, allowance, now);
         calls.push_back(now);
-        while (TryTakeRetry(window, allowance, kEntries, now))
+        while (TryTakeRetry(window, allowance, kEntries, now).m_allowed)
           retries.push_back(now);
       }
       const auto within = [&](const std::vector<TimePoint>& times,
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -304,7 +304,9 @@
   // An attempt that reached no replica caused no load, so another one isn't
   // counted as a retry.
   return end == AttemptEnd::kUnreachable ||
-         TryTakeRetry(m_state, m_plan.m_service);
+         TryTakeRetry(m_state, *m_record,
+                      m_record->m_events.m_events > 0 ? RetryPurpose::kResume
+                                                      : RetryPurpose::kRetry);
 }
 
 void CallRun::RecordReplicaCrash() {
--- a/src/libverbenalead/entry/hedge.cc
+++ b/src/libverbenalead/entry/hedge.cc
@@ -118,7 +118,7 @@
 }
 
 Awaitable<bool> Hedge::AttemptOnce() {
-  if (!TryTakeRetry(m_services.m_state, m_record->m_plan.m_service)) {
+  if (!TryTakeRetry(m_services.m_state, *m_record, RetryPurpose::kHedge)) {
     Log("denied");
     co_await Pause();
     co_return true;
--- a/src/libverbenalead/entry/retry_attempt.h
+++ b/src/libverbenalead/entry/retry_attempt.h
@@ -8,10 +8,19 @@
 
 namespace verbenalead::entry {
 
-/// Whether one more retry or hedge of a call of `service` is within the limit
-/// on retries; if so, counts it. Without the limit, retries would multiply the
+/// Why a call is sent to one more replica.
+enum class RetryPurpose {
+  kRetry,   ///< The last attempt failed or was rejected.
+  kResume,  ///< The answer broke off, and its rest is requested elsewhere.
+  kHedge,   ///< The current replica is silent.
+};
+
+/// Whether one more attempt of the call is within the limit on retries of its
+/// service; if so, counts it. Without the limit, retries would multiply the
 /// load of a service whose replicas fail.
-bool TryTakeRetry(EntryState& state, const std::string& service);
+bool TryTakeRetry(EntryState& state,
+                  const CallRecord& record,
+                  RetryPurpose purpose);
 
 /// Retries a call with the new attempt `attempt`. The call first waits for a
 /// slot that lets it be on time; if none comes free, it waits until
