Failing cases: retries over restarts, attempts that arrive after their call

Stand-ins: the relay holds bytes and drops those of a reset connection; the replica cuts a share of its calls.

--- a/testsuite/fleet_callers.py
+++ b/testsuite/fleet_callers.py
@@ -19,10 +19,11 @@
 class FleetCallers:
     """Threads that alternate between streams and calls of the plain service."""
 
-    def __init__(self, fleet, callers, pause_s, events=2):
+    def __init__(self, fleet, callers, pause_s, events=2, kinds=KINDS):
         self.fleet = fleet
         self.pause_s = pause_s
         self.events = events
+        self.kinds = kinds
         self.done = threading.Event()
         self.outcomes = []
         self.threads = [threading.Thread(target=self.run, args=(number,))
@@ -35,8 +36,10 @@
         while not self.done.is_set():
             number += 1
             entry = self.fleet.entries[number % len(self.fleet.entries)]
-            self.call("draft", entry, number, self.events)
-            self.call("look", entry, number)
+            if "draft" in self.kinds:
+                self.call("draft", entry, number, self.events)
+            if "look" in self.kinds:
+                self.call("look", entry, number)
             time.sleep(self.pause_s)
 
     def call(self, kind, entry, number, *arguments):
--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -101,7 +101,7 @@
         self.write("op", "version/model",
                    {"model": "model", "version": version})
 
-    def add_entry(self, data_center="a"):
+    def add_entry(self, data_center="a", **extra):
         number = len(self.entries) + 1
         ip = "127.0.1.%d" % number
         name = "entry-%d" % number
@@ -118,6 +118,7 @@
                         "metrics": entry["metrics"],
                         "peers": "%s:%d" % (ip, self.peer_port)},
                     "store": {"address": self.store_for(name)}}
+        settings.update(extra)
         self.cluster.start_platform_program(name, "vlentry", settings)
         self.entries.append(entry)
         return entry
@@ -173,6 +174,10 @@
         """Makes `replica` turn all calls away and ask for a rest; "": none."""
         harness.call(replica["address"], "POST", "/rest", text)
 
+    def cut_calls(self, replica, percent):
+        """Makes `replica` close this share of the calls without an answer."""
+        harness.call(replica["address"], "POST", "/cut", str(percent))
+
     def answers_at_all(self, replica):
         try:
             return self.state(replica)["runs"] >= 0
--- a/testsuite/standins/platform_replica/replica.h
+++ b/testsuite/standins/platform_replica/replica.h
@@ -58,6 +58,8 @@
   /// If not empty, it turns all calls away and asks for a rest of this many
   /// seconds, as the text of the header field.
   std::string m_rest;
+  /// Percentage of the calls whose connections it closes without an answer.
+  uint32_t m_cut_percent = 0;
   /// All calls, whatever became of them.
   std::vector<Arrival> m_arrivals;
   /// Loads in which a staged chunk was missing or not that of the version.
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -154,6 +154,14 @@
       .Info();
 }
 
+/// Whether the call that has just arrived is one of those that are cut off,
+/// which are spread evenly over the calls.
+bool IsCut(const Replica& replica) {
+  const uint64_t calls = replica.m_arrivals.size();
+  return calls * replica.m_cut_percent / 100 !=
+         (calls - 1) * replica.m_cut_percent / 100;
+}
+
 Awaitable<void> Call(std::shared_ptr<Replica> replica,
                      const wire::Request& request,
                      wire::ResponseWriter& writer) {
@@ -164,6 +172,8 @@
     co_await writer.Send(NotRun(421, *replica));
     co_return;
   }
+  if (IsCut(*replica))
+    co_return;
   if (!replica->m_rest.empty()) {
     wire::Response response = NotRun(503, *replica);
     response.m_headers["retry-after"] = replica->m_rest;
@@ -228,6 +238,9 @@
     replica.m_leaving_text = body;
   else if (path == "/rest")
     replica.m_rest = body;
+  else if (path == "/cut")
+    replica.m_cut_percent =
+        static_cast<uint32_t>(std::strtoul(body.c_str(), nullptr, 10));
   else
     return false;
   return true;
--- a/testsuite/standins/relay/connection.h
+++ b/testsuite/standins/relay/connection.h
@@ -27,6 +27,10 @@
   bool m_silent = false;
   /// Discards the bytes that arrive from the far side.
   bool m_far_side_silent = false;
+  /// Keeps the bytes of both sides and passes them on when the link is
+  /// released, as a partition does that ends. Bytes whose sender has reset the
+  /// connection meanwhile are lost.
+  bool m_held = false;
 };
 
 /// Connects to `forward` and relays bytes in both directions until either side
--- a/testsuite/standins/relay/main.cc
+++ b/testsuite/standins/relay/main.cc
@@ -23,7 +23,7 @@
 }
 
 /// Handles the commands {"silent": true}, {"far_silent": true},
-/// {"cut": true} and {"delay_ms": N}.
+/// {"cut": true}, {"held": true} and {"delay_ms": N}.
 Awaitable<void> Command(standins::Relay& relay,
                         const wire::Request& request,
                         wire::ResponseWriter& writer) {
@@ -35,6 +35,8 @@
     relay.SilenceFarSide();
   if (good && faults.Flag("cut"))
     relay.CloseAll();
+  if (good)
+    relay.Hold(faults.Flag("held"));
   if (good)
     relay.SetDelay(std::chrono::milliseconds(faults.Number("delay_ms")));
   co_await writer.Send({good ? 200 : 400, {}, ""});
--- a/testsuite/standins/relay/relay.cc
+++ b/testsuite/standins/relay/relay.cc
@@ -9,6 +9,7 @@
   const auto executor = socket.get_executor();
   auto connection = std::make_shared<Connection>(std::move(socket));
   connection->m_delay = m_delay;
+  connection->m_held = m_held;
   std::erase_if(m_connections, [](const auto& each) { return each.expired(); });
   m_connections.push_back(connection);
   boost::asio::co_spawn(executor, RunConnection(connection, m_forward),
@@ -29,6 +30,14 @@
   }
 }
 
+void Relay::Hold(bool held) {
+  m_held = held;
+  for (const auto& each : m_connections) {
+    if (auto connection = each.lock())
+      connection->m_held = held;
+  }
+}
+
 void Relay::CloseAll() {
   for (const auto& each : m_connections) {
     if (auto connection = each.lock())
--- a/testsuite/standins/relay/relay.h
+++ b/testsuite/standins/relay/relay.h
@@ -26,12 +26,16 @@
   void SilenceFarSide();
   /// Closes existing connections.
   void CloseAll();
+  /// While `held`, existing and new connections keep all bytes; afterwards they
+  /// pass them on.
+  void Hold(bool held);
   /// Delays each piece of data of future connections.
   void SetDelay(Duration delay) { m_delay = delay; }
 
  private:
   const Endpoint m_forward;
   Duration m_delay{};
+  bool m_held = false;
   std::vector<std::weak_ptr<Connection>> m_connections;
 };
 
