Limit on retries: earned over time, so that restarts don't multiply it

What callers saw: after entries were killed in series beside failing replicas, the retries of all entries at one service passed what the fleet may send; the remaining replicas were loaded by them.

Cause: the limit was kept by the process. Each new process had the whole ratio of its last ten parts and its share of the slack again, beside what its predecessor had used in the same window. Callers that moved from one entry to another counted twice as well: in the window before at the one, in this one at the other. Class: a limit of the fleet whose memory is that of one process.

Design: a retry is earned. Each call earns half of the ratio, each window of running half of the share of the slack, and in any window an entry sends at most what it earned since one window before that one began. What is earned adds up over processes and hosts, so no word between them is needed: all earn half the ratio for the calls of two windows, which is at most the ratio for the busier one. All windows that can still be open are judged, not only the one that ends now.

Ruled out: keeping the count at peers or in the store (all may die at once; one write a retry); no retries for a window after a start (callers lose calls for 10 s for nothing); the most of the windows' calls in each entry (the sum of the most is more than the most of the sum: half of the entries die, callers move).

--- a/src/libverbenalead/decide/retry_window.cc
+++ b/src/libverbenalead/decide/retry_window.cc
@@ -5,22 +5,79 @@
 namespace verbenalead::decide {
 namespace {
 
-/// Fraction of the allowance that is used. The rest covers retries that arrive
-/// in a later window than the one in which they were counted.
-constexpr double kUsedShare = 0.8;
+/// Fraction of what was earned that is used. The rest covers windows that begin
+/// within a part.
+constexpr double kUsedShare = 0.9;
+/// Retries may arrive this many parts after they were counted, so windows that
+/// ended that long ago are judged as well.
+constexpr int64_t kArrivalIntervals = 2;
 
-int64_t PartNumber(const RetryAllowance& allowance, TimePoint now) {
-  const Duration part = allowance.m_window / RetryWindow::kIntervals;
-  return now.time_since_epoch() / std::max<Duration>(part, 1ms);
+Duration IntervalLength(const RetryAllowance& allowance) {
+  return std::max<Duration>(allowance.m_window / RetryWindow::kIntervals, 1ms);
 }
 
-RetryWindow::Interval& PartAt(RetryWindow& window, int64_t number) {
-  RetryWindow::Interval& part =
-      window
-          .m_intervals[static_cast<size_t>(number) % window.m_intervals.size()];
-  if (part.m_number != number)
-    part = {number, 0, 0};
-  return part;
+int64_t IntervalNumber(const RetryAllowance& allowance, TimePoint time) {
+  return time.time_since_epoch() / IntervalLength(allowance);
+}
+
+RetryWindow::Interval& IntervalAt(RetryWindow& window, int64_t number) {
+  RetryWindow::Interval& interval =
+      window.m_intervals[static_cast<size_t>(number) %
+                         RetryWindow::kKeptIntervals];
+  if (interval.m_number != number)
+    interval = {number, 0, 0};
+  return interval;
+}
+
+/// Calls and retries since the beginning of the part `first`.
+RetryWindow::Interval SumSince(const RetryWindow& window, int64_t first) {
+  RetryWindow::Interval sum;
+  for (const RetryWindow::Interval& interval : window.m_intervals) {
+    if (interval.m_number < std::max<int64_t>(0, first))
+      continue;
+    sum.m_calls += interval.m_calls;
+    sum.m_retries += interval.m_retries;
+  }
+  return sum;
+}
+
+/// Retries that were earned since `from`, of which `calls` were counted.
+double EarnedSince(const RetryWindow& window,
+                   const RetryAllowance& allowance,
+                   uint32_t entries,
+                   TimePoint from,
+                   uint32_t calls,
+                   TimePoint now) {
+  const Duration run =
+      std::max(Duration(), now - std::max(from, window.m_started_at));
+  const double windows = std::chrono::duration<double>(run) /
+                         std::chrono::duration<double>(allowance.m_window);
+  const double share = allowance.m_slack / std::max<uint32_t>(1, entries);
+  return (allowance.m_ratio * calls + share * windows) / 2;
+}
+
+/// Judges the window that begins with the part `first` and ends now.
+RetryDecision Judge(const RetryWindow& window,
+                    const RetryAllowance& allowance,
+                    uint32_t entries,
+                    int64_t first,
+                    TimePoint now) {
+  const Duration length = IntervalLength(allowance);
+  const TimePoint begin(first * length);
+  RetryDecision decision;
+  decision.m_calls = SumSince(window, first - RetryWindow::kIntervals).m_calls;
+  decision.m_retries = SumSince(window, first).m_retries;
+  decision.m_limit =
+      kUsedShare * EarnedSince(window, allowance, entries,
+                               begin - RetryWindow::kIntervals * length,
+                               decision.m_calls, now);
+  decision.m_age = now - begin;
+  decision.m_allowed = decision.m_retries + 1 <= decision.m_limit;
+  return decision;
+}
+
+double Room(const RetryDecision& decision) {
+  return decision.m_limit - decision.m_retries;
 }
 
 }  // namespace
@@ -28,33 +85,25 @@
 void CountCall(RetryWindow& window,
                const RetryAllowance& allowance,
                TimePoint now) {
-  ++PartAt(window, PartNumber(allowance, now)).m_calls;
+  ++IntervalAt(window, IntervalNumber(allowance, now)).m_calls;
 }
 
 RetryDecision TryTakeRetry(RetryWindow& window,
                            const RetryAllowance& allowance,
                            uint32_t entries,
                            TimePoint now) {
-  const int64_t number = PartNumber(allowance, now);
-  RetryWindow::Interval& current = PartAt(window, number);
-  uint32_t calls = 0;
-  uint32_t retries = 0;
-  for (const RetryWindow::Interval& part : window.m_intervals) {
-    const int64_t age = number - part.m_number;
-    if (part.m_number < 0 || age < 0 ||
-        age > static_cast<int64_t>(RetryWindow::kIntervals))
-      continue;
-    retries += part.m_retries;
-    if (age < static_cast<int64_t>(RetryWindow::kIntervals))
-      calls += part.m_calls;
+  const int64_t current = IntervalNumber(allowance, now);
+  RetryDecision tightest = Judge(window, allowance, entries, current, now);
+  for (int64_t age = 1; age <= RetryWindow::kIntervals + kArrivalIntervals;
+       ++age) {
+    const RetryDecision other =
+        Judge(window, allowance, entries, current - age, now);
+    if (Room(other) < Room(tightest))
+      tightest = other;
   }
-  const double allowed =
-      kUsedShare * (allowance.m_ratio * calls +
-                    allowance.m_slack / std::max<uint32_t>(1, entries));
-  const RetryDecision decision{retries + 1 <= allowed, calls, retries, allowed};
-  if (decision.m_allowed)
-    ++current.m_retries;
-  return decision;
+  if (tightest.m_allowed)
+    ++IntervalAt(window, current).m_retries;
+  return tightest;
 }
 
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/retry_window.h
+++ b/src/libverbenalead/decide/retry_window.h
@@ -21,35 +21,52 @@
                          const RetryAllowance&) = default;
 };
 
-/// Counts of the calls and retries of one entry at one service, for a sliding
-/// window that is divided into parts.
+/// Calls and retries of one entry at one service, by the time at which they
+/// count.
 ///
 /// Load: many replicas fail at once, and each entry retries the calls it lost.
 /// Harm: without a limit, the retries of all entries would load the remaining
-/// replicas with several times the usual rate. Each entry applies the ratio to
-/// its own calls and takes an equal share of the slack, computed from the
-/// maximum number of entries, so that the total keeps to the allowance without
-/// any communication between entries.
+/// replicas with several times the usual rate.
+///
+/// No entry knows what the others send, or what a process that was killed on
+/// its host had sent. So each earns retries as time passes: half the ratio for
+/// each of its calls, and half of its equal share of the slack for each window
+/// that it has run. In any window it may send what it has earned since one
+/// window before that one began. What is earned adds up, whichever process on
+/// whichever host earns it: in two windows, all processes of all hosts together
+/// earn half the ratio for each call and the slack once. A process that starts
+/// therefore has earned nothing, and callers that move to another entry don't
+/// count twice. The half of the two windows' calls is at most the calls of the
+/// busier one, by which the total is limited.
 struct RetryWindow {
-  static constexpr size_t kIntervals = 10;
+  /// Parts of a window. A window is judged from the beginning of a part.
+  static constexpr int64_t kIntervals = 20;
+  /// Parts that are kept: those of the judged windows and of the window before
+  /// the earliest of them.
+  static constexpr size_t kKeptIntervals = 2 * kIntervals + 4;
   struct Interval {
     int64_t m_number = -1;
     uint32_t m_calls = 0;
     uint32_t m_retries = 0;
   };
-  /// Ring of one part more than a window has, so that a retry is counted for at
-  /// least a whole window.
-  std::array<Interval, kIntervals + 1> m_intervals{};
+  /// Start of the process, before which it earned nothing.
+  TimePoint m_started_at{};
+  /// Ring of the last parts.
+  std::array<Interval, kKeptIntervals> m_intervals{};
 };
 
-/// Whether one more retry is within the limit, and what that was decided by.
+/// Whether one more retry is within the limit, and what that was decided by:
+/// the judged window that is closest to its limit.
 struct RetryDecision {
   bool m_allowed = false;
-  /// Calls and retries in the window; the latter without this one.
+  /// Calls that count for the window.
   uint32_t m_calls = 0;
+  /// Retries in the window, without this one.
   uint32_t m_retries = 0;
   /// Retries that this entry may send in the window.
   double m_limit = 0;
+  /// Time since the beginning of the window.
+  Duration m_age{};
 
   friend bool operator==(const RetryDecision&, const RetryDecision&) = default;
 };
--- a/src/libverbenalead/entry/call_fixture.h
+++ b/src/libverbenalead/entry/call_fixture.h
@@ -87,6 +87,8 @@
 
   void setUp() override {
     m_state = std::make_unique<EntryState>(Options());
+    // Long enough ago to have earned the whole share of retries.
+    m_state->m_started_at = Now() - std::chrono::hours(1);
     m_io = std::make_unique<boost::asio::io_context>();
     m_datagrams = std::make_unique<links::DatagramSocket>(
         m_io->get_executor(), Endpoint("127.0.0.1", 0));
--- a/src/libverbenalead/entry/entry_state.cc
+++ b/src/libverbenalead/entry/entry_state.cc
@@ -17,7 +17,7 @@
 /// are replaced or added.
 constexpr uint32_t kUnknownEntries = 3;
 /// Assumed number of entries until the others are known. Failure: all entries
-/// restart while replicas are gone. Symptom: each takes the share of the retry
+/// restart while replicas are gone. Symptom: each earns the share of the retry
 /// slack that eight entries have, and a hundred entries retry ten times as
 /// often as permitted. With a share for this many entries, retries are limited
 /// for a second or two to the ratio alone, which does not depend on the other
@@ -29,6 +29,7 @@
 ServiceState& GetOrCreateService(EntryState& state,
                                  const std::string& service) {
   ServiceState& found = state.m_services[service];
+  found.m_retries.m_started_at = state.m_started_at;
   found.m_pool.m_data_center = state.m_options.m_own_address.m_data_center;
   return found;
 }
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -48,6 +48,8 @@
   explicit EntryState(EntryOptions options) : m_options(std::move(options)) {}
 
   const EntryOptions m_options;
+  /// Start of this process.
+  TimePoint m_started_at = Now();
   Metrics m_metrics;
   LoopLag m_lag;
   std::mt19937_64 m_random{std::random_device{}()};
--- a/src/libverbenalead/entry/retry_attempt.cc
+++ b/src/libverbenalead/entry/retry_attempt.cc
@@ -56,6 +56,7 @@
       .With("calls", uint64_t{decision.m_calls})
       .With("retries", uint64_t{decision.m_retries})
       .With("limit", decision.m_limit)
+      .With("window_ms", ToMilliseconds(decision.m_age))
       .With("entries", uint64_t{entries})
       .Info();
   return decision.m_allowed;
