An attempt that is given up is reset, so that its bytes don't arrive later

What callers saw: when a link to replicas healed, calls of many seconds before arrived together, each as the second arrival of its request, and took slots from calls that somebody waited for.

Cause: an attempt was given up by closing its socket, and a close delivers what the kernel still has to send. Each of these retries had been decided within the limit, seconds before; all arrived in one window. Class: what was decided isn't what arrives.

Connections to replicas are reset if they end before the whole response was read; the option is set when the connection stands, so the kernel does the same for a process that is killed. Once the response has been read the connection is closed as before.

Not covered: bytes that have left the host and wait in the network.

--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -55,6 +55,7 @@
   http::ClientOptions options;
   options.m_reuse_connections = false;
   options.m_connect_timeout = kConnectTimeout;
+  options.m_reset_unfinished = true;
   return options;
 }
 
--- a/src/libverbenalead/http/client.cc
+++ b/src/libverbenalead/http/client.cc
@@ -42,6 +42,13 @@
   return lower;
 }
 
+/// Sets whether the connection is reset, and its unsent bytes are discarded,
+/// when it is closed.
+void ResetOnClose(beast::tcp_stream& stream, bool reset) {
+  beast::error_code ignored;
+  stream.socket().set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
 /// The idle connections of one thread, by endpoint.
 class IdleConnections : public asio::execution_context::service {
  public:
@@ -172,6 +179,8 @@
   }
 
   void Finish() {
+    if (m_stream)
+      ResetOnClose(beast::get_lowest_layer(*m_stream), false);
     for (const auto& field : m_parser.get())
       m_trailers[LowerCase(field.name_string())] = std::string(field.value());
     if constexpr (std::is_same_v<Socket, beast::tcp_stream>) {
@@ -316,6 +325,8 @@
       co_return connected.error();
     stream = std::move(*connected);
   }
+  if (m_options.m_reset_unfinished)
+    ResetOnClose(*stream, true);
   co_return co_await SendOver(std::move(stream), std::move(endpoint),
                               std::move(request), deadline,
                               m_options.m_reuse_connections);
--- a/src/libverbenalead/http/client_options.h
+++ b/src/libverbenalead/http/client_options.h
@@ -15,6 +15,12 @@
   /// request. A host without power doesn't answer at all, so connecting to it
   /// always takes the full time.
   Duration m_connect_timeout{};
+  /// Reset a connection that ends before the whole response has been read, also
+  /// if the process is killed, in place of closing it. Failure: a request is
+  /// given up while a link or the server holds its bytes. Symptom: they arrive
+  /// seconds later and are worked on for nobody. A close delivers what the
+  /// kernel still has to send; a reset discards it.
+  bool m_reset_unfinished = false;
 
   friend bool operator==(const ClientOptions&, const ClientOptions&) = default;
 };
