A retry counts until none of its call's attempts can still arrive

Cause: a retry was counted at its decision. It then waited for a slot (a hedge up to its call's deadline), or its first attempt was held by a link, and either arrived in a later window beside all retries of that window.

A retry is pending from its decision until every attempt of the call that was sent is answered or reset; pending ones count in each window, and a settled one for a whole window after. A retry whose attempt isn't sent is returned, which gives back what calls without a slot used up before. An attempt that reaches no replica leaves its retry to the next.

--- a/src/libverbenalead/decide/fake_rest_fleet.h
+++ b/src/libverbenalead/decide/fake_rest_fleet.h
@@ -182,10 +182,12 @@
     call.m_attempted_replicas.insert(*id);
     if (attempt < kMaxAttempts &&
         TryTakeRetry(m_retries[entry], m_allowance, m_settings.m_entries, m_now)
-            .m_allowed)
+            .m_allowed) {
+      SettleRetry(m_retries[entry], m_allowance, m_now);
       Place(entry, call, attempt + 1);
-    else
+    } else {
       Refuse();
+    }
   }
 
   void NoteArrival(uint32_t entry, uint32_t replica) {
--- a/src/libverbenalead/decide/retry_window.cc
+++ b/src/libverbenalead/decide/retry_window.cc
@@ -66,7 +66,7 @@
   const TimePoint begin(first * length);
   RetryDecision decision;
   decision.m_calls = SumSince(window, first - RetryWindow::kIntervals).m_calls;
-  decision.m_retries = SumSince(window, first).m_retries;
+  decision.m_retries = SumSince(window, first).m_retries + window.m_pending;
   decision.m_limit =
       kUsedShare * EarnedSince(window, allowance, entries,
                                begin - RetryWindow::kIntervals * length,
@@ -102,8 +102,19 @@
       tightest = other;
   }
   if (tightest.m_allowed)
-    ++IntervalAt(window, current).m_retries;
+    ++window.m_pending;
   return tightest;
 }
 
+void SettleRetry(RetryWindow& window,
+                 const RetryAllowance& allowance,
+                 TimePoint now) {
+  --window.m_pending;
+  ++IntervalAt(window, IntervalNumber(allowance, now)).m_retries;
+}
+
+void ReturnRetry(RetryWindow& window) {
+  --window.m_pending;
+}
+
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/retry_window.h
+++ b/src/libverbenalead/decide/retry_window.h
@@ -49,6 +49,8 @@
     uint32_t m_calls = 0;
     uint32_t m_retries = 0;
   };
+  /// Retries that were allowed and may still arrive at any time.
+  uint32_t m_pending = 0;
   /// Start of the process, before which it earned nothing.
   TimePoint m_started_at{};
   /// Ring of the last parts.
@@ -61,7 +63,7 @@
   bool m_allowed = false;
   /// Calls that count for the window.
   uint32_t m_calls = 0;
-  /// Retries in the window, without this one.
+  /// Retries that arrived in the window or may still arrive, without this one.
   uint32_t m_retries = 0;
   /// Retries that this entry may send in the window.
   double m_limit = 0;
@@ -74,12 +76,19 @@
 void CountCall(RetryWindow& window,
                const RetryAllowance& allowance,
                TimePoint now);
-/// Counts one more retry if the allowance permits it. `entries` is the maximum
-/// number of entries.
+/// Allows one more retry if it is within the allowance. It is pending, and
+/// counts in each window, until SettleRetry() or ReturnRetry() is called for
+/// it. `entries` is the maximum number of entries.
 RetryDecision TryTakeRetry(RetryWindow& window,
                            const RetryAllowance& allowance,
                            uint32_t entries,
                            TimePoint now);
+/// A pending retry has arrived, or can't arrive after `now`.
+void SettleRetry(RetryWindow& window,
+                 const RetryAllowance& allowance,
+                 TimePoint now);
+/// A pending retry was not sent.
+void ReturnRetry(RetryWindow& window);
 
 }  // namespace verbenalead::decide
 
--- a/src/libverbenalead/decide/retry_window_test.cc
+++ b/src/libverbenalead/decide/retry_window_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace verbenalead::decide {
@@ -17,8 +18,10 @@
             const RetryAllowance& allowance,
             TimePoint now) {
   int taken = 0;
-  while (TryTakeRetry(window, allowance, kEntries, now).m_allowed)
+  while (TryTakeRetry(window, allowance, kEntries, now).m_allowed) {
+    SettleRetry(window, allowance, now);
     ++taken;
+  }
   return taken;
 }
 
@@ -69,6 +72,9 @@
   CPPUNIT_TEST(RatioIsUsedInSteadyTraffic);
   CPPUNIT_TEST(AllEntriesTogetherStayWithinAllowance);
   CPPUNIT_TEST(RestartsAndMovedCallersStayWithinAllowance);
+  CPPUNIT_TEST(PendingRetryCountsInEachWindow);
+  CPPUNIT_TEST(ReturnedRetryIsAvailableAgain);
+  CPPUNIT_TEST(LateArrivalsStayWithinAllowance);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -113,6 +119,8 @@
       CountCall(window, allowance, kStart + passed);
       const bool taken_now =
           TryTakeRetry(window, allowance, kEntries, kStart + passed).m_allowed;
+      if (taken_now)
+        SettleRetry(window, allowance, kStart + passed);
       if (taken_now && passed >= 20s)
         ++taken;
     }
@@ -136,7 +144,7 @@
         RetryWindow& window = entries[static_cast<size_t>(step) % kEntries];
         CountCall(window, allowance, now);
         judge.AddCall(now);
-        while (TryTakeRetry(window, allowance, kEntries, now).m_allowed)
+        for (int taken = TakeAll(window, allowance, now); taken > 0; --taken)
           judge.AddRetry(now);
       }
       RC_ASSERT(judge.IsKept());
@@ -172,8 +180,8 @@
         CountCall(entries[used], allowance, now);
         judge.AddCall(now);
         // In most steps replicas answer, and no retry is needed.
-        while (step % 7 == 0 &&
-               TryTakeRetry(entries[used], allowance, kEntries, now).m_allowed)
+        int taken = step % 7 == 0 ? TakeAll(entries[used], allowance, now) : 0;
+        for (; taken > 0; --taken)
           judge.AddRetry(now);
       }
       RC_ASSERT(judge.IsKept());
@@ -181,6 +189,68 @@
     CPPUNIT_ASSERT(passed);
   }
 
+  void PendingRetryCountsInEachWindow() {
+    const RetryAllowance allowance{0.2, 100, 10s};
+    RetryWindow window;
+    while (TryTakeRetry(window, allowance, kEntries, kStart).m_allowed) {
+    }
+    const RetryDecision later =
+        TryTakeRetry(window, allowance, kEntries, kStart + 60s);
+    CPPUNIT_ASSERT(!later.m_allowed);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{11}, later.m_retries);
+    SettleRetry(window, allowance, kStart + 60s);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{10}, window.m_pending);
+    CPPUNIT_ASSERT(
+        !TryTakeRetry(window, allowance, kEntries, kStart + 60s).m_allowed);
+  }
+
+  void ReturnedRetryIsAvailableAgain() {
+    const RetryAllowance allowance{0.2, 100, 10s};
+    RetryWindow window;
+    while (TryTakeRetry(window, allowance, kEntries, kStart).m_allowed) {
+    }
+    ReturnRetry(window);
+    CPPUNIT_ASSERT(TryTakeRetry(window, allowance, kEntries, kStart).m_allowed);
+    CPPUNIT_ASSERT(
+        !TryTakeRetry(window, allowance, kEntries, kStart).m_allowed);
+  }
+
+  // Guards against retries that count when they are decided: a link holds them
+  // for seconds, or they wait for a slot, and arrive together with later ones.
+  void LateArrivalsStayWithinAllowance() {
+    const bool passed = rc::check("late arrivals", [] {
+      const RetryAllowance allowance{0.2, 40, 10s};
+      std::vector<RetryWindow> entries(kEntries);
+      ArrivalJudge judge(allowance);
+      std::vector<std::pair<TimePoint, size_t>> on_the_way;
+      TimePoint now = kStart;
+      TimePoint released = kStart;
+      const auto steps =
+          *rc::gen::container<std::vector<int>>(600, rc::gen::inRange(0, 1000));
+      for (int step : steps) {
+        now += std::chrono::milliseconds(step % 100);
+        // A link holds everything for up to 12 s.
+        if (step < 10 && now >= released)
+          released = now + std::chrono::milliseconds(1200 * (step + 1));
+        std::erase_if(on_the_way, [&](const auto& retry) {
+          if (now < std::max(retry.first, released))
+            return false;
+          judge.AddRetry(now);
+          SettleRetry(entries[retry.second], allowance, now);
+          return true;
+        });
+        const size_t entry = static_cast<size_t>(step) % kEntries;
+        CountCall(entries[entry], allowance, now);
+        judge.AddCall(now);
+        while (step % 7 == 0 &&
+               TryTakeRetry(entries[entry], allowance, kEntries, now).m_allowed)
+          on_the_way.emplace_back(now + std::chrono::milliseconds(step), entry);
+      }
+      RC_ASSERT(judge.IsKept());
+    });
+    CPPUNIT_ASSERT(passed);
+  }
+
  private:
   static RetryWindow StartedAt(TimePoint now) {
     RetryWindow window;
--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -80,12 +80,17 @@
   wire::Request request =
       platform::EncodeForReplica(m_record->m_request, ToForwardedCall(replica));
   on_sent();
+  m_record->m_retries.NoteSent();
   co_await OpenAttempt(m_services.m_replicas, endpoint, std::move(request),
                        head_deadline, m_result);
   if (m_cancelled && m_result.m_reader)
     m_result.m_reader->Cancel();
   if (m_result.m_reader)
     co_await ReadAnswerHead(plan.m_call.m_id, head_deadline, m_result);
+  if (m_result.m_end == AttemptEnd::kUnreachable)
+    m_record->m_retries.NoteUnreachable();
+  else
+    m_record->m_retries.NoteSettled();
   // Before the update to the target that NotePromptRead() sends, which reports
   // the statements.
   ApplyStatements();
--- a/src/libverbenalead/entry/call_hedge_test.cc
+++ b/src/libverbenalead/entry/call_hedge_test.cc
@@ -38,6 +38,8 @@
   CPPUNIT_TEST(FirstIsKeptIfItContinuesBeforeTheHedgeAnswers);
   CPPUNIT_TEST(HedgeIsKeptWhenTheFirstBreaksOff);
   CPPUNIT_TEST(CallerDisconnectEndsBothAttempts);
+  CPPUNIT_TEST(HedgeWithoutASlotIsNotARetry);
+  CPPUNIT_TEST(HedgeIsPendingWhileTheFirstMayArrive);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -144,7 +146,42 @@
     AssertAllSlotsFree();
   }
 
+  void HedgeWithoutASlotIsNotARetry() {
+    FillAllReplicasButTheFirst();
+    m_replicas.m_answers = {WithLateHead(Answer(200, {Event(1)}), kPause)};
+    Call("/stream/1");
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, Retries().m_pending);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, CountedRetries());
+  }
+
+  // The hedge answers at once and ends the silent first attempt; until then
+  // both may arrive.
+  void HedgeIsPendingWhileTheFirstMayArrive() {
+    m_replicas.m_answers = {WithLateHead(Answer(200, {Event(1)}), kLongSilence),
+                            WithLateHead(Answer(200, {Event(1)}), kPause)};
+    uint32_t pending = 0;
+    boost::asio::steady_timer between(*m_io, kPause + 600ms);
+    between.async_wait([&](const boost::system::error_code&) {
+      pending = Retries().m_pending;
+    });
+    Call("/stream/1");
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, pending);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, Retries().m_pending);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, CountedRetries());
+  }
+
  private:
+  const decide::RetryWindow& Retries() {
+    return GetOrCreateService(*m_state, "pool").m_retries;
+  }
+
+  uint32_t CountedRetries() {
+    uint32_t retries = 0;
+    for (const auto& interval : Retries().m_intervals)
+      retries += interval.m_retries;
+    return retries;
+  }
+
   /// Fills all replicas but the first with calls of other entries.
   void FillAllReplicasButTheFirst() {
     auto& replicas = GetOrCreateService(*m_state, "pool").m_pool.m_replicas;
--- a/src/libverbenalead/entry/call_record.h
+++ b/src/libverbenalead/entry/call_record.h
@@ -7,6 +7,7 @@
 #include "decide/event_splitter.h"
 #include "decide/pool_call.h"
 #include "entry/call_plan.h"
+#include "entry/call_retries.h"
 #include "entry/call_times.h"
 #include "wire/request.h"
 
@@ -16,14 +17,17 @@
 /// attempt holds it until it has released its slot, which may be after the call
 /// itself has ended.
 struct CallRecord {
-  CallRecord(CallPlan plan, wire::Request request)
-      : m_plan(std::move(plan)), m_request(std::move(request)) {}
+  CallRecord(EntryState& state, CallPlan plan, wire::Request request)
+      : m_plan(std::move(plan)),
+        m_request(std::move(request)),
+        m_retries(state, m_plan.m_service, m_plan.m_call.m_id) {}
 
   /// Time left until the call's deadline; negative after it.
   Duration Left(TimePoint now) const { return m_plan.m_deadline - now; }
 
   const CallPlan m_plan;
   const wire::Request m_request;
+  CallRetries m_retries;
   decide::CallProgress m_progress;
   decide::PoolCall m_pool_call;
   /// Splits the answer into events; holds the id of the last event that was
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -27,7 +27,9 @@
                  wire::ResponseWriter& caller)
     : m_services(services),
       m_state(services.m_state),
-      m_record(std::make_shared<CallRecord>(std::move(plan), request)),
+      m_record(std::make_shared<CallRecord>(services.m_state,
+                                            std::move(plan),
+                                            request)),
       m_plan(m_record->m_plan),
       m_caller(caller) {
   decide::CallProgress& progress = m_record->m_progress;
@@ -132,6 +134,7 @@
   else
     sent = co_await m_attempt->Send(wait_until, on_sent);
   if (!sent) {
+    m_record->m_retries.ReturnUnsent();
     m_record->m_times.m_slot_wait += Now() - wait_began;
     co_return false;
   }
@@ -304,9 +307,9 @@
   // An attempt that reached no replica caused no load, so another one isn't
   // counted as a retry.
   return end == AttemptEnd::kUnreachable ||
-         TryTakeRetry(m_state, *m_record,
-                      m_record->m_events.m_events > 0 ? RetryPurpose::kResume
-                                                      : RetryPurpose::kRetry);
+         m_record->m_retries.TryTake(m_record->m_events.m_events > 0
+                                         ? RetryPurpose::kResume
+                                         : RetryPurpose::kRetry);
 }
 
 void CallRun::RecordReplicaCrash() {
--- a/src/libverbenalead/entry/call_server_test.cc
+++ b/src/libverbenalead/entry/call_server_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(PartialAnswerIsNotDelivered);
   CPPUNIT_TEST(AtMostOnceIsNotRetriedAfterABreak);
   CPPUNIT_TEST(AtMostOnceIsRetriedIfItDidNotRun);
+  CPPUNIT_TEST(RetryIsCountedOnceItsFateIsKnown);
   CPPUNIT_TEST(RefusalHasStatusAndRetryAfter);
   CPPUNIT_TEST(AnswerToAnotherRequestIsDropped);
   CPPUNIT_TEST(WithoutALeaseCallsAreUnavailable);
@@ -98,6 +99,17 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, m_replicas.m_requests.size());
   }
 
+  void RetryIsCountedOnceItsFateIsKnown() {
+    m_replicas.m_answers = {NotRun(), Answer(200, {"paid"})};
+    Call("/pay/1");
+    const auto& window = GetOrCreateService(*m_state, "pool").m_retries;
+    uint32_t counted = 0;
+    for (const auto& interval : window.m_intervals)
+      counted += interval.m_retries;
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, window.m_pending);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, counted);
+  }
+
   void RefusalHasStatusAndRetryAfter() {
     const wire::RecordingWriter caller = Call("/pay/1");  // No replica answers.
     CPPUNIT_ASSERT_EQUAL(503, caller.m_status);
--- a/src/libverbenalead/entry/hedge.cc
+++ b/src/libverbenalead/entry/hedge.cc
@@ -118,7 +118,7 @@
 }
 
 Awaitable<bool> Hedge::AttemptOnce() {
-  if (!TryTakeRetry(m_services.m_state, *m_record, RetryPurpose::kHedge)) {
+  if (!m_record->m_retries.TryTake(RetryPurpose::kHedge)) {
     Log("denied");
     co_await Pause();
     co_return true;
@@ -128,6 +128,8 @@
   const std::function<void()> no_op = [] {};
   const bool sent = co_await SendRetry(m_services.m_state, *m_record, *second,
                                        m_record->m_plan.m_deadline, no_op);
+  if (!sent || second->result().m_end == AttemptEnd::kUnreachable)
+    m_record->m_retries.ReturnUnsent();
   bool usable = false;
   if (sent)
     usable = co_await CanReplaceFirst();
--- a/src/libverbenalead/entry/retry_attempt.cc
+++ b/src/libverbenalead/entry/retry_attempt.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "base/log.h"
-
 namespace verbenalead::entry {
 namespace {
 
@@ -21,47 +19,8 @@
       Now());
 }
 
-const char* ToString(RetryPurpose purpose) {
-  switch (purpose) {
-    case RetryPurpose::kRetry:
-      return "retry";
-    case RetryPurpose::kResume:
-      return "resume";
-    case RetryPurpose::kHedge:
-      return "hedge";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
-bool TryTakeRetry(EntryState& state,
-                  const CallRecord& record,
-                  RetryPurpose purpose) {
-  const std::string& service = record.m_plan.m_service;
-  const uint32_t entries = MaxExistingEntries(state);
-  const decide::RetryDecision decision =
-      decide::TryTakeRetry(GetOrCreateService(state, service).m_retries,
-                           state.m_options.m_retries, entries, Now());
-  const std::string label = "service=\"" + service + "\"";
-  state.m_metrics.Count(
-      decision.m_allowed ? "repeats_total" : "repeats_denied_total", "");
-  state.m_metrics.Set("repeats_in_window", label, decision.m_retries);
-  state.m_metrics.Set("repeats_limit", label, decision.m_limit);
-  LogLine("retry")
-      .With("call", record.m_plan.m_call.m_id)
-      .With("service", service)
-      .With("purpose", ToString(purpose))
-      .With("allowed", decision.m_allowed)
-      .With("calls", uint64_t{decision.m_calls})
-      .With("retries", uint64_t{decision.m_retries})
-      .With("limit", decision.m_limit)
-      .With("window_ms", ToMilliseconds(decision.m_age))
-      .With("entries", uint64_t{entries})
-      .Info();
-  return decision.m_allowed;
-}
-
 Awaitable<bool> SendRetry(EntryState& state,
                           CallRecord& record,
                           CallAttempt& attempt,
