Prompts' shared parts are read, and each crash under a call is logged

A broken attempt didn't say whether it counted as a crash, what it had got of its answer, or what its prompt shared with others, so the hypotheses on crashing replicas couldn't be told apart. The adapter reads the parts of a prompt but the last (at most 16, ids of 64 characters, in one spelling); any text is a list (property test, 100,000 parts). crash_seen names the call, the replica's incarnation, whether a head and an event had come, and the parts. No decision changes; call_headers_test passes.

--- a/src/libverbenalead/entry/attempt.cc
+++ b/src/libverbenalead/entry/attempt.cc
@@ -61,6 +61,7 @@
     result.m_reader.reset();
     co_return;
   }
+  result.m_has_head = true;
   result.m_head = std::move(*head);
   Judge(result, request_id);
 }
--- a/src/libverbenalead/entry/attempt.h
+++ b/src/libverbenalead/entry/attempt.h
@@ -19,6 +19,8 @@
   /// The call may have run: bytes were sent, and the replica didn't report that
   /// it wasn't executed. An at-most-once call must not be retried then.
   bool m_may_have_run = false;
+  /// The head of an answer has been received.
+  bool m_has_head = false;
   wire::ResponseHead m_head;
   platform::AnswerMetadata m_metadata;
   /// Reads the body; null where there is no answer.
--- a/src/libverbenalead/entry/call_attempt.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -41,11 +41,15 @@
   /// Closes the connection and releases the slot at the replica. `end` is
   /// recorded for the replica.
   void End(decide::AttemptEnd end);
+  /// Called when this attempt has delivered an event of a stream.
+  void NoteEvent() { m_has_events = true; }
   /// Writes the log line of the attempt's result.
   void Log(decide::AttemptEnd end, const std::string& reason) const;
 
   /// The attempt has got a slot, and the call is being sent or was sent.
   bool sent() const { return m_number > 0; }
+  /// The replica has delivered at least one event in this attempt.
+  bool has_events() const { return m_has_events; }
   bool cancelled() const { return m_cancelled; }
   const std::string& incarnation() const { return m_incarnation; }
   /// The result up to the head of the answer.
@@ -79,6 +83,7 @@
   const std::shared_ptr<CallRecord> m_record;
   uint64_t m_ticket = 0;
   bool m_cancelled = false;
+  bool m_has_events = false;
   /// The replica at which this attempt holds a slot; empty: none.
   std::string m_replica;
   /// Replica and start time of its process, to tell apart processes that ran
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -19,6 +19,13 @@
 constexpr char kCut[] = "cut";
 constexpr char kRefused[] = "refused";
 
+std::string Join(const std::vector<std::string>& texts) {
+  std::string joined;
+  for (const std::string& text : texts)
+    joined += (joined.empty() ? "" : ",") + text;
+  return joined;
+}
+
 }  // namespace
 
 CallRun::CallRun(CallServices services,
@@ -318,6 +325,13 @@
   if (result().m_failure == FailureCode::kTimeout ||
       result().m_failure == FailureCode::kCancelled)
     return;
+  LogLine("crash_seen")
+      .With("call", m_plan.m_call.m_id)
+      .With("replica", m_attempt->incarnation())
+      .With("head", result().m_has_head)
+      .With("events", m_attempt->has_events())
+      .With("parts", Join(m_plan.m_call.m_shared_parts))
+      .Info();
   decide::RecordCrash(m_state.m_crashes, m_plan.m_fingerprint,
                       m_attempt->incarnation(), Now());
 }
--- a/src/libverbenalead/entry/call_run_stream.cc
+++ b/src/libverbenalead/entry/call_run_stream.cc
@@ -87,6 +87,7 @@
     if (complete_events.empty())
       continue;
     RecordEvent(times, m_plan.m_started_at, Now());
+    m_attempt->NoteEvent();
     if (m_hedge)
       m_hedge->OnReplicaData();
     if (!m_head_sent) {
--- a/src/libverbenalead/model/inbound_call.h
+++ b/src/libverbenalead/model/inbound_call.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 
@@ -22,6 +23,9 @@
   uint32_t m_prompt_tokens = 0;
   /// The caller's estimate of the output length, or the maximum it requests.
   uint32_t m_output_tokens = 0;
+  /// Ids of the parts of its prompt that other requests may share, in order and
+  /// each once: all but the last one, which is the request's own.
+  std::vector<std::string> m_shared_parts;
   /// Id of the last event that the caller received of a broken stream; empty if
   /// the call does not resume a stream.
   std::string m_last_event;
--- a/src/libverbenalead/platform/call_headers.cc
+++ b/src/libverbenalead/platform/call_headers.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 
 #include "platform/decode_statements.h"
@@ -40,6 +41,40 @@
   return static_cast<uint32_t>(std::min(value, kLargest));
 }
 
+/// Limits of the parts of a prompt that are told apart, and of an id's length.
+/// Parts beyond the first limit are ignored, and longer ids are cut.
+constexpr size_t kMaxParts = 16;
+constexpr size_t kMaxPartId = 64;
+
+/// The id of a part in the field's `ID:TOKENS` form, in lower case and without
+/// leading zeros, so that each spelling of the number is the same part.
+std::string PartId(std::string_view item) {
+  std::string id;
+  for (const char c : item.substr(0, item.find(':'))) {
+    if (c == ' ' || c == '\t' || (c == '0' && id.empty()))
+      continue;
+    id += static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  }
+  return id.substr(0, kMaxPartId);
+}
+
+/// Returns the ids of all parts but the last one.
+std::vector<std::string> DecodeSharedParts(std::string_view text) {
+  // A comma at the end begins no part.
+  while (!text.empty() && (text.back() == ',' || text.back() == ' '))
+    text.remove_suffix(1);
+  std::vector<std::string> parts;
+  size_t comma = 0;
+  while ((comma = text.find(',')) != std::string_view::npos &&
+         parts.size() < kMaxParts) {
+    std::string id = PartId(text.substr(0, comma));
+    text.remove_prefix(comma + 1);
+    if (!id.empty() && std::find(parts.begin(), parts.end(), id) == parts.end())
+      parts.push_back(std::move(id));
+  }
+  return parts;
+}
+
 void DropConnectionFields(wire::Headers& headers) {
   for (const char* name : kConnectionFields)
     headers.erase(name);
@@ -66,6 +101,8 @@
   if (comma != std::string::npos)
     output =
         ParseUnsigned(std::string_view(usage).substr(comma + 1)).value_or(0);
+  call.m_shared_parts =
+      DecodeSharedParts(wire::Get(request.m_headers, kPromptParts));
   const auto hint = ParseUnsigned(wire::Get(request.m_headers, kLengthHint));
   call.m_output_tokens = ClampTokens(hint.value_or(output));
   call.m_last_event = wire::Get(request.m_headers, kLastEventId);
--- a/src/libverbenalead/platform/call_headers_test.cc
+++ b/src/libverbenalead/platform/call_headers_test.cc
@@ -1,6 +1,10 @@
 #include "platform/call_headers.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
 
 #include "platform/names.h"
 
@@ -26,9 +30,17 @@
   return request;
 }
 
+std::vector<std::string> SharedParts(const std::string& field) {
+  wire::Request request;
+  request.m_headers[kPromptParts] = field;
+  return DecodeCall(request).m_shared_parts;
+}
+
 class CallHeadersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CallHeadersTest);
   CPPUNIT_TEST(DecodesCall);
+  CPPUNIT_TEST(DecodesSharedPartsOfPrompts);
+  CPPUNIT_TEST(AnyTextIsAListOfParts);
   CPPUNIT_TEST(ForwardsOnlyPermittedFields);
   CPPUNIT_TEST(ForwardsLastEventId);
   CPPUNIT_TEST(DetectsRequestsThatDidNotRun);
@@ -46,6 +58,34 @@
     CPPUNIT_ASSERT_EQUAL(uint32_t{80}, call.m_output_tokens);
   }
 
+  void DecodesSharedPartsOfPrompts() {
+    using Parts = std::vector<std::string>;
+    CPPUNIT_ASSERT(SharedParts("") == Parts{});
+    CPPUNIT_ASSERT(SharedParts("5c1e:800") == Parts{});
+    CPPUNIT_ASSERT(SharedParts("5c1e:800,91bd:410,e440:2") ==
+                   (Parts{"5c1e", "91bd"}));
+    CPPUNIT_ASSERT(SharedParts("5C1E:800, 005c1e:1,91BD,e4:2,") ==
+                   (Parts{"5c1e", "91bd"}));
+    CPPUNIT_ASSERT(SharedParts(",,:,a:1,:5") == (Parts{"a"}));
+  }
+
+  // A hostile field costs bounded memory and no error.
+  void AnyTextIsAListOfParts() {
+    const bool passed = rc::check("parts", [](const std::string& text) {
+      for (const std::string& part : {text, text + ",", "," + text + ",x"}) {
+        const auto parts = SharedParts(part);
+        RC_ASSERT(parts.size() <= 16u);
+        for (const std::string& id : parts)
+          RC_ASSERT(!id.empty() && id.size() <= 64u);
+      }
+    });
+    CPPUNIT_ASSERT(passed);
+    std::string huge;
+    for (int part = 0; part < 100000; ++part)
+      huge += std::to_string(part + 1) + ":1,";
+    CPPUNIT_ASSERT_EQUAL(size_t{16}, SharedParts(huge + "x").size());
+  }
+
   // Guards against callers that act as another organisation or choose their
   // replica, which they could if the entry forwarded their header fields of
   // these names. Also, the caller's key must not leave the entry.
--- a/src/libverbenalead/platform/names.h
+++ b/src/libverbenalead/platform/names.h
@@ -22,6 +22,9 @@
 inline constexpr char kWeightVersion[] = "x-verbenalead-weight-versions";
 /// Number of prompt tokens and greatest number of output tokens, as "1460,80".
 inline constexpr char kTokenUsage[] = "x-verbenalead-token-usage";
+/// The parts of the prompt in order, as "ID:TOKENS,ID:TOKENS". Requests share
+/// parts, except the last one.
+inline constexpr char kPromptParts[] = "x-verbenalead-prompt-prefix";
 /// The caller's estimate of the number of output tokens.
 inline constexpr char kLengthHint[] = "x-verbenalead-length-hint";
 /// Rank in a replica's queue; 0 is served first, 5 is the default.
