Failing case: requests that share a part of their prompts crash replicas

Nine engines, three entries in two data centres, six requests a second that share one part and nothing else, twelve callers of sound ones that share their key, first part and other parts.

The stand-in engine ends after the head of a stream that has the part; the case starts it again with a new id.

--- a/testsuite/standins/platform_replica/main.cc
+++ b/testsuite/standins/platform_replica/main.cc
@@ -20,6 +20,10 @@
       .Integer("slots", 8, 1, 1000, "calls", "calls at once")
       .Integer("event", 10, 1, 10000, "ms", "time between events")
       .Integer("work", 0, 0, 10000, "ms", "time that a plain call takes")
+      .Integer("prefill", 0, 0, 10000, "ms", "time before a stream's head")
+      .Text("crash_part", "",
+            "id of a prompt's part; a stream that has it, not as the last one, "
+            "ends the process after its head")
       .Integer("load", 50, 0, 10000, "ms", "time that a load takes")
       .Text("rate_limit", "",
             "requests a second that its answers name as its limit; empty: none")
--- a/testsuite/standins/platform_replica/replica.cc
+++ b/testsuite/standins/platform_replica/replica.cc
@@ -41,6 +41,8 @@
       m_store(settings.Address("store")),
       m_slots(static_cast<uint32_t>(settings.Integer("slots"))),
       m_event_interval(settings.Milliseconds("event")),
+      m_prefill_duration(settings.Milliseconds("prefill")),
+      m_crash_part(settings.Text("crash_part")),
       m_call_duration(settings.Milliseconds("work")),
       m_load_duration(settings.Milliseconds("load")),
       m_started_ms(UnixMilliseconds()),
--- a/testsuite/standins/platform_replica/replica.h
+++ b/testsuite/standins/platform_replica/replica.h
@@ -37,6 +37,10 @@
   const uint32_t m_slots;
   /// Time between two events of a stream.
   const Duration m_event_interval;
+  /// Time from the start of a stream to its head.
+  const Duration m_prefill_duration;
+  /// Id of the part of a prompt under which the process ends; empty: none.
+  const std::string m_crash_part;
   /// Time from the start of a call of a plain service to its response.
   const Duration m_call_duration;
   const Duration m_load_duration;
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -110,6 +110,15 @@
   co_return wire::Response(202, {}, "");
 }
 
+/// Whether the prompt has the part that crashes the replica, not as its last.
+bool Crashes(const Replica& replica, const wire::Request& request) {
+  const std::string parts =
+      "," + wire::Get(request.m_headers, platform::kPromptParts);
+  const size_t found = parts.find("," + replica.m_crash_part + ":");
+  return !replica.m_crash_part.empty() && found != std::string::npos &&
+         parts.find(',', found + 1) != std::string::npos;
+}
+
 Awaitable<void> Stream(std::shared_ptr<Replica> replica,
                        const wire::Request& request,
                        wire::ResponseWriter& writer) {
@@ -122,8 +131,14 @@
       10);
   wire::ResponseHead head(200, AnswerHeaders(request, *replica));
   head.m_headers["content-type"] = "text/event-stream";
+  if (replica->m_prefill_duration > Duration())
+    co_await Sleep(replica->m_prefill_duration);
   if (!co_await writer.Start(std::move(head)))
     co_return;
+  if (Crashes(*replica, request)) {
+    co_await Sleep(replica->m_event_interval);
+    std::_Exit(1);
+  }
   for (uint64_t event = after + 1; event <= events; ++event) {
     co_await Sleep(replica->m_event_interval);
     if (replica->m_loading) {
