A part of prompts that crashes replicas is found and blocked

Cause: blame was kept by the whole request, while the cause is shared by requests that differ. Each of them was new to the quarantine, which no request ever reached. Class: evidence kept under a key that is narrower than the cause.

decide/crash_causes keeps crashes by part. A part is suspected for each crash at which one of its requests had been sent and had no event of its answer. It is cleared by any answer to a request that has it, at any entry, and a crash is void if the replica answers anybody later. Three crashes under different requests block a part, five if it was answered before; crashes within 50 ms are one failure. The part furthest beyond its limit is blocked first, and the crashes that it explains count against nothing else: neither other parts nor the sound requests that came down with the replica (these were quarantined by their third crash before). Asked on arrival, with each slot, before each retry, hedge and resumed stream, and for waiting calls every 0.1 s; refused as not run, with the part, to come back after 60 s. Reports go to the entries of the data centre, with its summary to the others, again for 3 s; blocked parts with each message, so that an entry that starts learns them. The same commit records crashes that were recorded nowhere, for which the way to blame was missing: of a hedge, and of an answer that breaks off after its head.

--- a/src/libverbenalead/decide/quarantine.cc
+++ b/src/libverbenalead/decide/quarantine.cc
@@ -56,6 +56,13 @@
     state.m_cleared[key] = now;
 }
 
+void RemoveCrashesOf(QuarantineState& state, const std::string& target) {
+  for (auto& [key, crashes] : state.m_crashes)
+    crashes.erase(target);
+  std::erase_if(state.m_crashes,
+                [](const auto& entry) { return entry.second.empty(); });
+}
+
 bool IsQuarantined(const QuarantineState& state, uint64_t key, TimePoint now) {
   auto found = state.m_crashes.find(key);
   if (found == state.m_crashes.end())
--- a/src/libverbenalead/decide/quarantine.h
+++ b/src/libverbenalead/decide/quarantine.h
@@ -78,6 +78,9 @@
 /// status check, would be quarantined after some hosts had failed while they
 /// ran it.
 void RecordSuccess(QuarantineState& state, uint64_t key, TimePoint now);
+/// Removes the crashes of `target`: they had another cause than the requests
+/// that ran there.
+void RemoveCrashesOf(QuarantineState& state, const std::string& target);
 /// Whether the request with `key` is in quarantine and must not run.
 bool IsQuarantined(const QuarantineState& state, uint64_t key, TimePoint now);
 /// Returns and clears the crash records to send to the other entries.
--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "entry/crash_blame.h"
 #include "entry/rate_limits.h"
 #include "entry/statements.h"
 
@@ -51,18 +52,16 @@
                                   const std::function<void()>& on_sent) {
   SlotAllocator& slot_allocator = m_services.m_slot_allocator;
   const CallPlan& plan = m_record->m_plan;
-  decide::PoolCall pool_call = m_record->m_pool_call;
-  m_ticket = pool_call.m_ticket = slot_allocator.NewTicket();
-  const uint32_t prompt_tokens = pool_call.m_prompt_tokens;
-  auto replica_id = co_await slot_allocator.Acquire(
-      plan.m_service, std::move(pool_call), wait_until);
+  const uint32_t prompt_tokens = m_record->m_pool_call.m_prompt_tokens;
+  auto replica_id = co_await AcquireSlot(wait_until);
+  m_blocked = IsBlockedCall(m_services.m_state, plan);
   if (!replica_id)
     co_return false;
   m_replica = *replica_id;
   auto& replicas =
       GetOrCreateService(m_services.m_state, plan.m_service).m_pool.m_replicas;
   const auto found = replicas.find(m_replica);
-  if (m_cancelled || found == replicas.end() ||
+  if (m_blocked || m_cancelled || found == replicas.end() ||
       m_record->Left(Now()) <= Duration()) {
     slot_allocator.NotePromptRead(plan.m_service, m_replica, prompt_tokens);
     End(AttemptEnd::kAbandoned);
@@ -100,7 +99,40 @@
   co_return true;
 }
 
+Awaitable<std::optional<std::string>> CallAttempt::AcquireSlot(
+    TimePoint wait_until) {
+  SlotAllocator& slot_allocator = m_services.m_slot_allocator;
+  auto& waiting = m_services.m_state.m_waiting_parts;
+  decide::PoolCall pool_call = m_record->m_pool_call;
+  const uint64_t ticket = pool_call.m_ticket = slot_allocator.NewTicket();
+  m_ticket = ticket;
+  if (!m_record->m_plan.m_parts.empty())
+    waiting[ticket] = m_record->m_plan.m_parts;
+  auto replica = co_await slot_allocator.Acquire(
+      m_record->m_plan.m_service, std::move(pool_call), wait_until);
+  waiting.erase(ticket);
+  co_return replica;
+}
+
+void CallAttempt::NoteEvent() {
+  if (std::exchange(m_has_events, true))
+    return;
+  decide::RecordAnswer(m_services.m_state.m_causes, m_record->m_plan.m_parts,
+                       Now());
+}
+
+void CallAttempt::NoteData() {
+  EntryState& state = m_services.m_state;
+  if (!decide::RecordData(state.m_causes, m_incarnation, Now()))
+    return;
+  // The connection that broke off was lost for another reason.
+  decide::RemoveCrashesOf(state.m_crashes, m_incarnation);
+  LogLine("crash_refuted").With("replica", m_incarnation).Info();
+}
+
 void CallAttempt::ApplyHead() {
+  if (m_result.m_has_head && IsOwnAnswer())
+    NoteData();
   if (m_result.m_end != AttemptEnd::kUnreachable)
     ++m_record->m_progress.m_sent_attempts;
   if (m_result.m_may_have_run)
@@ -200,6 +232,8 @@
   if (!piece) {
     m_result.m_failure = piece.error().m_code;
     m_result.m_reason = verbenalead::ToString(piece.error());
+  } else if (piece->has_value()) {
+    NoteData();
   }
   co_return piece;
 }
--- a/src/libverbenalead/entry/call_attempt.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -42,7 +42,7 @@
   /// recorded for the replica.
   void End(decide::AttemptEnd end);
   /// Called when this attempt has delivered an event of a stream.
-  void NoteEvent() { m_has_events = true; }
+  void NoteEvent();
   /// Writes the log line of the attempt's result.
   void Log(decide::AttemptEnd end, const std::string& reason) const;
 
@@ -51,6 +51,8 @@
   /// The replica has delivered at least one event in this attempt.
   bool has_events() const { return m_has_events; }
   bool cancelled() const { return m_cancelled; }
+  /// The call was not sent, since it crashes replicas.
+  bool blocked() const { return m_blocked; }
   const std::string& incarnation() const { return m_incarnation; }
   /// The result up to the head of the answer.
   const AttemptResult& result() const { return m_result; }
@@ -68,6 +70,10 @@
   /// Updates the call's progress, and the replica's known weights version, from
   /// the head of the answer.
   void ApplyHead();
+  /// Waits for a slot, as `SlotAllocator::Acquire`.
+  Awaitable<std::optional<std::string>> AcquireSlot(TimePoint wait_until);
+  /// Records that the replica has sent data.
+  void NoteData();
   /// Learns what the head of the answer states of the replica.
   void ApplyStatements();
   void ApplyRateLimit(decide::ReplicaState& replica);
@@ -83,6 +89,7 @@
   const std::shared_ptr<CallRecord> m_record;
   uint64_t m_ticket = 0;
   bool m_cancelled = false;
+  bool m_blocked = false;
   bool m_has_events = false;
   /// The replica at which this attempt holds a slot; empty: none.
   std::string m_replica;
--- a/src/libverbenalead/entry/call_fixture.h
+++ b/src/libverbenalead/entry/call_fixture.h
@@ -137,6 +137,7 @@
                          {platform::kRequestId, "call-1"},
                          {platform::kKey, key},
                          {platform::kTimeLeft, "6000"}};
+    request.m_headers.insert(m_more_headers.begin(), m_more_headers.end());
     wire::RecordingWriter caller;
     boost::asio::co_spawn(*m_io, m_server->Serve(request, caller),
                           boost::asio::detached);
@@ -171,6 +172,8 @@
     return calls;
   }
 
+  /// Header fields of the calls beside the usual ones.
+  wire::Headers m_more_headers;
   std::unique_ptr<EntryState> m_state;
   std::unique_ptr<boost::asio::io_context> m_io;
   std::unique_ptr<links::DatagramSocket> m_datagrams;
--- a/src/libverbenalead/entry/call_plan.h
+++ b/src/libverbenalead/entry/call_plan.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "decide/call_policy.h"
@@ -25,6 +26,8 @@
   /// Identifies equal requests, so that one that crashes replicas is recognised
   /// when a caller retries it.
   uint64_t m_fingerprint = 0;
+  /// Keys of the parts of its prompt that other requests may share.
+  std::vector<uint64_t> m_parts;
   decide::WaitLimit m_wait_limit;
   /// Least time for which the caller had already been attempting the call when
   /// it arrived, estimated from the time that the caller states is left.
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "decide/hedge.h"
+#include "entry/crash_blame.h"
 #include "entry/retry_attempt.h"
 
 namespace verbenalead::entry {
@@ -19,13 +20,6 @@
 constexpr char kCut[] = "cut";
 constexpr char kRefused[] = "refused";
 
-std::string Join(const std::vector<std::string>& texts) {
-  std::string joined;
-  for (const std::string& text : texts)
-    joined += (joined.empty() ? "" : ",") + text;
-  return joined;
-}
-
 }  // namespace
 
 CallRun::CallRun(CallServices services,
@@ -104,7 +98,7 @@
       co_return false;
     }
     if (end == AttemptEnd::kBroken)
-      RecordReplicaCrash();
+      BlameCrash(m_state, *m_record, *m_attempt);
     const bool retry = Left() > Duration() &&
                        decide::MayRetry(m_record->m_progress, end) &&
                        TryTakeRetryAfter(end);
@@ -188,6 +182,7 @@
       LogCall("caller_gone", 0);
       co_return;
     }
+    BlameCrash(m_state, *m_record, *m_attempt);
     const bool retry =
         Left() > Duration() &&
         decide::MayRetry(m_record->m_progress, AttemptEnd::kBroken) &&
@@ -206,6 +201,7 @@
   response.m_headers =
       platform::EncodeForCaller(std::move(result().m_head)).m_headers;
   decide::RecordSuccess(m_state.m_crashes, m_plan.m_fingerprint, Now());
+  decide::RecordAnswer(m_state.m_causes, m_plan.m_parts, Now());
   EndAttempt(end);
   const int status = response.m_status;
   const bool delivered = co_await m_caller.Send(std::move(response));
@@ -224,6 +220,12 @@
                          Duration());
     co_return;
   }
+  if (IsBlockedCall(m_state, m_plan)) {
+    co_await SendRefusal(
+        kUnavailable, CrashReason(m_state, m_plan),
+        decide::RetryAfter(decide::Refusal::kCrashes, m_state.m_random));
+    co_return;
+  }
   const decide::ReplicaPool& pool =
       GetOrCreateService(m_state, m_plan.m_service).m_pool;
   const bool usable = decide::HasUsableReplica(pool, Now());
@@ -313,29 +315,14 @@
 bool CallRun::TryTakeRetryAfter(AttemptEnd end) {
   // An attempt that reached no replica caused no load, so another one isn't
   // counted as a retry.
+  if (IsBlockedCall(m_state, m_plan))
+    return false;
   return end == AttemptEnd::kUnreachable ||
          m_record->m_retries.TryTake(m_record->m_events.m_events > 0
                                          ? RetryPurpose::kResume
                                          : RetryPurpose::kRetry);
 }
 
-void CallRun::RecordReplicaCrash() {
-  // A time-out isn't evidence of a crash, nor is a break that this entry caused
-  // by cancelling the attempt.
-  if (result().m_failure == FailureCode::kTimeout ||
-      result().m_failure == FailureCode::kCancelled)
-    return;
-  LogLine("crash_seen")
-      .With("call", m_plan.m_call.m_id)
-      .With("replica", m_attempt->incarnation())
-      .With("head", result().m_has_head)
-      .With("events", m_attempt->has_events())
-      .With("parts", Join(m_plan.m_call.m_shared_parts))
-      .Info();
-  decide::RecordCrash(m_state.m_crashes, m_plan.m_fingerprint,
-                      m_attempt->incarnation(), Now());
-}
-
 const char* CallRun::CutCause() const {
   if (m_caller.disconnected())
     return "caller";
--- a/src/libverbenalead/entry/call_run.h
+++ b/src/libverbenalead/entry/call_run.h
@@ -75,9 +75,6 @@
   /// Whether a retry after `end` is within the limit on retries. A retry after
   /// an unreachable replica isn't counted.
   bool TryTakeRetryAfter(decide::AttemptEnd end);
-  /// Counts a crash of the replica under this request, unless the attempt timed
-  /// out or was cancelled.
-  void RecordReplicaCrash();
   void LogCall(const std::string& outcome, int status);
   /// Adds to the line of a refused call the slots of all usable replicas of its
   /// service, which show whether there was room.
--- a/src/libverbenalead/entry/call_run_stream.cc
+++ b/src/libverbenalead/entry/call_run_stream.cc
@@ -4,6 +4,7 @@
 #include "entry/retry_attempt.h"
 
 // The members of CallRun that handle streamed answers (server-sent events).
+#include "entry/crash_blame.h"
 
 namespace verbenalead::entry {
 namespace {
@@ -36,7 +37,7 @@
       co_return;
     }
     if (!m_caller.disconnected()) {
-      RecordReplicaCrash();
+      BlameCrash(m_state, *m_record, *m_attempt);
       m_attempt->Log(AttemptEnd::kBroken, result().m_reason);
       if (co_await SwitchToHedge())
         continue;
--- a/src/libverbenalead/entry/call_server.cc
+++ b/src/libverbenalead/entry/call_server.cc
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "entry/call_run.h"
+#include "entry/crash_blame.h"
 #include "platform/call_headers.h"
 
 namespace verbenalead::entry {
@@ -108,14 +109,15 @@
   }
   plan.m_fingerprint = decide::RequestKey(plan.m_organisation, request.m_method,
                                           request.m_path, request.m_body);
-  if (decide::IsQuarantined(m_state.m_crashes, plan.m_fingerprint, Now())) {
+  plan.m_service = decide::SelectService(*route, m_state.m_random);
+  for (const std::string& part : call.m_shared_parts)
+    plan.m_parts.push_back(decide::PartKey(plan.m_service, part));
+  if (IsBlockedCall(m_state, plan)) {
     co_await RefuseCall(
-        caller, m_state, call, kUnavailable,
-        "not run: the request crashes replicas",
+        caller, m_state, call, kUnavailable, CrashReason(m_state, plan),
         decide::RetryAfter(decide::Refusal::kCrashes, m_state.m_random));
     co_return;
   }
-  plan.m_service = decide::SelectService(*route, m_state.m_random);
   plan.m_config_version = routes->config().m_version;
   const Duration limit =
       route->m_timeout > Duration() ? route->m_timeout : kDefaultTimeLimit;
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -11,6 +11,7 @@
 #include "base/loop_lag.h"
 #include "base/metrics.h"
 #include "decide/config_lease.h"
+#include "decide/crash_causes.h"
 #include "decide/declared_versions.h"
 #include "decide/late_call_shedding.h"
 #include "decide/quarantine.h"
@@ -19,6 +20,7 @@
 #include "decide/route_table.h"
 #include "decide/store_clock.h"
 #include "decide/wait_share.h"
+#include "entry/crash_report_log.h"
 #include "entry/entry_options.h"
 #include "entry/last_summary.h"
 #include "entry/peer_entry.h"
@@ -76,6 +78,14 @@
   /// By model.
   std::map<std::string, decide::DeclaredVersions> m_weights;
   decide::QuarantineState m_crashes{kQuarantine, {}, {}, {}};
+  /// Parts of prompts that crash replicas.
+  decide::CrashCauses m_causes;
+  /// Reports about them of this entry, and of the other entries of this data
+  /// centre, while they are sent.
+  CrashReportLog m_own_reports;
+  CrashReportLog m_local_reports;
+  /// Parts of the prompts of calls that wait for a slot, by the call's ticket.
+  std::map<uint64_t, std::vector<uint64_t>> m_waiting_parts;
   /// Crashes observed by this entry, kept while they are sent to other entries.
   std::vector<decide::CrashRecord> m_own_crashes;
   /// Crashes reported by entries of this data centre, kept while they are sent
--- a/src/libverbenalead/entry/hedge.cc
+++ b/src/libverbenalead/entry/hedge.cc
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/spawn.h"
 #include "decide/hedge.h"
+#include "entry/crash_blame.h"
 #include "entry/retry_attempt.h"
 
 namespace verbenalead::entry {
@@ -118,6 +119,8 @@
 }
 
 Awaitable<bool> Hedge::AttemptOnce() {
+  if (IsBlockedCall(m_services.m_state, m_record->m_plan))
+    co_return false;
   if (!m_record->m_retries.TryTake(RetryPurpose::kHedge)) {
     Log("denied");
     co_await Pause();
@@ -141,6 +144,8 @@
       on_ready();
     co_return false;
   }
+  if (sent && second->result().m_end == AttemptEnd::kBroken)
+    BlameCrash(m_services.m_state, *m_record, *second);
   EndAttempt();
   if (second->cancelled()) {
     Log("overtaken");
--- a/src/libverbenalead/entry/peer_updates.cc
+++ b/src/libverbenalead/entry/peer_updates.cc
@@ -4,6 +4,7 @@
 
 #include "base/boot_clock.h"
 #include "base/log.h"
+#include "entry/crash_blame.h"
 #include "entry/rate_limits.h"
 #include "entry/statements.h"
 
@@ -107,6 +108,7 @@
   update.m_ready = IsReady(state);
   update.m_crashes = state.m_own_crashes;
   LimitToDatagram(update.m_crashes);
+  update.m_crash_reports = CrashReportsToSend(state, false, Now());
   update.m_operator_revision = state.m_operator_revision;
   update.m_operator_confirmed_at = StoreProofOf(state);
   update.m_replicas_hash = state.m_replicas_hash;
@@ -142,6 +144,9 @@
 void ApplyCrashRecords(EntryState& state,
                        std::vector<decide::CrashRecord> crashes,
                        TimePoint now) {
+  std::erase_if(crashes, [&](const decide::CrashRecord& record) {
+    return decide::IsExplained(state.m_causes, record.m_target, now);
+  });
   for (decide::CrashRecord& record : crashes)
     record.m_at = now;
   decide::MergeCrashRecords(state.m_crashes, crashes, now);
@@ -174,6 +179,8 @@
         std::max(state.m_remote_entries.value_or(0), *update.m_remote_entries);
   }
   ApplyStatementList(state, update.m_statements, update.m_address.m_host, now);
+  ApplyCrashReports(state, update.m_crash_reports, update.m_address.m_host,
+                    true, now);
   RecordLocalCrashes(state, update.m_crashes, now);
   ApplyCrashRecords(state, update.m_crashes, now);
 }
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -10,6 +10,7 @@
 #include "base/spawn.h"
 #include "entry/call_server.h"
 #include "entry/caller_addresses.h"
+#include "entry/crash_blame.h"
 #include "entry/entry_registration.h"
 #include "entry/entry_state.h"
 #include "entry/peer_updates.h"
@@ -209,6 +210,9 @@
   Awaitable<void> SendEntryUpdates() {
     while (true) {
       co_await Sleep(kUpdateSendInterval);
+      UpdateBlockedParts(m_state, Now());
+      for (const uint64_t ticket : BlockedTickets(m_state, Now()))
+        m_slot_allocator.Cancel(ticket);
       m_rows.Compare();
       m_update_sender.NotifyEntries(m_rows.ConsumeTakeover());
       m_summaries.SendIfDue();
--- a/src/libverbenalead/entry/retry_attempt.cc
+++ b/src/libverbenalead/entry/retry_attempt.cc
@@ -36,7 +36,8 @@
   const TimePoint on_time_until = Now() + decide::kRetryWait;
   bool sent =
       co_await attempt.Send(std::min(wait_until, on_time_until), on_sent);
-  const bool ended = attempt.cancelled() || record.Left(Now()) <= Duration();
+  const bool ended = attempt.cancelled() || attempt.blocked() ||
+                     record.Left(Now()) <= Duration();
   if (!sent && !ended) {
     PrepareNextAttempt(state, record);
     sent = co_await attempt.Send(wait_until, on_sent);
--- a/src/libverbenalead/entry/summary.cc
+++ b/src/libverbenalead/entry/summary.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "entry/crash_blame.h"
 #include "entry/peer_updates.h"
 #include "entry/statements.h"
 
@@ -127,6 +128,7 @@
               return a.m_at < b.m_at;
             });
   LimitToDatagram(summary.m_crashes);
+  summary.m_crash_reports = CrashReportsToSend(state, true, now);
   summary.m_statements = StatementsToReport(state, now);
   return summary;
 }
@@ -155,6 +157,8 @@
                  summary.m_operator_confirmed_at);
   for (const links::ReplicaSummary& summary : summary.m_replicas)
     ApplyReplicaSummary(state, summary, now);
+  ApplyCrashReports(state, summary.m_crash_reports, summary.m_sender, false,
+                    now);
   ApplyCrashRecords(state, summary.m_crashes, now);
   ApplyStatementList(state, summary.m_statements, summary.m_sender, now);
   return true;
--- a/src/libverbenalead/entry/summary_sender.cc
+++ b/src/libverbenalead/entry/summary_sender.cc
@@ -1,5 +1,7 @@
 #include "entry/summary_sender.h"
 
+#include <algorithm>
+
 #include "base/boot_clock.h"
 #include "base/log.h"
 #include "entry/peer_updates.h"
@@ -22,6 +24,16 @@
       });
 }
 
+/// Whether `after` has reports that `before` lacks.
+bool HasNewReports(const std::vector<links::AgedCrashReport>& before,
+                   const std::vector<links::AgedCrashReport>& after) {
+  return std::any_of(after.begin(), after.end(), [&](const auto& report) {
+    return std::none_of(before.begin(), before.end(), [&](const auto& other) {
+      return other.m_report == report.m_report;
+    });
+  });
+}
+
 }  // namespace
 
 SummarySender::SummarySender(EntryState& state,
@@ -45,7 +57,8 @@
     return;
   links::DataCenterSummary summary = SummaryOf(m_state, now);
   const bool changed = HasLoadChange(m_last_sent, summary.m_replicas) ||
-                       !StateTheSame(m_last_statements, summary.m_statements);
+                       !StateTheSame(m_last_statements, summary.m_statements) ||
+                       HasNewReports(m_last_reports, summary.m_crash_reports);
   if (!decide::IsSummaryDue(m_sent_at, changed, now))
     return;
   m_sent_at = now;
@@ -56,6 +69,7 @@
   }
   m_last_sent = std::move(summary.m_replicas);
   m_last_statements = std::move(summary.m_statements);
+  m_last_reports = std::move(summary.m_crash_reports);
 }
 
 void SummarySender::HandleSummary(const links::DataCenterSummary& summary) {
--- a/src/libverbenalead/entry/summary_sender.h
+++ b/src/libverbenalead/entry/summary_sender.h
@@ -36,6 +36,7 @@
   /// The replicas of the last summary, to detect changed weights and loads.
   std::vector<links::ReplicaSummary> m_last_sent;
   std::vector<links::ReplicaStatementReport> m_last_statements;
+  std::vector<links::AgedCrashReport> m_last_reports;
 };
 
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/summary_test.cc
+++ b/src/libverbenalead/entry/summary_test.cc
@@ -6,6 +6,7 @@
 
 #include "base/boot_clock.h"
 #include "entry/caller_addresses.h"
+#include "entry/crash_blame.h"
 #include "entry/peer_updates.h"
 #include "links/message.h"
 
@@ -60,6 +61,8 @@
   CPPUNIT_TEST(OlderSummaryIsIgnored);
   CPPUNIT_TEST(DeadRemoteEntryIsNotOfferedToCallers);
   CPPUNIT_TEST(CrashIsKnownInOtherDataCenters);
+  CPPUNIT_TEST(BlockedPartIsKnownInOtherDataCenters);
+  CPPUNIT_TEST(CrashesOfSeveralEntriesAddUpElsewhere);
   CPPUNIT_TEST(ManyCrashesFitIntoADatagram);
   CPPUNIT_TEST(ProofsRenewTheLeaseInOtherDataCenters);
   CPPUNIT_TEST(RetryShareAssumesManyEntriesUntilCounted);
@@ -158,6 +161,42 @@
     CPPUNIT_ASSERT(decide::IsQuarantined(m_receiver->m_crashes, 5, Now()));
   }
 
+  // A part that crashes replicas is blocked in all data centres, also by
+  // entries that start later.
+  void BlockedPartIsKnownInOtherDataCenters() {
+    for (uint64_t i = 0; i < 3; ++i) {
+      decide::RecordCrash(m_sender->m_causes, "i-" + std::to_string(i),
+                          {i, {5}, true}, Now() - 1s + i * 100ms);
+    }
+    UpdateBlockedParts(*m_sender, Now());
+    CPPUNIT_ASSERT(!decide::FindBlocked(m_receiver->m_causes, {5}, Now()));
+    CPPUNIT_ASSERT(SendSummary(1));
+    CPPUNIT_ASSERT(decide::FindBlocked(m_receiver->m_causes, {5}, Now()));
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         MakeEntryUpdate(*m_receiver).m_crash_reports.size());
+  }
+
+  // Three crashes that different entries of a data centre saw count together in
+  // another one, also if no entry of the first has blocked the part yet.
+  void CrashesOfSeveralEntriesAddUpElsewhere() {
+    for (uint64_t i = 0; i < 3; ++i) {
+      links::EntryUpdate update;
+      update.m_address = {"a" + std::to_string(i + 2), "a",
+                          Endpoint("10.0.0.2", 80), Endpoint("10.0.0.2", 81)};
+      decide::CrashReport report;
+      report.m_part = 5;
+      report.m_incarnation = "i-" + std::to_string(i) + "/7";
+      report.m_request = i;
+      report.m_had_head = true;
+      update.m_crash_reports = {{report, 250ms - i * 100ms}};
+      ApplyUpdate(*m_sender, update, Now());
+    }
+    CPPUNIT_ASSERT(SendSummary(1));
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, m_receiver->m_causes.m_crashed.size());
+    UpdateBlockedParts(*m_receiver, Now() + 1s);
+    CPPUNIT_ASSERT(decide::FindBlocked(m_receiver->m_causes, {5}, Now()));
+  }
+
   // Thousands of calls break at once with their replicas. If the list of these
   // crashes exceeds a datagram, no summary can be sent and other data centres
   // treat this one as lost.
@@ -170,6 +209,11 @@
     ApplyUpdate(*m_sender, update, Now());
     m_sender->m_own_crashes = update.m_crashes;
     m_sender->m_own_crashes.push_back({7777, "i-2/7", Now() + 1s});
+    for (uint64_t part = 1; part < 2000; ++part) {
+      decide::RecordCrash(m_sender->m_causes, "i-1/1790000000000",
+                          {~part, {~part}, true}, Now());
+    }
+    CollectCrashReports(*m_sender, Now());
     CPPUNIT_ASSERT(links::EncodeMessage(SummaryOf(*m_sender, Now())).size() <
                    kMaxDatagramBytes);
     CPPUNIT_ASSERT(links::EncodeMessage(MakeEntryUpdate(*m_sender)).size() <
--- a/src/libverbenalead/entry/update_sender.cc
+++ b/src/libverbenalead/entry/update_sender.cc
@@ -1,5 +1,6 @@
 #include "entry/update_sender.h"
 
+#include "entry/crash_blame.h"
 #include "entry/peer_updates.h"
 #include "entry/statements.h"
 
@@ -46,10 +47,11 @@
 
 void UpdateSender::NotifyEntries(bool took_over) {
   const bool crashes = CollectOwnCrashes(m_state, Now());
+  const bool reports = CollectCrashReports(m_state, Now());
   links::EntryUpdate update = MakeEntryUpdate(m_state);
   ++m_update_rounds;
   const bool changed =
-      update.m_ready != m_last_update.m_ready || crashes ||
+      update.m_ready != m_last_update.m_ready || crashes || reports ||
       !StateTheSame(update.m_statements, m_last_update.m_statements);
   const bool store_lost = update.m_operator_confirmed_at == Duration() &&
                           m_last_update.m_operator_confirmed_at != Duration();
--- a/src/libverbenalead/links/data_center_summary.h
+++ b/src/libverbenalead/links/data_center_summary.h
@@ -7,6 +7,7 @@
 
 #include "base/time.h"
 #include "decide/quarantine.h"
+#include "links/aged_crash_report.h"
 #include "links/entry_summary.h"
 #include "links/replica_summary.h"
 #include "links/statement_report.h"
@@ -35,6 +36,8 @@
   std::vector<ReplicaSummary> m_replicas;
   /// Crashes of replicas that entries of the data centre saw recently.
   std::vector<decide::CrashRecord> m_crashes;
+  /// The same by parts of prompts.
+  std::vector<AgedCrashReport> m_crash_reports;
   /// As in EntryUpdate.
   std::vector<ReplicaStatementReport> m_statements;
 
--- a/src/libverbenalead/links/entry_update.h
+++ b/src/libverbenalead/links/entry_update.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "decide/quarantine.h"
+#include "links/aged_crash_report.h"
 #include "links/statement_report.h"
 #include "model/entry_address.h"
 
@@ -16,6 +17,8 @@
   /// The entry accepts calls.
   bool m_ready = false;
   std::vector<decide::CrashRecord> m_crashes;
+  /// Crashes by parts of prompts.
+  std::vector<AgedCrashReport> m_crash_reports;
   /// Revision of the newest change of the operator's table that the entry has,
   /// and the store's time at which the store confirmed that there was no newer
   /// one. The time is zero if the entry has lost its connection to the store.
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <limits>
 
+#include "links/crash_report_codec.h"
 #include "links/rate_limit_codec.h"
 #include "links/statement_codec.h"
 #include "links/summary_codec.h"
@@ -45,6 +46,7 @@
       {"age_ms", ToMilliseconds(update.m_replicas_age)}};
   if (update.m_remote_entries)
     object["far_entries"] = *update.m_remote_entries;
+  EncodeCrashReports(object, update.m_crash_reports);
   EncodeStatementList(object, update.m_statements);
   return object;
 }
@@ -204,6 +206,7 @@
   BOOST_LEAF_AUTO(age, model::NumberFieldOr(object, "age_ms", 0));
   update.m_replicas_age = std::chrono::milliseconds(age);
   BOOST_LEAF_ASSIGN(update.m_crashes, DecodeCrashes(object));
+  BOOST_LEAF_ASSIGN(update.m_crash_reports, DecodeCrashReports(object));
   if (object.contains("far_entries")) {
     BOOST_LEAF_AUTO(remote_entries, model::NumberField(object, "far_entries"));
     update.m_remote_entries = static_cast<uint32_t>(remote_entries);
--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -26,6 +26,12 @@
     entry.m_replicas_hash = uint64_t{1} << 63;
     entry.m_replicas_age = 321ms;
     entry.m_crashes = {{uint64_t{1} << 63, "i-1/7", TimePoint()}};
+    entry.m_crash_reports = {
+        {{decide::CrashReport::Kind::kSuspect, ~uint64_t{0}, "i-1/7",
+          uint64_t{1} << 63, true, TimePoint()},
+         1200ms},
+        {{decide::CrashReport::Kind::kBlocked, 7, "", 0, false, TimePoint()},
+         60s}};
     EntryUpdate entry_with_count = entry;
     entry_with_count.m_remote_entries = 78;
     DataCenterSummary summary;
@@ -41,6 +47,7 @@
     summary.m_replicas = {{"i-1", 3, true, false, {5, 900}, 2},
                           {"i-2", 0, false, true, {0, 0}, 0}};
     summary.m_crashes = entry.m_crashes;
+    summary.m_crash_reports = entry.m_crash_reports;
     entry_with_count.m_statements = {
         {"i-1", {RateLimitReport{2.5, 40ms}, std::nullopt}},
         {"i-2", {RateLimitReport{std::nullopt, 1s}, 1792}},
--- a/src/libverbenalead/links/summary_codec.cc
+++ b/src/libverbenalead/links/summary_codec.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include "links/crash_report_codec.h"
 #include "links/statement_codec.h"
 #include "model/json_fields.h"
 
@@ -125,6 +126,7 @@
       {"entries", std::move(entries)},
       {"replicas", std::move(replicas)},
       {"crashes", EncodeCrashes(summary.m_crashes)}};
+  EncodeCrashReports(object, summary.m_crash_reports);
   EncodeStatementList(object, summary.m_statements);
   return object;
 }
@@ -152,6 +154,7 @@
     summary.m_replicas.push_back(std::move(replica));
   }
   BOOST_LEAF_ASSIGN(summary.m_crashes, DecodeCrashes(object));
+  BOOST_LEAF_ASSIGN(summary.m_crash_reports, DecodeCrashReports(object));
   BOOST_LEAF_ASSIGN(summary.m_statements, DecodeStatementList(object));
   return summary;
 }
