--- a/src/libverbenalead/entry/call_run.h
+++ b/src/libverbenalead/entry/call_run.h
@@ -72,8 +72,9 @@
   void CancelAll();
   /// Ends the current attempt and keeps its reason for the log.
   void EndAttempt(decide::AttemptEnd end);
-  /// Whether a retry after `end` is within the limit on retries. A retry after
-  /// an unreachable replica isn't counted.
+  /// Whether the call may be retried after `end`: it isn't blocked, and the
+  /// retry is within the limit. One after an unreachable replica isn't
+  /// counted.
   bool TryTakeRetryAfter(decide::AttemptEnd end);
   void LogCall(const std::string& outcome, int status);
   /// Adds to the line of a refused call the slots of all usable replicas of its
--- a/testsuite/cases/soak_judges/run.py
+++ b/testsuite/cases/soak_judges/run.py
@@ -4,6 +4,7 @@
 import harness
 from soak.callers import Outcome
 from soak.judge_limits import Limit, find_exceeded
+from soak import judge_retries
 from soak.judge_lost import Disturbance, ends_of_runs, find_lost
 from soak.judge_statements import find_ignored, heard_statements
 
@@ -142,6 +143,28 @@
     assert exceeded("1", burst[:6] + [at + 3800 for at in burst[6:]])
 
 
+def check_retries():
+    # 20 calls a second for 30 s: 40 retries and the slack of 100 are allowed in
+    # each window.
+    sent = [50 * number for number in range(600)]
+    firsts = [arrived("c%d" % number, at) for number, at in enumerate(sent)]
+
+    def exceeded(count, at_ms, calls=sent):
+        again = [arrived("c%d" % number, at_ms + number % 7)
+                 for number in range(count)]
+        return bool(judge_retries.find_exceeded("pool", [firsts, again],
+                                                calls))
+
+    assert not exceeded(140, 29000)
+    assert exceeded(141, 29000)
+    # Calls of the window before, or of half a window before, count as well.
+    assert not exceeded(140, 29990)
+    assert exceeded(141, 45000, sent[:300])
+    assert not exceeded(100, 45000, sent[:300])
+    # The first arrival of a call is no retry.
+    assert not exceeded(0, 29000)
+
+
 def body(_):
     check_limits()
     check_lost()
@@ -149,6 +172,7 @@
     check_stops()
     check_runs()
     check_statements()
+    check_retries()
 
 
 harness.run_case(body)
--- a/testsuite/run_bench.py
+++ b/testsuite/run_bench.py
@@ -13,7 +13,7 @@
 BENCHES = {
     "bench-weights": ["transfer_bench", "weights_real.py"],
     "bench-requests": ["routing_bench", "place_bench", "rate_bench", "rest_bench",
-                       "request_path.py",
+                       "crash_bench", "request_path.py",
                        "platform_request_path.py"],
     "bench-config": ["config.py"],
     "bench-capacity": ["config_capacity_bench", "capacity.py"],
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -5,7 +5,7 @@
 
 import harness
 import platform_fleet
-from soak import judge_limits, judge_lost, judge_statements
+from soak import judge_limits, judge_lost, judge_retries, judge_statements
 from soak.callers import DEADLINE_MS
 from soak.deployment import KEY_BOUND
 
@@ -68,6 +68,23 @@
                 outcome.sent - since))
 
 
+def find_excess_retries(deployment, outcomes):
+    """Returns a line for each service that got too many retries."""
+    broken = []
+    for kind, service in (("draft", "pool"), ("pay", "ledger")):
+        logs = []
+        for replica in deployment.replicas:
+            settings = deployment.cluster.settings[replica["name"]][1]
+            if settings["service"] == service:
+                with open(deployment.cluster.path(replica["name"] + ".log"),
+                          errors="replace") as log:
+                    logs.append(log.readlines())
+        broken += judge_retries.find_exceeded(
+            service, logs, [1000 * outcome.sent for outcome in outcomes
+                            if outcome.kind == kind])
+    return broken
+
+
 def find_broken(deployment, outcomes, injector):
     """Returns a line for each violated invariant."""
     broken = ["%s ended by itself" % name for name in injector.ended]
@@ -104,6 +121,7 @@
             broken += judge_statements.find_ignored(
                 replica["name"], log, entry_of, harmed,
                 {call for call, at in heard if at == own_id})
+    broken += find_excess_retries(deployment, outcomes)
     for replica in deployment.replicas:
         if deployment.state(replica)["bad_loads"] != 0:
             broken.append("%s loaded chunks of another version" %
