Names and comments of crash_causes in the terms of the field

"Charge" is Evidence, its list are candidates; the struct's comment says what happens in plain sentences. The comment on parts that always come together was wrong: one of them is blocked, not all. No behaviour changes; crash_causes_test and all unit tests pass.

--- a/src/libverbenalead/decide/crash_causes.cc
+++ b/src/libverbenalead/decide/crash_causes.cc
@@ -98,8 +98,8 @@
   return added || stronger;
 }
 
-/// Whether the answer at `at` was news about the part: it was suspected or
-/// blocked.
+/// Applies an answer at `at` to a request with the part. Returns whether the
+/// part was suspected or blocked until then.
 bool ClearPart(CrashCauses& causes, uint64_t part, TimePoint at) {
   bool changed = false;
   const auto blocked = causes.m_blocked.find(part);
@@ -165,8 +165,8 @@
   RemoveEmpty(causes);
 }
 
-/// Evidence against one part.
-struct Charge {
+/// The crashes that count against one part.
+struct Evidence {
   uint64_t m_part = 0;
   std::set<uint64_t> m_requests;
   double m_weight = 0;
@@ -175,18 +175,19 @@
   std::vector<std::string> m_incarnations;
 };
 
-Charge ChargeOf(const CrashCauses& causes,
-                uint64_t part,
-                const std::map<std::string, CrashCauses::Suspicion>& crashes,
-                TimePoint now) {
-  Charge charge;
-  charge.m_part = part;
+Evidence EvidenceAgainst(
+    const CrashCauses& causes,
+    uint64_t part,
+    const std::map<std::string, CrashCauses::Suspicion>& crashes,
+    TimePoint now) {
+  Evidence evidence;
+  evidence.m_part = part;
   std::vector<std::pair<TimePoint, double>> weights;
   for (const auto& [incarnation, suspicion] : crashes) {
     if (now - suspicion.m_at < causes.m_limits.m_confirmation)
       continue;
-    charge.m_incarnations.push_back(incarnation);
-    charge.m_requests.insert(suspicion.m_request);
+    evidence.m_incarnations.push_back(incarnation);
+    evidence.m_requests.insert(suspicion.m_request);
     weights.emplace_back(suspicion.m_at,
                          suspicion.m_had_head ? 1.0 : kWeightWithoutHead);
   }
@@ -196,16 +197,16 @@
     if (last != TimePoint::min() && at - last < kSameFailure)
       continue;
     last = at;
-    charge.m_weight += weight;
+    evidence.m_weight += weight;
   }
   const bool answered = causes.m_answered.contains(part);
-  charge.m_excess =
-      charge.m_weight - (answered ? causes.m_limits.m_crashes_after_answer
-                                  : causes.m_limits.m_crashes);
-  return charge;
+  evidence.m_excess =
+      evidence.m_weight - (answered ? causes.m_limits.m_crashes_after_answer
+                                    : causes.m_limits.m_crashes);
+  return evidence;
 }
 
-bool ShareACrash(const Charge& a, const Charge& b) {
+bool ShareACrash(const Evidence& a, const Evidence& b) {
   return std::any_of(a.m_incarnations.begin(), a.m_incarnations.end(),
                      [&b](const std::string& incarnation) {
                        return std::find(b.m_incarnations.begin(),
@@ -215,37 +216,40 @@
 }
 
 /// Whether no part that was present at the same crashes is as likely the cause.
-/// Parts that always come together can't be told apart; they are all blocked at
-/// the higher limit.
+/// Parts that always come together can't be told apart; at the higher limit one
+/// of them is blocked. If it isn't the cause, further crashes block the other.
 bool IsLikeliest(const CrashCauses& causes,
-                 const Charge& charge,
-                 const std::vector<Charge>& charges) {
-  if (charge.m_weight >= causes.m_limits.m_crashes_after_answer)
+                 const Evidence& evidence,
+                 const std::vector<Evidence>& candidates) {
+  if (evidence.m_weight >= causes.m_limits.m_crashes_after_answer)
     return true;
-  return std::none_of(charges.begin(), charges.end(), [&](const Charge& other) {
-    return other.m_part != charge.m_part && other.m_excess >= charge.m_excess &&
-           ShareACrash(other, charge);
-  });
+  return std::none_of(candidates.begin(), candidates.end(),
+                      [&](const Evidence& other) {
+                        return other.m_part != evidence.m_part &&
+                               other.m_excess >= evidence.m_excess &&
+                               ShareACrash(other, evidence);
+                      });
 }
 
 /// The part that is to be blocked next.
-std::optional<Charge> NextCause(const CrashCauses& causes, TimePoint now) {
-  std::vector<Charge> charges;
+std::optional<Evidence> NextCause(const CrashCauses& causes, TimePoint now) {
+  std::vector<Evidence> candidates;
   for (const auto& [part, crashes] : causes.m_suspects) {
     if (IsBlockedPart(causes, part) || crashes.size() < kMinRequests)
       continue;
-    Charge charge = ChargeOf(causes, part, crashes, now);
-    charges.push_back(std::move(charge));
+    Evidence evidence = EvidenceAgainst(causes, part, crashes, now);
+    candidates.push_back(std::move(evidence));
   }
-  std::sort(
-      charges.begin(), charges.end(),
-      [](const Charge& a, const Charge& b) { return a.m_excess > b.m_excess; });
-  for (const Charge& charge : charges) {
-    if (charge.m_excess < 0)
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Evidence& a, const Evidence& b) {
+              return a.m_excess > b.m_excess;
+            });
+  for (const Evidence& evidence : candidates) {
+    if (evidence.m_excess < 0)
       break;
-    if (charge.m_requests.size() >= kMinRequests &&
-        IsLikeliest(causes, charge, charges))
-      return charge;
+    if (evidence.m_requests.size() >= kMinRequests &&
+        IsLikeliest(causes, evidence, candidates))
+      return evidence;
   }
   return std::nullopt;
 }
@@ -347,9 +351,9 @@
       break;
   }
   // The sender may not know of the answer.
-  const bool accuses =
+  const bool counts_against_part =
       report.m_kind == Kind::kSuspect || report.m_kind == Kind::kBlocked;
-  if (accuses && answered != causes.m_answered.end())
+  if (counts_against_part && answered != causes.m_answered.end())
     ReportAnswer(causes, report.m_part, answered->second, now);
 }
 
--- a/src/libverbenalead/decide/crash_causes.h
+++ b/src/libverbenalead/decide/crash_causes.h
@@ -35,19 +35,20 @@
 /// Load: requests that differ, come from several callers to all entries, and
 /// share one part that crashes each replica that begins to answer them. A crash
 /// ends up to a replica's slots of other requests at the same time.
-/// Harm: blamed by the whole request, each of them is a new one, and the pool
-/// goes down replica by replica. Blamed by all that they hold, the parts of
-/// the sound requests that came down with them would be refused as well.
+/// Harm: if crashes are recorded by the whole request, each of these requests
+/// is a new one, and they crash replica after replica. If they are recorded by
+/// every part of every request at the replica, sound requests are refused too.
 ///
-/// A part is suspected for each crash at which one of its requests had been
-/// sent and not answered with an event. An answered request clears its parts,
-/// as does the replica when it answers anybody later. Crashes under one and the
-/// same request count against the request (QuarantineState), not its parts. The
-/// part with most
-/// crashes beyond its limit is blocked first, and the crashes at which it was
-/// present are then explained: they count against no other part. So the parts
-/// of a sound request are blocked only if none of its answers came through
-/// while several replicas crashed under it for no other known reason.
+/// A part is suspected for each crash at which a request with it had been sent
+/// and not answered with an event. An answer to any request with the part
+/// clears it. A replica that sends data after its supposed crash has not
+/// crashed. Crashes under one and the same request count against that request
+/// (QuarantineState) and not against its parts.
+///
+/// The part with most crashes beyond its limit is blocked first, and the
+/// crashes at which it was present are then explained: they count against no
+/// other part. So a part of sound requests is blocked only if none of them was
+/// answered while several replicas crashed that no other part explains.
 struct CrashCauses {
   struct Suspicion {
     TimePoint m_at{};
