A failed case names the programs that had ended

The printed logs couldn't tell a target that waits from one that has crashed: its log just ends. A crash is known to the kernel's log alone.

Before: no line. After: "target-5 had ended: -11", and -9 for those that the case kills itself.

--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -475,6 +475,10 @@
                 with open(os.path.join(work, name), errors="replace") as log:
                     tail = log.readlines()[-25:]
                 print("---- " + name, *tail, sep="\n", file=sys.stderr)
+        for name, process in sorted(cluster.processes.items()):
+            if not process.alive():
+                print("---- %s had ended: %d" % (name, process.child.poll()),
+                      file=sys.stderr)
         raise
     finally:
         cluster.stop()
