A process suspended while it connects no longer crashes

Callers and operators would see a host that dies when it wakes from a pause.

Cause: Connect() guards the connect with a timer whose handler closes the socket, captured by reference. After a pause the connection is ready and the deadline has passed: both handlers are queued, cancel() doesn't withdraw one that is queued, and it uses the socket after its owner released it. Class: a completion handler that refers to what may end before it.

Elsewhere: all handlers with async_wait, async_connect and post in src were read: the others await in the coroutine that owns what they use, own it by shared_ptr, or check that it was detached (DisconnectMonitor). By reading only.

--- a/src/cmake/sanitized_tests.sh
+++ b/src/cmake/sanitized_tests.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Builds and runs unit tests under a sanitizer:
 #   sanitized_tests.sh FOLDER SANITIZERS core|sharded
-# `core` is all tests of base, model and decide; `sharded` those of state that
-# several threads share. A failure ends the script with a non-zero code.
+# `core` is all tests of base, model, decide, wire and peer; `sharded` those of
+# state that several threads share. A failure ends the script with a non-zero
+# code.
 set -euo pipefail
 folder=$1
 sanitizers=$2
--- a/src/libverbenalead/peer/client.cc
+++ b/src/libverbenalead/peer/client.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
+#include <memory>
 
 #include "base/log.h"
 
@@ -50,7 +51,13 @@
 
 /// Connects `socket`, or fails at `deadline`: a SYN sent over a broken link is
 /// never answered.
-Awaitable<AsyncResult<bool>> Connect(tcp::socket& socket,
+///
+/// Failure: the process is suspended past the deadline, and the connection is
+/// ready. Symptom: the timer's handler is queued already and can't be
+/// cancelled; it runs after the socket's owner has released it, and the process
+/// crashes. Therefore the handler owns the socket too. A connection that was
+/// moved out of it isn't closed.
+Awaitable<AsyncResult<bool>> Connect(std::shared_ptr<tcp::socket> socket,
                                      Endpoint endpoint,
                                      TimePoint deadline) {
   boost::system::error_code error;
@@ -58,16 +65,16 @@
                              endpoint.port());
   if (error)
     co_return NotConnected(endpoint, error.message());
-  asio::steady_timer timer(socket.get_executor(), deadline);
-  timer.async_wait([&socket](const boost::system::error_code& cancelled) {
+  asio::steady_timer timer(socket->get_executor(), deadline);
+  timer.async_wait([socket](const boost::system::error_code& cancelled) {
     boost::system::error_code ignored;
     if (!cancelled)
-      socket.close(ignored);
+      socket->close(ignored);
   });
-  co_await socket.async_connect(
+  co_await socket->async_connect(
       remote, asio::redirect_error(asio::use_awaitable, error));
   timer.cancel();
-  if (!error && !socket.is_open())
+  if (!error && !socket->is_open())
     error = asio::error::timed_out;
   if (error)
     co_return NotConnected(endpoint, error.message());
@@ -95,7 +102,7 @@
     auto socket = std::make_shared<tcp::socket>(executor);
     const auto connect_deadline =
         std::min(deadline, Now() + m_limits.m_silence_timeout);
-    auto connected = co_await Connect(*socket, endpoint, connect_deadline);
+    auto connected = co_await Connect(socket, endpoint, connect_deadline);
     if (!connected)
       co_return connected.error();
     // Another coroutine on this thread may have connected in the meantime.
