Callers and back ends can't forge any field of an attempt

Cause: the fields between entries and targets were listed twice, as names in header_names.h and in the filter of forwarded fields; five names were missing in the second: x-call, x-max-running, x-running, x-report-mark, x-config-from-table. A caller's x-max-running reached the target wherever the entry didn't set its own, and targets would have refused or taken the attempt by the caller's word; the other four went on to back ends and callers. Class: one fact in two places.

Ruled out: x-call as a way to read another call's record: the entry overwrites it.

--- a/src/libverbenalead/daemon/forwarded_headers.cc
+++ b/src/libverbenalead/daemon/forwarded_headers.cc
@@ -1,5 +1,6 @@
 #include "daemon/forwarded_headers.h"
 
+#include <iterator>
 #include <set>
 #include <string>
 
@@ -22,13 +23,8 @@
 /// Fields in which entries and targets describe an attempt. If they were
 /// forwarded, a caller or a back end could forge them.
 const std::set<std::string>& InternalFields() {
-  static const std::set<std::string> kFields = {
-      peer::kRequestId,    peer::kAttempt,      peer::kIncarnation,
-      peer::kPath,         peer::kMethod,       peer::kDigest,
-      peer::kDeadline,     peer::kRevision,     peer::kOutcome,
-      peer::kReason,       peer::kVersion,      peer::kTarget,
-      peer::kAttempts,     peer::kLength,       peer::kSha256,
-      peer::kOrganisation, peer::kAuthorization};
+  static const std::set<std::string> kFields(std::begin(peer::kInternalFields),
+                                             std::end(peer::kInternalFields));
   return kFields;
 }
 
--- a/src/libverbenalead/peer/header_names.h
+++ b/src/libverbenalead/peer/header_names.h
@@ -52,6 +52,15 @@
 constexpr char kLength[] = "x-length";
 constexpr char kSha256[] = "x-sha256";
 
+/// All fields of this file. None is forwarded from a caller to a back end, nor
+/// from a back end to a caller.
+constexpr const char* kInternalFields[] = {
+    kRequestId, kCall,      kAttempt,    kIncarnation,   kOrganisation,
+    kPath,      kMethod,    kDigest,     kDeadline,      kMaxRunning,
+    kRevision,  kFromTable, kReportMark, kAuthorization, kOutcome,
+    kReason,    kVersion,   kTarget,     kRunning,       kAttempts,
+    kLength,    kSha256};
+
 }  // namespace verbenalead::peer
 
 #endif  // VERBENALEAD_PEER_HEADER_NAMES_H_
