Test: the limit on retries holds for fleets of any size

The property tests of the limit have four entries; 3, 8, 44 and 300, and entries that are added, had not been run (open in the postmortem).

No fault was found, so nothing else changes.

--- a/src/libverbenalead/decide/retry_window_test.cc
+++ b/src/libverbenalead/decide/retry_window_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -16,9 +17,10 @@
 /// Takes retries until the limit denies one; returns how many.
 int TakeAll(RetryWindow& window,
             const RetryAllowance& allowance,
-            TimePoint now) {
+            TimePoint now,
+            uint32_t entries = kEntries) {
   int taken = 0;
-  while (TryTakeRetry(window, allowance, kEntries, now).m_allowed) {
+  while (TryTakeRetry(window, allowance, entries, now).m_allowed) {
     SettleRetry(window, allowance, now);
     ++taken;
   }
@@ -75,6 +77,7 @@
   CPPUNIT_TEST(PendingRetryCountsInEachWindow);
   CPPUNIT_TEST(ReturnedRetryIsAvailableAgain);
   CPPUNIT_TEST(LateArrivalsStayWithinAllowance);
+  CPPUNIT_TEST(FleetsOfAnySizeStayWithinAllowance);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -251,7 +254,57 @@
     CPPUNIT_ASSERT(passed);
   }
 
+  // Guards against a limit that holds for few entries alone: some entries are
+  // added, others restart, and callers move to a part of them.
+  void FleetsOfAnySizeStayWithinAllowance() {
+    for (const uint32_t entries : {3, 8, 44, 300}) {
+      size_t retries = 0;
+      for (uint32_t seed = 1; seed <= 5; ++seed)
+        retries += CheckFleet(entries, seed);
+      CPPUNIT_ASSERT(retries > 0);
+    }
+  }
+
  private:
+  /// Returns how many retries were sent in 40 s with five calls a second and
+  /// entry.
+  static size_t CheckFleet(uint32_t entries, uint32_t seed) {
+    constexpr uint32_t kCallsPerEntry = 200;
+    const Duration gap = Duration(200ms) / entries;
+    const RetryAllowance allowance{0.2, 40, 10s};
+    std::mt19937 random(seed);
+    std::vector<RetryWindow> windows(entries);
+    // Entries of the second half are added later.
+    for (size_t i = entries / 2; i < entries; ++i)
+      windows[i] = StartedAt(kStart + std::chrono::seconds(random() % 30));
+    ArrivalJudge judge(allowance);
+    TimePoint now = kStart;
+    size_t first = 0;
+    size_t count = entries / 2;
+    size_t retries = 0;
+    for (uint32_t call = 0; call < kCallsPerEntry * entries; ++call) {
+      now += gap;
+      // About every second.
+      if (random() % (5 * entries) == 0) {
+        first = random() % entries;
+        count = 1 + random() % entries;
+        windows[random() % entries] = StartedAt(now);
+      }
+      RetryWindow& window = windows[(first + random() % count) % entries];
+      if (window.m_started_at > now)
+        continue;
+      CountCall(window, allowance, now);
+      judge.AddCall(now);
+      // Replicas fail for half of the time.
+      const bool failing = (now - kStart) / 5s % 2 == 1;
+      int taken = failing ? TakeAll(window, allowance, now, entries) : 0;
+      for (; taken > 0; --taken, ++retries)
+        judge.AddRetry(now);
+    }
+    CPPUNIT_ASSERT(judge.IsKept());
+    return retries;
+  }
+
   static RetryWindow StartedAt(TimePoint now) {
     RetryWindow window;
     window.m_started_at = now;
