Log lines that show the store's era and what is ignored

store_era (era, before, both revisions), row_ignored, table_ignored, config_ignored, the revision on history_gone; gauges store_era and config_version. Nothing decides by them.

--- a/src/libverbenalead/entry/row_applier.cc
+++ b/src/libverbenalead/entry/row_applier.cc
@@ -36,6 +36,13 @@
     const std::function<Duration(const platform::Row&)>& age_of) {
   for (const platform::Row& row : rows.m_rows) {
     platform::Row& kept = m_operator_rows[row.m_key];
+    if (row.m_revision < kept.m_revision) {
+      LogLine("row_ignored")
+          .With("key", row.m_key)
+          .With("revision", row.m_revision)
+          .With("known_revision", kept.m_revision)
+          .Warn();
+    }
     if (row.m_revision <= kept.m_revision)
       continue;
     kept = row;
@@ -66,6 +73,7 @@
   MergeOperatorRows(rows, [age](const platform::Row&) { return age; });
   if (is_snapshot)
     m_operator_rows_read = true;
+  m_state.m_metrics.Set("store_era", "", static_cast<double>(rows.m_era));
   m_state.m_operator_confirmed_at = rows.m_store_time;
   m_state.m_operator_answered_at = Now();
   decide::RenewLease(m_state.m_lease, answered_at);
@@ -104,8 +112,16 @@
   }
   const uint64_t before =
       m_state.m_routes ? m_state.m_routes->config().m_version : 0;
+  if (config->m_version < before) {
+    LogLine("config_ignored")
+        .With("version", config->m_version)
+        .With("in_force", before)
+        .Info();
+  }
   if (config->m_version <= before)
     return;
+  m_state.m_metrics.Set("config_version", "",
+                        static_cast<double>(config->m_version));
   LogLine("config_in_force")
       .With("version", config->m_version)
       .With("before", before)
@@ -199,8 +215,14 @@
 
 bool RowApplier::ApplyRelayedReplicaRows(const links::RelayedRows& relayed) {
   // An older table would bring back replicas that are known to be leaving.
-  if (relayed.m_rows.m_revision < m_replicas_revision)
+  if (relayed.m_rows.m_revision < m_replicas_revision) {
+    LogLine("table_ignored")
+        .With("table", platform::kReplicaTable)
+        .With("revision", relayed.m_rows.m_revision)
+        .With("known_revision", m_replicas_revision)
+        .Info();
     return false;
+  }
   ApplyReplicaRows(relayed.m_rows, true,
                    relayed.m_store_regained_ago
                        ? Now() - *relayed.m_store_regained_ago
--- a/src/libverbenalead/links/table_follower.cc
+++ b/src/libverbenalead/links/table_follower.cc
@@ -72,7 +72,10 @@
     rows = co_await m_store.ReadChanges(m_table, m_revision, wait);
   if (!rows) {
     if (rows.error().m_code == FailureCode::kNotFound && !is_snapshot) {
-      LogLine("history_gone").With("table", m_table).Warn();
+      LogLine("history_gone")
+          .With("table", m_table)
+          .With("revision", m_revision)
+          .Warn();
       m_revision = 0;
       co_return false;
     }
@@ -80,6 +83,7 @@
     co_return false;
   }
   RecordSuccess();
+  RecordEra(*rows);
   m_revision = std::max(m_revision, rows->m_revision);
   m_on_rows(*rows, is_snapshot);
   co_return true;
@@ -98,6 +102,19 @@
       .Info();
 }
 
+void TableFollower::RecordEra(const platform::Rows& rows) {
+  if (rows.m_era == m_era)
+    return;
+  LogLine("store_era")
+      .With("table", m_table)
+      .With("era", rows.m_era)
+      .With("before", m_era)
+      .With("revision", rows.m_revision)
+      .With("known_revision", m_revision)
+      .Warn();
+  m_era = rows.m_era;
+}
+
 void TableFollower::RecordFailure(const Failure& failure) {
   if (!m_connected)
     return;
--- a/src/libverbenalead/links/table_follower.h
+++ b/src/libverbenalead/links/table_follower.h
@@ -56,6 +56,8 @@
   /// Waits until `time` or until PollNow() is called.
   Awaitable<void> WaitUntil(TimePoint time);
   void RecordSuccess();
+  /// Logs a change of the store's era.
+  void RecordEra(const platform::Rows& rows);
   void RecordFailure(const Failure& failure);
   Duration RetryPause();
 
@@ -68,6 +70,8 @@
   bool m_poll_requested = false;
   /// 0: the whole table has to be read.
   uint64_t m_revision = 0;
+  /// The era that the store stated last.
+  uint64_t m_era = 0;
   bool m_connected = false;
   bool m_was_connected = false;
   TimePoint m_regained_at{};
--- a/src/libverbenalead/platform/names.h
+++ b/src/libverbenalead/platform/names.h
@@ -40,6 +40,9 @@
 /// Seconds, possibly with a fraction.
 inline constexpr char kRetryAfter[] = "retry-after";
 inline constexpr char kKey[] = "api-key";
+/// In all answers of the store: a number that rises by one each time the store
+/// comes back from a copy.
+inline constexpr char kStoreEra[] = "store-era";
 inline constexpr char kLastEventId[] = "last-event-id";
 
 // Tables of the store and keys in them.
--- a/src/libverbenalead/platform/store.cc
+++ b/src/libverbenalead/platform/store.cc
@@ -1,12 +1,14 @@
 #include "platform/store.h"
 
 #include <boost/json.hpp>
+#include <charconv>
 
 #include "base/base64.h"
 #include "base/boot_clock.h"
 #include "base/catch_failure.h"
 #include "base/log.h"
 #include "platform/json_read.h"
+#include "platform/names.h"
 
 namespace verbenalead::platform {
 namespace {
@@ -44,6 +46,14 @@
                  "status " + std::to_string(status)};
 }
 
+/// The era that an answer of the store states; 0 if it states none.
+uint64_t EraOf(const wire::Response& response) {
+  const std::string text = wire::Get(response.m_headers, kStoreEra);
+  uint64_t era = 0;
+  std::from_chars(text.data(), text.data() + text.size(), era);
+  return era;
+}
+
 /// Returns a row, or nothing if it has no key. Other programs may write
 /// arbitrary rows to a table, and a malformed one must not hide the others.
 std::optional<Row> ReadRow(const json::value& value) {
@@ -149,6 +159,7 @@
       all.m_asked_at = page->m_asked_at;
       all.m_store_time = page->m_store_time;
       all.m_revision = page->m_revision;
+      all.m_era = page->m_era;
     }
     for (Row& row : page->m_rows)
       all.m_rows.push_back(std::move(row));
@@ -208,6 +219,7 @@
                       "the answer is no list of rows"};
   }
   page->m_rows.m_asked_at = requested_at;
+  page->m_rows.m_era = EraOf(*response);
   *has_more = page->m_has_more;
   co_return std::move(page->m_rows);
 }
