Failing case: changes after the store came back from a copy

What callers see: a key that was added is refused and one that was taken away is accepted, at all entries and to the end.

The stand-in of the store has eras: POST /drill closes all connections for a moment, goes back to an older copy, gives revisions out again, answers 410 for a revision that it doesn't have, and writes the operator's and the replicas' rows again after a while.

--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -54,10 +54,14 @@
         self.cluster.wait_listening(self.origin)
         self.configure()
 
+    @staticmethod
+    def row(table, key, value):
+        return {"table": table, "part": "", "key": key,
+                "value": base64.b64encode(
+                    json.dumps(value).encode()).decode()}
+
     def write(self, table, key, value):
-        row = {"table": table, "part": "", "key": key,
-               "value": base64.b64encode(
-                   json.dumps(value).encode()).decode()}
+        row = self.row(table, key, value)
         reply = harness.call(self.store, "POST", "/rows-tx",
                              {"precondition": self.conditions(table, key),
                               "writes": [row],
@@ -70,6 +74,9 @@
 
     def configure(self):
         """Writes a new version of the configuration with the current keys."""
+        self.write("op", "config", self.next_configuration())
+
+    def next_configuration(self):
         self.version += 1
         engine = {"slots": 8, "stride": 1, "step_ms": 1.0,
                   "read_per_s": 30000.0, "chunks": 12, "chunk_bytes": 4096,
@@ -87,7 +94,7 @@
                         prefix="/more/%d/" % number, service="pool",
                         route_kind="streaming", max_attempts=2)
                    for number in range(self.more_routes)]
-        self.write("op", "config", {
+        return {
             "version": self.version, "routes": routes,
             "services": [
                 {"name": "pool", "engine": engine},
@@ -95,7 +102,7 @@
                 {"name": "weights", "origin": self.origin,
                  "link_mbps": 100.0}],
             "tenants": [{"name": "acme", "api_keys": self.keys},
-                        {"name": "guest", "api_keys": self.guest_keys}]})
+                        {"name": "guest", "api_keys": self.guest_keys}]}
 
     def declare(self, version):
         self.write("op", "version/model",
@@ -170,6 +177,14 @@
         """Makes the answers of `replica` state that it is leaving."""
         harness.call(replica["address"], "POST", "/leaving", text)
 
+    def leave(self, replica):
+        """Makes `replica` leave by its row in the store alone."""
+        harness.call(replica["address"], "POST", "/leave", "")
+
+    def drill(self, **parts):
+        """The store is away for a moment and comes back from an older copy."""
+        return harness.call(self.store, "POST", "/drill", parts).json()
+
     def ask_rest(self, replica, text):
         """Makes `replica` turn all calls away and ask for a rest; "": none."""
         harness.call(replica["address"], "POST", "/rest", text)
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -251,6 +251,8 @@
     replica.m_rate_limit = body;
   else if (path == "/leaving")
     replica.m_leaving_text = body;
+  else if (path == "/leave")
+    replica.m_leaving = true;
   else if (path == "/rest")
     replica.m_rest = body;
   else if (path == "/cut")
--- a/testsuite/standins/platform_store/main.cc
+++ b/testsuite/standins/platform_store/main.cc
@@ -1,9 +1,13 @@
+#include <boost/asio/this_coro.hpp>
 #include <boost/json.hpp>
 #include <cstdlib>
 #include <memory>
 #include <string>
 
+#include "base/log.h"
 #include "base/sleep.h"
+#include "base/spawn.h"
+#include "platform/names.h"
 #include "standins/common/run_standin.h"
 #include "standins/platform_store/row_store.h"
 
@@ -36,9 +40,61 @@
   return wire::JsonResponse(200, boost::json::serialize(*changes));
 }
 
+Duration Milliseconds(const boost::json::object& drill, const char* name) {
+  const boost::json::value* value = drill.if_contains(name);
+  return std::chrono::milliseconds(
+      value && value->is_int64() ? value->as_int64() : 0);
+}
+
+Awaitable<void> WriteLaterAgain(std::shared_ptr<RowStore> store,
+                                RowStore::LostWrites lost,
+                                Duration delay) {
+  co_await Sleep(delay);
+  const uint64_t rows = store->WriteAgain(lost);
+  LogLine("written_again")
+      .With("rows", rows)
+      .With("revision", store->revision())
+      .Info();
+}
+
+/// Answers no request for "away_ms", then comes back from a copy that is
+/// "age_ms" /// old. "writes" are applied and "skip" revisions used up before
+/// the first request is answered. What the operator and the replicas wrote is
+/// written again after "again_ms". "clock_ms" is added to the stated clock.
+Awaitable<wire::Response> Drill(std::shared_ptr<RowStore> store,
+                                std::shared_ptr<bool> away,
+                                std::string body) {
+  const auto executor = co_await boost::asio::this_coro::executor;
+  const boost::json::object drill = boost::json::parse(body).as_object();
+  const uint64_t before = store->revision();
+  *away = true;
+  co_await Sleep(Milliseconds(drill, "away_ms"));
+  RowStore::LostWrites lost = store->ReturnFromCopy(
+      Milliseconds(drill, "age_ms") + Milliseconds(drill, "away_ms"));
+  if (drill.contains("writes"))
+    store->Apply(drill);
+  store->SkipRevisions(
+      static_cast<uint64_t>(ToMilliseconds(Milliseconds(drill, "skip"))));
+  store->ShiftClock(Milliseconds(drill, "clock_ms"));
+  *away = false;
+  LogLine("came_back")
+      .With("era", store->era())
+      .With("before", before)
+      .With("revision", store->revision())
+      .Info();
+  Spawn(
+      executor,
+      WriteLaterAgain(store, std::move(lost), Milliseconds(drill, "again_ms")),
+      "write_again");
+  co_return wire::JsonResponse(
+      200, boost::json::serialize(boost::json::object{
+               {"before", before}, {"revision", store->revision()}}));
+}
+
 /// Handles one request. Specific fault: {"forget": N} drops the history of
 /// changes at each of the next N requests.
 Awaitable<void> Serve(std::shared_ptr<RowStore> store,
+                      std::shared_ptr<bool> away,
                       std::shared_ptr<standins::Faults> faults,
                       const wire::Request& request,
                       wire::ResponseWriter& writer) {
@@ -46,7 +102,15 @@
     store->Forget();
   const std::string path = wire::PathOf(request);
   const std::string table = wire::QueryValue(request, "table");
+  const uint64_t era = store->era();
   wire::Response response(404, {}, "");
+  if (path == "/drill") {
+    wire::Response done = co_await Drill(store, away, request.m_body);
+    co_await writer.Send(std::move(done));
+    co_return;
+  }
+  if (*away)
+    co_return;  // Closes the connection.
   if (path == "/rows-tx") {
     response = Transact(*store, request.m_body);
   } else if (path == "/rows-get") {
@@ -60,13 +124,17 @@
     const uint64_t revision = Number(request, "after_rev");
     const TimePoint end =
         Now() + std::chrono::milliseconds(Number(request, "wait_ms"));
-    while (!store->HasChanges(table, revision) && Now() < end &&
-           !faults->Flag("down"))
+    while (!store->HasChanges(table, revision) &&
+           revision <= store->revision() && Now() < end &&
+           !faults->Flag("down") && !*away && store->era() == era)
       co_await Sleep(kChangePollInterval);
+    if (*away || store->era() != era)
+      co_return;
     response = Changes(*store, table, revision);
     if (faults->Flag("down"))
       response = wire::JsonResponse(503, "{}");
   }
+  response.m_headers[platform::kStoreEra] = std::to_string(store->era());
   co_await writer.Send(std::move(response));
 }
 
@@ -78,9 +146,10 @@
       "Stands in for the platform's store.", standins::StandinSettings(),
       [](const Settings&, std::shared_ptr<standins::Faults> faults) {
         auto store = std::make_shared<RowStore>();
-        return [store, faults](const wire::Request& request,
-                               wire::ResponseWriter& writer) {
-          return Serve(store, faults, request, writer);
+        auto away = std::make_shared<bool>(false);
+        return [store, away, faults](const wire::Request& request,
+                                     wire::ResponseWriter& writer) {
+          return Serve(store, away, faults, request, writer);
         };
       });
 }
--- a/testsuite/standins/platform_store/row_store.cc
+++ b/testsuite/standins/platform_store/row_store.cc
@@ -1,15 +1,19 @@
 #include "standins/platform_store/row_store.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <set>
 
-#include "base/time.h"
-
 namespace verbenalead::standins {
 namespace {
 
 namespace json = boost::json;
 
+/// How far back a copy may reach.
+constexpr Duration kMaxCopyAge = std::chrono::minutes(1);
+/// Tables whose writers write lost rows again.
+constexpr const char* kWrittenAgain[] = {"op", "servers"};
+
 std::string Text(const json::object& object, const char* name) {
   const json::value* value = object.if_contains(name);
   return value && value->is_string() ? std::string(value->as_string()) : "";
@@ -43,23 +47,71 @@
 bool RowStore::Apply(const json::object& transaction) {
   if (!Holds(transaction))
     return false;
-  ++m_revision;
+  const uint64_t before = m_revision++;
   for (const json::value& value : List(transaction, "writes")) {
     const json::object& row = value.as_object();
-    m_rows[KeyOf(row)] = {Text(row, "value"), m_revision, false};
+    SetRow(KeyOf(row), {Text(row, "value"), m_revision, false}, before);
   }
   for (const json::value& value : List(transaction, "remove")) {
     const json::object& row = value.as_object();
-    m_rows[KeyOf(row)] = {"", m_revision, true};
+    SetRow(KeyOf(row), {"", m_revision, true}, before);
   }
   return true;
 }
 
+void RowStore::SetRow(const Key& key, Row row, uint64_t revision_before) {
+  const TimePoint now = Now();
+  const auto found = m_rows.find(key);
+  m_changes.push_back({now, revision_before, key,
+                       found == m_rows.end() ? std::optional<Row>()
+                                             : std::optional(found->second)});
+  m_rows[key] = std::move(row);
+  while (now - m_changes.front().m_at > kMaxCopyAge)
+    m_changes.pop_front();
+}
+
+RowStore::LostWrites RowStore::ReturnFromCopy(Duration age) {
+  LostWrites lost;
+  const TimePoint copied_at = Now() - age;
+  while (!m_changes.empty() && m_changes.back().m_at > copied_at) {
+    const Change& change = m_changes.back();
+    lost.m_rows.emplace(change.m_key, m_rows[change.m_key]);
+    if (change.m_before)
+      m_rows[change.m_key] = *change.m_before;
+    else
+      m_rows.erase(change.m_key);
+    m_revision = change.m_revision_before;
+    m_changes.pop_back();
+  }
+  ++m_era;
+  m_history_start = std::min(m_history_start, m_revision);
+  lost.m_copy_revision = m_revision;
+  return lost;
+}
+
+uint64_t RowStore::WriteAgain(const LostWrites& lost) {
+  uint64_t count = 0;
+  for (const auto& [key, row] : lost.m_rows) {
+    const bool owned =
+        std::find(std::begin(kWrittenAgain), std::end(kWrittenAgain),
+                  std::get<0>(key)) != std::end(kWrittenAgain);
+    const auto found = m_rows.find(key);
+    const bool written_since = found != m_rows.end() &&
+                               found->second.m_revision > lost.m_copy_revision;
+    if (!owned || written_since)
+      continue;
+    const uint64_t before = m_revision++;
+    SetRow(key, {row.m_value, m_revision, row.m_deleted}, before);
+    ++count;
+  }
+  return count;
+}
+
 json::object RowStore::Answer(json::array rows) const {
   return {{"rows", std::move(rows)},
           {"has_more", false},
           {"ver", m_revision},
-          {"now_ms", ToMilliseconds(Now().time_since_epoch())}};
+          {"now_ms", ToMilliseconds(Now().time_since_epoch() + m_clock_shift)}};
 }
 
 json::object RowStore::Read(const std::string& table,
@@ -99,7 +151,7 @@
 
 std::optional<json::object> RowStore::Changes(const std::string& table,
                                               uint64_t revision) const {
-  if (revision < m_history_start)
+  if (revision < m_history_start || revision > m_revision)
     return std::nullopt;
   std::map<uint64_t, json::array> changes;
   for (const auto& [key, row] : m_rows) {
--- a/testsuite/standins/platform_store/row_store.h
+++ b/testsuite/standins/platform_store/row_store.h
@@ -3,17 +3,37 @@
 
 #include <boost/json/object.hpp>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 #include <tuple>
+#include <vector>
+
+#include "base/time.h"
 
 namespace verbenalead::standins {
 
 /// In-memory rows of the stand-in for the platform's store. Each transaction
-/// gets a revision.
+/// gets a revision. The rows may be replaced by a copy of earlier ones, after
+/// which revisions are given out again.
 class RowStore {
+  struct Row {
+    std::string m_value;
+    uint64_t m_revision = 0;
+    bool m_deleted = false;
+  };
+  /// Table, part and key.
+  using Key = std::tuple<std::string, std::string, std::string>;
+
  public:
+  /// Writes that a copy lacks: the newest of each row.
+  struct LostWrites {
+    /// The newest revision of the copy.
+    uint64_t m_copy_revision = 0;
+    std::map<Key, Row> m_rows;
+  };
+
   /// Applies a transaction. Returns false, and changes nothing, if a
   /// precondition does not hold.
   bool Apply(const boost::json::object& transaction);
@@ -23,29 +43,48 @@
   /// Returns the parts of `table` that contain rows.
   boost::json::object Parts(const std::string& table) const;
   /// Returns the changes in `table` after `revision`, or nullopt if the history
-  /// since then was dropped.
+  /// since then was dropped or `revision` hasn't been given out.
   std::optional<boost::json::object> Changes(const std::string& table,
                                              uint64_t revision) const;
   bool HasChanges(const std::string& table, uint64_t revision) const;
   /// Drops the history of changes up to now.
   void Forget() { m_history_start = m_revision; }
 
+  /// Replaces the rows by a copy that is `age` old, and begins the next era.
+  /// Returns the writes that the copy lacks.
+  LostWrites ReturnFromCopy(Duration age);
+  /// Writes those of `lost` that are not this project's own and were not
+  /// written since, each as a transaction. Returns the number of them.
+  uint64_t WriteAgain(const LostWrites& lost);
+  /// Uses up `count` revisions for rows of another table.
+  void SkipRevisions(uint64_t count) { m_revision += count; }
+
+  uint64_t era() const { return m_era; }
+  uint64_t revision() const { return m_revision; }
+  /// Adds to the clock that answers state.
+  void ShiftClock(Duration shift) { m_clock_shift += shift; }
+
  private:
-  struct Row {
-    std::string m_value;
-    uint64_t m_revision = 0;
-    bool m_deleted = false;
+  /// What a transaction changed: the row before it, absent if there was none.
+  struct Change {
+    TimePoint m_at;
+    uint64_t m_revision_before = 0;
+    Key m_key;
+    std::optional<Row> m_before;
   };
-  /// Table, part and key.
-  using Key = std::tuple<std::string, std::string, std::string>;
 
   static Key KeyOf(const boost::json::object& row);
   bool Holds(const boost::json::object& transaction) const;
   boost::json::object Answer(boost::json::array rows) const;
+  /// Sets the row and records the change, for a later return from a copy.
+  void SetRow(const Key& key, Row row, uint64_t revision_before);
 
   std::map<Key, Row> m_rows;
   uint64_t m_revision = 1;
   uint64_t m_history_start = 0;
+  uint64_t m_era = 1;
+  Duration m_clock_shift{};
+  std::deque<Change> m_changes;
 };
 
 }  // namespace verbenalead::standins
