--- a/src/libverbenalead/decide/announcement_tracker.cc
+++ b/src/libverbenalead/decide/announcement_tracker.cc
@@ -30,7 +30,7 @@
 
 bool HandleAnnouncement(AnnouncementTracker& tracker,
                         bool same_data_center,
-                        uint64_t revision,
+                        model::Revision revision,
                         TimePoint now) {
   tracker.m_announced_at = now;
   if (same_data_center)
--- a/src/libverbenalead/decide/announcement_tracker.h
+++ b/src/libverbenalead/decide/announcement_tracker.h
@@ -1,9 +1,8 @@
 #ifndef VERBENALEAD_DECIDE_ANNOUNCEMENT_TRACKER_H_
 #define VERBENALEAD_DECIDE_ANNOUNCEMENT_TRACKER_H_
 
-#include <cstdint>
-
 #include "base/time.h"
+#include "model/revision.h"
 
 namespace verbenalead::decide {
 
@@ -23,7 +22,7 @@
   /// counts as new.
   bool m_known = false;
   /// Revision of the newest change of declared weights that is known here.
-  uint64_t m_weights_revision = 0;
+  model::Revision m_weights_revision;
   /// When an entry last announced its revision; m_local_announced_at is the
   /// same for entries of this data centre only.
   TimePoint m_announced_at{};
@@ -42,7 +41,7 @@
 /// entry at the same moment.
 bool HandleAnnouncement(AnnouncementTracker& tracker,
                         bool same_data_center,
-                        uint64_t revision,
+                        model::Revision revision,
                         TimePoint now);
 
 /// Records that an entry answered but has no rows yet: it has just started as
--- a/src/libverbenalead/decide/announcement_tracker_test.cc
+++ b/src/libverbenalead/decide/announcement_tracker_test.cc
@@ -11,7 +11,7 @@
   AnnouncementTracker tracker;
   tracker.m_started = kStart;
   tracker.m_known = true;
-  tracker.m_weights_revision = revision;
+  tracker.m_weights_revision = {0, revision};
   return tracker;
 }
 
@@ -78,30 +78,30 @@
   // fetched from remote entries at the same moment.
   void PrefersRowsFromLocalEntries() {
     AnnouncementTracker tracker = KnownWatch(1);
-    CPPUNIT_ASSERT(!HandleAnnouncement(tracker, true, 1, kStart));
-    CPPUNIT_ASSERT(!HandleAnnouncement(tracker, false, 7, kStart + 1s));
-    CPPUNIT_ASSERT(HandleAnnouncement(tracker, true, 7, kStart + 1200ms));
+    CPPUNIT_ASSERT(!HandleAnnouncement(tracker, true, {0, 1}, kStart));
+    CPPUNIT_ASSERT(!HandleAnnouncement(tracker, false, {0, 7}, kStart + 1s));
+    CPPUNIT_ASSERT(HandleAnnouncement(tracker, true, {0, 7}, kStart + 1200ms));
     CPPUNIT_ASSERT(DefersStoreRead(tracker, 0, kStart + 6s));
   }
 
   void FetchesFromRemoteEntriesWithoutLocalOnes() {
     AnnouncementTracker tracker = KnownWatch(1);
-    CPPUNIT_ASSERT(HandleAnnouncement(tracker, false, 7, kStart));
-    CPPUNIT_ASSERT(!HandleAnnouncement(tracker, true, 1, kStart + 1s));
-    CPPUNIT_ASSERT(HandleAnnouncement(tracker, false, 7, kStart + 4s));
+    CPPUNIT_ASSERT(HandleAnnouncement(tracker, false, {0, 7}, kStart));
+    CPPUNIT_ASSERT(!HandleAnnouncement(tracker, true, {0, 1}, kStart + 1s));
+    CPPUNIT_ASSERT(HandleAnnouncement(tracker, false, {0, 7}, kStart + 4s));
   }
 
   void KnownRevisionsCauseNoFetch() {
     AnnouncementTracker tracker = KnownWatch(7);
-    CPPUNIT_ASSERT(!HandleAnnouncement(tracker, false, 7, kStart));
-    CPPUNIT_ASSERT(!HandleAnnouncement(tracker, true, 6, kStart));
+    CPPUNIT_ASSERT(!HandleAnnouncement(tracker, false, {0, 7}, kStart));
+    CPPUNIT_ASSERT(!HandleAnnouncement(tracker, true, {0, 6}, kStart));
   }
 
   void FirstRowsAreFetchedFromAnyEntry() {
     AnnouncementTracker tracker;
     tracker.m_started = kStart;
-    CPPUNIT_ASSERT(HandleAnnouncement(tracker, true, 0, kStart));
-    CPPUNIT_ASSERT(HandleAnnouncement(tracker, true, 0, kStart + 1s));
+    CPPUNIT_ASSERT(HandleAnnouncement(tracker, true, {0, 0}, kStart));
+    CPPUNIT_ASSERT(HandleAnnouncement(tracker, true, {0, 0}, kStart + 1s));
   }
 };
 
--- a/src/libverbenalead/decide/config_lease_test.cc
+++ b/src/libverbenalead/decide/config_lease_test.cc
@@ -40,10 +40,10 @@
   void StoreClockDatesDelayedAnswer() {
     StoreClock clock;
     // A quick exchange: sent at 100 s, the store's clock shows 7 s.
-    CPPUNIT_ASSERT(AnsweredAt(clock, 100s, 7s) == Duration(100s));
+    CPPUNIT_ASSERT(AnsweredAt(clock, 100s, {1, 7s}) == Duration(100s));
     // Sent at 101 s, held by the store for a second, answered when its clock
     // shows 9 s.
-    CPPUNIT_ASSERT(AnsweredAt(clock, 101s, 9s) == Duration(102s));
+    CPPUNIT_ASSERT(AnsweredAt(clock, 101s, {1, 9s}) == Duration(102s));
   }
 
   // A key is removed while the entry is cut off, responses of the store are
@@ -69,8 +69,8 @@
         now = answered_at + std::chrono::milliseconds(step);  // Or a pause.
         if (step % 3 == 0) {
           removal_known |= answered_at >= removed;
-          RenewLease(lease,
-                     AnsweredAt(clock, requested_at, answered_at - offset));
+          RenewLease(lease, AnsweredAt(clock, requested_at,
+                                       {1, answered_at - offset}));
         }
         const Duration sent = now - latency;
         const bool admitted =
--- a/src/libverbenalead/decide/live_replicas_test.cc
+++ b/src/libverbenalead/decide/live_replicas_test.cc
@@ -11,7 +11,7 @@
   model::Replica replica;
   replica.m_id = id;
   replica.m_endpoint = Endpoint(address, 80);
-  replica.m_revision = revision;
+  replica.m_revision = {0, revision};
   return replica;
 }
 
--- a/src/libverbenalead/entry/caller_addresses_test.cc
+++ b/src/libverbenalead/entry/caller_addresses_test.cc
@@ -32,7 +32,7 @@
   state->m_routes =
       std::make_shared<decide::RouteTable>(model::RoutingConfig());
   state->m_replicas_known = true;
-  state->m_operator_revision = 5;
+  state->m_operator_revision.m_number = 5;
   state->m_replicas_hash = 7;
   decide::RenewLease(state->m_lease, BootNow());
   return state;
@@ -46,7 +46,7 @@
     peer.m_address = Address(number);
     peer.m_last_seen_at = Now();
     peer.m_ready = ready;
-    peer.m_operator_revision = ready ? 5 : 0;
+    peer.m_operator_revision.m_number = ready ? 5 : 0;
     peer.m_replicas_hash = ready ? 7 : 0;
   }
 }
--- a/src/libverbenalead/entry/entry_registration.cc
+++ b/src/libverbenalead/entry/entry_registration.cc
@@ -3,6 +3,7 @@
 #include "base/catch_failure.h"
 #include "base/log.h"
 #include "base/sleep.h"
+#include "entry/store_return.h"
 #include "links/message.h"
 #include "platform/names.h"
 
@@ -110,7 +111,9 @@
 void EntryRegistration::ApplyRows(const platform::Rows& rows) {
   // This small answer is the first one after a start. It sets the offset of the
   // store's clock, with which the proofs of other entries are dated.
-  decide::AnsweredAt(m_state.m_store_clock, rows.m_asked_at, rows.m_store_time);
+  NoteStoreEra(m_state, rows.m_revision.m_era, "store");
+  decide::AnsweredAt(m_state.m_store_clock, rows.m_asked_at,
+                     {rows.m_revision.m_era, rows.m_store_time});
   for (const platform::Row& row : rows.m_rows) {
     if (row.m_deleted || row.m_key == m_state.m_options.m_own_address.m_host)
       continue;
--- a/src/libverbenalead/entry/entry_state.cc
+++ b/src/libverbenalead/entry/entry_state.cc
@@ -72,6 +72,10 @@
   return found && found->m_engine;
 }
 
+uint64_t ConfigVersion(const EntryState& state) {
+  return state.m_routes ? state.m_routes->config().m_version : 0;
+}
+
 uint32_t MaxExistingEntries(const EntryState& state) {
   if (!state.m_remote_entries)
     return kAssumedEntries;
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -19,12 +19,14 @@
 #include "decide/retry_window.h"
 #include "decide/route_table.h"
 #include "decide/store_clock.h"
+#include "decide/store_era.h"
 #include "decide/wait_share.h"
 #include "entry/crash_report_log.h"
 #include "entry/entry_options.h"
 #include "entry/last_summary.h"
 #include "entry/peer_entry.h"
 #include "entry/replica_change_log.h"
+#include "model/revision.h"
 
 namespace verbenalead::entry {
 
@@ -58,15 +60,18 @@
   /// Null until the first configuration is known.
   std::shared_ptr<const decide::RouteTable> m_routes;
   decide::ConfigLease m_lease;
+  decide::StoreEra m_store_era;
   decide::StoreClock m_store_clock;
   /// Newest known revision of the operator's table, which holds the
   /// configuration and the declared weights.
-  uint64_t m_operator_revision = 0;
+  model::Revision m_operator_revision;
   /// Newest known revision of declared weights.
-  uint64_t m_weights_revision = 0;
+  model::Revision m_weights_revision;
   /// Store time at which the store itself last confirmed to this entry that
   /// there was no newer revision of the operator's table.
-  Duration m_operator_confirmed_at{};
+  model::StoreTime m_operator_confirmed_at;
+  /// The newest such confirmation of any entry, for rows that this entry has.
+  model::StoreTime m_newest_proof;
   /// Local time of the store's last answer about the operator's table.
   TimePoint m_operator_answered_at{};
   /// The store answered this entry before but does not answer now.
@@ -130,6 +135,9 @@
 /// Whether the replicas of `service` are engines.
 bool IsEngineService(const EntryState& state, const std::string& service);
 
+/// Version of the configuration that is in force; 0: none is.
+uint64_t ConfigVersion(const EntryState& state);
+
 /// Upper bound of the number of existing entries, this one included.
 uint32_t MaxExistingEntries(const EntryState& state);
 
--- a/src/libverbenalead/entry/peer_entry.h
+++ b/src/libverbenalead/entry/peer_entry.h
@@ -3,6 +3,7 @@
 
 #include "base/time.h"
 #include "links/entry_update.h"
+#include "model/store_time.h"
 
 namespace verbenalead::entry {
 
@@ -10,10 +11,13 @@
 struct PeerEntry {
   model::EntryAddress m_address;
   bool m_ready = false;
-  uint64_t m_operator_revision = 0;
+  model::Revision m_operator_revision;
+  uint64_t m_config_version = 0;
   /// When the store last confirmed that m_operator_revision was the newest, by
   /// the local clock; zero: not known.
   Duration m_proved_at{};
+  /// That confirmation by the store's clock, as the entry announced it.
+  model::StoreTime m_announced_proof;
   uint64_t m_replicas_hash = 0;
   /// When its list of replicas was last known to be current.
   TimePoint m_replicas_confirmed_at{};
--- a/src/libverbenalead/entry/peer_updates.cc
+++ b/src/libverbenalead/entry/peer_updates.cc
@@ -7,6 +7,7 @@
 #include "entry/crash_blame.h"
 #include "entry/rate_limits.h"
 #include "entry/statements.h"
+#include "entry/store_return.h"
 
 namespace verbenalead::entry {
 namespace {
@@ -61,6 +62,47 @@
     state.m_local_crashes.try_emplace({record.m_key, record.m_target}, now);
 }
 
+/// Dates the proof that `update` announces. While this entry doesn't know the
+/// store's clock of a new era, a proof that is new counts as given now: `peer`
+/// reads the store, so that this entry need not. Such a date renews no lease.
+void ApplyStoreProof(EntryState& state,
+                     PeerEntry& peer,
+                     const links::EntryUpdate& update) {
+  const model::StoreTime proof = {update.m_operator_revision.m_era,
+                                  update.m_operator_confirmed_at};
+  const bool is_new = proof != peer.m_announced_proof;
+  peer.m_announced_proof = proof;
+  const auto proved_at =
+      ApplyPeerProof(state, update.m_operator_revision, proof.m_time);
+  if (proved_at)
+    peer.m_proved_at = *proved_at;
+  else if (proof.m_time == Duration())
+    peer.m_proved_at = Duration();
+  else if (is_new && proof.m_era > state.m_store_clock.m_era &&
+           state.m_store_clock.m_offset)
+    peer.m_proved_at = BootNow();
+}
+
+/// Whether `peer` runs a version of this program that states no era, although
+/// the store does. Its rows and proofs can't be ordered.
+bool StatesNoEra(const EntryState& state, const PeerEntry& peer) {
+  return state.m_store_era.m_era > 0 && peer.m_operator_revision.m_era == 0 &&
+         peer.m_operator_revision.m_number > 0;
+}
+
+/// Whether `peer` has changes of the operator's table that this entry lacks.
+/// After the store came back from a copy, one that has not been read again by
+/// all may still know a newer configuration.
+bool HasNewerRows(const EntryState& state, const PeerEntry& peer) {
+  return peer.m_operator_revision > state.m_operator_revision ||
+         peer.m_config_version > ConfigVersion(state);
+}
+
+/// The order in which rows of peers are preferred.
+std::pair<uint64_t, model::Revision> NewestRows(const PeerEntry& peer) {
+  return {peer.m_config_version, peer.m_operator_revision};
+}
+
 }  // namespace
 
 void LimitToDatagram(std::vector<decide::CrashRecord>& records) {
@@ -111,6 +153,8 @@
   update.m_crash_reports = CrashReportsToSend(state, false, Now());
   update.m_operator_revision = state.m_operator_revision;
   update.m_operator_confirmed_at = StoreProofOf(state);
+  update.m_config_version = ConfigVersion(state);
+  update.m_era_age = StoreEraAge(state);
   update.m_replicas_hash = state.m_replicas_hash;
   update.m_replicas_age = std::min<Duration>(
       Now() - state.m_replicas_confirmed_at, kMaxReportedAge);
@@ -124,20 +168,27 @@
   // Symptom: the others wait until its last proof is too old, and meanwhile
   // send calls to a replica that has left. Without a proof they take over at
   // once.
-  return state.m_store_unavailable ? Duration() : state.m_operator_confirmed_at;
+  const model::StoreTime& proof = state.m_operator_confirmed_at;
+  return state.m_store_unavailable ||
+                 proof.m_era != state.m_operator_revision.m_era
+             ? Duration()
+             : proof.m_time;
 }
 
 std::optional<Duration> ApplyPeerProof(EntryState& state,
-                                       uint64_t revision,
+                                       model::Revision revision,
                                        Duration proof) {
-  if (!state.m_store_clock.m_offset)
-    return std::nullopt;
-  const Duration proved_at = proof + *state.m_store_clock.m_offset;
+  const model::StoreTime proved = {revision.m_era, proof};
+  const auto proved_at = decide::ToLocal(state.m_store_clock, proved);
   // The store confirmed that nothing newer than `revision` existed, and this
   // entry has that revision too.
-  if (proved_at > Duration() && revision > 0 &&
-      state.m_operator_revision >= revision)
-    decide::RenewLease(state.m_lease, proved_at);
+  if (proved_at && *proved_at > Duration() && revision.m_number > 0 &&
+      state.m_operator_revision >= revision) {
+    if (proof > state.m_newest_proof.m_time ||
+        revision.m_era > state.m_newest_proof.m_era)
+      state.m_newest_proof = proved;
+    ApplyProof(state, *proved_at);
+  }
   return proved_at;
 }
 
@@ -164,16 +215,20 @@
         .With("ready", update.m_ready)
         .Info();
   }
+  NoteStoreEra(state, update.m_operator_revision.m_era,
+               update.m_address.m_host);
+  if (update.m_era_age) {
+    decide::RecordEraSince(state.m_store_era, update.m_operator_revision.m_era,
+                           BootNow() - *update.m_era_age);
+  }
   peer.m_address = update.m_address;
   peer.m_ready = update.m_ready;
   peer.m_last_seen_at = now;
   peer.m_operator_revision = update.m_operator_revision;
   peer.m_replicas_hash = update.m_replicas_hash;
   peer.m_replicas_confirmed_at = now - update.m_replicas_age;
-  const auto proved_at = ApplyPeerProof(state, update.m_operator_revision,
-                                        update.m_operator_confirmed_at);
-  if (proved_at)
-    peer.m_proved_at = *proved_at;
+  peer.m_config_version = update.m_config_version;
+  ApplyStoreProof(state, peer, update);
   if (update.m_remote_entries) {
     state.m_remote_entries =
         std::max(state.m_remote_entries.value_or(0), *update.m_remote_entries);
@@ -220,7 +275,8 @@
         host >= state.m_options.m_own_address.m_host)
       break;
     if (IsInSameDataCenter(state, peer) && HasRecentUpdate(state, peer, now) &&
-        peer.m_ready && peer.m_proved_at + kMaxProofAge > BootNow() &&
+        peer.m_ready && !StatesNoEra(state, peer) &&
+        peer.m_proved_at + kMaxProofAge > BootNow() &&
         now - peer.m_replicas_confirmed_at < kMaxReplicaListAge)
       return &peer;
   }
@@ -229,16 +285,17 @@
 
 const PeerEntry* PickNewerPeer(EntryState& state, TimePoint now) {
   std::vector<const PeerEntry*> candidates;
-  uint64_t newest = state.m_operator_revision;
   for (const auto& [host, peer] : state.m_peers) {
     if (!IsInSameDataCenter(state, peer) ||
-        !HasRecentUpdate(state, peer, now) ||
-        peer.m_operator_revision <= state.m_operator_revision ||
-        peer.m_operator_revision < newest)
+        !HasRecentUpdate(state, peer, now) || StatesNoEra(state, peer) ||
+        !HasNewerRows(state, peer))
+      continue;
+    if (!candidates.empty() &&
+        NewestRows(peer) < NewestRows(*candidates.front()))
       continue;
-    if (peer.m_operator_revision > newest)
+    if (!candidates.empty() &&
+        NewestRows(peer) > NewestRows(*candidates.front()))
       candidates.clear();
-    newest = peer.m_operator_revision;
     candidates.push_back(&peer);
   }
   return candidates.empty() ? nullptr
--- a/src/libverbenalead/entry/peer_updates.h
+++ b/src/libverbenalead/entry/peer_updates.h
@@ -50,7 +50,7 @@
 /// time of the proof on the local clock, or nothing while the offset of the
 /// store's clock is unknown.
 std::optional<Duration> ApplyPeerProof(EntryState& state,
-                                       uint64_t revision,
+                                       model::Revision revision,
                                        Duration proof);
 
 /// Applies crash records of other entries.
@@ -75,8 +75,8 @@
 /// the store does not answer uses any other entry that reads.
 const PeerEntry* FindStoreReader(const EntryState& state, TimePoint now);
 
-/// Returns an entry of this data centre that has the newest known revision of
-/// the operator's table, or null if this entry has that revision itself. One of
+/// Returns an entry of this data centre that has the newest known configuration
+/// and revision of the operator's table, or null if this entry has both. One of
 /// the entries that have it is chosen at random: 14 entries that all fetched
 /// 390 KB from the same one would wait for its link.
 const PeerEntry* PickNewerPeer(EntryState& state, TimePoint now);
--- a/src/libverbenalead/entry/peer_updates_test.cc
+++ b/src/libverbenalead/entry/peer_updates_test.cc
@@ -24,10 +24,10 @@
       std::make_shared<decide::RouteTable>(model::RoutingConfig());
   state->m_replicas_known = true;
   state->m_replicas_confirmed_at = Now();
-  state->m_operator_revision = 5;
+  state->m_operator_revision.m_number = 5;
   // The local clock and the store's clock are the same here.
   state->m_store_clock.m_offset = Duration();
-  state->m_operator_confirmed_at = BootNow();
+  state->m_operator_confirmed_at = {0, BootNow()};
   decide::RenewLease(state->m_lease, BootNow());
   return state;
 }
@@ -62,17 +62,17 @@
   // choose at random among the entries that have it.
   void FetchesFromAnyEntryWithTheNewestRows() {
     const auto newcomer = Entry("e0");
-    newcomer->m_operator_revision = 0;
+    newcomer->m_operator_revision.m_number = 0;
     for (const char* host : {"e1", "e2", "e3"}) {
       const auto entry = Entry(host);
-      entry->m_operator_revision = host == std::string("e3") ? 4 : 5;
+      entry->m_operator_revision.m_number = host == std::string("e3") ? 4 : 5;
       ApplyUpdate(*newcomer, MakeEntryUpdate(*entry), Now());
     }
     std::set<std::string> chosen;
     for (int i = 0; i < 50; ++i)
       chosen.insert(PickNewerPeer(*newcomer, Now())->m_address.m_host);
     CPPUNIT_ASSERT(chosen == std::set<std::string>({"e1", "e2"}));
-    newcomer->m_operator_revision = 5;
+    newcomer->m_operator_revision.m_number = 5;
     CPPUNIT_ASSERT(!PickNewerPeer(*newcomer, Now()));
   }
 
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -288,7 +288,7 @@
   asio::signal_set m_signals;
   /// The configuration that ApplyRows() applied last.
   std::shared_ptr<const decide::RouteTable> m_applied_routes;
-  uint64_t m_announced_weights = 0;
+  model::Revision m_announced_weights;
   StartupProgress m_start;
   /// All steps of StartupProgress are completed.
   bool m_started = false;
--- a/src/libverbenalead/entry/row_applier.cc
+++ b/src/libverbenalead/entry/row_applier.cc
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "decide/earliest_write.h"
 #include "decide/live_replicas.h"
+#include "entry/store_return.h"
 #include "platform/decode_config.h"
 #include "platform/decode_replica.h"
 #include "platform/decode_weights.h"
@@ -29,6 +30,17 @@
 /// seconds; the rest is the time until this entry reads them.
 constexpr Duration kExpiredRowGrace = 2200ms;
 
+/// Whether `row` tells nothing that `kept` doesn't: it is the same row, or an
+/// older one of the same history. The revisions of two histories have no order,
+/// and an entry may have kept a newer value than the copy of the store at the
+/// same revision; then the content decides.
+bool IsKnown(const platform::Row& kept, const platform::Row& row) {
+  if (row.m_revision.m_era == kept.m_revision.m_era &&
+      row.m_revision != kept.m_revision)
+    return row.m_revision < kept.m_revision;
+  return row.m_revision == kept.m_revision && row.m_value == kept.m_value;
+}
+
 }  // namespace
 
 void RowApplier::MergeOperatorRows(
@@ -36,34 +48,47 @@
     const std::function<Duration(const platform::Row&)>& age_of) {
   for (const platform::Row& row : rows.m_rows) {
     platform::Row& kept = m_operator_rows[row.m_key];
-    if (row.m_revision < kept.m_revision) {
-      LogLine("row_ignored")
+    if (IsKnown(kept, row))
+      continue;
+    const model::Revision known = kept.m_revision;
+    const bool applied = !row.m_deleted && ApplyOperatorRow(row, age_of(row));
+    kept.m_key = row.m_key;
+    if (applied || kept.m_value.empty())
+      kept.m_value = row.m_value;
+    kept.m_revision = std::max(kept.m_revision, row.m_revision);
+    ++m_generation;
+    if (!applied) {
+      LogLine("row_not_applied")
           .With("key", row.m_key)
-          .With("revision", row.m_revision)
-          .With("known_revision", kept.m_revision)
-          .Warn();
+          .With("revision", ToString(row.m_revision))
+          .With("known_revision", ToString(known))
+          .With("deleted", row.m_deleted)
+          .Info();
     }
-    if (row.m_revision <= kept.m_revision)
-      continue;
-    kept = row;
     m_state.m_operator_revision =
-        std::max(m_state.m_operator_revision, row.m_revision);
-    if (row.m_deleted)
-      continue;
-    if (row.m_key == platform::kConfigKey) {
-      ApplyConfig(row.m_value);
-    } else if (row.m_key.starts_with(platform::kWeightsKeyPrefix)) {
+        std::max(m_state.m_operator_revision, kept.m_revision);
+    if (row.m_key.starts_with(platform::kWeightsKeyPrefix)) {
       m_state.m_weights_revision =
-          std::max(m_state.m_weights_revision, row.m_revision);
-      ApplyWeights(row, age_of(row));
+          std::max(m_state.m_weights_revision, kept.m_revision);
     }
   }
 }
 
+bool RowApplier::ApplyOperatorRow(const platform::Row& row, Duration age) {
+  if (row.m_key == platform::kConfigKey)
+    return ApplyConfig(row.m_value);
+  if (row.m_key.starts_with(platform::kWeightsKeyPrefix))
+    return ApplyWeights(row, age);
+  return true;
+}
+
 void RowApplier::ApplyOperatorRows(const platform::Rows& rows,
                                    bool is_snapshot) {
-  const Duration answered_at = decide::AnsweredAt(
-      m_state.m_store_clock, rows.m_asked_at, rows.m_store_time);
+  const model::StoreTime answered = {rows.m_revision.m_era, rows.m_store_time};
+  if (!NoteStoreEra(m_state, answered.m_era, "store"))
+    return;
+  const Duration answered_at =
+      decide::AnsweredAt(m_state.m_store_clock, rows.m_asked_at, answered);
   const bool first = is_snapshot && !m_operator_rows_read;
   const Duration written_at = decide::EarliestWriteTime(
       rows.m_asked_at, answered_at, m_state.m_lease.m_proved_at);
@@ -73,22 +98,34 @@
   MergeOperatorRows(rows, [age](const platform::Row&) { return age; });
   if (is_snapshot)
     m_operator_rows_read = true;
-  m_state.m_metrics.Set("store_era", "", static_cast<double>(rows.m_era));
-  m_state.m_operator_confirmed_at = rows.m_store_time;
+  m_state.m_operator_confirmed_at = answered;
+  m_state.m_newest_proof = answered;
   m_state.m_operator_answered_at = Now();
-  decide::RenewLease(m_state.m_lease, answered_at);
+  ApplyProof(m_state, answered_at);
 }
 
 void RowApplier::ApplyRelayedOperatorRows(const links::RelayedRows& relayed) {
+  const platform::Rows& rows = relayed.m_rows;
+  const model::StoreTime proof = {rows.m_revision.m_era, rows.m_store_time};
+  const bool current = NoteStoreEra(m_state, proof.m_era, "entry");
   const Duration unknown = AssumedAge();
-  MergeOperatorRows(relayed.m_rows, [&](const platform::Row& row) {
+  MergeOperatorRows(rows, [&](const platform::Row& row) {
     const auto age = relayed.m_max_ages.find(row.m_key);
     return age == relayed.m_max_ages.end() ? unknown : age->second;
   });
   m_operator_rows_read = true;
-  if (m_state.m_store_clock.m_offset) {
-    decide::RenewLease(m_state.m_lease, relayed.m_rows.m_store_time +
-                                            *m_state.m_store_clock.m_offset);
+  if (!current)
+    return;
+  // The other entry answered after the request was sent, so this is no later
+  // than the true time of the proof. Without it an entry that doesn't read the
+  // store itself would not know the clock of a new era.
+  if (relayed.m_proof_age) {
+    decide::AnsweredAt(m_state.m_store_clock,
+                       rows.m_asked_at - *relayed.m_proof_age, proof);
+  }
+  if (const auto proved_at = decide::ToLocal(m_state.m_store_clock, proof)) {
+    m_state.m_newest_proof = proof;
+    ApplyProof(m_state, *proved_at);
   }
 }
 
@@ -104,14 +141,13 @@
   return BindingDelay() - kBindingAfterStart;
 }
 
-void RowApplier::ApplyConfig(const std::string& text) {
+bool RowApplier::ApplyConfig(const std::string& text) {
   auto config = CatchFailure([&] { return platform::DecodeConfig(text); });
   if (!config) {
     LogLine("bad_config").With(config.error()).Error();
-    return;
+    return false;
   }
-  const uint64_t before =
-      m_state.m_routes ? m_state.m_routes->config().m_version : 0;
+  const uint64_t before = ConfigVersion(m_state);
   if (config->m_version < before) {
     LogLine("config_ignored")
         .With("version", config->m_version)
@@ -119,7 +155,7 @@
         .Info();
   }
   if (config->m_version <= before)
-    return;
+    return config->m_version == before;
   m_state.m_metrics.Set("config_version", "",
                         static_cast<double>(config->m_version));
   LogLine("config_in_force")
@@ -129,18 +165,26 @@
       .Info();
   m_state.m_routes =
       std::make_shared<const decide::RouteTable>(std::move(*config));
+  return true;
 }
 
-void RowApplier::ApplyWeights(const platform::Row& row, Duration age) {
+bool RowApplier::ApplyWeights(const platform::Row& row, Duration age) {
   const auto declared = platform::DecodeWeights(row.m_value);
   if (!declared) {
     LogLine("bad_weights_row").Error();
-    return;
+    return false;
   }
-  m_seen[row.m_key] = BootNow() - age;
   decide::DeclaredVersions& versions = m_state.m_weights[declared->m_model];
-  if (declared->m_version <= decide::Newest(versions))
-    return;
+  const uint64_t newest = decide::Newest(versions);
+  if (declared->m_version < newest)
+    return false;
+  const Duration written_at = BootNow() - age;
+  if (declared->m_version == newest) {
+    // Written again: the bound counts from the first declaration.
+    m_seen.try_emplace(row.m_key, written_at);
+    return true;
+  }
+  m_seen[row.m_key] = written_at;
   const Duration binding_in = BindingDelay() - age;
   LogLine("weights_declared")
       .With("model", declared->m_model)
@@ -149,11 +193,12 @@
       .With("binding_in_ms", ToMilliseconds(binding_in))
       .Info();
   decide::Declare(versions, declared->m_version, Now() + binding_in);
+  return true;
 }
 
 void RowApplier::ApplyReplicaRow(const platform::Row& row) {
   if (row.m_deleted) {
-    m_replica_rows.erase(row.m_key);
+    m_generation += m_replica_rows.erase(row.m_key);
     m_replicas.erase(row.m_key);
     return;
   }
@@ -161,6 +206,7 @@
   if (kept == row)
     return;
   kept = row;
+  ++m_generation;
   auto replica = CatchFailure(
       [&] { return platform::DecodeReplica(row.m_key, row.m_value); });
   if (!replica) {
@@ -177,26 +223,40 @@
         .With("service", replica->m_service)
         .With("endpoint", ToString(replica->m_endpoint))
         .With("leaving", replica->m_leaving)
-        .With("row_revision", row.m_revision)
+        .With("row_revision", ToString(row.m_revision))
+        .Info();
+  }
+  if (known != m_replicas.end() && known->second.m_leaving &&
+      !replica->m_leaving && model::SameIncarnation(known->second, *replica)) {
+    // The pool keeps it as leaving; the row is that of a copy.
+    LogLine("leaving_kept")
+        .With("replica", replica->m_id)
+        .With("row_revision", ToString(row.m_revision))
+        .With("known_revision", ToString(known->second.m_revision))
         .Info();
   }
   replica->m_revision = row.m_revision;
   m_replicas[row.m_key] = std::move(*replica);
 }
 
+void RowApplier::RemoveAbsentReplicas(const platform::Rows& rows) {
+  std::set<std::string> present;
+  for (const platform::Row& row : rows.m_rows)
+    present.insert(row.m_key);
+  const auto is_absent = [&](const auto& entry) {
+    return !present.contains(entry.first);
+  };
+  m_generation += std::erase_if(m_replica_rows, is_absent);
+  std::erase_if(m_replicas, is_absent);
+}
+
 void RowApplier::ApplyReplicaRows(const platform::Rows& rows,
                                   bool is_snapshot,
                                   TimePoint regained_at) {
-  if (is_snapshot) {
-    std::set<std::string> present;
-    for (const platform::Row& row : rows.m_rows)
-      present.insert(row.m_key);
-    const auto is_absent = [&](const auto& entry) {
-      return !present.contains(entry.first);
-    };
-    std::erase_if(m_replica_rows, is_absent);
-    std::erase_if(m_replicas, is_absent);
-  }
+  if (!NoteStoreEra(m_state, rows.m_revision.m_era, "store"))
+    return;
+  if (is_snapshot)
+    RemoveAbsentReplicas(rows);
   const size_t before = m_replicas.size();
   for (const platform::Row& row : rows.m_rows)
     ApplyReplicaRow(row);
@@ -209,17 +269,19 @@
   m_replicas_revision = std::max(m_replicas_revision, rows.m_revision);
   m_state.m_replicas_known = true;
   m_state.m_replicas_confirmed_at = Now();
-  UpdatePools(regained_at == TimePoint() ? TimePoint()
-                                         : regained_at + kExpiredRowGrace);
+  const TimePoint returned_at = std::max(regained_at, StoreReturnedAt(m_state));
+  UpdatePools(returned_at == TimePoint() ? TimePoint()
+                                         : returned_at + kExpiredRowGrace);
 }
 
 bool RowApplier::ApplyRelayedReplicaRows(const links::RelayedRows& relayed) {
   // An older table would bring back replicas that are known to be leaving.
-  if (relayed.m_rows.m_revision < m_replicas_revision) {
+  if (relayed.m_rows.m_revision < m_replicas_revision ||
+      relayed.m_rows.m_revision.m_era < m_state.m_store_era.m_era) {
     LogLine("table_ignored")
         .With("table", platform::kReplicaTable)
-        .With("revision", relayed.m_rows.m_revision)
-        .With("known_revision", m_replicas_revision)
+        .With("revision", ToString(relayed.m_rows.m_revision))
+        .With("known_revision", ToString(m_replicas_revision))
         .Info();
     return false;
   }
@@ -231,14 +293,14 @@
 }
 
 void RowApplier::UpdatePools(TimePoint keep_missing_until) {
-  const std::map<std::string, model::Replica> live =
-      decide::LiveReplicas(m_replicas);
+  std::map<std::string, model::Replica> live = decide::LiveReplicas(m_replicas);
+  // Other processes compare the list as the table has it.
+  m_state.m_replicas_hash = decide::HashOf(live);
   std::map<std::string, std::vector<model::Replica>> by_service;
   for (const auto& [id, replica] : live)
     by_service[replica.m_service].push_back(replica);
   for (const auto& [service, replicas] : by_service)
     GetOrCreateService(m_state, service);
-  m_state.m_replicas_hash = decide::HashOf(live);
   const TimePoint now = Now();
   for (auto& [name, service] : m_state.m_services) {
     decide::SetReplicas(service.m_pool, by_service[name], keep_missing_until,
--- a/src/libverbenalead/entry/row_applier.h
+++ b/src/libverbenalead/entry/row_applier.h
@@ -20,6 +20,9 @@
 
   /// Applies rows of the operator's table: the configuration and the declared
   /// versions of weights. `is_snapshot`: the rows are all that the table holds.
+  /// A configuration or weights that are older by their own version than those
+  /// known are not applied, whatever the revision of their row: after the store
+  /// came back from a copy, its rows are older.
   void ApplyOperatorRows(const platform::Rows& rows, bool is_snapshot);
   /// Applies the operator's rows as fetched from an entry of the same data
   /// centre. Their proof renews the lease only once the offset of the store's
@@ -45,7 +48,9 @@
     return m_replica_rows;
   }
   /// The revision up to which replica_rows() contains all changes.
-  uint64_t replicas_revision() const { return m_replicas_revision; }
+  model::Revision replicas_revision() const { return m_replicas_revision; }
+  /// Changes with each change of operator_rows() or replica_rows().
+  uint64_t generation() const { return m_generation; }
 
  private:
   /// Time from a declaration of weights until they are mandatory.
@@ -57,10 +62,15 @@
   void MergeOperatorRows(
       const platform::Rows& rows,
       const std::function<Duration(const platform::Row&)>& age_of);
-  void ApplyConfig(const std::string& text);
+  /// Applies a row that is not known yet; returns false if it is malformed, or
+  /// older by its content than what is known.
+  bool ApplyOperatorRow(const platform::Row& row, Duration age);
+  bool ApplyConfig(const std::string& text);
   /// `age`: time since the declaration was made.
-  void ApplyWeights(const platform::Row& row, Duration age);
+  bool ApplyWeights(const platform::Row& row, Duration age);
   void ApplyReplicaRow(const platform::Row& row);
+  /// Removes the rows that a whole table doesn't have.
+  void RemoveAbsentReplicas(const platform::Rows& rows);
   void UpdatePools(TimePoint keep_missing_until);
 
   EntryState& m_state;
@@ -68,7 +78,8 @@
   std::map<std::string, platform::Row> m_operator_rows;
   links::EarliestWriteTimes m_seen;
   std::map<std::string, platform::Row> m_replica_rows;
-  uint64_t m_replicas_revision = 0;
+  model::Revision m_replicas_revision;
+  uint64_t m_generation = 0;
   /// The rows of the table of replicas that could be decoded.
   std::map<std::string, model::Replica> m_replicas;
 };
--- a/src/libverbenalead/entry/row_applier_test.cc
+++ b/src/libverbenalead/entry/row_applier_test.cc
@@ -12,19 +12,19 @@
                          const std::string& state = "ready") {
   platform::Row row;
   row.m_key = id;
-  row.m_revision = revision;
+  row.m_revision = {0, revision};
   row.m_value = R"({"service":"pool","address":"10.0.0.)" + id +
                 R"(:80","zone":"a","slots":4,"state":")" + state + R"("})";
   return row;
 }
 
 platform::Row DeclarationRow(uint64_t revision) {
-  return {"version/m", R"({"model":"m","version":2})", revision, false};
+  return {"version/m", R"({"model":"m","version":2})", {0, revision}, false};
 }
 
 platform::Rows Rows(uint64_t revision, std::vector<platform::Row> rows) {
   platform::Rows all;
-  all.m_revision = revision;
+  all.m_revision = {0, revision};
   all.m_rows = std::move(rows);
   return all;
 }
@@ -53,9 +53,12 @@
     m_intake->ApplyReplicaRows(Rows(5, {ReplicaRow("1", 5)}), true,
                                TimePoint());
     CPPUNIT_ASSERT(m_intake->ApplyRelayedReplicaRows(
-        {Rows(8, {ReplicaRow("1", 5), ReplicaRow("2", 8)}), {}, std::nullopt}));
+        {Rows(8, {ReplicaRow("1", 5), ReplicaRow("2", 8)}),
+         {},
+         std::nullopt,
+         std::nullopt}));
     CPPUNIT_ASSERT_EQUAL(size_t{2}, Replicas().size());
-    CPPUNIT_ASSERT_EQUAL(uint64_t{8}, m_intake->replicas_revision());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{8}, m_intake->replicas_revision().m_number);
     // Rows are passed on as they were received.
     CPPUNIT_ASSERT(m_intake->replica_rows().at("2") == ReplicaRow("2", 8));
   }
@@ -69,7 +72,7 @@
     m_intake->ApplyReplicaRows(Rows(9, {ReplicaRow("1", 9, "draining")}), false,
                                TimePoint());
     CPPUNIT_ASSERT(!m_intake->ApplyRelayedReplicaRows(
-        {Rows(7, {ReplicaRow("1", 5)}), {}, std::nullopt}));
+        {Rows(7, {ReplicaRow("1", 5)}), {}, std::nullopt, std::nullopt}));
     CPPUNIT_ASSERT(Replicas().at("1").m_replica.m_leaving);
   }
 
@@ -80,7 +83,8 @@
   void ExpiredRowsAreKeptAfterARelay() {
     m_intake->ApplyReplicaRows(Rows(5, {ReplicaRow("1", 5)}), true,
                                TimePoint());
-    m_intake->ApplyRelayedReplicaRows({Rows(8, {}), {}, Duration(100ms)});
+    m_intake->ApplyRelayedReplicaRows(
+        {Rows(8, {}), {}, Duration(100ms), std::nullopt});
     CPPUNIT_ASSERT_EQUAL(size_t{1}, Replicas().size());
     decide::RemoveExpiredReplicas(m_state->m_services.at("pool").m_pool,
                                   Now() + 3s);
@@ -93,7 +97,7 @@
   // declaration.
   void BoundCountsFromTheDeclaration() {
     links::RelayedRows relayed = {
-        Rows(7, {DeclarationRow(7)}), {}, std::nullopt};
+        Rows(7, {DeclarationRow(7)}), {}, std::nullopt, std::nullopt};
     relayed.m_max_ages["version/m"] = 3s;
     m_intake->ApplyRelayedOperatorRows(relayed);
     const decide::DeclaredVersions& versions = m_state->m_weights.at("m");
@@ -108,7 +112,7 @@
   // the age of the declaration. It must not be treated as new.
   void ADeclarationOfUnknownAgeBindsSoonAfterAStart() {
     m_intake->ApplyRelayedOperatorRows(
-        {Rows(7, {DeclarationRow(7)}), {}, std::nullopt});
+        {Rows(7, {DeclarationRow(7)}), {}, std::nullopt, std::nullopt});
     const decide::DeclaredVersions& versions = m_state->m_weights.at("m");
     CPPUNIT_ASSERT_EQUAL(uint64_t{2},
                          decide::Binding(versions, Now() + 2600ms));
@@ -134,7 +138,7 @@
   // own clock.
   void AgesAreRelayedWithoutTheStoresClock() {
     links::RelayedRows relayed = {
-        Rows(7, {DeclarationRow(7)}), {}, std::nullopt};
+        Rows(7, {DeclarationRow(7)}), {}, std::nullopt, std::nullopt};
     relayed.m_max_ages["version/m"] = 3s;
     m_intake->ApplyRelayedOperatorRows(relayed);
     CPPUNIT_ASSERT(!m_state->m_store_clock.m_offset);
--- a/src/libverbenalead/entry/row_synchroniser.cc
+++ b/src/libverbenalead/entry/row_synchroniser.cc
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/spawn.h"
 #include "entry/peer_updates.h"
+#include "entry/store_return.h"
 #include "links/relayed_rows.h"
 #include "platform/config_services.h"
 #include "platform/names.h"
@@ -126,6 +127,8 @@
 
 void RowSynchroniser::Compare() {
   const TimePoint now = Now();
+  m_operator.NoteEra(m_state.m_store_era.m_era);
+  m_replicas.NoteEra(m_state.m_store_era.m_era);
   m_state.m_store_unavailable =
       m_operator.connection_lost() || m_replicas.connection_lost();
   const PeerEntry* reader = FindStoreReader(m_state, now);
@@ -238,10 +241,11 @@
                                       path == links::kOperatorRowsPath);
   if (!known)
     return nullptr;
-  const uint64_t revision =
+  const model::Revision revision =
       replicas ? m_intake.replicas_revision() : m_state.m_operator_revision;
   EncodedRows& encoded = m_encoded_rows[path];
-  if (encoded.m_text && encoded.m_revision == revision)
+  if (encoded.m_text && encoded.m_revision == revision &&
+      encoded.m_generation == m_intake.generation())
     return encoded.m_text;
   std::map<std::string, platform::Row> rows =
       replicas ? m_intake.replica_rows() : m_intake.operator_rows();
@@ -249,8 +253,9 @@
     std::string& config = rows[platform::kConfigKey].m_value;
     config = platform::ServicesOnly(config);
   }
-  const uint64_t followed = replicas ? revision : m_operator.revision();
+  const model::Revision followed = replicas ? revision : m_operator.revision();
   encoded.m_revision = revision;
+  encoded.m_generation = m_intake.generation();
   encoded.m_text =
       std::make_shared<const std::string>(Deflate(links::EncodeRows(
           rows, followed,
@@ -264,6 +269,22 @@
          decide::TryAdmitTransfer(m_row_transfers, bytes, Now());
 }
 
+links::RelayMetadata RowSynchroniser::MetadataOfRows() const {
+  links::RelayMetadata facts;
+  facts.m_sent_at = BootNow();
+  const model::StoreTime& proof = m_state.m_newest_proof;
+  if (proof.m_era == m_operator.revision().m_era) {
+    facts.m_confirmed_at = proof.m_time;
+    if (const auto proved_at = decide::ToLocal(m_state.m_store_clock, proof))
+      facts.m_proof_age = std::max(Duration(), facts.m_sent_at - *proved_at);
+  }
+  const TimePoint regained_at =
+      std::max(m_replicas.regained_at(), StoreReturnedAt(m_state));
+  if (regained_at != TimePoint())
+    facts.m_store_regained_ago = Now() - regained_at;
+  return facts;
+}
+
 Awaitable<void> RowSynchroniser::ServeRows(const wire::Request& request,
                                            wire::ResponseWriter& caller) {
   const std::shared_ptr<const std::string> text =
@@ -277,12 +298,7 @@
     co_await caller.Send(wire::JsonResponse(503, "{}"));
     co_return;
   }
-  links::RelayMetadata facts;
-  facts.m_confirmed_at = m_state.m_operator_confirmed_at;
-  facts.m_sent_at = BootNow();
-  if (m_replicas.regained_at() != TimePoint())
-    facts.m_store_regained_ago = Now() - m_replicas.regained_at();
-  wire::ResponseHead head(200, links::EncodeRelayMetadata(facts));
+  wire::ResponseHead head(200, links::EncodeRelayMetadata(MetadataOfRows()));
   if (!co_await caller.Start(std::move(head)))
     co_return;
   for (size_t begin = 0; begin < text->size(); begin += kResponsePieceSize) {
--- a/src/libverbenalead/entry/row_synchroniser.h
+++ b/src/libverbenalead/entry/row_synchroniser.h
@@ -58,7 +58,9 @@
  private:
   /// Encoded and compressed rows, as sent in responses.
   struct EncodedRows {
-    uint64_t m_revision = 0;
+    /// Of the rows, and RowApplier::generation() when they were encoded.
+    model::Revision m_revision;
+    uint64_t m_generation = 0;
     std::shared_ptr<const std::string> m_text;
   };
 
@@ -77,6 +79,8 @@
   /// there is no such path.
   std::shared_ptr<const std::string> EncodedRowsFor(const std::string& path);
   void CompareReplicas(const PeerEntry& reader);
+  /// What is sent beside rows.
+  links::RelayMetadata MetadataOfRows() const;
   /// Whether `bytes` of rows may be sent now in response to `request`.
   bool MaySendRows(const wire::Request& request, uint64_t bytes);
   /// Whether `failure` means that the other entry has deferred the request for
--- /dev/null
+++ b/src/libverbenalead/entry/store_return_test.cc
@@ -0,0 +1,229 @@
+#include "entry/store_return.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "base/boot_clock.h"
+#include "entry/peer_updates.h"
+#include "entry/row_applier.h"
+
+namespace verbenalead::entry {
+namespace {
+
+EntryOptions OptionsOf(const std::string& host) {
+  EntryOptions options;
+  options.m_own_address = {host, "a", Endpoint("127.0.0.1", 1),
+                           Endpoint("127.0.0.1", 2)};
+  options.m_key_bound = 5s;
+  options.m_weights_bound = 8s;
+  return options;
+}
+
+platform::Row ConfigRow(model::Revision revision, uint64_t version) {
+  return {"config",
+          R"({"version":)" + std::to_string(version) +
+              R"(,"routes":[],"services":[],"tenants":[]})",
+          revision, false};
+}
+
+platform::Row WeightsRow(model::Revision revision, uint64_t version) {
+  return {"version/m",
+          R"({"model":"m","version":)" + std::to_string(version) + "}",
+          revision, false};
+}
+
+platform::Row ReplicaRow(const std::string& id,
+                         model::Revision revision,
+                         const std::string& state = "ready") {
+  return {id,
+          R"({"service":"pool","address":"10.0.0.)" + id +
+              R"(:80","zone":"a","slots":4,"state":")" + state + R"("})",
+          revision, false};
+}
+
+platform::Rows Answer(model::Revision revision,
+                      std::vector<platform::Row> rows) {
+  platform::Rows answer;
+  answer.m_revision = revision;
+  answer.m_rows = std::move(rows);
+  answer.m_asked_at = answer.m_store_time = BootNow();
+  return answer;
+}
+
+struct Entry {
+  explicit Entry(const std::string& host)
+      : m_state(OptionsOf(host)), m_rows(m_state) {}
+
+  void Read(platform::Rows rows, bool whole = true) {
+    m_rows.ApplyOperatorRows(rows, whole);
+  }
+  void ReadReplicas(platform::Rows rows, bool whole = true) {
+    m_rows.ApplyReplicaRows(rows, whole, TimePoint());
+  }
+  bool UsesReplica(const std::string& id) const {
+    const auto service = m_state.m_services.find("pool");
+    if (service == m_state.m_services.end())
+      return false;
+    const auto found = service->second.m_pool.m_replicas.find(id);
+    return found != service->second.m_pool.m_replicas.end() &&
+           !found->second.m_known.m_leaving;
+  }
+
+  EntryState m_state;
+  RowApplier m_rows;
+};
+
+class StoreReturnTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreReturnTest);
+  CPPUNIT_TEST(ChangesWithLowerNumbersAreInForceAfterAReturn);
+  CPPUNIT_TEST(RelayedListsWithLowerNumbersAreAppliedAfterAReturn);
+  CPPUNIT_TEST(RowsOfTheCopyDoNotReplaceNewerOnes);
+  CPPUNIT_TEST(ALeavingReplicaStaysLeavingAfterAReturn);
+  CPPUNIT_TEST(AReplicaThatTheCopyLacksIsKeptForAWhile);
+  CPPUNIT_TEST(LateAnswersOfTheOlderEraAreIgnored);
+  CPPUNIT_TEST(AnEntryThatStartsGetsTheNewerConfigurationOfOthers);
+  CPPUNIT_TEST(AFollowerDatesProofsOfTheNewEra);
+  CPPUNIT_TEST(EntriesThatStateNoEraAreNotFollowed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against changes that are never in force after the store came back.
+  void ChangesWithLowerNumbersAreInForceAfterAReturn() {
+    Entry entry("e1");
+    entry.Read(Answer({1, 500}, {ConfigRow({1, 500}, 23)}));
+    entry.Read(Answer({2, 30}, {ConfigRow({2, 20}, 19)}));
+    entry.Read(Answer({2, 36}, {ConfigRow({2, 36}, 27)}), false);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{27}, ConfigVersion(entry.m_state));
+    CPPUNIT_ASSERT(entry.m_state.m_operator_revision ==
+                   model::Revision({2, 36}));
+  }
+
+  // Guards against calls at a leaving replica by the entry that had read the
+  // store before, whose own list has the highest number.
+  void RelayedListsWithLowerNumbersAreAppliedAfterAReturn() {
+    Entry entry("e1");
+    entry.ReadReplicas(Answer({1, 500}, {ReplicaRow("1", {1, 500})}));
+    CPPUNIT_ASSERT(entry.m_rows.ApplyRelayedReplicaRows(
+        {Answer({2, 36}, {ReplicaRow("1", {2, 36}, "draining")}),
+         {},
+         std::nullopt,
+         std::nullopt}));
+    CPPUNIT_ASSERT(!entry.UsesReplica("1"));
+  }
+
+  void RowsOfTheCopyDoNotReplaceNewerOnes() {
+    Entry entry("e1");
+    entry.Read(
+        Answer({1, 500}, {ConfigRow({1, 500}, 23), WeightsRow({1, 400}, 4)}));
+    const Duration declared = entry.m_rows.seen().at("version/m");
+    entry.Read(
+        Answer({2, 30}, {ConfigRow({2, 20}, 19), WeightsRow({2, 10}, 3)}));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{23}, ConfigVersion(entry.m_state));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{4},
+                         decide::Newest(entry.m_state.m_weights.at("m")));
+    // Others get the newer values, too, and the bound counts from the first
+    // declaration.
+    CPPUNIT_ASSERT_EQUAL(ConfigRow({2, 20}, 23).m_value,
+                         entry.m_rows.operator_rows().at("config").m_value);
+    entry.Read(Answer({2, 31}, {WeightsRow({2, 31}, 4)}), false);
+    CPPUNIT_ASSERT(entry.m_rows.seen().at("version/m") == declared);
+  }
+
+  void ALeavingReplicaStaysLeavingAfterAReturn() {
+    Entry entry("e1");
+    entry.ReadReplicas(
+        Answer({1, 500}, {ReplicaRow("1", {1, 500}, "draining")}));
+    entry.ReadReplicas(Answer({2, 30}, {ReplicaRow("1", {2, 20})}));
+    CPPUNIT_ASSERT(!entry.UsesReplica("1"));
+  }
+
+  // Guards against a service without replicas: all have started since the copy.
+  void AReplicaThatTheCopyLacksIsKeptForAWhile() {
+    Entry entry("e1");
+    entry.ReadReplicas(Answer({1, 500}, {ReplicaRow("1", {1, 500})}));
+    entry.ReadReplicas(Answer({2, 30}, {}));
+    CPPUNIT_ASSERT(entry.UsesReplica("1"));
+    decide::RemoveExpiredReplicas(entry.m_state.m_services.at("pool").m_pool,
+                                  Now() + 3s);
+    CPPUNIT_ASSERT(!entry.UsesReplica("1"));
+  }
+
+  void LateAnswersOfTheOlderEraAreIgnored() {
+    Entry entry("e1");
+    entry.Read(Answer({2, 36}, {ConfigRow({2, 36}, 27)}));
+    entry.ReadReplicas(Answer({2, 36}, {ReplicaRow("1", {2, 36})}));
+    entry.ReadReplicas(Answer({1, 500}, {}));
+    CPPUNIT_ASSERT(entry.UsesReplica("1"));
+    CPPUNIT_ASSERT(!entry.m_rows.ApplyRelayedReplicaRows(
+        {Answer({1, 900}, {}), {}, std::nullopt, std::nullopt}));
+    CPPUNIT_ASSERT(entry.UsesReplica("1"));
+  }
+
+  // Guards against an older configuration at an entry that starts before lost
+  // changes are written again.
+  void AnEntryThatStartsGetsTheNewerConfigurationOfOthers() {
+    Entry other("e2");
+    other.Read(Answer({1, 500}, {ConfigRow({1, 500}, 23)}));
+    other.Read(Answer({2, 30}, {ConfigRow({2, 20}, 19)}));
+    other.m_state.m_replicas_known = true;
+    Entry starting("e1");
+    starting.Read(Answer({2, 30}, {ConfigRow({2, 20}, 19)}));
+    ApplyUpdate(starting.m_state, MakeEntryUpdate(other.m_state), Now());
+    const PeerEntry* newer = PickNewerPeer(starting.m_state, Now());
+    CPPUNIT_ASSERT(newer);
+    links::RelayedRows relayed;
+    relayed.m_rows = Answer({2, 30}, {});
+    for (const auto& [key, row] : other.m_rows.operator_rows())
+      relayed.m_rows.m_rows.push_back(row);
+    starting.m_rows.ApplyRelayedOperatorRows(relayed);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{23}, ConfigVersion(starting.m_state));
+    CPPUNIT_ASSERT(!PickNewerPeer(starting.m_state, Now()));
+  }
+
+
+  // Guards against all entries turning to the store, or refusing keys, since
+  // only the reading entry knows the store's clock after a return.
+  void AFollowerDatesProofsOfTheNewEra() {
+    Entry reader("e1");
+    Entry follower("e2");
+    const Duration clock_step = 90s;
+    for (Entry* entry : {&reader, &follower}) {
+      entry->Read(Answer({1, 500}, {ConfigRow({1, 500}, 23)}));
+      entry->ReadReplicas(Answer({1, 500}, {}));
+    }
+    platform::Rows copy = Answer({2, 30}, {ConfigRow({2, 20}, 23)});
+    copy.m_store_time += clock_step;
+    reader.Read(copy);
+    reader.ReadReplicas(Answer({2, 30}, {}));
+    ApplyUpdate(follower.m_state, MakeEntryUpdate(reader.m_state), Now());
+    CPPUNIT_ASSERT(FindStoreReader(follower.m_state, Now()));
+    CPPUNIT_ASSERT(
+        !decide::ToLocal(follower.m_state.m_store_clock,
+                         {2, reader.m_state.m_operator_confirmed_at.m_time}));
+    const Duration before = BootNow();
+    links::RelayedRows relayed = {copy, {}, std::nullopt, Duration(5ms)};
+    relayed.m_rows.m_asked_at = BootNow();
+    follower.m_rows.ApplyRelayedOperatorRows(relayed);
+    const auto proved_at =
+        decide::ToLocal(follower.m_state.m_store_clock, {2, copy.m_store_time});
+    CPPUNIT_ASSERT(proved_at && *proved_at <= BootNow() &&
+                   *proved_at >= before - 5ms);
+  }
+
+  // Guards against a new process that follows one of an earlier version, whose
+  // revisions can't be ordered, while versions are mixed.
+  void EntriesThatStateNoEraAreNotFollowed() {
+    Entry older("e1");
+    older.Read(Answer({0, 500}, {ConfigRow({0, 500}, 23)}));
+    older.ReadReplicas(Answer({0, 500}, {}));
+    Entry entry("e2");
+    entry.Read(Answer({3, 500}, {ConfigRow({3, 500}, 23)}));
+    ApplyUpdate(entry.m_state, MakeEntryUpdate(older.m_state), Now());
+    CPPUNIT_ASSERT(!FindStoreReader(entry.m_state, Now()));
+    CPPUNIT_ASSERT(!PickNewerPeer(entry.m_state, Now()));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreReturnTest);
+
+}  // namespace
+}  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/summary.cc
+++ b/src/libverbenalead/entry/summary.cc
@@ -6,6 +6,7 @@
 #include "entry/crash_blame.h"
 #include "entry/peer_updates.h"
 #include "entry/statements.h"
+#include "entry/store_return.h"
 
 namespace verbenalead::entry {
 namespace {
@@ -153,6 +154,7 @@
   }
   last = {summary.m_sender, summary.m_sequence};
   ApplyEntries(state, summary, now);
+  NoteStoreEra(state, summary.m_operator_revision.m_era, summary.m_sender);
   ApplyPeerProof(state, summary.m_operator_revision,
                  summary.m_operator_confirmed_at);
   for (const links::ReplicaSummary& summary : summary.m_replicas)
--- a/src/libverbenalead/entry/summary_test.cc
+++ b/src/libverbenalead/entry/summary_test.cc
@@ -42,7 +42,7 @@
   config.m_services.push_back(service);
   state->m_routes = std::make_shared<decide::RouteTable>(std::move(config));
   state->m_replicas_known = true;
-  state->m_operator_revision = 5;
+  state->m_operator_revision.m_number = 5;
   state->m_store_clock.m_offset = Duration();
   decide::SetReplicas(GetOrCreateService(*state, kService).m_pool,
                       {Replica("i-a", "a"), Replica("i-b", "b")}, TimePoint(),
@@ -227,12 +227,12 @@
   // centre renews its lease too, if it has the same revision of the operator's
   // table.
   void ProofsRenewTheLeaseInOtherDataCenters() {
-    m_sender->m_operator_confirmed_at = BootNow();
+    m_sender->m_operator_confirmed_at = {0, BootNow()};
     CPPUNIT_ASSERT(!HasValidLease(*m_receiver));
-    m_receiver->m_operator_revision = 4;
+    m_receiver->m_operator_revision.m_number = 4;
     CPPUNIT_ASSERT(SendSummary(1));
     CPPUNIT_ASSERT(!HasValidLease(*m_receiver));
-    m_receiver->m_operator_revision = 5;
+    m_receiver->m_operator_revision.m_number = 5;
     CPPUNIT_ASSERT(SendSummary(2));
     CPPUNIT_ASSERT(HasValidLease(*m_receiver));
   }
--- a/src/libverbenalead/entry/update_sender.cc
+++ b/src/libverbenalead/entry/update_sender.cc
@@ -58,6 +58,7 @@
   const bool rows_changed =
       store_lost ||
       update.m_operator_revision != m_last_update.m_operator_revision ||
+      update.m_config_version != m_last_update.m_config_version ||
       update.m_replicas_hash != m_last_update.m_replicas_hash || took_over;
   if (changed || rows_changed || m_update_rounds % kRoundsPerUpdate == 0)
     Broadcast(update);
@@ -71,8 +72,9 @@
 void UpdateSender::NotifyStartingEntry(const links::EntryUpdate& update) {
   const bool same_data_center = update.m_address.m_data_center ==
                                 m_state.m_options.m_own_address.m_data_center;
-  if (same_data_center && update.m_operator_revision == 0 &&
-      m_state.m_operator_revision > 0)
+  const model::Revision none;
+  if (same_data_center && update.m_operator_revision == none &&
+      m_state.m_operator_revision > none)
     m_datagrams.Send(update.m_address.m_peers, MakeEntryUpdate(m_state));
 }
 
--- a/src/libverbenalead/links/data_center_summary.h
+++ b/src/libverbenalead/links/data_center_summary.h
@@ -11,6 +11,7 @@
 #include "links/entry_summary.h"
 #include "links/replica_summary.h"
 #include "links/statement_report.h"
+#include "model/revision.h"
 
 namespace verbenalead::links {
 
@@ -30,7 +31,7 @@
   /// Revision of the newest change of the operator's table that the sender has,
   /// and the store's time at which the store confirmed that there was no newer
   /// one. The time is zero if the sender has lost its connection to the store.
-  uint64_t m_operator_revision = 0;
+  model::Revision m_operator_revision;
   Duration m_operator_confirmed_at{};
   std::vector<EntrySummary> m_entries;
   std::vector<ReplicaSummary> m_replicas;
--- a/src/libverbenalead/links/entry_update.h
+++ b/src/libverbenalead/links/entry_update.h
@@ -8,6 +8,7 @@
 #include "links/aged_crash_report.h"
 #include "links/statement_report.h"
 #include "model/entry_address.h"
+#include "model/revision.h"
 
 namespace verbenalead::links {
 
@@ -22,8 +23,15 @@
   /// Revision of the newest change of the operator's table that the entry has,
   /// and the store's time at which the store confirmed that there was no newer
   /// one. The time is zero if the entry has lost its connection to the store.
-  uint64_t m_operator_revision = 0;
+  model::Revision m_operator_revision;
   Duration m_operator_confirmed_at{};
+  /// The entry's version of the configuration; 0 if it has none. After the
+  /// store came back from a copy an entry may have an older one than others,
+  /// with the same revision.
+  uint64_t m_config_version = 0;
+  /// For how long the entry has known that the store came back from a copy, in
+  /// the era of its revision; absent if it doesn't know, or if it is long ago.
+  std::optional<Duration> m_era_age;
   /// Hash of the entry's list of replicas; entries whose hashes are equal have
   /// the same list.
   uint64_t m_replicas_hash = 0;
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -5,6 +5,7 @@
 
 #include "links/crash_report_codec.h"
 #include "links/rate_limit_codec.h"
+#include "links/revision_codec.h"
 #include "links/statement_codec.h"
 #include "links/summary_codec.h"
 #include "model/json_fields.h"
@@ -40,10 +41,14 @@
       {"peers", ToString(update.m_address.m_peers)},
       {"ready", update.m_ready},
       {"crashes", EncodeCrashes(update.m_crashes)},
-      {"revision", update.m_operator_revision},
+      {"revision", update.m_operator_revision.m_number},
+      {"era", update.m_operator_revision.m_era},
+      {"config", update.m_config_version},
       {"proof_ms", ToMilliseconds(update.m_operator_confirmed_at)},
       {"replicas", std::to_string(update.m_replicas_hash)},
       {"age_ms", ToMilliseconds(update.m_replicas_age)}};
+  if (update.m_era_age)
+    object["era_age_ms"] = ToMilliseconds(*update.m_era_age);
   if (update.m_remote_entries)
     object["far_entries"] = *update.m_remote_entries;
   EncodeCrashReports(object, update.m_crash_reports);
@@ -111,7 +116,8 @@
   return {{"kind", kFollow},
           {"chunks", request.m_wants_chunks},
           {"near", request.m_same_data_center},
-          {"revision", request.m_weights_revision},
+          {"revision", request.m_weights_revision.m_number},
+          {"era", request.m_weights_revision.m_era},
           {"replicas", std::to_string(request.m_replicas_hash)},
           {"fullness", request.m_used_slots_percent}};
 }
@@ -168,8 +174,7 @@
                     model::FlagFieldOr(object, "chunks", false));
   BOOST_LEAF_ASSIGN(request.m_same_data_center,
                     model::FlagFieldOr(object, "near", false));
-  BOOST_LEAF_ASSIGN(request.m_weights_revision,
-                    model::NumberFieldOr(object, "revision", 0));
+  BOOST_LEAF_ASSIGN(request.m_weights_revision, DecodeRevision(object));
   BOOST_LEAF_AUTO(hash, model::TextFieldOr(object, "replicas", "0"));
   request.m_replicas_hash = std::strtoull(hash.c_str(), nullptr, 10);
   BOOST_LEAF_AUTO(fullness, model::NumberFieldOr(object, "fullness", 100));
@@ -197,8 +202,12 @@
   BOOST_LEAF_AUTO(peers, model::TextField(object, "peers"));
   BOOST_LEAF_ASSIGN(update.m_address.m_peers, ParseEndpoint(peers));
   BOOST_LEAF_ASSIGN(update.m_ready, model::FlagFieldOr(object, "ready", false));
-  BOOST_LEAF_ASSIGN(update.m_operator_revision,
-                    model::NumberFieldOr(object, "revision", 0));
+  BOOST_LEAF_ASSIGN(update.m_operator_revision, DecodeRevision(object));
+  BOOST_LEAF_ASSIGN(update.m_config_version,
+                    model::NumberFieldOr(object, "config", 0));
+  if (object.contains("era_age_ms")) {
+    BOOST_LEAF_ASSIGN(update.m_era_age, TimeField(object, "era_age_ms"));
+  }
   BOOST_LEAF_AUTO(proof, model::NumberFieldOr(object, "proof_ms", 0));
   update.m_operator_confirmed_at = std::chrono::milliseconds(proof);
   BOOST_LEAF_AUTO(hash, model::TextFieldOr(object, "replicas", "0"));
--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -21,8 +21,10 @@
     entry.m_address = {"e1", "a", Endpoint("10.0.0.1", 80),
                        Endpoint("10.0.0.1", 81)};
     entry.m_ready = true;
-    entry.m_operator_revision = 5;
+    entry.m_operator_revision = {3, 5};
     entry.m_operator_confirmed_at = 1234ms;
+    entry.m_config_version = 27;
+    entry.m_era_age = 250ms;
     entry.m_replicas_hash = uint64_t{1} << 63;
     entry.m_replicas_age = 321ms;
     entry.m_crashes = {{uint64_t{1} << 63, "i-1/7", TimePoint()}};
@@ -39,7 +41,7 @@
     summary.m_sender = "e1";
     summary.m_sequence = 77;
     summary.m_relayed = true;
-    summary.m_operator_revision = 5;
+    summary.m_operator_revision = {3, 5};
     summary.m_operator_confirmed_at = 1234ms;
     summary.m_entries = {
         {"e1", Endpoint("10.0.0.1", 80), Endpoint("10.0.0.1", 81), true},
--- a/src/libverbenalead/links/relayed_rows.cc
+++ b/src/libverbenalead/links/relayed_rows.cc
@@ -5,8 +5,10 @@
 #include <charconv>
 
 #include "base/base64.h"
+#include "base/boot_clock.h"
 #include "base/catch_failure.h"
 #include "base/deflate.h"
+#include "links/revision_codec.h"
 #include "model/json_fields.h"
 
 namespace verbenalead::links {
@@ -31,6 +33,7 @@
 constexpr char kEncoding[] = "content-encoding";
 constexpr char kDeflate[] = "deflate";
 constexpr char kRegainedAgo[] = "regained-ms-ago";
+constexpr char kProofAge[] = "proof-age-ms";
 
 /// Returns nothing if the field is absent or isn't a number.
 std::optional<Duration> TimeField(const wire::Headers& headers,
@@ -56,7 +59,8 @@
                      [](char c) { return c >= ' ' && c <= '~'; });
 }
 
-Result<platform::Row> DecodeRow(const json::object& object) {
+Result<platform::Row> DecodeRow(const json::object& object,
+                                uint64_t table_era) {
   platform::Row row;
   BOOST_LEAF_ASSIGN(row.m_key, model::TextField(object, "key"));
   if (object.contains("text")) {
@@ -65,7 +69,9 @@
     BOOST_LEAF_AUTO(text, model::TextField(object, "value"));
     BOOST_LEAF_ASSIGN(row.m_value, DecodeBase64(text));
   }
-  BOOST_LEAF_ASSIGN(row.m_revision, model::NumberField(object, "revision"));
+  BOOST_LEAF_AUTO(number, model::NumberField(object, "revision"));
+  BOOST_LEAF_ASSIGN(row.m_revision, DecodeRevision(object, table_era));
+  row.m_revision.m_number = number;
   return row;
 }
 
@@ -86,6 +92,8 @@
                            {kSentAt, TimeText(facts.m_sent_at)}};
   if (facts.m_store_regained_ago)
     headers[kRegainedAgo] = TimeText(*facts.m_store_regained_ago);
+  if (facts.m_proof_age)
+    headers[kProofAge] = TimeText(*facts.m_proof_age);
   return headers;
 }
 
@@ -94,15 +102,18 @@
   facts.m_confirmed_at = TimeField(headers, kProof).value_or(Duration());
   facts.m_sent_at = TimeField(headers, kSentAt).value_or(Duration());
   facts.m_store_regained_ago = TimeField(headers, kRegainedAgo);
+  facts.m_proof_age = TimeField(headers, kProofAge);
   return facts;
 }
 
 std::string EncodeRows(const std::map<std::string, platform::Row>& rows,
-                       uint64_t revision,
+                       model::Revision revision,
                        const EarliestWriteTimes& seen) {
   json::array list;
   for (const auto& [key, row] : rows) {
-    json::object object{{"key", key}, {"revision", row.m_revision}};
+    json::object object{{"key", key}, {"revision", row.m_revision.m_number}};
+    if (row.m_revision.m_era != revision.m_era)
+      object["era"] = row.m_revision.m_era;
     if (IsPlainText(row.m_value))
       object["text"] = row.m_value;
     else
@@ -112,8 +123,9 @@
       object["seen_ms"] = ToMilliseconds(time->second);
     list.push_back(std::move(object));
   }
-  return json::serialize(
-      json::object{{"revision", revision}, {"rows", std::move(list)}});
+  return json::serialize(json::object{{"revision", revision.m_number},
+                                      {"era", revision.m_era},
+                                      {"rows", std::move(list)}});
 }
 
 Result<RelayedRows> DecodeRows(const std::string& text,
@@ -121,16 +133,19 @@
   BOOST_LEAF_AUTO(object, model::ParseObject(text, "relayed rows"));
   RelayedRows relayed;
   platform::Rows& rows = relayed.m_rows;
-  BOOST_LEAF_ASSIGN(rows.m_revision, model::NumberField(object, "revision"));
+  BOOST_LEAF_AUTO(number, model::NumberField(object, "revision"));
+  BOOST_LEAF_ASSIGN(rows.m_revision, DecodeRevision(object));
+  rows.m_revision.m_number = number;
   rows.m_store_time = facts.m_confirmed_at;
   relayed.m_store_regained_ago = facts.m_store_regained_ago;
+  relayed.m_proof_age = facts.m_proof_age;
   const json::value* list = object.if_contains("rows");
   if (!list || !list->is_array())
     return model::BadField("rows", "a list");
   for (const json::value& value : list->as_array()) {
     if (!value.is_object())
       return model::BadField("rows", "objects");
-    BOOST_LEAF_AUTO(row, DecodeRow(value.as_object()));
+    BOOST_LEAF_AUTO(row, DecodeRow(value.as_object(), rows.m_revision.m_era));
     BOOST_LEAF_AUTO(seen,
                     model::NumberFieldOr(value.as_object(), "seen_ms", 0));
     const Duration seen_at = std::chrono::milliseconds(seen);
@@ -151,6 +166,7 @@
     request.m_headers[kMayBeDeferred] = "1";
   const std::string step = "GET " + request.m_path;
   const TimePoint requested_at = Now();
+  const Duration asked_at = BootNow();
   const wire::ProgressTimeouts timeouts = {kProgressTimeout, kProgressTimeout,
                                            kTotalTimeout};
   auto response = co_await wire::FetchByProgress(http, endpoint,
@@ -164,6 +180,7 @@
   auto relayed = CatchFailure([&] { return ReadRelayed(*response); });
   if (!relayed)
     co_return relayed.error();
+  relayed->m_rows.m_asked_at = asked_at;
   // m_sent_at was set at an unknown moment between the request and the answer,
   // and the ages are upper bounds, so the whole duration of the request is
   // added.
--- a/src/libverbenalead/links/relayed_rows.h
+++ b/src/libverbenalead/links/relayed_rows.h
@@ -30,9 +30,12 @@
   /// When the entry sent this, by its boot clock, which also counts the time
   /// for which the host was suspended.
   Duration m_sent_at{};
-  /// Time since the entry's connection to the store was restored; absent if it
-  /// was never lost.
+  /// Time since the entry's connection to the store was restored, or the store
+  /// came back from a copy; absent if neither happened.
   std::optional<Duration> m_store_regained_ago;
+  /// Upper bound of the time from m_confirmed_at to m_sent_at; absent if the
+  /// entry doesn't know the store's clock.
+  std::optional<Duration> m_proof_age;
 
   friend bool operator==(const RelayMetadata&, const RelayMetadata&) = default;
 };
@@ -52,10 +55,13 @@
   /// Upper bounds of the ages of rows, by key; absent if unknown.
   std::map<std::string, Duration> m_max_ages;
   std::optional<Duration> m_store_regained_ago;
+  /// Upper bound of the time since the proof when the answer was sent; absent
+  /// if unknown.
+  std::optional<Duration> m_proof_age;
 };
 
 std::string EncodeRows(const std::map<std::string, platform::Row>& rows,
-                       uint64_t revision,
+                       model::Revision revision,
                        const EarliestWriteTimes& seen);
 /// Decodes the output of EncodeRows that was received together with `facts`.
 /// Fails with kInvalid.
--- a/src/libverbenalead/links/relayed_rows_test.cc
+++ b/src/libverbenalead/links/relayed_rows_test.cc
@@ -22,22 +22,22 @@
   // program wrote with bytes that aren't text made the whole list unreadable.
   void PreservesRowsOfArbitraryBytes() {
     const std::map<std::string, platform::Row> rows = {
-        {"a", {"a", std::string("\xff\x00\xc3(", 4), 7, false}},
-        {"b", {"b", "{\"service\":\"pool\"}", 9, false}}};
+        {"a", {"a", std::string("\xff\x00\xc3(", 4), {0, 7}, false}},
+        {"b", {"b", "{\"service\":\"pool\"}", {0, 9}, false}}};
     const RelayedRows relayed =
-        Decode(EncodeRows(rows, 12, {}), {5s, 0s, std::nullopt});
+        Decode(EncodeRows(rows, {3, 12}, {}), {5s, 0s, std::nullopt, 20ms});
     CPPUNIT_ASSERT_EQUAL(size_t{2}, relayed.m_rows.m_rows.size());
     CPPUNIT_ASSERT(relayed.m_rows.m_rows[0] == rows.at("a"));
     CPPUNIT_ASSERT(relayed.m_rows.m_rows[1] == rows.at("b"));
-    CPPUNIT_ASSERT_EQUAL(uint64_t{12}, relayed.m_rows.m_revision);
+    CPPUNIT_ASSERT(relayed.m_rows.m_revision == model::Revision({3, 12}));
     CPPUNIT_ASSERT(relayed.m_rows.m_store_time == Duration(5s));
     CPPUNIT_ASSERT(!relayed.m_store_regained_ago);
   }
 
   void CarriesTimeSinceStoreWasRegained() {
-    const RelayMetadata facts = {5s, 7s, 1500ms};
+    const RelayMetadata facts = {5s, 7s, 1500ms, 20ms};
     CPPUNIT_ASSERT(DecodeRelayMetadata(EncodeRelayMetadata(facts)) == facts);
-    const RelayedRows relayed = Decode(EncodeRows({}, 1, {}), facts);
+    const RelayedRows relayed = Decode(EncodeRows({}, {0, 1}, {}), facts);
     CPPUNIT_ASSERT(relayed.m_store_regained_ago == Duration(1500ms));
     CPPUNIT_ASSERT(DecodeRelayMetadata({{"proof-ms", "x"}}) == RelayMetadata());
   }
@@ -48,13 +48,15 @@
   // declaration is sent with it.
   void CarriesRowAges() {
     const std::map<std::string, platform::Row> rows = {
-        {"version/m", {"version/m", "{}", 7, false}},
-        {"x", {"x", "", 1, false}}};
-    const std::string text = EncodeRows(rows, 7, {{"version/m", 100s}});
-    const RelayedRows relayed = Decode(text, {102s, 103s, std::nullopt});
+        {"version/m", {"version/m", "{}", {0, 7}, false}},
+        {"x", {"x", "", {0, 1}, false}}};
+    const std::string text = EncodeRows(rows, {0, 7}, {{"version/m", 100s}});
+    const RelayedRows relayed =
+        Decode(text, {102s, 103s, std::nullopt, std::nullopt});
     CPPUNIT_ASSERT_EQUAL(size_t{1}, relayed.m_max_ages.size());
     CPPUNIT_ASSERT(relayed.m_max_ages.at("version/m") == Duration(3s));
-    CPPUNIT_ASSERT(Decode(text, {102s, 0s, std::nullopt}).m_max_ages.empty());
+    CPPUNIT_ASSERT(Decode(text, {102s, 0s, std::nullopt, std::nullopt})
+                       .m_max_ages.empty());
   }
 
   // Guards against calls refused for seconds after all processes start at once.
@@ -68,10 +70,11 @@
       rows[id] = {id,
                   R"({"service":"pool","address":"10.)" + std::to_string(i) +
                       R"(.0.1:80","zone":"a","slots":4,"state":"ready"})",
-                  i, false};
+                  {0, i},
+                  false};
       bytes += rows[id].m_value.size();
     }
-    const std::string text = EncodeRows(rows, 3000, {});
+    const std::string text = EncodeRows(rows, {0, 3000}, {});
     CPPUNIT_ASSERT_LESSEQUAL(bytes / 4, Deflate(text).size());
     CPPUNIT_ASSERT_EQUAL(rows.size(), Decode(text, {}).m_rows.m_rows.size());
   }
--- a/src/libverbenalead/links/subscription_request.h
+++ b/src/libverbenalead/links/subscription_request.h
@@ -1,6 +1,10 @@
 #ifndef VERBENALEAD_LINKS_SUBSCRIPTION_REQUEST_H_
 #define VERBENALEAD_LINKS_SUBSCRIPTION_REQUEST_H_
 
+#include <cstdint>
+
+#include "model/revision.h"
+
 namespace verbenalead::links {
 
 /// Subscribes the sender to the updates of a target process for a few seconds,
@@ -17,7 +21,7 @@
   /// Changes of the routing alone don't count, since a target process doesn't
   /// need them: when they did, 26 hosts fetched 100 KB each several times a
   /// second and overloaded the entry that reads the store.
-  uint64_t m_weights_revision = 0;
+  model::Revision m_weights_revision;
   /// Hash of the sender's list of replicas; 0 if it has none.
   uint64_t m_replicas_hash = 0;
   /// Share of the slots of the usable replicas of the target's service that are
--- a/src/libverbenalead/links/summary_codec.cc
+++ b/src/libverbenalead/links/summary_codec.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include "links/crash_report_codec.h"
+#include "links/revision_codec.h"
 #include "links/statement_codec.h"
 #include "model/json_fields.h"
 
@@ -121,7 +122,8 @@
       {"sender", summary.m_sender},
       {"number", summary.m_sequence},
       {"relayed", summary.m_relayed},
-      {"revision", summary.m_operator_revision},
+      {"revision", summary.m_operator_revision.m_number},
+      {"era", summary.m_operator_revision.m_era},
       {"proof_ms", ToMilliseconds(summary.m_operator_confirmed_at)},
       {"entries", std::move(entries)},
       {"replicas", std::move(replicas)},
@@ -139,8 +141,7 @@
   BOOST_LEAF_ASSIGN(summary.m_sequence, model::NumberField(object, "number"));
   BOOST_LEAF_ASSIGN(summary.m_relayed,
                     model::FlagFieldOr(object, "relayed", false));
-  BOOST_LEAF_ASSIGN(summary.m_operator_revision,
-                    model::NumberField(object, "revision"));
+  BOOST_LEAF_ASSIGN(summary.m_operator_revision, DecodeRevision(object));
   BOOST_LEAF_AUTO(proof, model::NumberField(object, "proof_ms"));
   summary.m_operator_confirmed_at = std::chrono::milliseconds(proof);
   BOOST_LEAF_AUTO(entries, ListField(object, "entries"));
--- a/src/libverbenalead/links/table_follower.cc
+++ b/src/libverbenalead/links/table_follower.cc
@@ -64,31 +64,59 @@
 }
 
 Awaitable<bool> TableFollower::Poll(Duration wait) {
-  const bool is_snapshot = m_revision == 0;
+  const bool whole = decide::NeedsWholeTable(m_cursor);
   AsyncResult<platform::Rows> rows = Failure();
-  if (is_snapshot)
+  if (whole)
     rows = co_await m_store.ReadTable(m_table);
   else
-    rows = co_await m_store.ReadChanges(m_table, m_revision, wait);
+    rows = co_await m_store.ReadChanges(m_table, m_cursor.m_revision, wait);
   if (!rows) {
-    if (rows.error().m_code == FailureCode::kNotFound && !is_snapshot) {
-      LogLine("history_gone")
-          .With("table", m_table)
-          .With("revision", m_revision)
-          .Warn();
-      m_revision = 0;
-      co_return false;
-    }
-    RecordFailure(rows.error());
+    if (rows.error().m_code == FailureCode::kNotFound && !whole)
+      RecordHistoryGone();
+    else
+      RecordFailure(rows.error());
     co_return false;
   }
   RecordSuccess();
-  RecordEra(*rows);
-  m_revision = std::max(m_revision, rows->m_revision);
-  m_on_rows(*rows, is_snapshot);
+  const decide::AnswerUse use = RecordAnswer(*rows, whole);
+  m_was_whole = whole;
+  if (use == decide::AnswerUse::kReadWhole)
+    m_poll_requested = true;
+  if (use == decide::AnswerUse::kApply)
+    m_on_rows(*rows, whole);
   co_return true;
 }
 
+decide::AnswerUse TableFollower::RecordAnswer(const platform::Rows& rows,
+                                              bool whole) {
+  const decide::TableCursor before = m_cursor;
+  const decide::AnswerUse use =
+      decide::RecordAnswer(m_cursor, rows.m_revision, whole);
+  const bool discarded = use == decide::AnswerUse::kDiscard;
+  if (discarded || rows.m_revision.m_era != before.m_revision.m_era) {
+    LogLine("store_era")
+        .With("table", m_table)
+        .With("revision", ToString(rows.m_revision))
+        .With("known_revision", ToString(before.m_revision))
+        .With("whole_table", whole)
+        .With("discarded", discarded)
+        .Warn();
+  }
+  return use;
+}
+
+void TableFollower::RecordHistoryGone() {
+  LogLine("history_gone")
+      .With("table", m_table)
+      .With("revision", ToString(m_cursor.m_revision))
+      .Warn();
+  decide::RecordHistoryGone(m_cursor);
+  // The whole table is read at once, but not time and again if the store drops
+  // its history all the time.
+  if (!m_was_whole)
+    m_poll_requested = true;
+}
+
 void TableFollower::RecordSuccess() {
   if (m_connected)
     return;
@@ -102,19 +130,6 @@
       .Info();
 }
 
-void TableFollower::RecordEra(const platform::Rows& rows) {
-  if (rows.m_era == m_era)
-    return;
-  LogLine("store_era")
-      .With("table", m_table)
-      .With("era", rows.m_era)
-      .With("before", m_era)
-      .With("revision", rows.m_revision)
-      .With("known_revision", m_revision)
-      .Warn();
-  m_era = rows.m_era;
-}
-
 void TableFollower::RecordFailure(const Failure& failure) {
   if (!m_connected)
     return;
--- a/src/libverbenalead/links/table_follower.h
+++ b/src/libverbenalead/links/table_follower.h
@@ -1,7 +1,6 @@
 #ifndef VERBENALEAD_LINKS_TABLE_FOLLOWER_H_
 #define VERBENALEAD_LINKS_TABLE_FOLLOWER_H_
 
-#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <random>
@@ -9,14 +8,15 @@
 
 #include "base/awaitable.h"
 #include "base/time.h"
+#include "decide/table_cursor.h"
 #include "links/poll_schedule.h"
 #include "platform/store.h"
 
 namespace verbenalead::links {
 
 /// Follows one table of the platform's store: reads the whole table once and
-/// only its changes from then on. If the store no longer has the history of
-/// changes, the whole table is read again.
+/// only its changes from then on. If the store doesn't have the history of
+/// changes, or has come back from a copy, the whole table is read again.
 class TableFollower {
  public:
   /// `is_snapshot`: the rows are the whole table rather than changes.
@@ -39,12 +39,17 @@
   void PollNow();
   /// Records that all changes up to `revision` came from another process, so
   /// that they aren't read from the store.
-  void SkipTo(uint64_t revision) {
-    m_revision = std::max(m_revision, revision);
+  void SkipTo(model::Revision revision) { decide::SkipTo(m_cursor, revision); }
+  /// Another process has stated that the store is in `era`. If that is news,
+  /// the whole table is read again, unless a schedule that pauses lets SkipTo()
+  /// come first.
+  void NoteEra(uint64_t era) {
+    if (decide::RecordEra(m_cursor, era))
+      PollNow();
   }
-  /// Revision up to which all changes are known; 0 if the table hasn't been
-  /// read.
-  uint64_t revision() const { return m_revision; }
+  /// Revision up to which all changes are known; number 0 if the table hasn't
+  /// been read.
+  model::Revision revision() const { return m_cursor.m_revision; }
   /// Whether the last request failed after an earlier one had succeeded.
   bool connection_lost() const { return m_was_connected && !m_connected; }
   /// When the connection to the store was last restored after a failure; the
@@ -56,8 +61,9 @@
   /// Waits until `time` or until PollNow() is called.
   Awaitable<void> WaitUntil(TimePoint time);
   void RecordSuccess();
-  /// Logs a change of the store's era.
-  void RecordEra(const platform::Rows& rows);
+  /// Decides what to do with an answer and logs a change of the store's era.
+  decide::AnswerUse RecordAnswer(const platform::Rows& rows, bool whole);
+  void RecordHistoryGone();
   void RecordFailure(const Failure& failure);
   Duration RetryPause();
 
@@ -68,10 +74,9 @@
   boost::asio::steady_timer m_timer;
   std::mt19937_64 m_random;
   bool m_poll_requested = false;
-  /// 0: the whole table has to be read.
-  uint64_t m_revision = 0;
-  /// The era that the store stated last.
-  uint64_t m_era = 0;
+  decide::TableCursor m_cursor;
+  /// The last answer was the whole table.
+  bool m_was_whole = false;
   bool m_connected = false;
   bool m_was_connected = false;
   TimePoint m_regained_at{};
--- a/src/libverbenalead/model/replica.h
+++ b/src/libverbenalead/model/replica.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/endpoint.h"
+#include "model/revision.h"
 
 namespace verbenalead::model {
 
@@ -16,7 +17,7 @@
   /// Start time in Unix milliseconds; 0 if the replica does not report one.
   uint64_t m_started_ms = 0;
   /// Store revision of the replica's latest write of its own row.
-  uint64_t m_revision = 0;
+  Revision m_revision;
   std::string m_service;
   Endpoint m_endpoint;
   std::string m_data_center;
--- a/src/libverbenalead/platform/row.h
+++ b/src/libverbenalead/platform/row.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "model/revision.h"
+
 namespace verbenalead::platform {
 
 /// One row of a table in the platform's store.
@@ -11,7 +13,7 @@
   std::string m_key;
   /// The value, decoded from base64; empty if `m_deleted`.
   std::string m_value;
-  uint64_t m_revision = 0;
+  model::Revision m_revision;
   bool m_deleted = false;
 
   friend bool operator==(const Row&, const Row&) = default;
--- a/src/libverbenalead/platform/store.cc
+++ b/src/libverbenalead/platform/store.cc
@@ -56,7 +56,7 @@
 
 /// Returns a row, or nothing if it has no key. Other programs may write
 /// arbitrary rows to a table, and a malformed one must not hide the others.
-std::optional<Row> ReadRow(const json::value& value) {
+std::optional<Row> ReadRow(const json::value& value, uint64_t era) {
   const json::object* object = value.if_object();
   if (!object)
     return std::nullopt;
@@ -67,7 +67,7 @@
   Row row;
   row.m_key = std::string(key->as_string());
   if (revision && revision->is_int64())
-    row.m_revision = static_cast<uint64_t>(revision->as_int64());
+    row.m_revision = {era, static_cast<uint64_t>(revision->as_int64())};
   const json::value* deleted = object->if_contains("deleted");
   if (deleted && (!deleted->is_bool() || deleted->as_bool())) {
     row.m_deleted = true;
@@ -90,7 +90,7 @@
   bool m_has_more = false;
 };
 
-std::optional<Page> ReadPage(const std::string& body) {
+std::optional<Page> ReadPage(const std::string& body, uint64_t era) {
   boost::system::error_code error;
   const json::value value = json::parse(body, error);
   const json::object* object = error ? nullptr : value.if_object();
@@ -102,10 +102,10 @@
   if (!revision || !revision->is_int64() || !time || !rows || !rows->is_array())
     return std::nullopt;
   Page page;
-  page.m_rows.m_revision = static_cast<uint64_t>(revision->as_int64());
+  page.m_rows.m_revision = {era, static_cast<uint64_t>(revision->as_int64())};
   page.m_rows.m_store_time = *time;
   for (const json::value& entry : rows->as_array()) {
-    if (auto row = ReadRow(entry))
+    if (auto row = ReadRow(entry, era))
       page.m_rows.m_rows.push_back(std::move(*row));
   }
   const json::value* more = object->if_contains("has_more");
@@ -159,7 +159,11 @@
       all.m_asked_at = page->m_asked_at;
       all.m_store_time = page->m_store_time;
       all.m_revision = page->m_revision;
-      all.m_era = page->m_era;
+    }
+    if (page->m_revision.m_era != all.m_revision.m_era) {
+      co_return Failure{FailureCode::kBroken, "GET /rows-get",
+                        ToString(m_endpoint),
+                        "the store came back from a copy between two pages"};
     }
     for (Row& row : page->m_rows)
       all.m_rows.push_back(std::move(row));
@@ -189,11 +193,12 @@
 }
 
 Awaitable<AsyncResult<Rows>> Store::ReadChanges(std::string table,
-                                                uint64_t revision,
+                                                model::Revision revision,
                                                 Duration wait) {
   bool has_more = false;
   co_return co_await Read(
-      "/rows-feed?table=" + table + "&after_rev=" + std::to_string(revision) +
+      "/rows-feed?table=" + table +
+          "&after_rev=" + std::to_string(revision.m_number) +
           "&wait_ms=" + std::to_string(ToMilliseconds(wait)),
       wait, &has_more);
 }
@@ -213,13 +218,12 @@
     co_return response.error();
   if (response->m_status != kOk)
     co_return StatusFailure(step, m_endpoint, response->m_status);
-  auto page = ReadPage(response->m_body);
+  auto page = ReadPage(response->m_body, EraOf(*response));
   if (!page) {
     co_return Failure{FailureCode::kCorrupt, step, ToString(m_endpoint),
                       "the answer is no list of rows"};
   }
   page->m_rows.m_asked_at = requested_at;
-  page->m_rows.m_era = EraOf(*response);
   *has_more = page->m_has_more;
   co_return std::move(page->m_rows);
 }
@@ -238,18 +242,6 @@
   co_return co_await Transact(json::serialize(body));
 }
 
-Awaitable<AsyncResult<bool>> Store::Remove(std::string table,
-                                           std::string key,
-                                           uint64_t revision) {
-  json::object row = {{"table", table}, {"part", ""}, {"key", key}};
-  json::object expected = row;
-  expected["ver"] = revision;
-  json::object body = {{"precondition", json::array({std::move(expected)})},
-                       {"writes", json::array()},
-                       {"remove", json::array({std::move(row)})}};
-  co_return co_await Transact(json::serialize(body));
-}
-
 Awaitable<AsyncResult<bool>> Store::Transact(std::string body) {
   auto response = co_await wire::Fetch(
       m_http, m_endpoint, PostRequest(std::move(body)), Now() + kAnswerTimeout);
--- a/src/libverbenalead/platform/store.h
+++ b/src/libverbenalead/platform/store.h
@@ -18,9 +18,9 @@
 /// because only the caller knows how urgent the answer is.
 ///
 /// Failures: kRefused means that the store rejected the request and did
-/// nothing; kConflict from Remove means that the row has another revision;
-/// kNotFound from ReadChanges means that the store no longer has the history of
-/// changes. After any other failure, a write may or may not have taken effect.
+/// nothing; kNotFound from ReadChanges means that the store doesn't have the
+/// history of changes. After any other failure, a write may or may not have
+/// taken effect.
 class Store {
  public:
   Store(wire::Client& http, Endpoint endpoint)
@@ -29,7 +29,8 @@
   const Endpoint& endpoint() const { return m_endpoint; }
 
   /// Reads all rows of `part` of `table`, page by page; most tables have only
-  /// the unnamed part.
+  /// the unnamed part. Fails with kBroken if the store came back from a copy
+  /// between two pages.
   Awaitable<AsyncResult<Rows>> ReadTable(std::string table,
                                          std::string part = "");
   /// Returns the first thousand parts of `table` that hold rows.
@@ -37,17 +38,13 @@
   /// Reads the changes of `table` after `revision`; the store waits up to
   /// `wait` for a change.
   Awaitable<AsyncResult<Rows>> ReadChanges(std::string table,
-                                           uint64_t revision,
+                                           model::Revision revision,
                                            Duration wait);
   /// Writes one row unconditionally.
   Awaitable<AsyncResult<bool>> Write(std::string table,
                                      std::string part,
                                      std::string key,
                                      std::string value);
-  /// Removes a row if its revision still is `revision`.
-  Awaitable<AsyncResult<bool>> Remove(std::string table,
-                                      std::string key,
-                                      uint64_t revision);
 
  private:
   /// Reads one page; `has_more` is set if the table has further rows.
--- a/src/libverbenalead/platform/store_test.cc
+++ b/src/libverbenalead/platform/store_test.cc
@@ -38,7 +38,7 @@
   void ReadsFractionalMilliseconds() {
     const auto rows = Read("{\"ver\":7,\"now_ms\":12.5,\"rows\":[]}");
     CPPUNIT_ASSERT(rows);
-    CPPUNIT_ASSERT_EQUAL(uint64_t{7}, rows->m_revision);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{7}, rows->m_revision.m_number);
     CPPUNIT_ASSERT_EQUAL(int64_t{12}, ToMilliseconds(rows->m_store_time));
   }
 
@@ -60,7 +60,7 @@
     std::exception_ptr thrown;
     boost::asio::io_context io;
     boost::asio::co_spawn(
-        io, store.ReadChanges("op", 0, Duration()),
+        io, store.ReadChanges("op", {}, Duration()),
         [&](const std::exception_ptr& error, AsyncResult<Rows> read) {
           thrown = error;
           rows = std::move(read);
--- a/src/libverbenalead/target/row_source_test.cc
+++ b/src/libverbenalead/target/row_source_test.cc
@@ -103,7 +103,7 @@
     m_http->m_asked.clear();
     links::SubscriptionRequest request;
     request.m_same_data_center = true;
-    request.m_weights_revision = 5;
+    request.m_weights_revision = {0, 5};
     request.m_replicas_hash = 0;
     m_rows->HandleAnnouncement(Endpoint("10.0.0.1", 2), request);
     m_io->restart();
@@ -112,7 +112,7 @@
     CPPUNIT_ASSERT(m_http->m_asked ==
                    std::vector<std::string>({"10.0.0.1/v1/replica-rows"}));
     m_http->m_asked.clear();
-    request.m_weights_revision = 6;
+    request.m_weights_revision = {0, 6};
     m_rows->HandleAnnouncement(Endpoint("10.0.0.1", 2), request);
     m_io->restart();
     m_io->run_for(20ms);
@@ -130,7 +130,7 @@
     m_http->m_asked.clear();
     links::SubscriptionRequest request;
     request.m_same_data_center = true;
-    request.m_weights_revision = 6;
+    request.m_weights_revision = {0, 6};
     request.m_replicas_hash = decide::HashOf(m_state->m_replicas);
     m_rows->HandleAnnouncement(Endpoint("10.0.0.1", 2), request);
     m_io->restart();
@@ -161,17 +161,18 @@
                     Duration age,
                     const std::string& config = kConfig) {
     const std::map<std::string, platform::Row> operator_rows = {
-        {"config", {"config", config, 1, false}},
-        {"version/m", {"version/m", kDeclaration, revision, false}}};
-    const links::RelayMetadata facts = {100s, 100s + age, std::nullopt};
+        {"config", {"config", config, {0, 1}, false}},
+        {"version/m", {"version/m", kDeclaration, {0, revision}, false}}};
+    const links::RelayMetadata facts = {100s, 100s + age, std::nullopt,
+                                        std::nullopt};
     m_http->m_answers[host + links::kTargetRowsPath] =
         wire::Response(200, links::EncodeRelayMetadata(facts),
-                       Deflate(links::EncodeRows(operator_rows, revision,
+                       Deflate(links::EncodeRows(operator_rows, {0, revision},
                                                  {{"version/m", 100s}})));
-    m_http->m_answers[host + links::kReplicaRowsPath] =
-        wire::Response(200, links::EncodeRelayMetadata(facts),
-                       Deflate(links::EncodeRows(
-                           {{"i-1", {"i-1", kReplica, 3, false}}}, 3, {})));
+    m_http->m_answers[host + links::kReplicaRowsPath] = wire::Response(
+        200, links::EncodeRelayMetadata(facts),
+        Deflate(links::EncodeRows({{"i-1", {"i-1", kReplica, {0, 3}, false}}},
+                                  {0, 3}, {})));
   }
 
   std::unique_ptr<TargetState> m_state;
