Proofs right after the store's return don't renew the lease on keys

What callers would see: a key is taken away and the change acknowledged; the store comes back from a copy without it, and an entry that hadn't read it is told that nothing is newer than what it has. Calls with the key run for another lease.

Cause: the proof is about the copy. Until the operator has written again what the copy lacks, it says nothing of what was acknowledged. Now a proof counts from 2 s after the era was first seen by any entry (the time that the users name for rows that come back); the lease of before keeps its length. Entries tell each other since when they know the era, for those that start in that gap. While it lasts, the store is asked so that the first proof that counts comes as soon as it does.

Price: after an outage of more than about a second leases run out before the next proof, and calls with keys are refused meanwhile.

store_return_test ProofsOfTheCopyDoNotRenewTheLease and store_era_test; without IsSettled in ApplyProof the former has no code to pass by.

--- a/src/libverbenalead/decide/store_era.h
+++ b/src/libverbenalead/decide/store_era.h
@@ -18,6 +18,10 @@
   std::optional<Duration> m_since;
 };
 
+/// Time after the store's return from a copy within which the operator and the
+/// replicas have written again what the copy lacks.
+constexpr Duration kWrittenAgainWithin = 2s;
+
 /// Records that an answer or another process states `era`. Returns whether it
 /// follows an older one that this process knew.
 inline bool RecordEra(StoreEra& known, uint64_t era, Duration now) {
@@ -38,6 +42,23 @@
     known.m_since = std::min(known.m_since.value_or(since), since);
 }
 
+/// Whether a proof of the store that dates from `at` shows that nothing newer
+/// was acknowledged.
+///
+/// Failure: a key is taken away, the store comes back from a copy without that
+/// change, and confirms that nothing is newer. Symptom: calls with the key run
+/// beyond their bound. Proofs count once the lost changes are written again; an
+/// older lease keeps its length meanwhile.
+inline bool IsSettled(const StoreEra& known, Duration at) {
+  return !known.m_since || at >= *known.m_since + kWrittenAgainWithin;
+}
+
+/// Time from `now` until proofs count; zero or less: they do.
+inline Duration TimeUntilSettled(const StoreEra& known, Duration now) {
+  return known.m_since ? *known.m_since + kWrittenAgainWithin - now
+                       : Duration();
+}
+
 }  // namespace verbenalead::decide
 
 #endif  // VERBENALEAD_DECIDE_STORE_ERA_H_
--- a/src/libverbenalead/entry/row_synchroniser.cc
+++ b/src/libverbenalead/entry/row_synchroniser.cc
@@ -98,6 +98,12 @@
     schedule = {proved ? kOperatorLongPoll : Duration(),
                 decide::RecordRequest(m_operator_pace, Now()),
                 PauseAfterFailure(), false};
+    // The first answer that counts as a proof after the store's return is
+    // requested as soon as it counts.
+    const Duration unsettled =
+        decide::TimeUntilSettled(m_state.m_store_era, BootNow());
+    if (unsettled > Duration())
+      schedule.m_long_poll = std::min(schedule.m_long_poll, unsettled);
   }
   schedule.m_paused = IsReadDeferred(m_state.m_routes != nullptr);
   return schedule;
--- a/src/libverbenalead/entry/store_return.cc
+++ b/src/libverbenalead/entry/store_return.cc
@@ -41,7 +41,8 @@
 }
 
 void ApplyProof(EntryState& state, Duration proved_at) {
-  decide::RenewLease(state.m_lease, proved_at);
+  if (decide::IsSettled(state.m_store_era, proved_at))
+    decide::RenewLease(state.m_lease, proved_at);
 }
 
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/store_return_test.cc
+++ b/src/libverbenalead/entry/store_return_test.cc
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(AReplicaThatTheCopyLacksIsKeptForAWhile);
   CPPUNIT_TEST(LateAnswersOfTheOlderEraAreIgnored);
   CPPUNIT_TEST(AnEntryThatStartsGetsTheNewerConfigurationOfOthers);
+  CPPUNIT_TEST(ProofsOfTheCopyDoNotRenewTheLease);
   CPPUNIT_TEST(AFollowerDatesProofsOfTheNewEra);
   CPPUNIT_TEST(EntriesThatStateNoEraAreNotFollowed);
   CPPUNIT_TEST_SUITE_END();
@@ -170,6 +171,7 @@
     ApplyUpdate(starting.m_state, MakeEntryUpdate(other.m_state), Now());
     const PeerEntry* newer = PickNewerPeer(starting.m_state, Now());
     CPPUNIT_ASSERT(newer);
+    CPPUNIT_ASSERT(!decide::IsSettled(starting.m_state.m_store_era, BootNow()));
     links::RelayedRows relayed;
     relayed.m_rows = Answer({2, 30}, {});
     for (const auto& [key, row] : other.m_rows.operator_rows())
@@ -179,6 +181,18 @@
     CPPUNIT_ASSERT(!PickNewerPeer(starting.m_state, Now()));
   }
 
+  // Guards against calls with a key whose removal the copy lacks.
+  void ProofsOfTheCopyDoNotRenewTheLease() {
+    Entry entry("e1");
+    entry.Read(Answer({1, 500}, {ConfigRow({1, 500}, 23)}));
+    const auto proved_at = entry.m_state.m_lease.m_proved_at;
+    entry.Read(Answer({2, 30}, {ConfigRow({2, 20}, 23)}));
+    CPPUNIT_ASSERT(entry.m_state.m_lease.m_proved_at == proved_at);
+    entry.m_state.m_store_era.m_since =
+        BootNow() - decide::kWrittenAgainWithin - 1s;
+    entry.Read(Answer({2, 31}, {}), false);
+    CPPUNIT_ASSERT(entry.m_state.m_lease.m_proved_at > proved_at);
+  }
 
   // Guards against all entries turning to the store, or refusing keys, since
   // only the reading entry knows the store's clock after a return.
