A copy of the store doesn't bring gone replicas back

What callers would see: calls are sent to replicas that have exited, or reach one that left without saying so, until their rows expire again.

Cause: the copy lists replicas whose rows were removed since. What an entry knew holds against the copy now for 5 s, the time in which a dead replica's row expires; a live one writes its row again, or is used after that (decide/gone_replicas). The hash of the list stays that of the table, so that processes with different knowledge don't fetch it from each other all the time.

gone_replicas_test, store_return_test AGoneReplicaIsNotBroughtBackByTheCopy.

--- a/src/libverbenalead/entry/row_applier.cc
+++ b/src/libverbenalead/entry/row_applier.cc
@@ -198,6 +198,9 @@
 
 void RowApplier::ApplyReplicaRow(const platform::Row& row) {
   if (row.m_deleted) {
+    const auto gone = m_replicas.find(row.m_key);
+    if (gone != m_replicas.end())
+      decide::RecordGone(m_gone, gone->second, BootNow());
     m_generation += m_replica_rows.erase(row.m_key);
     m_replicas.erase(row.m_key);
     return;
@@ -246,6 +249,13 @@
   const auto is_absent = [&](const auto& entry) {
     return !present.contains(entry.first);
   };
+  // A copy of the store may lack the row of a replica that started since.
+  if (rows.m_revision.m_era == m_replicas_revision.m_era) {
+    for (const auto& [id, replica] : m_replicas) {
+      if (!present.contains(id))
+        decide::RecordGone(m_gone, replica, BootNow());
+    }
+  }
   m_generation += std::erase_if(m_replica_rows, is_absent);
   std::erase_if(m_replicas, is_absent);
 }
@@ -292,10 +302,20 @@
   return true;
 }
 
+void RowApplier::ReviewGoneReplicas() {
+  if (m_hides_replicas)
+    UpdatePools(TimePoint());
+}
+
 void RowApplier::UpdatePools(TimePoint keep_missing_until) {
   std::map<std::string, model::Replica> live = decide::LiveReplicas(m_replicas);
   // Other processes compare the list as the table has it.
   m_state.m_replicas_hash = decide::HashOf(live);
+  m_hides_replicas =
+      std::erase_if(live, [&](const auto& entry) {
+        return decide::IsBackFromCopy(m_gone, entry.second,
+                                      m_state.m_store_era.m_since, BootNow());
+      }) > 0;
   std::map<std::string, std::vector<model::Replica>> by_service;
   for (const auto& [id, replica] : live)
     by_service[replica.m_service].push_back(replica);
--- a/src/libverbenalead/entry/row_applier.h
+++ b/src/libverbenalead/entry/row_applier.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "decide/gone_replicas.h"
 #include "entry/entry_state.h"
 #include "links/relayed_rows.h"
 #include "model/replica.h"
@@ -51,6 +52,9 @@
   model::Revision replicas_revision() const { return m_replicas_revision; }
   /// Changes with each change of operator_rows() or replica_rows().
   uint64_t generation() const { return m_generation; }
+  /// Uses replicas again that only seemed to be back from a copy of the store.
+  /// Called ten times a second.
+  void ReviewGoneReplicas();
 
  private:
   /// Time from a declaration of weights until they are mandatory.
@@ -82,6 +86,9 @@
   uint64_t m_generation = 0;
   /// The rows of the table of replicas that could be decoded.
   std::map<std::string, model::Replica> m_replicas;
+  decide::GoneReplicas m_gone;
+  /// Some rows are taken for those of replicas that are gone.
+  bool m_hides_replicas = false;
 };
 
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/store_return_test.cc
+++ b/src/libverbenalead/entry/store_return_test.cc
@@ -78,6 +78,7 @@
   CPPUNIT_TEST(RelayedListsWithLowerNumbersAreAppliedAfterAReturn);
   CPPUNIT_TEST(RowsOfTheCopyDoNotReplaceNewerOnes);
   CPPUNIT_TEST(ALeavingReplicaStaysLeavingAfterAReturn);
+  CPPUNIT_TEST(AGoneReplicaIsNotBroughtBackByTheCopy);
   CPPUNIT_TEST(AReplicaThatTheCopyLacksIsKeptForAWhile);
   CPPUNIT_TEST(LateAnswersOfTheOlderEraAreIgnored);
   CPPUNIT_TEST(AnEntryThatStartsGetsTheNewerConfigurationOfOthers);
@@ -137,6 +138,22 @@
     CPPUNIT_ASSERT(!entry.UsesReplica("1"));
   }
 
+  void AGoneReplicaIsNotBroughtBackByTheCopy() {
+    Entry entry("e1");
+    entry.ReadReplicas(Answer(
+        {1, 500}, {ReplicaRow("1", {1, 400}), ReplicaRow("2", {1, 410})}));
+    platform::Row removed = ReplicaRow("1", {1, 501});
+    removed.m_deleted = true;
+    entry.ReadReplicas(Answer({1, 501}, {removed}), false);
+    entry.ReadReplicas(
+        Answer({2, 30}, {ReplicaRow("1", {2, 20}), ReplicaRow("2", {2, 21})}));
+    CPPUNIT_ASSERT(!entry.UsesReplica("1"));
+    CPPUNIT_ASSERT(entry.UsesReplica("2"));
+    // It lives: its row is written again.
+    entry.ReadReplicas(Answer({2, 31}, {ReplicaRow("1", {2, 31})}), false);
+    CPPUNIT_ASSERT(entry.UsesReplica("1"));
+  }
+
   // Guards against a service without replicas: all have started since the copy.
   void AReplicaThatTheCopyLacksIsKeptForAWhile() {
     Entry entry("e1");
