Entries register again if the store lost their rows

What callers would see: entries that start after a return don't find those that the copy lacks for up to two minutes, count fewer of them, and claim larger shares of the retries.

Cause: an entry's row is written once, at its start, and read again every two minutes. Now an entry that registered within the last minute reads its part again when the era changes, at a moment of its own within a second; others send nothing, as 300 requests at once would be the next overload.

--- a/src/libverbenalead/entry/entry_registration.cc
+++ b/src/libverbenalead/entry/entry_registration.cc
@@ -15,6 +15,16 @@
 /// each other.
 constexpr Duration kTableInterval = 120s;
 constexpr Duration kRetryDelay = 500ms;
+/// An entry that has registered within this time checks its row again when the
+/// store comes back from a copy, which may lack it. Failure: entries start, the
+/// store comes back without their rows, and more entries start. Symptom: these
+/// don't find them for two minutes, count fewer entries and claim larger shares
+/// of the retries. Entries that have registered earlier send no request, as
+/// requests of hundreds at once would be the next overload.
+constexpr Duration kMaxCopyAge = 60s;
+/// How often that is checked; entries check at different moments, which spreads
+/// their requests.
+constexpr Duration kEraCheckInterval = 1s;
 
 std::string EncodeEntryRow(const model::EntryAddress& entry) {
   links::EntryUpdate update;
@@ -59,7 +69,7 @@
     // may be missing as well.
     if (registered) {
       m_on_entries_read();
-      co_await Sleep(kTableInterval);
+      co_await AwaitNextRead();
       continue;
     }
     const auto written = co_await m_store.Write(
@@ -67,7 +77,21 @@
     if (!written) {
       LogLine("not_registered").With(written.error()).Warn();
       co_await Sleep(kRetryDelay);
+      continue;
     }
+    m_registered_at = Now();
+  }
+}
+
+Awaitable<void> EntryRegistration::AwaitNextRead() {
+  const uint64_t era = m_state.m_store_era.m_era;
+  const TimePoint end = Now() + kTableInterval;
+  while (Now() < end) {
+    co_await Sleep(kEraCheckInterval);
+    const bool may_be_lost =
+        m_registered_at != TimePoint() && Now() - m_registered_at < kMaxCopyAge;
+    if (may_be_lost && m_state.m_store_era.m_era != era)
+      co_return;
   }
 }
 
--- a/src/libverbenalead/entry/entry_registration.h
+++ b/src/libverbenalead/entry/entry_registration.h
@@ -38,6 +38,8 @@
   Awaitable<void> FollowRemoteEntries();
 
  private:
+  /// Waits until the rows have to be read again.
+  Awaitable<void> AwaitNextRead();
   /// Returns false if not all rows could be read.
   Awaitable<bool> ReadRemoteEntries();
   void ApplyRows(const platform::Rows& rows);
@@ -46,6 +48,8 @@
   platform::Store& m_store;
   const std::function<void()> m_on_entries_read;
   const std::function<bool()> m_is_summary_sender;
+  /// When this process wrote its row; the epoch of the clock: it was there.
+  TimePoint m_registered_at{};
 };
 
 }  // namespace verbenalead::entry
