Interim answers are skipped

What callers saw: a replica that sends 103 Early Hints before each proper answer, which HTTP allows (RFC 9110, 15.2), and an answer 103 that ends their call; as it is quick, that replica draws most calls. 100 Continue without end kept callers waiting beyond their time-out.

Cause: the client took the first head for the final one. It skips up to 16 interim answers now; more, and then none, are no answer (kCorrupt).

--- a/src/libverbenalead/http/client.cc
+++ b/src/libverbenalead/http/client.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/beast/ssl.hpp>
 #include <map>
+#include <optional>
 #include <type_traits>
 #include <vector>
 
@@ -27,6 +28,9 @@
 /// streams would each hold a buffer of the largest size.
 constexpr size_t kMinReadBytes = 4 * 1024;
 constexpr size_t kMaxReadBytes = 64 * 1024;
+/// Interim answers (status 1xx) before the final one; more are no answer.
+constexpr int kMaxInterimAnswers = 16;
+constexpr int kFirstFinalStatus = 200;
 
 using Stream = std::unique_ptr<beast::tcp_stream>;
 
@@ -113,48 +117,41 @@
         m_endpoint(std::move(endpoint)),
         m_step(std::move(step)),
         m_stream(std::move(stream)),
-        m_reuse_connections(keep) {
-    m_parser.body_limit(boost::none);
-    m_parser.skip(no_body);
-  }
+        m_no_body(no_body),
+        m_reuse_connections(keep) {}
 
   Awaitable<AsyncResult<wire::ResponseHead>> ReadHead(
       TimePoint deadline) override {
-    if (m_cancelled)
-      co_return Broken(asio::error::operation_aborted);
-    beast::get_lowest_layer(*m_stream).expires_at(deadline);
-    beast::error_code error;
-    co_await bhttp::async_read_header(
-        *m_stream, m_buffer, m_parser,
-        asio::redirect_error(asio::use_awaitable, error));
-    if (error)
-      co_return Broken(error);
-    wire::ResponseHead head{static_cast<int>(m_parser.get().result_int()), {}};
-    for (const auto& field : m_parser.get())
-      head.m_headers[LowerCase(field.name_string())] =
-          std::string(field.value());
-    co_return head;
+    // Failure: a server sends an interim answer, such as 103, before the final
+    // one. Symptom: the interim one is passed on as the final answer. Clients
+    // skip them (RFC 9110, 15.2).
+    for (int heads = 0; heads <= kMaxInterimAnswers; ++heads) {
+      auto head = co_await ReadOneHead(deadline);
+      if (!head || head->m_status >= kFirstFinalStatus)
+        co_return head;
+    }
+    co_return Nonsense("interim answers without end");
   }
 
   Awaitable<AsyncResult<std::optional<std::string>>> ReadBody(
       TimePoint deadline) override {
     if (m_stream)
       beast::get_lowest_layer(*m_stream).expires_at(deadline);
-    while (!m_parser.is_done()) {
+    while (!m_parser->is_done()) {
       if (m_cancelled)
         co_return Broken(asio::error::operation_aborted);
       std::string piece(m_read_bytes, '\0');
-      m_parser.get().body().data = piece.data();
-      m_parser.get().body().size = piece.size();
+      m_parser->get().body().data = piece.data();
+      m_parser->get().body().size = piece.size();
       beast::error_code error;
       co_await bhttp::async_read_some(
-          *m_stream, m_buffer, m_parser,
+          *m_stream, m_buffer, *m_parser,
           asio::redirect_error(asio::use_awaitable, error));
       if (error == bhttp::error::need_buffer)
         error = {};
       if (error)
         co_return Broken(error);
-      piece.resize(piece.size() - m_parser.get().body().size);
+      piece.resize(piece.size() - m_parser->get().body().size);
       if (piece.size() == m_read_bytes)
         m_read_bytes = std::min(2 * m_read_bytes, kMaxReadBytes);
       if (!piece.empty())
@@ -173,6 +170,30 @@
   }
 
  private:
+  Awaitable<AsyncResult<wire::ResponseHead>> ReadOneHead(TimePoint deadline) {
+    m_parser.emplace();
+    m_parser->body_limit(boost::none);
+    m_parser->skip(m_no_body);
+    if (m_cancelled)
+      co_return Broken(asio::error::operation_aborted);
+    beast::get_lowest_layer(*m_stream).expires_at(deadline);
+    beast::error_code error;
+    co_await bhttp::async_read_header(
+        *m_stream, m_buffer, *m_parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+      co_return Broken(error);
+    wire::ResponseHead head{static_cast<int>(m_parser->get().result_int()), {}};
+    for (const auto& field : m_parser->get())
+      head.m_headers[LowerCase(field.name_string())] =
+          std::string(field.value());
+    co_return head;
+  }
+
+  Failure Nonsense(const std::string& reason) const {
+    return Failure{FailureCode::kCorrupt, m_step, ToString(m_endpoint), reason};
+  }
+
   Failure Broken(const beast::error_code& error) const {
     return Failure{m_cancelled ? FailureCode::kCancelled : CodeFor(error),
                    m_step, ToString(m_endpoint), error.message()};
@@ -181,10 +202,10 @@
   void Finish() {
     if (m_stream)
       ResetOnClose(beast::get_lowest_layer(*m_stream), false);
-    for (const auto& field : m_parser.get())
+    for (const auto& field : m_parser->get())
       m_trailers[LowerCase(field.name_string())] = std::string(field.value());
     if constexpr (std::is_same_v<Socket, beast::tcp_stream>) {
-      if (m_reuse_connections && m_parser.get().keep_alive() &&
+      if (m_reuse_connections && m_parser->get().keep_alive() &&
           m_buffer.size() == 0 && m_stream) {
         m_stream->expires_never();
         m_pool.Release(m_endpoint, std::move(m_stream));
@@ -196,9 +217,11 @@
   Endpoint m_endpoint;
   std::string m_step;
   std::unique_ptr<Socket> m_stream;
+  const bool m_no_body;
   const bool m_reuse_connections;
   beast::flat_buffer m_buffer;
-  bhttp::response_parser<bhttp::buffer_body> m_parser;
+  /// Of the head that is being read, and of the body that follows it.
+  std::optional<bhttp::response_parser<bhttp::buffer_body>> m_parser;
   wire::Headers m_trailers;
   bool m_cancelled = false;
   size_t m_read_bytes = kMinReadBytes;
