Bytes without end end the attempt, not the entry

What callers saw: a replica sends bytes that are no answer, without end, and an entry takes hundreds of MB of them, more than its host has, and ends; callers wait beyond their time-out with sound replicas beside it.

Causes: nothing limited what is read before it is parsed (extensions of chunks, trailers), an answer that is held, or an event; and the timer of a read never fires while bytes are always there.

Now: 64 KB before they are parsed; 8 MB an answer and 64 MB for all of an entry, of which each answer has 64 KB for sure; 64 KB an event; 16 MB an answer of the store, the origin or an engine, 8 MB of rows from an entry. The deadline is checked before each read. The attempt ends as broken (answers_too_long_total), the replica is avoided as one that breaks calls, the call goes elsewhere within its limits, and such bytes are no evidence of a crash.

--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "decide/hedge.h"
+#include "entry/answer_buffer.h"
 #include "entry/crash_blame.h"
 #include "entry/retry_attempt.h"
 
@@ -166,13 +167,17 @@
   StopHedge();
   wire::Response response{result().m_head.m_status, {}, ""};
   const AttemptEnd end = result().m_end;
+  AnswerBuffer body(m_state.m_held_answer_bytes);
   bool complete = false;
   while (true) {
     auto piece = co_await m_attempt->ReadBody();
     complete = piece && !piece->has_value();
     if (!piece || complete)
       break;
-    response.m_body += **piece;
+    if (!body.TryAppend(**piece)) {
+      RecordTooLong("the answer is too long");
+      break;
+    }
   }
   if (!complete) {
     // Part of an answer is never delivered, since the caller could not tell it
@@ -198,6 +203,7 @@
       co_await AnswerWhole();
     co_return;
   }
+  response.m_body = body.Take();
   response.m_headers =
       platform::EncodeForCaller(std::move(result().m_head)).m_headers;
   decide::RecordSuccess(m_state.m_crashes, m_plan.m_fingerprint, Now());
@@ -312,6 +318,12 @@
   m_attempt->End(end);
 }
 
+void CallRun::RecordTooLong(const std::string& reason) {
+  result().m_reason = reason;
+  result().m_failure = FailureCode::kCorrupt;
+  m_state.m_metrics.Count("answers_too_long_total", "");
+}
+
 bool CallRun::TryTakeRetryAfter(AttemptEnd end) {
   // An attempt that reached no replica caused no load, so another one isn't
   // counted as a retry.
--- a/src/libverbenalead/entry/call_run.h
+++ b/src/libverbenalead/entry/call_run.h
@@ -70,6 +70,9 @@
   void PromoteHedge();
   /// Cancels all attempts when the caller has disconnected.
   void CancelAll();
+  /// The current attempt's answer, or an event of it, exceeds a limit: it is no
+  /// answer.
+  void RecordTooLong(const std::string& reason);
   /// Ends the current attempt and keeps its reason for the log.
   void EndAttempt(decide::AttemptEnd end);
   /// Whether the call may be retried after `end`: it isn't blocked, and the
--- a/src/libverbenalead/entry/call_run_stream.cc
+++ b/src/libverbenalead/entry/call_run_stream.cc
@@ -17,6 +17,9 @@
 /// just the request to a target, which takes less than this.
 constexpr Duration kMinSlotWait = 20ms;
 
+/// Longest event of a stream, which holds a few tokens.
+constexpr size_t kMaxEventBytes = 64 * 1024;
+
 constexpr char kDeadlineReason[] =
     "the time of the caller or the route is over";
 
@@ -85,6 +88,10 @@
     if (ended || !piece)
       co_return false;
     std::string complete_events = decide::ExtractEvents(events, **piece);
+    if (events.m_partial.size() > kMaxEventBytes) {
+      RecordTooLong("an event is too long");
+      co_return false;
+    }
     if (complete_events.empty())
       continue;
     RecordEvent(times, m_plan.m_started_at, Now());
--- a/src/libverbenalead/entry/crash_blame.cc
+++ b/src/libverbenalead/entry/crash_blame.cc
@@ -22,10 +22,11 @@
 }
 
 bool IsEvidence(const CallAttempt& attempt) {
-  // A time-out isn't evidence of a crash, nor is a break that this entry caused
-  // by cancelling the attempt.
+  // A time-out isn't evidence of a crash, nor are bytes that are no answer, nor
+  // a break that this entry caused by cancelling the attempt.
   const auto failure = attempt.result().m_failure;
-  return failure != FailureCode::kTimeout && failure != FailureCode::kCancelled;
+  return failure != FailureCode::kTimeout && failure != FailureCode::kCorrupt &&
+         failure != FailureCode::kCancelled;
 }
 
 void ExportBlocked(EntryState& state) {
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -78,6 +78,8 @@
   bool m_store_unavailable = false;
   /// Hash of the list of replicas.
   uint64_t m_replicas_hash = 0;
+  /// Bytes of answers that are held, see AnswerBuffer.
+  size_t m_held_answer_bytes = 0;
   /// By service.
   std::map<std::string, ServiceState> m_services;
   /// By model.
--- a/src/libverbenalead/http/client.cc
+++ b/src/libverbenalead/http/client.cc
@@ -28,6 +28,11 @@
 /// streams would each hold a buffer of the largest size.
 constexpr size_t kMinReadBytes = 4 * 1024;
 constexpr size_t kMaxReadBytes = 64 * 1024;
+/// Most bytes that are read before they are parsed: a head, the extension of a
+/// chunk, or trailers. Failure: a server sends one of these without end.
+/// Symptom: the process runs out of memory. No answer needs more, as a head has
+/// 8 KB at most.
+constexpr size_t kMaxUnparsedBytes = 64 * 1024;
 /// Interim answers (status 1xx) before the final one; more are no answer.
 constexpr int kMaxInterimAnswers = 16;
 constexpr int kFirstFinalStatus = 200;
@@ -35,8 +40,11 @@
 using Stream = std::unique_ptr<beast::tcp_stream>;
 
 FailureCode CodeFor(const beast::error_code& error) {
-  return error == beast::error::timeout ? FailureCode::kTimeout
-                                        : FailureCode::kBroken;
+  if (error == beast::error::timeout)
+    return FailureCode::kTimeout;
+  const bool too_long = error == bhttp::error::buffer_overflow ||
+                        error == bhttp::error::header_limit;
+  return too_long ? FailureCode::kCorrupt : FailureCode::kBroken;
 }
 
 std::string LowerCase(std::string_view text) {
@@ -140,6 +148,9 @@
     while (!m_parser->is_done()) {
       if (m_cancelled)
         co_return Broken(asio::error::operation_aborted);
+      // The timer doesn't end reads for which bytes are always there.
+      if (Now() >= deadline)
+        co_return Broken(beast::error::timeout);
       std::string piece(m_read_bytes, '\0');
       m_parser->get().body().data = piece.data();
       m_parser->get().body().size = piece.size();
@@ -176,6 +187,8 @@
     m_parser->skip(m_no_body);
     if (m_cancelled)
       co_return Broken(asio::error::operation_aborted);
+    if (Now() >= deadline)
+      co_return Broken(beast::error::timeout);
     beast::get_lowest_layer(*m_stream).expires_at(deadline);
     beast::error_code error;
     co_await bhttp::async_read_header(
@@ -219,7 +232,7 @@
   std::unique_ptr<Socket> m_stream;
   const bool m_no_body;
   const bool m_reuse_connections;
-  beast::flat_buffer m_buffer;
+  beast::flat_buffer m_buffer{kMaxUnparsedBytes};
   /// Of the head that is being read, and of the body that follows it.
   std::optional<bhttp::response_parser<bhttp::buffer_body>> m_parser;
   wire::Headers m_trailers;
--- a/src/libverbenalead/http/http_client_test.cc
+++ b/src/libverbenalead/http/http_client_test.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <limits>
 #include <optional>
 
 namespace verbenalead::http {
@@ -37,6 +38,8 @@
   CPPUNIT_TEST_SUITE(ClientTest);
   CPPUNIT_TEST(InterimAnswersAreSkipped);
   CPPUNIT_TEST(InterimAnswersWithoutEndAreNoAnswer);
+  CPPUNIT_TEST(BytesWithoutEndAreNoAnswer);
+  CPPUNIT_TEST(ABodyThatNeverPausesEndsAtItsDeadline);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -62,6 +65,36 @@
     CPPUNIT_ASSERT(response.error().m_code == FailureCode::kCorrupt);
   }
 
+  // Guards against a process that runs out of memory.
+  void BytesWithoutEndAreNoAnswer() {
+    const std::string filler(16384, 'x');
+    for (const Bytes& bytes :
+         {Bytes{"HTTP/1.1 200 OK\r\na: ", filler},
+          Bytes{"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
+          Bytes{kChunkedHead + "5;", filler},
+          Bytes{kChunkedHead + "0\r\n", "a: b\r\n"},
+          Bytes{"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n",
+                filler},
+          Bytes{kChunkedHead, "4000\r\n" + filler + "\r\n"},
+          Bytes{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", filler}}) {
+      const auto response = Fetch(bytes);
+      CPPUNIT_ASSERT(!response);
+      CPPUNIT_ASSERT(response.error().m_code == FailureCode::kCorrupt ||
+                     response.error().m_code == FailureCode::kInvalid);
+    }
+  }
+
+  // Guards against a call beyond its time-out: bytes are there at each read, so
+  // the timer never ends one.
+  void ABodyThatNeverPausesEndsAtItsDeadline() {
+    m_deadline = Now() + 50ms;
+    m_max_body = std::numeric_limits<size_t>::max();
+    const auto response = Fetch({"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+                                 std::string(512, 'x')});
+    CPPUNIT_ASSERT(!response);
+    CPPUNIT_ASSERT(response.error().m_code == FailureCode::kTimeout);
+  }
+
  private:
   /// Requests something from a server that sends `bytes`.
   AsyncResult<wire::Response> Fetch(const Bytes& bytes) {
@@ -99,13 +132,15 @@
     }
   }
 
-  static Awaitable<void> Call(
-      Client& client,
-      Endpoint endpoint,
-      std::optional<AsyncResult<wire::Response>>& response) {
+  Awaitable<void> Call(Client& client,
+                       Endpoint endpoint,
+                       std::optional<AsyncResult<wire::Response>>& response) {
     response = co_await wire::Fetch(client, endpoint, wire::Request(),
-                                    Now() + std::chrono::seconds(30));
+                                    m_deadline, m_max_body);
   }
+
+  TimePoint m_deadline = Now() + std::chrono::seconds(30);
+  size_t m_max_body = size_t{1} << 20;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ClientTest);
--- a/src/libverbenalead/links/relayed_rows.cc
+++ b/src/libverbenalead/links/relayed_rows.cc
@@ -23,10 +23,11 @@
 constexpr Duration kProgressTimeout = 700ms;
 constexpr Duration kTotalTimeout = 5s;
 constexpr int kOk = 200;
-/// Limit for the size of a decompressed table, which bounds the memory that a
-/// corrupt answer can take. Several times 3,000 replicas and a large
-/// configuration fit into it.
-constexpr size_t kMaxTableBytes = size_t{64} << 20;
+/// Limits for the size of a table, compressed and not, which bound the memory
+/// that a corrupt answer can take. Several times 3,000 replicas and a large
+/// configuration fit into them.
+constexpr size_t kMaxCompressedBytes = size_t{8} << 20;
+constexpr size_t kMaxTableBytes = size_t{16} << 20;
 
 constexpr char kProof[] = "proof-ms";
 constexpr char kSentAt[] = "told-at-ms";
@@ -169,8 +170,8 @@
   const Duration asked_at = BootNow();
   const wire::ProgressTimeouts timeouts = {kProgressTimeout, kProgressTimeout,
                                            kTotalTimeout};
-  auto response = co_await wire::FetchByProgress(http, endpoint,
-                                                 std::move(request), timeouts);
+  auto response = co_await wire::FetchByProgress(
+      http, endpoint, std::move(request), timeouts, kMaxCompressedBytes);
   if (!response)
     co_return response.error();
   if (response->m_status != kOk) {
--- a/src/libverbenalead/platform/engine_client.cc
+++ b/src/libverbenalead/platform/engine_client.cc
@@ -15,6 +15,9 @@
 /// answer for this long is down or hangs.
 constexpr Duration kTimeout = 1s;
 
+/// Longest answer: a chunk of weights that was staged.
+constexpr size_t kMaxAnswerBytes = size_t{16} << 20;
+
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
@@ -41,7 +44,7 @@
     wire::Request request) {
   const std::string step = request.m_method + " " + wire::PathOf(request);
   auto response = co_await wire::Fetch(m_http, m_endpoint, std::move(request),
-                                       Now() + kTimeout);
+                                       Now() + kTimeout, kMaxAnswerBytes);
   if (!response)
     co_return response.error();
   if (!IsSuccess(response->m_status))
--- a/src/libverbenalead/platform/origin_client.cc
+++ b/src/libverbenalead/platform/origin_client.cc
@@ -10,6 +10,9 @@
 
 namespace json = boost::json;
 
+/// Longest answer: a chunk of weights, or the digests of all chunks.
+constexpr size_t kMaxAnswerBytes = size_t{16} << 20;
+
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
@@ -43,8 +46,8 @@
   wire::Request request;
   request.m_path = std::move(path);
   const std::string step = "GET " + request.m_path;
-  auto response =
-      co_await wire::Fetch(m_http, origin, std::move(request), deadline);
+  auto response = co_await wire::Fetch(m_http, origin, std::move(request),
+                                       deadline, kMaxAnswerBytes);
   if (!response)
     co_return response.error();
   if (response->m_status == kOk)
--- a/src/libverbenalead/platform/store.cc
+++ b/src/libverbenalead/platform/store.cc
@@ -24,6 +24,9 @@
 /// request.
 constexpr Duration kTotalTimeout = 8s;
 
+/// Longest answer: 1 MB of rows, or the rows of a table's changes.
+constexpr size_t kMaxAnswerBytes = size_t{16} << 20;
+
 constexpr int kOk = 200;
 constexpr int kPreconditionFailed = 412;
 constexpr int kGone = 410;
@@ -179,7 +182,7 @@
   request.m_path = "/rows-parts?table=" + table;
   const std::string step = "GET /rows-parts";
   auto response = co_await wire::Fetch(m_http, m_endpoint, std::move(request),
-                                       Now() + kAnswerTimeout);
+                                       Now() + kAnswerTimeout, kMaxAnswerBytes);
   if (!response)
     co_return response.error();
   if (response->m_status != kOk)
@@ -212,8 +215,8 @@
   const Duration requested_at = BootNow();
   const wire::ProgressTimeouts timeouts = {
       wait + kAnswerTimeout, kAnswerTimeout, wait + kTotalTimeout};
-  auto response = co_await wire::FetchByProgress(m_http, m_endpoint,
-                                                 std::move(request), timeouts);
+  auto response = co_await wire::FetchByProgress(
+      m_http, m_endpoint, std::move(request), timeouts, kMaxAnswerBytes);
   if (!response)
     co_return response.error();
   if (response->m_status != kOk)
@@ -243,8 +246,9 @@
 }
 
 Awaitable<AsyncResult<bool>> Store::Transact(std::string body) {
-  auto response = co_await wire::Fetch(
-      m_http, m_endpoint, PostRequest(std::move(body)), Now() + kAnswerTimeout);
+  auto response =
+      co_await wire::Fetch(m_http, m_endpoint, PostRequest(std::move(body)),
+                           Now() + kAnswerTimeout, kMaxAnswerBytes);
   if (!response)
     co_return response.error();
   if (response->m_status != kOk)
--- a/src/libverbenalead/wire/client.cc
+++ b/src/libverbenalead/wire/client.cc
@@ -3,6 +3,22 @@
 #include <algorithm>
 
 namespace verbenalead::wire {
+namespace {
+
+/// Appends `piece` to the body, which may have `max_body` bytes.
+bool TryAppend(Response& response, const std::string& piece, size_t max_body) {
+  if (response.m_body.size() + piece.size() > max_body)
+    return false;
+  response.m_body += piece;
+  return true;
+}
+
+Failure TooLong(const std::string& step, const Endpoint& endpoint) {
+  return Failure{FailureCode::kInvalid, step, ToString(endpoint),
+                 "the body is too long"};
+}
+
+}  // namespace
 
 Awaitable<AsyncResult<Response>> Fetch(Client& client,
                                        Endpoint endpoint,
@@ -24,18 +40,17 @@
       co_return piece.error();
     if (!piece->has_value())
       co_return response;
-    if (response.m_body.size() + (*piece)->size() > max_body) {
-      co_return Failure{FailureCode::kInvalid, step, ToString(endpoint),
-                        "the body is too long"};
-    }
-    response.m_body += **piece;
+    if (!TryAppend(response, **piece, max_body))
+      co_return TooLong(step, endpoint);
   }
 }
 
 Awaitable<AsyncResult<Response>> FetchByProgress(Client& client,
                                                  Endpoint endpoint,
                                                  Request request,
-                                                 ProgressTimeouts timeouts) {
+                                                 ProgressTimeouts timeouts,
+                                                 size_t max_body) {
+  const std::string step = request.m_method + " " + PathOf(request);
   const TimePoint end = Now() + timeouts.m_total;
   const TimePoint head_deadline = Now() + timeouts.m_head;
   auto opened =
@@ -54,7 +69,8 @@
       co_return piece.error();
     if (!piece->has_value())
       co_return response;
-    response.m_body += **piece;
+    if (!TryAppend(response, **piece, max_body))
+      co_return TooLong(step, endpoint);
   }
 }
 
--- a/src/libverbenalead/wire/client.h
+++ b/src/libverbenalead/wire/client.h
@@ -43,12 +43,12 @@
   Duration m_total{};
 };
 
-/// Like Fetch, but with a timeout for each part of the response and without a
-/// limit on the size of the body.
+/// Like Fetch, but with a timeout for each part of the response.
 Awaitable<AsyncResult<Response>> FetchByProgress(Client& client,
                                                  Endpoint endpoint,
                                                  Request request,
-                                                 ProgressTimeouts timeouts);
+                                                 ProgressTimeouts timeouts,
+                                                 size_t max_body);
 
 }  // namespace verbenalead::wire
 
