An entry that starts right after the store's return waits for lost changes

What callers would see: an entry starts right after the store came back from a copy, and calls run with a key whose removal the copy lacks, until the operator has written it again.

Cause: the entry knows only the copy, and its first proof is about that. Entries of its data centre told it since when they know the era, but it relied on proofs that it had taken before; alone in its data centre it wasn't told. Now summaries say it too, and a proof from the gap holds no lease.

store_return_test AnEntryThatStartsAfterAReturnWaitsForLostChanges: failed before by what it asserts last, as HasValidLease didn't know the gap. Open: if no other process lives that saw the return, nothing tells it.

--- a/src/libverbenalead/decide/store_era.h
+++ b/src/libverbenalead/decide/store_era.h
@@ -53,6 +53,13 @@
   return !known.m_since || at >= *known.m_since + kWrittenAgainWithin;
 }
 
+/// Whether a proof of `at` was given between the store's return and the time
+/// from which proofs count. A process that learns of the return from others
+/// after its first proof must not rely on that proof.
+inline bool IsFromGap(const StoreEra& known, Duration at) {
+  return known.m_since && at >= *known.m_since && !IsSettled(known, at);
+}
+
 /// Time from `now` until proofs count; zero or less: they do.
 inline Duration TimeUntilSettled(const StoreEra& known, Duration now) {
   return known.m_since ? *known.m_since + kWrittenAgainWithin - now
--- a/src/libverbenalead/decide/store_era_test.cc
+++ b/src/libverbenalead/decide/store_era_test.cc
@@ -36,8 +36,12 @@
     StoreEra era;
     RecordEra(era, 8, 200s);
     CPPUNIT_ASSERT(IsSettled(era, 200s));
+    CPPUNIT_ASSERT(!IsFromGap(era, 200s));
     RecordEraSince(era, 8, 199s);
     CPPUNIT_ASSERT(!IsSettled(era, 200s));
+    // Its first proof was given in the gap; one of before would hold.
+    CPPUNIT_ASSERT(IsFromGap(era, 200s));
+    CPPUNIT_ASSERT(!IsFromGap(era, 198s));
     CPPUNIT_ASSERT(IsSettled(era, 199s + kWrittenAgainWithin));
     // The earliest observation is the closest to the return.
     RecordEraSince(era, 8, 199500ms);
--- a/src/libverbenalead/entry/entry_state.cc
+++ b/src/libverbenalead/entry/entry_state.cc
@@ -58,7 +58,9 @@
     return true;
   const auto length = std::chrono::duration_cast<Duration>(
       state.m_options.m_key_bound * kLeaseShare);
-  return decide::IsLeaseValid(state.m_lease, length, BootNow());
+  const auto proved_at = state.m_lease.m_proved_at;
+  return proved_at && !decide::IsFromGap(state.m_store_era, *proved_at) &&
+         decide::IsLeaseValid(state.m_lease, length, BootNow());
 }
 
 bool IsReady(const EntryState& state) {
--- a/src/libverbenalead/entry/peer_updates.cc
+++ b/src/libverbenalead/entry/peer_updates.cc
@@ -215,12 +215,8 @@
         .With("ready", update.m_ready)
         .Info();
   }
-  NoteStoreEra(state, update.m_operator_revision.m_era,
-               update.m_address.m_host);
-  if (update.m_era_age) {
-    decide::RecordEraSince(state.m_store_era, update.m_operator_revision.m_era,
-                           BootNow() - *update.m_era_age);
-  }
+  NotePeerEra(state, update.m_operator_revision.m_era, update.m_era_age,
+              update.m_address.m_host);
   peer.m_address = update.m_address;
   peer.m_ready = update.m_ready;
   peer.m_last_seen_at = now;
--- a/src/libverbenalead/entry/store_return.cc
+++ b/src/libverbenalead/entry/store_return.cc
@@ -28,6 +28,15 @@
   return era >= before;
 }
 
+void NotePeerEra(EntryState& state,
+                 uint64_t era,
+                 std::optional<Duration> age,
+                 const std::string& host) {
+  NoteStoreEra(state, era, host);
+  if (age)
+    decide::RecordEraSince(state.m_store_era, era, BootNow() - *age);
+}
+
 TimePoint StoreReturnedAt(const EntryState& state) {
   const auto& since = state.m_store_era.m_since;
   return since ? Now() - (BootNow() - *since) : TimePoint();
--- a/src/libverbenalead/entry/store_return.h
+++ b/src/libverbenalead/entry/store_return.h
@@ -14,6 +14,13 @@
 /// known one: what comes with it was said before the store came back.
 bool NoteStoreEra(EntryState& state, uint64_t era, const std::string& source);
 
+/// Records that the entry `host` has `era`, and has known for `age` that the
+/// store came back from a copy.
+void NotePeerEra(EntryState& state,
+                 uint64_t era,
+                 std::optional<Duration> age,
+                 const std::string& host);
+
 /// When the store was first known to have come back from a copy, in its present
 /// era; the epoch of the clock if this process has known no older era.
 TimePoint StoreReturnedAt(const EntryState& state);
--- a/src/libverbenalead/entry/store_return_test.cc
+++ b/src/libverbenalead/entry/store_return_test.cc
@@ -5,6 +5,7 @@
 #include "base/boot_clock.h"
 #include "entry/peer_updates.h"
 #include "entry/row_applier.h"
+#include "entry/summary.h"
 
 namespace verbenalead::entry {
 namespace {
@@ -82,6 +83,7 @@
   CPPUNIT_TEST(AReplicaThatTheCopyLacksIsKeptForAWhile);
   CPPUNIT_TEST(LateAnswersOfTheOlderEraAreIgnored);
   CPPUNIT_TEST(AnEntryThatStartsGetsTheNewerConfigurationOfOthers);
+  CPPUNIT_TEST(AnEntryThatStartsAfterAReturnWaitsForLostChanges);
   CPPUNIT_TEST(ProofsOfTheCopyDoNotRenewTheLease);
   CPPUNIT_TEST(AFollowerDatesProofsOfTheNewEra);
   CPPUNIT_TEST(EntriesThatStateNoEraAreNotFollowed);
@@ -198,6 +200,21 @@
     CPPUNIT_ASSERT(!PickNewerPeer(starting.m_state, Now()));
   }
 
+  // Guards against calls with a removed key at an entry that starts right after
+  // the return, in a data centre without another entry.
+  void AnEntryThatStartsAfterAReturnWaitsForLostChanges() {
+    Entry other("e2");
+    other.Read(Answer({1, 500}, {ConfigRow({1, 500}, 23)}));
+    other.Read(Answer({2, 30}, {ConfigRow({2, 20}, 19)}));
+    Entry starting("e1");
+    starting.Read(Answer({2, 30}, {ConfigRow({2, 20}, 19)}));
+    CPPUNIT_ASSERT(HasValidLease(starting.m_state));
+    links::DataCenterSummary summary = SummaryOf(other.m_state, Now());
+    summary.m_data_center = "b";
+    CPPUNIT_ASSERT(ApplySummary(starting.m_state, summary, Now()));
+    CPPUNIT_ASSERT(!HasValidLease(starting.m_state));
+  }
+
   // Guards against calls with a key whose removal the copy lacks.
   void ProofsOfTheCopyDoNotRenewTheLease() {
     Entry entry("e1");
--- a/src/libverbenalead/entry/summary.cc
+++ b/src/libverbenalead/entry/summary.cc
@@ -112,6 +112,7 @@
   summary.m_sender = state.m_options.m_own_address.m_host;
   summary.m_operator_revision = state.m_operator_revision;
   summary.m_operator_confirmed_at = StoreProofOf(state);
+  summary.m_era_age = StoreEraAge(state);
   summary.m_entries = EntriesOf(state, now);
   for (const auto& [name, service] : state.m_services) {
     if (!IsEngineService(state, name))
@@ -154,7 +155,8 @@
   }
   last = {summary.m_sender, summary.m_sequence};
   ApplyEntries(state, summary, now);
-  NoteStoreEra(state, summary.m_operator_revision.m_era, summary.m_sender);
+  NotePeerEra(state, summary.m_operator_revision.m_era, summary.m_era_age,
+              summary.m_sender);
   ApplyPeerProof(state, summary.m_operator_revision,
                  summary.m_operator_confirmed_at);
   for (const links::ReplicaSummary& summary : summary.m_replicas)
--- a/src/libverbenalead/links/data_center_summary.h
+++ b/src/libverbenalead/links/data_center_summary.h
@@ -2,6 +2,7 @@
 #define VERBENALEAD_LINKS_DATA_CENTER_SUMMARY_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
   /// one. The time is zero if the sender has lost its connection to the store.
   model::Revision m_operator_revision;
   Duration m_operator_confirmed_at{};
+  /// As in EntryUpdate.
+  std::optional<Duration> m_era_age;
   std::vector<EntrySummary> m_entries;
   std::vector<ReplicaSummary> m_replicas;
   /// Crashes of replicas that entries of the data centre saw recently.
--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -43,6 +43,7 @@
     summary.m_relayed = true;
     summary.m_operator_revision = {3, 5};
     summary.m_operator_confirmed_at = 1234ms;
+    summary.m_era_age = 250ms;
     summary.m_entries = {
         {"e1", Endpoint("10.0.0.1", 80), Endpoint("10.0.0.1", 81), true},
         {"e2", Endpoint("10.0.0.2", 80), Endpoint("10.0.0.2", 81), false}};
--- a/src/libverbenalead/links/summary_codec.cc
+++ b/src/libverbenalead/links/summary_codec.cc
@@ -128,6 +128,8 @@
       {"entries", std::move(entries)},
       {"replicas", std::move(replicas)},
       {"crashes", EncodeCrashes(summary.m_crashes)}};
+  if (summary.m_era_age)
+    object["era_age_ms"] = ToMilliseconds(*summary.m_era_age);
   EncodeCrashReports(object, summary.m_crash_reports);
   EncodeStatementList(object, summary.m_statements);
   return object;
@@ -142,6 +144,10 @@
   BOOST_LEAF_ASSIGN(summary.m_relayed,
                     model::FlagFieldOr(object, "relayed", false));
   BOOST_LEAF_ASSIGN(summary.m_operator_revision, DecodeRevision(object));
+  if (object.contains("era_age_ms")) {
+    BOOST_LEAF_AUTO(age, model::NumberField(object, "era_age_ms"));
+    summary.m_era_age = std::chrono::milliseconds(age);
+  }
   BOOST_LEAF_AUTO(proof, model::NumberField(object, "proof_ms"));
   summary.m_operator_confirmed_at = std::chrono::milliseconds(proof);
   BOOST_LEAF_AUTO(entries, ListField(object, "entries"));
