After a failure the store's first answer isn't held open

What callers would see: a change in force 1.3 to 1.4 s after it was acknowledged, of 2 s allowed, at most entries.

Cause: a store that came back from a copy may stand just where an entry had read to. It answers neither 410 nor a change, and holds the request open for 1.2 s; only the answer tells the era. The first request after a failure asks for no wait now.

--- a/src/libverbenalead/links/table_follower.cc
+++ b/src/libverbenalead/links/table_follower.cc
@@ -66,10 +66,14 @@
 Awaitable<bool> TableFollower::Poll(Duration wait) {
   const bool whole = decide::NeedsWholeTable(m_cursor);
   AsyncResult<platform::Rows> rows = Failure();
+  // The store may have come back from a copy and stand just where this process
+  // had read to. It then holds a request open, and only the answer tells the
+  // era.
+  const Duration hold = m_connected ? wait : Duration();
   if (whole)
     rows = co_await m_store.ReadTable(m_table);
   else
-    rows = co_await m_store.ReadChanges(m_table, m_cursor.m_revision, wait);
+    rows = co_await m_store.ReadChanges(m_table, m_cursor.m_revision, hold);
   if (!rows) {
     if (rows.error().m_code == FailureCode::kNotFound && !whole)
       RecordHistoryGone();
