--- a/testsuite/run_bench.py
+++ b/testsuite/run_bench.py
@@ -15,7 +15,7 @@
     "bench-requests": ["routing_bench", "place_bench", "rate_bench", "rest_bench",
                        "crash_bench", "request_path.py",
                        "platform_request_path.py"],
-    "bench-config": ["config.py"],
+    "bench-config": ["config.py", "platform_store_return.py"],
     "bench-capacity": ["config_capacity_bench", "capacity.py"],
 }
 
--- a/testsuite/soak/fault_plan.py
+++ b/testsuite/soak/fault_plan.py
@@ -80,6 +80,39 @@
     return sorted(faults)
 
 
+# Returns of the store from a copy: how old it is and how long the store is
+# away, in seconds, how long until lost rows are written again, and revisions
+# that other writers use up at once.
+COPY_AGES = (0.5, 1.5, 4.0, 9.0, 15.0)
+AWAY = (0.0, 0.2, 1.0, 2.5)
+WRITTEN_AGAIN_AFTER = (0.0, 0.3, 1.0)
+SKIPPED = (0, 0, 20, 60, 2000)
+
+
+def draw_returns(seed, seconds):
+    """Returns when the store comes back from a copy, in series.
+
+    Like the limits, these have a random sequence of their own. `kind` has the
+    age of the copy, the time until rows are written again and the skipped
+    revisions behind spaces; `lasts` is the time for which the store is away.
+    """
+    rng = random.Random("returns %d" % seed)
+    faults = []
+    at = rng.uniform(1.0, 4.0)
+    while at < seconds * 0.75:
+        kind = "store_returns %s %s %d" % (
+            rng.choice(COPY_AGES), rng.choice(WRITTEN_AGAIN_AFTER),
+            rng.choice(SKIPPED))
+        lasts = rng.choice(AWAY)
+        faults.append(Fault(round(at, 2), kind, 0, lasts))
+        # A key is taken away right before, or just after the return.
+        faults.append(Fault(round(at + rng.choice((-0.4, -0.05, lasts + 0.3,
+                                                   lasts + 1.2)), 2),
+                            "revoke", 0, 0.1))
+        at += lasts + rng.choice((0.3, 1.5, 4.0))
+    return sorted(faults)
+
+
 def draw(seed, seconds, planned=False):
     """Returns the faults of a run in order of time.
 
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import signal
+import threading
 import time
 
 import harness
@@ -84,7 +85,7 @@
             self.disturbances.append(
                 Disturbance(begin, begin + lasts, fault.kind))
         kind, _, argument = fault.kind.partition(" ")
-        if kind in ("limit", "rest"):
+        if kind in ("limit", "rest", "store_returns"):
             getattr(self, kind)(fault, argument)
         else:
             getattr(self, kind)(fault)
@@ -267,6 +268,20 @@
     def store_hangs(self, fault):
         self.store(fault, hang=True)
 
+    def store_returns(self, fault, arguments):
+        """The store is away and comes back from an older copy."""
+        age, again, skip = arguments.split()
+        threading.Thread(target=self.drill, daemon=True, kwargs={
+            "age_ms": int(1000 * float(age)),
+            "away_ms": int(1000 * fault.lasts),
+            "again_ms": int(1000 * float(again)), "skip": int(skip)}).start()
+
+    def drill(self, **parts):
+        try:
+            self.deployment.drill(**parts)
+        except (OSError, ValueError):
+            pass  # The store hangs or is down; it does not return then.
+
     def store_slow(self, fault):
         self.store(fault, delay_ms=SLOW_MS)
 
--- a/testsuite/soak/run_soak.py
+++ b/testsuite/soak/run_soak.py
@@ -32,12 +32,14 @@
 
 def play(cluster, run):
     """Executes a run; returns a line for each broken promise."""
-    seed, seconds, planned, size, limits, statements = run
+    seed, seconds, planned, size, limits, statements, returns = run
     plan = fault_plan.draw(seed, seconds, planned)
     if limits:
         plan += fault_plan.draw_limits(seed, seconds)
     if statements:
         plan += fault_plan.draw_statements(seed, seconds)
+    if returns:
+        plan += fault_plan.draw_returns(seed, seconds)
     deployment = Deployment(cluster, size)
     deployment.start()
     callers = Callers(deployment, seed, size.callers)
@@ -78,12 +80,13 @@
     return True
 
 
-Run = collections.namedtuple("Run", "seed seconds planned size limits statements")
+Run = collections.namedtuple("Run", "seed seconds planned size limits statements returns")
 
 
-def run_of(seed, seconds, planned, limits=False, statements=False):
+def run_of(seed, seconds, planned, limits=False, statements=False,
+           returns=False):
     return Run(seed, seconds, planned, FULL if planned else SMALL, limits,
-               statements)
+               statements, returns)
 
 
 def kept_runs():
@@ -91,7 +94,8 @@
     with open(SEEDS) as file:
         lines = [line.split("#")[0].split() for line in file]
     return [run_of(int(line[0]), float(line[1]), "planned" in line[2:],
-                   "limits" in line[2:], "statements" in line[2:])
+                   "limits" in line[2:], "statements" in line[2:],
+                   "returns" in line[2:])
             for line in lines if line]
 
 
@@ -111,6 +115,8 @@
     parser.add_argument("--statements", action="store_true",
                         help="replicas leave and ask for rests in their "
                         "answers")
+    parser.add_argument("--returns", action="store_true",
+                        help="the store comes back from older copies")
     for field in Size._fields:
         parser.add_argument("--" + field, type=int, help="default: %d, with "
                             "--planned %d" % (getattr(SMALL, field),
@@ -127,7 +133,7 @@
     first = options.seed or random.SystemRandom().randrange(1, 1 << 31)
     runs = kept_runs() if options.kept else [
         Run(first + number, options.seconds, options.planned, size,
-            options.limits, options.statements)
+            options.limits, options.statements, options.returns)
         for number in range(options.seeds)]
     failed = [run.seed for run in runs if not play_alone(options.bin, run)]
     print("%d runs, failed: %s" % (len(runs), failed or "none"))
--- a/testsuite/standins/platform_store/main.cc
+++ b/testsuite/standins/platform_store/main.cc
@@ -1,8 +1,10 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/json.hpp>
 #include <cstdlib>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "base/log.h"
 #include "base/sleep.h"
@@ -46,6 +48,16 @@
       value && value->is_int64() ? value->as_int64() : 0);
 }
 
+/// Requests since the last question for them, by path.
+using RequestCounts = std::map<std::string, uint64_t>;
+
+std::string TakeRequestCounts(RequestCounts& counts) {
+  boost::json::object object;
+  for (const auto& [path, count] : std::exchange(counts, {}))
+    object[path] = count;
+  return boost::json::serialize(object);
+}
+
 Awaitable<void> WriteLaterAgain(std::shared_ptr<RowStore> store,
                                 RowStore::LostWrites lost,
                                 Duration delay) {
@@ -95,6 +107,7 @@
 /// changes at each of the next N requests.
 Awaitable<void> Serve(std::shared_ptr<RowStore> store,
                       std::shared_ptr<bool> away,
+                      std::shared_ptr<RequestCounts> counts,
                       std::shared_ptr<standins::Faults> faults,
                       const wire::Request& request,
                       wire::ResponseWriter& writer) {
@@ -104,6 +117,11 @@
   const std::string table = wire::QueryValue(request, "table");
   const uint64_t era = store->era();
   wire::Response response(404, {}, "");
+  if (path == "/stats") {
+    co_await writer.Send(wire::JsonResponse(200, TakeRequestCounts(*counts)));
+    co_return;
+  }
+  ++(*counts)[path];
   if (path == "/drill") {
     wire::Response done = co_await Drill(store, away, request.m_body);
     co_await writer.Send(std::move(done));
@@ -147,9 +165,10 @@
       [](const Settings&, std::shared_ptr<standins::Faults> faults) {
         auto store = std::make_shared<RowStore>();
         auto away = std::make_shared<bool>(false);
-        return [store, away, faults](const wire::Request& request,
-                                     wire::ResponseWriter& writer) {
-          return Serve(store, away, faults, request, writer);
+        auto counts = std::make_shared<RequestCounts>();
+        return [store, away, counts, faults](const wire::Request& request,
+                                             wire::ResponseWriter& writer) {
+          return Serve(store, away, counts, faults, request, writer);
         };
       });
 }
