--- a/testsuite/cases/platform_soak/run.py
+++ b/testsuite/cases/platform_soak/run.py
@@ -5,8 +5,8 @@
 complete response of one replica or a truthful refusal, no payment runs twice,
 no removed key is accepted after its bound, and the system recovers. Then plays a
 run in which replicas name rate limits that change, one in which they leave and
-ask for rests in their answers alone, and repeats each seed that once broke a
-promise.
+ask for rests in their answers alone, one in which the store comes back from older
+copies, and repeats each seed that once broke a promise.
 """
 
 import sys
@@ -22,13 +22,17 @@
 LIMITS_SEED = 9001
 # In this one they leave and ask for rests in their answers.
 STATEMENTS_SEED = 9101
+# In this one the store comes back from older copies.
+RETURNS_SEED = 45003
 
 
 def body(cluster):
     assert not run_soak.play(cluster, run_soak.run_of(SEED, SECONDS, False))
     for run in [run_soak.run_of(LIMITS_SEED, SECONDS, False, limits=True),
                 run_soak.run_of(STATEMENTS_SEED, SECONDS, False,
-                                statements=True)] + run_soak.kept_runs():
+                                statements=True),
+                run_soak.run_of(RETURNS_SEED, SECONDS, False,
+                                returns=True)] + run_soak.kept_runs():
         assert run_soak.play_alone(cluster.bin, run), run
 
 
