Rows that are served are encoded again only if they changed

One counter for both tables would have made each change of a replica's row encode the operator's rows anew at the next request, 390 KB for entries and targets of a large deployment. A counter for each; found by reading, no figure.

--- a/src/libverbenalead/entry/peer_updates.cc
+++ b/src/libverbenalead/entry/peer_updates.cc
@@ -91,8 +91,8 @@
 }
 
 /// Whether `peer` has changes of the operator's table that this entry lacks.
-/// After the store came back from a copy, one that has not been read again by
-/// all may still know a newer configuration.
+/// After the store came back from a copy, an entry may still know a newer
+/// configuration, whatever its revision.
 bool HasNewerRows(const EntryState& state, const PeerEntry& peer) {
   return peer.m_operator_revision > state.m_operator_revision ||
          peer.m_config_version > ConfigVersion(state);
--- a/src/libverbenalead/entry/row_applier.cc
+++ b/src/libverbenalead/entry/row_applier.cc
@@ -56,7 +56,7 @@
     if (applied || kept.m_value.empty())
       kept.m_value = row.m_value;
     kept.m_revision = std::max(kept.m_revision, row.m_revision);
-    ++m_generation;
+    ++m_operator_generation;
     if (!applied) {
       LogLine("row_not_applied")
           .With("key", row.m_key)
@@ -201,7 +201,7 @@
     const auto gone = m_replicas.find(row.m_key);
     if (gone != m_replicas.end())
       decide::RecordGone(m_gone, gone->second, BootNow());
-    m_generation += m_replica_rows.erase(row.m_key);
+    m_replica_generation += m_replica_rows.erase(row.m_key);
     m_replicas.erase(row.m_key);
     return;
   }
@@ -209,7 +209,7 @@
   if (kept == row)
     return;
   kept = row;
-  ++m_generation;
+  ++m_replica_generation;
   auto replica = CatchFailure(
       [&] { return platform::DecodeReplica(row.m_key, row.m_value); });
   if (!replica) {
@@ -256,7 +256,7 @@
         decide::RecordGone(m_gone, replica, BootNow());
     }
   }
-  m_generation += std::erase_if(m_replica_rows, is_absent);
+  m_replica_generation += std::erase_if(m_replica_rows, is_absent);
   std::erase_if(m_replicas, is_absent);
 }
 
--- a/src/libverbenalead/entry/row_applier.h
+++ b/src/libverbenalead/entry/row_applier.h
@@ -50,8 +50,9 @@
   }
   /// The revision up to which replica_rows() contains all changes.
   model::Revision replicas_revision() const { return m_replicas_revision; }
-  /// Changes with each change of operator_rows() or replica_rows().
-  uint64_t generation() const { return m_generation; }
+  /// Change with each change of operator_rows(), and of replica_rows().
+  uint64_t operator_generation() const { return m_operator_generation; }
+  uint64_t replica_generation() const { return m_replica_generation; }
   /// Uses replicas again that only seemed to be back from a copy of the store.
   /// Called ten times a second.
   void ReviewGoneReplicas();
@@ -83,7 +84,8 @@
   links::EarliestWriteTimes m_seen;
   std::map<std::string, platform::Row> m_replica_rows;
   model::Revision m_replicas_revision;
-  uint64_t m_generation = 0;
+  uint64_t m_operator_generation = 0;
+  uint64_t m_replica_generation = 0;
   /// The rows of the table of replicas that could be decoded.
   std::map<std::string, model::Replica> m_replicas;
   decide::GoneReplicas m_gone;
--- a/src/libverbenalead/entry/row_synchroniser.cc
+++ b/src/libverbenalead/entry/row_synchroniser.cc
@@ -250,9 +250,11 @@
     return nullptr;
   const model::Revision revision =
       replicas ? m_intake.replicas_revision() : m_state.m_operator_revision;
+  const uint64_t generation =
+      replicas ? m_intake.replica_generation() : m_intake.operator_generation();
   EncodedRows& encoded = m_encoded_rows[path];
   if (encoded.m_text && encoded.m_revision == revision &&
-      encoded.m_generation == m_intake.generation())
+      encoded.m_generation == generation)
     return encoded.m_text;
   std::map<std::string, platform::Row> rows =
       replicas ? m_intake.replica_rows() : m_intake.operator_rows();
@@ -262,7 +264,7 @@
   }
   const model::Revision followed = replicas ? revision : m_operator.revision();
   encoded.m_revision = revision;
-  encoded.m_generation = m_intake.generation();
+  encoded.m_generation = generation;
   encoded.m_text =
       std::make_shared<const std::string>(Deflate(links::EncodeRows(
           rows, followed,
--- a/src/libverbenalead/entry/row_synchroniser.h
+++ b/src/libverbenalead/entry/row_synchroniser.h
@@ -58,7 +58,7 @@
  private:
   /// Encoded and compressed rows, as sent in responses.
   struct EncodedRows {
-    /// Of the rows, and RowApplier::generation() when they were encoded.
+    /// Revision and generation of the rows when they were encoded.
     model::Revision m_revision;
     uint64_t m_generation = 0;
     std::shared_ptr<const std::string> m_text;
