One name for each of two types: AttemptVerdict on the own path

decide::AttemptEnd was defined twice with different values, in retry.h and in replica_pool.h. No file includes both, but two definitions of one name in one namespace are undefined behaviour, and a file that included both would not compile. Ruled out as the cause of a fault seen so far; no behaviour changes.

--- a/src/libverbenalead/daemon/attempt_runner.cc
+++ b/src/libverbenalead/daemon/attempt_runner.cc
@@ -14,7 +14,7 @@
 namespace verbenalead::daemon {
 namespace {
 
-using decide::AttemptEnd;
+using decide::AttemptVerdict;
 using decide::VoidReply;
 using model::Outcome;
 
@@ -74,7 +74,7 @@
 /// The last event of a stream that is cut short. It contains the outcome.
 std::string MakeErrorEvent(const AttemptReport& report,
                            const model::Call& call) {
-  const Outcome outcome = report.m_end == AttemptEnd::kFailed
+  const Outcome outcome = report.m_end == AttemptVerdict::kFailed
                               ? Outcome::kFailed
                               : Outcome::kUnknown;
   const boost::json::object data{{"outcome", ToString(outcome)},
@@ -261,7 +261,7 @@
 Awaitable<void> AttemptRunner::EndWithErrorEvent(Attempt& attempt) {
   const AttemptReport& report = attempt.m_report;
   if (!report.m_answer_started || !attempt.m_caller_connected ||
-      report.m_end == AttemptEnd::kCompleted)
+      report.m_end == AttemptVerdict::kCompleted)
     co_return;
   std::string event = MakeErrorEvent(report, attempt.m_call);
   co_await attempt.m_writer.Write(std::move(event));
--- a/src/libverbenalead/daemon/attempt_runner.h
+++ b/src/libverbenalead/daemon/attempt_runner.h
@@ -16,7 +16,7 @@
 
 /// How one attempt at a target ended.
 struct AttemptReport {
-  decide::AttemptEnd m_end = decide::AttemptEnd::kInDoubt;
+  decide::AttemptVerdict m_end = decide::AttemptVerdict::kInDoubt;
   std::string m_reason;
   /// The model version that produced the answer, as the target reported it.
   std::string m_version;
--- a/src/libverbenalead/daemon/request_runner.cc
+++ b/src/libverbenalead/daemon/request_runner.cc
@@ -42,7 +42,8 @@
 
 /// True if the target itself refused the call at once, without running it.
 bool IsTurnedAway(const AttemptReport& report) {
-  return report.m_end == decide::AttemptEnd::kNotRun && !report.m_target_faulty;
+  return report.m_end == decide::AttemptVerdict::kNotRun &&
+         !report.m_target_faulty;
 }
 
 /// True if a target refused a call only because of its load.
@@ -54,9 +55,9 @@
 /// while it ran the call. An attempt that only timed out doesn't count.
 bool LooksLikeCrash(const AttemptReport& report, const model::Call& call) {
   const bool lost = report.m_target_faulty &&
-                    report.m_end == decide::AttemptEnd::kInDoubt &&
+                    report.m_end == decide::AttemptVerdict::kInDoubt &&
                     Now() < call.deadline();
-  return lost || (report.m_end == decide::AttemptEnd::kFailed &&
+  return lost || (report.m_end == decide::AttemptVerdict::kFailed &&
                   report.m_reason == "engine_failed");
 }
 
@@ -66,14 +67,14 @@
   if (report.m_target_faulty)
     return TargetFeedback::kBroken;
   switch (report.m_end) {
-    case decide::AttemptEnd::kCompleted:
+    case decide::AttemptVerdict::kCompleted:
       return TargetFeedback::kGood;
-    case decide::AttemptEnd::kFailed:
+    case decide::AttemptVerdict::kFailed:
       return TargetFeedback::kFailed;
-    case decide::AttemptEnd::kInDoubt:
+    case decide::AttemptVerdict::kInDoubt:
       // The caller disconnected, which is no fault of the target.
       return TargetFeedback::kRefused;
-    case decide::AttemptEnd::kNotRun:
+    case decide::AttemptVerdict::kNotRun:
       break;
   }
   if (report.m_reason == peer::kFull)
@@ -244,7 +245,7 @@
     const decide::RetryDecision decision = router.DecideRetry(call, ended);
     result.m_outcome =
         decide::OutcomeToReport(decision.m_outcome, result.m_in_doubt);
-    result.m_in_doubt |= ended.m_end == decide::AttemptEnd::kInDoubt;
+    result.m_in_doubt |= ended.m_end == decide::AttemptVerdict::kInDoubt;
     m_journal.Record(call.id(),
                      LogLine("attempt_ended")
                          .With("attempt", uint64_t{result.m_attempts})
@@ -297,7 +298,7 @@
     m_journal.Record(
         call.id(), LogLine("crashed_under").With("target", placement.m_target));
   }
-  if (last.m_end == decide::AttemptEnd::kCompleted)
+  if (last.m_end == decide::AttemptVerdict::kCompleted)
     m_quarantine.RecordSuccess(call.fingerprint());
   decide::FinishedAttempt ended;
   ended.m_end = last.m_end;
--- a/src/libverbenalead/decide/attempt_fuzz_test.cc
+++ b/src/libverbenalead/decide/attempt_fuzz_test.cc
@@ -219,7 +219,7 @@
 
   void End(size_t index) {
     Call& call = m_calls[index];
-    const AttemptEnd end = Judge(call.m_evidence);
+    const AttemptVerdict end = Judge(call.m_evidence);
     FinishedAttempt attempt;
     attempt.m_end = end;
     attempt.m_number = call.m_number;
@@ -232,7 +232,7 @@
       Send(index, static_cast<uint32_t>(call.m_target + 1));
     else
       call.m_told = OutcomeToReport(next.m_outcome, call.m_in_doubt);
-    call.m_in_doubt |= end == AttemptEnd::kInDoubt;
+    call.m_in_doubt |= end == AttemptVerdict::kInDoubt;
   }
 
   void Finish(uint32_t pick) {
--- a/src/libverbenalead/decide/attempt_judge.cc
+++ b/src/libverbenalead/decide/attempt_judge.cc
@@ -7,20 +7,21 @@
          !evidence.m_was_admitted && evidence.m_void == VoidReply::kNone;
 }
 
-AttemptEnd Judge(const AttemptObservations& evidence) {
+AttemptVerdict Judge(const AttemptObservations& evidence) {
   if (!evidence.m_sent || evidence.m_gate_refused)
-    return AttemptEnd::kNotRun;
+    return AttemptVerdict::kNotRun;
   if (!evidence.m_was_admitted) {
-    return evidence.m_void == VoidReply::kNeverStarted ? AttemptEnd::kNotRun
-                                                       : AttemptEnd::kInDoubt;
+    return evidence.m_void == VoidReply::kNeverStarted
+               ? AttemptVerdict::kNotRun
+               : AttemptVerdict::kInDoubt;
   }
   if (evidence.m_reported_failure)
-    return AttemptEnd::kFailed;
+    return AttemptVerdict::kFailed;
   // A wrong length or digest means that the answer was truncated or corrupted
   // in transit.
   return evidence.m_reported_success && evidence.m_intact
-             ? AttemptEnd::kCompleted
-             : AttemptEnd::kInDoubt;
+             ? AttemptVerdict::kCompleted
+             : AttemptVerdict::kInDoubt;
 }
 
 model::Outcome OutcomeToReport(model::Outcome last, bool earlier_in_doubt) {
--- a/src/libverbenalead/decide/attempt_judge.h
+++ b/src/libverbenalead/decide/attempt_judge.h
@@ -39,7 +39,7 @@
 /// the attempt never started and never will. An attempt with a lost message is
 /// in doubt: a lost answer can't be distinguished from a lost request, and if
 /// it were reported as "not run", the caller would retry and pay twice.
-AttemptEnd Judge(const AttemptObservations& evidence);
+AttemptVerdict Judge(const AttemptObservations& evidence);
 
 /// Returns the outcome reported to the caller after the last attempt. "Not run"
 /// has to hold for all attempts of the call: if an earlier attempt is in doubt,
--- a/src/libverbenalead/decide/fake_pool.h
+++ b/src/libverbenalead/decide/fake_pool.h
@@ -463,8 +463,9 @@
       attempt.m_refused_without_run =
           feedback == TargetFeedback::kFull ||
           feedback == TargetFeedback::kAboveMaxRunning;
-      attempt.m_end = feedback == TargetFeedback::kGood ? AttemptEnd::kCompleted
-                                                        : AttemptEnd::kNotRun;
+      attempt.m_end = feedback == TargetFeedback::kGood
+                          ? AttemptVerdict::kCompleted
+                          : AttemptVerdict::kNotRun;
       const RetryDecision decision =
           DecideRetry(model_call, attempt, entry.m_budget, m_now);
       if (decision.m_retry)
--- a/src/libverbenalead/decide/retry.cc
+++ b/src/libverbenalead/decide/retry.cc
@@ -3,15 +3,15 @@
 namespace verbenalead::decide {
 namespace {
 
-model::Outcome OutcomeOf(AttemptEnd end) {
+model::Outcome OutcomeOf(AttemptVerdict end) {
   switch (end) {
-    case AttemptEnd::kCompleted:
+    case AttemptVerdict::kCompleted:
       return model::Outcome::kCompleted;
-    case AttemptEnd::kNotRun:
+    case AttemptVerdict::kNotRun:
       return model::Outcome::kRefused;
-    case AttemptEnd::kFailed:
+    case AttemptVerdict::kFailed:
       return model::Outcome::kFailed;
-    case AttemptEnd::kInDoubt:
+    case AttemptVerdict::kInDoubt:
       return model::Outcome::kUnknown;
   }
   return model::Outcome::kUnknown;
@@ -21,9 +21,9 @@
 /// have run, but the call is idempotent and no part of an answer has been sent
 /// to the caller. A failure that the target reported is not retried.
 bool IsSafe(const model::Call& call, const FinishedAttempt& attempt) {
-  if (attempt.m_end == AttemptEnd::kNotRun)
+  if (attempt.m_end == AttemptVerdict::kNotRun)
     return true;
-  return call.idempotent() && attempt.m_end == AttemptEnd::kInDoubt &&
+  return call.idempotent() && attempt.m_end == AttemptVerdict::kInDoubt &&
          !attempt.m_answer_started;
 }
 
--- a/src/libverbenalead/decide/retry.h
+++ b/src/libverbenalead/decide/retry.h
@@ -11,7 +11,7 @@
 namespace verbenalead::decide {
 
 /// How an attempt ended, as far as the entry can determine.
-enum class AttemptEnd {
+enum class AttemptVerdict {
   kCompleted,  ///< The whole answer arrived.
   kNotRun,     ///< The attempt did not run and never will.
   kFailed,     ///< The target reported that the attempt ran and failed.
@@ -34,7 +34,7 @@
 
 /// Facts about an ended attempt that decide on a retry.
 struct FinishedAttempt {
-  AttemptEnd m_end = AttemptEnd::kInDoubt;
+  AttemptVerdict m_end = AttemptVerdict::kInDoubt;
   /// Number of attempts of the call so far, including this one.
   uint32_t m_number = 1;
   /// Some bytes of the answer have been sent to the caller, so that the answer
--- a/src/libverbenalead/decide/routing_test.cc
+++ b/src/libverbenalead/decide/routing_test.cc
@@ -290,7 +290,7 @@
     RetryBudget budget;
     const model::Call call = MakeCall("a", 3, 9s);
     FinishedAttempt broken;
-    broken.m_end = AttemptEnd::kNotRun;
+    broken.m_end = AttemptVerdict::kNotRun;
     int attempts = 0;
     constexpr int kCalls = 2000;
     for (int i = 0; i < kCalls; ++i) {
@@ -318,7 +318,7 @@
     CPPUNIT_ASSERT(decision.m_outcome == model::Outcome::kUnknown);
     attempt.m_answer_started = true;
     CPPUNIT_ASSERT(!DecideRetry(call, attempt, budget, kStart).m_retry);
-    attempt = {AttemptEnd::kNotRun, kMaxAttempts};
+    attempt = {AttemptVerdict::kNotRun, kMaxAttempts};
     CPPUNIT_ASSERT(!DecideRetry(call, attempt, budget, kStart).m_retry);
   }
 
