--- a/src/libverbenalead/daemon/attempt_runner.h
+++ b/src/libverbenalead/daemon/attempt_runner.h
@@ -5,9 +5,9 @@
 #include <optional>
 #include <string>
 
-#include "decide/attempt_judge.h"
-#include "decide/retry.h"
-#include "decide/target_selection.h"
+#include "decide/attempts/attempt_judge.h"
+#include "decide/attempts/retry.h"
+#include "decide/placement/target_selection.h"
 #include "model/call.h"
 #include "wire/client.h"
 #include "wire/response_writer.h"
--- a/src/libverbenalead/daemon/attempt_server.cc
+++ b/src/libverbenalead/daemon/attempt_server.cc
@@ -7,7 +7,7 @@
 #include "base/catch_failure.h"
 #include "daemon/answer_checksum.h"
 #include "daemon/forwarded_headers.h"
-#include "decide/attempt_gate.h"
+#include "decide/rollout/attempt_gate.h"
 #include "peer/header_names.h"
 #include "wire/cancel_on_disconnect.h"
 
--- a/src/libverbenalead/daemon/claim_store.cc
+++ b/src/libverbenalead/daemon/claim_store.cc
@@ -14,7 +14,7 @@
 #include "base/new_id.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
-#include "decide/rendezvous.h"
+#include "decide/membership/rendezvous.h"
 
 namespace verbenalead::daemon {
 
--- a/src/libverbenalead/daemon/claim_store.h
+++ b/src/libverbenalead/daemon/claim_store.h
@@ -9,7 +9,7 @@
 
 #include "backends/table.h"
 #include "daemon/claim_result.h"
-#include "decide/claim_batch.h"
+#include "decide/claims/claim_batch.h"
 #include "model/call.h"
 
 namespace verbenalead::daemon {
--- a/src/libverbenalead/daemon/config_capacity_bench.cc
+++ b/src/libverbenalead/daemon/config_capacity_bench.cc
@@ -10,8 +10,8 @@
 #include "base/log.h"
 #include "daemon/config_messages.h"
 #include "daemon/journal.h"
-#include "decide/target_selection.h"
-#include "decide/target_watch.h"
+#include "decide/membership/target_watch.h"
+#include "decide/placement/target_selection.h"
 #include "model/call_builder.h"
 #include "model/host_builder.h"
 
--- a/src/libverbenalead/daemon/config_follower.cc
+++ b/src/libverbenalead/daemon/config_follower.cc
@@ -9,7 +9,7 @@
 #include "base/sleep.h"
 #include "base/spawn.h"
 #include "daemon/config_messages.h"
-#include "decide/config_tree.h"
+#include "decide/config/config_tree.h"
 
 namespace verbenalead::daemon {
 namespace {
--- a/src/libverbenalead/daemon/config_store.cc
+++ b/src/libverbenalead/daemon/config_store.cc
@@ -12,7 +12,7 @@
 #include "base/catch_failure.h"
 #include "base/log.h"
 #include "base/sleep.h"
-#include "decide/config_references.h"
+#include "decide/config/config_references.h"
 
 namespace verbenalead::daemon {
 namespace {
--- a/src/libverbenalead/daemon/config_store.h
+++ b/src/libverbenalead/daemon/config_store.h
@@ -12,7 +12,7 @@
 
 #include "backends/table.h"
 #include "base/time.h"
-#include "decide/config.h"
+#include "decide/config/config.h"
 #include "model/resource_write.h"
 
 namespace verbenalead::daemon {
--- a/src/libverbenalead/daemon/guarded_gate.h
+++ b/src/libverbenalead/daemon/guarded_gate.h
@@ -3,7 +3,7 @@
 
 #include <mutex>
 
-#include "decide/gate.h"
+#include "decide/rollout/gate.h"
 
 namespace verbenalead::daemon {
 
--- a/src/libverbenalead/daemon/load_permit_table.h
+++ b/src/libverbenalead/daemon/load_permit_table.h
@@ -4,8 +4,8 @@
 #include <string>
 
 #include "backends/table.h"
-#include "decide/load_permits.h"
-#include "decide/rollout.h"
+#include "decide/rollout/load_permits.h"
+#include "decide/rollout/rollout.h"
 
 namespace verbenalead::daemon {
 
--- a/src/libverbenalead/daemon/locked_quarantine.h
+++ b/src/libverbenalead/daemon/locked_quarantine.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "decide/quarantine.h"
+#include "decide/health/quarantine.h"
 
 namespace verbenalead::daemon {
 
--- a/src/libverbenalead/daemon/pool_router.h
+++ b/src/libverbenalead/daemon/pool_router.h
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "base/awaitable.h"
-#include "decide/admission.h"
-#include "decide/retry.h"
-#include "decide/target_selection.h"
+#include "decide/admission/admission.h"
+#include "decide/attempts/retry.h"
+#include "decide/placement/target_selection.h"
 
 namespace verbenalead::daemon {
 
--- a/src/libverbenalead/daemon/target_directory.h
+++ b/src/libverbenalead/daemon/target_directory.h
@@ -8,7 +8,7 @@
 #include "daemon/config_follower.h"
 #include "daemon/host_directory.h"
 #include "daemon/pool_routers.h"
-#include "decide/target_watch.h"
+#include "decide/membership/target_watch.h"
 #include "model/target_report.h"
 #include "wire/client.h"
 
--- a/src/libverbenalead/daemon/target_peer_api.cc
+++ b/src/libverbenalead/daemon/target_peer_api.cc
@@ -6,7 +6,7 @@
 #include "base/catch_failure.h"
 #include "base/sleep.h"
 #include "daemon/transfer_messages.h"
-#include "decide/report_change.h"
+#include "decide/membership/report_change.h"
 #include "peer/header_names.h"
 
 namespace verbenalead::daemon {
--- a/src/libverbenalead/daemon/upload_scheduler.h
+++ b/src/libverbenalead/daemon/upload_scheduler.h
@@ -7,7 +7,7 @@
 
 #include "base/digest.h"
 #include "base/pacer.h"
-#include "decide/upload_queue.h"
+#include "decide/transfer/upload_queue.h"
 
 namespace verbenalead::daemon {
 
--- a/src/libverbenalead/daemon/version_controller.h
+++ b/src/libverbenalead/daemon/version_controller.h
@@ -12,7 +12,7 @@
 #include "daemon/load_permit_table.h"
 #include "daemon/version_progress.h"
 #include "daemon/weights_fetcher.h"
-#include "decide/rollout.h"
+#include "decide/rollout/rollout.h"
 
 namespace verbenalead::daemon {
 
--- a/src/libverbenalead/daemon/weights_fetcher.cc
+++ b/src/libverbenalead/daemon/weights_fetcher.cc
@@ -11,7 +11,7 @@
 #include "base/sleep.h"
 #include "base/spawn.h"
 #include "daemon/transfer_messages.h"
-#include "decide/rendezvous.h"
+#include "decide/membership/rendezvous.h"
 
 namespace verbenalead::daemon {
 namespace {
--- a/src/libverbenalead/daemon/weights_fetcher.h
+++ b/src/libverbenalead/daemon/weights_fetcher.h
@@ -11,7 +11,7 @@
 #include "base/pacer.h"
 #include "daemon/host_directory.h"
 #include "daemon/weights_store.h"
-#include "decide/transfer.h"
+#include "decide/transfer/transfer.h"
 #include "model/version_spec.h"
 #include "wire/client.h"
 
--- a/src/libverbenalead/decide/admission.cc
+++ b/src/libverbenalead/decide/admission/admission.cc
@@ -1,4 +1,4 @@
-#include "decide/admission.h"
+#include "decide/admission/admission.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libverbenalead/decide/admission.h
+++ b/src/libverbenalead/decide/admission/admission.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_ADMISSION_H_
-#define VERBENALEAD_DECIDE_ADMISSION_H_
+#ifndef VERBENALEAD_DECIDE_ADMISSION_ADMISSION_H_
+#define VERBENALEAD_DECIDE_ADMISSION_ADMISSION_H_
 
 #include <cstdint>
 #include <map>
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "base/time.h"
-#include "decide/admission_action.h"
-#include "decide/organisation_queue.h"
-#include "decide/service_time.h"
+#include "decide/admission/admission_action.h"
+#include "decide/admission/organisation_queue.h"
+#include "decide/admission/service_time.h"
 #include "model/call.h"
 
 namespace verbenalead::decide {
@@ -106,4 +106,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_ADMISSION_H_
+#endif  // VERBENALEAD_DECIDE_ADMISSION_ADMISSION_H_
--- a/src/libverbenalead/decide/call_policy.h
+++ b/src/libverbenalead/decide/admission/call_policy.h
@@ -1,12 +1,12 @@
-#ifndef VERBENALEAD_DECIDE_CALL_POLICY_H_
-#define VERBENALEAD_DECIDE_CALL_POLICY_H_
+#ifndef VERBENALEAD_DECIDE_ADMISSION_CALL_POLICY_H_
+#define VERBENALEAD_DECIDE_ADMISSION_CALL_POLICY_H_
 
 #include <cstdint>
 #include <random>
 
-#include "decide/call_progress.h"
-#include "decide/quarantine.h"
-#include "decide/replica_pool.h"
+#include "decide/admission/call_progress.h"
+#include "decide/health/quarantine.h"
+#include "decide/placement/replica_pool.h"
 #include "model/engine_profile.h"
 #include "model/inbound_call.h"
 #include "model/route.h"
@@ -108,4 +108,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CALL_POLICY_H_
+#endif  // VERBENALEAD_DECIDE_ADMISSION_CALL_POLICY_H_
--- a/src/libverbenalead/decide/call_policy_test.cc
+++ b/src/libverbenalead/decide/admission/call_policy_test.cc
@@ -1,4 +1,4 @@
-#include "decide/call_policy.h"
+#include "decide/admission/call_policy.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
--- a/src/libverbenalead/decide/late_call_shedding.h
+++ b/src/libverbenalead/decide/admission/late_call_shedding.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_LATE_CALL_SHEDDING_H_
-#define VERBENALEAD_DECIDE_LATE_CALL_SHEDDING_H_
+#ifndef VERBENALEAD_DECIDE_ADMISSION_LATE_CALL_SHEDDING_H_
+#define VERBENALEAD_DECIDE_ADMISSION_LATE_CALL_SHEDDING_H_
 
 #include <optional>
 
@@ -39,4 +39,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_LATE_CALL_SHEDDING_H_
+#endif  // VERBENALEAD_DECIDE_ADMISSION_LATE_CALL_SHEDDING_H_
--- a/src/libverbenalead/decide/service_time.h
+++ b/src/libverbenalead/decide/admission/service_time.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_SERVICE_TIME_H_
-#define VERBENALEAD_DECIDE_SERVICE_TIME_H_
+#ifndef VERBENALEAD_DECIDE_ADMISSION_SERVICE_TIME_H_
+#define VERBENALEAD_DECIDE_ADMISSION_SERVICE_TIME_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -40,4 +40,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_SERVICE_TIME_H_
+#endif  // VERBENALEAD_DECIDE_ADMISSION_SERVICE_TIME_H_
--- a/src/libverbenalead/decide/slot_queue.cc
+++ b/src/libverbenalead/decide/admission/slot_queue.cc
@@ -1,8 +1,8 @@
-#include "decide/slot_queue.h"
+#include "decide/admission/slot_queue.h"
 
 #include <algorithm>
 
-#include "decide/replica_pool.h"
+#include "decide/placement/replica_pool.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/slot_queue.h
+++ b/src/libverbenalead/decide/admission/slot_queue.h
@@ -1,12 +1,12 @@
-#ifndef VERBENALEAD_DECIDE_SLOT_QUEUE_H_
-#define VERBENALEAD_DECIDE_SLOT_QUEUE_H_
+#ifndef VERBENALEAD_DECIDE_ADMISSION_SLOT_QUEUE_H_
+#define VERBENALEAD_DECIDE_ADMISSION_SLOT_QUEUE_H_
 
 #include <cstdint>
 #include <vector>
 
 #include "base/endpoint.h"
 #include "base/time.h"
-#include "decide/rate_gate.h"
+#include "decide/limits/rate_gate.h"
 
 namespace verbenalead::decide {
 
@@ -105,4 +105,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_SLOT_QUEUE_H_
+#endif  // VERBENALEAD_DECIDE_ADMISSION_SLOT_QUEUE_H_
--- a/src/libverbenalead/decide/slot_queue_test.cc
+++ b/src/libverbenalead/decide/admission/slot_queue_test.cc
@@ -1,4 +1,4 @@
-#include "decide/slot_queue.h"
+#include "decide/admission/slot_queue.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
--- a/src/libverbenalead/decide/wait_share.h
+++ b/src/libverbenalead/decide/admission/wait_share.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_WAIT_SHARE_H_
-#define VERBENALEAD_DECIDE_WAIT_SHARE_H_
+#ifndef VERBENALEAD_DECIDE_ADMISSION_WAIT_SHARE_H_
+#define VERBENALEAD_DECIDE_ADMISSION_WAIT_SHARE_H_
 
 #include <algorithm>
 
@@ -44,4 +44,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_WAIT_SHARE_H_
+#endif  // VERBENALEAD_DECIDE_ADMISSION_WAIT_SHARE_H_
--- a/src/libverbenalead/decide/wait_share_test.cc
+++ b/src/libverbenalead/decide/admission/wait_share_test.cc
@@ -1,4 +1,4 @@
-#include "decide/wait_share.h"
+#include "decide/admission/wait_share.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/attempt.h
+++ b/src/libverbenalead/decide/attempts/attempt.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_ATTEMPT_H_
-#define VERBENALEAD_DECIDE_ATTEMPT_H_
+#ifndef VERBENALEAD_DECIDE_ATTEMPTS_ATTEMPT_H_
+#define VERBENALEAD_DECIDE_ATTEMPTS_ATTEMPT_H_
 
 #include <compare>
 #include <cstdint>
@@ -21,4 +21,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_ATTEMPT_H_
+#endif  // VERBENALEAD_DECIDE_ATTEMPTS_ATTEMPT_H_
--- a/src/libverbenalead/decide/attempt_fuzz_test.cc
+++ b/src/libverbenalead/decide/attempts/attempt_fuzz_test.cc
@@ -6,9 +6,9 @@
 #include <optional>
 #include <vector>
 
-#include "decide/attempt_gate.h"
-#include "decide/attempt_judge.h"
-#include "decide/retry.h"
+#include "decide/attempts/attempt_judge.h"
+#include "decide/attempts/retry.h"
+#include "decide/rollout/attempt_gate.h"
 #include "model/call_builder.h"
 
 namespace verbenalead::decide {
--- a/src/libverbenalead/decide/attempt_judge.cc
+++ b/src/libverbenalead/decide/attempts/attempt_judge.cc
@@ -1,4 +1,4 @@
-#include "decide/attempt_judge.h"
+#include "decide/attempts/attempt_judge.h"
 
 namespace verbenalead::decide {
 
--- a/src/libverbenalead/decide/attempt_judge.h
+++ b/src/libverbenalead/decide/attempts/attempt_judge.h
@@ -1,7 +1,7 @@
-#ifndef VERBENALEAD_DECIDE_ATTEMPT_JUDGE_H_
-#define VERBENALEAD_DECIDE_ATTEMPT_JUDGE_H_
+#ifndef VERBENALEAD_DECIDE_ATTEMPTS_ATTEMPT_JUDGE_H_
+#define VERBENALEAD_DECIDE_ATTEMPTS_ATTEMPT_JUDGE_H_
 
-#include "decide/retry.h"
+#include "decide/attempts/retry.h"
 
 namespace verbenalead::decide {
 
@@ -49,4 +49,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_ATTEMPT_JUDGE_H_
+#endif  // VERBENALEAD_DECIDE_ATTEMPTS_ATTEMPT_JUDGE_H_
--- a/src/libverbenalead/decide/event_splitter.cc
+++ b/src/libverbenalead/decide/attempts/event_splitter.cc
@@ -1,4 +1,4 @@
-#include "decide/event_splitter.h"
+#include "decide/attempts/event_splitter.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/event_splitter.h
+++ b/src/libverbenalead/decide/attempts/event_splitter.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_EVENT_SPLITTER_H_
-#define VERBENALEAD_DECIDE_EVENT_SPLITTER_H_
+#ifndef VERBENALEAD_DECIDE_ATTEMPTS_EVENT_SPLITTER_H_
+#define VERBENALEAD_DECIDE_ATTEMPTS_EVENT_SPLITTER_H_
 
 #include <string>
 #include <string_view>
@@ -30,4 +30,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_EVENT_SPLITTER_H_
+#endif  // VERBENALEAD_DECIDE_ATTEMPTS_EVENT_SPLITTER_H_
--- a/src/libverbenalead/decide/hedge.cc
+++ b/src/libverbenalead/decide/attempts/hedge.cc
@@ -1,6 +1,6 @@
-#include "decide/hedge.h"
+#include "decide/attempts/hedge.h"
 
-#include "decide/call_policy.h"
+#include "decide/admission/call_policy.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/hedge.h
+++ b/src/libverbenalead/decide/attempts/hedge.h
@@ -1,10 +1,10 @@
-#ifndef VERBENALEAD_DECIDE_HEDGE_H_
-#define VERBENALEAD_DECIDE_HEDGE_H_
+#ifndef VERBENALEAD_DECIDE_ATTEMPTS_HEDGE_H_
+#define VERBENALEAD_DECIDE_ATTEMPTS_HEDGE_H_
 
 #include <optional>
 
 #include "base/time.h"
-#include "decide/call_progress.h"
+#include "decide/admission/call_progress.h"
 #include "model/route.h"
 
 namespace verbenalead::decide {
@@ -23,4 +23,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_HEDGE_H_
+#endif  // VERBENALEAD_DECIDE_ATTEMPTS_HEDGE_H_
--- a/src/libverbenalead/decide/hedge_test.cc
+++ b/src/libverbenalead/decide/attempts/hedge_test.cc
@@ -1,4 +1,4 @@
-#include "decide/hedge.h"
+#include "decide/attempts/hedge.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
--- a/src/libverbenalead/decide/retry.cc
+++ b/src/libverbenalead/decide/attempts/retry.cc
@@ -1,4 +1,4 @@
-#include "decide/retry.h"
+#include "decide/attempts/retry.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/retry.h
+++ b/src/libverbenalead/decide/attempts/retry.h
@@ -1,10 +1,10 @@
-#ifndef VERBENALEAD_DECIDE_RETRY_H_
-#define VERBENALEAD_DECIDE_RETRY_H_
+#ifndef VERBENALEAD_DECIDE_ATTEMPTS_RETRY_H_
+#define VERBENALEAD_DECIDE_ATTEMPTS_RETRY_H_
 
 #include <cstdint>
 
 #include "base/time.h"
-#include "decide/retry_budget.h"
+#include "decide/attempts/retry_budget.h"
 #include "model/call.h"
 #include "model/outcome.h"
 
@@ -55,4 +55,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_RETRY_H_
+#endif  // VERBENALEAD_DECIDE_ATTEMPTS_RETRY_H_
--- a/src/libverbenalead/decide/retry_budget.h
+++ b/src/libverbenalead/decide/attempts/retry_budget.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_RETRY_BUDGET_H_
-#define VERBENALEAD_DECIDE_RETRY_BUDGET_H_
+#ifndef VERBENALEAD_DECIDE_ATTEMPTS_RETRY_BUDGET_H_
+#define VERBENALEAD_DECIDE_ATTEMPTS_RETRY_BUDGET_H_
 
 #include <algorithm>
 
@@ -40,4 +40,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_RETRY_BUDGET_H_
+#endif  // VERBENALEAD_DECIDE_ATTEMPTS_RETRY_BUDGET_H_
--- a/src/libverbenalead/decide/retry_kill_test.cc
+++ b/src/libverbenalead/decide/attempts/retry_kill_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "decide/retry_window.h"
+#include "decide/attempts/retry_window.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/retry_window.cc
+++ b/src/libverbenalead/decide/attempts/retry_window.cc
@@ -1,4 +1,4 @@
-#include "decide/retry_window.h"
+#include "decide/attempts/retry_window.h"
 
 #include <algorithm>
 
--- a/src/libverbenalead/decide/retry_window.h
+++ b/src/libverbenalead/decide/attempts/retry_window.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_RETRY_WINDOW_H_
-#define VERBENALEAD_DECIDE_RETRY_WINDOW_H_
+#ifndef VERBENALEAD_DECIDE_ATTEMPTS_RETRY_WINDOW_H_
+#define VERBENALEAD_DECIDE_ATTEMPTS_RETRY_WINDOW_H_
 
 #include <array>
 #include <cstdint>
@@ -92,4 +92,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_RETRY_WINDOW_H_
+#endif  // VERBENALEAD_DECIDE_ATTEMPTS_RETRY_WINDOW_H_
--- a/src/libverbenalead/decide/claim_action.h
+++ b/src/libverbenalead/decide/claims/claim_action.h
@@ -1,12 +1,12 @@
-#ifndef VERBENALEAD_DECIDE_CLAIM_ACTION_H_
-#define VERBENALEAD_DECIDE_CLAIM_ACTION_H_
+#ifndef VERBENALEAD_DECIDE_CLAIMS_CLAIM_ACTION_H_
+#define VERBENALEAD_DECIDE_CLAIMS_CLAIM_ACTION_H_
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
 #include "base/time.h"
-#include "decide/claim_put.h"
+#include "decide/claims/claim_put.h"
 
 namespace verbenalead::decide {
 
@@ -42,4 +42,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CLAIM_ACTION_H_
+#endif  // VERBENALEAD_DECIDE_CLAIMS_CLAIM_ACTION_H_
--- a/src/libverbenalead/decide/claim_batch.h
+++ b/src/libverbenalead/decide/claims/claim_batch.h
@@ -1,13 +1,13 @@
-#ifndef VERBENALEAD_DECIDE_CLAIM_BATCH_H_
-#define VERBENALEAD_DECIDE_CLAIM_BATCH_H_
+#ifndef VERBENALEAD_DECIDE_CLAIMS_CLAIM_BATCH_H_
+#define VERBENALEAD_DECIDE_CLAIMS_CLAIM_BATCH_H_
 
 #include <deque>
 #include <map>
 #include <optional>
 #include <vector>
 
-#include "decide/claim_action.h"
-#include "decide/claim_operation.h"
+#include "decide/claims/claim_action.h"
+#include "decide/claims/claim_operation.h"
 
 namespace verbenalead::decide {
 
@@ -103,4 +103,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CLAIM_BATCH_H_
+#endif  // VERBENALEAD_DECIDE_CLAIMS_CLAIM_BATCH_H_
--- a/src/libverbenalead/decide/claim_batch_test.cc
+++ b/src/libverbenalead/decide/claims/claim_batch_test.cc
@@ -1,4 +1,4 @@
-#include "decide/claim_batch.h"
+#include "decide/claims/claim_batch.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
--- a/src/libverbenalead/decide/claim_item.h
+++ b/src/libverbenalead/decide/claims/claim_item.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_CLAIM_ITEM_H_
-#define VERBENALEAD_DECIDE_CLAIM_ITEM_H_
+#ifndef VERBENALEAD_DECIDE_CLAIMS_CLAIM_ITEM_H_
+#define VERBENALEAD_DECIDE_CLAIMS_CLAIM_ITEM_H_
 
 #include <compare>
 #include <cstdint>
@@ -20,4 +20,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CLAIM_ITEM_H_
+#endif  // VERBENALEAD_DECIDE_CLAIMS_CLAIM_ITEM_H_
--- a/src/libverbenalead/decide/claim_operation.h
+++ b/src/libverbenalead/decide/claims/claim_operation.h
@@ -1,11 +1,11 @@
-#ifndef VERBENALEAD_DECIDE_CLAIM_OPERATION_H_
-#define VERBENALEAD_DECIDE_CLAIM_OPERATION_H_
+#ifndef VERBENALEAD_DECIDE_CLAIMS_CLAIM_OPERATION_H_
+#define VERBENALEAD_DECIDE_CLAIMS_CLAIM_OPERATION_H_
 
 #include <cstdint>
 #include <string>
 
 #include "base/time.h"
-#include "decide/claim_revision.h"
+#include "decide/claims/claim_revision.h"
 
 namespace verbenalead::decide {
 
@@ -60,4 +60,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CLAIM_OPERATION_H_
+#endif  // VERBENALEAD_DECIDE_CLAIMS_CLAIM_OPERATION_H_
--- a/src/libverbenalead/decide/claim_put.h
+++ b/src/libverbenalead/decide/claims/claim_put.h
@@ -1,11 +1,11 @@
-#ifndef VERBENALEAD_DECIDE_CLAIM_PUT_H_
-#define VERBENALEAD_DECIDE_CLAIM_PUT_H_
+#ifndef VERBENALEAD_DECIDE_CLAIMS_CLAIM_PUT_H_
+#define VERBENALEAD_DECIDE_CLAIMS_CLAIM_PUT_H_
 
 #include <compare>
 #include <cstdint>
 #include <string>
 
-#include "decide/claim_item.h"
+#include "decide/claims/claim_item.h"
 
 namespace verbenalead::decide {
 
@@ -21,4 +21,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CLAIM_PUT_H_
+#endif  // VERBENALEAD_DECIDE_CLAIMS_CLAIM_PUT_H_
--- a/src/libverbenalead/decide/claim_revision.h
+++ b/src/libverbenalead/decide/claims/claim_revision.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_CLAIM_REVISION_H_
-#define VERBENALEAD_DECIDE_CLAIM_REVISION_H_
+#ifndef VERBENALEAD_DECIDE_CLAIMS_CLAIM_REVISION_H_
+#define VERBENALEAD_DECIDE_CLAIMS_CLAIM_REVISION_H_
 
 #include <cstdint>
 
@@ -29,4 +29,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CLAIM_REVISION_H_
+#endif  // VERBENALEAD_DECIDE_CLAIMS_CLAIM_REVISION_H_
--- a/src/libverbenalead/decide/config.cc
+++ b/src/libverbenalead/decide/config/config.cc
@@ -1,4 +1,4 @@
-#include "decide/config.h"
+#include "decide/config/config.h"
 
 #include <boost/json.hpp>
 
--- a/src/libverbenalead/decide/config.h
+++ b/src/libverbenalead/decide/config/config.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_CONFIG_H_
-#define VERBENALEAD_DECIDE_CONFIG_H_
+#ifndef VERBENALEAD_DECIDE_CONFIG_CONFIG_H_
+#define VERBENALEAD_DECIDE_CONFIG_CONFIG_H_
 
 #include <cstdint>
 #include <map>
@@ -64,4 +64,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CONFIG_H_
+#endif  // VERBENALEAD_DECIDE_CONFIG_CONFIG_H_
--- a/src/libverbenalead/decide/config_references.cc
+++ b/src/libverbenalead/decide/config/config_references.cc
@@ -1,4 +1,4 @@
-#include "decide/config_references.h"
+#include "decide/config/config_references.h"
 
 #include <boost/json.hpp>
 
--- a/src/libverbenalead/decide/config_references.h
+++ b/src/libverbenalead/decide/config/config_references.h
@@ -1,7 +1,7 @@
-#ifndef VERBENALEAD_DECIDE_CONFIG_REFERENCES_H_
-#define VERBENALEAD_DECIDE_CONFIG_REFERENCES_H_
+#ifndef VERBENALEAD_DECIDE_CONFIG_CONFIG_REFERENCES_H_
+#define VERBENALEAD_DECIDE_CONFIG_CONFIG_REFERENCES_H_
 
-#include "decide/config.h"
+#include "decide/config/config.h"
 #include "model/resource_write.h"
 
 namespace verbenalead::decide {
@@ -18,4 +18,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CONFIG_REFERENCES_H_
+#endif  // VERBENALEAD_DECIDE_CONFIG_CONFIG_REFERENCES_H_
--- a/src/libverbenalead/decide/config_tree.cc
+++ b/src/libverbenalead/decide/config/config_tree.cc
@@ -1,8 +1,8 @@
-#include "decide/config_tree.h"
+#include "decide/config/config_tree.h"
 
 #include <algorithm>
 
-#include "decide/rendezvous.h"
+#include "decide/membership/rendezvous.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/config_tree.h
+++ b/src/libverbenalead/decide/config/config_tree.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_CONFIG_TREE_H_
-#define VERBENALEAD_DECIDE_CONFIG_TREE_H_
+#ifndef VERBENALEAD_DECIDE_CONFIG_CONFIG_TREE_H_
+#define VERBENALEAD_DECIDE_CONFIG_CONFIG_TREE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -57,4 +57,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CONFIG_TREE_H_
+#endif  // VERBENALEAD_DECIDE_CONFIG_CONFIG_TREE_H_
--- a/src/libverbenalead/decide/config_tree_test.cc
+++ b/src/libverbenalead/decide/config/config_tree_test.cc
@@ -1,4 +1,4 @@
-#include "decide/config_tree.h"
+#include "decide/config/config_tree.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/route_table.cc
+++ b/src/libverbenalead/decide/config/route_table.cc
@@ -1,4 +1,4 @@
-#include "decide/route_table.h"
+#include "decide/config/route_table.h"
 
 #include <algorithm>
 
--- a/src/libverbenalead/decide/route_table.h
+++ b/src/libverbenalead/decide/config/route_table.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_ROUTE_TABLE_H_
-#define VERBENALEAD_DECIDE_ROUTE_TABLE_H_
+#ifndef VERBENALEAD_DECIDE_CONFIG_ROUTE_TABLE_H_
+#define VERBENALEAD_DECIDE_CONFIG_ROUTE_TABLE_H_
 
 #include <map>
 #include <random>
@@ -45,4 +45,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_ROUTE_TABLE_H_
+#endif  // VERBENALEAD_DECIDE_CONFIG_ROUTE_TABLE_H_
--- a/src/libverbenalead/decide/route_table_test.cc
+++ b/src/libverbenalead/decide/config/route_table_test.cc
@@ -1,8 +1,8 @@
-#include "decide/route_table.h"
+#include "decide/config/route_table.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "decide/declared_versions.h"
+#include "decide/rollout/declared_versions.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/crash_bench.cc
+++ b/src/libverbenalead/decide/health/crash_bench.cc
@@ -6,7 +6,7 @@
 /// Time is simulated, so the results are the same on any machine.
 #include <cstdio>
 
-#include "decide/fake_crash_fleet.h"
+#include "decide/health/fake_crash_fleet.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/crash_causes.cc
+++ b/src/libverbenalead/decide/health/crash_causes.cc
@@ -1,4 +1,4 @@
-#include "decide/crash_causes.h"
+#include "decide/health/crash_causes.h"
 
 #include <algorithm>
 #include <set>
--- a/src/libverbenalead/decide/crash_causes.h
+++ b/src/libverbenalead/decide/health/crash_causes.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_CRASH_CAUSES_H_
-#define VERBENALEAD_DECIDE_CRASH_CAUSES_H_
+#ifndef VERBENALEAD_DECIDE_HEALTH_CRASH_CAUSES_H_
+#define VERBENALEAD_DECIDE_HEALTH_CRASH_CAUSES_H_
 
 #include <cstdint>
 #include <map>
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "decide/crash_report.h"
+#include "decide/health/crash_report.h"
 
 namespace verbenalead::decide {
 
@@ -146,4 +146,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CRASH_CAUSES_H_
+#endif  // VERBENALEAD_DECIDE_HEALTH_CRASH_CAUSES_H_
--- a/src/libverbenalead/decide/crash_report.h
+++ b/src/libverbenalead/decide/health/crash_report.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_CRASH_REPORT_H_
-#define VERBENALEAD_DECIDE_CRASH_REPORT_H_
+#ifndef VERBENALEAD_DECIDE_HEALTH_CRASH_REPORT_H_
+#define VERBENALEAD_DECIDE_HEALTH_CRASH_REPORT_H_
 
 #include <cstdint>
 #include <string>
@@ -33,4 +33,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CRASH_REPORT_H_
+#endif  // VERBENALEAD_DECIDE_HEALTH_CRASH_REPORT_H_
--- a/src/libverbenalead/decide/fake_crash_fleet.h
+++ b/src/libverbenalead/decide/health/fake_crash_fleet.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_FAKE_CRASH_FLEET_H_
-#define VERBENALEAD_DECIDE_FAKE_CRASH_FLEET_H_
+#ifndef VERBENALEAD_DECIDE_HEALTH_FAKE_CRASH_FLEET_H_
+#define VERBENALEAD_DECIDE_HEALTH_FAKE_CRASH_FLEET_H_
 
 #include <algorithm>
 #include <functional>
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-#include "decide/crash_causes.h"
+#include "decide/health/crash_causes.h"
 
 namespace verbenalead::decide {
 
@@ -318,4 +318,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_FAKE_CRASH_FLEET_H_
+#endif  // VERBENALEAD_DECIDE_HEALTH_FAKE_CRASH_FLEET_H_
--- a/src/libverbenalead/decide/quarantine.cc
+++ b/src/libverbenalead/decide/health/quarantine.cc
@@ -1,4 +1,4 @@
-#include "decide/quarantine.h"
+#include "decide/health/quarantine.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libverbenalead/decide/quarantine.h
+++ b/src/libverbenalead/decide/health/quarantine.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_QUARANTINE_H_
-#define VERBENALEAD_DECIDE_QUARANTINE_H_
+#ifndef VERBENALEAD_DECIDE_HEALTH_QUARANTINE_H_
+#define VERBENALEAD_DECIDE_HEALTH_QUARANTINE_H_
 
 #include <compare>
 #include <cstdint>
@@ -94,4 +94,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_QUARANTINE_H_
+#endif  // VERBENALEAD_DECIDE_HEALTH_QUARANTINE_H_
--- a/src/libverbenalead/decide/quarantine_test.cc
+++ b/src/libverbenalead/decide/health/quarantine_test.cc
@@ -1,4 +1,4 @@
-#include "decide/quarantine.h"
+#include "decide/health/quarantine.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
--- a/src/libverbenalead/decide/fake_rate_fleet.h
+++ b/src/libverbenalead/decide/limits/fake_rate_fleet.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_FAKE_RATE_FLEET_H_
-#define VERBENALEAD_DECIDE_FAKE_RATE_FLEET_H_
+#ifndef VERBENALEAD_DECIDE_LIMITS_FAKE_RATE_FLEET_H_
+#define VERBENALEAD_DECIDE_LIMITS_FAKE_RATE_FLEET_H_
 
 #include <algorithm>
 #include <functional>
@@ -9,8 +9,8 @@
 #include <utility>
 #include <vector>
 
-#include "decide/rate_gate.h"
-#include "decide/replica_pool.h"
+#include "decide/limits/rate_gate.h"
+#include "decide/placement/replica_pool.h"
 
 namespace verbenalead::decide {
 
@@ -218,4 +218,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_FAKE_RATE_FLEET_H_
+#endif  // VERBENALEAD_DECIDE_LIMITS_FAKE_RATE_FLEET_H_
--- a/src/libverbenalead/decide/fake_rest_fleet.h
+++ b/src/libverbenalead/decide/limits/fake_rest_fleet.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_FAKE_REST_FLEET_H_
-#define VERBENALEAD_DECIDE_FAKE_REST_FLEET_H_
+#ifndef VERBENALEAD_DECIDE_LIMITS_FAKE_REST_FLEET_H_
+#define VERBENALEAD_DECIDE_LIMITS_FAKE_REST_FLEET_H_
 
 #include <algorithm>
 #include <functional>
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "decide/replica_pool.h"
-#include "decide/retry_window.h"
+#include "decide/attempts/retry_window.h"
+#include "decide/placement/replica_pool.h"
 
 namespace verbenalead::decide {
 
@@ -224,4 +224,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_FAKE_REST_FLEET_H_
+#endif  // VERBENALEAD_DECIDE_LIMITS_FAKE_REST_FLEET_H_
--- a/src/libverbenalead/decide/rate_bench.cc
+++ b/src/libverbenalead/decide/limits/rate_bench.cc
@@ -7,7 +7,7 @@
 /// Time is simulated, so the results are the same on any machine.
 #include <cstdio>
 
-#include "decide/fake_rate_fleet.h"
+#include "decide/limits/fake_rate_fleet.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/rate_fleet_test.cc
+++ b/src/libverbenalead/decide/limits/rate_fleet_test.cc
@@ -1,7 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
-#include "decide/fake_rate_fleet.h"
+#include "decide/limits/fake_rate_fleet.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/rate_gate.cc
+++ b/src/libverbenalead/decide/limits/rate_gate.cc
@@ -1,4 +1,4 @@
-#include "decide/rate_gate.h"
+#include "decide/limits/rate_gate.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libverbenalead/decide/rate_gate.h
+++ b/src/libverbenalead/decide/limits/rate_gate.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_RATE_GATE_H_
-#define VERBENALEAD_DECIDE_RATE_GATE_H_
+#ifndef VERBENALEAD_DECIDE_LIMITS_RATE_GATE_H_
+#define VERBENALEAD_DECIDE_LIMITS_RATE_GATE_H_
 
 #include <optional>
 #include <random>
@@ -64,4 +64,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_RATE_GATE_H_
+#endif  // VERBENALEAD_DECIDE_LIMITS_RATE_GATE_H_
--- a/src/libverbenalead/decide/rate_holder.cc
+++ b/src/libverbenalead/decide/limits/rate_holder.cc
@@ -1,6 +1,6 @@
-#include "decide/rate_holder.h"
+#include "decide/limits/rate_holder.h"
 
-#include "decide/rendezvous.h"
+#include "decide/membership/rendezvous.h"
 
 namespace verbenalead::decide {
 
--- a/src/libverbenalead/decide/rate_holder.h
+++ b/src/libverbenalead/decide/limits/rate_holder.h
@@ -1,11 +1,11 @@
-#ifndef VERBENALEAD_DECIDE_RATE_HOLDER_H_
-#define VERBENALEAD_DECIDE_RATE_HOLDER_H_
+#ifndef VERBENALEAD_DECIDE_LIMITS_RATE_HOLDER_H_
+#define VERBENALEAD_DECIDE_LIMITS_RATE_HOLDER_H_
 
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "decide/summary_route.h"
+#include "decide/membership/summary_route.h"
 
 namespace verbenalead::decide {
 
@@ -28,4 +28,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_RATE_HOLDER_H_
+#endif  // VERBENALEAD_DECIDE_LIMITS_RATE_HOLDER_H_
--- a/src/libverbenalead/decide/rate_holder_test.cc
+++ b/src/libverbenalead/decide/limits/rate_holder_test.cc
@@ -1,4 +1,4 @@
-#include "decide/rate_holder.h"
+#include "decide/limits/rate_holder.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/rate_limit.h
+++ b/src/libverbenalead/decide/limits/rate_limit.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_RATE_LIMIT_H_
-#define VERBENALEAD_DECIDE_RATE_LIMIT_H_
+#ifndef VERBENALEAD_DECIDE_LIMITS_RATE_LIMIT_H_
+#define VERBENALEAD_DECIDE_LIMITS_RATE_LIMIT_H_
 
 #include <optional>
 
@@ -35,4 +35,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_RATE_LIMIT_H_
+#endif  // VERBENALEAD_DECIDE_LIMITS_RATE_LIMIT_H_
--- a/src/libverbenalead/decide/rate_limit_test.cc
+++ b/src/libverbenalead/decide/limits/rate_limit_test.cc
@@ -1,4 +1,4 @@
-#include "decide/rate_limit.h"
+#include "decide/limits/rate_limit.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/rest_bench.cc
+++ b/src/libverbenalead/decide/limits/rest_bench.cc
@@ -6,7 +6,7 @@
 /// Time is simulated, so the results are the same on any machine.
 #include <cstdio>
 
-#include "decide/fake_rest_fleet.h"
+#include "decide/limits/fake_rest_fleet.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/rendezvous.cc
+++ b/src/libverbenalead/decide/membership/rendezvous.cc
@@ -1,4 +1,4 @@
-#include "decide/rendezvous.h"
+#include "decide/membership/rendezvous.h"
 
 namespace verbenalead::decide {
 
--- a/src/libverbenalead/decide/rendezvous.h
+++ b/src/libverbenalead/decide/membership/rendezvous.h
@@ -1,12 +1,12 @@
-#ifndef VERBENALEAD_DECIDE_RENDEZVOUS_H_
-#define VERBENALEAD_DECIDE_RENDEZVOUS_H_
+#ifndef VERBENALEAD_DECIDE_MEMBERSHIP_RENDEZVOUS_H_
+#define VERBENALEAD_DECIDE_MEMBERSHIP_RENDEZVOUS_H_
 
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "decide/transfer_member.h"
+#include "decide/transfer/transfer_member.h"
 
 namespace verbenalead::decide {
 
@@ -35,4 +35,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_RENDEZVOUS_H_
+#endif  // VERBENALEAD_DECIDE_MEMBERSHIP_RENDEZVOUS_H_
--- a/src/libverbenalead/decide/report_change.cc
+++ b/src/libverbenalead/decide/membership/report_change.cc
@@ -1,6 +1,6 @@
-#include "decide/report_change.h"
+#include "decide/membership/report_change.h"
 
-#include "decide/rendezvous.h"
+#include "decide/membership/rendezvous.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/report_change.h
+++ b/src/libverbenalead/decide/membership/report_change.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_REPORT_CHANGE_H_
-#define VERBENALEAD_DECIDE_REPORT_CHANGE_H_
+#ifndef VERBENALEAD_DECIDE_MEMBERSHIP_REPORT_CHANGE_H_
+#define VERBENALEAD_DECIDE_MEMBERSHIP_REPORT_CHANGE_H_
 
 #include <string>
 
@@ -33,4 +33,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_REPORT_CHANGE_H_
+#endif  // VERBENALEAD_DECIDE_MEMBERSHIP_REPORT_CHANGE_H_
--- a/src/libverbenalead/decide/report_change_test.cc
+++ b/src/libverbenalead/decide/membership/report_change_test.cc
@@ -1,4 +1,4 @@
-#include "decide/report_change.h"
+#include "decide/membership/report_change.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/summary_route.h
+++ b/src/libverbenalead/decide/membership/summary_route.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_SUMMARY_ROUTE_H_
-#define VERBENALEAD_DECIDE_SUMMARY_ROUTE_H_
+#ifndef VERBENALEAD_DECIDE_MEMBERSHIP_SUMMARY_ROUTE_H_
+#define VERBENALEAD_DECIDE_MEMBERSHIP_SUMMARY_ROUTE_H_
 
 #include <random>
 #include <string>
@@ -65,4 +65,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_SUMMARY_ROUTE_H_
+#endif  // VERBENALEAD_DECIDE_MEMBERSHIP_SUMMARY_ROUTE_H_
--- a/src/libverbenalead/decide/summary_route_test.cc
+++ b/src/libverbenalead/decide/membership/summary_route_test.cc
@@ -1,4 +1,4 @@
-#include "decide/summary_route.h"
+#include "decide/membership/summary_route.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
--- a/src/libverbenalead/decide/target_watch.cc
+++ b/src/libverbenalead/decide/membership/target_watch.cc
@@ -1,8 +1,8 @@
-#include "decide/target_watch.h"
+#include "decide/membership/target_watch.h"
 
 #include <algorithm>
 
-#include "decide/rendezvous.h"
+#include "decide/membership/rendezvous.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/target_watch.h
+++ b/src/libverbenalead/decide/membership/target_watch.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_TARGET_WATCH_H_
-#define VERBENALEAD_DECIDE_TARGET_WATCH_H_
+#ifndef VERBENALEAD_DECIDE_MEMBERSHIP_TARGET_WATCH_H_
+#define VERBENALEAD_DECIDE_MEMBERSHIP_TARGET_WATCH_H_
 
 #include <map>
 #include <set>
@@ -63,4 +63,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_TARGET_WATCH_H_
+#endif  // VERBENALEAD_DECIDE_MEMBERSHIP_TARGET_WATCH_H_
--- a/src/libverbenalead/decide/target_watch_test.cc
+++ b/src/libverbenalead/decide/membership/target_watch_test.cc
@@ -1,4 +1,4 @@
-#include "decide/target_watch.h"
+#include "decide/membership/target_watch.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/fake_fleet.h
+++ b/src/libverbenalead/decide/placement/fake_fleet.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_FAKE_FLEET_H_
-#define VERBENALEAD_DECIDE_FAKE_FLEET_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_FAKE_FLEET_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_FAKE_FLEET_H_
 
 #include <functional>
 #include <map>
@@ -9,10 +9,10 @@
 #include <string>
 #include <vector>
 
-#include "decide/fake_replica.h"
-#include "decide/late_call_shedding.h"
-#include "decide/replica_pool.h"
-#include "decide/slot_queue.h"
+#include "decide/admission/late_call_shedding.h"
+#include "decide/admission/slot_queue.h"
+#include "decide/placement/fake_replica.h"
+#include "decide/placement/replica_pool.h"
 
 namespace verbenalead::decide {
 
@@ -452,4 +452,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_FAKE_FLEET_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_FAKE_FLEET_H_
--- a/src/libverbenalead/decide/fake_pool.h
+++ b/src/libverbenalead/decide/placement/fake_pool.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_FAKE_POOL_H_
-#define VERBENALEAD_DECIDE_FAKE_POOL_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_FAKE_POOL_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_FAKE_POOL_H_
 
 #include <algorithm>
 #include <deque>
@@ -13,9 +13,9 @@
 #include <string>
 #include <vector>
 
-#include "decide/admission.h"
-#include "decide/retry.h"
-#include "decide/target_selection.h"
+#include "decide/admission/admission.h"
+#include "decide/attempts/retry.h"
+#include "decide/placement/target_selection.h"
 #include "model/call_builder.h"
 
 /// Simulation of entries that route calls to fake targets in virtual time, for
@@ -519,4 +519,4 @@
 
 }  // namespace verbenalead::decide::fake
 
-#endif  // VERBENALEAD_DECIDE_FAKE_POOL_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_FAKE_POOL_H_
--- a/src/libverbenalead/decide/fake_replica.h
+++ b/src/libverbenalead/decide/placement/fake_replica.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_FAKE_REPLICA_H_
-#define VERBENALEAD_DECIDE_FAKE_REPLICA_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_FAKE_REPLICA_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_FAKE_REPLICA_H_
 
 #include <chrono>
 #include <cstdint>
@@ -69,4 +69,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_FAKE_REPLICA_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_FAKE_REPLICA_H_
--- a/src/libverbenalead/decide/gone_replicas.h
+++ b/src/libverbenalead/decide/placement/gone_replicas.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_GONE_REPLICAS_H_
-#define VERBENALEAD_DECIDE_GONE_REPLICAS_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_GONE_REPLICAS_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_GONE_REPLICAS_H_
 
 #include <map>
 #include <optional>
@@ -46,4 +46,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_GONE_REPLICAS_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_GONE_REPLICAS_H_
--- a/src/libverbenalead/decide/gone_replicas_test.cc
+++ b/src/libverbenalead/decide/placement/gone_replicas_test.cc
@@ -1,4 +1,4 @@
-#include "decide/gone_replicas.h"
+#include "decide/placement/gone_replicas.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/known_statements.h
+++ b/src/libverbenalead/decide/placement/known_statements.h
@@ -1,7 +1,7 @@
-#ifndef VERBENALEAD_DECIDE_KNOWN_STATEMENTS_H_
-#define VERBENALEAD_DECIDE_KNOWN_STATEMENTS_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_KNOWN_STATEMENTS_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_KNOWN_STATEMENTS_H_
 
-#include "decide/rate_limit.h"
+#include "decide/limits/rate_limit.h"
 
 namespace verbenalead::decide {
 
@@ -20,4 +20,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_KNOWN_STATEMENTS_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_KNOWN_STATEMENTS_H_
--- a/src/libverbenalead/decide/live_replicas.h
+++ b/src/libverbenalead/decide/placement/live_replicas.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_LIVE_REPLICAS_H_
-#define VERBENALEAD_DECIDE_LIVE_REPLICAS_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_LIVE_REPLICAS_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_LIVE_REPLICAS_H_
 
 #include <cstdint>
 #include <map>
@@ -28,4 +28,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_LIVE_REPLICAS_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_LIVE_REPLICAS_H_
--- a/src/libverbenalead/decide/live_replicas_test.cc
+++ b/src/libverbenalead/decide/placement/live_replicas_test.cc
@@ -1,4 +1,4 @@
-#include "decide/live_replicas.h"
+#include "decide/placement/live_replicas.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/overload_test.cc
+++ b/src/libverbenalead/decide/placement/overload_test.cc
@@ -2,7 +2,7 @@
 
 #include <iostream>
 
-#include "decide/fake_fleet.h"
+#include "decide/placement/fake_fleet.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/place_bench.cc
+++ b/src/libverbenalead/decide/placement/place_bench.cc
@@ -3,7 +3,7 @@
 ///     bench=decide decision=place targets=200 by=load us=...
 #include <cstdio>
 
-#include "decide/target_selection.h"
+#include "decide/placement/target_selection.h"
 #include "model/call_builder.h"
 
 namespace verbenalead::decide {
--- a/src/libverbenalead/decide/placement.h
+++ b/src/libverbenalead/decide/placement/placement.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_PLACEMENT_H_
-#define VERBENALEAD_DECIDE_PLACEMENT_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_PLACEMENT_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_PLACEMENT_H_
 
 #include <cstdint>
 #include <string>
@@ -27,4 +27,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_PLACEMENT_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_PLACEMENT_H_
--- a/src/libverbenalead/decide/pool_call.h
+++ b/src/libverbenalead/decide/placement/pool_call.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_POOL_CALL_H_
-#define VERBENALEAD_DECIDE_POOL_CALL_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_POOL_CALL_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_POOL_CALL_H_
 
 #include <cstdint>
 #include <set>
@@ -28,4 +28,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_POOL_CALL_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_POOL_CALL_H_
--- a/src/libverbenalead/decide/prefix_index.cc
+++ b/src/libverbenalead/decide/placement/prefix_index.cc
@@ -1,4 +1,4 @@
-#include "decide/prefix_index.h"
+#include "decide/placement/prefix_index.h"
 
 #include <algorithm>
 
--- a/src/libverbenalead/decide/prefix_index.h
+++ b/src/libverbenalead/decide/placement/prefix_index.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_PREFIX_INDEX_H_
-#define VERBENALEAD_DECIDE_PREFIX_INDEX_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_PREFIX_INDEX_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_PREFIX_INDEX_H_
 
 #include <cstdint>
 #include <unordered_map>
@@ -61,4 +61,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_PREFIX_INDEX_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_PREFIX_INDEX_H_
--- a/src/libverbenalead/decide/replica_pool.cc
+++ b/src/libverbenalead/decide/placement/replica_pool.cc
@@ -1,9 +1,9 @@
-#include "decide/replica_pool.h"
+#include "decide/placement/replica_pool.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "decide/rate_gate.h"
+#include "decide/limits/rate_gate.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/replica_pool.h
+++ b/src/libverbenalead/decide/placement/replica_pool.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_REPLICA_POOL_H_
-#define VERBENALEAD_DECIDE_REPLICA_POOL_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_REPLICA_POOL_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_REPLICA_POOL_H_
 
 #include <list>
 #include <map>
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "decide/pool_call.h"
-#include "decide/replica_state.h"
+#include "decide/placement/pool_call.h"
+#include "decide/placement/replica_state.h"
 
 namespace verbenalead::decide {
 
@@ -212,4 +212,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_REPLICA_POOL_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_REPLICA_POOL_H_
--- a/src/libverbenalead/decide/replica_pool_test.cc
+++ b/src/libverbenalead/decide/placement/replica_pool_test.cc
@@ -1,4 +1,4 @@
-#include "decide/replica_pool.h"
+#include "decide/placement/replica_pool.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
--- a/src/libverbenalead/decide/replica_state.h
+++ b/src/libverbenalead/decide/placement/replica_state.h
@@ -1,10 +1,10 @@
-#ifndef VERBENALEAD_DECIDE_REPLICA_STATE_H_
-#define VERBENALEAD_DECIDE_REPLICA_STATE_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_REPLICA_STATE_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_REPLICA_STATE_H_
 
 #include <cstdint>
 
 #include "base/time.h"
-#include "decide/known_statements.h"
+#include "decide/placement/known_statements.h"
 #include "model/replica.h"
 
 namespace verbenalead::decide {
@@ -60,4 +60,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_REPLICA_STATE_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_REPLICA_STATE_H_
--- a/src/libverbenalead/decide/routing_bench.cc
+++ b/src/libverbenalead/decide/placement/routing_bench.cc
@@ -6,8 +6,8 @@
 #include <cmath>
 #include <cstdio>
 
-#include "decide/fake_pool.h"
-#include "decide/rendezvous.h"
+#include "decide/membership/rendezvous.h"
+#include "decide/placement/fake_pool.h"
 
 namespace verbenalead::decide::fake {
 namespace {
--- a/src/libverbenalead/decide/routing_test.cc
+++ b/src/libverbenalead/decide/placement/routing_test.cc
@@ -1,7 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
-#include "decide/fake_pool.h"
+#include "decide/placement/fake_pool.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/target_health.cc
+++ b/src/libverbenalead/decide/placement/target_health.cc
@@ -1,4 +1,4 @@
-#include "decide/target_health.h"
+#include "decide/placement/target_health.h"
 
 #include <algorithm>
 
--- a/src/libverbenalead/decide/target_health.h
+++ b/src/libverbenalead/decide/placement/target_health.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_TARGET_HEALTH_H_
-#define VERBENALEAD_DECIDE_TARGET_HEALTH_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_TARGET_HEALTH_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_TARGET_HEALTH_H_
 
 #include <cstdint>
 
@@ -57,4 +57,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_TARGET_HEALTH_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_TARGET_HEALTH_H_
--- a/src/libverbenalead/decide/target_selection.cc
+++ b/src/libverbenalead/decide/placement/target_selection.cc
@@ -1,10 +1,10 @@
-#include "decide/target_selection.h"
+#include "decide/placement/target_selection.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "decide/rendezvous.h"
-#include "decide/retry.h"
+#include "decide/attempts/retry.h"
+#include "decide/membership/rendezvous.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/target_selection.h
+++ b/src/libverbenalead/decide/placement/target_selection.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_TARGET_SELECTION_H_
-#define VERBENALEAD_DECIDE_TARGET_SELECTION_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_TARGET_SELECTION_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_TARGET_SELECTION_H_
 
 #include <cstdint>
 #include <optional>
@@ -10,10 +10,10 @@
 #include <vector>
 
 #include "base/time.h"
-#include "decide/placement.h"
-#include "decide/prefix_index.h"
-#include "decide/service_time.h"
-#include "decide/target_view.h"
+#include "decide/admission/service_time.h"
+#include "decide/placement/placement.h"
+#include "decide/placement/prefix_index.h"
+#include "decide/placement/target_view.h"
 #include "model/call.h"
 #include "model/target_report.h"
 
@@ -146,4 +146,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_TARGET_SELECTION_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_TARGET_SELECTION_H_
--- a/src/libverbenalead/decide/target_view.h
+++ b/src/libverbenalead/decide/placement/target_view.h
@@ -1,10 +1,10 @@
-#ifndef VERBENALEAD_DECIDE_TARGET_VIEW_H_
-#define VERBENALEAD_DECIDE_TARGET_VIEW_H_
+#ifndef VERBENALEAD_DECIDE_PLACEMENT_TARGET_VIEW_H_
+#define VERBENALEAD_DECIDE_PLACEMENT_TARGET_VIEW_H_
 
 #include <cstdint>
 
 #include "base/time.h"
-#include "decide/target_health.h"
+#include "decide/placement/target_health.h"
 #include "model/target_report.h"
 
 namespace verbenalead::decide {
@@ -32,4 +32,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_TARGET_VIEW_H_
+#endif  // VERBENALEAD_DECIDE_PLACEMENT_TARGET_VIEW_H_
--- a/src/libverbenalead/decide/attempt_gate.cc
+++ b/src/libverbenalead/decide/rollout/attempt_gate.cc
@@ -1,4 +1,4 @@
-#include "decide/attempt_gate.h"
+#include "decide/rollout/attempt_gate.h"
 
 namespace verbenalead::decide {
 
--- a/src/libverbenalead/decide/attempt_gate.h
+++ b/src/libverbenalead/decide/rollout/attempt_gate.h
@@ -1,8 +1,8 @@
-#ifndef VERBENALEAD_DECIDE_ATTEMPT_GATE_H_
-#define VERBENALEAD_DECIDE_ATTEMPT_GATE_H_
+#ifndef VERBENALEAD_DECIDE_ROLLOUT_ATTEMPT_GATE_H_
+#define VERBENALEAD_DECIDE_ROLLOUT_ATTEMPT_GATE_H_
 
-#include "decide/attempt_judge.h"
-#include "decide/gate.h"
+#include "decide/attempts/attempt_judge.h"
+#include "decide/rollout/gate.h"
 
 namespace verbenalead::decide {
 
@@ -27,4 +27,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_ATTEMPT_GATE_H_
+#endif  // VERBENALEAD_DECIDE_ROLLOUT_ATTEMPT_GATE_H_
--- a/src/libverbenalead/decide/declared_versions.h
+++ b/src/libverbenalead/decide/rollout/declared_versions.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_DECLARED_VERSIONS_H_
-#define VERBENALEAD_DECIDE_DECLARED_VERSIONS_H_
+#ifndef VERBENALEAD_DECIDE_ROLLOUT_DECLARED_VERSIONS_H_
+#define VERBENALEAD_DECIDE_ROLLOUT_DECLARED_VERSIONS_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -54,4 +54,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_DECLARED_VERSIONS_H_
+#endif  // VERBENALEAD_DECIDE_ROLLOUT_DECLARED_VERSIONS_H_
--- a/src/libverbenalead/decide/gate.cc
+++ b/src/libverbenalead/decide/rollout/gate.cc
@@ -1,4 +1,4 @@
-#include "decide/gate.h"
+#include "decide/rollout/gate.h"
 
 namespace verbenalead::decide {
 
--- a/src/libverbenalead/decide/gate.h
+++ b/src/libverbenalead/decide/rollout/gate.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_GATE_H_
-#define VERBENALEAD_DECIDE_GATE_H_
+#ifndef VERBENALEAD_DECIDE_ROLLOUT_GATE_H_
+#define VERBENALEAD_DECIDE_ROLLOUT_GATE_H_
 
 #include <cstdint>
 #include <map>
@@ -7,7 +7,7 @@
 
 #include "base/digest.h"
 #include "base/time.h"
-#include "decide/attempt.h"
+#include "decide/attempts/attempt.h"
 
 namespace verbenalead::decide {
 
@@ -120,4 +120,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_GATE_H_
+#endif  // VERBENALEAD_DECIDE_ROLLOUT_GATE_H_
--- a/src/libverbenalead/decide/gate_test.cc
+++ b/src/libverbenalead/decide/rollout/gate_test.cc
@@ -1,4 +1,4 @@
-#include "decide/gate.h"
+#include "decide/rollout/gate.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/load_permits.cc
+++ b/src/libverbenalead/decide/rollout/load_permits.cc
@@ -1,4 +1,4 @@
-#include "decide/load_permits.h"
+#include "decide/rollout/load_permits.h"
 
 #include <boost/json.hpp>
 
--- a/src/libverbenalead/decide/load_permits.h
+++ b/src/libverbenalead/decide/rollout/load_permits.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_LOAD_PERMITS_H_
-#define VERBENALEAD_DECIDE_LOAD_PERMITS_H_
+#ifndef VERBENALEAD_DECIDE_ROLLOUT_LOAD_PERMITS_H_
+#define VERBENALEAD_DECIDE_ROLLOUT_LOAD_PERMITS_H_
 
 #include <cstdint>
 #include <map>
@@ -7,7 +7,7 @@
 
 #include "base/digest.h"
 #include "base/failure.h"
-#include "decide/permit.h"
+#include "decide/rollout/permit.h"
 
 namespace verbenalead::decide {
 
@@ -29,4 +29,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_LOAD_PERMITS_H_
+#endif  // VERBENALEAD_DECIDE_ROLLOUT_LOAD_PERMITS_H_
--- a/src/libverbenalead/decide/load_plan.h
+++ b/src/libverbenalead/decide/rollout/load_plan.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_LOAD_PLAN_H_
-#define VERBENALEAD_DECIDE_LOAD_PLAN_H_
+#ifndef VERBENALEAD_DECIDE_ROLLOUT_LOAD_PLAN_H_
+#define VERBENALEAD_DECIDE_ROLLOUT_LOAD_PLAN_H_
 
 #include <cstdint>
 #include <map>
@@ -91,4 +91,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_LOAD_PLAN_H_
+#endif  // VERBENALEAD_DECIDE_ROLLOUT_LOAD_PLAN_H_
--- a/src/libverbenalead/decide/load_plan_test.cc
+++ b/src/libverbenalead/decide/rollout/load_plan_test.cc
@@ -1,4 +1,4 @@
-#include "decide/load_plan.h"
+#include "decide/rollout/load_plan.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
--- a/src/libverbenalead/decide/permit.h
+++ b/src/libverbenalead/decide/rollout/permit.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_PERMIT_H_
-#define VERBENALEAD_DECIDE_PERMIT_H_
+#ifndef VERBENALEAD_DECIDE_ROLLOUT_PERMIT_H_
+#define VERBENALEAD_DECIDE_ROLLOUT_PERMIT_H_
 
 #include <cstdint>
 #include <string>
@@ -30,4 +30,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_PERMIT_H_
+#endif  // VERBENALEAD_DECIDE_ROLLOUT_PERMIT_H_
--- a/src/libverbenalead/decide/permit_tracker.cc
+++ b/src/libverbenalead/decide/rollout/permit_tracker.cc
@@ -1,4 +1,4 @@
-#include "decide/permit_tracker.h"
+#include "decide/rollout/permit_tracker.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/permit_tracker.h
+++ b/src/libverbenalead/decide/rollout/permit_tracker.h
@@ -1,12 +1,12 @@
-#ifndef VERBENALEAD_DECIDE_PERMIT_TRACKER_H_
-#define VERBENALEAD_DECIDE_PERMIT_TRACKER_H_
+#ifndef VERBENALEAD_DECIDE_ROLLOUT_PERMIT_TRACKER_H_
+#define VERBENALEAD_DECIDE_ROLLOUT_PERMIT_TRACKER_H_
 
 #include <map>
 #include <string>
 
 #include "base/time.h"
-#include "decide/load_permits.h"
-#include "decide/rollout_plan.h"
+#include "decide/rollout/load_permits.h"
+#include "decide/rollout/rollout_plan.h"
 
 namespace verbenalead::decide {
 
@@ -67,4 +67,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_PERMIT_TRACKER_H_
+#endif  // VERBENALEAD_DECIDE_ROLLOUT_PERMIT_TRACKER_H_
--- a/src/libverbenalead/decide/rollout.cc
+++ b/src/libverbenalead/decide/rollout/rollout.cc
@@ -1,4 +1,4 @@
-#include "decide/rollout.h"
+#include "decide/rollout/rollout.h"
 
 #include <algorithm>
 
--- a/src/libverbenalead/decide/rollout.h
+++ b/src/libverbenalead/decide/rollout/rollout.h
@@ -1,15 +1,15 @@
-#ifndef VERBENALEAD_DECIDE_ROLLOUT_H_
-#define VERBENALEAD_DECIDE_ROLLOUT_H_
+#ifndef VERBENALEAD_DECIDE_ROLLOUT_ROLLOUT_H_
+#define VERBENALEAD_DECIDE_ROLLOUT_ROLLOUT_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 
-#include "decide/gate.h"
-#include "decide/permit_tracker.h"
-#include "decide/rollout_action.h"
-#include "decide/rollout_plan.h"
-#include "decide/rollout_stage.h"
+#include "decide/rollout/gate.h"
+#include "decide/rollout/permit_tracker.h"
+#include "decide/rollout/rollout_action.h"
+#include "decide/rollout/rollout_plan.h"
+#include "decide/rollout/rollout_stage.h"
 
 namespace verbenalead::decide {
 
@@ -159,4 +159,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_ROLLOUT_H_
+#endif  // VERBENALEAD_DECIDE_ROLLOUT_ROLLOUT_H_
--- a/src/libverbenalead/decide/rollout_action.h
+++ b/src/libverbenalead/decide/rollout/rollout_action.h
@@ -1,11 +1,11 @@
-#ifndef VERBENALEAD_DECIDE_ROLLOUT_ACTION_H_
-#define VERBENALEAD_DECIDE_ROLLOUT_ACTION_H_
+#ifndef VERBENALEAD_DECIDE_ROLLOUT_ROLLOUT_ACTION_H_
+#define VERBENALEAD_DECIDE_ROLLOUT_ROLLOUT_ACTION_H_
 
 #include <cstdint>
 #include <string>
 
 #include "base/digest.h"
-#include "decide/load_permits.h"
+#include "decide/rollout/load_permits.h"
 
 namespace verbenalead::decide {
 
@@ -33,4 +33,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_ROLLOUT_ACTION_H_
+#endif  // VERBENALEAD_DECIDE_ROLLOUT_ROLLOUT_ACTION_H_
--- a/src/libverbenalead/decide/rollout_load_test.cc
+++ b/src/libverbenalead/decide/rollout/rollout_load_test.cc
@@ -6,9 +6,9 @@
 #include <optional>
 #include <queue>
 
-#include "decide/call_policy.h"
-#include "decide/load_plan.h"
-#include "decide/replica_pool.h"
+#include "decide/admission/call_policy.h"
+#include "decide/placement/replica_pool.h"
+#include "decide/rollout/load_plan.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/rollout_plan.cc
+++ b/src/libverbenalead/decide/rollout/rollout_plan.cc
@@ -1,4 +1,4 @@
-#include "decide/rollout_plan.h"
+#include "decide/rollout/rollout_plan.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/src/libverbenalead/decide/rollout_plan.h
+++ b/src/libverbenalead/decide/rollout/rollout_plan.h
@@ -1,12 +1,12 @@
-#ifndef VERBENALEAD_DECIDE_ROLLOUT_PLAN_H_
-#define VERBENALEAD_DECIDE_ROLLOUT_PLAN_H_
+#ifndef VERBENALEAD_DECIDE_ROLLOUT_ROLLOUT_PLAN_H_
+#define VERBENALEAD_DECIDE_ROLLOUT_ROLLOUT_PLAN_H_
 
 #include <cstdint>
 #include <map>
 #include <string>
 
 #include "base/digest.h"
-#include "decide/config.h"
+#include "decide/config/config.h"
 
 namespace verbenalead::decide {
 
@@ -42,4 +42,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_ROLLOUT_PLAN_H_
+#endif  // VERBENALEAD_DECIDE_ROLLOUT_ROLLOUT_PLAN_H_
--- a/src/libverbenalead/decide/rollout_stage.h
+++ b/src/libverbenalead/decide/rollout/rollout_stage.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_ROLLOUT_STAGE_H_
-#define VERBENALEAD_DECIDE_ROLLOUT_STAGE_H_
+#ifndef VERBENALEAD_DECIDE_ROLLOUT_ROLLOUT_STAGE_H_
+#define VERBENALEAD_DECIDE_ROLLOUT_ROLLOUT_STAGE_H_
 
 namespace verbenalead::decide {
 
@@ -18,4 +18,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_ROLLOUT_STAGE_H_
+#endif  // VERBENALEAD_DECIDE_ROLLOUT_ROLLOUT_STAGE_H_
--- a/src/libverbenalead/decide/announcement_tracker.cc
+++ b/src/libverbenalead/decide/store/announcement_tracker.cc
@@ -1,4 +1,4 @@
-#include "decide/announcement_tracker.h"
+#include "decide/store/announcement_tracker.h"
 
 #include <algorithm>
 
--- a/src/libverbenalead/decide/announcement_tracker.h
+++ b/src/libverbenalead/decide/store/announcement_tracker.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_ANNOUNCEMENT_TRACKER_H_
-#define VERBENALEAD_DECIDE_ANNOUNCEMENT_TRACKER_H_
+#ifndef VERBENALEAD_DECIDE_STORE_ANNOUNCEMENT_TRACKER_H_
+#define VERBENALEAD_DECIDE_STORE_ANNOUNCEMENT_TRACKER_H_
 
 #include "base/time.h"
 #include "model/revision.h"
@@ -66,4 +66,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_ANNOUNCEMENT_TRACKER_H_
+#endif  // VERBENALEAD_DECIDE_STORE_ANNOUNCEMENT_TRACKER_H_
--- a/src/libverbenalead/decide/burst_pacer.h
+++ b/src/libverbenalead/decide/store/burst_pacer.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_BURST_PACER_H_
-#define VERBENALEAD_DECIDE_BURST_PACER_H_
+#ifndef VERBENALEAD_DECIDE_STORE_BURST_PACER_H_
+#define VERBENALEAD_DECIDE_STORE_BURST_PACER_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -34,4 +34,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_BURST_PACER_H_
+#endif  // VERBENALEAD_DECIDE_STORE_BURST_PACER_H_
--- a/src/libverbenalead/decide/burst_pacer_test.cc
+++ b/src/libverbenalead/decide/store/burst_pacer_test.cc
@@ -1,4 +1,4 @@
-#include "decide/burst_pacer.h"
+#include "decide/store/burst_pacer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/cold_start.h
+++ b/src/libverbenalead/decide/store/cold_start.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_COLD_START_H_
-#define VERBENALEAD_DECIDE_COLD_START_H_
+#ifndef VERBENALEAD_DECIDE_STORE_COLD_START_H_
+#define VERBENALEAD_DECIDE_STORE_COLD_START_H_
 
 #include <algorithm>
 #include <cstddef>
@@ -60,4 +60,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_COLD_START_H_
+#endif  // VERBENALEAD_DECIDE_STORE_COLD_START_H_
--- a/src/libverbenalead/decide/cold_start_test.cc
+++ b/src/libverbenalead/decide/store/cold_start_test.cc
@@ -1,4 +1,4 @@
-#include "decide/cold_start.h"
+#include "decide/store/cold_start.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/config_lease.h
+++ b/src/libverbenalead/decide/store/config_lease.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_CONFIG_LEASE_H_
-#define VERBENALEAD_DECIDE_CONFIG_LEASE_H_
+#ifndef VERBENALEAD_DECIDE_STORE_CONFIG_LEASE_H_
+#define VERBENALEAD_DECIDE_STORE_CONFIG_LEASE_H_
 
 #include <algorithm>
 #include <optional>
@@ -42,4 +42,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CONFIG_LEASE_H_
+#endif  // VERBENALEAD_DECIDE_STORE_CONFIG_LEASE_H_
--- a/src/libverbenalead/decide/config_lease_test.cc
+++ b/src/libverbenalead/decide/store/config_lease_test.cc
@@ -1,11 +1,11 @@
-#include "decide/config_lease.h"
+#include "decide/store/config_lease.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
 #include <vector>
 
-#include "decide/store_clock.h"
+#include "decide/store/store_clock.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/earliest_write.h
+++ b/src/libverbenalead/decide/store/earliest_write.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_EARLIEST_WRITE_H_
-#define VERBENALEAD_DECIDE_EARLIEST_WRITE_H_
+#ifndef VERBENALEAD_DECIDE_STORE_EARLIEST_WRITE_H_
+#define VERBENALEAD_DECIDE_STORE_EARLIEST_WRITE_H_
 
 #include <algorithm>
 #include <optional>
@@ -44,4 +44,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_EARLIEST_WRITE_H_
+#endif  // VERBENALEAD_DECIDE_STORE_EARLIEST_WRITE_H_
--- a/src/libverbenalead/decide/earliest_write_test.cc
+++ b/src/libverbenalead/decide/store/earliest_write_test.cc
@@ -1,4 +1,4 @@
-#include "decide/earliest_write.h"
+#include "decide/store/earliest_write.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/reader_failover.cc
+++ b/src/libverbenalead/decide/store/reader_failover.cc
@@ -1,4 +1,4 @@
-#include "decide/reader_failover.h"
+#include "decide/store/reader_failover.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/reader_failover.h
+++ b/src/libverbenalead/decide/store/reader_failover.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_READER_FAILOVER_H_
-#define VERBENALEAD_DECIDE_READER_FAILOVER_H_
+#ifndef VERBENALEAD_DECIDE_STORE_READER_FAILOVER_H_
+#define VERBENALEAD_DECIDE_STORE_READER_FAILOVER_H_
 
 #include <cstddef>
 
@@ -57,4 +57,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_READER_FAILOVER_H_
+#endif  // VERBENALEAD_DECIDE_STORE_READER_FAILOVER_H_
--- a/src/libverbenalead/decide/row_transfer_limit.h
+++ b/src/libverbenalead/decide/store/row_transfer_limit.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_ROW_TRANSFER_LIMIT_H_
-#define VERBENALEAD_DECIDE_ROW_TRANSFER_LIMIT_H_
+#ifndef VERBENALEAD_DECIDE_STORE_ROW_TRANSFER_LIMIT_H_
+#define VERBENALEAD_DECIDE_STORE_ROW_TRANSFER_LIMIT_H_
 
 #include <algorithm>
 #include <chrono>
@@ -58,4 +58,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_ROW_TRANSFER_LIMIT_H_
+#endif  // VERBENALEAD_DECIDE_STORE_ROW_TRANSFER_LIMIT_H_
--- a/src/libverbenalead/decide/row_transfer_limit_test.cc
+++ b/src/libverbenalead/decide/store/row_transfer_limit_test.cc
@@ -1,4 +1,4 @@
-#include "decide/row_transfer_limit.h"
+#include "decide/store/row_transfer_limit.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/store_clock.h
+++ b/src/libverbenalead/decide/store/store_clock.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_STORE_CLOCK_H_
-#define VERBENALEAD_DECIDE_STORE_CLOCK_H_
+#ifndef VERBENALEAD_DECIDE_STORE_STORE_CLOCK_H_
+#define VERBENALEAD_DECIDE_STORE_STORE_CLOCK_H_
 
 #include <algorithm>
 #include <optional>
@@ -51,4 +51,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_STORE_CLOCK_H_
+#endif  // VERBENALEAD_DECIDE_STORE_STORE_CLOCK_H_
--- a/src/libverbenalead/decide/store_era.h
+++ b/src/libverbenalead/decide/store/store_era.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_STORE_ERA_H_
-#define VERBENALEAD_DECIDE_STORE_ERA_H_
+#ifndef VERBENALEAD_DECIDE_STORE_STORE_ERA_H_
+#define VERBENALEAD_DECIDE_STORE_STORE_ERA_H_
 
 #include <algorithm>
 #include <optional>
@@ -68,4 +68,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_STORE_ERA_H_
+#endif  // VERBENALEAD_DECIDE_STORE_STORE_ERA_H_
--- a/src/libverbenalead/decide/store_era_test.cc
+++ b/src/libverbenalead/decide/store/store_era_test.cc
@@ -1,9 +1,9 @@
-#include "decide/store_era.h"
+#include "decide/store/store_era.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "decide/config_lease.h"
-#include "decide/store_clock.h"
+#include "decide/store/config_lease.h"
+#include "decide/store/store_clock.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/table_cursor.h
+++ b/src/libverbenalead/decide/store/table_cursor.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_TABLE_CURSOR_H_
-#define VERBENALEAD_DECIDE_TABLE_CURSOR_H_
+#ifndef VERBENALEAD_DECIDE_STORE_TABLE_CURSOR_H_
+#define VERBENALEAD_DECIDE_STORE_TABLE_CURSOR_H_
 
 #include <algorithm>
 
@@ -71,4 +71,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_TABLE_CURSOR_H_
+#endif  // VERBENALEAD_DECIDE_STORE_TABLE_CURSOR_H_
--- a/src/libverbenalead/decide/table_cursor_test.cc
+++ b/src/libverbenalead/decide/store/table_cursor_test.cc
@@ -1,4 +1,4 @@
-#include "decide/table_cursor.h"
+#include "decide/store/table_cursor.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/chunk_buckets.cc
+++ b/src/libverbenalead/decide/transfer/chunk_buckets.cc
@@ -1,4 +1,4 @@
-#include "decide/chunk_buckets.h"
+#include "decide/transfer/chunk_buckets.h"
 
 namespace verbenalead::decide {
 
--- a/src/libverbenalead/decide/chunk_buckets.h
+++ b/src/libverbenalead/decide/transfer/chunk_buckets.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_CHUNK_BUCKETS_H_
-#define VERBENALEAD_DECIDE_CHUNK_BUCKETS_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_CHUNK_BUCKETS_H_
+#define VERBENALEAD_DECIDE_TRANSFER_CHUNK_BUCKETS_H_
 
 #include <cstdint>
 #include <vector>
@@ -38,4 +38,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CHUNK_BUCKETS_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_CHUNK_BUCKETS_H_
--- a/src/libverbenalead/decide/chunk_source.h
+++ b/src/libverbenalead/decide/transfer/chunk_source.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_CHUNK_SOURCE_H_
-#define VERBENALEAD_DECIDE_CHUNK_SOURCE_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_CHUNK_SOURCE_H_
+#define VERBENALEAD_DECIDE_TRANSFER_CHUNK_SOURCE_H_
 
 #include <compare>
 #include <string>
@@ -17,4 +17,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_CHUNK_SOURCE_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_CHUNK_SOURCE_H_
--- a/src/libverbenalead/decide/digest_read_order.cc
+++ b/src/libverbenalead/decide/transfer/digest_read_order.cc
@@ -1,9 +1,9 @@
-#include "decide/digest_read_order.h"
+#include "decide/transfer/digest_read_order.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "decide/rendezvous.h"
+#include "decide/membership/rendezvous.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/digest_read_order.h
+++ b/src/libverbenalead/decide/transfer/digest_read_order.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_DIGEST_READ_ORDER_H_
-#define VERBENALEAD_DECIDE_DIGEST_READ_ORDER_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_DIGEST_READ_ORDER_H_
+#define VERBENALEAD_DECIDE_TRANSFER_DIGEST_READ_ORDER_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -32,4 +32,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_DIGEST_READ_ORDER_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_DIGEST_READ_ORDER_H_
--- a/src/libverbenalead/decide/digest_read_order_test.cc
+++ b/src/libverbenalead/decide/transfer/digest_read_order_test.cc
@@ -1,4 +1,4 @@
-#include "decide/digest_read_order.h"
+#include "decide/transfer/digest_read_order.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/fetch_chunk.h
+++ b/src/libverbenalead/decide/transfer/fetch_chunk.h
@@ -1,9 +1,9 @@
-#ifndef VERBENALEAD_DECIDE_FETCH_CHUNK_H_
-#define VERBENALEAD_DECIDE_FETCH_CHUNK_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_FETCH_CHUNK_H_
+#define VERBENALEAD_DECIDE_TRANSFER_FETCH_CHUNK_H_
 
 #include <cstdint>
 
-#include "decide/chunk_source.h"
+#include "decide/transfer/chunk_source.h"
 
 namespace verbenalead::decide {
 
@@ -18,4 +18,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_FETCH_CHUNK_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_FETCH_CHUNK_H_
--- a/src/libverbenalead/decide/fetch_window.h
+++ b/src/libverbenalead/decide/transfer/fetch_window.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_FETCH_WINDOW_H_
-#define VERBENALEAD_DECIDE_FETCH_WINDOW_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_FETCH_WINDOW_H_
+#define VERBENALEAD_DECIDE_TRANSFER_FETCH_WINDOW_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -42,4 +42,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_FETCH_WINDOW_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_FETCH_WINDOW_H_
--- a/src/libverbenalead/decide/fetch_window_test.cc
+++ b/src/libverbenalead/decide/transfer/fetch_window_test.cc
@@ -1,4 +1,4 @@
-#include "decide/fetch_window.h"
+#include "decide/transfer/fetch_window.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/origin_fetch_report.h
+++ b/src/libverbenalead/decide/transfer/origin_fetch_report.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_ORIGIN_FETCH_REPORT_H_
-#define VERBENALEAD_DECIDE_ORIGIN_FETCH_REPORT_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_ORIGIN_FETCH_REPORT_H_
+#define VERBENALEAD_DECIDE_TRANSFER_ORIGIN_FETCH_REPORT_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -34,4 +34,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_ORIGIN_FETCH_REPORT_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_ORIGIN_FETCH_REPORT_H_
--- a/src/libverbenalead/decide/origin_fetches.cc
+++ b/src/libverbenalead/decide/transfer/origin_fetches.cc
@@ -1,10 +1,10 @@
-#include "decide/origin_fetches.h"
+#include "decide/transfer/origin_fetches.h"
 
 #include <algorithm>
 #include <optional>
 
-#include "decide/transfer.h"
-#include "decide/transfer_schedule.h"
+#include "decide/transfer/transfer.h"
+#include "decide/transfer/transfer_schedule.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/origin_fetches.h
+++ b/src/libverbenalead/decide/transfer/origin_fetches.h
@@ -1,9 +1,9 @@
-#ifndef VERBENALEAD_DECIDE_ORIGIN_FETCHES_H_
-#define VERBENALEAD_DECIDE_ORIGIN_FETCHES_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_ORIGIN_FETCHES_H_
+#define VERBENALEAD_DECIDE_TRANSFER_ORIGIN_FETCHES_H_
 
 #include <random>
 
-#include "decide/transfer_state.h"
+#include "decide/transfer/transfer_state.h"
 
 namespace verbenalead::decide {
 
@@ -55,4 +55,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_ORIGIN_FETCHES_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_ORIGIN_FETCHES_H_
--- a/src/libverbenalead/decide/origin_fetches_test.cc
+++ b/src/libverbenalead/decide/transfer/origin_fetches_test.cc
@@ -1,7 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "decide/transfer.h"
-#include "decide/transfer_fixture.h"
+#include "decide/transfer/transfer.h"
+#include "decide/transfer/transfer_fixture.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/staging_area.h
+++ b/src/libverbenalead/decide/transfer/staging_area.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_STAGING_AREA_H_
-#define VERBENALEAD_DECIDE_STAGING_AREA_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_STAGING_AREA_H_
+#define VERBENALEAD_DECIDE_TRANSFER_STAGING_AREA_H_
 
 #include <cstdint>
 
@@ -42,4 +42,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_STAGING_AREA_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_STAGING_AREA_H_
--- a/src/libverbenalead/decide/staging_area_test.cc
+++ b/src/libverbenalead/decide/transfer/staging_area_test.cc
@@ -1,4 +1,4 @@
-#include "decide/staging_area.h"
+#include "decide/transfer/staging_area.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/libverbenalead/decide/transfer.cc
+++ b/src/libverbenalead/decide/transfer/transfer.cc
@@ -1,12 +1,12 @@
-#include "decide/transfer.h"
+#include "decide/transfer/transfer.h"
 
 #include <algorithm>
 #include <bit>
 #include <optional>
 
-#include "decide/origin_fetches.h"
-#include "decide/transfer_plan.h"
-#include "decide/transfer_schedule.h"
+#include "decide/transfer/origin_fetches.h"
+#include "decide/transfer/transfer_plan.h"
+#include "decide/transfer/transfer_schedule.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/transfer.h
+++ b/src/libverbenalead/decide/transfer/transfer.h
@@ -1,12 +1,12 @@
-#ifndef VERBENALEAD_DECIDE_TRANSFER_H_
-#define VERBENALEAD_DECIDE_TRANSFER_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_TRANSFER_H_
+#define VERBENALEAD_DECIDE_TRANSFER_TRANSFER_H_
 
 #include <random>
 #include <string>
 #include <vector>
 
-#include "decide/origin_fetch_report.h"
-#include "decide/transfer_state.h"
+#include "decide/transfer/origin_fetch_report.h"
+#include "decide/transfer/transfer_state.h"
 
 namespace verbenalead::decide {
 
@@ -115,4 +115,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_TRANSFER_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_TRANSFER_H_
--- a/src/libverbenalead/decide/transfer_actions.h
+++ b/src/libverbenalead/decide/transfer/transfer_actions.h
@@ -1,10 +1,10 @@
-#ifndef VERBENALEAD_DECIDE_TRANSFER_ACTIONS_H_
-#define VERBENALEAD_DECIDE_TRANSFER_ACTIONS_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_TRANSFER_ACTIONS_H_
+#define VERBENALEAD_DECIDE_TRANSFER_TRANSFER_ACTIONS_H_
 
 #include <string>
 #include <vector>
 
-#include "decide/fetch_chunk.h"
+#include "decide/transfer/fetch_chunk.h"
 
 namespace verbenalead::decide {
 
@@ -25,4 +25,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_TRANSFER_ACTIONS_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_TRANSFER_ACTIONS_H_
--- a/src/libverbenalead/decide/transfer_bench.cc
+++ b/src/libverbenalead/decide/transfer/transfer_bench.cc
@@ -10,10 +10,10 @@
 #include <queue>
 #include <unordered_map>
 
-#include "decide/rendezvous.h"
-#include "decide/transfer.h"
-#include "decide/transfer_plan.h"
-#include "decide/upload_queue.h"
+#include "decide/membership/rendezvous.h"
+#include "decide/transfer/transfer.h"
+#include "decide/transfer/transfer_plan.h"
+#include "decide/transfer/upload_queue.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/transfer_fixture.h
+++ b/src/libverbenalead/decide/transfer/transfer_fixture.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_TRANSFER_FIXTURE_H_
-#define VERBENALEAD_DECIDE_TRANSFER_FIXTURE_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_TRANSFER_FIXTURE_H_
+#define VERBENALEAD_DECIDE_TRANSFER_TRANSFER_FIXTURE_H_
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -8,8 +8,8 @@
 #include <utility>
 #include <vector>
 
-#include "decide/rendezvous.h"
-#include "decide/transfer.h"
+#include "decide/membership/rendezvous.h"
+#include "decide/transfer/transfer.h"
 
 namespace verbenalead::decide {
 
@@ -70,4 +70,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_TRANSFER_FIXTURE_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_TRANSFER_FIXTURE_H_
--- a/src/libverbenalead/decide/transfer_fleet_test.cc
+++ b/src/libverbenalead/decide/transfer/transfer_fleet_test.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <optional>
 
-#include "decide/transfer.h"
+#include "decide/transfer/transfer.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/transfer_limits.cc
+++ b/src/libverbenalead/decide/transfer/transfer_limits.cc
@@ -1,4 +1,4 @@
-#include "decide/transfer_limits.h"
+#include "decide/transfer/transfer_limits.h"
 
 #include <algorithm>
 
--- a/src/libverbenalead/decide/transfer_limits.h
+++ b/src/libverbenalead/decide/transfer/transfer_limits.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_TRANSFER_LIMITS_H_
-#define VERBENALEAD_DECIDE_TRANSFER_LIMITS_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_TRANSFER_LIMITS_H_
+#define VERBENALEAD_DECIDE_TRANSFER_TRANSFER_LIMITS_H_
 
 #include <cstdint>
 
@@ -91,4 +91,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_TRANSFER_LIMITS_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_TRANSFER_LIMITS_H_
--- a/src/libverbenalead/decide/transfer_plan.cc
+++ b/src/libverbenalead/decide/transfer/transfer_plan.cc
@@ -1,10 +1,10 @@
-#include "decide/transfer_plan.h"
+#include "decide/transfer/transfer_plan.h"
 
 #include <algorithm>
 #include <limits>
 #include <set>
 
-#include "decide/rendezvous.h"
+#include "decide/membership/rendezvous.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/transfer_plan.h
+++ b/src/libverbenalead/decide/transfer/transfer_plan.h
@@ -1,11 +1,11 @@
-#ifndef VERBENALEAD_DECIDE_TRANSFER_PLAN_H_
-#define VERBENALEAD_DECIDE_TRANSFER_PLAN_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_TRANSFER_PLAN_H_
+#define VERBENALEAD_DECIDE_TRANSFER_TRANSFER_PLAN_H_
 
 #include <random>
 #include <string>
 #include <vector>
 
-#include "decide/transfer_state.h"
+#include "decide/transfer/transfer_state.h"
 
 namespace verbenalead::decide {
 
@@ -29,4 +29,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_TRANSFER_PLAN_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_TRANSFER_PLAN_H_
--- a/src/libverbenalead/decide/transfer_schedule.cc
+++ b/src/libverbenalead/decide/transfer/transfer_schedule.cc
@@ -1,4 +1,4 @@
-#include "decide/transfer_schedule.h"
+#include "decide/transfer/transfer_schedule.h"
 
 #include <algorithm>
 #include <bit>
--- a/src/libverbenalead/decide/transfer_schedule.h
+++ b/src/libverbenalead/decide/transfer/transfer_schedule.h
@@ -1,11 +1,11 @@
-#ifndef VERBENALEAD_DECIDE_TRANSFER_SCHEDULE_H_
-#define VERBENALEAD_DECIDE_TRANSFER_SCHEDULE_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_TRANSFER_SCHEDULE_H_
+#define VERBENALEAD_DECIDE_TRANSFER_TRANSFER_SCHEDULE_H_
 
 #include <cstddef>
 #include <optional>
 #include <string>
 
-#include "decide/transfer_state.h"
+#include "decide/transfer/transfer_state.h"
 
 namespace verbenalead::decide {
 
@@ -49,4 +49,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_TRANSFER_SCHEDULE_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_TRANSFER_SCHEDULE_H_
--- a/src/libverbenalead/decide/transfer_state.h
+++ b/src/libverbenalead/decide/transfer/transfer_state.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_TRANSFER_STATE_H_
-#define VERBENALEAD_DECIDE_TRANSFER_STATE_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_TRANSFER_STATE_H_
+#define VERBENALEAD_DECIDE_TRANSFER_TRANSFER_STATE_H_
 
 #include <cstdint>
 #include <map>
@@ -9,13 +9,13 @@
 #include <utility>
 #include <vector>
 
-#include "decide/chunk_buckets.h"
-#include "decide/chunk_source.h"
-#include "decide/fetch_window.h"
-#include "decide/transfer_actions.h"
-#include "decide/transfer_limits.h"
-#include "decide/transfer_member.h"
-#include "decide/transfer_neighbour.h"
+#include "decide/transfer/chunk_buckets.h"
+#include "decide/transfer/chunk_source.h"
+#include "decide/transfer/fetch_window.h"
+#include "decide/transfer/transfer_actions.h"
+#include "decide/transfer/transfer_limits.h"
+#include "decide/transfer/transfer_member.h"
+#include "decide/transfer/transfer_neighbour.h"
 
 namespace verbenalead::decide {
 
@@ -23,7 +23,7 @@
 using ChunkSchedule = std::set<std::pair<TimePoint, uint32_t>>;
 
 /// State of the transfer of one version to this host. Plain data; the functions
-/// of "decide/transfer.h" change it.
+/// of "decide/transfer/transfer.h" change it.
 struct TransferState {
   struct Fetch {
     ChunkSource m_source;
@@ -114,4 +114,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_TRANSFER_STATE_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_TRANSFER_STATE_H_
--- a/src/libverbenalead/decide/transfer_test.cc
+++ b/src/libverbenalead/decide/transfer/transfer_test.cc
@@ -1,11 +1,11 @@
-#include "decide/transfer.h"
+#include "decide/transfer/transfer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
 
-#include "decide/transfer_fixture.h"
-#include "decide/upload_queue.h"
+#include "decide/transfer/transfer_fixture.h"
+#include "decide/transfer/upload_queue.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/upload_queue.cc
+++ b/src/libverbenalead/decide/transfer/upload_queue.cc
@@ -1,4 +1,4 @@
-#include "decide/upload_queue.h"
+#include "decide/transfer/upload_queue.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/libverbenalead/decide/upload_queue.h
+++ b/src/libverbenalead/decide/transfer/upload_queue.h
@@ -1,5 +1,5 @@
-#ifndef VERBENALEAD_DECIDE_UPLOAD_QUEUE_H_
-#define VERBENALEAD_DECIDE_UPLOAD_QUEUE_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_UPLOAD_QUEUE_H_
+#define VERBENALEAD_DECIDE_TRANSFER_UPLOAD_QUEUE_H_
 
 #include <cstdint>
 #include <optional>
@@ -43,4 +43,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_UPLOAD_QUEUE_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_UPLOAD_QUEUE_H_
--- a/src/libverbenalead/decide/upload_slots.cc
+++ b/src/libverbenalead/decide/transfer/upload_slots.cc
@@ -1,4 +1,4 @@
-#include "decide/upload_slots.h"
+#include "decide/transfer/upload_slots.h"
 
 #include <algorithm>
 
--- a/src/libverbenalead/decide/upload_slots.h
+++ b/src/libverbenalead/decide/transfer/upload_slots.h
@@ -1,12 +1,12 @@
-#ifndef VERBENALEAD_DECIDE_UPLOAD_SLOTS_H_
-#define VERBENALEAD_DECIDE_UPLOAD_SLOTS_H_
+#ifndef VERBENALEAD_DECIDE_TRANSFER_UPLOAD_SLOTS_H_
+#define VERBENALEAD_DECIDE_TRANSFER_UPLOAD_SLOTS_H_
 
 #include <cstdint>
 #include <map>
 #include <optional>
 
 #include "base/time.h"
-#include "decide/upload_queue.h"
+#include "decide/transfer/upload_queue.h"
 
 namespace verbenalead::decide {
 
@@ -51,4 +51,4 @@
 
 }  // namespace verbenalead::decide
 
-#endif  // VERBENALEAD_DECIDE_UPLOAD_SLOTS_H_
+#endif  // VERBENALEAD_DECIDE_TRANSFER_UPLOAD_SLOTS_H_
--- a/src/libverbenalead/entry/attempt.h
+++ b/src/libverbenalead/entry/attempt.h
@@ -7,7 +7,7 @@
 
 #include "base/awaitable.h"
 #include "base/failure.h"
-#include "decide/replica_pool.h"
+#include "decide/placement/replica_pool.h"
 #include "platform/call_headers.h"
 #include "wire/client.h"
 
--- a/src/libverbenalead/entry/call_plan.h
+++ b/src/libverbenalead/entry/call_plan.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "decide/call_policy.h"
+#include "decide/admission/call_policy.h"
 #include "model/inbound_call.h"
 #include "model/route.h"
 
--- a/src/libverbenalead/entry/call_record.h
+++ b/src/libverbenalead/entry/call_record.h
@@ -3,9 +3,9 @@
 
 #include <utility>
 
-#include "decide/call_progress.h"
-#include "decide/event_splitter.h"
-#include "decide/pool_call.h"
+#include "decide/admission/call_progress.h"
+#include "decide/attempts/event_splitter.h"
+#include "decide/placement/pool_call.h"
 #include "entry/call_plan.h"
 #include "entry/call_retries.h"
 #include "entry/call_times.h"
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -4,7 +4,7 @@
 #include <boost/asio/this_coro.hpp>
 
 #include "base/log.h"
-#include "decide/hedge.h"
+#include "decide/attempts/hedge.h"
 #include "entry/answer_buffer.h"
 #include "entry/crash_blame.h"
 #include "entry/retry_attempt.h"
--- a/src/libverbenalead/entry/crash_report_log.h
+++ b/src/libverbenalead/entry/crash_report_log.h
@@ -7,7 +7,7 @@
 #include <tuple>
 #include <vector>
 
-#include "decide/crash_report.h"
+#include "decide/health/crash_report.h"
 
 namespace verbenalead::entry {
 
--- a/src/libverbenalead/entry/entry_options.h
+++ b/src/libverbenalead/entry/entry_options.h
@@ -3,7 +3,7 @@
 
 #include "base/settings.h"
 #include "base/settings_schema.h"
-#include "decide/retry_window.h"
+#include "decide/attempts/retry_window.h"
 #include "model/entry_address.h"
 
 namespace verbenalead::entry {
--- a/src/libverbenalead/entry/hedge.cc
+++ b/src/libverbenalead/entry/hedge.cc
@@ -7,7 +7,7 @@
 
 #include "base/log.h"
 #include "base/spawn.h"
-#include "decide/hedge.h"
+#include "decide/attempts/hedge.h"
 #include "entry/crash_blame.h"
 #include "entry/retry_attempt.h"
 
--- a/src/libverbenalead/entry/rate_limits.h
+++ b/src/libverbenalead/entry/rate_limits.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "decide/rate_limit.h"
+#include "decide/limits/rate_limit.h"
 #include "entry/entry_state.h"
 
 namespace verbenalead::entry {
--- a/src/libverbenalead/entry/row_applier.h
+++ b/src/libverbenalead/entry/row_applier.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <string>
 
-#include "decide/gone_replicas.h"
+#include "decide/placement/gone_replicas.h"
 #include "entry/entry_state.h"
 #include "links/relayed_rows.h"
 #include "model/replica.h"
--- a/src/libverbenalead/entry/row_synchroniser.h
+++ b/src/libverbenalead/entry/row_synchroniser.h
@@ -6,10 +6,10 @@
 #include <memory>
 #include <string>
 
-#include "decide/burst_pacer.h"
-#include "decide/cold_start.h"
-#include "decide/reader_failover.h"
-#include "decide/row_transfer_limit.h"
+#include "decide/store/burst_pacer.h"
+#include "decide/store/cold_start.h"
+#include "decide/store/reader_failover.h"
+#include "decide/store/row_transfer_limit.h"
 #include "entry/entry_state.h"
 #include "entry/row_applier.h"
 #include "links/table_follower.h"
--- a/src/libverbenalead/entry/store_return_property_test.cc
+++ b/src/libverbenalead/entry/store_return_property_test.cc
@@ -2,7 +2,7 @@
 #include <rapidcheck.h>
 
 #include "base/boot_clock.h"
-#include "decide/table_cursor.h"
+#include "decide/store/table_cursor.h"
 #include "entry/row_applier.h"
 #include "entry/store_return.h"
 
--- a/src/libverbenalead/entry/summary.h
+++ b/src/libverbenalead/entry/summary.h
@@ -1,7 +1,7 @@
 #ifndef VERBENALEAD_ENTRY_SUMMARY_H_
 #define VERBENALEAD_ENTRY_SUMMARY_H_
 
-#include "decide/summary_route.h"
+#include "decide/membership/summary_route.h"
 #include "entry/entry_state.h"
 #include "links/data_center_summary.h"
 
--- a/src/libverbenalead/entry/token_requester.cc
+++ b/src/libverbenalead/entry/token_requester.cc
@@ -6,7 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/log.h"
-#include "decide/rate_holder.h"
+#include "decide/limits/rate_holder.h"
 #include "entry/rate_limits.h"
 #include "entry/summary.h"
 #include "links/rate_limit_report.h"
--- a/src/libverbenalead/entry/token_requester.h
+++ b/src/libverbenalead/entry/token_requester.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "base/awaitable.h"
-#include "decide/rate_gate.h"
+#include "decide/limits/rate_gate.h"
 #include "entry/entry_state.h"
 #include "links/datagram_socket.h"
 
--- a/src/libverbenalead/front/call_parser.cc
+++ b/src/libverbenalead/front/call_parser.cc
@@ -4,7 +4,7 @@
 #include <boost/json.hpp>
 #include <charconv>
 
-#include "decide/rendezvous.h"
+#include "decide/membership/rendezvous.h"
 #include "model/call_builder.h"
 #include "model/json_fields.h"
 #include "peer/header_names.h"
--- a/src/libverbenalead/front/call_parser.h
+++ b/src/libverbenalead/front/call_parser.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "base/failure.h"
-#include "decide/config.h"
+#include "decide/config/config.h"
 #include "model/call.h"
 #include "wire/request.h"
 
--- a/src/libverbenalead/front/callers_api.h
+++ b/src/libverbenalead/front/callers_api.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "decide/config.h"
+#include "decide/config/config.h"
 #include "front/call_runner.h"
 
 namespace verbenalead::front {
--- a/src/libverbenalead/front/operators_context.h
+++ b/src/libverbenalead/front/operators_context.h
@@ -10,7 +10,7 @@
 #include "base/awaitable.h"
 #include "base/failure.h"
 #include "base/time.h"
-#include "decide/config.h"
+#include "decide/config/config.h"
 #include "front/committed_change.h"
 #include "model/change.h"
 #include "model/resource_write.h"
--- a/src/libverbenalead/links/aged_crash_report.h
+++ b/src/libverbenalead/links/aged_crash_report.h
@@ -2,7 +2,7 @@
 #define VERBENALEAD_LINKS_AGED_CRASH_REPORT_H_
 
 #include "base/time.h"
-#include "decide/crash_report.h"
+#include "decide/health/crash_report.h"
 
 namespace verbenalead::links {
 
--- a/src/libverbenalead/links/data_center_summary.h
+++ b/src/libverbenalead/links/data_center_summary.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "decide/quarantine.h"
+#include "decide/health/quarantine.h"
 #include "links/aged_crash_report.h"
 #include "links/entry_summary.h"
 #include "links/replica_summary.h"
--- a/src/libverbenalead/links/entry_update.h
+++ b/src/libverbenalead/links/entry_update.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <vector>
 
-#include "decide/quarantine.h"
+#include "decide/health/quarantine.h"
 #include "links/aged_crash_report.h"
 #include "links/statement_report.h"
 #include "model/entry_address.h"
--- a/src/libverbenalead/links/origin_fetch_update.h
+++ b/src/libverbenalead/links/origin_fetch_update.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string>
 
-#include "decide/origin_fetch_report.h"
+#include "decide/transfer/origin_fetch_report.h"
 
 namespace verbenalead::links {
 
--- a/src/libverbenalead/links/rate_limit_report.h
+++ b/src/libverbenalead/links/rate_limit_report.h
@@ -3,7 +3,7 @@
 
 #include <optional>
 
-#include "decide/rate_limit.h"
+#include "decide/limits/rate_limit.h"
 
 namespace verbenalead::links {
 
--- a/src/libverbenalead/links/statement_report.h
+++ b/src/libverbenalead/links/statement_report.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-#include "decide/known_statements.h"
+#include "decide/placement/known_statements.h"
 #include "links/rate_limit_report.h"
 
 namespace verbenalead::links {
--- a/src/libverbenalead/links/table_follower.h
+++ b/src/libverbenalead/links/table_follower.h
@@ -8,7 +8,7 @@
 
 #include "base/awaitable.h"
 #include "base/time.h"
-#include "decide/table_cursor.h"
+#include "decide/store/table_cursor.h"
 #include "links/poll_schedule.h"
 #include "platform/store.h"
 
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -10,7 +10,7 @@
 #include "base/log.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
-#include "decide/transfer.h"
+#include "decide/transfer/transfer.h"
 #include "target/chunk_paths.h"
 #include "target/transfer_members.h"
 
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "decide/transfer_limits.h"
+#include "decide/transfer/transfer_limits.h"
 #include "links/chunk_update.h"
 #include "links/origin_fetch_update.h"
 #include "platform/origin_client.h"
--- a/src/libverbenalead/target/chunk_stager.h
+++ b/src/libverbenalead/target/chunk_stager.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 
-#include "decide/staging_area.h"
+#include "decide/transfer/staging_area.h"
 #include "platform/engine_client.h"
 #include "target/target_state.h"
 
--- a/src/libverbenalead/target/digest_reader.cc
+++ b/src/libverbenalead/target/digest_reader.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "base/log.h"
-#include "decide/digest_read_order.h"
+#include "decide/transfer/digest_read_order.h"
 #include "target/chunk_paths.h"
 #include "target/transfer_members.h"
 
--- a/src/libverbenalead/target/engine_controller.h
+++ b/src/libverbenalead/target/engine_controller.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <optional>
 
-#include "decide/load_plan.h"
+#include "decide/rollout/load_plan.h"
 #include "links/replica_update.h"
 #include "platform/engine_client.h"
 #include "target/chunk_fetcher.h"
--- a/src/libverbenalead/target/row_source.cc
+++ b/src/libverbenalead/target/row_source.cc
@@ -6,7 +6,7 @@
 #include "base/log.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
-#include "decide/live_replicas.h"
+#include "decide/placement/live_replicas.h"
 #include "links/message.h"
 #include "platform/names.h"
 #include "target/target_rows.h"
--- a/src/libverbenalead/target/row_source.h
+++ b/src/libverbenalead/target/row_source.h
@@ -3,7 +3,7 @@
 
 #include <vector>
 
-#include "decide/announcement_tracker.h"
+#include "decide/store/announcement_tracker.h"
 #include "links/relayed_rows.h"
 #include "links/subscription_request.h"
 #include "links/table_follower.h"
--- a/src/libverbenalead/target/row_source_test.cc
+++ b/src/libverbenalead/target/row_source_test.cc
@@ -7,7 +7,7 @@
 
 #include "base/base64.h"
 #include "base/deflate.h"
-#include "decide/live_replicas.h"
+#include "decide/placement/live_replicas.h"
 #include "links/message.h"
 #include "platform/names.h"
 #include "target/routed_client.h"
--- a/src/libverbenalead/target/slot_granter.h
+++ b/src/libverbenalead/target/slot_granter.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <map>
 
-#include "decide/slot_queue.h"
+#include "decide/admission/slot_queue.h"
 #include "links/datagram_socket.h"
 #include "target/entry_subscription.h"
 #include "target/target_state.h"
--- a/src/libverbenalead/target/target_rows.cc
+++ b/src/libverbenalead/target/target_rows.cc
@@ -4,7 +4,7 @@
 
 #include "base/catch_failure.h"
 #include "base/log.h"
-#include "decide/live_replicas.h"
+#include "decide/placement/live_replicas.h"
 #include "platform/decode_config.h"
 #include "platform/decode_replica.h"
 #include "platform/decode_weights.h"
--- a/src/libverbenalead/target/transfer_members.h
+++ b/src/libverbenalead/target/transfer_members.h
@@ -3,7 +3,7 @@
 
 #include <vector>
 
-#include "decide/transfer_member.h"
+#include "decide/transfer/transfer_member.h"
 #include "target/target_state.h"
 
 namespace verbenalead::target {
--- a/src/libverbenalead/target/upload_admission.h
+++ b/src/libverbenalead/target/upload_admission.h
@@ -6,7 +6,7 @@
 #include <memory>
 
 #include "base/awaitable.h"
-#include "decide/upload_slots.h"
+#include "decide/transfer/upload_slots.h"
 
 namespace verbenalead::target {
 
