Regions, cold replicas, ranks: what the configuration and settings say of them

Cause: two deployments restrict routes and organisations to regions, empty data centres and bring cold replicas back, and the adapter didn't decode any of it.

Decoded now: the regions of routes and organisations, how long a replica of a service is cold and how many calls a second it bears then, how much longer a replica says it is cold. PoolCall carries the organisation and the data centres that a call may use. Nothing reads these values yet; the parts that do follow.

clang-tidy checks each file once: unit_main.cc is part of every unit test and was checked once for each of them.

--- a/src/cmake/run_clang_tidy.py
+++ b/src/cmake/run_clang_tidy.py
@@ -50,10 +50,24 @@
     return path, done.returncode, done.stdout + done.stderr
 
 
+def write_commands(build, folder):
+    """Writes the compile commands of `build`, one for each file.
+
+    clang-tidy checks a file once for each command that names it, and one source
+    is part of every unit test. Returns the paths of the files.
+    """
+    with open(os.path.join(build, "compile_commands.json")) as file:
+        entries = {entry["file"]: entry for entry in json.load(file)}
+    os.makedirs(folder, exist_ok=True)
+    with open(os.path.join(folder, "compile_commands.json"), "w") as file:
+        json.dump(list(entries.values()), file)
+    return {os.path.relpath(path) for path in entries}
+
+
 def main():
     build = sys.argv[1]
-    with open(os.path.join(build, "compile_commands.json")) as file:
-        paths = {os.path.relpath(entry["file"]) for entry in json.load(file)}
+    commands = os.path.join(build, "clang-tidy")
+    paths = write_commands(build, commands)
     cache_path = os.path.join(build, "clang-tidy-clean.json")
     clean = {}
     if os.path.exists(cache_path):
@@ -63,7 +77,7 @@
     todo = [path for path in prints if clean.get(path) != prints[path]]
     failed = 0
     with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
-        for path, code, output in pool.map(lambda p: check(p, build), todo):
+        for path, code, output in pool.map(lambda p: check(p, commands), todo):
             if code == 0:
                 clean[path] = prints[path]
                 continue
--- a/src/libverbenalead/decide/placement/pool_call.h
+++ b/src/libverbenalead/decide/placement/pool_call.h
@@ -2,6 +2,7 @@
 #define VERBENALEAD_DECIDE_PLACEMENT_POOL_CALL_H_
 
 #include <cstdint>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -15,7 +16,12 @@
   /// The call can still meet its latency objective. Late calls are queued
   /// behind on-time ones.
   bool m_can_be_on_time = true;
+  /// 0 is the most urgent.
   int m_urgency = 0;
+  /// Empty if the call is made for no organisation.
+  std::string m_organisation;
+  /// The only data centres whose replicas may get the call; null: all.
+  std::shared_ptr<const std::set<std::string>> m_data_centers;
   uint32_t m_prompt_tokens = 0;
   /// Time by which its prompt, and all prompts before it, must have been read
   /// for the call to be on time; TimePoint::max() if unknown.
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -46,6 +46,7 @@
         m_plan.m_started_at + m_plan.m_wait_limit.m_read_within;
   call.m_expected_run_time = m_plan.m_expected_run_time;
   call.m_urgency = m_plan.m_route.m_urgency;
+  call.m_organisation = m_plan.m_organisation;
 }
 
 Awaitable<void> CallRun::Run() {
--- a/src/libverbenalead/entry/entry_options.cc
+++ b/src/libverbenalead/entry/entry_options.cc
@@ -1,5 +1,7 @@
 #include "entry/entry_options.h"
 
+#include "base/log.h"
+
 namespace verbenalead::entry {
 namespace {
 
@@ -8,6 +10,26 @@
       std::chrono::duration<double>(seconds));
 }
 
+/// Reads texts of the form DATA_CENTRE=REGION; others are logged and ignored.
+std::map<std::string, std::string> RegionsFrom(
+    const std::vector<std::string>& texts) {
+  std::map<std::string, std::string> regions;
+  for (const std::string& text : texts) {
+    const size_t equals = text.find('=');
+    if (equals == 0 || equals == std::string::npos ||
+        equals + 1 == text.size()) {
+      LogLine("setting_ignored")
+          .With("setting", "regions")
+          .With("value", text)
+          .With("allowed", "DATA_CENTRE=REGION")
+          .Warn();
+      continue;
+    }
+    regions[text.substr(0, equals)] = text.substr(equals + 1);
+  }
+  return regions;
+}
+
 }  // namespace
 
 SettingsSchema EntrySettings() {
@@ -39,7 +61,14 @@
       .Number("repeats.ratio", 0.2, "repeats for a call",
               "repeats at one service, of all entries together")
       .Number("repeats.slack", 100, "repeats", "repeats beyond the ratio")
-      .Number("repeats.window", 10, "s", "time over which repeats are counted");
+      .Number("repeats.window", 10, "s", "time over which repeats are counted")
+      .TextList("regions",
+                "region of each data centre, as DATA_CENTRE=REGION; needed "
+                "where routes or organisations name regions")
+      .Number("cold.overrun", 1, "times the stated rate",
+              "calls that a cold replica may get in a second, from all entries "
+              "together")
+      .Number("cold.slack", 0, "calls", "calls in a second beyond that");
 }
 
 EntryOptions ReadEntryOptions(const Settings& settings) {
@@ -62,6 +91,9 @@
   options.m_retries = {settings.Number("repeats.ratio"),
                        settings.Number("repeats.slack"),
                        Seconds(settings.Number("repeats.window"))};
+  options.m_regions = RegionsFrom(settings.TextList("regions"));
+  options.m_cold_overrun = settings.Number("cold.overrun");
+  options.m_cold_slack = settings.Number("cold.slack");
   return options;
 }
 
--- a/src/libverbenalead/entry/entry_options.h
+++ b/src/libverbenalead/entry/entry_options.h
@@ -1,6 +1,9 @@
 #ifndef VERBENALEAD_ENTRY_ENTRY_OPTIONS_H_
 #define VERBENALEAD_ENTRY_ENTRY_OPTIONS_H_
 
+#include <map>
+#include <string>
+
 #include "base/settings.h"
 #include "base/settings_schema.h"
 #include "decide/attempts/retry_window.h"
@@ -29,6 +32,12 @@
   /// Time from the stop signal until the process is killed.
   Duration m_stop_bound{};
   decide::RetryAllowance m_retries;
+  /// Region of each data centre.
+  std::map<std::string, std::string> m_regions;
+  /// A cold replica may get this many times its rate of calls in a second, and
+  /// m_cold_slack calls more, from all entries together.
+  double m_cold_overrun = 1;
+  double m_cold_slack = 0;
 };
 
 SettingsSchema EntrySettings();
--- a/src/libverbenalead/model/organisation.h
+++ b/src/libverbenalead/model/organisation.h
@@ -13,6 +13,9 @@
   std::vector<std::string> m_keys;
   /// Overrides the urgency of the route if set.
   std::optional<int> m_urgency;
+  /// The only regions whose replicas may serve its calls; empty: all. Where
+  /// the route names regions as well, both bind.
+  std::vector<std::string> m_regions;
 
   friend bool operator==(const Organisation&, const Organisation&) = default;
 };
--- a/src/libverbenalead/model/replica.h
+++ b/src/libverbenalead/model/replica.h
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/endpoint.h"
+#include "base/time.h"
 #include "model/revision.h"
 
 namespace verbenalead::model {
@@ -24,6 +26,9 @@
   uint32_t m_slots = 1;
   /// Whether the replica is leaving and accepts no new calls.
   bool m_leaving = false;
+  /// How much longer it was cold when it wrote its row; absent if it didn't
+  /// say.
+  std::optional<Duration> m_cold_left;
   /// Version of the weights by model; models that are not loaded are absent.
   std::map<std::string, uint64_t> m_weights;
 
--- a/src/libverbenalead/model/route.h
+++ b/src/libverbenalead/model/route.h
@@ -33,6 +33,8 @@
   bool m_anonymous = false;
   /// Whether a broken stream may be resumed at another replica.
   bool m_resumable = false;
+  /// The only regions whose replicas may serve its calls; empty: all.
+  std::vector<std::string> m_regions;
 
   friend bool operator==(const Route&, const Route&) = default;
 };
--- a/src/libverbenalead/model/service.h
+++ b/src/libverbenalead/model/service.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/endpoint.h"
+#include "base/time.h"
 #include "model/engine_profile.h"
 
 namespace verbenalead::model {
@@ -20,6 +21,11 @@
   Endpoint m_origin;
   /// Capacity of the origin's link in bytes per second.
   uint64_t m_origin_rate = 0;
+  /// How long a replica is cold after it has started during traffic, and the
+  /// calls per second that it bears while it is cold; 0: its replicas are never
+  /// cold.
+  Duration m_cold_start{};
+  double m_cold_rate = 0;
 
   friend bool operator==(const Service&, const Service&) = default;
 };
--- a/src/libverbenalead/platform/decode_config.cc
+++ b/src/libverbenalead/platform/decode_config.cc
@@ -48,6 +48,18 @@
   return shares;
 }
 
+/// The regions that `object` restricts calls to; empty if it names none.
+std::vector<std::string> RegionsFrom(const json::object& object) {
+  std::vector<std::string> regions;
+  if (const json::array* list = ReadList(object, "regions_allowed")) {
+    for (const json::value& region : *list) {
+      if (region.is_string())
+        regions.emplace_back(region.as_string());
+    }
+  }
+  return regions;
+}
+
 std::optional<model::Route> RouteFrom(const json::value& value) {
   const json::object* object = value.if_object();
   if (!object)
@@ -71,6 +83,7 @@
       static_cast<uint32_t>(ReadCount(*object, "max_attempts").value_or(1));
   route.m_anonymous = ReadFlag(*object, "anonymous").value_or(false);
   route.m_resumable = ReadFlag(*object, "resumable").value_or(false);
+  route.m_regions = RegionsFrom(*object);
   return route;
 }
 
@@ -115,6 +128,10 @@
   service.m_max_connections =
       static_cast<uint32_t>(ReadCount(*object, "max_conns").value_or(0));
   service.m_engine = EngineFrom(*object);
+  service.m_cold_start =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          ReadNumber(*object, "cold_start_s").value_or(0)));
+  service.m_cold_rate = ReadNumber(*object, "cold_per_s").value_or(0);
   if (const auto origin = ReadText(*object, "origin")) {
     if (auto endpoint = CatchFailure([&] { return ParseEndpoint(*origin); }))
       service.m_origin = *endpoint;
@@ -139,6 +156,7 @@
   }
   if (const auto urgency = ReadNumber(*object, "priority"))
     organisation.m_urgency = static_cast<int>(*urgency);
+  organisation.m_regions = RegionsFrom(*object);
   return organisation;
 }
 
--- a/src/libverbenalead/platform/decode_replica.cc
+++ b/src/libverbenalead/platform/decode_replica.cc
@@ -68,6 +68,7 @@
   replica.m_data_center = *zone;
   replica.m_slots = static_cast<uint32_t>(*slots);
   replica.m_leaving = *state == "draining";
+  replica.m_cold_left = ReadMilliseconds(*object, "cold_left_ms");
   if (!ReadWeights(*object, replica.m_weights))
     return Unreadable(kStep, id, "the models can't be read");
   return replica;
--- a/src/libverbenalead/platform/decode_test.cc
+++ b/src/libverbenalead/platform/decode_test.cc
@@ -12,7 +12,7 @@
 
 constexpr char kReplica[] =
     R"({"service":"pool","address":"10.0.0.9:8080","zone":"a","version":"v1",)"
-    R"("slots":16,"state":"ready","cold_left_ms":0,"born":1700000000000,)"
+    R"("slots":16,"state":"ready","cold_left_ms":750,"born":1700000000000,)"
     R"("models":[{"name":"m","version":2,"adapters":[]}],"sequence":4})";
 
 AsyncResult<model::Replica> Replica(const std::string& text) {
@@ -47,6 +47,7 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{1700000000000}, replica->m_started_ms);
     CPPUNIT_ASSERT_EQUAL(uint64_t{2}, replica->m_weights.at("m"));
     CPPUNIT_ASSERT(!replica->m_leaving);
+    CPPUNIT_ASSERT(replica->m_cold_left == Duration(750ms));
   }
 
   // Guards against malformed rows that another program wrote to the table of
@@ -103,14 +104,16 @@
       return DecodeConfig(
           R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
           R"("route_kind":"streaming","timeout_ms":6000,"slo_ms":400,)"
-          R"("priority":1,"split":[{"service":"a","weight":90},)"
+          R"("priority":1,"regions_allowed":["north","east"],"split":[{"service":"a","weight":90},)"
           R"({"service":"b","weight":10}],"max_attempts":2,"resumable":true}],)"
-          R"("services":[{"name":"a","max_conns":9,"engine":{"slots":16,)"
+          R"("services":[{"name":"a","max_conns":9,"cold_start_s":2.5,)"
+          R"("cold_per_s":14.0,"engine":{"slots":16,)"
           R"("models":[{"name":"m","warm_s":0.3}],"read_per_s":30600.0,)"
           R"("step_ms":6.73,"stride":6,"chunks":48,"chunk_bytes":49152}},)"
           R"({"name":"o","origin":"172.20.0.3:8006","link_mbps":15.0}],)"
           R"("limits":{"idle_timeout_ms":5000},)"
-          R"("tenants":[{"name":"acme","api_keys":["k"],"priority":0}]})");
+          R"("tenants":[{"name":"acme","api_keys":["k"],"priority":0,)"
+          R"("regions_allowed":["north"]}]})");
     });
     CPPUNIT_ASSERT(config.has_value());
     const model::Route& route = config->m_routes.at(0);
@@ -118,6 +121,13 @@
     CPPUNIT_ASSERT(route.m_objective == Duration(400ms));
     CPPUNIT_ASSERT_EQUAL(uint32_t{90}, route.m_services.at(0).m_weight);
     CPPUNIT_ASSERT(route.m_resumable);
+    CPPUNIT_ASSERT(route.m_regions ==
+                   (std::vector<std::string>{"north", "east"}));
+    CPPUNIT_ASSERT(config->m_organisations.at(0).m_regions ==
+                   std::vector<std::string>{"north"});
+    CPPUNIT_ASSERT(config->m_services.at(0).m_cold_start == Duration(2500ms));
+    CPPUNIT_ASSERT_EQUAL(14.0, config->m_services.at(0).m_cold_rate);
+    CPPUNIT_ASSERT_EQUAL(0.0, config->m_services.at(1).m_cold_rate);
     const model::EngineProfile& engine = *config->m_services.at(0).m_engine;
     CPPUNIT_ASSERT_EQUAL(std::string("m"), engine.m_model);
     CPPUNIT_ASSERT(engine.m_load == Duration(300ms));
--- a/src/libverbenalead/platform/names.h
+++ b/src/libverbenalead/platform/names.h
@@ -50,6 +50,8 @@
 inline constexpr char kReplicaTable[] = "servers";
 inline constexpr char kConfigKey[] = "config";
 inline constexpr char kWeightsKeyPrefix[] = "version/";
+/// Followed by a data centre that the operator empties while the row exists.
+inline constexpr char kEvacuationKeyPrefix[] = "evacuate/";
 /// A table of this project rather than of the platform: one row for each entry,
 /// in the part of the table named after the entry's data centre.
 inline constexpr char kEntryTable[] = "entries";
--- a/src/libverbenalead/target/target_options.cc
+++ b/src/libverbenalead/target/target_options.cc
@@ -16,7 +16,11 @@
       .Address("store.address", "127.0.0.1:8100", "the platform's store")
       .Number("link", 1000, "Mbit/s", "rate of this host's link")
       .Number("bounds.weights", 8000, "ms",
-              "time within which new weights must be in force");
+              "time within which new weights must be in force")
+      .Number("cold.overrun", 1, "times the stated rate",
+              "calls that a cold replica may get in a second, from all entries "
+              "together")
+      .Number("cold.slack", 0, "calls", "calls in a second beyond that");
 }
 
 TargetOptions ReadTargetOptions(const Settings& settings) {
@@ -34,6 +38,8 @@
   options.m_weights_bound = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(
           settings.Number("bounds.weights")));
+  options.m_cold_overrun = settings.Number("cold.overrun");
+  options.m_cold_slack = settings.Number("cold.slack");
   return options;
 }
 
