Entries use older weights until 300 ms before their bound

Cause: new weights became mandatory 600 ms before their bound, and replicas are chosen for 400 ms less, so that older weights were unused for the last second. The margin was meant to cover a declaration that is heard late and the time from sending a call to its first event. The age of a declaration is counted, and a call that was sent is cancelled by WeightsDeadline if it has not begun by then. What remains is the lag of the entry's loop and the time until the replica sees that the call was cancelled.

Change: kBindingMargin is 300 ms. A new test of call_server_test has a declaration that is heard 7.5 s late and a call that waits at a replica.

A call that was sent before the declaration was heard has no such deadline. It would have to wait for its first event for longer than the bound less the delay of the declaration.

--- a/src/libverbenalead/entry/call_server_test.cc
+++ b/src/libverbenalead/entry/call_server_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "entry/call_fixture.h"
+#include "entry/row_applier.h"
 
 namespace verbenalead::entry {
 namespace {
@@ -23,6 +24,7 @@
   CPPUNIT_TEST(UnknownKeyOrRouteIsRefused);
   CPPUNIT_TEST(RequestThatCrashesReplicasIsQuarantined);
   CPPUNIT_TEST(QueuedCallIsCancelledBeforeNewWeightsBind);
+  CPPUNIT_TEST(LateDeclarationCancelsQueuedCallInTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -163,13 +165,7 @@
   // cancel such a call by the time at which the new weights bind. A replica
   // that has the new weights gets the call's full time.
   void QueuedCallIsCancelledBeforeNewWeightsBind() {
-    model::RoutingConfig config = m_state->m_routes->config();
-    model::Service service;
-    service.m_name = "pool";
-    service.m_engine = model::EngineProfile();
-    service.m_engine->m_model = "model";
-    config.m_services = {service};
-    m_state->m_routes = std::make_shared<decide::RouteTable>(config);
+    UseModel();
     const TimePoint binding = Now() + 200ms;
     decide::Declare(m_state->m_weights["model"], 2, binding);
     m_replicas.m_answers = {Answer(200, {Event(1)})};
@@ -182,6 +178,38 @@
     Call("/stream/2");
     CPPUNIT_ASSERT(m_replicas.m_head_deadlines.at(1) > binding);
   }
+
+  // Guards against calls that begin on older weights after the bound: this
+  // entry receives the declaration 7.5 s late, 0.5 s before the bound. A call
+  // that waits in a replica's queue then, and its retry, must be cancelled 0.3
+  // s before the bound.
+  void LateDeclarationCancelsQueuedCallInTime() {
+    UseModel();
+    links::RelayedRows relayed;
+    relayed.m_rows.m_rows = {
+        {"version/model", R"({"model":"model","version":2})", {0, 7}, false}};
+    relayed.m_max_ages["version/model"] = 7500ms;
+    RowApplier(*m_state).ApplyRelayedOperatorRows(relayed);
+    const TimePoint bound = Now() + 500ms;
+    m_replicas.m_answers = {Silent(), Silent()};
+    const wire::RecordingWriter caller = Call("/stream/1");
+    CPPUNIT_ASSERT(caller.m_status != 200);
+    CPPUNIT_ASSERT(!m_replicas.m_head_deadlines.empty());
+    for (const TimePoint deadline : m_replicas.m_head_deadlines)
+      CPPUNIT_ASSERT(deadline <= bound - 300ms);
+  }
+
+ private:
+  /// Makes the service "pool" one whose replicas run a model.
+  void UseModel() {
+    model::RoutingConfig config = m_state->m_routes->config();
+    model::Service service;
+    service.m_name = "pool";
+    service.m_engine = model::EngineProfile();
+    service.m_engine->m_model = "model";
+    config.m_services = {service};
+    m_state->m_routes = std::make_shared<decide::RouteTable>(config);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallServerTest);
--- a/src/libverbenalead/entry/row_applier.cc
+++ b/src/libverbenalead/entry/row_applier.cc
@@ -17,10 +17,13 @@
 namespace verbenalead::entry {
 namespace {
 
-/// New weights become mandatory this long before their bound ends: calls that
-/// have not started on older weights by then are cancelled, which takes a few
-/// ms, and this entry receives the declaration a little late.
-constexpr Duration kBindingMargin = 600ms;
+/// New weights become mandatory this long before their bound ends. Calls that
+/// have not started on older weights by then are cancelled. The margin covers
+/// the lag of this entry's event loop and the time until the replica sees that
+/// the call was cancelled. It covers no delay of the declaration, whose age is
+/// counted, and no time for a call to start, since a call that has been sent is
+/// cancelled as well.
+constexpr Duration kBindingMargin = 300ms;
 /// Weights that were declared before this process started become mandatory
 /// after this time. The age of the declaration is not known, and after a loss
 /// of power no replica has loaded any weights yet.
