Refusals while all replicas load name the time of their return

Cause: a call that found no replica was sent back for 1.5 to 2.5 s, whatever the replicas were doing. A load takes 0.3 s and a drain at most a second.

Change: decide/rollout/expected_return says when how many of the loading replicas are expected back, from when each was first reported as loading and the load time of the engine. EndWithoutAnswer refuses such a call as loading, and Retry-After names the time at which a quarter of them are back, plus up to 0.5 s. Without a loading replica the refusal is no_replica as before.

--- a/src/libverbenalead/decide/admission/call_policy.cc
+++ b/src/libverbenalead/decide/admission/call_policy.cc
@@ -114,6 +114,8 @@
       return "not_ready";
     case Refusal::kNoReplica:
       return "no_replica";
+    case Refusal::kLoading:
+      return "loading";
     case Refusal::kFull:
       return "full";
     case Refusal::kRateLimit:
@@ -141,6 +143,10 @@
       // once or replicas load weights. A caller that retries sooner finds the
       // same queue and has used up its retry.
       return RandomDuration(800ms, 1900ms, random);
+    case Refusal::kLoading:
+      // Counted from the time at which some replicas are back; the others
+      // follow within half a second or so.
+      return RandomDuration(0ms, 500ms, random);
     case Refusal::kRest:
       // A replica returns to its slots within a second after its rest.
       return RandomDuration(50ms, 1050ms, random);
--- a/src/libverbenalead/decide/admission/call_policy.h
+++ b/src/libverbenalead/decide/admission/call_policy.h
@@ -67,6 +67,7 @@
 enum class Refusal {
   kNotReady,   ///< This entry stops or lacks configuration.
   kNoReplica,  ///< No replica is usable.
+  kLoading,    ///< No replica is usable until some have loaded weights.
   kFull,       ///< All replicas are full.
   kRateLimit,  ///< All replicas have rate limits that are used up.
   kRest,       ///< All replicas have asked this entry for a rest.
--- a/src/libverbenalead/decide/placement/replica_state.h
+++ b/src/libverbenalead/decide/placement/replica_state.h
@@ -35,6 +35,8 @@
   /// Until this time it takes no calls, because it loads weights or is about
   /// to.
   TimePoint m_loading_until{};
+  /// When the present load was first reported.
+  TimePoint m_loading_since{};
   /// Its target did not answer: until this time the known load of the replica
   /// may be outdated.
   TimePoint m_unresponsive_until{};
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "decide/attempts/hedge.h"
+#include "decide/rollout/expected_return.h"
 #include "entry/answer_buffer.h"
 #include "entry/crash_blame.h"
 #include "entry/retry_attempt.h"
@@ -246,8 +247,22 @@
         wait->m_left);
     co_return;
   }
-  co_await Refuse(usable ? decide::Refusal::kFull
-                         : decide::Refusal::kNoReplica);
+  if (usable) {
+    co_await Refuse(decide::Refusal::kFull);
+    co_return;
+  }
+  const auto loads = decide::WaitForLoads(pool, LoadTime(), Now());
+  if (loads)
+    co_await RefuseUntil(decide::Refusal::kLoading, *loads);
+  else
+    co_await Refuse(decide::Refusal::kNoReplica);
+}
+
+Duration CallRun::LoadTime() const {
+  const model::Service* service =
+      m_state.m_routes ? m_state.m_routes->FindService(m_plan.m_service)
+                       : nullptr;
+  return service && service->m_engine ? service->m_engine->m_load : Duration();
 }
 
 Awaitable<void> CallRun::Refuse(decide::Refusal refusal) {
--- a/src/libverbenalead/entry/call_run.h
+++ b/src/libverbenalead/entry/call_run.h
@@ -51,6 +51,8 @@
   /// Ends a call without an answer: the response states that the call was not
   /// run if that is certain, else that its outcome is unknown.
   Awaitable<void> EndWithoutAnswer();
+  /// Time that a replica of the service takes to load weights.
+  Duration LoadTime() const;
   Awaitable<void> Refuse(decide::Refusal refusal);
   /// Refuses the call while no replica takes calls for `wait`.
   Awaitable<void> RefuseUntil(decide::Refusal refusal, Duration wait);
--- a/src/libverbenalead/entry/call_server_test.cc
+++ b/src/libverbenalead/entry/call_server_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(RequestThatCrashesReplicasIsQuarantined);
   CPPUNIT_TEST(QueuedCallIsCancelledBeforeNewWeightsBind);
   CPPUNIT_TEST(LateDeclarationCancelsQueuedCallInTime);
+  CPPUNIT_TEST(RefusalDuringLoadsNamesTheirEnd);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -199,6 +200,23 @@
       CPPUNIT_ASSERT(deadline <= bound - 300ms);
   }
 
+  // Guards against callers that come back while all replicas still load weights
+  // or seconds after the loads have ended.
+  void RefusalDuringLoadsNamesTheirEnd() {
+    UseModel();
+    for (auto& [id, replica] :
+         GetOrCreateService(*m_state, "pool").m_pool.m_replicas) {
+      replica.m_loading_since = Now();
+      replica.m_loading_until = Now() + 5s;
+    }
+    const wire::RecordingWriter caller = Call("/stream/1");
+    CPPUNIT_ASSERT_EQUAL(503, caller.m_status);
+    CPPUNIT_ASSERT(caller.m_body.find("loading") != std::string::npos);
+    const std::string after =
+        wire::Get(caller.m_headers, platform::kRetryAfter);
+    CPPUNIT_ASSERT(std::stod(after) > 0 && std::stod(after) < 1);
+  }
+
  private:
   /// Makes the service "pool" one whose replicas run a model.
   void UseModel() {
--- a/src/libverbenalead/entry/peer_updates.cc
+++ b/src/libverbenalead/entry/peer_updates.cc
@@ -253,6 +253,8 @@
         state.m_replica_changes, update.m_replica,
         {replica.m_weights, update.m_version, update.m_loading});
   }
+  if (update.m_loading && !was_loading)
+    replica.m_loading_since = now;
   replica.m_closing_until = update.m_closing ? now + kLoadingHold : TimePoint();
   replica.m_loading_until = update.m_loading ? now + kLoadingHold : TimePoint();
   replica.m_weights = update.m_version;
