Loads take turns over the window that is left, and drains fit it

Cause: in a trace of 88 targets a version was complete everywhere at 30.0 to 30.9 s and the bound was 31.4 s. The turns ignored the read-back, and each replica drained for 1.5 s whatever time was left, so that all were out at the same time: from 30 to 34 s a third of the calls were served.

Change: decide/rollout/load_turn takes the place of ScheduledLoadTime and DrainTime. Turns alternate between data centres and are spread so that the last replica is back by the bound; in a window that is too short one half follows the other; a replica that gets no calls loads at once. The drain follows the window, the load time and the fullness of the pool when the version became complete. The read-back begins 0.3 s before the turn. Lines load_turn and digests_obtained.

An engine that doesn't answer is asked every 25 ms, and one without weights is loaded as soon as all its chunks are found staged, without waiting for the next query: both were waited for after a loss of power.

The three tests of ScheduledLoadTime and DrainTime are now in load_turn_test with the same bounds. FullPoolDrainsForLessTime names a window, which the drain now depends on.

Not measured on the users' deployments.

--- a/src/libverbenalead/decide/rollout/load_plan.cc
+++ b/src/libverbenalead/decide/rollout/load_plan.cc
@@ -15,14 +15,6 @@
 /// complete version.
 constexpr double kFirstCompleteShare = 0.85;
 
-/// Nearly all streams end within the longest drain time, half of them within
-/// the shortest.
-constexpr Duration kMaxDrainTime = 1500ms;
-constexpr Duration kMinDrainTime = 550ms;
-/// Share of occupied slots up to which the free ones can take the calls that
-/// draining replicas no longer accept.
-constexpr double kMaxFullnessForFullDrain = 0.8;
-
 /// Whether the version at `candidate` would arrive too late to be loaded: a
 /// newer one becomes binding within kMinLoadWindow after its arrival.
 bool IsUnusableSoon(
@@ -66,24 +58,4 @@
   return plan;
 }
 
-Duration DrainTime(double fullness) {
-  const double spare_share =
-      std::clamp((1 - fullness) / (1 - kMaxFullnessForFullDrain), 0.0, 1.0);
-  return kMinDrainTime + std::chrono::duration_cast<Duration>(
-                             (kMaxDrainTime - kMinDrainTime) * spare_share);
-}
-
-TimePoint ScheduledLoadTime(const LoadPlan& plan,
-                            const std::string& replica,
-                            std::vector<std::string> replicas) {
-  std::sort(replicas.begin(), replicas.end());
-  const auto found = std::find(replicas.begin(), replicas.end(), replica);
-  if (found == replicas.end() || replicas.size() < 2)
-    return plan.m_first_load_at;
-  const auto rank = found - replicas.begin();
-  const auto last = static_cast<std::ptrdiff_t>(replicas.size()) - 1;
-  return plan.m_first_load_at +
-         (plan.m_last_load_at - plan.m_first_load_at) * rank / last;
-}
-
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/rollout/load_plan.h
+++ b/src/libverbenalead/decide/rollout/load_plan.h
@@ -4,8 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <string>
-#include <vector>
 
 #include "base/time.h"
 
@@ -66,29 +64,6 @@
     const std::map<uint64_t, DeclaredVersion>& declared,
     uint64_t loaded);
 
-/// When `replica`, one of `replicas`, stops taking calls and loads.
-///
-/// If all replicas loaded a new version at once at peak load, callers would
-/// find no replica. The load times are spread evenly over the window of `plan`,
-/// in an order that each host computes from the same list. The hosts need not
-/// coordinate, and a host that fails does not delay the others.
-TimePoint ScheduledLoadTime(const LoadPlan& plan,
-                            const std::string& replica,
-                            std::vector<std::string> replicas);
-
-/// How long running calls may continue at a replica that stops taking calls in
-/// order to load.
-///
-/// Load: a rollout while streams of a second and more are running. Harm: an
-/// interrupted stream is prefilled again at another replica, pauses meanwhile,
-/// and is lost if that replica loads next or the retries are used up. If other
-/// replicas have free slots, nearly all streams may finish. If the pool is
-/// full, the replica itself is needed, and only half of its streams may finish.
-/// `fullness` is the share of occupied slots at usable replicas. Since long
-/// drains fill the other replicas, the drain time settles at a value in
-/// between.
-Duration DrainTime(double fullness);
-
 }  // namespace verbenalead::decide
 
 #endif  // VERBENALEAD_DECIDE_ROLLOUT_LOAD_PLAN_H_
--- a/src/libverbenalead/decide/rollout/load_plan_test.cc
+++ b/src/libverbenalead/decide/rollout/load_plan_test.cc
@@ -1,9 +1,6 @@
 #include "decide/rollout/load_plan.h"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <rapidcheck.h>
-
-#include <algorithm>
 
 namespace verbenalead::decide {
 namespace {
@@ -19,13 +16,10 @@
   CPPUNIT_TEST_SUITE(LoadPlanTest);
   CPPUNIT_TEST(NoPlanWithoutNewerVersion);
   CPPUNIT_TEST(LoadsFillTimeBetweenTransferAndBound);
-  CPPUNIT_TEST(FewReplicasAreOutAtOnce);
   CPPUNIT_TEST(NoVersionIsSkippedForShortLoadWindow);
   CPPUNIT_TEST(VersionIsSkippedIfNewerArrivesInTime);
   CPPUNIT_TEST(OlderVersionIsLoadedWhileOriginIsDown);
   CPPUNIT_TEST(SoonUnusableVersionIsSkipped);
-  CPPUNIT_TEST(FullPoolDrainsForLessTime);
-  CPPUNIT_TEST(ReplicasLoadAtDistinctTimesBeforeBound);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -41,30 +35,6 @@
     CPPUNIT_ASSERT(plan->m_last_load_at == kStart + 7300ms);
   }
 
-  // Guards against too many replicas being out of service at once: 27 replicas
-  // load one after the other, each out of service for a second, at three
-  // quarters of the capacity of the pool. When the loads began within 2.8 s,
-  // ten replicas were out of service at once and half of the calls were late.
-  // No more than seven may be out at once.
-  void FewReplicasAreOutAtOnce() {
-    constexpr size_t kReplicas = 27;
-    constexpr size_t kMostOut = kReplicas / 4 + 1;
-    std::vector<std::string> replicas;
-    for (size_t i = 0; i < kReplicas; ++i)
-      replicas.push_back("r" + std::to_string(i));
-    const auto plan = PlanLoad(kTimes, {{2, Declared(0s, 3300ms)}}, 1);
-    std::vector<TimePoint> load_times;
-    for (const std::string& replica : replicas)
-      load_times.push_back(ScheduledLoadTime(*plan, replica, replicas));
-    for (const TimePoint load_time : load_times) {
-      const auto out = static_cast<size_t>(std::count_if(
-          load_times.begin(), load_times.end(), [load_time](TimePoint other) {
-            return other <= load_time && load_time < other + 1s;
-          }));
-      CPPUNIT_ASSERT(out <= kMostOut);
-    }
-  }
-
   // Guards against half of the replicas being out of service at once: an older
   // version is skipped for a newer one that is complete only just before the
   // older one becomes binding. The older one must also be loaded if less than
@@ -109,33 +79,6 @@
     CPPUNIT_ASSERT_EQUAL(
         uint64_t{2}, PlanLoad(kTimes, {{2, Declared(0s, 99s)}}, 1)->m_version);
   }
-
-  void FullPoolDrainsForLessTime() {
-    CPPUNIT_ASSERT(DrainTime(0.5) == DrainTime(0.8));
-    CPPUNIT_ASSERT(DrainTime(0.8) > DrainTime(0.9));
-    CPPUNIT_ASSERT(DrainTime(0.9) > DrainTime(1));
-    CPPUNIT_ASSERT(DrainTime(1) == DrainTime(1.2));
-    CPPUNIT_ASSERT(DrainTime(1) > Duration());
-  }
-
-  // Each host computes its load time from the same list. For any number of
-  // replicas, all load times must differ and must not be later than the bound.
-  void ReplicasLoadAtDistinctTimesBeforeBound() {
-    const bool held = rc::check("turns", [] {
-      const size_t count = *rc::gen::inRange<size_t>(2, 60);
-      std::vector<std::string> replicas;
-      for (size_t i = 0; i < count; ++i)
-        replicas.push_back("r" + std::to_string(i));
-      const auto plan = PlanLoad(kTimes, {{2, Declared(0s, 3s)}}, 1);
-      std::map<TimePoint, int> load_times;
-      for (const std::string& replica : replicas) {
-        const TimePoint load_time = ScheduledLoadTime(*plan, replica, replicas);
-        RC_ASSERT(load_time <= kStart + kTimes.m_bound);
-        RC_ASSERT(++load_times[load_time] == 1);
-      }
-    });
-    CPPUNIT_ASSERT(held);
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LoadPlanTest);
--- a/src/libverbenalead/decide/rollout/rollout_load_test.cc
+++ b/src/libverbenalead/decide/rollout/rollout_load_test.cc
@@ -8,7 +8,7 @@
 
 #include "decide/admission/call_policy.h"
 #include "decide/placement/replica_pool.h"
-#include "decide/rollout/load_plan.h"
+#include "decide/rollout/load_turn.h"
 
 namespace verbenalead::decide {
 namespace {
@@ -19,6 +19,7 @@
 constexpr Duration kLoadSpread = 4400ms;
 constexpr Duration kClosingNotice = 1200ms;
 constexpr Duration kLoad = 300ms;
+constexpr Duration kBoundAfterEnd = 700ms;
 /// Drain times in which half of the streams and nearly all streams end.
 constexpr Duration kShortDrain = 550ms;
 constexpr Duration kLongDrain = 1500ms;
@@ -59,7 +60,7 @@
       replicas[r].m_slots = kSlots;
       replicas[r].m_weights["m"] = 1;
       const TimePoint load_start =
-          m_now + 2s +
+          m_first_load_at +
           kLoadSpread * static_cast<int>(r) / static_cast<int>(kReplicas - 1);
       PlanLoad(std::to_string(r), load_start);
     }
@@ -124,7 +125,10 @@
        [this, id, load_start] { State(id).m_closing_until = load_start; });
     At(load_start, [this, id] {
       State(id).m_loading_until = TimePoint::max();
-      Drain(id, m_now + m_drain.value_or(DrainTime(Utilisation())));
+      const TimePoint last = m_first_load_at + kLoadSpread;
+      const LoadWindow window = {m_first_load_at, last, last + kBoundAfterEnd,
+                                 kLoad, Utilisation()};
+      Drain(id, m_now + m_drain.value_or(DrainTime(window)));
     });
   }
 
@@ -207,6 +211,7 @@
   const std::optional<Duration> m_drain;
   std::mt19937_64 m_random;
   TimePoint m_now = TimePoint() + 3600s;
+  const TimePoint m_first_load_at = m_now + 2s;
   uint64_t m_next = 0;
   std::priority_queue<Event> m_events;
   std::vector<Stream> m_streams;
--- a/src/libverbenalead/target/engine_controller.cc
+++ b/src/libverbenalead/target/engine_controller.cc
@@ -14,14 +14,23 @@
 /// are answered at once and cost nothing. Entries learn of a change within this
 /// interval plus the one-way network delay.
 constexpr Duration kEnginePollInterval = 100ms;
-/// The last replica starts to load this long before the deadline for new
-/// weights. From 0.6 s before the deadline on, entries send no calls to a
-/// replica with older weights. Such a replica may load after the deadline, as
-/// no call starts there any more.
+/// Interval at which an engine that doesn't answer is queried. After a loss of
+/// power no replica serves until its engine is found.
+constexpr Duration kEngineSearchInterval = 25ms;
+/// The window for loads ends this long before the deadline for new weights.
+/// From then on, entries send no calls to a replica with older weights: calls
+/// are cancelled if they haven't begun 0.3 s before the deadline, and replicas
+/// are chosen 0.4 s earlier. Such a replica may load after the deadline, as no
+/// call starts there any more.
 constexpr Duration kDeadlineMargin = 700ms;
-/// Time from the scheduled start of a load to its end: calls finish or are
-/// aborted, and the load takes 0.3 s.
-constexpr Duration kLoadOutage = 1000ms;
+/// How much longer than the engine's load the query for its end continues.
+constexpr Duration kLoadTimeout = 1000ms;
+/// Time from the end of a load until entries send calls again, beside the load
+/// itself: the query that sees the end, and the update to the entries.
+constexpr Duration kLoadOverhead = 100ms;
+/// The read-back of the staged chunks begins this long before the turn, so that
+/// the replica's turn is not late by the time of the read-back.
+constexpr Duration kReadBackTime = 300ms;
 /// Entries are notified this long before the scheduled load, and then send new
 /// calls to the replica only if no other one has a free slot. Three quarters of
 /// the users' streams end within this time, so few have to be aborted. An
@@ -91,7 +100,23 @@
       m_last_update = update;
       m_notify();
     }
+    co_await WaitForNextPoll();
+  }
+}
+
+Awaitable<void> EngineController::WaitForNextPoll() {
+  const TimePoint end = Now() + kEnginePollInterval;
+  if (m_report) {
     co_await Sleep(kEnginePollInterval);
+    co_return;
+  }
+  while (Now() < end) {
+    co_await Sleep(kEngineSearchInterval);
+    if (!m_state.m_engine || m_state.m_engine->m_model.empty())
+      continue;
+    const auto report = co_await m_engine.Report();
+    if (report)
+      co_return;
   }
 }
 
@@ -214,8 +239,13 @@
   }
   const auto plan = PlanNextLoad();
   const uint64_t version = plan ? plan->m_version : Loaded();
+  if (plan && m_window_version != version &&
+      m_state.m_cache.Complete(version)) {
+    m_window_version = version;
+    m_window_fullness = m_get_utilisation();
+  }
   m_closing = plan && Loaded() > 0 && m_state.m_cache.Staged(version) &&
-              Now() + kClosingNotice >= LoadTime(*plan);
+              Now() + kClosingNotice >= TurnUnder(*plan).m_at;
   if (!m_report) {
     // A new host is up one second before its engine. Fetching from then on puts
     // its replica into service one second earlier.
@@ -227,17 +257,23 @@
   if (!m_state.m_cache.Complete(version)) {
     co_await Obtain(version);
     co_await PrefetchNewest();
-    co_return;
+    // An engine without weights doesn't wait for the next query if all chunks
+    // were found staged. Otherwise the plan has to be made anew.
+    if (!m_state.m_cache.Complete(version) || Loaded() > 0)
+      co_return;
   }
   if (!plan)
     co_return;
   // Fetches the newest version while this one waits for its scheduled load.
   if (m_fetcher.version() == 0)
     co_await Obtain(NewestVersion(m_state));
+  if (!m_state.m_cache.Staged(version))
+    co_return;
+  const decide::LoadTurn turn = TurnUnder(*plan);
+  LogTurn(*plan, turn);
   // An engine without weights serves no calls, so it loads at once.
-  if (m_state.m_cache.Staged(version) &&
-      (Loaded() == 0 || Now() >= LoadTime(*plan)))
-    co_await Load(version);
+  if (Loaded() == 0 || Now() + kReadBackTime >= turn.m_at)
+    co_await Load(version, turn);
 }
 
 Awaitable<void> EngineController::Obtain(uint64_t version) {
@@ -245,8 +281,16 @@
   if (m_state.m_cache.Complete(version) || m_fetcher.version() == version ||
       ShouldFinishFetch())
     co_return;
+  const bool had_digests = m_state.m_cache.Find(version) != nullptr;
+  const TimePoint begun = Now();
   if (!co_await m_fetcher.ObtainDigests(version))
     co_return;
+  if (!had_digests) {
+    LogLine("digests_obtained")
+        .With("version", version)
+        .With("ms", ToMilliseconds(Now() - begun))
+        .Info();
+  }
   // Chunks that the engine still has staged need not be fetched. If the staging
   // area holds all chunks of the loaded version, it holds none of a newer one,
   // and reading it would only delay the transfer.
@@ -271,15 +315,50 @@
         "fetch_ahead");
 }
 
-TimePoint EngineController::LoadTime(const decide::LoadPlan& plan) const {
+decide::LoadTurn EngineController::TurnUnder(
+    const decide::LoadPlan& plan) const {
   const model::Replica* own = OwnReplica(m_state);
-  std::vector<std::string> replicas;
+  std::vector<decide::TurnReplica> replicas;
   for (const auto& [id, replica] : m_state.m_replicas) {
     if (replica.m_service == m_state.m_options.m_service && !replica.m_leaving)
-      replicas.push_back(id);
+      replicas.push_back({id, replica.m_data_center, false});
   }
-  return decide::ScheduledLoadTime(plan, own ? own->m_id : "",
-                                   std::move(replicas));
+  const decide::LoadWindow window = {plan.m_first_load_at, plan.m_last_load_at,
+                                     plan.m_last_load_at + kDeadlineMargin,
+                                     m_state.m_engine->m_load + kLoadOverhead,
+                                     m_window_fullness};
+  return decide::TurnOf(window, own ? own->m_id : "", replicas, Now());
+}
+
+void EngineController::LogTurn(const decide::LoadPlan& plan,
+                               const decide::LoadTurn& turn) {
+  if (m_logged_version == plan.m_version &&
+      m_logged_turn.m_reason == turn.m_reason &&
+      m_logged_turn.m_rank == turn.m_rank &&
+      m_logged_turn.m_count == turn.m_count)
+    return;
+  m_logged_version = plan.m_version;
+  m_logged_turn = turn;
+  const Duration window = plan.m_last_load_at - plan.m_first_load_at;
+  LogLine("load_turn")
+      .With("version", plan.m_version)
+      .With("before", Loaded())
+      .With("in_ms", ToMilliseconds(turn.m_at - Now()))
+      .With("window_ms", ToMilliseconds(window))
+      .With("drain_ms", ToMilliseconds(turn.m_drain))
+      .With("rank", static_cast<uint64_t>(turn.m_rank))
+      .With("of", static_cast<uint64_t>(turn.m_count))
+      .With("reason", decide::ToString(turn.m_reason))
+      .Info();
+}
+
+Awaitable<bool> EngineController::WaitForTurn(uint64_t version, TimePoint at) {
+  const Duration left = at - Now();
+  if (left <= Duration())
+    co_return true;
+  co_await Sleep(left);
+  RecordEngineReport(co_await m_engine.Report());
+  co_return m_report && !IsLeaving() && m_state.m_cache.Staged(version);
 }
 
 Awaitable<void> EngineController::WaitForDrain(TimePoint end) {
@@ -290,17 +369,21 @@
   }
 }
 
-Awaitable<void> EngineController::Load(uint64_t version) {
+Awaitable<void> EngineController::Load(uint64_t version,
+                                       decide::LoadTurn turn) {
   // Reads the staged chunks back as late as possible before the load; only the
-  // drain comes between. The engine loads staged chunks without checking them,
-  // and they can become corrupt without any write.
+  // rest of the wait for the turn and the drain come between. The engine loads
+  // staged chunks without checking them, and they can become corrupt without
+  // any write.
   if (!co_await m_stager.Verify(version) || !m_report)
     co_return;
+  if (Loaded() > 0 && !co_await WaitForTurn(version, turn.m_at))
+    co_return;
   m_calls_stopped = true;
   m_notify();
   const double fullness = m_get_utilisation();
   if (Loaded() > 0)
-    co_await WaitForDrain(Now() + decide::DrainTime(fullness));
+    co_await WaitForDrain(Now() + turn.m_drain);
   if (!m_report)
     co_return;
   auto loading = co_await m_engine.Load(m_state.m_engine->m_model, version,
@@ -308,6 +391,7 @@
   LogLine line("load_ordered");
   line.With("version", version)
       .With("pool_fullness", fullness)
+      .With("drain_ms", ToMilliseconds(turn.m_drain))
       .With("before", Loaded())
       .With("orders", m_report->m_orders)
       .With("accepted", loading.has_value());
@@ -316,7 +400,7 @@
     m_calls_stopped = false;
   }
   line.Info();
-  const TimePoint until = Now() + m_state.m_engine->m_load + kLoadOutage;
+  const TimePoint until = Now() + m_state.m_engine->m_load + kLoadTimeout;
   do {
     co_await Sleep(kLoadPollInterval);
     RecordEngineReport(co_await m_engine.Report());
--- a/src/libverbenalead/target/engine_controller.h
+++ b/src/libverbenalead/target/engine_controller.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "decide/rollout/load_plan.h"
+#include "decide/rollout/load_turn.h"
 #include "links/replica_update.h"
 #include "platform/engine_client.h"
 #include "target/chunk_fetcher.h"
@@ -38,15 +39,20 @@
   /// Queries the engine once and takes the next step towards the planned
   /// version.
   Awaitable<void> Poll();
+  /// Waits for the poll interval, or until an engine that didn't answer does.
+  Awaitable<void> WaitForNextPoll();
   /// Records the status of the engine, or that the query failed. After a
   /// restart of the engine, its staged chunks are no longer relied on.
   void RecordEngineReport(AsyncResult<model::EngineReport> report);
   /// Whether a replica on another host has loaded `version` or a newer one, so
   /// that `version` can be fetched before the engine on this host answers.
   bool IsLoadedElsewhere(uint64_t version) const;
-  /// Verifies the staged chunks of `version`, drains the engine and orders the
-  /// load.
-  Awaitable<void> Load(uint64_t version);
+  /// Verifies the staged chunks of `version`, waits for `turn`, drains the
+  /// engine and orders the load.
+  Awaitable<void> Load(uint64_t version, decide::LoadTurn turn);
+  /// Waits until `at` and queries the engine again. False: the load can't
+  /// begin, as the engine has restarted, leaves or doesn't answer.
+  Awaitable<bool> WaitForTurn(uint64_t version, TimePoint at);
   /// Waits until the engine has no calls left, at most until `end`.
   Awaitable<void> WaitForDrain(TimePoint end);
   /// Starts the transfer of `version` into the cache, unless it is complete,
@@ -63,7 +69,9 @@
   /// What to load next; nothing if the engine runs the version that it should.
   std::optional<decide::LoadPlan> PlanNextLoad() const;
   /// When this replica starts its load under `plan`.
-  TimePoint LoadTime(const decide::LoadPlan& plan) const;
+  decide::LoadTurn TurnUnder(const decide::LoadPlan& plan) const;
+  /// Logs the turn if it isn't the one that was logged last.
+  void LogTurn(const decide::LoadPlan& plan, const decide::LoadTurn& turn);
   /// Whether the engine states, or its row in the store says, that it is
   /// leaving.
   bool IsLeaving() const;
@@ -89,6 +97,13 @@
   /// When this host was first seen to hold all chunks of each version;
   /// incomplete versions are absent.
   std::map<uint64_t, TimePoint> m_version_complete_at;
+  /// The last version that became complete, and the fullness of the pool then.
+  uint64_t m_window_version = 0;
+  double m_window_fullness = 1;
+  /// Version and turn in the last `load_turn` line. Their times are not
+  /// compared, as the estimate of the window moves.
+  uint64_t m_logged_version = 0;
+  decide::LoadTurn m_logged_turn;
   /// The state at the last call of `m_notify` from `Run`.
   links::ReplicaUpdate m_last_update;
 };
