--- a/src/libverbenalead/target/engine_controller.cc
+++ b/src/libverbenalead/target/engine_controller.cc
@@ -270,7 +270,8 @@
   if (!m_state.m_cache.Staged(version))
     co_return;
   const decide::LoadTurn turn = TurnUnder(*plan);
-  LogTurn(*plan, turn);
+  if (Loaded() > 0)
+    LogTurn(*plan, turn);
   // An engine without weights serves no calls, so it loads at once.
   if (Loaded() == 0 || Now() + kReadBackTime >= turn.m_at)
     co_await Load(version, turn);
