--- a/src/libverbenalead/decide/rollout/load_turn_simulation_test.cc
+++ b/src/libverbenalead/decide/rollout/load_turn_simulation_test.cc
@@ -37,6 +37,8 @@
   double m_fullness = 0;
   Duration m_window{};
   Policy m_policy = Policy::kTurnOf;
+  /// Time from the first host that has the complete version to the last one.
+  Duration m_spread{};
 };
 
 struct Outcome {
@@ -130,9 +132,17 @@
                       : static_cast<double>(used) / static_cast<double>(slots);
   }
 
+  /// When host `i` has the complete version, in no order of the ids.
+  TimePoint CompleteAt(size_t i) const {
+    constexpr size_t kStride = 37;
+    return kWhole + m_setup.m_spread * (i * kStride % m_replicas.size()) /
+                        m_replicas.size();
+  }
+
   LoadTurn Turn(size_t i) const {
     const TimePoint end = kWhole + m_setup.m_window;
-    LoadWindow window = {kWhole, end, end + kBoundAfterEnd, kLoad, m_fullness};
+    LoadWindow window = {CompleteAt(i), end, end + kBoundAfterEnd, kLoad,
+                         m_fullness};
     if (m_setup.m_policy == Policy::kFixedShare)
       window.m_fullness = 0.5;
     LoadTurn turn = TurnOf(window, m_list[i].m_id, m_list, m_now);
@@ -151,7 +161,7 @@
     Replica& replica = m_replicas[i];
     std::erase_if(replica.m_ends, [&](TimePoint end) { return end <= m_now; });
     const auto phase = kStep * static_cast<int>(i % (kPoll / kStep));
-    if (replica.m_state == State::kOld && m_now >= kWhole &&
+    if (replica.m_state == State::kOld && m_now >= CompleteAt(i) &&
         (m_now - kWhole) % kPoll == phase) {
       const LoadTurn turn = Turn(i);
       if (m_now + kPoll > turn.m_at) {
@@ -242,6 +252,7 @@
 class LoadTurnSimulationTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LoadTurnSimulationTest);
   CPPUNIT_TEST(PoolServesThroughoutTheWindow);
+  CPPUNIT_TEST(LateHostsTakeTheirTurns);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -273,6 +284,20 @@
       }
     }
   }
+
+  // Guards against hosts that drop out of the order, or take all others out of
+  // it, because they have the complete version 0.9 s later than the first one:
+  // with 3 s the bounds must hold as before. With a window that ends before the
+  // last host is ready, replicas must serve until its end.
+  void LateHostsTakeTheirTurns() {
+    Setup setup = {88, 0.66, 3s, Policy::kTurnOf, 900ms};
+    CPPUNIT_ASSERT(Play(setup, "late hosts").LeastShare() >= 0.4);
+    setup.m_window = 700ms;
+    setup.m_policy = Policy::kEqualTurns;
+    Play(setup, "late hosts, equal turns");
+    setup.m_policy = Policy::kTurnOf;
+    CPPUNIT_ASSERT(Play(setup, "late hosts").m_shares[0] >= 0.4);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LoadTurnSimulationTest);
