--- a/src/libverbenalead/decide/rollout/load_plan.cc
+++ b/src/libverbenalead/decide/rollout/load_plan.cc
@@ -45,15 +45,20 @@
   auto oldest = declared.upper_bound(loaded);
   if (oldest == declared.end())
     return std::nullopt;
-  while (IsUnusableSoon(times, declared, oldest))
+  while (std::next(oldest) != declared.end() &&
+         (oldest->second.m_given_up || IsUnusableSoon(times, declared, oldest)))
     ++oldest;
   TimePoint binding_at = TimePoint::max();
-  for (auto version = oldest; version != declared.end(); ++version)
-    binding_at =
-        std::min(binding_at, version->second.m_declared + times.m_bound);
+  for (auto version = declared.upper_bound(loaded); version != declared.end();
+       ++version) {
+    if (version->first >= oldest->first || version->second.m_given_up)
+      binding_at =
+          std::min(binding_at, version->second.m_declared + times.m_bound);
+  }
   auto chosen = oldest;
   for (auto version = oldest; version != declared.end(); ++version) {
-    if (version->second.m_complete_at + kMinLoadWindow <= binding_at)
+    if (!version->second.m_given_up &&
+        version->second.m_complete_at + kMinLoadWindow <= binding_at)
       chosen = version;
   }
   LoadPlan plan;
--- a/src/libverbenalead/decide/rollout/load_plan.h
+++ b/src/libverbenalead/decide/rollout/load_plan.h
@@ -39,6 +39,9 @@
   /// When its chunks became complete on this host, or an estimate of when they
   /// will.
   TimePoint m_complete_at{};
+  /// The version is no longer fetched, so it is never loaded. It still becomes
+  /// binding.
+  bool m_given_up = false;
 
   friend bool operator==(const DeclaredVersion&,
                          const DeclaredVersion&) = default;
--- a/src/libverbenalead/decide/rollout/load_plan_test.cc
+++ b/src/libverbenalead/decide/rollout/load_plan_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(VersionIsSkippedIfNewerArrivesInTime);
   CPPUNIT_TEST(OlderVersionIsLoadedWhileOriginIsDown);
   CPPUNIT_TEST(SoonUnusableVersionIsSkipped);
+  CPPUNIT_TEST(GivenUpVersionIsNotLoaded);
   CPPUNIT_TEST(FullPoolDrainsForLessTime);
   CPPUNIT_TEST(ReplicasLoadAtDistinctTimesBeforeBound);
   CPPUNIT_TEST_SUITE_END();
@@ -110,6 +111,16 @@
         uint64_t{2}, PlanLoad(kTimes, {{2, Declared(0s, 99s)}}, 1)->m_version);
   }
 
+  // Guards against a plan for a version whose chunks no host fetches any more,
+  // and against loads that end only after it has become binding.
+  void GivenUpVersionIsNotLoaded() {
+    DeclaredVersion older = Declared(0s, 3s);
+    older.m_given_up = true;
+    const auto plan = PlanLoad(kTimes, {{2, older}, {3, Declared(2s, 6s)}}, 1);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{3}, plan->m_version);
+    CPPUNIT_ASSERT(plan->m_last_load_at == kStart + kTimes.m_bound);
+  }
+
   void FullPoolDrainsForLessTime() {
     CPPUNIT_ASSERT(DrainTime(0.5) == DrainTime(0.8));
     CPPUNIT_ASSERT(DrainTime(0.8) > DrainTime(0.9));
