Probe an unavailable origin in turns and announce its return

Each host that lacked chunks retried an unavailable origin after its own backoff, so that its return was noticed late and host by host. With m_shared_probes, hosts probe it in turns that count from the last announced probe; the first one that receives the head of an answer announces it, and the others drop their backoff and requests that hang and go on in order. Nothing sets m_shared_probes yet.

--- a/src/libverbenalead/decide/transfer/origin_fetch_report.h
+++ b/src/libverbenalead/decide/transfer/origin_fetch_report.h
@@ -8,6 +8,15 @@
 
 namespace verbenalead::decide {
 
+/// What a host says of the origin in an announcement.
+enum class OriginStatus {
+  kNotStated,
+  /// The origin is unavailable, and the announced fetch probes it.
+  kProbed,
+  /// The origin answers again.
+  kAnswers
+};
+
 /// Announcement of one host about its fetches from the origin, sent to the
 /// other hosts so that they do not fetch the same chunks.
 struct OriginFetchReport {
@@ -16,6 +25,7 @@
   std::vector<uint32_t> m_in_progress;
   /// Chunks whose fetch from the origin has just completed.
   std::vector<uint32_t> m_origin_fetched;
+  OriginStatus m_origin = OriginStatus::kNotStated;
 
   friend bool operator==(const OriginFetchReport&,
                          const OriginFetchReport&) = default;
--- a/src/libverbenalead/decide/transfer/origin_fetches.cc
+++ b/src/libverbenalead/decide/transfer/origin_fetches.cc
@@ -21,12 +21,15 @@
 /// than this, fetches from neighbours keep a host's link busy anyhow, and the
 /// origin's link is needed for first copies.
 constexpr uint32_t kMaxMissingForSpareFetch = 8;
+/// An origin fetch without an answer after this time hangs.
+constexpr Duration kHangTime = 200ms;
 /// Number of take-over delays without an origin fetch after which a host
 /// ignores the announcements of others.
 constexpr int kMaxDelaysWithoutFetch = 3;
 
 bool OriginReady(const TransferState& state, TimePoint now) {
-  return state.m_origin_fetching < state.m_limits.m_max_own_origin_fetches &&
+  return !state.m_probe.m_away &&
+         state.m_origin_fetching < state.m_limits.m_max_own_origin_fetches &&
          now >= state.m_origin_retry_at;
 }
 
@@ -143,6 +146,47 @@
   ScheduleChunk(state, chunk);
 }
 
+/// Gives overdue chunks new scheduled times in order after the origin's return,
+/// so that again one host comes first for each chunk.
+void RescheduleOverdue(TransferState& state, TimePoint now) {
+  TimePoint due = now;
+  for (uint32_t chunk = 0; chunk < state.m_chunks.size(); ++chunk) {
+    TransferState::Chunk& entry = state.m_chunks[chunk];
+    if (entry.m_schedule != TransferState::Schedule::kOriginFetches)
+      continue;
+    entry.m_origin_ranks_from = std::max(entry.m_origin_ranks_from, due);
+    ScheduleChunk(state, chunk);
+    due += state.m_limits.m_origin_interval;
+  }
+}
+
+void CancelHangingFetches(TransferState& state, TimePoint now) {
+  std::vector<uint32_t> hanging;
+  for (const auto& [chunk, fetch] : state.m_fetching) {
+    if (fetch.m_source.IsOrigin() && fetch.m_progress == fetch.m_started_at &&
+        now - fetch.m_started_at >= kHangTime)
+      hanging.push_back(chunk);
+  }
+  for (const uint32_t chunk : hanging) {
+    EndFetch(state, chunk);
+    state.m_pending.m_cancels.push_back({chunk, {}});
+  }
+}
+
+/// The chunk that this host probes with: the one for which the fewest hosts
+/// precede it, so that hosts whose probes are answered together rarely fetch
+/// the same chunk.
+std::optional<uint32_t> ChunkToProbeWith(const TransferState& state) {
+  std::optional<uint32_t> best;
+  for (const auto& [due, chunk] : state.m_origin_schedule) {
+    const TransferState::Chunk& entry = state.m_chunks[chunk];
+    if (!entry.m_origin_fetched &&
+        (!best || entry.m_rank < state.m_chunks[*best].m_rank))
+      best = chunk;
+  }
+  return best;
+}
+
 }  // namespace
 
 uint32_t ShareOfSpareFetches(const TransferState& state,
@@ -171,6 +215,8 @@
 void StartOriginFetchesInOrder(TransferState& state,
                                TimePoint now,
                                TransferActions& actions) {
+  if (state.m_probe.m_away)
+    return;
   uint32_t room = OriginFetchRoom(state, now);
   for (uint32_t chunk = 0; chunk < state.m_chunks.size() && room > 0; ++chunk) {
     TransferState::Chunk& entry = state.m_chunks[chunk];
@@ -187,6 +233,20 @@
   }
 }
 
+void StartOriginProbe(TransferState& state,
+                      TimePoint now,
+                      TransferActions& actions) {
+  if (!state.m_probe.m_away ||
+      state.m_origin_fetching >= state.m_limits.m_max_own_origin_fetches ||
+      now < NextProbeTime(state.m_probe, state.m_members, state.m_self.m_name))
+    return;
+  const auto chunk = ChunkToProbeWith(state);
+  if (!chunk)
+    return;
+  RecordOriginProbe(state.m_probe, state.m_self.m_name, now);
+  StartOriginFetch(state, *chunk, now, actions);
+}
+
 void StartSpareOriginFetches(TransferState& state,
                              TimePoint now,
                              TransferActions& actions) {
@@ -206,6 +266,7 @@
 }
 
 void RecordOriginSuccess(TransferState& state, TimePoint now) {
+  RecordOriginAnswer(state, now);
   const TimePoint before =
       std::max(state.m_last_origin_success, state.m_started);
   state.m_last_origin_success = now;
@@ -214,17 +275,22 @@
   if (state.m_limits.m_max_origin_fetches == 0 ||
       now - before < state.m_limits.m_takeover_delay)
     return;
-  // The origin is available again. Overdue chunks get new scheduled times in
-  // order, so that again one host comes first for each chunk.
-  TimePoint due = now;
-  for (uint32_t chunk = 0; chunk < state.m_chunks.size(); ++chunk) {
-    TransferState::Chunk& entry = state.m_chunks[chunk];
-    if (entry.m_schedule != TransferState::Schedule::kOriginFetches)
-      continue;
-    entry.m_origin_ranks_from = std::max(entry.m_origin_ranks_from, due);
-    ScheduleChunk(state, chunk);
-    due += state.m_limits.m_origin_interval;
-  }
+  RescheduleOverdue(state, now);
+}
+
+bool RecordOriginAnswer(TransferState& state, TimePoint now) {
+  if (!RecordProbeAnswer(state.m_probe, now))
+    return false;
+  state.m_last_origin_success = now;
+  state.m_origin_failures = 0;
+  state.m_origin_retry_at = std::min(state.m_origin_retry_at, now);
+  // The time for which chunks were open during the outage must not count, or
+  // hosts of all ranks start at the same time.
+  for (TransferState::Chunk& chunk : state.m_chunks)
+    chunk.m_open_since.reset();
+  CancelHangingFetches(state, now);
+  RescheduleOverdue(state, now);
+  return true;
 }
 
 void RecordOriginFailure(TransferState& state,
@@ -233,6 +299,8 @@
                          TimePoint now,
                          std::mt19937_64& random) {
   BackOffFromOrigin(state, now, random);
+  if (!corrupt && state.m_limits.m_shared_probes)
+    RecordOriginUnreachable(state.m_probe, now);
   if (!corrupt)
     WaitForFirstRanks(state, chunk, now);
 }
@@ -240,6 +308,14 @@
 void RecordOriginFetches(TransferState& state,
                          const OriginFetchReport& report,
                          TimePoint now) {
+  // A probe doesn't hold chunks back: most probes fail, and hosts that waited
+  // for them would start late after the return.
+  if (report.m_origin == OriginStatus::kProbed &&
+      state.m_limits.m_shared_probes &&
+      RecordOriginProbe(state.m_probe, report.m_host, now))
+    return;
+  if (report.m_origin == OriginStatus::kAnswers)
+    RecordOriginAnswer(state, now);
   if (report.m_in_progress.empty()) {
     state.m_announced_fetches.erase(report.m_host);
   } else {
--- a/src/libverbenalead/decide/transfer/origin_fetches.h
+++ b/src/libverbenalead/decide/transfer/origin_fetches.h
@@ -26,6 +26,12 @@
                                TimePoint now,
                                TransferActions& actions);
 
+/// Requests a chunk from an unavailable origin when it is this host's turn. See
+/// OriginProbe.
+void StartOriginProbe(TransferState& state,
+                      TimePoint now,
+                      TransferActions& actions);
+
 /// Uses the remaining origin budget at the end of a time-first transfer. A host
 /// that lacks only a few chunks waits in the upload queues of its neighbours
 /// while the origin's link, which has delivered all first copies, is idle. The
@@ -39,6 +45,12 @@
 /// announced it: the origin is available.
 void RecordOriginSuccess(TransferState& state, TimePoint now);
 
+/// The head of an answer of the origin was received, or a host announced that
+/// the origin answers again. Returns whether it was unavailable until now: then
+/// all hosts fetch the missing chunks in order, and fetches that still wait for
+/// an answer are cancelled, since their connections may hang.
+bool RecordOriginAnswer(TransferState& state, TimePoint now);
+
 /// An origin fetch ended without a valid chunk; `corrupt`: data was received,
 /// but did not match its digest.
 void RecordOriginFailure(TransferState& state,
--- a/src/libverbenalead/decide/transfer/transfer.cc
+++ b/src/libverbenalead/decide/transfer/transfer.cc
@@ -420,6 +420,7 @@
   state.m_pending = TransferActions();
   StartDueOriginFetches(state, now, actions);
   StartOriginFetchesInOrder(state, now, actions);
+  StartOriginProbe(state, now, actions);
   StartDueImports(state, now, random, actions);
   FetchRarest(state, now, random, actions);
   StartSpareOriginFetches(state, now, actions);
--- a/src/libverbenalead/decide/transfer/transfer_limits.h
+++ b/src/libverbenalead/decide/transfer/transfer_limits.h
@@ -68,6 +68,9 @@
   /// its own to the others; 0: hosts announce none and follow m_origin_interval
   /// alone.
   uint32_t m_max_origin_fetches = 0;
+  /// While the origin is unavailable, hosts probe it in turns, and a host that
+  /// gets an answer announces that. Otherwise each host retries by itself.
+  bool m_shared_probes = false;
   /// How long an announced origin fetch keeps other hosts from fetching the
   /// same chunk. A host repeats its announcement twice as often as that.
   Duration m_announcement_ttl = 600ms;
--- a/src/libverbenalead/decide/transfer/transfer_outage_test.cc
+++ b/src/libverbenalead/decide/transfer/transfer_outage_test.cc
@@ -2,14 +2,16 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <set>
 
+#include "decide/transfer/origin_fetches.h"
 #include "decide/transfer/transfer.h"
+#include "decide/transfer/version_choice.h"
 
 namespace verbenalead::decide {
 namespace {
 
-constexpr uint32_t kChunks = 64;
 constexpr Duration kTick = 10ms;
 /// Time to send a chunk over the origin's link, and over the share of a host's
 /// link that transfers may use.
@@ -22,6 +24,16 @@
 constexpr Duration kAnnounceInterval = 250ms;
 constexpr size_t kUploads = 2;
 constexpr Duration kTimeLimit = 60s;
+/// Time from a request to the first bytes of the origin's answer.
+constexpr Duration kRequestDelay = 10ms;
+/// Limit for the answer of an unavailable origin.
+constexpr Duration kHangTimeout = 300ms;
+constexpr uint32_t kMaxOriginFetches = 5;
+constexpr uint32_t kMaxOwnOriginFetches = 4;
+/// Bounds of docs/design/demands.md: time from the origin's return to its last
+/// chunk in multiples of the link's time, and copies fetched from the origin.
+constexpr double kMaxLinkTimeFactor = 1.05;
+constexpr double kMaxCopies = 1.03;
 /// Dead hosts stay in the list of members for this long.
 constexpr Duration kMembershipLag = 3s;
 
@@ -34,6 +46,19 @@
   uint32_t m_host_failures = 0;
   /// Whether hosts announce their origin fetches.
   bool m_announced = true;
+  uint32_t m_chunks = 64;
+  Duration m_origin_chunk = kOriginChunk;
+  /// Whether hosts probe the origin in turns and announce its return.
+  bool m_shared_probes = false;
+  /// Whether connections to the unavailable origin hang until they time out;
+  /// otherwise they are refused at once.
+  bool m_hangs = false;
+  /// Whether the first host that fetches a chunk after the origin's return dies
+  /// with the only copy.
+  bool m_only_copy_lost = false;
+  /// Factor on the time of a chunk between regions, from the origin's return
+  /// on.
+  int64_t m_narrowing = 1;
 };
 
 /// Simulates in virtual time the transfer of one version from an origin that
@@ -52,8 +77,8 @@
     for (uint32_t i = 0; i < load.m_hosts; ++i) {
       m_hosts[i].m_started_at = m_now + 10ms * (m_random() % 30);
       m_hosts[i].m_state =
-          StartTransfer(members[i], kChunks, Limits(), m_hosts[i].m_started_at,
-                        m_now + 300ms);
+          StartTransfer(members[i], load.m_chunks, Limits(),
+                        m_hosts[i].m_started_at, m_now + 300ms);
       SetMembers(m_hosts[i].m_state, members, m_hosts[i].m_started_at,
                  m_random);
     }
@@ -65,6 +90,7 @@
     for (; !AllComplete(); m_now += kTick) {
       if (Elapsed() > kTimeLimit)
         return false;
+      RecordCompleteHosts();
       MaybeFailHost();
       RunOrigin();
       RunUploads();
@@ -77,8 +103,25 @@
 
   /// Completed origin fetches per chunk.
   double FetchesPerChunk() const {
-    return static_cast<double>(m_draws) / kChunks;
+    return static_cast<double>(m_draws) / m_load.m_chunks;
   }
+  /// Chunks that were fetched from the origin more than once.
+  uint32_t RepeatedFetches() const {
+    return m_draws - static_cast<uint32_t>(m_drawn.size());
+  }
+  /// Chunks that no host had when the origin became unavailable.
+  uint32_t MissingAtOutage() const { return m_missing_at_outage; }
+  /// Time from the origin's return to its last chunk, as a multiple of the time
+  /// that its link needs for the missing chunks.
+  double LinkTimeFactor() const {
+    const Duration needed = m_missing_at_outage * m_load.m_origin_chunk;
+    return static_cast<double>(SinceReturn(m_last_draw).count()) /
+           static_cast<double>(needed.count());
+  }
+  /// Time from the last chunk at its first host until half of the hosts, and
+  /// all, were complete.
+  Duration HalfDelay() const { return m_half_complete_at - m_last_draw; }
+  Duration TailDelay() const { return m_now - m_last_draw; }
   /// Time from the origin's return until all live hosts were complete.
   Duration CompletionDelay() const {
     return Elapsed() - m_load.m_outage_start - m_load.m_outage;
@@ -100,6 +143,7 @@
     size_t m_host = 0;
     uint32_t m_chunk = 0;
     Duration m_left{};
+    TimePoint m_started_at{};
   };
   struct Update {
     TimePoint m_at{};
@@ -112,16 +156,25 @@
 
   TransferLimits Limits() const {
     TransferLimits limits;
-    limits.m_origin_interval = kOriginChunk;
+    limits.m_origin_interval = m_load.m_origin_chunk;
     if (m_load.m_announced)
       limits.m_max_origin_fetches = 4;
     limits.m_takeover_delay = 1s;
     limits.m_max_fetches = 5;
     limits.m_max_origin_backoff = 500ms;
+    if (m_load.m_shared_probes) {
+      limits.m_shared_probes = true;
+      limits.m_origin_budget_percent = 100;
+      limits.m_max_origin_fetches = kMaxOriginFetches;
+      limits.m_max_own_origin_fetches = kMaxOwnOriginFetches;
+    }
     return limits;
   }
 
   Duration Elapsed() const { return m_now - TimePoint(); }
+  Duration SinceReturn(TimePoint at) const {
+    return at - TimePoint() - m_load.m_outage_start - m_load.m_outage;
+  }
   bool IsOriginDown() const {
     return Elapsed() >= m_load.m_outage_start &&
            Elapsed() < m_load.m_outage_start + m_load.m_outage;
@@ -142,22 +195,79 @@
     Host& victim = m_hosts[m_random() % m_hosts.size()];
     if (victim.m_dead)
       return;
-    victim.m_dead = true;
     ++m_failed_hosts;
-    m_listed_until[victim.m_state.m_self.m_name] = m_now + kMembershipLag;
+    FailHost(static_cast<size_t>(&victim - m_hosts.data()));
+  }
+
+  void FailHost(size_t index) {
+    m_hosts[index].m_dead = true;
+    m_listed_until[m_hosts[index].m_state.m_self.m_name] =
+        m_now + kMembershipLag;
+  }
+
+  void RecordCompleteHosts() {
+    if (Elapsed() == m_load.m_outage_start)
+      m_missing_at_outage =
+          m_load.m_chunks - static_cast<uint32_t>(m_drawn.size());
+    const auto complete = std::count_if(
+        m_hosts.begin(), m_hosts.end(),
+        [](const Host& host) { return IsComplete(host.m_state); });
+    if (m_half_complete_at == TimePoint() &&
+        complete * 2 >= std::ssize(m_hosts))
+      m_half_complete_at = m_now;
+  }
+
+  void FailOpenFetches() {
+    std::erase_if(m_open_fetches, [&](const OriginFetch& fetch) {
+      if (m_load.m_hangs && m_now - fetch.m_started_at < kHangTimeout)
+        return false;
+      RecordChunkFailure(m_hosts[fetch.m_host].m_state, fetch.m_chunk, false,
+                         m_now, m_random);
+      return true;
+    });
+  }
+
+  /// The first bytes of a fetch arrive.
+  void Answer(const OriginFetch& fetch) {
+    TransferState& state = m_hosts[fetch.m_host].m_state;
+    RecordChunkProgress(state, fetch.m_chunk, m_now);
+    if (RecordOriginAnswer(state, m_now))
+      Announce(fetch.m_host, {}, OriginStatus::kAnswers);
   }
 
   void RunOrigin() {
     if (IsOriginDown()) {
-      for (const OriginFetch& fetch : m_open_fetches)
+      FailOpenFetches();
+      return;
+    }
+    // Connections that hang stay so after the return.
+    const TimePoint returned =
+        TimePoint() + m_load.m_outage_start + m_load.m_outage;
+    const auto hangs = [&](const OriginFetch& fetch) {
+      return m_now >= returned && fetch.m_started_at < returned;
+    };
+    std::erase_if(m_open_fetches, [&](const OriginFetch& fetch) {
+      const bool fails =
+          hangs(fetch) && m_now - fetch.m_started_at >= kHangTimeout;
+      if (fails)
         RecordChunkFailure(m_hosts[fetch.m_host].m_state, fetch.m_chunk, false,
                            m_now, m_random);
-      m_open_fetches.clear();
-    }
-    const auto share = kTick / std::max<int64_t>(1, std::ssize(m_open_fetches));
+      return fails;
+    });
+    const auto open =
+        std::count_if(m_open_fetches.begin(), m_open_fetches.end(),
+                      [&](const OriginFetch& fetch) { return !hangs(fetch); });
+    const auto share = kTick / std::max<int64_t>(1, open);
+    Duration unused{};
     std::vector<OriginFetch> done;
     std::erase_if(m_open_fetches, [&](OriginFetch& fetch) {
-      fetch.m_left -= share;
+      if (hangs(fetch) || m_now - fetch.m_started_at < kRequestDelay)
+        return false;
+      if (fetch.m_left == m_load.m_origin_chunk)
+        Answer(fetch);
+      // What a fetch leaves of its share goes to the next one.
+      fetch.m_left -= share + unused;
+      unused = std::max(Duration(), -fetch.m_left);
       if (fetch.m_left > Duration())
         return false;
       done.push_back(fetch);
@@ -165,6 +275,14 @@
     });
     for (const OriginFetch& fetch : done) {
       ++m_draws;
+      if (m_drawn.insert(fetch.m_chunk).second)
+        m_last_draw = m_now;
+      if (m_load.m_only_copy_lost && !m_copy_lost && m_now > returned) {
+        m_copy_lost = true;
+        FailHost(fetch.m_host);
+        m_drawn.erase(fetch.m_chunk);
+        --m_draws;
+      }
       Arrive(fetch.m_host, fetch.m_chunk);
       if (!m_hosts[fetch.m_host].m_dead)
         Announce(fetch.m_host, {fetch.m_chunk});
@@ -185,7 +303,7 @@
         continue;
       const size_t active = std::min(kUploads, host.m_uploads.size());
       host.m_sent += kTick;
-      if (host.m_sent < kHostChunk * static_cast<int64_t>(active))
+      if (host.m_sent < UploadTime(host, active))
         continue;
       host.m_sent = Duration();
       const std::vector<std::pair<size_t, uint32_t>> sent(
@@ -199,6 +317,24 @@
     }
   }
 
+  Duration UploadTime(const Host& from, size_t active) const {
+    const bool narrowed = !IsOriginDown() && Elapsed() > m_load.m_outage_start;
+    Duration total{};
+    for (size_t i = 0; i < active; ++i) {
+      const Host& to = m_hosts[from.m_uploads[i].first];
+      const bool remote =
+          to.m_state.m_self.m_region != from.m_state.m_self.m_region;
+      total += kHostChunk * (remote && narrowed ? m_load.m_narrowing : 1);
+    }
+    return total;
+  }
+
+  bool Follows(size_t follower, const std::string& name) const {
+    const auto& neighbours = m_hosts[follower].m_state.m_neighbours;
+    return std::any_of(neighbours.begin(), neighbours.end(),
+                       [&](const auto& each) { return each.m_name == name; });
+  }
+
   void SendUpdates() {
     for (Host& host : m_hosts) {
       if (host.m_dead || host.m_told == host.m_held.size())
@@ -207,9 +343,11 @@
           host.m_held.begin() + static_cast<std::ptrdiff_t>(host.m_told),
           host.m_held.end());
       host.m_told = host.m_held.size();
-      for (size_t to = 0; to < m_hosts.size(); ++to)
-        m_news.push_back(
-            {m_now + kUpdateDelay, host.m_state.m_self.m_name, to, unsent});
+      for (size_t to = 0; to < m_hosts.size(); ++to) {
+        if (Follows(to, host.m_state.m_self.m_name))
+          m_news.push_back(
+              {m_now + kUpdateDelay, host.m_state.m_self.m_name, to, unsent});
+      }
     }
     std::erase_if(m_news, [&](const Update& update) {
       if (update.m_at > m_now)
@@ -241,8 +379,11 @@
       fetches_from_origin |= fetch.m_source.IsOrigin();
       Send(index, fetch);
     }
-    if (fetches_from_origin || m_now - host.m_announced >= kAnnounceInterval)
-      Announce(index, {});
+    const bool away = host.m_state.m_probe.m_away;
+    if (fetches_from_origin ||
+        (!away && m_now - host.m_announced >= kAnnounceInterval))
+      Announce(index, {},
+               away ? OriginStatus::kProbed : OriginStatus::kNotStated);
   }
 
   void UpdateMembers(Host& host) {
@@ -254,7 +395,9 @@
     SetMembers(host.m_state, std::move(members), m_now, m_random);
   }
 
-  void Announce(size_t from, std::vector<uint32_t> completed) {
+  void Announce(size_t from,
+                std::vector<uint32_t> completed,
+                OriginStatus status = OriginStatus::kNotStated) {
     OriginFetchReport report;
     report.m_host = m_hosts[from].m_state.m_self.m_name;
     for (const auto& [chunk, fetch] : m_hosts[from].m_state.m_fetching) {
@@ -265,6 +408,7 @@
         (report.m_in_progress.empty() && completed.empty()))
       return;
     report.m_origin_fetched = std::move(completed);
+    report.m_origin = status;
     m_hosts[from].m_announced = m_now;
     for (size_t to = 0; to < m_hosts.size(); ++to) {
       if (to != from)
@@ -273,15 +417,20 @@
   }
 
   void Cancel(size_t index, const FetchChunk& cancel) {
-    if (cancel.m_source.IsOrigin())
+    if (cancel.m_source.IsOrigin()) {
+      std::erase_if(m_open_fetches, [&](const OriginFetch& fetch) {
+        return fetch.m_host == index && fetch.m_chunk == cancel.m_chunk;
+      });
       return;
+    }
     std::erase(m_hosts[Index(cancel.m_source.m_host)].m_uploads,
                std::pair<size_t, uint32_t>(index, cancel.m_chunk));
   }
 
   void Send(size_t index, const FetchChunk& fetch) {
     if (fetch.m_source.IsOrigin()) {
-      m_open_fetches.push_back({index, fetch.m_chunk, kOriginChunk});
+      m_open_fetches.push_back(
+          {index, fetch.m_chunk, m_load.m_origin_chunk, m_now});
       return;
     }
     Host& from = m_hosts[Index(fetch.m_source.m_host)];
@@ -298,6 +447,11 @@
   std::map<std::string, TimePoint> m_listed_until;
   uint32_t m_draws = 0;
   uint32_t m_failed_hosts = 0;
+  std::set<uint32_t> m_drawn;
+  uint32_t m_missing_at_outage = 0;
+  TimePoint m_last_draw{};
+  TimePoint m_half_complete_at{};
+  bool m_copy_lost = false;
 };
 
 class TransferOutageTest : public CppUnit::TestFixture {
@@ -305,6 +459,12 @@
   CPPUNIT_TEST(ReturnedOriginSendsEachChunkOnce);
   CPPUNIT_TEST(OriginSendsEachChunkOnceAfterALongOutage);
   CPPUNIT_TEST(HostFailuresCostFewOriginFetches);
+  CPPUNIT_TEST(ReturnIsNoticedAtOnce);
+  CPPUNIT_TEST(HangingConnectionsDelayNoHost);
+  CPPUNIT_TEST(LossOfTheOnlyCopyCostsOneFetch);
+  CPPUNIT_TEST(SlowOriginSendsEachChunkOnce);
+  CPPUNIT_TEST(NarrowRegionLinkCausesNoSecondFetch);
+  CPPUNIT_TEST(SecondVersionIsCompleteInLinkTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -349,6 +509,115 @@
     });
     CPPUNIT_ASSERT(passed);
   }
+
+  // Guards against hosts that notice the origin's return only after their own
+  // backoff, one after the other, while its link is idle.
+  void ReturnIsNoticedAtOnce() {
+    for (const uint32_t hosts : {12, 52, 88, 300})
+      CheckReturn("return", Outage(hosts));
+  }
+
+  // Guards against requests without any answer that occupy hosts for seconds
+  // after the return.
+  void HangingConnectionsDelayNoHost() {
+    for (const uint32_t hosts : {12, 52, 88, 300}) {
+      OutageScenario load = Outage(hosts);
+      load.m_hangs = true;
+      CheckReturn("hangs", load);
+    }
+  }
+
+  // Guards against a chunk that no host fetches any more, as its only holder
+  // has announced it and died.
+  void LossOfTheOnlyCopyCostsOneFetch() {
+    for (const uint32_t hosts : {12, 52, 88, 300}) {
+      OutageScenario load = Outage(hosts);
+      load.m_only_copy_lost = true;
+      OutageFleet fleet(load, 1);
+      CPPUNIT_ASSERT(fleet.Run());
+      Print("only copy lost", load, fleet);
+      CPPUNIT_ASSERT_LESSEQUAL(kMaxCopies, fleet.FetchesPerChunk());
+      CPPUNIT_ASSERT_LESSEQUAL(Duration(6s), fleet.CompletionDelay());
+    }
+  }
+
+  // Guards against take-overs of chunks that are only slow, where the origin
+  // sends at half of its configured rate.
+  void SlowOriginSendsEachChunkOnce() {
+    for (const uint32_t hosts : {12, 52, 88, 300}) {
+      OutageScenario load = Outage(hosts);
+      load.m_origin_chunk = 90ms;
+      load.m_outage_start = 5s;
+      CheckReturn("half rate", load);
+    }
+  }
+
+  // Guards against hosts of a region that fetch from the origin what is on its
+  // way through a narrow link.
+  void NarrowRegionLinkCausesNoSecondFetch() {
+    for (const uint32_t hosts : {12, 52, 88, 300}) {
+      OutageScenario load = Outage(hosts);
+      load.m_narrowing = 4;
+      CheckReturn("narrow", load);
+    }
+  }
+
+  // Guards against two versions that are both fetched in part: 2 s after the
+  // first declaration the older one is given up, and the newer one takes the
+  // origin's link alone.
+  void SecondVersionIsCompleteInLinkTime() {
+    for (const uint32_t hosts : {12, 52, 88, 300}) {
+      OutageScenario load = Outage(hosts);
+      load.m_outage_start = 500ms;
+      const uint32_t older_missing = 96 - 2000 / 45;
+      const TimePoint now = TimePoint() + 2s;
+      const VersionTimes times = {kOriginChunk, 840ms, 300ms, 1s};
+      const VersionChoice choice =
+          ChooseVersions({{2, {now + 10700ms, older_missing, true, false}},
+                          {3, {now + 12700ms, load.m_chunks, true, false}}},
+                         times, true, now);
+      CPPUNIT_ASSERT(choice.m_fetch_order == std::vector<uint64_t>{3});
+      CheckReturn("two versions", load);
+    }
+  }
+
+ private:
+  static OutageScenario Outage(uint32_t hosts) {
+    OutageScenario load;
+    load.m_hosts = hosts;
+    load.m_chunks = 96;
+    load.m_origin_chunk = 45ms;
+    load.m_shared_probes = true;
+    return load;
+  }
+
+  static void Print(const std::string& name,
+                    const OutageScenario& load,
+                    const OutageFleet& fleet) {
+    std::printf(
+        "%s hosts=%u missing=%u fetches/chunk=%.3f repeated=%u "
+        "link_factor=%.3f half_ms=%lld tail_ms=%lld all_ms=%lld\n",
+        name.c_str(), load.m_hosts, fleet.MissingAtOutage(),
+        fleet.FetchesPerChunk(), fleet.RepeatedFetches(),
+        fleet.LinkTimeFactor(),
+        static_cast<long long>(ToMilliseconds(fleet.HalfDelay())),
+        static_cast<long long>(ToMilliseconds(fleet.TailDelay())),
+        static_cast<long long>(ToMilliseconds(fleet.CompletionDelay())));
+  }
+
+  static void CheckReturn(const std::string& name, const OutageScenario& load) {
+    const bool large = load.m_hosts > 100;
+    const std::vector<uint64_t> seeds =
+        large ? std::vector<uint64_t>{1}
+              : std::vector<uint64_t>{1, 2, 20261202};
+    for (const uint64_t seed : seeds) {
+      OutageFleet fleet(load, seed);
+      CPPUNIT_ASSERT(fleet.Run());
+      Print(name, load, fleet);
+      CPPUNIT_ASSERT_EQUAL(0U, fleet.RepeatedFetches());
+      CPPUNIT_ASSERT_LESSEQUAL(kMaxLinkTimeFactor, fleet.LinkTimeFactor());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TransferOutageTest);
--- a/src/libverbenalead/decide/transfer/transfer_state.h
+++ b/src/libverbenalead/decide/transfer/transfer_state.h
@@ -12,6 +12,7 @@
 #include "decide/transfer/chunk_buckets.h"
 #include "decide/transfer/chunk_source.h"
 #include "decide/transfer/fetch_window.h"
+#include "decide/transfer/origin_probe.h"
 #include "decide/transfer/transfer_actions.h"
 #include "decide/transfer/transfer_limits.h"
 #include "decide/transfer/transfer_member.h"
@@ -98,6 +99,8 @@
   /// known to have completed one.
   TimePoint m_last_origin_start{};
   TimePoint m_last_origin_success{};
+  /// Used only with limits.m_shared_probes.
+  OriginProbe m_probe;
 
   TimePoint m_next_stall_check{};
   TimePoint m_next_refill{};
