Targets share what they know of the origin and give up versions together

With the setting weights.origin_outages (off by default) targets announce probes of an unavailable origin, its return, and the versions that they have given up, and adopt what others announce. EngineController applies ChooseVersions at each poll. A chunk is requested from the origin once, with a limit for the head of the answer, so that connections that hang don't take up a host for 3 s. Without the setting, the messages have the same bytes.

--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -102,14 +102,22 @@
 
 json::object Encode(const OriginFetchUpdate& update) {
   const decide::OriginFetchReport& report = update.m_report;
-  return {{"kind", kOriginFetches},
-          {"host", report.m_host},
-          {"model", update.m_model},
-          {"version", update.m_version},
-          {"under_way", json::array(report.m_in_progress.begin(),
-                                    report.m_in_progress.end())},
-          {"drawn", json::array(report.m_origin_fetched.begin(),
-                                report.m_origin_fetched.end())}};
+  json::object object = {{"kind", kOriginFetches},
+                         {"host", report.m_host},
+                         {"model", update.m_model},
+                         {"version", update.m_version},
+                         {"under_way", json::array(report.m_in_progress.begin(),
+                                                   report.m_in_progress.end())},
+                         {"drawn", json::array(report.m_origin_fetched.begin(),
+                                               report.m_origin_fetched.end())}};
+  if (report.m_origin == decide::OriginStatus::kProbed)
+    object["probe"] = true;
+  if (report.m_origin == decide::OriginStatus::kAnswers)
+    object["answers"] = true;
+  if (!update.m_given_up.empty())
+    object["given_up"] =
+        json::array(update.m_given_up.begin(), update.m_given_up.end());
+  return object;
 }
 
 json::object Encode(const SubscriptionRequest& request) {
@@ -307,6 +315,31 @@
   return update;
 }
 
+Result<std::vector<uint64_t>> VersionsField(const json::object& object,
+                                            const char* name) {
+  std::vector<uint64_t> versions;
+  const json::value* list = object.if_contains(name);
+  if (!list)
+    return versions;
+  if (!list->is_array())
+    return model::BadField(name, "a list");
+  for (const json::value& version : list->as_array()) {
+    if (!version.is_int64() || version.as_int64() < 0)
+      return model::BadField(name, "numbers of versions");
+    versions.push_back(static_cast<uint64_t>(version.as_int64()));
+  }
+  return versions;
+}
+
+Result<decide::OriginStatus> OriginStatusFrom(const json::object& object) {
+  BOOST_LEAF_AUTO(probed, model::FlagFieldOr(object, "probe", false));
+  BOOST_LEAF_AUTO(answers, model::FlagFieldOr(object, "answers", false));
+  if (answers)
+    return decide::OriginStatus::kAnswers;
+  return probed ? decide::OriginStatus::kProbed
+                : decide::OriginStatus::kNotStated;
+}
+
 Result<OriginFetchUpdate> DecodeOriginFetches(const json::object& object) {
   OriginFetchUpdate update;
   BOOST_LEAF_ASSIGN(update.m_model, model::TextField(object, "model"));
@@ -315,6 +348,8 @@
   BOOST_LEAF_ASSIGN(report.m_host, model::TextField(object, "host"));
   BOOST_LEAF_ASSIGN(report.m_in_progress, ChunksField(object, "under_way"));
   BOOST_LEAF_ASSIGN(report.m_origin_fetched, ChunksField(object, "drawn"));
+  BOOST_LEAF_ASSIGN(report.m_origin, OriginStatusFrom(object));
+  BOOST_LEAF_ASSIGN(update.m_given_up, VersionsField(object, "given_up"));
   return update;
 }
 
--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -13,9 +13,19 @@
   CPPUNIT_TEST(RoundTripsEachKind);
   CPPUNIT_TEST(DecodesOrRejectsAnyBytes);
   CPPUNIT_TEST(RejectsMalformedSummaries);
+  CPPUNIT_TEST(AnnouncementWithoutOutageIsUnchanged);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against new fields in messages of deployments that don't ask for
+  // them.
+  void AnnouncementWithoutOutageIsUnchanged() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("{\"kind\":\"draws\",\"host\":\"h\",\"model\":\"m\","
+                    "\"version\":2,\"under_way\":[7],\"drawn\":[8]}"),
+        EncodeMessage(OriginFetchUpdate{"m", 2, {"h", {7}, {8}}, {}}));
+  }
+
   void RoundTripsEachKind() {
     EntryUpdate entry;
     entry.m_address = {"e1", "a", Endpoint("10.0.0.1", 80),
@@ -78,7 +88,13 @@
         TokenAnswer{"i-1", 7, true, 0ms, std::nullopt},
         TokenAnswer{"i-1", 8, false, 700ms, RateLimitReport{2.3, 5ms}},
         ChunkUpdate{"10.0.0.2", "m", 2, {0, 3, 47}},
-        OriginFetchUpdate{"m", 2, {"10.0.0.2", {7, 9}, {8}}},
+        OriginFetchUpdate{"m", 2, {"10.0.0.2", {7, 9}, {8}}, {}},
+        OriginFetchUpdate{"m",
+                          4,
+                          {"10.0.0.2", {7}, {}, decide::OriginStatus::kProbed},
+                          {2, 3}},
+        OriginFetchUpdate{
+            "m", 4, {"10.0.0.2", {}, {}, decide::OriginStatus::kAnswers}, {}},
         SubscriptionRequest{true, true, 77, uint64_t{1} << 63, 85},
         SlotRequestMessage{"i-1", 9, 1290, false, 120ms, 250ms, {2, 100}},
         SlotAnswer{9, true, false, replica},
--- a/src/libverbenalead/links/origin_fetch_update.h
+++ b/src/libverbenalead/links/origin_fetch_update.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "decide/transfer/origin_fetch_report.h"
 
@@ -16,6 +17,9 @@
   std::string m_model;
   uint64_t m_version = 0;
   decide::OriginFetchReport m_report;
+  /// Older versions that the sender has given up for `m_version` or a version
+  /// before it. Receivers give them up as well.
+  std::vector<uint64_t> m_given_up;
 
   friend bool operator==(const OriginFetchUpdate&,
                          const OriginFetchUpdate&) = default;
--- a/src/libverbenalead/platform/origin_client.cc
+++ b/src/libverbenalead/platform/origin_client.cc
@@ -75,16 +75,16 @@
   co_return digests;
 }
 
-Awaitable<AsyncResult<std::string>> OriginClient::ReadChunk(
-    Endpoint origin,
-    std::string model,
-    uint64_t version,
-    uint32_t chunk,
-    TimePoint deadline) {
-  co_return co_await Get(origin,
-                         "/piece/" + model + "?num=" + std::to_string(chunk) +
-                             "&version=" + std::to_string(version),
-                         deadline);
+Awaitable<AsyncResult<std::unique_ptr<wire::ResponseReader>>>
+OriginClient::OpenChunk(Endpoint origin,
+                        std::string model,
+                        uint64_t version,
+                        uint32_t chunk,
+                        TimePoint deadline) {
+  wire::Request request;
+  request.m_path = "/piece/" + model + "?num=" + std::to_string(chunk) +
+                   "&version=" + std::to_string(version);
+  co_return co_await m_http.Open(origin, std::move(request), deadline);
 }
 
 }  // namespace verbenalead::platform
--- a/src/libverbenalead/platform/origin_client.h
+++ b/src/libverbenalead/platform/origin_client.h
@@ -1,6 +1,7 @@
 #ifndef VERBENALEAD_PLATFORM_ORIGIN_CLIENT_H_
 #define VERBENALEAD_PLATFORM_ORIGIN_CLIENT_H_
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -24,11 +25,14 @@
                                                           std::string model,
                                                           uint64_t version,
                                                           TimePoint deadline);
-  Awaitable<AsyncResult<std::string>> ReadChunk(Endpoint origin,
-                                                std::string model,
-                                                uint64_t version,
-                                                uint32_t chunk,
-                                                TimePoint deadline);
+  /// Requests a chunk. The caller reads the response, so that it sees the first
+  /// sign of an answer and can cancel the rest.
+  Awaitable<AsyncResult<std::unique_ptr<wire::ResponseReader>>> OpenChunk(
+      Endpoint origin,
+      std::string model,
+      uint64_t version,
+      uint32_t chunk,
+      TimePoint deadline);
 
  private:
   Awaitable<AsyncResult<std::string>> Get(Endpoint origin,
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -10,6 +10,7 @@
 #include "base/log.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
+#include "decide/transfer/origin_fetches.h"
 #include "decide/transfer/transfer.h"
 #include "target/chunk_paths.h"
 #include "target/transfer_members.h"
@@ -50,12 +51,20 @@
 /// Most bytes that all hosts together fetch from the origin, in percent of the
 /// size of a version. The origin charges by the byte.
 constexpr uint32_t kOriginBudgetPercent = 103;
+/// The same where the hosts fetch each chunk from the origin only once. A
+/// second copy takes the link from chunks that no host has yet.
+constexpr uint32_t kSingleCopyPercent = 100;
 constexpr Duration kPeerRequestTimeout = 1s;
 /// Time to wait for the response header. It is long because the sending host
 /// queues requests and responds only when it is a request's turn. The transfer
 /// cancels the fetch sooner if other hosts respond faster.
 constexpr Duration kResponseHeaderTimeout = 4s;
 constexpr Duration kOriginTimeout = 3s;
+/// Limits for the head of the origin's response where its return is announced:
+/// usually, and while it is unavailable. A connection that hangs for longer
+/// would take up the time of several probes.
+constexpr Duration kOriginHeadTimeout = 1s;
+constexpr Duration kProbeTimeout = 300ms;
 constexpr Duration kMembersInterval = 500ms;
 /// A transfer that received no chunk for this time, ten times the duration of a
 /// chunk, has stalled.
@@ -63,6 +72,12 @@
 /// Most concurrent origin fetches of all hosts together. With fewer, the
 /// origin's link is idle until the next host learns that a fetch has ended.
 constexpr uint32_t kMaxOriginFetches = 8;
+/// The same, and those of one host, where each chunk is fetched only once. A
+/// host has to fetch all chunks for which it comes first; if it may not, the
+/// chunk waits until the next host takes it over. With fewer fetches at once,
+/// chunks are complete, and passed on, sooner.
+constexpr uint32_t kMaxSingleCopyFetches = 5;
+constexpr uint32_t kMaxOwnSingleCopyFetches = 4;
 /// Interval between announcements of an origin fetch in progress.
 constexpr Duration kAnnouncementInterval = 250ms;
 /// After this many chunks from the origin that do not match their digests, the
@@ -80,7 +95,10 @@
       static_cast<double>(state.m_options.m_link_rate) * kLinkShare);
   links.m_origin = state.m_origin_rate;
   decide::TransferLimits limits = decide::LimitsFor(
-      links, decide::TransferPreference::kTimeFirst, kOriginBudgetPercent);
+      links, decide::TransferPreference::kTimeFirst,
+      state.m_options.m_origin_outages ? kSingleCopyPercent
+                                       : kOriginBudgetPercent);
+  limits.m_shared_probes = state.m_options.m_origin_outages;
   limits.m_max_fetches = kMaxFetches;
   const double chunk_seconds = static_cast<double>(links.m_chunk_bytes) /
                                static_cast<double>(links.m_host);
@@ -89,10 +107,24 @@
           chunk_seconds * kMaxFetches * kSlowLinkFactor));
   limits.m_takeover_delay = kOriginTakeoverDelay;
   limits.m_max_origin_fetches = kMaxOriginFetches;
+  if (state.m_options.m_origin_outages) {
+    limits.m_max_origin_fetches = kMaxSingleCopyFetches;
+    limits.m_max_own_origin_fetches = kMaxOwnSingleCopyFetches;
+  }
   limits.m_max_origin_backoff = kMaxOriginBackoff;
   return limits;
 }
 
+std::string SourceName(const std::string& host) {
+  return host.empty() ? "origin" : host;
+}
+
+std::string ReasonText(decide::GiveUpReason reason) {
+  return reason == decide::GiveUpReason::kTooLate
+             ? "a newer version binds before this one could be loaded"
+             : "less time without usable weights, or fewer loads, without it";
+}
+
 /// When the first origin fetch of `version` is due.
 TimePoint FirstOriginFetchTime(const TargetState& state,
                                uint64_t version,
@@ -196,6 +228,8 @@
 void ChunkFetcher::HandleOriginFetches(const links::OriginFetchUpdate& update) {
   if (!m_state.m_engine || update.m_model != m_state.m_engine->m_model)
     return;
+  if (m_state.m_options.m_origin_outages)
+    AdoptGivenUp(update);
   if (!decide::HasOnlyKnownChunks(update.m_report,
                                   m_state.m_engine->m_chunks)) {
     LogLine("bad_draw_news")
@@ -205,16 +239,130 @@
         .Warn();
     return;
   }
+  m_supply.RecordOriginFetched(update.m_version,
+                               update.m_report.m_origin_fetched, Now());
+  HandleOriginStatus(update);
   for (const auto& transfer : {m_transfer, m_prefetch}) {
     if (!transfer || transfer->m_version != update.m_version)
       continue;
     decide::RecordOriginFetches(transfer->m_core, update.m_report, Now());
+    AdoptProbe(transfer->m_core.m_probe, update.m_report.m_host, "announced");
     // A fetch has ended, so the next one may start on the origin's link.
-    if (!update.m_report.m_origin_fetched.empty())
+    if (!update.m_report.m_origin_fetched.empty() ||
+        update.m_report.m_origin == decide::OriginStatus::kAnswers)
       transfer->m_wake.cancel();
   }
 }
 
+void ChunkFetcher::HandleOriginStatus(const links::OriginFetchUpdate& update) {
+  if (!m_state.m_options.m_origin_outages)
+    return;
+  const decide::OriginFetchReport& report = update.m_report;
+  const bool answers = report.m_origin == decide::OriginStatus::kAnswers ||
+                       !report.m_origin_fetched.empty();
+  const bool probed = report.m_origin == decide::OriginStatus::kProbed;
+  for (const auto& transfer : {m_transfer, m_prefetch}) {
+    if (!transfer || transfer->m_version == update.m_version)
+      continue;
+    if (answers && decide::RecordOriginAnswer(transfer->m_core, Now()))
+      transfer->m_wake.cancel();
+    if (probed)
+      decide::RecordOriginProbe(transfer->m_core.m_probe, report.m_host, Now());
+    AdoptProbe(transfer->m_core.m_probe, report.m_host, "announced");
+  }
+  if (m_transfer || m_prefetch)
+    return;
+  decide::OriginProbe probe = m_probe;
+  if (answers)
+    decide::RecordProbeAnswer(probe, Now());
+  if (probed)
+    decide::RecordOriginProbe(probe, report.m_host, Now());
+  AdoptProbe(probe, report.m_host, "announced");
+}
+
+void ChunkFetcher::AdoptProbe(const decide::OriginProbe& probe,
+                              const std::string& source,
+                              const std::string& reason) {
+  if (!m_state.m_options.m_origin_outages)
+    return;
+  m_probe = probe;
+  m_state.m_origin_away = probe.m_away;
+  RecordOriginState(!probe.m_away, source, reason);
+}
+
+void ChunkFetcher::HandleOriginAnswer(Transfer& transfer) {
+  if (!decide::RecordOriginAnswer(transfer.m_core, Now()))
+    return;
+  AdoptProbe(transfer.m_core.m_probe, "own fetch", "");
+  transfer.m_wake.cancel();
+  AnnounceOriginFetches(transfer, {}, decide::OriginStatus::kAnswers);
+}
+
+void ChunkFetcher::AdoptGivenUp(const links::OriginFetchUpdate& update) {
+  for (const uint64_t version : update.m_given_up) {
+    // A version is given up only for a newer one, so that one is always left.
+    if (version >= update.m_version)
+      continue;
+    const uint32_t missing = MissingEverywhere(version);
+    if (StopFetching(version)) {
+      LogLine("version_given_up")
+          .With("version", version)
+          .With("for", update.m_version)
+          .With("missing", uint64_t{missing})
+          .With("reason", "given up by " + update.m_report.m_host)
+          .Info();
+    }
+  }
+}
+
+bool ChunkFetcher::StopFetching(uint64_t version) {
+  if (!m_supply.GiveUp(version))
+    return false;
+  for (auto* transfer : {&m_transfer, &m_prefetch}) {
+    if (*transfer && (*transfer)->m_version == version)
+      StopTransfer(*transfer);
+  }
+  return true;
+}
+
+void ChunkFetcher::GiveUp(const std::vector<decide::GivenUpVersion>& versions) {
+  uint64_t replaced_by = 0;
+  for (const decide::GivenUpVersion& each : versions) {
+    if (!StopFetching(each.m_version))
+      continue;
+    replaced_by = std::max(replaced_by, each.m_replaced_by);
+    LogLine("version_given_up")
+        .With("version", each.m_version)
+        .With("for", each.m_replaced_by)
+        .With("missing", uint64_t{each.m_missing})
+        .With("reason", ReasonText(each.m_reason))
+        .Info();
+  }
+  if (replaced_by != 0)
+    m_announce_origin_fetches(Announcement(replaced_by));
+}
+
+uint32_t ChunkFetcher::MissingEverywhere(uint64_t version) const {
+  std::set<uint32_t> present = m_supply.OriginFetched(version);
+  for (const uint32_t chunk : m_state.m_cache.Held(version))
+    present.insert(chunk);
+  for (const auto& transfer : {m_transfer, m_prefetch}) {
+    if (!transfer || transfer->m_version != version)
+      continue;
+    const auto& chunks = transfer->m_core.m_chunks;
+    for (uint32_t chunk = 0; chunk < chunks.size(); ++chunk) {
+      if (chunks[chunk].m_holders != 0)
+        present.insert(chunk);
+    }
+  }
+  const auto total = m_state.m_engine->m_chunks;
+  return total - std::min(total, static_cast<uint32_t>(present.size()));
+}
+
+Duration ChunkFetcher::OriginInterval() const {
+  return m_supply.OriginInterval(LimitsOf(m_state).m_origin_interval);
+}
+
 void ChunkFetcher::RecordCorruptChunk(uint64_t version, uint32_t chunk) {
   for (const auto& transfer : {m_transfer, m_prefetch}) {
     if (!transfer || transfer->m_version != version)
@@ -224,23 +372,34 @@
   }
 }
 
-void ChunkFetcher::RecordOriginState(bool answers, const std::string& reason) {
+void ChunkFetcher::RecordOriginState(bool answers,
+                                     const std::string& source,
+                                     const std::string& reason) {
   if (m_origin_reachable == answers)
     return;
   m_origin_reachable = answers;
   LogLine line(answers ? "origin_regained" : "origin_lost");
-  line.With("origin", ToString(m_state.m_origin));
+  line.With("origin", ToString(m_state.m_origin)).With("source", source);
   if (!answers)
     line.With("reason", reason);
   line.Info();
 }
 
-void ChunkFetcher::AnnounceOriginFetches(Transfer& transfer,
-                                         std::vector<uint32_t> fetched) {
+links::OriginFetchUpdate ChunkFetcher::Announcement(uint64_t version) const {
   links::OriginFetchUpdate update;
   update.m_model = m_state.m_engine->m_model;
-  update.m_version = transfer.m_version;
+  update.m_version = version;
   update.m_report.m_host = m_state.m_options.m_peers.address();
+  const auto& given_up = m_supply.given_up();
+  update.m_given_up.assign(given_up.begin(), given_up.lower_bound(version));
+  return update;
+}
+
+void ChunkFetcher::AnnounceOriginFetches(Transfer& transfer,
+                                         std::vector<uint32_t> fetched,
+                                         decide::OriginStatus status) {
+  links::OriginFetchUpdate update = Announcement(transfer.m_version);
+  update.m_report.m_origin = status;
   for (const auto& [chunk, fetch] : transfer.m_core.m_fetching) {
     if (fetch.m_source.IsOrigin())
       update.m_report.m_in_progress.push_back(chunk);
@@ -263,6 +422,11 @@
        m_state.m_options.m_data_center},
       m_state.m_engine->m_chunks, limits, Now(),
       FirstOriginFetchTime(m_state, version, Now()));
+  transfer->m_core.m_probe = m_probe;
+  if (m_state.m_options.m_origin_outages) {
+    for (uint32_t chunk : m_supply.OriginFetched(version))
+      transfer->m_core.m_chunks[chunk].m_origin_fetched = true;
+  }
   for (uint32_t chunk : m_state.m_cache.Held(version))
     decide::RecordChunkArrival(transfer->m_core, chunk, Now());
   LogLine("transfer_begun")
@@ -272,6 +436,17 @@
   return transfer;
 }
 
+TimePoint ChunkFetcher::NextStepTime(const Transfer& transfer) {
+  const TimePoint now = Now();
+  const TimePoint tick = now + decide::kTransferTick;
+  const decide::TransferState& core = transfer.m_core;
+  if (!core.m_probe.m_away)
+    return tick;
+  const TimePoint probe =
+      decide::NextProbeTime(core.m_probe, core.m_members, core.m_self.m_name);
+  return probe > now ? std::min(tick, probe) : tick;
+}
+
 Awaitable<void> ChunkFetcher::Run(std::shared_ptr<Transfer> transfer,
                                   asio::any_io_executor executor) {
   const TimePoint begun = Now();
@@ -279,7 +454,7 @@
          transfer->m_origin_mismatches < kMaxOriginMismatches) {
     UpdateMembers(*transfer);
     DoStep(transfer, executor);
-    transfer->m_wake.expires_after(decide::kTransferTick);
+    transfer->m_wake.expires_at(NextStepTime(*transfer));
     boost::system::error_code ignored;
     co_await transfer->m_wake.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
@@ -301,6 +476,8 @@
 
 Awaitable<void> ChunkFetcher::Fetch(uint64_t version) {
   const auto executor = co_await asio::this_coro::executor;
+  if (IsGivenUp(version))
+    co_return;
   StopTransfer(m_transfer);
   if (m_prefetch && m_prefetch->m_version == version) {
     // Continuing the transfer keeps its origin fetches and what is known of the
@@ -337,7 +514,7 @@
   };
   while (has_digests && is_current() && !OriginNoLongerNeeded())
     co_await Sleep(decide::kTransferTick);
-  if (has_digests && is_current() && !m_prefetch) {
+  if (has_digests && is_current() && !m_prefetch && !IsGivenUp(version)) {
     decide::TransferLimits limits = LimitsOf(m_state);
     limits.m_max_fetches = kMaxFetchesAhead;
     const auto transfer = CreateTransfer(version, limits, executor);
@@ -395,8 +572,13 @@
           FetchChunk(transfer, fetch.m_chunk, fetch.m_source.m_host, arrival),
           "fetch_chunk");
   }
-  if (starts_origin_fetch || Now() >= transfer->m_next_announcement)
-    AnnounceOriginFetches(*transfer, {});
+  // While the origin is unavailable, only the start of a probe is announced:
+  // the turns of the other hosts count from it.
+  const bool away = transfer->m_core.m_probe.m_away;
+  if (starts_origin_fetch || (!away && Now() >= transfer->m_next_announcement))
+    AnnounceOriginFetches(*transfer, {},
+                          away ? decide::OriginStatus::kProbed
+                               : decide::OriginStatus::kNotStated);
 }
 
 Awaitable<AsyncResult<std::string>> ChunkFetcher::ReadFromHost(
@@ -419,7 +601,39 @@
   if (arrival->m_cancelled)
     co_return CancelledFailure(host);
   arrival->m_reader = &reader;
-  auto bytes = co_await ReadChunkFrom(transfer, chunk, host, reader);
+  const ReadDeadlines deadlines = {Now() + kResponseHeaderTimeout,
+                                   kPeerRequestTimeout, TimePoint::max()};
+  auto bytes = co_await ReadChunkFrom(transfer, chunk, host, reader, deadlines);
+  arrival->m_reader = nullptr;
+  co_return bytes;
+}
+
+Awaitable<AsyncResult<std::string>> ChunkFetcher::ReadFromOrigin(
+    std::shared_ptr<Transfer> transfer,
+    uint32_t chunk,
+    std::shared_ptr<PendingFetch> arrival) {
+  const bool announces_return = m_state.m_options.m_origin_outages;
+  ReadDeadlines deadlines;
+  deadlines.m_end = Now() + kOriginTimeout;
+  deadlines.m_head = deadlines.m_end;
+  deadlines.m_piece = kOriginTimeout;
+  if (announces_return) {
+    deadlines.m_head =
+        Now() + (m_state.m_origin_away ? kProbeTimeout : kOriginHeadTimeout);
+  }
+  auto opened =
+      co_await m_origin.OpenChunk(m_state.m_origin, m_state.m_engine->m_model,
+                                  transfer->m_version, chunk, deadlines.m_head);
+  if (!opened)
+    co_return opened.error();
+  wire::ResponseReader& reader = **opened;
+  if (arrival->m_cancelled && announces_return)
+    co_return CancelledFailure("origin");
+  // Without a version choice, a chunk from the origin is kept even if its
+  // transfer has ended.
+  if (announces_return)
+    arrival->m_reader = &reader;
+  auto bytes = co_await ReadChunkFrom(transfer, chunk, "", reader, deadlines);
   arrival->m_reader = nullptr;
   co_return bytes;
 }
@@ -428,24 +642,30 @@
     std::shared_ptr<Transfer> transfer,
     uint32_t chunk,
     std::string host,
-    wire::ResponseReader& reader) {
-  const auto head = co_await reader.ReadHead(Now() + kResponseHeaderTimeout);
+    wire::ResponseReader& reader,
+    ReadDeadlines deadlines) {
+  const auto head = co_await reader.ReadHead(deadlines.m_head);
   if (!head)
     co_return head.error();
   if (head->m_status != 200) {
-    co_return Failure{FailureCode::kRefused, "fetch chunk", host,
+    co_return Failure{FailureCode::kRefused, "fetch chunk", SourceName(host),
                       "status " + std::to_string(head->m_status)};
   }
+  if (host.empty()) {
+    decide::RecordChunkProgress(transfer->m_core, chunk, Now());
+    HandleOriginAnswer(*transfer);
+  }
   std::string bytes;
   while (true) {
-    auto piece = co_await reader.ReadBody(Now() + kPeerRequestTimeout);
+    auto piece = co_await reader.ReadBody(
+        std::min<TimePoint>(deadlines.m_end, Now() + deadlines.m_piece));
     if (!piece)
       co_return piece.error();
     if (!piece->has_value())
       co_return bytes;
     bytes += **piece;
     if (bytes.size() > m_state.m_engine->m_chunk_bytes) {
-      co_return Failure{FailureCode::kCorrupt, "fetch chunk", host,
+      co_return Failure{FailureCode::kCorrupt, "fetch chunk", SourceName(host),
                         "longer than declared"};
     }
     decide::RecordChunkProgress(transfer->m_core, chunk, Now());
@@ -460,9 +680,7 @@
   const bool from_origin = host.empty();
   AsyncResult<std::string> bytes = std::string();
   if (from_origin) {
-    bytes = co_await m_origin.ReadChunk(
-        m_state.m_origin, m_state.m_engine->m_model, transfer->m_version, chunk,
-        Now() + kOriginTimeout);
+    bytes = co_await ReadFromOrigin(transfer, chunk, arrival);
   } else {
     bytes = co_await ReadFromHost(transfer, chunk, host, arrival);
   }
@@ -484,8 +702,12 @@
   }
   if (kept) {
     if (from_origin) {
-      RecordOriginState(true, "");
+      RecordOriginState(true, "own fetch", "");
       ++transfer->m_from_origin;
+      m_supply.RecordOriginFetched(transfer->m_version, {chunk}, Now());
+      m_state.m_metrics.Count(
+          "chunks_drawn_total",
+          "version=\"" + std::to_string(transfer->m_version) + "\"");
       LogLine("chunk_drawn")
           .With("chunk", uint64_t{chunk})
           .With("version", transfer->m_version)
@@ -505,18 +727,20 @@
       bytes.has_value() || bytes.error().m_code == FailureCode::kCorrupt;
   if (corrupt && from_origin)
     ++transfer->m_origin_mismatches;
-  if (from_origin && !corrupt)
-    RecordOriginState(false, ToString(bytes.error()));
+  if (from_origin && !corrupt && !m_state.m_options.m_origin_outages)
+    RecordOriginState(false, "own fetch", ToString(bytes.error()));
   LogLine("chunk_failed")
       .With("chunk", uint64_t{chunk})
       .With("version", transfer->m_version)
-      .With("source", from_origin ? "origin" : host)
+      .With("source", SourceName(host))
       .With("reason",
             corrupt ? "the bytes do not have the declared digest or length"
                     : ToString(bytes.error()))
       .Info();
   decide::RecordChunkFailure(transfer->m_core, chunk, corrupt, Now(),
                              m_state.m_random);
+  if (from_origin && !corrupt)
+    AdoptProbe(transfer->m_core.m_probe, "own fetch", ToString(bytes.error()));
 }
 
 }  // namespace verbenalead::target
--- a/src/libverbenalead/target/chunk_fetcher.h
+++ b/src/libverbenalead/target/chunk_fetcher.h
@@ -6,11 +6,14 @@
 #include <string>
 #include <vector>
 
+#include "decide/transfer/given_up_version.h"
+#include "decide/transfer/origin_probe.h"
 #include "decide/transfer/transfer_limits.h"
 #include "links/chunk_update.h"
 #include "links/origin_fetch_update.h"
 #include "platform/origin_client.h"
 #include "target/digest_reader.h"
+#include "target/supply_tracker.h"
 #include "target/target_state.h"
 #include "wire/client.h"
 
@@ -55,6 +58,14 @@
   /// A staged chunk of `version` was found to be corrupt and has to be fetched
   /// again.
   void RecordCorruptChunk(uint64_t version, uint32_t chunk);
+  /// Stops the transfers of `versions`, never fetches them again, and tells the
+  /// other hosts.
+  void GiveUp(const std::vector<decide::GivenUpVersion>& versions);
+  bool IsGivenUp(uint64_t version) const { return m_supply.IsGivenUp(version); }
+  /// The number of chunks of `version` that no host is known to have.
+  uint32_t MissingEverywhere(uint64_t version) const;
+  /// Time in which the origin sends a chunk.
+  Duration OriginInterval() const;
   /// Hosts whose chunk updates the transfers need.
   std::vector<std::string> FollowedHosts() const;
   /// See `DigestReader::Obtain`.
@@ -64,6 +75,13 @@
 
  private:
   struct Transfer;
+  /// Time limits for the response to a request for a chunk.
+  struct ReadDeadlines {
+    TimePoint m_head{};
+    /// From one piece of the body to the next.
+    Duration m_piece{};
+    TimePoint m_end{};
+  };
   /// A chunk that is being fetched.
   struct PendingFetch {
     bool m_cancelled = false;
@@ -80,14 +98,39 @@
   /// stopped, or the digests are found to be wrong.
   Awaitable<void> Run(std::shared_ptr<Transfer> transfer,
                       boost::asio::any_io_executor executor);
+  /// When the core of `transfer` is to be called again, if no event comes
+  /// first.
+  static TimePoint NextStepTime(const Transfer& transfer);
   /// Releases `transfer`, which has ended.
   void End(const std::shared_ptr<Transfer>& transfer);
   static void StopTransfer(std::shared_ptr<Transfer>& transfer);
   /// Announces to the other hosts which chunks this host is fetching from the
   /// origin, and which ones it has just fetched from there (`fetched`).
-  void AnnounceOriginFetches(Transfer& transfer, std::vector<uint32_t> fetched);
-  /// Records and logs whether the origin answers. `reason`: the failure if not.
-  void RecordOriginState(bool answers, const std::string& reason);
+  void AnnounceOriginFetches(
+      Transfer& transfer,
+      std::vector<uint32_t> fetched,
+      decide::OriginStatus status = decide::OriginStatus::kNotStated);
+  /// An announcement about `version`, with the versions before it that were
+  /// given up.
+  links::OriginFetchUpdate Announcement(uint64_t version) const;
+  /// Records and logs whether the origin answers. `source`: where this is known
+  /// from; `reason`: the failure if it doesn't.
+  void RecordOriginState(bool answers,
+                         const std::string& source,
+                         const std::string& reason);
+  /// Adopts what the core of a transfer knows of the origin.
+  void AdoptProbe(const decide::OriginProbe& probe,
+                  const std::string& source,
+                  const std::string& reason);
+  /// The head of a response of the origin was received.
+  void HandleOriginAnswer(Transfer& transfer);
+  /// Handles what an announcement says of the origin, for transfers of other
+  /// versions than that of `update`.
+  void HandleOriginStatus(const links::OriginFetchUpdate& update);
+  /// Gives up the versions that another host announced.
+  void AdoptGivenUp(const links::OriginFetchUpdate& update);
+  /// Returns whether `version` was not given up before.
+  bool StopFetching(uint64_t version);
   bool IsInSameDataCenter(const std::string& host) const;
   void UpdateMembers(Transfer& transfer);
   void DoStep(const std::shared_ptr<Transfer>& transfer,
@@ -101,11 +144,17 @@
       uint32_t chunk,
       std::string host,
       std::shared_ptr<PendingFetch> arrival);
+  Awaitable<AsyncResult<std::string>> ReadFromOrigin(
+      std::shared_ptr<Transfer> transfer,
+      uint32_t chunk,
+      std::shared_ptr<PendingFetch> arrival);
+  /// `host`: empty for the origin.
   Awaitable<AsyncResult<std::string>> ReadChunkFrom(
       std::shared_ptr<Transfer> transfer,
       uint32_t chunk,
       std::string host,
-      wire::ResponseReader& reader);
+      wire::ResponseReader& reader,
+      ReadDeadlines deadlines);
 
   TargetState& m_state;
   wire::Client& m_peers;
@@ -117,6 +166,9 @@
   /// The transfer of a newer version, fetched ahead.
   std::shared_ptr<Transfer> m_prefetch;
   bool m_origin_reachable = true;
+  SupplyTracker m_supply;
+  /// What the transfers know of the origin, for those that start later.
+  decide::OriginProbe m_probe;
   /// The version that `Prefetch` prepares or fetches; 0: none.
   uint64_t m_prefetch_version = 0;
 };
--- a/src/libverbenalead/target/engine_controller.cc
+++ b/src/libverbenalead/target/engine_controller.cc
@@ -1,5 +1,6 @@
 #include "target/engine_controller.h"
 
+#include <algorithm>
 #include <boost/asio/this_coro.hpp>
 #include <cmath>
 
@@ -167,9 +168,11 @@
         std::max(SpreadTime(m_state),
                  std::chrono::duration_cast<Duration>(times.m_transfer * left));
     const auto complete_at = m_version_complete_at.find(version);
-    declared[version] = {when, complete_at == m_version_complete_at.end()
-                                   ? Now() + needed
-                                   : complete_at->second};
+    declared[version] = {
+        when,
+        complete_at == m_version_complete_at.end() ? Now() + needed
+                                                   : complete_at->second,
+        m_fetcher.IsGivenUp(version) && !m_state.m_cache.Complete(version)};
   }
   if (auto plan = decide::PlanLoad(times, declared, Loaded()))
     return plan;
@@ -185,10 +188,48 @@
   // hosts even if the origin fails. The newer version may be unavailable for a
   // long time.
   const uint64_t version = m_fetcher.version();
+  if (!m_fetch_order.empty())
+    return version == VersionToFetch(version);
   return version > Loaded() && m_fetcher.is_progressing() &&
          m_state.m_cache.HeldShare(version) >= decide::kMinShareToFinish;
 }
 
+std::map<uint64_t, decide::VersionSupply> EngineController::Supplies() const {
+  const Duration bound = LoadTimesOf(m_state).m_bound;
+  std::map<uint64_t, decide::VersionSupply> supplies;
+  for (const auto& [version, declared] : m_state.m_declared) {
+    if (version <= Loaded())
+      continue;
+    // A version declared before this process started may be held by hosts that
+    // it has not heard of.
+    const bool is_held = declared < m_started_at || IsLoadedElsewhere(version);
+    supplies[version] = {
+        declared + bound, is_held ? 0 : m_fetcher.MissingEverywhere(version),
+        m_state.m_cache.Find(version) != nullptr, m_fetcher.IsGivenUp(version)};
+  }
+  return supplies;
+}
+
+void EngineController::ChooseVersion() {
+  m_fetch_order.clear();
+  if (!m_state.m_options.m_origin_outages || Loaded() == 0)
+    return;
+  const decide::VersionTimes times = {m_fetcher.OriginInterval(),
+                                      SpreadTime(m_state),
+                                      m_state.m_engine->m_load, kLoadOutage};
+  decide::VersionChoice choice =
+      decide::ChooseVersions(Supplies(), times, !m_state.m_origin_away, Now());
+  m_fetcher.GiveUp(choice.m_given_up);
+  m_fetch_order = std::move(choice.m_fetch_order);
+}
+
+uint64_t EngineController::VersionToFetch(uint64_t planned) const {
+  const auto next = std::find_if(
+      m_fetch_order.begin(), m_fetch_order.end(),
+      [&](uint64_t each) { return !m_state.m_cache.Complete(each); });
+  return next == m_fetch_order.end() ? planned : *next;
+}
+
 bool EngineController::IsLoadedElsewhere(uint64_t version) const {
   for (const auto& [id, replica] : m_state.m_replicas) {
     const auto loaded = replica.m_weights.find(m_state.m_engine->m_model);
@@ -212,6 +253,7 @@
     m_closing = false;
     co_return;
   }
+  ChooseVersion();
   const auto plan = PlanNextLoad();
   const uint64_t version = plan ? plan->m_version : Loaded();
   m_closing = plan && Loaded() > 0 && m_state.m_cache.Staged(version) &&
@@ -225,7 +267,7 @@
   }
   co_await m_stager.Stage(version, Loaded());
   if (!m_state.m_cache.Complete(version)) {
-    co_await Obtain(version);
+    co_await Obtain(VersionToFetch(version));
     co_await PrefetchNewest();
     co_return;
   }
@@ -233,7 +275,7 @@
     co_return;
   // Fetches the newest version while this one waits for its scheduled load.
   if (m_fetcher.version() == 0)
-    co_await Obtain(NewestVersion(m_state));
+    co_await Obtain(VersionToFetch(NewestVersion(m_state)));
   // An engine without weights serves no calls, so it loads at once.
   if (m_state.m_cache.Staged(version) &&
       (Loaded() == 0 || Now() >= LoadTime(*plan)))
--- a/src/libverbenalead/target/engine_controller.h
+++ b/src/libverbenalead/target/engine_controller.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "decide/rollout/load_plan.h"
+#include "decide/transfer/version_choice.h"
 #include "links/replica_update.h"
 #include "platform/engine_client.h"
 #include "target/chunk_fetcher.h"
@@ -58,6 +59,13 @@
   Awaitable<void> PrefetchNewest();
   /// Whether the current transfer should finish before another one starts.
   bool ShouldFinishFetch() const;
+  /// Chooses which of the declared versions are fetched and in which order.
+  /// Only with m_options.m_origin_outages.
+  void ChooseVersion();
+  /// What the hosts know of the versions to choose from.
+  std::map<uint64_t, decide::VersionSupply> Supplies() const;
+  /// The version to fetch now, where `planned` is the next one to load.
+  uint64_t VersionToFetch(uint64_t planned) const;
   /// Records when each version in the cache became complete.
   void RecordCompleteVersions();
   /// What to load next; nothing if the engine runs the version that it should.
@@ -89,6 +97,10 @@
   /// When this host was first seen to hold all chunks of each version;
   /// incomplete versions are absent.
   std::map<uint64_t, TimePoint> m_version_complete_at;
+  /// Versions to fetch, in order; empty if nothing was chosen.
+  std::vector<uint64_t> m_fetch_order;
+  /// Versions declared before it were announced to this process only in part.
+  const TimePoint m_started_at = Now();
   /// The state at the last call of `m_notify` from `Run`.
   links::ReplicaUpdate m_last_update;
 };
--- a/src/libverbenalead/target/target_options.cc
+++ b/src/libverbenalead/target/target_options.cc
@@ -17,6 +17,9 @@
       .Number("link", 1000, "Mbit/s", "rate of this host's link")
       .Number("bounds.weights", 8000, "ms",
               "time within which new weights must be in force")
+      .Flag("weights.origin_outages", false,
+            "hosts probe an unavailable origin in turns, announce its return, "
+            "and choose together which of several declared versions they fetch")
       .Number("cold.overrun", 1, "times the stated rate",
               "calls that a cold replica may get in a second, from all entries "
               "together")
@@ -38,6 +41,7 @@
   options.m_weights_bound = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(
           settings.Number("bounds.weights")));
+  options.m_origin_outages = settings.Flag("weights.origin_outages");
   options.m_cold_overrun = settings.Number("cold.overrun");
   options.m_cold_slack = settings.Number("cold.slack");
   return options;
--- a/src/libverbenalead/target/target_options.h
+++ b/src/libverbenalead/target/target_options.h
@@ -25,6 +25,9 @@
   /// Time from the declaration of new weights within which all replicas that
   /// take calls must use them.
   Duration m_weights_bound{};
+  /// Whether hosts probe an unavailable origin in turns, announce its return,
+  /// and give up declared versions for newer ones.
+  bool m_origin_outages = false;
   /// As in entry::EntryOptions.
   double m_cold_overrun = 1;
   double m_cold_slack = 0;
--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -131,7 +131,7 @@
         return entry
 
     def add_replica(self, service="pool", model="model", version=0,
-                    data_center="a", **extra):
+                    data_center="a", target_settings=None, **extra):
         self.replicas_started += 1
         number = self.replicas_started
         ip = "127.0.2.%d" % number
@@ -149,12 +149,13 @@
         harness.wait_for(name + " to answer",
                          lambda: self.answers_at_all(replica))
         if model:
+            target = {"host": replica["target"], "data_center": data_center,
+                      "service": service, "engine": replica["address"],
+                      "listen": {"peers": "%s:%d" % (ip, self.peer_port)},
+                      "store": {"address": self.store_for(replica["target"])}}
+            target.update(target_settings or {})
             self.cluster.start_platform_program(
-                replica["target"], "vltarget",
-                {"host": replica["target"], "data_center": data_center,
-                 "service": service, "engine": replica["address"],
-                 "listen": {"peers": "%s:%d" % (ip, self.peer_port)},
-                 "store": {"address": self.store_for(replica["target"])}})
+                replica["target"], "vltarget", target)
         self.replicas.append(replica)
         return replica
 
