--- a/src/libverbenalead/decide/rollout/load_plan_test.cc
+++ b/src/libverbenalead/decide/rollout/load_plan_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(VersionIsSkippedIfNewerArrivesInTime);
   CPPUNIT_TEST(OlderVersionIsLoadedWhileOriginIsDown);
   CPPUNIT_TEST(SoonUnusableVersionIsSkipped);
+  CPPUNIT_TEST(GivenUpVersionIsNotLoaded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -79,6 +80,16 @@
     CPPUNIT_ASSERT_EQUAL(
         uint64_t{2}, PlanLoad(kTimes, {{2, Declared(0s, 99s)}}, 1)->m_version);
   }
+
+  // Guards against a plan for a version whose chunks no host fetches any more,
+  // and against loads that end only after it has become binding.
+  void GivenUpVersionIsNotLoaded() {
+    DeclaredVersion older = Declared(0s, 3s);
+    older.m_given_up = true;
+    const auto plan = PlanLoad(kTimes, {{2, older}, {3, Declared(2s, 6s)}}, 1);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{3}, plan->m_version);
+    CPPUNIT_ASSERT(plan->m_last_load_at == kStart + kTimes.m_bound);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LoadPlanTest);
