Calls stay in the regions that their route and organisation name

Cause: placement looked at load alone, so calls reached replicas in regions in which they must not be served, and replicas of evacuated data centres.

The pool skips replicas that the call may not use, or that are evacuated, in each function that looks for a replica, judges whether a call can start, or counts capacity; a grant that arrives late is checked again. A call that no replica may get is refused at once with `regions` or `evacuation` as the reason. Nothing sets the evacuated data centres of a pool yet; calls without regions are placed as before.

AddGrantedSlot, MayStartBy, WaitForReplica and CallsWantedFrom take the call; the tests of these pass one without regions and check the same as before.

--- a/src/libverbenalead/decide/admission/call_policy.cc
+++ b/src/libverbenalead/decide/admission/call_policy.cc
@@ -114,6 +114,10 @@
       return "not_ready";
     case Refusal::kNoReplica:
       return "no_replica";
+    case Refusal::kRegions:
+      return "regions";
+    case Refusal::kEvacuation:
+      return "evacuation";
     case Refusal::kFull:
       return "full";
     case Refusal::kRateLimit:
@@ -132,6 +136,8 @@
       // Another entry can serve the call at once.
       return RandomDuration(100ms, 400ms, random);
     case Refusal::kNoReplica:
+    case Refusal::kRegions:
+    case Refusal::kEvacuation:
       // Replicas restart or load weights for several seconds; a caller that
       // retries earlier only uses up its attempts.
       return RandomDuration(1500ms, 2500ms, random);
--- a/src/libverbenalead/decide/admission/call_policy.h
+++ b/src/libverbenalead/decide/admission/call_policy.h
@@ -65,12 +65,14 @@
 
 /// Why a call is refused before it ran.
 enum class Refusal {
-  kNotReady,   ///< This entry stops or lacks configuration.
-  kNoReplica,  ///< No replica is usable.
-  kFull,       ///< All replicas are full.
-  kRateLimit,  ///< All replicas have rate limits that are used up.
-  kRest,       ///< All replicas have asked this entry for a rest.
-  kCrashes,    ///< The request crashed replicas.
+  kNotReady,    ///< This entry stops or lacks configuration.
+  kNoReplica,   ///< No replica is usable.
+  kRegions,     ///< No replica is in a region in which the call may be served.
+  kEvacuation,  ///< All replicas that may get the call are evacuated.
+  kFull,        ///< All replicas are full.
+  kRateLimit,   ///< All replicas have rate limits that are used up.
+  kRest,        ///< All replicas have asked this entry for a rest.
+  kCrashes,     ///< The request crashed replicas.
 };
 
 const char* ToString(Refusal refusal);
--- a/src/libverbenalead/decide/config/route_table.cc
+++ b/src/libverbenalead/decide/config/route_table.cc
@@ -24,16 +24,20 @@
 
 const model::Route* RouteTable::FindRoute(const std::string& host,
                                           const std::string& path) const {
-  const auto found = m_routes.find(host);
-  if (found == m_routes.end())
-    return nullptr;
-  for (const model::Route* route : found->second) {
+  for (const model::Route* route : RoutesOf(host)) {
     if (path.starts_with(route->m_path_prefix))
       return route;
   }
   return nullptr;
 }
 
+const std::vector<const model::Route*>& RouteTable::RoutesOf(
+    const std::string& host) const {
+  static const std::vector<const model::Route*> kNone;
+  const auto found = m_routes.find(host);
+  return found == m_routes.end() ? kNone : found->second;
+}
+
 const model::Organisation* RouteTable::FindOrganisation(
     const std::string& key) const {
   const auto found = m_keys.find(key);
--- a/src/libverbenalead/decide/config/route_table.h
+++ b/src/libverbenalead/decide/config/route_table.h
@@ -25,6 +25,9 @@
   /// or null.
   const model::Route* FindRoute(const std::string& host,
                                 const std::string& path) const;
+  /// The routes of `host`, the longest path prefix first.
+  const std::vector<const model::Route*>& RoutesOf(
+      const std::string& host) const;
   /// The organisation that owns the API key `key`, or null.
   const model::Organisation* FindOrganisation(const std::string& key) const;
   /// The service with this name, or null.
--- a/src/libverbenalead/decide/placement/fake_fleet.h
+++ b/src/libverbenalead/decide/placement/fake_fleet.h
@@ -305,7 +305,7 @@
       }
       ReplicaPool& pool = m_entries[call.m_entry];
       RemoveWaitingCall(pool, number);
-      AddGrantedSlot(pool, Name(replica), call.m_prompt_tokens, m_now);
+      AddGrantedSlot(pool, Name(replica), PoolCallOf(number), m_now);
       Start(number, replica);
     });
   }
--- a/src/libverbenalead/decide/placement/replica_pool.cc
+++ b/src/libverbenalead/decide/placement/replica_pool.cc
@@ -76,9 +76,27 @@
 constexpr Duration kStatementLifetime = std::chrono::minutes(10);
 constexpr size_t kMaxUnlisted = 1024;
 
-/// Whether the replica wants calls of this entry, by its own statements.
-bool WantsCalls(const ReplicaState& state, TimePoint now) {
-  return !state.m_known.m_leaving && state.m_known.m_rest_until <= now;
+bool IsEvacuated(const ReplicaPool& pool, const ReplicaState& state) {
+  return pool.m_evacuated_data_centers.contains(state.m_replica.m_data_center);
+}
+
+/// Whether the replica is in a data centre that `call` may use.
+bool IsAllowed(const ReplicaState& state, const PoolCall& call) {
+  return !call.m_data_centers ||
+         call.m_data_centers->contains(state.m_replica.m_data_center);
+}
+
+/// Whether the replica may get calls of this entry at some time, by its own
+/// statements and the operator's.
+bool MayWantCalls(const ReplicaPool& pool, const ReplicaState& state) {
+  return !state.m_known.m_leaving && !IsEvacuated(pool, state);
+}
+
+/// The same for now.
+bool WantsCalls(const ReplicaPool& pool,
+                const ReplicaState& state,
+                TimePoint now) {
+  return MayWantCalls(pool, state) && state.m_known.m_rest_until <= now;
 }
 
 /// Whether a replica whose rest is over may get one more call now.
@@ -91,7 +109,7 @@
 }
 
 bool Usable(const ReplicaPool& pool, const ReplicaState& state, TimePoint now) {
-  return WantsCalls(state, now) && state.m_loading_until <= now &&
+  return WantsCalls(pool, state, now) && state.m_loading_until <= now &&
          state.m_backoff_until <= now &&
          state.m_weights >= pool.m_required_weights;
 }
@@ -350,15 +368,16 @@
                 const std::string& replica,
                 TimePoint now) {
   const auto found = pool.m_replicas.find(replica);
-  return found != pool.m_replicas.end() && !WantsCalls(found->second, now);
+  return found != pool.m_replicas.end() &&
+         !WantsCalls(pool, found->second, now);
 }
 
-TimePoint CallsWantedFrom(const ReplicaPool& pool) {
-  if (pool.m_replicas.empty())
+TimePoint CallsWantedFrom(const ReplicaPool& pool, const PoolCall& call) {
+  if (pool.m_replicas.empty() && !call.m_data_centers)
     return TimePoint();
   TimePoint earliest = TimePoint::max();
   for (const auto& [id, state] : pool.m_replicas) {
-    if (!state.m_known.m_leaving)
+    if (MayWantCalls(pool, state) && IsAllowed(state, call))
       earliest = std::min(earliest, state.m_known.m_rest_until);
   }
   return earliest;
@@ -372,8 +391,9 @@
   ReplicaState* best = nullptr;
   double best_cost = 0;
   for (auto& [id, state] : pool.m_replicas) {
-    if (!Usable(pool, state, now) || IsHeldBack(state, now) ||
-        !MayReturn(state, now) || call.m_attempted_replicas.contains(id) ||
+    if (!Usable(pool, state, now) || !IsAllowed(state, call) ||
+        IsHeldBack(state, now) || !MayReturn(state, now) ||
+        call.m_attempted_replicas.contains(id) ||
         !HasRoom(state.m_replica.m_slots, pool.m_prefill_rate, Load(state),
                  state.m_unread_tokens + state.m_other_entries_unread_tokens) ||
         !CanReadInTime(pool, state, call, now))
@@ -401,8 +421,8 @@
   std::vector<Candidate> candidates;
   std::vector<Candidate> held_back;
   for (const auto& [id, state] : pool.m_replicas) {
-    if (Usable(pool, state, now) && MayReturn(state, now) &&
-        !call.m_attempted_replicas.contains(id)) {
+    if (Usable(pool, state, now) && IsAllowed(state, call) &&
+        MayReturn(state, now) && !call.m_attempted_replicas.contains(id)) {
       auto& list = IsHeldBack(state, now) ? held_back : candidates;
       list.emplace_back(PlacementCost(pool, state, call, now) + noise(random),
                         id);
@@ -421,15 +441,15 @@
 
 bool AddGrantedSlot(ReplicaPool& pool,
                     const std::string& replica,
-                    uint32_t prompt_tokens,
+                    const PoolCall& call,
                     TimePoint now) {
   const auto found = pool.m_replicas.find(replica);
-  if (found == pool.m_replicas.end() || !WantsCalls(found->second, now) ||
-      !MayReturn(found->second, now))
+  if (found == pool.m_replicas.end() || !WantsCalls(pool, found->second, now) ||
+      !IsAllowed(found->second, call) || !MayReturn(found->second, now))
     return false;
   ++found->second.m_in_flight;
   ++found->second.m_calls_since_rest;
-  found->second.m_unread_tokens += prompt_tokens;
+  found->second.m_unread_tokens += call.m_prompt_tokens;
   return true;
 }
 
@@ -547,17 +567,19 @@
 }
 
 std::optional<StatedWait> WaitForReplica(const ReplicaPool& pool,
+                                         const PoolCall& call,
                                          TimePoint now) {
   std::optional<StatedWait> wait;
   bool rests = false;
   for (const auto& [id, state] : pool.m_replicas) {
-    if (state.m_known.m_leaving || state.m_loading_until > now ||
+    if (!MayWantCalls(pool, state) || !IsAllowed(state, call) ||
+        state.m_loading_until > now ||
         state.m_weights < pool.m_required_weights)
       continue;
     // A replica without a limit that is in its backoff is full or fails.
-    if (!IsHeldBack(state, now) && WantsCalls(state, now))
+    if (!IsHeldBack(state, now) && WantsCalls(pool, state, now))
       return std::nullopt;
-    rests |= !WantsCalls(state, now);
+    rests |= !WantsCalls(pool, state, now);
     const TimePoint held_until =
         IsHeldBack(state, now) ? state.m_rate_held_until : TimePoint();
     const Duration left =
@@ -567,14 +589,17 @@
   return wait;
 }
 
-bool MayStartBy(const ReplicaPool& pool, TimePoint deadline, TimePoint now) {
-  if (CallsWantedFrom(pool) > deadline)
+bool MayStartBy(const ReplicaPool& pool,
+                const PoolCall& call,
+                TimePoint deadline,
+                TimePoint now) {
+  if (CallsWantedFrom(pool, call) > deadline)
     return false;
   bool has_limits = false;
   bool has_candidate = false;
   double rate = 0;
   for (const auto& [id, state] : pool.m_replicas) {
-    if (state.m_known.m_leaving)
+    if (!MayWantCalls(pool, state) || !IsAllowed(state, call))
       continue;
     const TimePoint usable_at =
         std::max({state.m_loading_until, state.m_backoff_until,
@@ -594,16 +619,43 @@
           static_cast<double>(pool.m_waiting.size()) < 1 + rate * seconds);
 }
 
-bool HasUsableReplica(const ReplicaPool& pool, TimePoint now) {
+Exclusion ExclusionOf(const ReplicaPool& pool, const PoolCall& call) {
+  bool has_allowed = !call.m_data_centers;
+  bool has_evacuated = false;
+  for (const auto& [id, state] : pool.m_replicas) {
+    if (!IsAllowed(state, call))
+      continue;
+    if (!IsEvacuated(pool, state))
+      return Exclusion::kNone;
+    has_allowed = true;
+    has_evacuated = true;
+  }
+  if (!has_allowed)
+    return Exclusion::kRegions;
+  return has_evacuated ? Exclusion::kEvacuation : Exclusion::kNone;
+}
+
+bool HasUsableReplica(const ReplicaPool& pool,
+                      const PoolCall& call,
+                      TimePoint now) {
   return std::any_of(
-      pool.m_replicas.begin(), pool.m_replicas.end(),
-      [&](const auto& entry) { return Usable(pool, entry.second, now); });
+      pool.m_replicas.begin(), pool.m_replicas.end(), [&](const auto& entry) {
+        return IsAllowed(entry.second, call) && Usable(pool, entry.second, now);
+      });
+}
+
+bool HasUsableReplica(const ReplicaPool& pool, TimePoint now) {
+  return HasUsableReplica(pool, PoolCall(), now);
 }
 
 PoolLoad LoadOf(const ReplicaPool& pool, TimePoint now) {
+  return LoadOf(pool, PoolCall(), now);
+}
+
+PoolLoad LoadOf(const ReplicaPool& pool, const PoolCall& call, TimePoint now) {
   PoolLoad load;
   for (const auto& [id, state] : pool.m_replicas) {
-    if (!Usable(pool, state, now))
+    if (!Usable(pool, state, now) || !IsAllowed(state, call))
       continue;
     const uint32_t used = std::min(Load(state), state.m_replica.m_slots);
     // Free slots of a replica that has no token aren't available.
--- a/src/libverbenalead/decide/placement/replica_pool.h
+++ b/src/libverbenalead/decide/placement/replica_pool.h
@@ -50,6 +50,8 @@
 /// time.
 struct ReplicaPool {
   std::string m_data_center;
+  /// Data centres whose replicas get no new calls by order of the operator.
+  std::set<std::string> m_evacuated_data_centers;
   std::map<std::string, ReplicaState> m_replicas;
   /// Statements of replicas whose rows have disappeared, by replica.
   ///
@@ -111,15 +113,24 @@
               TimePoint now,
               std::mt19937_64& random);
 
-/// Whether `replica` wants no calls at present, by its own statements.
+/// Whether `replica` wants no calls at present, by its own statements, or is in
+/// an evacuated data centre.
 bool IsUnwanted(const ReplicaPool& pool,
                 const std::string& replica,
                 TimePoint now);
 
-/// Earliest time from which any replica wants calls, by their own statements;
-/// the greatest time if all are leaving. A call that can't wait so long would
-/// wait in vain.
-TimePoint CallsWantedFrom(const ReplicaPool& pool);
+/// Earliest time from which any replica that `call` may use wants calls, by
+/// their own statements; the greatest time if all are leaving or in evacuated
+/// data centres. A call that can't wait so long would wait in vain.
+TimePoint CallsWantedFrom(const ReplicaPool& pool, const PoolCall& call);
+
+/// Why no replica may get a call, whatever their state is.
+enum class Exclusion {
+  kNone,        ///< Some replica may get it.
+  kRegions,     ///< None is in a region in which the call may be served.
+  kEvacuation,  ///< All that are have been evacuated.
+};
+Exclusion ExclusionOf(const ReplicaPool& pool, const PoolCall& call);
 
 /// Acquires a slot for `call` at the replica that suits it best, and returns
 /// the replica's id; absent if no slot is free.
@@ -136,10 +147,11 @@
                                           TimePoint now,
                                           std::mt19937_64& random);
 /// Counts a slot that the target of `replica` has granted to a waiting call.
-/// Returns false if the replica is no longer known, or wants no more calls now.
+/// Returns false if the replica is no longer known, wants no more calls now, or
+/// may not get `call`.
 bool AddGrantedSlot(ReplicaPool& pool,
                     const std::string& replica,
-                    uint32_t prompt_tokens,
+                    const PoolCall& call,
                     TimePoint now);
 /// Adds `call` to the waiting calls.
 void AddWaitingCall(ReplicaPool& pool, PoolCall call);
@@ -188,27 +200,37 @@
   friend bool operator==(const StatedWait&, const StatedWait&) = default;
 };
 
-/// If the only replicas that could take calls are at rest, or have rate limits
+/// If the only replicas that could take `call` are at rest, or have rate limits
 /// and no token at present: the time until one may take a call. Otherwise
 /// nothing.
 std::optional<StatedWait> WaitForReplica(const ReplicaPool& pool,
+                                         const PoolCall& call,
                                          TimePoint now);
 
-/// Whether a call that waits from now on might start by `deadline`. False if
+/// Whether `call`, if it waits from now on, might start by `deadline`. False if
 /// only replicas with rate limits can be used by then, and these don't allow as
-/// many requests as wait at this entry alone; or if no replica wants calls.
-/// Such a call would only wait in vain, so it should be refused at once.
-bool MayStartBy(const ReplicaPool& pool, TimePoint deadline, TimePoint now);
+/// many requests as wait at this entry alone; or if no replica that it may use
+/// wants calls. It would only wait in vain, so it should be refused at once.
+bool MayStartBy(const ReplicaPool& pool,
+                const PoolCall& call,
+                TimePoint deadline,
+                TimePoint now);
 
-/// Whether any replica may get calls, whether or not it has a free slot.
+/// Whether any replica may get calls, or `call`, whether or not it has a free
+/// slot.
 bool HasUsableReplica(const ReplicaPool& pool, TimePoint now);
+bool HasUsableReplica(const ReplicaPool& pool,
+                      const PoolCall& call,
+                      TimePoint now);
 
-/// Slots of all usable replicas, and how many of them are in use.
+/// Slots of all usable replicas, or of those that `call` may use, and how many
+/// of them are in use.
 struct PoolLoad {
   uint32_t m_slots = 0;
   uint32_t m_used_slots = 0;
 };
 PoolLoad LoadOf(const ReplicaPool& pool, TimePoint now);
+PoolLoad LoadOf(const ReplicaPool& pool, const PoolCall& call, TimePoint now);
 
 }  // namespace verbenalead::decide
 
--- a/src/libverbenalead/decide/placement/replica_pool_test.cc
+++ b/src/libverbenalead/decide/placement/replica_pool_test.cc
@@ -38,6 +38,14 @@
   return call;
 }
 
+/// A call that may use these data centres only.
+PoolCall Restricted(const std::set<std::string>& data_centers) {
+  PoolCall call = MakeCall(1);
+  call.m_data_centers =
+      std::make_shared<const std::set<std::string>>(data_centers);
+  return call;
+}
+
 class ReplicaPoolTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReplicaPoolTest);
   CPPUNIT_TEST(FillsEachReplicaToItsSlots);
@@ -66,6 +74,9 @@
   CPPUNIT_TEST(ReplicaWithoutATokenGetsNoCalls);
   CPPUNIT_TEST(CallsWaitAtOneLimitedReplicaInAddition);
   CPPUNIT_TEST(CallThatNoRateLimitLetsThroughDoesNotWait);
+  CPPUNIT_TEST(CallStaysInItsDataCentresByAnyWay);
+  CPPUNIT_TEST(EvacuatedDataCentreGetsNoCallsByAnyWay);
+  CPPUNIT_TEST(TellsWhyNoReplicaMayGetACall);
   CPPUNIT_TEST(AnySequenceKeepsTheLimits);
   CPPUNIT_TEST_SUITE_END();
 
@@ -288,21 +299,22 @@
   void CallThatNoRateLimitLetsThroughDoesNotWait() {
     ReplicaPool pool = MakePool({MakeReplica("a"), MakeReplica("b")});
     Limit(pool, "a", 1, 500ms);
-    CPPUNIT_ASSERT(MayStartBy(pool, kStart + 100ms, kStart));
-    CPPUNIT_ASSERT(!WaitForReplica(pool, kStart));
+    CPPUNIT_ASSERT(MayStartBy(pool, MakeCall(1), kStart + 100ms, kStart));
+    CPPUNIT_ASSERT(!WaitForReplica(pool, MakeCall(1), kStart));
     Limit(pool, "b", 1, 300ms);
-    CPPUNIT_ASSERT(!MayStartBy(pool, kStart + 100ms, kStart));
-    CPPUNIT_ASSERT(MayStartBy(pool, kStart + 400ms, kStart));
-    CPPUNIT_ASSERT(WaitForReplica(pool, kStart) == StatedWait({300ms, false}));
+    CPPUNIT_ASSERT(!MayStartBy(pool, MakeCall(1), kStart + 100ms, kStart));
+    CPPUNIT_ASSERT(MayStartBy(pool, MakeCall(1), kStart + 400ms, kStart));
+    CPPUNIT_ASSERT(WaitForReplica(pool, MakeCall(1), kStart) ==
+                   StatedWait({300ms, false}));
     for (uint64_t ticket = 0; ticket < 2; ++ticket)
       AddWaitingCall(pool, MakeCall(ticket));
-    CPPUNIT_ASSERT(!MayStartBy(pool, kStart + 400ms, kStart));
+    CPPUNIT_ASSERT(!MayStartBy(pool, MakeCall(1), kStart + 400ms, kStart));
     // A replica that comes back from its backoff soon takes the call.
     pool.m_replicas.at("b").m_known.m_rate_limit = {};
     pool.m_replicas.at("b").m_backoff_until = kStart + 30ms;
-    CPPUNIT_ASSERT(MayStartBy(pool, kStart + 100ms, kStart));
+    CPPUNIT_ASSERT(MayStartBy(pool, MakeCall(1), kStart + 100ms, kStart));
     // Then it is not the limits that keep calls out.
-    CPPUNIT_ASSERT(!WaitForReplica(pool, kStart));
+    CPPUNIT_ASSERT(!WaitForReplica(pool, MakeCall(1), kStart));
   }
 
   void LeavingReplicaGetsNoCallsByAnyWay() {
@@ -316,13 +328,82 @@
     CPPUNIT_ASSERT(ReplicasToWaitAt(pool, MakeCall(9), 2, kStart, m_random) ==
                    std::vector<std::string>{"b"});
     // A slot that its target had granted before.
-    CPPUNIT_ASSERT(!AddGrantedSlot(pool, "a", 1, kStart));
+    CPPUNIT_ASSERT(!AddGrantedSlot(pool, "a", MakeCall(1), kStart));
     AddWaitingCall(pool, MakeCall(10));
     CPPUNIT_ASSERT(StartWaitingCalls(pool, kStart, m_random).empty());
-    CPPUNIT_ASSERT(MayStartBy(pool, kStart + 1s, kStart));
+    CPPUNIT_ASSERT(MayStartBy(pool, MakeCall(1), kStart + 1s, kStart));
+    NoteLeaving(pool.m_replicas.at("b"));
+    CPPUNIT_ASSERT(CallsWantedFrom(pool, MakeCall(1)) == TimePoint::max());
+    CPPUNIT_ASSERT(!MayStartBy(pool, MakeCall(1), kStart + 1s, kStart));
+  }
+
+  // Guards against a call that is served in a region in which it must not be,
+  // once the replicas of its own regions are full, rest or leave.
+  void CallStaysInItsDataCentresByAnyWay() {
+    ReplicaPool pool = MakePool({MakeReplica("a"), MakeReplica("b", "far")});
+    const PoolCall call = Restricted({"far"});
+    for (uint32_t i = 0; i < kSlots; ++i) {
+      CPPUNIT_ASSERT(AcquireSlot(pool, call, kStart, m_random) ==
+                     std::string("b"));
+    }
+    CPPUNIT_ASSERT(!AcquireSlot(pool, call, kStart, m_random));
+    CPPUNIT_ASSERT(ReplicasToWaitAt(pool, call, 2, kStart, m_random) ==
+                   std::vector<std::string>{"b"});
+    CPPUNIT_ASSERT(!AddGrantedSlot(pool, "a", call, kStart));
+    AddWaitingCall(pool, call);
+    CPPUNIT_ASSERT(StartWaitingCalls(pool, kStart, m_random).empty());
+    CPPUNIT_ASSERT_EQUAL(kSlots, LoadOf(pool, call, kStart).m_slots);
+    NoteRest(pool.m_replicas.at("b"), 3s, kStart, m_random);
+    CPPUNIT_ASSERT(!HasUsableReplica(pool, call, kStart));
+    CPPUNIT_ASSERT(!MayStartBy(pool, call, kStart + 1s, kStart));
+    CPPUNIT_ASSERT(MayStartBy(pool, MakeCall(1), kStart + 1s, kStart));
+    CPPUNIT_ASSERT(WaitForReplica(pool, call, kStart)->m_left >= 3s);
     NoteLeaving(pool.m_replicas.at("b"));
-    CPPUNIT_ASSERT(CallsWantedFrom(pool) == TimePoint::max());
-    CPPUNIT_ASSERT(!MayStartBy(pool, kStart + 1s, kStart));
+    CPPUNIT_ASSERT(CallsWantedFrom(pool, call) == TimePoint::max());
+  }
+
+  // Guards against new calls at replicas that the operator empties, and against
+  // calls that wait for them or count on their slots.
+  void EvacuatedDataCentreGetsNoCallsByAnyWay() {
+    ReplicaPool pool = MakePool({MakeReplica("a"), MakeReplica("b", "far")});
+    CPPUNIT_ASSERT(AcquireSlot(pool, MakeCall(1), kStart, m_random) ==
+                   std::string("a"));
+    pool.m_evacuated_data_centers = {"near"};
+    CPPUNIT_ASSERT(IsUnwanted(pool, "a", kStart));
+    CPPUNIT_ASSERT(ReplicasToWaitAt(pool, MakeCall(1), 2, kStart, m_random) ==
+                   std::vector<std::string>{"b"});
+    CPPUNIT_ASSERT(!AddGrantedSlot(pool, "a", MakeCall(1), kStart));
+    CPPUNIT_ASSERT_EQUAL(kSlots, LoadOf(pool, kStart).m_slots);
+    pool.m_replicas.at("b").m_other_entries_calls = kSlots;
+    AddWaitingCall(pool, MakeCall(2));
+    CPPUNIT_ASSERT(StartWaitingCalls(pool, kStart, m_random).empty());
+    pool.m_replicas.at("b").m_backoff_until = kStart + 1s;
+    CPPUNIT_ASSERT(!HasUsableReplica(pool, kStart));
+    NoteRest(pool.m_replicas.at("b"), 2s, kStart, m_random);
+    CPPUNIT_ASSERT(!MayStartBy(pool, MakeCall(1), kStart + 1s, kStart));
+    CPPUNIT_ASSERT(WaitForReplica(pool, MakeCall(1), kStart)->m_left >= 2s);
+    // The call that runs there ends as usual.
+    ReleaseSlot(pool, "a", AttemptEnd::kGood, kStart);
+    CPPUNIT_ASSERT_EQUAL(0U, pool.m_replicas.at("a").m_in_flight);
+    pool.m_evacuated_data_centers.clear();
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         StartWaitingCalls(pool, kStart, m_random).size());
+  }
+
+  // Guards against a refusal that names full replicas although the operator or
+  // the configuration keeps the call from them.
+  void TellsWhyNoReplicaMayGetACall() {
+    ReplicaPool pool = MakePool({MakeReplica("a"), MakeReplica("b", "far")});
+    CPPUNIT_ASSERT(ExclusionOf(pool, MakeCall(1)) == Exclusion::kNone);
+    CPPUNIT_ASSERT(ExclusionOf(pool, Restricted({})) == Exclusion::kRegions);
+    CPPUNIT_ASSERT(!MayStartBy(ReplicaPool(), Restricted({}), kStart, kStart));
+    pool.m_evacuated_data_centers = {"near"};
+    CPPUNIT_ASSERT(ExclusionOf(pool, MakeCall(1)) == Exclusion::kNone);
+    CPPUNIT_ASSERT(ExclusionOf(pool, Restricted({"near"})) ==
+                   Exclusion::kEvacuation);
+    pool.m_evacuated_data_centers = {"near", "far"};
+    CPPUNIT_ASSERT(ExclusionOf(pool, MakeCall(1)) == Exclusion::kEvacuation);
+    CPPUNIT_ASSERT(ExclusionOf(ReplicaPool(), MakeCall(1)) == Exclusion::kNone);
   }
 
   // Guards against calls to a leaving replica whose row expired while the store
@@ -352,7 +433,7 @@
     }
     CPPUNIT_ASSERT(ReplicasToWaitAt(pool, MakeCall(9), 2, kStart, m_random) ==
                    std::vector<std::string>{"b"});
-    CPPUNIT_ASSERT(!AddGrantedSlot(pool, "a", 1, kStart + 3s - 1ms));
+    CPPUNIT_ASSERT(!AddGrantedSlot(pool, "a", MakeCall(1), kStart + 3s - 1ms));
     // A call that was under way succeeds meanwhile.
     ReleaseSlot(pool, "a", AttemptEnd::kGood, kStart + 1s);
     AddWaitingCall(pool, MakeCall(10));
@@ -406,23 +487,25 @@
   void CallsWaitForTheEndOfARestOnlyIfItIsInTime() {
     ReplicaPool pool = MakePool({MakeReplica("a"), MakeReplica("b")});
     NoteRest(pool.m_replicas.at("a"), 3s, kStart, m_random);
-    CPPUNIT_ASSERT(MayStartBy(pool, kStart + 100ms, kStart));
-    CPPUNIT_ASSERT(!WaitForReplica(pool, kStart));
+    CPPUNIT_ASSERT(MayStartBy(pool, MakeCall(1), kStart + 100ms, kStart));
+    CPPUNIT_ASSERT(!WaitForReplica(pool, MakeCall(1), kStart));
     NoteRest(pool.m_replicas.at("b"), 2s, kStart, m_random);
     const TimePoint end = pool.m_replicas.at("b").m_known.m_rest_until;
-    CPPUNIT_ASSERT(!MayStartBy(pool, end - 1ms, kStart));
-    CPPUNIT_ASSERT(MayStartBy(pool, end, kStart));
-    CPPUNIT_ASSERT(CallsWantedFrom(pool) == end);
-    CPPUNIT_ASSERT(WaitForReplica(pool, kStart) ==
+    CPPUNIT_ASSERT(!MayStartBy(pool, MakeCall(1), end - 1ms, kStart));
+    CPPUNIT_ASSERT(MayStartBy(pool, MakeCall(1), end, kStart));
+    CPPUNIT_ASSERT(CallsWantedFrom(pool, MakeCall(1)) == end);
+    CPPUNIT_ASSERT(WaitForReplica(pool, MakeCall(1), kStart) ==
                    StatedWait({end - kStart, true}));
     // One leaves, the other has a rate limit and no token.
     NoteLeaving(pool.m_replicas.at("a"));
     pool.m_replicas.at("b").m_known.m_rest_until = TimePoint();
     Limit(pool, "b", 1, 300ms);
-    CPPUNIT_ASSERT(WaitForReplica(pool, kStart) == StatedWait({300ms, false}));
+    CPPUNIT_ASSERT(WaitForReplica(pool, MakeCall(1), kStart) ==
+                   StatedWait({300ms, false}));
     // Both a rest and a limit: the later end counts.
     NoteRest(pool.m_replicas.at("b"), 100ms, kStart, m_random);
-    CPPUNIT_ASSERT(WaitForReplica(pool, kStart) == StatedWait({300ms, true}));
+    CPPUNIT_ASSERT(WaitForReplica(pool, MakeCall(1), kStart) ==
+                   StatedWait({300ms, true}));
   }
 
   // Guards against calls that pile up during a rest and all arrive at its end.
@@ -440,7 +523,7 @@
     };
     CPPUNIT_ASSERT_EQUAL(0U, start_all(end - 1ms));
     CPPUNIT_ASSERT_EQUAL(1U, start_all(end));
-    CPPUNIT_ASSERT(!AddGrantedSlot(pool, "a", 1, end));
+    CPPUNIT_ASSERT(!AddGrantedSlot(pool, "a", MakeCall(1), end));
     CPPUNIT_ASSERT_EQUAL(10U, start_all(end + 100ms));
     CPPUNIT_ASSERT_EQUAL(40U, start_all(end + 500ms));
     CPPUNIT_ASSERT_EQUAL(49U, start_all(end + 1s));
--- a/src/libverbenalead/entry/call_plan.h
+++ b/src/libverbenalead/entry/call_plan.h
@@ -2,6 +2,8 @@
 #define VERBENALEAD_ENTRY_CALL_PLAN_H_
 
 #include <cstdint>
+#include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,8 @@
   /// Model that the service's engines run; empty: the replicas aren't engines.
   std::string m_model;
   std::string m_organisation;
+  /// The only data centres whose replicas may get the call; null: all.
+  std::shared_ptr<const std::set<std::string>> m_data_centers;
   uint64_t m_config_version = 0;
   /// Identifies equal requests, so that one that crashes replicas is recognised
   /// when a caller retries it.
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/this_coro.hpp>
 
+#include "base/join_names.h"
 #include "base/log.h"
 #include "decide/attempts/hedge.h"
 #include "entry/answer_buffer.h"
@@ -47,6 +48,7 @@
   call.m_expected_run_time = m_plan.m_expected_run_time;
   call.m_urgency = m_plan.m_route.m_urgency;
   call.m_organisation = m_plan.m_organisation;
+  call.m_data_centers = m_plan.m_data_centers;
 }
 
 Awaitable<void> CallRun::Run() {
@@ -235,11 +237,19 @@
   }
   const decide::ReplicaPool& pool =
       GetOrCreateService(m_state, m_plan.m_service).m_pool;
-  const bool usable = decide::HasUsableReplica(pool, Now());
+  const decide::PoolCall& call = m_record->m_pool_call;
+  const decide::Exclusion exclusion = decide::ExclusionOf(pool, call);
+  if (exclusion != decide::Exclusion::kNone) {
+    co_await Refuse(exclusion == decide::Exclusion::kRegions
+                        ? decide::Refusal::kRegions
+                        : decide::Refusal::kEvacuation);
+    co_return;
+  }
+  const bool usable = decide::HasUsableReplica(pool, call, Now());
   if (usable && m_plan.m_wait_limit.m_can_be_on_time)
     decide::NoteOnTimeRefusal(
         GetOrCreateService(m_state, m_plan.m_service).m_late_shedding, Now());
-  const auto wait = decide::WaitForReplica(pool, Now());
+  const auto wait = decide::WaitForReplica(pool, call, Now());
   if (wait) {
     co_await RefuseUntil(
         wait->m_rests ? decide::Refusal::kRest : decide::Refusal::kRateLimit,
@@ -398,10 +408,15 @@
 void CallRun::LogPool(LogLine& line) const {
   const decide::ReplicaPool& pool =
       GetOrCreateService(m_state, m_plan.m_service).m_pool;
-  const decide::PoolLoad load = decide::LoadOf(pool, Now());
+  const decide::PoolLoad load =
+      decide::LoadOf(pool, m_record->m_pool_call, Now());
   line.With("replicas", static_cast<uint64_t>(pool.m_replicas.size()))
       .With("slots", uint64_t{load.m_slots})
       .With("free_slots", uint64_t{load.m_slots - load.m_used_slots});
+  if (m_plan.m_data_centers)
+    line.With("allowed_data_centers", JoinNames(*m_plan.m_data_centers));
+  if (!pool.m_evacuated_data_centers.empty())
+    line.With("evacuated", JoinNames(pool.m_evacuated_data_centers));
 }
 
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/call_server.cc
+++ b/src/libverbenalead/entry/call_server.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "decide/regions/allowed_data_centers.h"
 #include "entry/call_run.h"
 #include "entry/crash_blame.h"
 #include "platform/call_headers.h"
@@ -107,6 +108,10 @@
     if (organisation->m_urgency)
       plan.m_route.m_urgency = *organisation->m_urgency;
   }
+  plan.m_data_centers = decide::AllowedDataCenters(
+      route->m_regions,
+      needs_key ? organisation->m_regions : std::vector<std::string>(),
+      m_state.m_options.m_regions);
   plan.m_fingerprint = decide::RequestKey(plan.m_organisation, request.m_method,
                                           request.m_path, request.m_body);
   plan.m_service = decide::SelectService(*route, m_state.m_random);
--- a/src/libverbenalead/entry/slot_allocator.cc
+++ b/src/libverbenalead/entry/slot_allocator.cc
@@ -25,14 +25,14 @@
 struct SlotAllocator::Waiter {
   Waiter(const asio::any_io_executor& executor,
          std::string service,
-         uint32_t prompt_tokens)
+         decide::PoolCall call)
       : m_timer(executor),
         m_service(std::move(service)),
-        m_prompt_tokens(prompt_tokens) {}
+        m_call(std::move(call)) {}
 
   asio::steady_timer m_timer;
   const std::string m_service;
-  const uint32_t m_prompt_tokens;
+  const decide::PoolCall m_call;
   std::optional<Slot> m_slot;
 };
 
@@ -93,13 +93,13 @@
     slot.m_replica = *replica;
     co_return slot;
   }
-  if (!decide::MayStartBy(pool, deadline, Now()))
+  if (!decide::MayStartBy(pool, call, deadline, Now()))
     co_return std::nullopt;
   if (deadline <= Now())
     co_return std::nullopt;
   const uint64_t ticket = call.m_ticket;
   auto waiter = std::make_shared<Waiter>(co_await asio::this_coro::executor,
-                                         service, call.m_prompt_tokens);
+                                         service, call);
   waiter->m_timer.expires_at(deadline);
   m_waiters[ticket] = waiter;
   Reserve(service, call, deadline);
@@ -156,7 +156,7 @@
   Waiter& waiting = *waiter->second;
   decide::ReplicaPool& pool =
       GetOrCreateService(m_state, waiting.m_service).m_pool;
-  if (!decide::AddGrantedSlot(pool, replica, waiting.m_prompt_tokens, Now())) {
+  if (!decide::AddGrantedSlot(pool, replica, waiting.m_call, Now())) {
     ReturnUnneededGrant(replica);
     return;
   }
@@ -180,15 +180,25 @@
 
 void SlotAllocator::LeaveUnwantedReplicas(const std::string& service) {
   const decide::ReplicaPool& pool = GetOrCreateService(m_state, service).m_pool;
-  std::vector<uint64_t> tickets;
-  for (const decide::PoolCall& call : pool.m_waiting)
-    tickets.push_back(call.m_ticket);
-  const TimePoint wanted_from = decide::CallsWantedFrom(pool);
-  for (uint64_t ticket : tickets) {
+  // The time is the same for all calls that may use the same data centres; a
+  // pool may have 1,700 replicas.
+  std::map<std::optional<std::set<std::string>>, TimePoint> wanted_from;
+  std::vector<std::pair<uint64_t, TimePoint>> calls;
+  for (const decide::PoolCall& call : pool.m_waiting) {
+    std::optional<std::set<std::string>> data_centers;
+    if (call.m_data_centers)
+      data_centers = *call.m_data_centers;
+    const auto [time, is_new] =
+        wanted_from.try_emplace(std::move(data_centers), TimePoint());
+    if (is_new)
+      time->second = decide::CallsWantedFrom(pool, call);
+    calls.emplace_back(call.m_ticket, time->second);
+  }
+  for (const auto& [ticket, earliest] : calls) {
     const auto waiter = m_waiters.find(ticket);
     if (waiter == m_waiters.end())
       continue;
-    if (waiter->second->m_timer.expiry() < wanted_from)
+    if (waiter->second->m_timer.expiry() < earliest)
       waiter->second->m_timer.cancel();
     else
       MoveReservations(service, ticket);
--- a/src/libverbenalead/entry/slot_allocator_test.cc
+++ b/src/libverbenalead/entry/slot_allocator_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(WaitEndsAtOnceIfTheLastReplicaLeaves);
   CPPUNIT_TEST(WaitingCallMovesAwayFromAReplicaAtRest);
   CPPUNIT_TEST(WaitEndsAtOnceIfTheLastReplicaRestsForLonger);
+  CPPUNIT_TEST(WaitingCallMovesAwayFromAnEvacuatedDataCentre);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -138,6 +139,26 @@
     CPPUNIT_ASSERT(m_slot_requester->ReplicaOfReservation(2) == "i-2");
   }
 
+  // Guards against a call that waits at the target of an evacuated data centre
+  // until its time is over, and against a grant from there that is used.
+  void WaitingCallMovesAwayFromAnEvacuatedDataCentre() {
+    Take(10s);
+    AddOther();
+    Pool().m_replicas.at("i-2").m_replica.m_data_center = "b";
+    Pool().m_evacuated_data_centers = {"a"};
+    m_slot_allocator->WakeAll();
+    CPPUNIT_ASSERT(m_slot_requester->ReplicaOfReservation(1).empty());
+    CPPUNIT_ASSERT(m_slot_requester->ReplicaOfReservation(2) == "i-2");
+    m_slot_requester->HandleAnswer(Answer(1, true));
+    m_io->poll();
+    CPPUNIT_ASSERT(!m_done);
+    Pool().m_evacuated_data_centers = {"a", "b"};
+    m_slot_allocator->WakeAll();
+    m_io->poll();
+    CPPUNIT_ASSERT(m_done && !m_slot);
+    CPPUNIT_ASSERT_EQUAL(0U, Replica().m_in_flight);
+  }
+
   void WaitEndsAtOnceIfTheLastReplicaRestsForLonger() {
     Take(2s);
     decide::NoteRest(Pool().m_replicas.at("i-1"), 1s, Now(), m_state->m_random);
