The operator's rows evacuate data centres

Cause: the rows `evacuate/DATA_CENTRE` were read and ignored.

Change: an entry applies them from changes and whole tables of the store, from the rows of another entry, and from the updates of other entries of its data centre, which carry active evacuations and those that ended within 10 s. Rows and removals are ordered by revision. A row missing from a whole table ends the evacuation if it was written in the same era; one that is missing from a copy of the store ends it once the store has confirmed, 2 s after its return, that this entry has the newest rows. Removed rows are passed on with `deleted`; rows of other kinds are encoded as before. Regions that no data centre has, and unknown data centres, are logged with the allowed values.

The updates carry the evacuations because a fetch of the table may be put off while many entries fetch it, and because an entry that starts between the store's return and the repeated write of the row has the same revision as the others and fetches nothing.

--- a/src/libverbenalead/entry/call_fixture.h
+++ b/src/libverbenalead/entry/call_fixture.h
@@ -69,6 +69,7 @@
   options.m_own_address = {"e1", "a", Endpoint("127.0.0.1", 1),
                            Endpoint("127.0.0.1", 0)};
   options.m_key_bound = 5s;
+  options.m_regions = {{"a", "east"}, {"b", "west"}};
   return options;
 }
 
--- a/src/libverbenalead/entry/entry_state.cc
+++ b/src/libverbenalead/entry/entry_state.cc
@@ -28,7 +28,10 @@
 
 ServiceState& GetOrCreateService(EntryState& state,
                                  const std::string& service) {
-  ServiceState& found = state.m_services[service];
+  const auto [entry, is_new] = state.m_services.try_emplace(service);
+  ServiceState& found = entry->second;
+  if (is_new)
+    found.m_pool.m_evacuated_data_centers = state.m_evacuated_data_centers;
   found.m_retries.m_started_at = state.m_started_at;
   found.m_pool.m_data_center = state.m_options.m_own_address.m_data_center;
   return found;
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -17,6 +17,7 @@
 #include "decide/health/crash_causes.h"
 #include "decide/health/quarantine.h"
 #include "decide/placement/replica_pool.h"
+#include "decide/regions/evacuations.h"
 #include "decide/rollout/declared_versions.h"
 #include "decide/store/config_lease.h"
 #include "decide/store/store_clock.h"
@@ -63,8 +64,13 @@
   decide::StoreEra m_store_era;
   decide::StoreClock m_store_clock;
   /// Newest known revision of the operator's table, which holds the
-  /// configuration and the declared weights.
+  /// configuration, the declared weights and the evacuations.
   model::Revision m_operator_revision;
+  decide::Evacuations m_evacuations;
+  /// The evacuated data centres that the settings know.
+  std::set<std::string> m_evacuated_data_centers;
+  /// Number of changes of m_evacuated_data_centers.
+  uint64_t m_evacuation_changes = 0;
   /// Newest known revision of declared weights.
   model::Revision m_weights_revision;
   /// Store time at which the store itself last confirmed to this entry that
--- a/src/libverbenalead/entry/peer_updates.cc
+++ b/src/libverbenalead/entry/peer_updates.cc
@@ -5,6 +5,7 @@
 #include "base/boot_clock.h"
 #include "base/log.h"
 #include "entry/crash_blame.h"
+#include "entry/evacuation_rows.h"
 #include "entry/rate_limits.h"
 #include "entry/statements.h"
 #include "entry/store_return.h"
@@ -160,6 +161,7 @@
       Now() - state.m_replicas_confirmed_at, kMaxReportedAge);
   update.m_remote_entries = state.m_remote_entries;
   update.m_statements = StatementsToReport(state, Now());
+  update.m_evacuations = EvacuationsToReport(state, Now());
   return update;
 }
 
@@ -229,6 +231,7 @@
     state.m_remote_entries =
         std::max(state.m_remote_entries.value_or(0), *update.m_remote_entries);
   }
+  ApplyEvacuationReports(state, update.m_evacuations, update.m_address.m_host);
   ApplyStatementList(state, update.m_statements, update.m_address.m_host, now);
   ApplyCrashReports(state, update.m_crash_reports, update.m_address.m_host,
                     true, now);
--- a/src/libverbenalead/entry/row_applier.cc
+++ b/src/libverbenalead/entry/row_applier.cc
@@ -5,9 +5,12 @@
 
 #include "base/boot_clock.h"
 #include "base/catch_failure.h"
+#include "base/join_names.h"
 #include "base/log.h"
 #include "decide/placement/live_replicas.h"
+#include "decide/regions/allowed_data_centers.h"
 #include "decide/store/earliest_write.h"
+#include "entry/evacuation_rows.h"
 #include "entry/store_return.h"
 #include "platform/decode_config.h"
 #include "platform/decode_replica.h"
@@ -45,8 +48,13 @@
 
 void RowApplier::MergeOperatorRows(
     const platform::Rows& rows,
+    const std::string& source,
     const std::function<Duration(const platform::Row&)>& age_of) {
   for (const platform::Row& row : rows.m_rows) {
+    if (IsEvacuationRow(row)) {
+      MergeEvacuationRow(row, source);
+      continue;
+    }
     platform::Row& kept = m_operator_rows[row.m_key];
     if (IsKnown(kept, row))
       continue;
@@ -74,6 +82,36 @@
   }
 }
 
+void RowApplier::MergeEvacuationRow(const platform::Row& row,
+                                    const std::string& source) {
+  ApplyEvacuation(m_state, row, source);
+  // An update of another entry may have told of the row before.
+  const auto [kept, is_new] = m_operator_rows.try_emplace(row.m_key);
+  if (!is_new && row.m_revision <= kept->second.m_revision)
+    return;
+  kept->second = row;
+  ++m_operator_generation;
+  m_state.m_operator_revision =
+      std::max(m_state.m_operator_revision, row.m_revision);
+}
+
+void RowApplier::MarkEvacuationsEnded(
+    const std::vector<std::string>& data_centers) {
+  for (const std::string& data_center : data_centers) {
+    const std::string key = EvacuationKey(data_center);
+    const model::Revision revision =
+        m_state.m_evacuations.m_data_centers.at(data_center).m_revision;
+    m_operator_rows[key] = {key, "", revision, true};
+    ++m_operator_generation;
+    m_state.m_operator_revision =
+        std::max(m_state.m_operator_revision, revision);
+  }
+}
+
+void RowApplier::ReviewEvacuations() {
+  MarkEvacuationsEnded(EndEvacuationsMissingFromCopy(m_state));
+}
+
 bool RowApplier::ApplyOperatorRow(const platform::Row& row, Duration age) {
   if (row.m_key == platform::kConfigKey)
     return ApplyConfig(row.m_value);
@@ -95,13 +133,16 @@
   const Duration age =
       first ? AssumedAge()
             : std::max<Duration>(Duration(), BootNow() - written_at);
-  MergeOperatorRows(rows, [age](const platform::Row&) { return age; });
-  if (is_snapshot)
+  MergeOperatorRows(rows, "store", [age](const platform::Row&) { return age; });
+  if (is_snapshot) {
     m_operator_rows_read = true;
+    MarkEvacuationsEnded(EndAbsentEvacuations(m_state, rows, "store"));
+  }
   m_state.m_operator_confirmed_at = answered;
   m_state.m_newest_proof = answered;
   m_state.m_operator_answered_at = Now();
   ApplyProof(m_state, answered_at);
+  ReviewEvacuations();
 }
 
 void RowApplier::ApplyRelayedOperatorRows(const links::RelayedRows& relayed) {
@@ -109,10 +150,11 @@
   const model::StoreTime proof = {rows.m_revision.m_era, rows.m_store_time};
   const bool current = NoteStoreEra(m_state, proof.m_era, "entry");
   const Duration unknown = AssumedAge();
-  MergeOperatorRows(rows, [&](const platform::Row& row) {
+  MergeOperatorRows(rows, "entry", [&](const platform::Row& row) {
     const auto age = relayed.m_max_ages.find(row.m_key);
     return age == relayed.m_max_ages.end() ? unknown : age->second;
   });
+  MarkEvacuationsEnded(EndAbsentEvacuations(m_state, rows, "entry"));
   m_operator_rows_read = true;
   if (!current)
     return;
@@ -127,6 +169,7 @@
     m_state.m_newest_proof = proof;
     ApplyProof(m_state, *proved_at);
   }
+  ReviewEvacuations();
 }
 
 Duration RowApplier::BindingDelay() const {
@@ -165,9 +208,25 @@
       .Info();
   m_state.m_routes =
       std::make_shared<const decide::RouteTable>(std::move(*config));
+  LogUnknownRegions();
   return true;
 }
 
+void RowApplier::LogUnknownRegions() const {
+  const decide::RegionMap& regions = m_state.m_options.m_regions;
+  std::set<std::string> known;
+  for (const auto& [data_center, region] : regions)
+    known.insert(region);
+  for (const std::string& region :
+       decide::UnknownRegions(m_state.m_routes->config(), regions)) {
+    LogLine("unknown_region")
+        .With("value", region)
+        .With("allowed", JoinNames(known))
+        .With("config", ConfigVersion(m_state))
+        .Warn();
+  }
+}
+
 bool RowApplier::ApplyWeights(const platform::Row& row, Duration age) {
   const auto declared = platform::DecodeWeights(row.m_value);
   if (!declared) {
--- a/src/libverbenalead/entry/row_applier.h
+++ b/src/libverbenalead/entry/row_applier.h
@@ -19,11 +19,11 @@
  public:
   explicit RowApplier(EntryState& state) : m_state(state) {}
 
-  /// Applies rows of the operator's table: the configuration and the declared
-  /// versions of weights. `is_snapshot`: the rows are all that the table holds.
-  /// A configuration or weights that are older by their own version than those
-  /// known are not applied, whatever the revision of their row: after the store
-  /// came back from a copy, its rows are older.
+  /// Applies rows of the operator's table: the configuration, the declared
+  /// versions of weights and the evacuations. `is_snapshot`: the rows are all
+  /// that the table holds. A configuration or weights that are older by their
+  /// own version than those known are not applied, whatever the revision of
+  /// their row: after the store came back from a copy, its rows are older.
   void ApplyOperatorRows(const platform::Rows& rows, bool is_snapshot);
   /// Applies the operator's rows as fetched from an entry of the same data
   /// centre. Their proof renews the lease only once the offset of the store's
@@ -56,6 +56,9 @@
   /// Uses replicas again that only seemed to be back from a copy of the store.
   /// Called ten times a second.
   void ReviewGoneReplicas();
+  /// Ends evacuations that are missing from a copy of the store. Called ten
+  /// times a second.
+  void ReviewEvacuations();
 
  private:
   /// Time from a declaration of weights until they are mandatory.
@@ -63,10 +66,18 @@
   /// Assumed age of a declaration that may have been made at any time since the
   /// store last confirmed that this entry had the newest revision.
   Duration AssumedAge() const;
-  /// `age_of` returns the maximum time since a row was written.
+  /// `age_of` returns the maximum time since a row was written. `source`:
+  /// `store` or `entry`.
   void MergeOperatorRows(
       const platform::Rows& rows,
+      const std::string& source,
       const std::function<Duration(const platform::Row&)>& age_of);
+  void MergeEvacuationRow(const platform::Row& row, const std::string& source);
+  /// Marks the rows of these data centres as deleted, so that other entries
+  /// that fetch the rows get the removals too.
+  void MarkEvacuationsEnded(const std::vector<std::string>& data_centers);
+  /// Logs the regions that the configuration names and no data centre has.
+  void LogUnknownRegions() const;
   /// Applies a row that is not known yet; returns false if it is malformed, or
   /// older by its content than what is known.
   bool ApplyOperatorRow(const platform::Row& row, Duration age);
--- a/src/libverbenalead/entry/row_applier_test.cc
+++ b/src/libverbenalead/entry/row_applier_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "base/boot_clock.h"
+#include "entry/evacuation_rows.h"
 
 namespace verbenalead::entry {
 namespace {
@@ -22,6 +23,13 @@
   return {"version/m", R"({"model":"m","version":2})", {0, revision}, false};
 }
 
+platform::Row EvacuationRow(uint64_t revision,
+                            bool removed = false,
+                            const std::string& data_center = "a") {
+  return {
+      "evacuate/" + data_center, removed ? "" : "{}", {0, revision}, removed};
+}
+
 platform::Rows Rows(uint64_t revision, std::vector<platform::Row> rows) {
   platform::Rows all;
   all.m_revision = {0, revision};
@@ -39,12 +47,18 @@
   CPPUNIT_TEST(DeclarationBetweenRequestsIsAsOldAsTheGap);
   CPPUNIT_TEST(AgesAreRelayedWithoutTheStoresClock);
   CPPUNIT_TEST(UndecodableRowAddsNoReplica);
+  CPPUNIT_TEST(EvacuationIsReadFromTheStore);
+  CPPUNIT_TEST(EndOfAnEvacuationIsPassedOn);
+  CPPUNIT_TEST(EndThatAnotherEntryNeverKnewIsApplied);
+  CPPUNIT_TEST(RowsAreKeptAfterAnUpdateToldOfThem);
+  CPPUNIT_TEST(UnknownDataCentreIsIgnoredAndPassedOn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
     EntryOptions options;
     options.m_weights_bound = 8s;
+    options.m_regions = {{"a", "east"}, {"b", "west"}};
     m_state = std::make_unique<EntryState>(options);
     m_intake = std::make_unique<RowApplier>(*m_state);
   }
@@ -155,7 +169,86 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, m_intake->replica_rows().size());
   }
 
+  // Guards against calls to an evacuated data centre, and against one that gets
+  // no calls after the end: the row and its removal arrive as changes or with
+  // the whole table, and services are found before and after.
+  void EvacuationIsReadFromTheStore() {
+    m_intake->ApplyReplicaRows(Rows(1, {ReplicaRow("1", 1)}), true,
+                               TimePoint());
+    m_intake->ApplyOperatorRows(Rows(5, {EvacuationRow(5)}), true);
+    CPPUNIT_ASSERT(Evacuated("pool") == std::set<std::string>{"a"});
+    CPPUNIT_ASSERT(Evacuated("later") == std::set<std::string>{"a"});
+    m_intake->ApplyOperatorRows(Rows(6, {EvacuationRow(6, true)}), false);
+    CPPUNIT_ASSERT(Evacuated("pool").empty());
+    CPPUNIT_ASSERT(decide::EvacuationEndedAt(m_state->m_evacuations, "a"));
+    m_intake->ApplyOperatorRows(Rows(7, {EvacuationRow(7)}), false);
+    CPPUNIT_ASSERT(!Evacuated("pool").empty());
+    m_intake->ApplyOperatorRows(Rows(9, {}), true);
+    CPPUNIT_ASSERT(Evacuated("pool").empty());
+  }
+
+  // Guards against a data centre that gets no calls from entries that have
+  // another one read for them. An older row of a third entry changes nothing.
+  void EndOfAnEvacuationIsPassedOn() {
+    EntryState reader(m_state->m_options);
+    RowApplier rows(reader);
+    rows.ApplyOperatorRows(Rows(5, {EvacuationRow(5)}), true);
+    m_intake->ApplyRelayedOperatorRows(Relayed(rows, 5));
+    CPPUNIT_ASSERT(Evacuated("pool") == std::set<std::string>{"a"});
+    const links::RelayedRows older = Relayed(rows, 5);
+    rows.ApplyOperatorRows(Rows(6, {EvacuationRow(6, true)}), false);
+    CPPUNIT_ASSERT(reader.m_operator_revision > m_state->m_operator_revision);
+    m_intake->ApplyRelayedOperatorRows(Relayed(rows, 6));
+    CPPUNIT_ASSERT(Evacuated("pool").empty());
+    CPPUNIT_ASSERT(m_intake->operator_rows().at("evacuate/a") ==
+                   EvacuationRow(6, true));
+    m_intake->ApplyRelayedOperatorRows(older);
+    CPPUNIT_ASSERT(Evacuated("pool").empty());
+  }
+
+  // Guards against an evacuation that never ends here: the entry that reads has
+  // started after the removal.
+  void EndThatAnotherEntryNeverKnewIsApplied() {
+    m_intake->ApplyOperatorRows(Rows(5, {EvacuationRow(5)}), true);
+    EntryState reader(m_state->m_options);
+    RowApplier rows(reader);
+    rows.ApplyOperatorRows(Rows(9, {DeclarationRow(8)}), true);
+    m_intake->ApplyRelayedOperatorRows(Relayed(rows, 9));
+    CPPUNIT_ASSERT(Evacuated("pool").empty());
+  }
+
+  // Guards against an entry that fetches the rows time and again, or passes on
+  // an evacuation that has ended, because an update told of the end before.
+  void RowsAreKeptAfterAnUpdateToldOfThem() {
+    m_intake->ApplyOperatorRows(Rows(5, {EvacuationRow(5)}), true);
+    ApplyEvacuationReports(*m_state, {{"a", {0, 6}, false}}, "e2");
+    CPPUNIT_ASSERT(Evacuated("pool").empty());
+    CPPUNIT_ASSERT(m_state->m_operator_revision == model::Revision({0, 5}));
+    m_intake->ApplyOperatorRows(Rows(6, {EvacuationRow(6, true)}), false);
+    CPPUNIT_ASSERT(m_state->m_operator_revision == model::Revision({0, 6}));
+    CPPUNIT_ASSERT(m_intake->operator_rows().at("evacuate/a").m_deleted);
+  }
+
+  void UnknownDataCentreIsIgnoredAndPassedOn() {
+    const platform::Row unknown = EvacuationRow(5, false, "nowhere");
+    m_intake->ApplyOperatorRows(Rows(5, {unknown, EvacuationRow(4)}), true);
+    CPPUNIT_ASSERT(Evacuated("pool") == std::set<std::string>{"a"});
+    CPPUNIT_ASSERT(m_intake->operator_rows().at("evacuate/nowhere") == unknown);
+  }
+
  private:
+  const std::set<std::string>& Evacuated(const std::string& service) {
+    return GetOrCreateService(*m_state, service)
+        .m_pool.m_evacuated_data_centers;
+  }
+
+  /// The rows of another entry as they arrive here.
+  static links::RelayedRows Relayed(const RowApplier& rows, uint64_t revision) {
+    return links::DecodeRows(
+               links::EncodeRows(rows.operator_rows(), {0, revision}, {}), {})
+        .value();
+  }
+
   /// Applies an answer of the store, whose clock is this host's.
   void TakeAnswer(Duration requested_at,
                   Duration answered_at,
--- a/src/libverbenalead/entry/row_synchroniser.cc
+++ b/src/libverbenalead/entry/row_synchroniser.cc
@@ -136,6 +136,7 @@
   m_operator.NoteEra(m_state.m_store_era.m_era);
   m_replicas.NoteEra(m_state.m_store_era.m_era);
   m_intake.ReviewGoneReplicas();
+  m_intake.ReviewEvacuations();
   m_state.m_store_unavailable =
       m_operator.connection_lost() || m_replicas.connection_lost();
   const PeerEntry* reader = FindStoreReader(m_state, now);
--- a/src/libverbenalead/entry/row_synchroniser.h
+++ b/src/libverbenalead/entry/row_synchroniser.h
@@ -49,6 +49,12 @@
   /// has answered: the other entries wait for these rows.
   bool ConsumeTakeover();
 
+  /// Whether this entry reads the store itself rather than the rows of another
+  /// entry.
+  bool reads_store() const {
+    return m_read_source == decide::ReadSource::kFromStore;
+  }
+
   /// Responds to entries and targets of this data centre that fetch rows.
   Awaitable<void> ServeRows(const wire::Request& request,
                             wire::ResponseWriter& caller);
--- a/src/libverbenalead/entry/store_return_test.cc
+++ b/src/libverbenalead/entry/store_return_test.cc
@@ -32,6 +32,10 @@
           revision, false};
 }
 
+platform::Row EvacuationRow(model::Revision revision) {
+  return {"evacuate/a", "{}", revision, false};
+}
+
 platform::Row ReplicaRow(const std::string& id,
                          model::Revision revision,
                          const std::string& state = "ready") {
@@ -69,6 +73,16 @@
            !found->second.m_known.m_leaving;
   }
 
+  bool IsEvacuated() const {
+    return m_state.m_evacuated_data_centers.contains("a");
+  }
+  /// Makes the store's return so long ago that its next proof counts.
+  void SettleReturn() {
+    const Duration since = BootNow() - decide::kWrittenAgainWithin - 1s;
+    m_state.m_store_era.m_since = since;
+    m_state.m_lease.m_proved_at = since - 1s;
+  }
+
   EntryState m_state;
   RowApplier m_rows;
 };
@@ -87,6 +101,10 @@
   CPPUNIT_TEST(ProofsOfTheCopyDoNotRenewTheLease);
   CPPUNIT_TEST(AFollowerDatesProofsOfTheNewEra);
   CPPUNIT_TEST(EntriesThatStateNoEraAreNotFollowed);
+  CPPUNIT_TEST(AnEvacuationMissingFromTheCopyHoldsForAWhile);
+  CPPUNIT_TEST(AnEvacuationWrittenAgainHolds);
+  CPPUNIT_TEST(AnEntryThatStartsAfterAReturnLearnsOfEvacuations);
+  CPPUNIT_TEST(AnEvacuationOfTheCopyHoldsUntilItIsRemoved);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -228,6 +246,75 @@
     CPPUNIT_ASSERT(entry.m_state.m_lease.m_proved_at > proved_at);
   }
 
+  // Guards against calls to an evacuated data centre while the operator writes
+  // again what the copy lacks, and against an evacuation without an end, at an
+  // entry that reads the store and at one that gets only proofs from it.
+  void AnEvacuationMissingFromTheCopyHoldsForAWhile() {
+    Entry reader("e1");
+    Entry follower("e2");
+    for (Entry* entry : {&reader, &follower}) {
+      entry->Read(Answer({1, 500}, {EvacuationRow({1, 400})}));
+      entry->Read(Answer({2, 30}, {WeightsRow({2, 10}, 3)}));
+      entry->Read(Answer({2, 31}, {}), false);
+      entry->m_rows.ReviewEvacuations();
+      CPPUNIT_ASSERT(entry->IsEvacuated());
+      entry->SettleReturn();
+      entry->m_rows.ReviewEvacuations();
+      CPPUNIT_ASSERT(entry->IsEvacuated());
+    }
+    reader.Read(Answer({2, 32}, {}), false);
+    CPPUNIT_ASSERT(!reader.IsEvacuated());
+    CPPUNIT_ASSERT(reader.m_rows.operator_rows().at("evacuate/a").m_deleted);
+    ApplyUpdate(follower.m_state, MakeEntryUpdate(reader.m_state), Now());
+    follower.m_rows.ReviewEvacuations();
+    CPPUNIT_ASSERT(!follower.IsEvacuated());
+  }
+
+  void AnEvacuationWrittenAgainHolds() {
+    Entry entry("e1");
+    entry.Read(Answer({1, 500}, {EvacuationRow({1, 400})}));
+    entry.Read(Answer({2, 30}, {}));
+    entry.Read(Answer({2, 31}, {EvacuationRow({2, 31})}), false);
+    entry.SettleReturn();
+    entry.Read(Answer({2, 32}, {}), false);
+    CPPUNIT_ASSERT(entry.IsEvacuated());
+  }
+
+  // Guards against calls to an evacuated data centre at an entry that starts
+  // before the operator has written the row again.
+  void AnEntryThatStartsAfterAReturnLearnsOfEvacuations() {
+    Entry other("e2");
+    other.Read(Answer({1, 500}, {EvacuationRow({1, 400})}));
+    other.Read(Answer({2, 30}, {WeightsRow({2, 10}, 3)}));
+    Entry starting("e1");
+    starting.Read(Answer({2, 30}, {WeightsRow({2, 10}, 3)}));
+    ApplyUpdate(starting.m_state, MakeEntryUpdate(other.m_state), Now());
+    starting.m_rows.ReviewEvacuations();
+    CPPUNIT_ASSERT(starting.IsEvacuated());
+    starting.SettleReturn();
+    starting.Read(Answer({2, 31}, {}), false);
+    CPPUNIT_ASSERT(!starting.IsEvacuated());
+    // The other entry learns of the end by the update.
+    ApplyUpdate(other.m_state, MakeEntryUpdate(starting.m_state), Now());
+    CPPUNIT_ASSERT(!other.IsEvacuated());
+  }
+
+  // Guards against calls to a data centre whose row is in the store again: it
+  // was removed, and the copy has it.
+  void AnEvacuationOfTheCopyHoldsUntilItIsRemoved() {
+    Entry entry("e1");
+    entry.Read(Answer({1, 500}, {EvacuationRow({1, 400})}));
+    platform::Row removed = EvacuationRow({1, 501});
+    removed.m_deleted = true;
+    entry.Read(Answer({1, 501}, {removed}), false);
+    CPPUNIT_ASSERT(!entry.IsEvacuated());
+    entry.Read(Answer({2, 30}, {EvacuationRow({2, 20})}));
+    CPPUNIT_ASSERT(entry.IsEvacuated());
+    removed.m_revision = {2, 31};
+    entry.Read(Answer({2, 31}, {removed}), false);
+    CPPUNIT_ASSERT(!entry.IsEvacuated());
+  }
+
   // Guards against all entries turning to the store, or refusing keys, since
   // only the reading entry knows the store's clock after a return.
   void AFollowerDatesProofsOfTheNewEra() {
--- a/src/libverbenalead/links/entry_update.h
+++ b/src/libverbenalead/links/entry_update.h
@@ -6,6 +6,7 @@
 
 #include "decide/health/quarantine.h"
 #include "links/aged_crash_report.h"
+#include "links/evacuation_report.h"
 #include "links/statement_report.h"
 #include "model/entry_address.h"
 #include "model/revision.h"
@@ -43,6 +44,11 @@
   /// Leaving replicas, and rate limits of replicas that have no target process.
   std::vector<ReplicaStatementReport> m_statements;
 
+  /// Active evacuations, and those that ended a short while ago. An entry gets
+  /// all rows only once it has fetched the tables, which may take seconds while
+  /// many entries fetch them, or has read a copy of the store that lacks some.
+  std::vector<EvacuationReport> m_evacuations;
+
   friend bool operator==(const EntryUpdate&, const EntryUpdate&) = default;
 };
 
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "links/crash_report_codec.h"
+#include "links/evacuation_codec.h"
 #include "links/rate_limit_codec.h"
 #include "links/revision_codec.h"
 #include "links/statement_codec.h"
@@ -53,6 +54,7 @@
     object["far_entries"] = *update.m_remote_entries;
   EncodeCrashReports(object, update.m_crash_reports);
   EncodeStatementList(object, update.m_statements);
+  EncodeEvacuations(object, update.m_evacuations);
   return object;
 }
 
@@ -221,6 +223,7 @@
     update.m_remote_entries = static_cast<uint32_t>(remote_entries);
   }
   BOOST_LEAF_ASSIGN(update.m_statements, DecodeStatementList(object));
+  BOOST_LEAF_ASSIGN(update.m_evacuations, DecodeEvacuations(object));
   return update;
 }
 
--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -36,6 +36,8 @@
          60s}};
     EntryUpdate entry_with_count = entry;
     entry_with_count.m_remote_entries = 78;
+    entry_with_count.m_evacuations = {{"a", {3, 5}, true},
+                                      {"b", {3, 4}, false}};
     DataCenterSummary summary;
     summary.m_data_center = "a";
     summary.m_sender = "e1";
--- a/src/libverbenalead/links/relayed_rows.cc
+++ b/src/libverbenalead/links/relayed_rows.cc
@@ -73,6 +73,8 @@
   BOOST_LEAF_AUTO(number, model::NumberField(object, "revision"));
   BOOST_LEAF_ASSIGN(row.m_revision, DecodeRevision(object, table_era));
   row.m_revision.m_number = number;
+  const json::value* deleted = object.if_contains("deleted");
+  row.m_deleted = deleted && deleted->is_bool() && deleted->as_bool();
   return row;
 }
 
@@ -115,6 +117,8 @@
     json::object object{{"key", key}, {"revision", row.m_revision.m_number}};
     if (row.m_revision.m_era != revision.m_era)
       object["era"] = row.m_revision.m_era;
+    if (row.m_deleted)
+      object["deleted"] = true;
     if (IsPlainText(row.m_value))
       object["text"] = row.m_value;
     else
--- a/src/libverbenalead/links/relayed_rows_test.cc
+++ b/src/libverbenalead/links/relayed_rows_test.cc
@@ -11,6 +11,7 @@
 class RelayedRowsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RelayedRowsTest);
   CPPUNIT_TEST(PreservesRowsOfArbitraryBytes);
+  CPPUNIT_TEST(CarriesRemovedRows);
   CPPUNIT_TEST(CarriesTimeSinceStoreWasRegained);
   CPPUNIT_TEST(CarriesRowAges);
   CPPUNIT_TEST(RejectsMalformedRowLists);
@@ -34,6 +35,17 @@
     CPPUNIT_ASSERT(!relayed.m_store_regained_ago);
   }
 
+  // Guards against an evacuation that never ends at entries that have another
+  // entry read for them.
+  void CarriesRemovedRows() {
+    const platform::Row removed = {"evacuate/a", "", {3, 7}, true};
+    const std::string text = EncodeRows({{"evacuate/a", removed}}, {3, 7}, {});
+    CPPUNIT_ASSERT(Decode(text, {}).m_rows.m_rows.at(0) == removed);
+    const std::string present =
+        EncodeRows({{"x", {"x", "{}", {3, 7}, false}}}, {3, 7}, {});
+    CPPUNIT_ASSERT(present.find("deleted") == std::string::npos);
+  }
+
   void CarriesTimeSinceStoreWasRegained() {
     const RelayMetadata facts = {5s, 7s, 1500ms, 20ms};
     CPPUNIT_ASSERT(DecodeRelayMetadata(EncodeRelayMetadata(facts)) == facts);
