Callers are told of entries in the regions of their host

Cause: the directory lists entries of all data centres where the caller's own has fewer than two, so the body of a call may leave the regions in which it may be served.

Change: the request's `name` and `region` are decoded beside `zone`. If routes of the host, or organisations that call it, name regions, entries elsewhere are left out unless there are no others. The regions are those that all routes and organisations allow, since one list serves all calls of a host. The list is unchanged where nothing names regions, or the setting `regions` is empty.

A change of evacuations is sent to the other entries at once by the entry that reads it from the store.

--- a/src/libverbenalead/entry/caller_addresses_test.cc
+++ b/src/libverbenalead/entry/caller_addresses_test.cc
@@ -23,6 +23,7 @@
   EntryOptions options;
   options.m_own_address = Address(number);
   options.m_key_bound = 5s;
+  options.m_regions = {{"a", "east"}, {"b", "west"}, {"c", "north"}};
   return options;
 }
 
@@ -52,13 +53,14 @@
 }
 
 size_t CountListed(const EntryState& state) {
-  return EntriesForCallers(state, "a", kMost, Now()).size();
+  return EntriesForCallers(state, {"", "a", ""}, kMost, Now()).size();
 }
 
 class CallerAddressesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CallerAddressesTest);
   CPPUNIT_TEST(DoesNotListStoppingEntries);
   CPPUNIT_TEST(ManyEntriesShareTheCallers);
+  CPPUNIT_TEST(CallersStayInTheRegionsOfTheirHost);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -85,13 +87,46 @@
       SetPeers(*entry, 0, number, true);
       SetPeers(*entry, number + 1, kEntries - number - 1, true);
       for (const Endpoint& endpoint :
-           EntriesForCallers(*entry, "a", kMost, Now()))
+           EntriesForCallers(*entry, {"", "a", ""}, kMost, Now()))
         ++listings[ToString(endpoint)];
     }
     CPPUNIT_ASSERT_EQUAL(kEntries, listings.size());
     for (const auto& [address, times] : listings)
       CPPUNIT_ASSERT_EQUAL(kMost, times);
   }
+
+  // Guards against calls whose body leaves the regions in which they may be
+  // served because their callers' own data centre has too few entries.
+  void CallersStayInTheRegionsOfTheirHost() {
+    const auto entry = Ready(0);
+    SetPeers(*entry, 1, 4, true);
+    for (size_t number : {1, 2})
+      entry->m_peers.at(Address(number).m_host).m_address.m_data_center = "b";
+    for (size_t number : {3, 4})
+      entry->m_peers.at(Address(number).m_host).m_address.m_data_center = "c";
+    const auto count = [&](const std::string& host,
+                           const std::string& data_center,
+                           const std::string& region) {
+      return EntriesForCallers(*entry, {host, data_center, region}, kMost,
+                               Now())
+          .size();
+    };
+    model::RoutingConfig config;
+    config.m_routes.resize(2);
+    config.m_routes[0].m_host = "west-only";
+    config.m_routes[0].m_regions = {"west"};
+    config.m_routes[1].m_host = "any";
+    entry->m_routes = std::make_shared<decide::RouteTable>(config);
+    CPPUNIT_ASSERT_EQUAL(size_t{5}, count("any", "a", "east"));
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, count("west-only", "a", "east"));
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, count("west-only", "a", ""));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, count("west-only", "d", "south"));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, count("west-only", "c", "north"));
+    for (size_t number : {1, 2})
+      entry->m_peers.at(Address(number).m_host).m_ready = false;
+    // There are no others.
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, count("west-only", "d", "south"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerAddressesTest);
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -133,6 +133,13 @@
       m_announced_weights = m_state.m_weights_revision;
       m_update_sender.RequestLocalUpdates();
     }
+    // Calls must leave an evacuated data centre within a set time. The entries
+    // that fetch the rows from this one learn of the change at once.
+    if (m_state.m_evacuation_changes > m_announced_evacuations) {
+      m_announced_evacuations = m_state.m_evacuation_changes;
+      if (m_rows.reads_store())
+        m_update_sender.NotifyAllEntries();
+    }
     if (m_state.m_routes == m_applied_routes)
       return;
     m_applied_routes = m_state.m_routes;
@@ -159,7 +166,7 @@
       co_return;
     }
     co_await caller.Send(platform::EncodeAddresses(
-        EntriesForCallers(m_state, platform::CallerDataCenter(request),
+        EntriesForCallers(m_state, platform::DecodeDirectoryRequest(request),
                           platform::kMaxAddresses, Now()),
         kAddressListLifetime));
   }
@@ -289,6 +296,8 @@
   /// The configuration that ApplyRows() applied last.
   std::shared_ptr<const decide::RouteTable> m_applied_routes;
   model::Revision m_announced_weights;
+  /// The changes of evacuations that were announced to other entries.
+  uint64_t m_announced_evacuations = 0;
   StartupProgress m_start;
   /// All steps of StartupProgress are completed.
   bool m_started = false;
--- a/src/libverbenalead/entry/summary_test.cc
+++ b/src/libverbenalead/entry/summary_test.cc
@@ -136,8 +136,9 @@
     peer.m_last_seen_at = Now();
     m_sender->m_lease.m_proved_at = BootNow();
     CPPUNIT_ASSERT(SendSummary(1));
-    CPPUNIT_ASSERT_EQUAL(size_t{2},
-                         EntriesForCallers(*m_receiver, "a", 64, Now()).size());
+    CPPUNIT_ASSERT_EQUAL(
+        size_t{2},
+        EntriesForCallers(*m_receiver, {"", "a", ""}, 64, Now()).size());
     peer.m_last_seen_at = Now() - 2s;
     CPPUNIT_ASSERT(SendSummary(2));
     CPPUNIT_ASSERT(!m_receiver->m_peers.at("a2").m_ready);
--- a/src/libverbenalead/platform/directory_calls.cc
+++ b/src/libverbenalead/platform/directory_calls.cc
@@ -4,8 +4,9 @@
 
 namespace verbenalead::platform {
 
-std::string CallerDataCenter(const wire::Request& request) {
-  return wire::QueryValue(request, "zone");
+DirectoryRequest DecodeDirectoryRequest(const wire::Request& request) {
+  return {wire::QueryValue(request, "name"), wire::QueryValue(request, "zone"),
+          wire::QueryValue(request, "region")};
 }
 
 wire::Response EncodeAddresses(const std::vector<Endpoint>& addresses,
--- a/src/libverbenalead/platform/directory_calls.h
+++ b/src/libverbenalead/platform/directory_calls.h
@@ -1,11 +1,11 @@
 #ifndef VERBENALEAD_PLATFORM_DIRECTORY_CALLS_H_
 #define VERBENALEAD_PLATFORM_DIRECTORY_CALLS_H_
 
-#include <string>
 #include <vector>
 
 #include "base/endpoint.h"
 #include "base/time.h"
+#include "platform/directory_request.h"
 #include "wire/request.h"
 #include "wire/response.h"
 
@@ -16,9 +16,7 @@
 /// Most addresses in one answer.
 inline constexpr size_t kMaxAddresses = 64;
 
-/// Returns the data centre named in a caller's request for addresses; empty if
-/// it names none.
-std::string CallerDataCenter(const wire::Request& request);
+DirectoryRequest DecodeDirectoryRequest(const wire::Request& request);
 
 /// Returns the answer with the addresses to which a caller may connect and the
 /// time for which they are valid.
