--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -61,11 +61,17 @@
                     json.dumps(value).encode()).decode()}
 
     def write(self, table, key, value):
-        row = self.row(table, key, value)
+        self.change(table, key, [self.row(table, key, value)], [])
+
+    def remove(self, table, key):
+        self.change(table, key, [],
+                    [{"table": table, "part": "", "key": key}])
+
+    def change(self, table, key, writes, removed):
         reply = harness.call(self.store, "POST", "/rows-tx",
                              {"precondition": self.conditions(table, key),
-                              "writes": [row],
-                              "remove": []}, timeout=self.WRITE_TIMEOUT)
+                              "writes": writes,
+                              "remove": removed}, timeout=self.WRITE_TIMEOUT)
         assert reply.status == 200, reply.status
 
     def conditions(self, table, key):
