Calls of other regions don't use up a replica's rate limit

Cause: whether a call might start in time was judged by all calls that wait at the entry, also those that can't use its replicas, so it could be refused while its own region had tokens left.

Change: only waiting calls that may use one of its data centres count; for calls without regions that is all of them, as before.

Result: replica_pool_test OK (31).

--- a/src/libverbenalead/decide/placement/replica_pool.cc
+++ b/src/libverbenalead/decide/placement/replica_pool.cc
@@ -86,6 +86,16 @@
          call.m_data_centers->contains(state.m_replica.m_data_center);
 }
 
+/// Whether two calls may wait for the same replica.
+bool Compete(const PoolCall& a, const PoolCall& b) {
+  if (!a.m_data_centers || !b.m_data_centers)
+    return true;
+  return std::any_of(a.m_data_centers->begin(), a.m_data_centers->end(),
+                     [&](const std::string& data_center) {
+                       return b.m_data_centers->contains(data_center);
+                     });
+}
+
 /// Whether the replica may get calls of this entry at some time, by its own
 /// statements and the operator's.
 bool MayWantCalls(const ReplicaPool& pool, const ReplicaState& state) {
@@ -613,10 +623,13 @@
     rate += std::max(kMinRequestRate,
                      state.m_known.m_rate_limit.m_rate.value_or(0));
   }
+  if (!has_limits || !has_candidate)
+    return !has_limits;
+  const auto waiting = static_cast<double>(std::count_if(
+      pool.m_waiting.begin(), pool.m_waiting.end(),
+      [&](const PoolCall& other) { return Compete(call, other); }));
   const double seconds = std::chrono::duration<double>(deadline - now).count();
-  return !has_limits ||
-         (has_candidate &&
-          static_cast<double>(pool.m_waiting.size()) < 1 + rate * seconds);
+  return waiting < 1 + rate * seconds;
 }
 
 Exclusion ExclusionOf(const ReplicaPool& pool, const PoolCall& call) {
--- a/src/libverbenalead/decide/placement/replica_pool.h
+++ b/src/libverbenalead/decide/placement/replica_pool.h
@@ -209,8 +209,9 @@
 
 /// Whether `call`, if it waits from now on, might start by `deadline`. False if
 /// only replicas with rate limits can be used by then, and these don't allow as
-/// many requests as wait at this entry alone; or if no replica that it may use
-/// wants calls. It would only wait in vain, so it should be refused at once.
+/// many requests as wait for them at this entry alone; or if no replica that it
+/// may use wants calls. It would only wait in vain, so it should be refused at
+/// once.
 bool MayStartBy(const ReplicaPool& pool,
                 const PoolCall& call,
                 TimePoint deadline,
--- a/src/libverbenalead/decide/placement/replica_pool_test.cc
+++ b/src/libverbenalead/decide/placement/replica_pool_test.cc
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(CallThatNoRateLimitLetsThroughDoesNotWait);
   CPPUNIT_TEST(CallStaysInItsDataCentresByAnyWay);
   CPPUNIT_TEST(EvacuatedDataCentreGetsNoCallsByAnyWay);
+  CPPUNIT_TEST(CallsOfOtherRegionsDoNotUseUpARateLimit);
   CPPUNIT_TEST(TellsWhyNoReplicaMayGetACall);
   CPPUNIT_TEST(AnySequenceKeepsTheLimits);
   CPPUNIT_TEST_SUITE_END();
@@ -390,6 +391,20 @@
                          StartWaitingCalls(pool, kStart, m_random).size());
   }
 
+  // Guards against calls that are refused because calls wait that can't use
+  // their replicas.
+  void CallsOfOtherRegionsDoNotUseUpARateLimit() {
+    ReplicaPool pool = MakePool({MakeReplica("a"), MakeReplica("b", "far")});
+    Limit(pool, "a", 1, 0ms);
+    for (uint64_t ticket = 0; ticket < 3; ++ticket)
+      AddWaitingCall(pool, Restricted({"far"}));
+    const TimePoint deadline = kStart + 400ms;
+    CPPUNIT_ASSERT(MayStartBy(pool, Restricted({"near"}), deadline, kStart));
+    AddWaitingCall(pool, MakeCall(3));
+    AddWaitingCall(pool, Restricted({"near", "far"}));
+    CPPUNIT_ASSERT(!MayStartBy(pool, Restricted({"near"}), deadline, kStart));
+  }
+
   // Guards against a refusal that names full replicas although the operator or
   // the configuration keeps the call from them.
   void TellsWhyNoReplicaMayGetACall() {
