Evacuated data centre: the store comes back without the row

Cause: the end-to-end case didn't show that an evacuation outlasts the store's return from a copy that lacks its row.

Change: while the data centre is evacuated, the store comes back from a copy that is older than the row, which is written again 1.5 s later.

--- a/testsuite/cases/evacuated_data_center/run.py
+++ b/testsuite/cases/evacuated_data_center/run.py
@@ -5,7 +5,9 @@
 them, against streams that are cut off or calls that are refused though the
 other data centre has room, and against replicas that get no calls after the
 row is removed. One route may use the evacuated region only: its calls are
-refused at once, with the reason.
+refused at once, with the reason. Meanwhile the store comes back from a copy
+without the row, which the operator writes again 1.5 s later: no calls may
+return in between.
 """
 
 import collections
@@ -24,7 +26,10 @@
 # Calls may arrive this long after the row is acknowledged; the platform allows
 # ten times as long.
 LAST_ARRIVAL_MS = 500
-EVACUATED_S = 4
+EVACUATED_S = 2
+# The copy is older than the row.
+DRILL = {"away_ms": 300, "age_ms": 2500, "again_ms": 1500}
+AFTER_DRILL_S = 4
 # Calls must have returned this long after the row is removed.
 RETURNED_MS = 1000
 # A call that no replica may get is refused without waiting for any of them.
@@ -127,6 +132,8 @@
     kept.append(check_east(fleet, 503))
     gauges = [evacuated_gauge(entry) for entry in fleet.entries]
     time.sleep(EVACUATED_S - 1)
+    fleet.drill(**DRILL)
+    time.sleep(AFTER_DRILL_S)
     row_removed = now_ms()
     fleet.remove("op", "evacuate/a")
     time.sleep(3)
