A row without a data centre evacuates nothing

Cause: without the setting `regions` the row `evacuate/` with an empty name would evacuate replicas whose rows state no data centre.

Change: an empty name is unknown; the row is logged and ignored.

Result: row_applier_test OK (13).

--- a/src/libverbenalead/entry/evacuation_rows.cc
+++ b/src/libverbenalead/entry/evacuation_rows.cc
@@ -21,7 +21,8 @@
 bool IsKnownDataCenter(const EntryState& state,
                        const std::string& data_center) {
   const decide::RegionMap& regions = state.m_options.m_regions;
-  return regions.empty() || regions.contains(data_center);
+  return !data_center.empty() &&
+         (regions.empty() || regions.contains(data_center));
 }
 
 void LogUnknownDataCenter(const EntryState& state,
