A full region doesn't shed late calls of other regions

Cause: a call that may use one region only and is refused there marked the whole service as full for a second, and second tries that may use other regions were refused at once.

Change: on-time refusals are recorded by the data centres that the call could use. Calls without regions are shed as before; a refusal of one of them still sheds all late calls.

--- a/src/libverbenalead/decide/admission/late_call_shedding.h
+++ b/src/libverbenalead/decide/admission/late_call_shedding.h
@@ -1,9 +1,12 @@
 #ifndef VERBENALEAD_DECIDE_ADMISSION_LATE_CALL_SHEDDING_H_
 #define VERBENALEAD_DECIDE_ADMISSION_LATE_CALL_SHEDDING_H_
 
-#include <optional>
+#include <map>
+#include <set>
+#include <string>
 
 #include "base/time.h"
+#include "decide/placement/pool_call.h"
 
 namespace verbenalead::decide {
 
@@ -14,10 +17,13 @@
 /// once. Harm: a retry waited a quarter of a second for a slot, usually in
 /// vain; if it got one, it was late all the same and took the slot from a
 /// caller who could still have been on time. So while even calls that could be
-/// on time find no slot, late calls are refused without a wait.
+/// on time find no slot, late calls are refused without a wait. If these could
+/// use some data centres only, the others may have room, so only late calls
+/// with the same limit are refused.
 struct LateCallShedding {
-  /// When a call that could have been on time was last refused.
-  std::optional<TimePoint> m_on_time_refused_at;
+  /// When a call that could have been on time was last refused, by the data
+  /// centres that it could use; empty: all.
+  std::map<std::set<std::string>, TimePoint> m_on_time_refused_at;
 
   friend bool operator==(const LateCallShedding&,
                          const LateCallShedding&) = default;
@@ -26,15 +32,30 @@
 /// A pool that refused an on-time call within this time counts as still full.
 constexpr Duration kSheddingHold = 1s;
 
-/// Records that a call that could have been on time was refused for lack of a
-/// slot.
-inline void NoteOnTimeRefusal(LateCallShedding& shedding, TimePoint now) {
-  shedding.m_on_time_refused_at = now;
+/// Records that `call`, which could have been on time, was refused for lack of
+/// a slot.
+inline void NoteOnTimeRefusal(LateCallShedding& shedding,
+                              const PoolCall& call,
+                              TimePoint now) {
+  std::erase_if(shedding.m_on_time_refused_at, [now](const auto& refusal) {
+    return now - refusal.second >= kSheddingHold;
+  });
+  std::set<std::string> data_centers;
+  if (call.m_data_centers)
+    data_centers = *call.m_data_centers;
+  shedding.m_on_time_refused_at[data_centers] = now;
 }
 
-inline bool ShedsLateCalls(const LateCallShedding& shedding, TimePoint now) {
-  return shedding.m_on_time_refused_at &&
-         now - *shedding.m_on_time_refused_at < kSheddingHold;
+/// Whether `call`, which is late, is refused at once.
+inline bool ShedsLateCalls(const LateCallShedding& shedding,
+                           const PoolCall& call,
+                           TimePoint now) {
+  const auto refused = [&](const std::set<std::string>& data_centers) {
+    const auto found = shedding.m_on_time_refused_at.find(data_centers);
+    return found != shedding.m_on_time_refused_at.end() &&
+           now - found->second < kSheddingHold;
+  };
+  return refused({}) || (call.m_data_centers && refused(*call.m_data_centers));
 }
 
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/placement/fake_fleet.h
+++ b/src/libverbenalead/decide/placement/fake_fleet.h
@@ -175,7 +175,7 @@
     ++call.m_tries;
     call.m_entry = m_random() % m_entries.size();
     if (call.m_tries > 1 && m_load.m_shed_late_calls &&
-        ShedsLateCalls(m_late[call.m_entry], m_now))
+        ShedsLateCalls(m_late[call.m_entry], PoolCall(), m_now))
       return;
     const Duration wait_limit =
         call.m_tries == 1 ? kObjective - kSlack - PrefillTime(call) : kLateWait;
@@ -413,7 +413,7 @@
       WithdrawRequest(target.m_queue, EntryAddress(call.m_entry), number);
     if (call.m_tries > 1)
       return;
-    NoteOnTimeRefusal(m_late[call.m_entry], m_now);
+    NoteOnTimeRefusal(m_late[call.m_entry], PoolCall(), m_now);
     std::uniform_int_distribution<int> pause(300, 1500);
     Schedule(m_now + std::chrono::milliseconds(pause(m_random)),
              [this, number] { Try(number); });
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -71,7 +71,7 @@
   if (!m_plan.m_wait_limit.m_can_be_on_time &&
       decide::ShedsLateCalls(
           GetOrCreateService(m_state, m_plan.m_service).m_late_shedding,
-          Now())) {
+          m_record->m_pool_call, Now())) {
     co_await Refuse(decide::Refusal::kFull);
     co_return;
   }
@@ -248,7 +248,8 @@
   const bool usable = decide::HasUsableReplica(pool, call, Now());
   if (usable && m_plan.m_wait_limit.m_can_be_on_time)
     decide::NoteOnTimeRefusal(
-        GetOrCreateService(m_state, m_plan.m_service).m_late_shedding, Now());
+        GetOrCreateService(m_state, m_plan.m_service).m_late_shedding, call,
+        Now());
   const auto wait = decide::WaitForReplica(pool, call, Now());
   if (wait) {
     co_await RefuseUntil(
