--- a/src/libverbenalead/entry/call_fixture.h
+++ b/src/libverbenalead/entry/call_fixture.h
@@ -70,6 +70,7 @@
                            Endpoint("127.0.0.1", 0)};
   options.m_key_bound = 5s;
   options.m_weights_bound = 8s;
+  options.m_regions = {{"a", "east"}, {"b", "west"}};
   return options;
 }
 
