--- /dev/null
+++ b/src/libverbenalead/decide/limits/cold_fleet_test.cc
@@ -0,0 +1,99 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdio>
+
+#include "decide/limits/fake_cold_fleet.h"
+
+namespace verbenalead::decide {
+namespace {
+
+constexpr uint32_t kFleets[] = {3, 8, 44, 300};
+/// Most calls in any second: 14 * 1.5 + 5.
+constexpr size_t kBound = 26;
+/// Least share of the cold rate that is used while more calls come.
+constexpr double kLeastUse = 0.85;
+
+class ColdFleetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ColdFleetTest);
+  CPPUNIT_TEST(BurstAtManyReplicasKeepsTheBoundAndUsesTheRate);
+  CPPUNIT_TEST(KilledHolderKeepsTheBound);
+  CPPUNIT_TEST(PausedEntryKeepsTheBound);
+  CPPUNIT_TEST(StartedEntryKeepsTheBound);
+  CPPUNIT_TEST(LinkCutOneWayKeepsTheBound);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against cold replicas that crash under the calls of all entries, and
+  // against replicas that are left idle for fear of it.
+  void BurstAtManyReplicasKeepsTheBoundAndUsesTheRate() {
+    ForAll(
+        "burst", [](ColdFleetSettings&) {}, kLeastUse);
+  }
+
+  // Guards against two buckets one after the other that both begin full.
+  void KilledHolderKeepsTheBound() {
+    ForAll("killed",
+           [](ColdFleetSettings& settings) { settings.m_kill_at = 5s; });
+  }
+
+  // Guards against an entry that goes on after a pause as the holder that it
+  // was, while another one has taken over.
+  void PausedEntryKeepsTheBound() {
+    for (const Duration length : {600ms, 1500ms, 3000ms, 4500ms}) {
+      ForAll("paused", [length](ColdFleetSettings& settings) {
+        settings.m_pause = {4s, 4s + length};
+      });
+    }
+  }
+
+  // Guards against a new holder that grants while the one before it hasn't
+  // heard of it yet.
+  void StartedEntryKeepsTheBound() {
+    ForAll("started",
+           [](ColdFleetSettings& settings) { settings.m_start_at = 5s; });
+  }
+
+  // Guards against two holders that both grant for as long as one of them
+  // doesn't hear the other.
+  void LinkCutOneWayKeepsTheBound() {
+    ForAll("cut", [](ColdFleetSettings& settings) { settings.m_cut_at = 4s; });
+  }
+
+ private:
+  template <typename Change>
+  static void ForAll(const char* what, Change change, double least_use = 0) {
+    for (const bool has_targets : {true, false}) {
+      for (const uint32_t entries : kFleets) {
+        ColdFleetSettings settings;
+        settings.m_entries = entries;
+        settings.m_has_targets = has_targets;
+        settings.m_replicas = entries == 300 ? 2 : 6;
+        change(settings);
+        Check(what, settings, least_use);
+      }
+    }
+  }
+
+  static void Check(const char* what,
+                    const ColdFleetSettings& settings,
+                    double least_use) {
+    FakeColdFleet fleet(settings);
+    fleet.Run();
+    const size_t worst = fleet.WorstSecond();
+    // Buckets start empty, and entries pause before they grant.
+    const double used = fleet.LeastUse(3s);
+    char text[120];
+    std::snprintf(text, sizeof(text), "%s, %u entries, %s: %zu, %.2f", what,
+                  settings.m_entries,
+                  settings.m_has_targets ? "targets" : "entries hold", worst,
+                  used);
+    std::puts(text);
+    CPPUNIT_ASSERT_MESSAGE(text, worst <= kBound);
+    CPPUNIT_ASSERT_MESSAGE(text, used >= least_use);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ColdFleetTest);
+
+}  // namespace
+}  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/limits/rate_gate.cc
+++ b/src/libverbenalead/decide/limits/rate_gate.cc
@@ -28,6 +28,8 @@
 }
 
 double Capacity(const RateGate& gate) {
+  if (gate.m_size)
+    return *gate.m_size;
   return kBurstTokens + EffectiveRate(gate) * Seconds(kBurstTime);
 }
 
@@ -45,16 +47,21 @@
 }  // namespace
 
 void SetRate(RateGate& gate, std::optional<double> rate, TimePoint now) {
-  if (gate.m_rate == rate)
+  SetLimit(gate, {rate, std::nullopt}, now);
+}
+
+void SetLimit(RateGate& gate, const GateLimit& limit, TimePoint now) {
+  if (gate.m_rate == limit.m_rate && gate.m_size == limit.m_size)
     return;
-  if (!gate.m_rate) {
+  if (!gate.m_rate || (!gate.m_size && limit.m_size)) {
     gate = RateGate();
     gate.m_filled_at = now;
     gate.m_denials_decayed_at = now;
   } else {
     Fill(gate, now);
   }
-  gate.m_rate = rate;
+  gate.m_rate = limit.m_rate;
+  gate.m_size = limit.m_size;
   gate.m_tokens = std::min(gate.m_tokens, Capacity(gate));
 }
 
--- a/src/libverbenalead/decide/limits/rate_gate.h
+++ b/src/libverbenalead/decide/limits/rate_gate.h
@@ -8,6 +8,16 @@
 
 namespace verbenalead::decide {
 
+/// What a token bucket admits.
+struct GateLimit {
+  /// Requests per second; absent: no limit.
+  std::optional<double> m_rate;
+  /// Size of the bucket; absent: kBurstTokens and the tokens of kBurstTime.
+  std::optional<double> m_size;
+
+  friend bool operator==(const GateLimit&, const GateLimit&) = default;
+};
+
 /// Token bucket of the one process that admits requests of all entries to a
 /// replica with a rate limit.
 ///
@@ -24,6 +34,8 @@
 struct RateGate {
   /// Requests per second; absent: no limit.
   std::optional<double> m_rate;
+  /// Tokens that the bucket holds at most; absent: as for a stated limit.
+  std::optional<double> m_size;
   double m_tokens = 0;
   /// Time up to which tokens were added.
   TimePoint m_filled_at{};
@@ -45,6 +57,10 @@
 /// Sets the limit. A bucket that had none starts empty, because requests were
 /// sent freely until now; one whose limit falls keeps no more tokens than fit.
 void SetRate(RateGate& gate, std::optional<double> rate, TimePoint now);
+/// The same for a limit with a bucket size of its own. A bucket that gets such
+/// a size starts empty as well: the requests that were sent under another limit
+/// may be more than the new one admits.
+void SetLimit(RateGate& gate, const GateLimit& limit, TimePoint now);
 
 /// Whether a request may be sent now.
 bool HasToken(const RateGate& gate, TimePoint now);
--- a/src/libverbenalead/decide/limits/rate_holder.cc
+++ b/src/libverbenalead/decide/limits/rate_holder.cc
@@ -1,5 +1,8 @@
 #include "decide/limits/rate_holder.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "decide/membership/rendezvous.h"
 
 namespace verbenalead::decide {
@@ -23,4 +26,30 @@
   return holder;
 }
 
+bool ConfirmTerm(HolderTerm& term, TimePoint now) {
+  const TimePoint last = std::exchange(term.m_confirmed_at, now);
+  const bool begins = last == TimePoint() || now - last > kMaxTermGap;
+  if (begins)
+    term.m_began_at = now;
+  return begins;
+}
+
+Duration TermPauseLeft(const HolderTerm& term, TimePoint now) {
+  return std::max(Duration(), term.m_began_at + kTermPause - now);
+}
+
+bool IsAgreedHolder(const std::map<std::string, HolderClaim>& claims,
+                    const std::string& self,
+                    TimePoint now) {
+  size_t heard = 1;
+  size_t agreed = 1;
+  for (const auto& [entry, claim] : claims) {
+    if (now - claim.m_heard_at >= kClaimLifetime)
+      continue;
+    ++heard;
+    agreed += claim.m_holder == self ? 1 : 0;
+  }
+  return 2 * agreed > heard;
+}
+
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/limits/rate_holder.h
+++ b/src/libverbenalead/decide/limits/rate_holder.h
@@ -1,10 +1,12 @@
 #ifndef VERBENALEAD_DECIDE_LIMITS_RATE_HOLDER_H_
 #define VERBENALEAD_DECIDE_LIMITS_RATE_HOLDER_H_
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "base/time.h"
 #include "decide/membership/summary_route.h"
 
 namespace verbenalead::decide {
@@ -26,6 +28,53 @@
                                       const std::string& data_center,
                                       const std::vector<SummaryPeer>& entries);
 
+/// Since when a process has held the token bucket of a cold replica without
+/// interruption.
+///
+/// Failure: the holder pauses, another entry takes over, and the first one goes
+/// on; or an entry starts and takes over from one that hasn't heard of it yet.
+/// Symptom: a cold replica gets the calls of two buckets in the same second,
+/// and crashes. So a holder waits until the one before it must have noticed the
+/// change and its last calls have arrived.
+struct HolderTerm {
+  TimePoint m_began_at{};
+  TimePoint m_confirmed_at{};
+};
+
+/// A longer time between two confirmations begins a new term: the process may
+/// have been paused. Others take over after 1.3 s without an update.
+constexpr Duration kMaxTermGap = 800ms;
+/// Time from the begin of a term until the holder grants tokens: 1.3 s until
+/// the one before it has noticed, and 100 ms for its last calls.
+constexpr Duration kTermPause = 1500ms;
+
+/// Records that the process holds the bucket at `now`; returns true if a new
+/// term begins.
+bool ConfirmTerm(HolderTerm& term, TimePoint now);
+/// Time until the holder may grant tokens; zero if it may.
+Duration TermPauseLeft(const HolderTerm& term, TimePoint now);
+
+/// Whom another entry took for the holder when it was last heard.
+struct HolderClaim {
+  std::string m_holder;
+  TimePoint m_heard_at{};
+};
+
+/// Time for which a claim counts: three intervals between updates of entries.
+constexpr Duration kClaimLifetime = 1300ms;
+
+/// Whether `self`, which takes itself for the holder, is so by more than half
+/// of the entries that were heard recently, itself included. `claims`: what
+/// each of the others claimed last.
+///
+/// Failure: an entry doesn't hear the holder, which hears it and all others.
+/// Symptom: it takes itself for the holder for as long as the link is cut, and
+/// a cold replica gets the calls of two buckets. The others that it hears know
+/// better; until they agree, it sends the replica nothing.
+bool IsAgreedHolder(const std::map<std::string, HolderClaim>& claims,
+                    const std::string& self,
+                    TimePoint now);
+
 }  // namespace verbenalead::decide
 
 #endif  // VERBENALEAD_DECIDE_LIMITS_RATE_HOLDER_H_
--- a/src/libverbenalead/decide/placement/known_statements.h
+++ b/src/libverbenalead/decide/placement/known_statements.h
@@ -1,6 +1,7 @@
 #ifndef VERBENALEAD_DECIDE_PLACEMENT_KNOWN_STATEMENTS_H_
 #define VERBENALEAD_DECIDE_PLACEMENT_KNOWN_STATEMENTS_H_
 
+#include "decide/limits/cold_state.h"
 #include "decide/limits/rate_limit.h"
 
 namespace verbenalead::decide {
@@ -10,6 +11,9 @@
 struct KnownStatements {
   /// From its answers, its target process or other entries.
   RateLimit m_rate_limit;
+  /// From its row in the store, its answers, its target process or other
+  /// entries, or presumed.
+  ColdState m_cold;
   /// It is leaving, by its row in the store, its answers, its target process or
   /// other entries. Final for the incarnation.
   bool m_leaving = false;
--- a/src/libverbenalead/decide/placement/live_replicas.cc
+++ b/src/libverbenalead/decide/placement/live_replicas.cc
@@ -27,6 +27,10 @@
         .Add(ToString(replica.m_endpoint))
         .Add(std::to_string(replica.m_started_ms))
         .Add(replica.m_leaving ? "leaving" : "");
+    // A replica may become cold again without any other change of its row. The
+    // time that is left changes with each heartbeat.
+    if (replica.m_cold_left > Duration())
+      hash.Add("cold");
   }
   return hash.value();
 }
--- a/src/libverbenalead/decide/placement/replica_pool.cc
+++ b/src/libverbenalead/decide/placement/replica_pool.cc
@@ -1,6 +1,7 @@
 #include "decide/placement/replica_pool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "decide/limits/rate_gate.h"
@@ -76,6 +77,12 @@
 constexpr Duration kStatementLifetime = std::chrono::minutes(10);
 constexpr size_t kMaxUnlisted = 1024;
 
+/// Cost of a cold replica: it gets calls where the others are full.
+constexpr double kColdCost = 1;
+/// The free slots of a cold replica that count as capacity are those that its
+/// calls may take in this time. A call that waits longer is refused or late.
+constexpr double kColdCapacitySeconds = 0.1;
+
 /// Whether the replica wants calls of this entry, by its own statements.
 bool WantsCalls(const ReplicaState& state, TimePoint now) {
   return !state.m_known.m_leaving && state.m_known.m_rest_until <= now;
@@ -96,15 +103,40 @@
          state.m_weights >= pool.m_required_weights;
 }
 
+/// Whether the replica is cold, and calls to it are limited for that.
+bool IsLimitedCold(const ReplicaPool& pool,
+                   const ReplicaState& state,
+                   TimePoint now) {
+  return IsValidColdRate(pool.m_cold_limits.m_rate) &&
+         IsCold(state.m_known.m_cold, now);
+}
+
 /// Whether the replica has a rate limit and no token for this entry now.
-bool IsHeldBack(const ReplicaState& state, TimePoint now) {
-  return state.m_known.m_rate_limit.m_rate && state.m_rate_held_until > now;
+bool IsHeldBack(const ReplicaPool& pool,
+                const ReplicaState& state,
+                TimePoint now) {
+  return state.m_rate_held_until > now && LimitOf(pool, state, now).m_rate;
 }
 
 uint32_t Load(const ReplicaState& state) {
   return state.m_in_flight + state.m_other_entries_calls;
 }
 
+/// Free slots of a usable replica that calls may take now.
+uint32_t AvailableSlots(const ReplicaPool& pool,
+                        const ReplicaState& state,
+                        TimePoint now) {
+  const uint32_t slots = state.m_replica.m_slots;
+  const uint32_t free = slots - std::min(Load(state), slots);
+  if (IsHeldBack(pool, state, now))
+    return 0;
+  if (!IsLimitedCold(pool, state, now))
+    return free;
+  const double calls =
+      LimitOf(pool, state, now).m_rate.value_or(0) * kColdCapacitySeconds;
+  return std::min(free, static_cast<uint32_t>(std::ceil(calls)));
+}
+
 /// Time that the replica needs to read its unread prompts, as a share of
 /// kMaxUnreadSeconds.
 double UnreadShare(const ReplicaPool& pool, const ReplicaState& state) {
@@ -145,6 +177,8 @@
     cost += kRemoteCost;
   if (state.m_unresponsive_until > now)
     cost += kSilentTargetCost;
+  if (IsLimitedCold(pool, state, now))
+    cost += kColdCost;
   return cost;
 }
 
@@ -213,7 +247,29 @@
   return newest;
 }
 
-void Update(ReplicaState& state, const model::Replica& replica) {
+/// Records what the row says of how long the replica is cold.
+void UpdateCold(const ReplicaPool& pool,
+                ReplicaState& state,
+                bool has_started,
+                TimePoint now) {
+  if (!IsValidColdRate(pool.m_cold_limits.m_rate))
+    return;
+  const model::Replica& replica = state.m_replica;
+  const auto& left = replica.m_cold_left;
+  ColdState& cold = state.m_known.m_cold;
+  if (left && IsValidColdTime(*left)) {
+    MergeCold(cold, ColdByRow(*left, replica.m_revision, now), now);
+  } else if (has_started && pool.m_cold_start > Duration()) {
+    MergeCold(cold, PresumedCold(pool.m_cold_start, replica.m_revision, now),
+              now);
+  }
+}
+
+void Update(const ReplicaPool& pool,
+            ReplicaState& state,
+            const model::Replica& replica,
+            bool has_started,
+            TimePoint now) {
   if (!SameIncarnation(state.m_replica, replica)) {
     // The new incarnation has none of the earlier state. The counts of this
     // entry's calls are kept, because each call is released when its attempt
@@ -228,8 +284,10 @@
     state.m_open_slot_requests = asked;
     state.m_requested_unread_tokens = requested_unread;
     state.m_weights = NewestWeights(replica);
+    has_started = true;
   }
   state.m_replica = replica;
+  UpdateCold(pool, state, has_started, now);
   state.m_known.m_leaving |= replica.m_leaving;
   state.m_weights = std::max(state.m_weights, NewestWeights(replica));
   state.m_keep_until = TimePoint();
@@ -237,22 +295,27 @@
 
 bool HasStatements(const KnownStatements& known, TimePoint now) {
   return known.m_leaving || known.m_rate_limit.m_rate ||
-         known.m_rest_until > now;
+         known.m_rest_until > now || IsCold(known.m_cold, now);
 }
 
-void RestoreStatements(ReplicaPool& pool, ReplicaState& state) {
+/// Returns whether this incarnation of the replica was listed before.
+bool RestoreStatements(ReplicaPool& pool, ReplicaState& state) {
   const auto found = pool.m_unlisted.find(state.m_replica.m_id);
   if (found == pool.m_unlisted.end())
-    return;
-  if (SameIncarnation(found->second.m_replica, state.m_replica))
+    return false;
+  const bool same = SameIncarnation(found->second.m_replica, state.m_replica);
+  if (same)
     state.m_known = found->second.m_known;
   pool.m_unlisted.erase(found);
+  return same;
 }
 
 void KeepStatements(ReplicaPool& pool,
                     const ReplicaState& state,
                     TimePoint now) {
-  if (!HasStatements(state.m_known, now))
+  // Where replicas are presumed cold after a start, one whose row returns must
+  // not be taken for one that has started.
+  if (!HasStatements(state.m_known, now) && pool.m_cold_start == Duration())
     return;
   pool.m_unlisted[state.m_replica.m_id] = {state.m_replica, state.m_known,
                                            now + kStatementLifetime};
@@ -298,13 +361,15 @@
   for (const model::Replica& replica : replicas) {
     present.insert(replica.m_id);
     ReplicaState& state = pool.m_replicas[replica.m_id];
+    bool has_started = false;
     if (state.m_replica.m_id.empty()) {
       state.m_replica = replica;
       state.m_weights = NewestWeights(replica);
-      RestoreStatements(pool, state);
+      has_started = !RestoreStatements(pool, state) && pool.m_listed;
     }
-    Update(state, replica);
+    Update(pool, state, replica, has_started, now);
   }
+  pool.m_listed |= !replicas.empty();
   for (auto& [id, state] : pool.m_replicas) {
     if (!present.contains(id) && state.m_keep_until == TimePoint())
       state.m_keep_until = keep_missing_until;
@@ -326,6 +391,43 @@
       now);
 }
 
+void SetColdLimits(ReplicaPool& pool,
+                   const ColdLimits& limits,
+                   Duration cold_start,
+                   TimePoint now) {
+  pool.m_cold_start = cold_start;
+  if (pool.m_cold_limits == limits)
+    return;
+  pool.m_cold_limits = limits;
+  // Rows may have been read before the configuration.
+  for (auto& [id, state] : pool.m_replicas)
+    UpdateCold(pool, state, false, now);
+}
+
+size_t PresumeCold(ReplicaPool& pool,
+                   const std::string& data_center,
+                   Duration cold_start,
+                   model::Revision revision,
+                   TimePoint now) {
+  if (!IsValidColdRate(pool.m_cold_limits.m_rate))
+    return 0;
+  size_t count = 0;
+  const ColdState presumed = PresumedCold(cold_start, revision, now);
+  for (auto& [id, state] : pool.m_replicas) {
+    if (state.m_replica.m_data_center == data_center &&
+        MergeCold(state.m_known.m_cold, presumed, now))
+      ++count;
+  }
+  return count;
+}
+
+GateLimit LimitOf(const ReplicaPool& pool,
+                  const ReplicaState& replica,
+                  TimePoint now) {
+  return EffectiveLimit(replica.m_known.m_rate_limit.m_rate,
+                        replica.m_known.m_cold, pool.m_cold_limits, now);
+}
+
 bool NoteLeaving(ReplicaState& replica) {
   return !std::exchange(replica.m_known.m_leaving, true);
 }
@@ -372,7 +474,7 @@
   ReplicaState* best = nullptr;
   double best_cost = 0;
   for (auto& [id, state] : pool.m_replicas) {
-    if (!Usable(pool, state, now) || IsHeldBack(state, now) ||
+    if (!Usable(pool, state, now) || IsHeldBack(pool, state, now) ||
         !MayReturn(state, now) || call.m_attempted_replicas.contains(id) ||
         !HasRoom(state.m_replica.m_slots, pool.m_prefill_rate, Load(state),
                  state.m_unread_tokens + state.m_other_entries_unread_tokens) ||
@@ -403,7 +505,7 @@
   for (const auto& [id, state] : pool.m_replicas) {
     if (Usable(pool, state, now) && MayReturn(state, now) &&
         !call.m_attempted_replicas.contains(id)) {
-      auto& list = IsHeldBack(state, now) ? held_back : candidates;
+      auto& list = IsHeldBack(pool, state, now) ? held_back : candidates;
       list.emplace_back(PlacementCost(pool, state, call, now) + noise(random),
                         id);
     }
@@ -555,11 +657,11 @@
         state.m_weights < pool.m_required_weights)
       continue;
     // A replica without a limit that is in its backoff is full or fails.
-    if (!IsHeldBack(state, now) && WantsCalls(state, now))
+    if (!IsHeldBack(pool, state, now) && WantsCalls(state, now))
       return std::nullopt;
     rests |= !WantsCalls(state, now);
     const TimePoint held_until =
-        IsHeldBack(state, now) ? state.m_rate_held_until : TimePoint();
+        IsHeldBack(pool, state, now) ? state.m_rate_held_until : TimePoint();
     const Duration left =
         std::max(held_until, state.m_known.m_rest_until) - now;
     wait = StatedWait{wait ? std::min(wait->m_left, left) : left, rests};
@@ -579,14 +681,15 @@
     const TimePoint usable_at =
         std::max({state.m_loading_until, state.m_backoff_until,
                   state.m_known.m_rest_until});
-    if (!state.m_known.m_rate_limit.m_rate && usable_at <= deadline)
+    // A replica that is cold now may be warm by then.
+    const auto limit = LimitOf(pool, state, deadline).m_rate;
+    if (!limit && usable_at <= deadline)
       return true;
-    has_limits |= state.m_known.m_rate_limit.m_rate.has_value();
+    has_limits |= limit.has_value();
     if (std::max(usable_at, state.m_rate_held_until) > deadline)
       continue;
     has_candidate = true;
-    rate += std::max(kMinRequestRate,
-                     state.m_known.m_rate_limit.m_rate.value_or(0));
+    rate += std::max(kMinRequestRate, limit.value_or(0));
   }
   const double seconds = std::chrono::duration<double>(deadline - now).count();
   return !has_limits ||
@@ -606,8 +709,7 @@
     if (!Usable(pool, state, now))
       continue;
     const uint32_t used = std::min(Load(state), state.m_replica.m_slots);
-    // Free slots of a replica that has no token aren't available.
-    load.m_slots += IsHeldBack(state, now) ? used : state.m_replica.m_slots;
+    load.m_slots += used + AvailableSlots(pool, state, now);
     load.m_used_slots += used;
   }
   return load;
--- a/src/libverbenalead/decide/placement/replica_pool.h
+++ b/src/libverbenalead/decide/placement/replica_pool.h
@@ -65,6 +65,12 @@
   /// Prompt tokens that a replica reads per second; 0 if the service runs no
   /// model.
   double m_prefill_rate = 0;
+  ColdLimits m_cold_limits;
+  /// How long a replica is cold that starts while calls run; 0: replicas that
+  /// don't say that they are cold aren't.
+  Duration m_cold_start{};
+  /// A list of replicas has been applied before.
+  bool m_listed = false;
 };
 
 /// Whether a replica that has `calls` calls and `unread` prompt tokens to read
@@ -94,6 +100,34 @@
 /// SetReplicas() uncalled, for many seconds.
 void RemoveExpiredReplicas(ReplicaPool& pool, TimePoint now);
 
+/// Sets how many calls cold replicas of the pool take, and for how long one is
+/// cold that starts while calls run. What rows say of cold replicas is
+/// recorded only while such limits are set.
+void SetColdLimits(ReplicaPool& pool,
+                   const ColdLimits& limits,
+                   Duration cold_start,
+                   TimePoint now);
+
+/// Marks all replicas of `data_center` as presumed cold for `cold_start` from
+/// `now` on, until a row says otherwise that is newer than `revision`, which is
+/// that of the removed row of the evacuation. Returns how many became cold, or
+/// are cold for longer than was known.
+///
+/// Load: an evacuation ends, and the replicas of the data centre are idle.
+/// Harm: they seem to have the most room of all, get the calls of all entries
+/// at once, and crash if they have become cold meanwhile.
+size_t PresumeCold(ReplicaPool& pool,
+                   const std::string& data_center,
+                   Duration cold_start,
+                   model::Revision revision,
+                   TimePoint now);
+
+/// The limit of the calls that the replica takes from all entries together, by
+/// its statements and while it is cold.
+GateLimit LimitOf(const ReplicaPool& pool,
+                  const ReplicaState& replica,
+                  TimePoint now);
+
 /// Records that the replica is leaving, so that it gets no more calls. Returns
 /// false if that was known.
 bool NoteLeaving(ReplicaState& replica);
@@ -203,7 +237,8 @@
 /// Whether any replica may get calls, whether or not it has a free slot.
 bool HasUsableReplica(const ReplicaPool& pool, TimePoint now);
 
-/// Slots of all usable replicas, and how many of them are in use.
+/// Slots of all usable replicas, and how many of them are in use. Of a cold
+/// replica only those slots count that its calls use or may use soon.
 struct PoolLoad {
   uint32_t m_slots = 0;
   uint32_t m_used_slots = 0;
--- a/src/libverbenalead/decide/placement/replica_state.h
+++ b/src/libverbenalead/decide/placement/replica_state.h
@@ -39,6 +39,8 @@
   /// may be outdated.
   TimePoint m_unresponsive_until{};
   KnownStatements m_known;
+  /// End of the cold time that was logged last; the default: it was warm.
+  TimePoint m_cold_logged_until{};
   /// Until this time this entry doesn't ask for a token of its rate limit,
   /// because there was none.
   TimePoint m_rate_held_until{};
--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "entry/cold_replicas.h"
 #include "entry/crash_blame.h"
 #include "entry/rate_limits.h"
 #include "entry/statements.h"
@@ -166,6 +167,7 @@
   ApplyRateLimit(*replica);
   const model::ReplicaStatements& statements = m_result.m_metadata.m_statements;
   const std::string& call = m_record->m_plan.m_call.m_id;
+  ApplyCold(*replica);
   if (statements.m_leaving)
     LearnLeaving(m_services.m_state, *replica, call);
   if (statements.m_rest)
@@ -186,6 +188,19 @@
   }
 }
 
+void CallAttempt::ApplyCold(decide::ReplicaState& replica) {
+  const platform::AnswerMetadata& metadata = m_result.m_metadata;
+  const auto& left = metadata.m_statements.m_cold_left;
+  // A rejection needn't come from the replica itself, so only a signed answer
+  // shows that it isn't cold.
+  if (!left || (*left == Duration() && !metadata.m_signed))
+    return;
+  EntryState& state = m_services.m_state;
+  LearnColdAnswer(state,
+                  GetOrCreateService(state, m_record->m_plan.m_service).m_pool,
+                  replica, *left, m_record->m_plan.m_call.m_id);
+}
+
 void CallAttempt::LogMalformedStatements() {
   for (const std::string& name : m_result.m_metadata.m_statements.m_malformed) {
     LogLine("answer_field_malformed")
--- a/src/libverbenalead/entry/call_attempt.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -77,6 +77,7 @@
   /// Learns what the head of the answer states of the replica.
   void ApplyStatements();
   void ApplyRateLimit(decide::ReplicaState& replica);
+  void ApplyCold(decide::ReplicaState& replica);
   /// Whether the answer is the replica's own, as far as can be told.
   bool IsOwnAnswer() const;
   /// Logs the statements of the answer that can't be read.
--- a/src/libverbenalead/entry/entry_state.cc
+++ b/src/libverbenalead/entry/entry_state.cc
@@ -1,6 +1,7 @@
 #include "entry/entry_state.h"
 
 #include "base/boot_clock.h"
+#include "entry/cold_replicas.h"
 
 namespace verbenalead::entry {
 namespace {
@@ -40,6 +41,11 @@
   if (!state.m_routes)
     return;
   for (const model::Service& service : state.m_routes->config().m_services) {
+    if (service.m_cold_rate != 0 || service.m_cold_start != Duration() ||
+        state.m_services.contains(service.m_name)) {
+      ApplyColdConfig(state, service,
+                      GetOrCreateService(state, service.m_name).m_pool);
+    }
     if (!service.m_engine)
       continue;
     // At least 1: a replica without any weights takes no calls, even if no
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -16,6 +16,7 @@
 #include "decide/config/route_table.h"
 #include "decide/health/crash_causes.h"
 #include "decide/health/quarantine.h"
+#include "decide/limits/rate_holder.h"
 #include "decide/placement/replica_pool.h"
 #include "decide/rollout/declared_versions.h"
 #include "decide/store/config_lease.h"
@@ -109,6 +110,12 @@
   ReplicaChangeLog m_replica_changes;
   /// Names of the unknown header fields of replicas' answers that were logged.
   std::set<std::string> m_logged_answer_fields;
+  /// Whom other entries of this data centre take for the holder of the token
+  /// bucket of each cold replica: by replica and host.
+  std::map<std::string, std::map<std::string, decide::HolderClaim>>
+      m_holder_claims;
+  /// Cold times and rates that can't be used and were logged.
+  std::set<std::string> m_logged_cold_values;
   /// Replicas whose rate limits are exported as gauges.
   std::set<std::string> m_exported_rate_limits;
   /// When the list of replicas was last known to be current.
--- a/src/libverbenalead/entry/peer_updates.cc
+++ b/src/libverbenalead/entry/peer_updates.cc
@@ -230,6 +230,7 @@
         std::max(state.m_remote_entries.value_or(0), *update.m_remote_entries);
   }
   ApplyStatementList(state, update.m_statements, update.m_address.m_host, now);
+  ApplyHolderClaims(state, update.m_statements, update.m_address.m_host, now);
   ApplyCrashReports(state, update.m_crash_reports, update.m_address.m_host,
                     true, now);
   RecordLocalCrashes(state, update.m_crashes, now);
@@ -246,6 +247,11 @@
   if (found == service->second.m_pool.m_replicas.end())
     return;
   decide::ReplicaState& replica = found->second;
+  if (IsOfOtherIncarnation(replica.m_replica,
+                           update.m_statements.m_started_ms)) {
+    state.m_metrics.Count("updates_of_other_incarnations_total", "");
+    return;
+  }
   const bool was_loading = replica.m_loading_until > now;
   if (was_loading != update.m_loading ||
       update.m_version != replica.m_weights) {
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -10,6 +10,7 @@
 #include "base/spawn.h"
 #include "entry/call_server.h"
 #include "entry/caller_addresses.h"
+#include "entry/cold_replicas.h"
 #include "entry/crash_blame.h"
 #include "entry/entry_registration.h"
 #include "entry/entry_state.h"
@@ -202,6 +203,14 @@
       if (!m_started)
         m_started = RecordStartupSteps(m_state, m_start, Now());
       UpdatePools(m_state, Now());
+      // The target may know of the restart or the cold time from nobody else.
+      ReportColdReplicas(
+          m_state,
+          [this](const decide::ReplicaState& replica) {
+            m_update_sender.NotifyCalls(replica, true);
+          },
+          Now());
+      m_slot_requester.tokens().ConfirmTerms(Now());
       m_slot_allocator.WakeAll();
       m_update_sender.NotifyCalls();
     }
--- a/src/libverbenalead/entry/rate_limits.cc
+++ b/src/libverbenalead/entry/rate_limits.cc
@@ -1,6 +1,7 @@
 #include "entry/rate_limits.h"
 
 #include "base/log.h"
+#include "entry/summary.h"
 
 namespace verbenalead::entry {
 namespace {
@@ -23,6 +24,17 @@
   return pool.m_prefill_rate > 0;
 }
 
+std::string TokenHolder(const EntryState& state,
+                        const decide::ReplicaState& replica,
+                        TimePoint now) {
+  std::vector<decide::SummaryPeer> entries = ToSummaryPeers(state, now);
+  const model::EntryAddress& self = state.m_options.m_own_address;
+  entries.push_back({self.m_host, self.m_data_center, true, IsReady(state)});
+  return decide::RateHolder(replica.m_replica.m_id,
+                            replica.m_replica.m_data_center, entries)
+      .value_or("");
+}
+
 void LearnRateLimit(EntryState& state,
                     decide::ReplicaState& replica,
                     const decide::RateLimit& limit,
@@ -56,6 +68,7 @@
       .With("replica", replica.m_replica.m_id)
       .With("by", by)
       .With("rate", replica.m_known.m_rate_limit.m_rate.value_or(kNoLimit))
+      .With("cold", decide::IsCold(replica.m_known.m_cold, now))
       .With("hold_ms", ToMilliseconds(hold_off))
       .Info();
 }
--- a/src/libverbenalead/entry/rate_limits.h
+++ b/src/libverbenalead/entry/rate_limits.h
@@ -16,6 +16,12 @@
 /// have an entry for that.
 bool HasTargetProcesses(const decide::ReplicaPool& pool);
 
+/// Host of the entry that holds the token bucket of `replica`, which has no
+/// target process; "" if none can.
+std::string TokenHolder(const EntryState& state,
+                        const decide::ReplicaState& replica,
+                        TimePoint now);
+
 /// Takes over what `source` (an answer, a target, another entry) states of the
 /// rate limit of a replica if it is newer than what is known, and logs a
 /// change.
--- a/src/libverbenalead/entry/row_applier_test.cc
+++ b/src/libverbenalead/entry/row_applier_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(DeclarationBetweenRequestsIsAsOldAsTheGap);
   CPPUNIT_TEST(AgesAreRelayedWithoutTheStoresClock);
   CPPUNIT_TEST(UndecodableRowAddsNoReplica);
+  CPPUNIT_TEST(RowsOfAnotherWriterDisturbNoReplica);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -155,6 +156,45 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, m_intake->replica_rows().size());
   }
 
+  // Guards against a row that another program wrote, whatever it holds, which
+  // takes replicas out of use or adds one.
+  void RowsOfAnotherWriterDisturbNoReplica() {
+    const std::string good = ReplicaRow("1", 5).m_value;
+    const std::vector<std::string> values = {
+        "",
+        "\xff\xfe\x00",
+        "[]",
+        "null",
+        R"({"service":"pool"})",
+        R"({"service":7,"address":"10.0.0.1:80","zone":"a","slots":4,)"
+        R"("state":"ready"})",
+        R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":-4,)"
+        R"("state":"ready"})",
+        R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":4,)"
+        R"("state":"asleep"})",
+        R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":4,)"
+        R"("state":"ready","born":"now"})",
+        R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":4,)"
+        R"("state":"ready","models":[{"name":7}]})"};
+    std::vector<platform::Row> rows = {ReplicaRow("1", 5), ReplicaRow("2", 6)};
+    for (const std::string& value : values) {
+      platform::Row row = ReplicaRow("x" + std::to_string(rows.size()), 7);
+      row.m_value = value;
+      rows.push_back(std::move(row));
+    }
+    m_intake->ApplyReplicaRows(Rows(7, rows), true, TimePoint());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Replicas().size());
+    std::mt19937_64 random(1);
+    CPPUNIT_ASSERT(decide::AcquireSlot(m_state->m_services.at("pool").m_pool,
+                                       {}, Now(), random));
+    // Another replica's row that becomes unreadable takes only that one out.
+    platform::Row spoilt = ReplicaRow("2", 9);
+    spoilt.m_value = "{";
+    m_intake->ApplyReplicaRows(Rows(9, {spoilt}), false, TimePoint());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Replicas().size());
+    CPPUNIT_ASSERT(Replicas().contains("1"));
+  }
+
  private:
   /// Applies an answer of the store, whose clock is this host's.
   void TakeAnswer(Duration requested_at,
--- a/src/libverbenalead/entry/slot_requester.cc
+++ b/src/libverbenalead/entry/slot_requester.cc
@@ -51,7 +51,7 @@
     co_return has_token;
   }
   if (found->second.m_unresponsive_until > Now())
-    co_return MayUseWithoutTarget(found->second);
+    co_return MayUseWithoutTarget(pool, found->second);
   const auto executor = co_await asio::this_coro::executor;
   auto pending = std::make_shared<PendingRequest>(executor);
   decide::NoteSlotRequestSent(pool, replica, call.m_prompt_tokens);
@@ -73,11 +73,12 @@
   if (unresponsive == pool.m_replicas.end())
     co_return true;
   unresponsive->second.m_unresponsive_until = Now() + kSilentTargetHoldOff;
-  co_return MayUseWithoutTarget(unresponsive->second);
+  co_return MayUseWithoutTarget(pool, unresponsive->second);
 }
 
-bool SlotRequester::MayUseWithoutTarget(decide::ReplicaState& replica) {
-  if (!replica.m_known.m_rate_limit.m_rate)
+bool SlotRequester::MayUseWithoutTarget(const decide::ReplicaPool& pool,
+                                        decide::ReplicaState& replica) {
+  if (!decide::LimitOf(pool, replica, Now()).m_rate)
     return true;
   HoldBackReplica(m_state, replica, "target (silent)",
                   replica.m_unresponsive_until - Now());
--- a/src/libverbenalead/entry/slot_requester.h
+++ b/src/libverbenalead/entry/slot_requester.h
@@ -75,7 +75,8 @@
   /// Address of the target process on the host of `replica`.
   Endpoint TargetOf(const decide::ReplicaState& replica) const;
   /// Whether `replica` is used although its target doesn't answer.
-  bool MayUseWithoutTarget(decide::ReplicaState& replica);
+  bool MayUseWithoutTarget(const decide::ReplicaPool& pool,
+                           decide::ReplicaState& replica);
   links::SlotRequestMessage RequestFor(const decide::ReplicaState& replica,
                                        const decide::PoolCall& call);
 
--- a/src/libverbenalead/entry/statements.cc
+++ b/src/libverbenalead/entry/statements.cc
@@ -25,8 +25,11 @@
   links::StatementReport report =
       links::ReportOf(known, replica.m_started_ms, now);
   // A target process tells the entries of the limit itself.
-  if (has_target)
+  if (has_target) {
     report.m_rate_limit.reset();
+    report.m_cold.reset();
+    report.m_started_ms = 0;
+  }
   if (report != links::StatementReport() && reports.size() < kMaxReports)
     reports.push_back({replica.m_id, report});
 }
@@ -38,8 +41,20 @@
   return report.m_rate_limit->m_rate.value_or(-1);
 }
 
+/// Whether the report says that the replica is cold; absent: nothing.
+std::optional<bool> ColdOf(const links::StatementReport& report) {
+  if (!report.m_cold)
+    return std::nullopt;
+  return report.m_cold->m_left > Duration();
+}
+
 }  // namespace
 
+bool IsOfOtherIncarnation(const model::Replica& replica, uint64_t started_ms) {
+  return started_ms != 0 && replica.m_started_ms != 0 &&
+         started_ms != replica.m_started_ms;
+}
+
 void LearnLeaving(EntryState& state,
                   decide::ReplicaState& replica,
                   const std::string& source) {
@@ -75,6 +90,12 @@
                      const links::StatementReport& report,
                      const std::string& source,
                      TimePoint now) {
+  if (IsOfOtherIncarnation(replica.m_replica, report.m_started_ms))
+    return;
+  if (report.m_cold) {
+    decide::MergeCold(replica.m_known.m_cold,
+                      links::FromReport(*report.m_cold, now), now);
+  }
   if (report.m_rate_limit) {
     LearnRateLimit(state, replica, links::FromReport(*report.m_rate_limit, now),
                    source);
@@ -94,6 +115,23 @@
   }
 }
 
+void ApplyHolderClaims(EntryState& state,
+                       const std::vector<links::ReplicaStatementReport>& list,
+                       const std::string& host,
+                       TimePoint now) {
+  for (auto& [replica, claims] : state.m_holder_claims) {
+    std::erase_if(claims, [now](const auto& claim) {
+      return now - claim.second.m_heard_at >= decide::kClaimLifetime;
+    });
+  }
+  std::erase_if(state.m_holder_claims,
+                [](const auto& claims) { return claims.second.empty(); });
+  for (const links::ReplicaStatementReport& report : list) {
+    if (!report.m_holder.empty())
+      state.m_holder_claims[report.m_replica][host] = {report.m_holder, now};
+  }
+}
+
 links::StatementReport StatementsOf(const decide::ReplicaState& replica,
                                     TimePoint now) {
   return links::ReportOf(replica.m_known, replica.m_replica.m_started_ms, now);
@@ -106,8 +144,13 @@
   for (const auto& [name, service] : state.m_services) {
     const decide::ReplicaPool& pool = service.m_pool;
     const bool has_targets = HasTargetProcesses(pool);
-    for (const auto& [id, replica] : pool.m_replicas)
+    for (const auto& [id, replica] : pool.m_replicas) {
+      const size_t before = reports.size();
       AddReport(reports, replica.m_replica, replica.m_known, has_targets, now);
+      if (reports.size() > before && !has_targets &&
+          decide::IsCold(replica.m_known.m_cold, now))
+        reports.back().m_holder = TokenHolder(state, replica, now);
+    }
     // Its row may still be listed elsewhere.
     for (const auto& [id, replica] : pool.m_unlisted)
       AddReport(reports, replica.m_replica, replica.m_known, true, now);
@@ -122,7 +165,9 @@
       [](const links::ReplicaStatementReport& left,
          const links::ReplicaStatementReport& right) {
         return left.m_replica == right.m_replica &&
+               left.m_holder == right.m_holder &&
                LimitOf(left.m_report) == LimitOf(right.m_report) &&
+               ColdOf(left.m_report) == ColdOf(right.m_report) &&
                left.m_report.m_leaving == right.m_report.m_leaving;
       });
 }
--- a/src/libverbenalead/entry/statements.h
+++ b/src/libverbenalead/entry/statements.h
@@ -9,6 +9,12 @@
 
 namespace verbenalead::entry {
 
+/// Whether a message about the incarnation that began at `started_ms` (0: it
+/// doesn't say) is about another one than is known. Messages may be delayed and
+/// their senders may learn of a restart later, so such a message says nothing
+/// of the known incarnation.
+bool IsOfOtherIncarnation(const model::Replica& replica, uint64_t started_ms);
+
 /// Records that a replica is leaving, as `source` (an answer's call, a target,
 /// another entry) states, and logs it if it is news.
 void LearnLeaving(EntryState& state,
@@ -34,6 +40,12 @@
                         const std::string& source,
                         TimePoint now);
 
+/// Records whom the entry `host` takes for the holders of token buckets.
+void ApplyHolderClaims(EntryState& state,
+                       const std::vector<links::ReplicaStatementReport>& list,
+                       const std::string& host,
+                       TimePoint now);
+
 /// What this entry knows of the statements of `replica`.
 links::StatementReport StatementsOf(const decide::ReplicaState& replica,
                                     TimePoint now);
--- a/src/libverbenalead/entry/summary.cc
+++ b/src/libverbenalead/entry/summary.cc
@@ -24,6 +24,7 @@
                                        TimePoint now) {
   links::ReplicaSummary summary;
   summary.m_replica = replica.m_replica.m_id;
+  summary.m_started_ms = replica.m_replica.m_started_ms;
   summary.m_version = replica.m_weights;
   summary.m_closing = replica.m_closing_until > now;
   summary.m_loading = replica.m_loading_until > now;
@@ -77,6 +78,7 @@
     links::ReplicaUpdate update;
     update.m_replica = summary.m_replica;
     update.m_service = name;
+    update.m_statements.m_started_ms = summary.m_started_ms;
     update.m_version = summary.m_version;
     update.m_closing = summary.m_closing;
     update.m_loading = summary.m_loading;
--- a/src/libverbenalead/entry/token_requester.cc
+++ b/src/libverbenalead/entry/token_requester.cc
@@ -4,12 +4,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <set>
 
 #include "base/log.h"
-#include "decide/limits/rate_holder.h"
 #include "entry/rate_limits.h"
-#include "entry/summary.h"
-#include "links/rate_limit_report.h"
+#include "entry/statements.h"
 
 namespace verbenalead::entry {
 namespace {
@@ -24,6 +23,11 @@
 /// Hold-off that an entry sends which doesn't hold the bucket by its own
 /// choice: the two entries agree after the next update.
 constexpr Duration kWrongHolderHoldOff = 200ms;
+/// Sent as the age of the limit if none is known, so that the report is older
+/// than any observation.
+constexpr Duration kUnknownAge = std::chrono::hours(1);
+/// Half of decide::kMaxTermGap.
+constexpr Duration kTermConfirmInterval = 400ms;
 
 }  // namespace
 
@@ -41,11 +45,13 @@
                                              std::string replica) {
   auto& replicas = GetOrCreateService(m_state, service).m_pool.m_replicas;
   const auto found = replicas.find(replica);
-  if (found == replicas.end() || !found->second.m_known.m_rate_limit.m_rate)
+  if (found == replicas.end() || !LimitOf(found->second).m_rate)
     co_return true;
   const std::string holder = HolderOf(found->second);
   if (holder == OwnHost()) {
-    const Decision decision = Decide(found->second);
+    Decision decision = {false, kWrongHolderHoldOff};
+    if (HoldsBucket(found->second))
+      decision = Decide(found->second);
     if (!decision.m_granted)
       HoldBackReplica(m_state, found->second, holder, decision.m_hold_off);
     co_return decision.m_granted;
@@ -61,12 +67,17 @@
   auto pending = std::make_shared<PendingRequest>(executor);
   const auto peer = m_state.m_peers.find(holder);
   decide::ReplicaState* state = FindReplica(m_state, replica);
-  const auto limit = state ? links::ReportOf(state->m_known.m_rate_limit, Now())
-                           : std::nullopt;
-  if (peer != m_state.m_peers.end() && limit) {
+  if (peer != m_state.m_peers.end() && state) {
+    const links::StatementReport report = StatementsOf(*state, Now());
     m_pending[ticket] = pending;
-    m_datagrams.Send(peer->second.m_address.m_peers,
-                     links::TokenRequest{replica, ticket, *limit});
+    links::TokenRequest request;
+    request.m_replica = replica;
+    request.m_ticket = ticket;
+    request.m_limit = report.m_rate_limit.value_or(
+        links::RateLimitReport{std::nullopt, kUnknownAge});
+    request.m_cold = report.m_cold;
+    request.m_started_ms = report.m_started_ms;
+    m_datagrams.Send(peer->second.m_address.m_peers, request);
     pending->m_timer.expires_after(kAnswerTimeout);
     boost::system::error_code ignored;
     co_await pending->m_timer.async_wait(
@@ -93,23 +104,26 @@
   answer.m_hold_off = kWrongHolderHoldOff;
   decide::ReplicaState* replica = FindReplica(m_state, request.m_replica);
   if (replica) {
-    LearnRateLimit(m_state, *replica, links::FromReport(request.m_limit, Now()),
-                   ToString(sender));
-    if (HolderOf(*replica) == OwnHost()) {
+    Learn(*replica, request.m_limit, request.m_cold, request.m_started_ms,
+          ToString(sender));
+    if (HoldsBucket(*replica)) {
       const Decision decision = Decide(*replica);
       answer.m_granted = decision.m_granted;
       answer.m_hold_off = decision.m_hold_off;
     }
-    answer.m_limit = links::ReportOf(replica->m_known.m_rate_limit, Now());
+    const links::StatementReport report = StatementsOf(*replica, Now());
+    answer.m_limit = report.m_rate_limit;
+    answer.m_cold = report.m_cold;
+    answer.m_started_ms = report.m_started_ms;
   }
   m_datagrams.Send(sender, answer);
 }
 
 void TokenRequester::HandleAnswer(const links::TokenAnswer& answer) {
   decide::ReplicaState* replica = FindReplica(m_state, answer.m_replica);
-  if (replica && answer.m_limit) {
-    LearnRateLimit(m_state, *replica, links::FromReport(*answer.m_limit, Now()),
-                   "holder");
+  if (replica) {
+    Learn(*replica, answer.m_limit, answer.m_cold, answer.m_started_ms,
+          "holder");
   }
   if (replica && !answer.m_granted)
     HoldBackReplica(m_state, *replica, "holder", answer.m_hold_off);
@@ -127,8 +141,18 @@
   std::erase_if(m_gates, [this](const auto& gate) {
     return !FindReplica(m_state, gate.first);
   });
-  decide::RateGate& gate = m_gates[replica.m_replica.m_id];
-  decide::SetRate(gate, replica.m_known.m_rate_limit.m_rate, now);
+  const std::string& id = replica.m_replica.m_id;
+  decide::RateGate& gate = m_gates[id];
+  if (decide::IsCold(replica.m_known.m_cold, now)) {
+    decide::HolderTerm& term = m_terms[id];
+    if (decide::ConfirmTerm(term, now))
+      gate = {};
+    const Duration pause = decide::TermPauseLeft(term, now);
+    // The bucket begins to fill when the pause ends.
+    if (pause > Duration())
+      return {false, pause};
+  }
+  decide::SetLimit(gate, LimitOf(replica), now);
   if (!decide::HasToken(gate, now))
     return {false, decide::RecordDenial(gate, now, m_state.m_random)};
   decide::TakeToken(gate, now);
@@ -136,14 +160,58 @@
   return {true, Duration()};
 }
 
+void TokenRequester::ConfirmTerms(TimePoint now) {
+  if (now < m_terms_confirmed_at + kTermConfirmInterval)
+    return;
+  m_terms_confirmed_at = now;
+  std::set<std::string> held;
+  for (const auto& [name, service] : m_state.m_services) {
+    if (HasTargetProcesses(service.m_pool))
+      continue;
+    for (const auto& [id, replica] : service.m_pool.m_replicas) {
+      if (!decide::IsCold(replica.m_known.m_cold, now) || !HoldsBucket(replica))
+        continue;
+      held.insert(id);
+      if (decide::ConfirmTerm(m_terms[id], now))
+        m_gates.erase(id);
+    }
+  }
+  std::erase_if(m_terms, [&held](const auto& term) {
+    return !held.contains(term.first);
+  });
+}
+
+decide::GateLimit TokenRequester::LimitOf(
+    const decide::ReplicaState& replica) const {
+  const auto service = m_state.m_services.find(replica.m_replica.m_service);
+  if (service == m_state.m_services.end())
+    return {replica.m_known.m_rate_limit.m_rate, std::nullopt};
+  return decide::LimitOf(service->second.m_pool, replica, Now());
+}
+
+void TokenRequester::Learn(decide::ReplicaState& replica,
+                           const std::optional<links::RateLimitReport>& limit,
+                           const std::optional<links::ColdReport>& cold,
+                           uint64_t started_ms,
+                           const std::string& source) {
+  links::StatementReport report;
+  report.m_rate_limit = limit;
+  report.m_cold = cold;
+  report.m_started_ms = started_ms;
+  ApplyStatements(m_state, replica, report, source, Now());
+}
+
 std::string TokenRequester::HolderOf(
     const decide::ReplicaState& replica) const {
-  std::vector<decide::SummaryPeer> entries = ToSummaryPeers(m_state, Now());
-  const model::EntryAddress& self = m_state.m_options.m_own_address;
-  entries.push_back({self.m_host, self.m_data_center, true, IsReady(m_state)});
-  return decide::RateHolder(replica.m_replica.m_id,
-                            replica.m_replica.m_data_center, entries)
-      .value_or("");
+  return TokenHolder(m_state, replica, Now());
+}
+
+bool TokenRequester::HoldsBucket(const decide::ReplicaState& replica) const {
+  if (HolderOf(replica) != OwnHost())
+    return false;
+  const auto claims = m_state.m_holder_claims.find(replica.m_replica.m_id);
+  return claims == m_state.m_holder_claims.end() ||
+         decide::IsAgreedHolder(claims->second, OwnHost(), Now());
 }
 
 const std::string& TokenRequester::OwnHost() const {
--- a/src/libverbenalead/entry/token_requester.h
+++ b/src/libverbenalead/entry/token_requester.h
@@ -7,6 +7,7 @@
 
 #include "base/awaitable.h"
 #include "decide/limits/rate_gate.h"
+#include "decide/limits/rate_holder.h"
 #include "entry/entry_state.h"
 #include "links/datagram_socket.h"
 
@@ -33,6 +34,9 @@
                      const links::TokenRequest& request);
   /// Handles the answer to a request of this entry.
   void HandleAnswer(const links::TokenAnswer& answer);
+  /// Renews the terms of the buckets of cold replicas that this entry holds,
+  /// and ends those that it holds no longer. Called every kCallUpdateInterval.
+  void ConfirmTerms(TimePoint now);
 
  private:
   struct PendingRequest;
@@ -45,7 +49,18 @@
 
   /// Host of the entry that holds the bucket of `replica`; "" if none can.
   std::string HolderOf(const decide::ReplicaState& replica) const;
+  /// Whether this entry holds the bucket of `replica`, and no majority of the
+  /// others takes another one for the holder.
+  bool HoldsBucket(const decide::ReplicaState& replica) const;
   Decision Decide(const decide::ReplicaState& replica);
+  /// The limit of the calls that the replica takes.
+  decide::GateLimit LimitOf(const decide::ReplicaState& replica) const;
+  /// Takes over what another entry reports of the replica.
+  void Learn(decide::ReplicaState& replica,
+             const std::optional<links::RateLimitReport>& limit,
+             const std::optional<links::ColdReport>& cold,
+             uint64_t started_ms,
+             const std::string& source);
   /// Sends a request to `holder` and waits for its answer.
   Awaitable<bool> RequestFrom(std::string holder, std::string replica);
   const std::string& OwnHost() const;
@@ -56,6 +71,9 @@
   std::map<uint64_t, std::shared_ptr<PendingRequest>> m_pending;
   /// Token buckets that this entry holds, by replica.
   std::map<std::string, decide::RateGate> m_gates;
+  /// Terms of those of cold replicas.
+  std::map<std::string, decide::HolderTerm> m_terms;
+  TimePoint m_terms_confirmed_at{};
 };
 
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/token_requester_test.cc
+++ b/src/libverbenalead/entry/token_requester_test.cc
@@ -19,6 +19,9 @@
   CPPUNIT_TEST(HolderCountsItsOwnCallsAndThoseOfOthers);
   CPPUNIT_TEST(UnlimitedReplicaNeedsNoToken);
   CPPUNIT_TEST(OnlyTheHolderGrants);
+  CPPUNIT_TEST(SilentHolderMeansNoCallAtAColdReplica);
+  CPPUNIT_TEST(NewHolderOfAColdReplicaWaits);
+  CPPUNIT_TEST(RequestTellsTheHolderThatTheReplicaIsCold);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -116,7 +119,47 @@
                    std::string::npos);
   }
 
+  // Guards against entries that send a cold replica calls that nobody counts.
+  void SilentHolderMeansNoCallAtAColdReplica() {
+    MakeCold();
+    MakeOtherEntryHolder();
+    Ask();
+    m_io->run();
+    CPPUNIT_ASSERT(m_granted == std::vector<bool>{false});
+    CPPUNIT_ASSERT(Replica().m_rate_held_until > Now());
+  }
+
+  // Guards against a full bucket of an entry that has just taken over.
+  void NewHolderOfAColdReplicaWaits() {
+    MakeCold();
+    Ask();
+    m_io->run();
+    CPPUNIT_ASSERT(m_granted == std::vector<bool>{false});
+    CPPUNIT_ASSERT(Replica().m_rate_held_until > Now() + 1s);
+  }
+
+  // Guards against a holder that has just started and knows of no cold time.
+  void RequestTellsTheHolderThatTheReplicaIsCold() {
+    MakeCold();
+    Replica().m_known.m_cold = {};
+    links::TokenRequest request = {"i-1", 1, {std::nullopt, 3600s}};
+    request.m_cold =
+        links::ColdReport{5s, decide::ColdSource::kAnswer, {0, 5}, Duration()};
+    m_tokens->HandleRequest(Endpoint("127.0.0.1", 9), request);
+    CPPUNIT_ASSERT(decide::IsCold(Replica().m_known.m_cold, Now() + 4s));
+    Ask();
+    m_io->run();
+    CPPUNIT_ASSERT(m_granted == std::vector<bool>{false});
+  }
+
  private:
+  void MakeCold() {
+    decide::ReplicaPool& pool = GetOrCreateService(*m_state, "ledger").m_pool;
+    decide::SetColdLimits(pool, {14, 1.5, 5}, Duration(), Now());
+    Replica().m_replica.m_service = "ledger";
+    Replica().m_known.m_cold = decide::ColdByAnswer(5s, Now());
+  }
+
   /// Adds an entry that is ready in the data centre of the replica, while this
   /// one is stopping.
   void MakeOtherEntryHolder() {
--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -66,6 +66,7 @@
     replica.m_queued_calls = 3;
     replica.m_statements = {RateLimitReport{std::nullopt, 3s}, 1792};
     replica.m_rate_hold_off = 250ms;
+    const ColdReport cold = {3s, decide::ColdSource::kAnswer, {2, 77}, 40ms};
     const Message messages[] = {
         entry,
         entry_with_count,
@@ -74,7 +75,10 @@
         replica,
         CallUpdate{"i-1", {2, 100}, {}},
         CallUpdate{"i-1", {2, 100}, {RateLimitReport{1, 20ms}, 0}},
+        CallUpdate{"i-1", {2, 100}, {std::nullopt, std::nullopt, cold, 1792}},
         TokenRequest{"i-1", 7, {0.3, 10ms}},
+        TokenRequest{"i-1", 7, {0.3, 10ms}, cold, 1792},
+        TokenAnswer{"i-1", 7, true, 0ms, std::nullopt, cold, 1792},
         TokenAnswer{"i-1", 7, true, 0ms, std::nullopt},
         TokenAnswer{"i-1", 8, false, 700ms, RateLimitReport{2.3, 5ms}},
         ChunkUpdate{"10.0.0.2", "m", 2, {0, 3, 47}},
--- a/src/libverbenalead/links/rate_limit_codec.cc
+++ b/src/libverbenalead/links/rate_limit_codec.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <cmath>
 
+#include "links/cold_codec.h"
 #include "model/json_fields.h"
 
 namespace verbenalead::links {
@@ -57,6 +58,8 @@
   json::object object = {{"replica", request.m_replica},
                          {"ticket", request.m_ticket}};
   EncodeRateLimit(object, request.m_limit);
+  EncodeCold(object, request.m_cold);
+  EncodeStart(object, request.m_started_ms);
   return object;
 }
 
@@ -68,6 +71,8 @@
   if (!limit)
     return model::BadField(kLimit, "a rate and an age");
   request.m_limit = *limit;
+  BOOST_LEAF_ASSIGN(request.m_cold, DecodeCold(object));
+  BOOST_LEAF_ASSIGN(request.m_started_ms, DecodeStart(object));
   return request;
 }
 
@@ -77,6 +82,8 @@
                          {"granted", answer.m_granted},
                          {"hold_ms", ToMilliseconds(answer.m_hold_off)}};
   EncodeRateLimit(object, answer.m_limit);
+  EncodeCold(object, answer.m_cold);
+  EncodeStart(object, answer.m_started_ms);
   return object;
 }
 
@@ -89,6 +96,8 @@
   BOOST_LEAF_AUTO(hold, model::NumberFieldOr(object, "hold_ms", 0));
   answer.m_hold_off = std::chrono::milliseconds(hold);
   BOOST_LEAF_ASSIGN(answer.m_limit, DecodeRateLimit(object));
+  BOOST_LEAF_ASSIGN(answer.m_cold, DecodeCold(object));
+  BOOST_LEAF_ASSIGN(answer.m_started_ms, DecodeStart(object));
   return answer;
 }
 
--- a/src/libverbenalead/links/replica_summary.h
+++ b/src/libverbenalead/links/replica_summary.h
@@ -20,6 +20,9 @@
   ReplicaCalls m_calls;
   /// Calls queued at the target process for a slot.
   uint32_t m_queued_calls = 0;
+  /// Start of the incarnation that this is about, in Unix milliseconds; 0 if it
+  /// isn't known.
+  uint64_t m_started_ms = 0;
 
   friend bool operator==(const ReplicaSummary&,
                          const ReplicaSummary&) = default;
--- a/src/libverbenalead/links/statement_codec.cc
+++ b/src/libverbenalead/links/statement_codec.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include "links/cold_codec.h"
 #include "links/rate_limit_codec.h"
 #include "model/json_fields.h"
 
@@ -10,6 +11,7 @@
 
 namespace json = boost::json;
 
+constexpr char kHolder[] = "holder";
 constexpr char kLeaving[] = "leaving";
 constexpr char kReplica[] = "replica";
 constexpr char kStatements[] = "statements";
@@ -18,6 +20,8 @@
 
 void EncodeStatements(json::object& object, const StatementReport& report) {
   EncodeRateLimit(object, report.m_rate_limit);
+  EncodeCold(object, report.m_cold);
+  EncodeStart(object, report.m_started_ms);
   if (report.m_leaving)
     object[kLeaving] = *report.m_leaving;
 }
@@ -25,6 +29,8 @@
 Result<StatementReport> DecodeStatements(const json::object& object) {
   StatementReport report;
   BOOST_LEAF_ASSIGN(report.m_rate_limit, DecodeRateLimit(object));
+  BOOST_LEAF_ASSIGN(report.m_cold, DecodeCold(object));
+  BOOST_LEAF_ASSIGN(report.m_started_ms, DecodeStart(object));
   if (object.contains(kLeaving)) {
     BOOST_LEAF_AUTO(leaving, model::NumberField(object, kLeaving));
     report.m_leaving = leaving;
@@ -40,6 +46,8 @@
   for (const ReplicaStatementReport& report : reports) {
     json::object item = {{kReplica, report.m_replica}};
     EncodeStatements(item, report.m_report);
+    if (!report.m_holder.empty())
+      item[kHolder] = report.m_holder;
     list.push_back(std::move(item));
   }
   object[kStatements] = std::move(list);
@@ -60,6 +68,8 @@
     BOOST_LEAF_ASSIGN(report.m_replica,
                       model::TextField(item.as_object(), kReplica));
     BOOST_LEAF_ASSIGN(report.m_report, DecodeStatements(item.as_object()));
+    BOOST_LEAF_ASSIGN(report.m_holder,
+                      model::TextFieldOr(item.as_object(), kHolder, ""));
     reports.push_back(std::move(report));
   }
   return reports;
--- a/src/libverbenalead/links/statement_report.h
+++ b/src/libverbenalead/links/statement_report.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "decide/placement/known_statements.h"
+#include "links/cold_report.h"
 #include "links/rate_limit_report.h"
 
 namespace verbenalead::links {
@@ -18,6 +19,12 @@
   /// Start of the incarnation that is leaving, in Unix milliseconds, 0 if the
   /// replica doesn't tell its start; absent: it isn't known to be leaving.
   std::optional<uint64_t> m_leaving;
+  /// Absent: it isn't known to be, or to have been, cold.
+  std::optional<ColdReport> m_cold;
+  /// Start of the incarnation that the limit, the cold state and, in a
+  /// ReplicaUpdate, all else is about, in Unix milliseconds; 0 if it isn't
+  /// known or nothing is reported of it.
+  uint64_t m_started_ms = 0;
 
   friend bool operator==(const StatementReport&,
                          const StatementReport&) = default;
@@ -27,6 +34,9 @@
 struct ReplicaStatementReport {
   std::string m_replica;
   StatementReport m_report;
+  /// Host of the entry that the sender takes for the holder of the replica's
+  /// token bucket; empty: not stated.
+  std::string m_holder;
 
   friend bool operator==(const ReplicaStatementReport&,
                          const ReplicaStatementReport&) = default;
--- a/src/libverbenalead/links/summary_codec.cc
+++ b/src/libverbenalead/links/summary_codec.cc
@@ -28,6 +28,7 @@
 constexpr size_t kWaiting = 5;
 constexpr size_t kReplicaFields = 6;
 
+constexpr char kStarts[] = "starts";
 constexpr int64_t kClosingFlag = 1;
 constexpr int64_t kLoadingFlag = 2;
 
@@ -108,6 +109,34 @@
   return replica;
 }
 
+/// The starts of the incarnations of the replicas, in their order. Left out if
+/// no replica states its start.
+void EncodeStarts(json::object& object,
+                  const std::vector<ReplicaSummary>& replicas) {
+  json::array starts;
+  bool stated = false;
+  for (const ReplicaSummary& replica : replicas) {
+    starts.push_back(replica.m_started_ms);
+    stated |= replica.m_started_ms > 0;
+  }
+  if (stated)
+    object[kStarts] = std::move(starts);
+}
+
+Result<void> DecodeStarts(const json::object& object,
+                          std::vector<ReplicaSummary>& replicas) {
+  if (!object.contains(kStarts))
+    return {};
+  BOOST_LEAF_AUTO(starts, ListField(object, kStarts));
+  if (starts->size() != replicas.size())
+    return model::BadField(kStarts, "a start for each replica");
+  for (size_t i = 0; i < replicas.size(); ++i) {
+    BOOST_LEAF_AUTO(started, NumberAt(*starts, i));
+    replicas[i].m_started_ms = static_cast<uint64_t>(started);
+  }
+  return {};
+}
+
 }  // namespace
 
 json::object EncodeSummary(const DataCenterSummary& summary) {
@@ -130,6 +159,7 @@
       {"crashes", EncodeCrashes(summary.m_crashes)}};
   if (summary.m_era_age)
     object["era_age_ms"] = ToMilliseconds(*summary.m_era_age);
+  EncodeStarts(object, summary.m_replicas);
   EncodeCrashReports(object, summary.m_crash_reports);
   EncodeStatementList(object, summary.m_statements);
   return object;
@@ -160,6 +190,7 @@
     BOOST_LEAF_AUTO(replica, DecodeReplica(value));
     summary.m_replicas.push_back(std::move(replica));
   }
+  BOOST_LEAF_CHECK(DecodeStarts(object, summary.m_replicas));
   BOOST_LEAF_ASSIGN(summary.m_crashes, DecodeCrashes(object));
   BOOST_LEAF_ASSIGN(summary.m_crash_reports, DecodeCrashReports(object));
   BOOST_LEAF_ASSIGN(summary.m_statements, DecodeStatementList(object));
--- a/src/libverbenalead/links/token_answer.h
+++ b/src/libverbenalead/links/token_answer.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "links/cold_report.h"
 #include "links/rate_limit_report.h"
 
 namespace verbenalead::links {
@@ -18,6 +19,11 @@
   Duration m_hold_off{};
   /// What the holder knows about the limit; absent if it knows of none.
   std::optional<RateLimitReport> m_limit;
+  /// The same for how long the replica is cold.
+  std::optional<ColdReport> m_cold;
+  /// Start of the incarnation that they are about, in Unix milliseconds; 0 if
+  /// it isn't known.
+  uint64_t m_started_ms = 0;
 
   friend bool operator==(const TokenAnswer&, const TokenAnswer&) = default;
 };
--- a/src/libverbenalead/links/token_request.h
+++ b/src/libverbenalead/links/token_request.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "links/cold_report.h"
 #include "links/rate_limit_report.h"
 
 namespace verbenalead::links {
@@ -17,6 +18,11 @@
   /// What the sender knows about the limit. Included in each request, so that a
   /// holder that has just started or taken over knows it.
   RateLimitReport m_limit;
+  /// The same for how long the replica is cold.
+  std::optional<ColdReport> m_cold;
+  /// Start of the incarnation that they are about, in Unix milliseconds; 0 if
+  /// it isn't known.
+  uint64_t m_started_ms = 0;
 
   friend bool operator==(const TokenRequest&, const TokenRequest&) = default;
 };
--- a/src/libverbenalead/model/engine_report.h
+++ b/src/libverbenalead/model/engine_report.h
@@ -3,8 +3,11 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
+#include "base/time.h"
+
 namespace verbenalead::model {
 
 /// The status that an engine returns when it is polled.
@@ -19,6 +22,8 @@
   uint64_t m_orders = 0;
   /// The engine states that it is leaving.
   bool m_leaving = false;
+  /// How much longer the engine is cold; absent if it doesn't say.
+  std::optional<Duration> m_cold_left;
   uint32_t m_queued = 0;
   uint32_t m_active = 0;
 
--- a/src/libverbenalead/model/replica_statements.h
+++ b/src/libverbenalead/model/replica_statements.h
@@ -14,11 +14,14 @@
 /// | statement  | binds                            | holds until            |
 /// |------------|----------------------------------|------------------------|
 /// | rate limit | all entries together             | a newer answer         |
+/// | cold       | all entries, the target process  | the stated time passes |
 /// | leaving    | all entries, the target process  | the incarnation ends   |
 /// | rest       | the entry that got the answer    | the stated time passes |
 struct ReplicaStatements {
   /// Requests per second that it takes from all entries together.
   std::optional<double> m_rate_limit;
+  /// How much longer it is cold, as it says; zero: it is warm.
+  std::optional<Duration> m_cold_left;
   /// It shuts down soon and should get no more requests.
   bool m_leaving = false;
   /// It rejected the request, and asks the entry to send none for this long.
--- a/src/libverbenalead/platform/decode_config.cc
+++ b/src/libverbenalead/platform/decode_config.cc
@@ -1,5 +1,6 @@
 #include "platform/decode_config.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 #include "base/catch_failure.h"
@@ -128,9 +129,13 @@
   service.m_max_connections =
       static_cast<uint32_t>(ReadCount(*object, "max_conns").value_or(0));
   service.m_engine = EngineFrom(*object);
+  // A time beyond a century would overflow the conversion; it can't be used
+  // either way.
+  constexpr double kLargestSeconds = 4e9;
   service.m_cold_start =
       std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-          ReadNumber(*object, "cold_start_s").value_or(0)));
+          std::clamp(ReadNumber(*object, "cold_start_s").value_or(0),
+                     -kLargestSeconds, kLargestSeconds)));
   service.m_cold_rate = ReadNumber(*object, "cold_per_s").value_or(0);
   if (const auto origin = ReadText(*object, "origin")) {
     if (auto endpoint = CatchFailure([&] { return ParseEndpoint(*origin); }))
--- a/src/libverbenalead/platform/decode_statements.cc
+++ b/src/libverbenalead/platform/decode_statements.cc
@@ -38,6 +38,21 @@
   return rate.has_value();
 }
 
+/// A time beyond a century is read as one: it can't be used either way, and the
+/// log names it.
+bool ReadColdLeft(const std::string& text,
+                  const wire::ResponseHead&,
+                  model::ReplicaStatements& statements) {
+  constexpr double kLargest = 4e12;
+  const auto left = ParseDecimal(text);
+  if (left) {
+    statements.m_cold_left = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(
+            std::clamp(*left, -kLargest, kLargest)));
+  }
+  return left.has_value();
+}
+
 bool ReadLeaving(const std::string& text,
                  const wire::ResponseHead&,
                  model::ReplicaStatements& statements) {
@@ -72,8 +87,9 @@
                  model::ReplicaStatements& statements);
 };
 
-constexpr std::array<StatementField, 3> kFields = {{
+constexpr std::array<StatementField, 4> kFields = {{
     {{kRateLimit, kPrefixedRateLimit}, ReadRateLimit},
+    {{kColdLeft, kPrefixedColdLeft}, ReadColdLeft},
     {{kLeaving, kPrefixedLeaving}, ReadLeaving},
     {{kRetryAfter, kRetryAfter}, ReadRest},
 }};
--- a/src/libverbenalead/platform/decode_statements_test.cc
+++ b/src/libverbenalead/platform/decode_statements_test.cc
@@ -27,6 +27,7 @@
 class DecodeStatementsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DecodeStatementsTest);
   CPPUNIT_TEST(ReadsRateLimits);
+  CPPUNIT_TEST(ReadsColdTimes);
   CPPUNIT_TEST(ReadsLeaving);
   CPPUNIT_TEST(ReadsRests);
   CPPUNIT_TEST(RetryAfterOfOtherAnswersIsNoRest);
@@ -49,6 +50,18 @@
     CPPUNIT_ASSERT(DecodeStatements({kOk, {}}) == model::ReplicaStatements());
   }
 
+  // A time that can't be used is read as it is, so that the log can name it.
+  void ReadsColdTimes() {
+    for (const char* name : {kColdLeft, kPrefixedColdLeft}) {
+      CPPUNIT_ASSERT(Read(kOk, name, "1500").m_cold_left == 1500ms);
+      CPPUNIT_ASSERT(Read(kUnavailable, name, "0").m_cold_left == 0ms);
+      CPPUNIT_ASSERT(Read(kOk, name, "-1").m_cold_left == -1ms);
+      CPPUNIT_ASSERT(Read(kOk, name, "99999999999999999").m_cold_left > 10s);
+      for (const char* text : {"x", "1 2", "nan", "1,5"})
+        CPPUNIT_ASSERT(IsMalformed(kOk, name, text));
+    }
+  }
+
   void ReadsLeaving() {
     CPPUNIT_ASSERT(Read(kOk, kLeaving, "1").m_leaving);
     CPPUNIT_ASSERT(Read(kUnavailable, kPrefixedLeaving, "1").m_leaving);
--- a/src/libverbenalead/platform/engine_client.cc
+++ b/src/libverbenalead/platform/engine_client.cc
@@ -63,8 +63,11 @@
     report.error().m_peer = ToString(m_endpoint);
     co_return report;
   }
-  report->m_leaving =
-      DecodeStatements({response->m_status, response->m_headers}).m_leaving;
+  const model::ReplicaStatements statements =
+      DecodeStatements({response->m_status, response->m_headers});
+  report->m_leaving = statements.m_leaving;
+  if (!report->m_cold_left)
+    report->m_cold_left = statements.m_cold_left;
   co_return report;
 }
 
--- a/src/libverbenalead/platform/names.h
+++ b/src/libverbenalead/platform/names.h
@@ -34,6 +34,10 @@
 /// some without, so both spellings are read.
 inline constexpr char kRateLimit[] = "server-limit";
 inline constexpr char kPrefixedRateLimit[] = "x-verbenalead-server-limit";
+/// Milliseconds for which the replica is still cold. Both spellings are read as
+/// well.
+inline constexpr char kColdLeft[] = "cold-ms";
+inline constexpr char kPrefixedColdLeft[] = "x-verbenalead-cold-ms";
 /// "1": the replica shuts down soon. Both spellings are read as well.
 inline constexpr char kLeaving[] = "server-leaving";
 inline constexpr char kPrefixedLeaving[] = "x-verbenalead-server-leaving";
--- a/src/libverbenalead/target/engine_controller.cc
+++ b/src/libverbenalead/target/engine_controller.cc
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
+#include "links/cold_log.h"
 
 namespace verbenalead::target {
 namespace {
@@ -145,6 +146,21 @@
     m_staging_searched_for = 0;
   }
   m_report = *report;
+  RecordCold(*m_report);
+}
+
+void EngineController::RecordCold(const model::EngineReport& report) {
+  m_state.m_engine_started_ms = report.m_started_ms;
+  m_state.m_engine_cold.reset();
+  if (!report.m_cold_left)
+    return;
+  if (decide::IsValidColdTime(*report.m_cold_left)) {
+    m_state.m_engine_cold = decide::ColdByAnswer(*report.m_cold_left, Now());
+  } else if (m_logged_cold_left != report.m_cold_left) {
+    m_logged_cold_left = report.m_cold_left;
+    links::LogBadColdTime(ToString(m_engine.endpoint()), *report.m_cold_left,
+                          "report");
+  }
 }
 
 void EngineController::RecordCompleteVersions() {
--- a/src/libverbenalead/target/slot_granter.cc
+++ b/src/libverbenalead/target/slot_granter.cc
@@ -3,12 +3,26 @@
 #include <utility>
 
 #include "base/log.h"
+#include "links/cold_log.h"
 
 namespace verbenalead::target {
 namespace {
 
 /// Time after the last report of an entry until its calls no longer count.
 constexpr Duration kCallReportLifetime = 2500ms;
+
+/// Whether entries learn something from `update` that `last` didn't tell them.
+/// The time that a replica is still cold differs in each update.
+bool HasNews(links::ReplicaUpdate update, links::ReplicaUpdate last) {
+  for (links::ReplicaUpdate* each : {&update, &last}) {
+    if (!each->m_statements.m_cold)
+      continue;
+    each->m_statements.m_cold->m_left = Duration();
+    each->m_statements.m_cold->m_age = Duration();
+  }
+  return update != last;
+}
+
 /// Logged in place of the rate where there is no limit.
 constexpr double kNoLimit = -1;
 
@@ -69,6 +83,7 @@
 }
 
 void SlotGranter::GrantWaiting() {
+  Refresh();
   if (m_queue.m_slot_requests.empty() || m_engine_update().m_loading ||
       IsLeaving())
     return;
@@ -101,23 +116,76 @@
 void SlotGranter::LearnStatements(const std::string& replica,
                                   const links::StatementReport& report,
                                   const Endpoint& entry) {
-  const model::Replica* own = OwnReplica(m_state);
-  const uint64_t started_ms = own ? own->m_started_ms : 0;
-  if (replica != m_known_replica || started_ms != m_known_started_ms) {
-    m_known_replica = replica;
-    m_known_started_ms = started_ms;
-    m_known = {};
-    decide::SetRate(m_queue.m_rate, std::nullopt, Now());
-  }
+  // Entries may learn of a restart before this process does, or after it.
+  if (replica != m_known_replica || report.m_started_ms > m_known_started_ms)
+    SetIncarnation(replica, report.m_started_ms);
+  Refresh();
   bool changed = false;
-  if (report.m_rate_limit)
+  // A report of an entry that hasn't heard of the restart yet.
+  const bool outdated =
+      report.m_started_ms != 0 && report.m_started_ms != m_known_started_ms;
+  if (report.m_rate_limit && !outdated)
     changed = LearnRateLimit(*report.m_rate_limit, entry);
+  if (report.m_cold && !outdated)
+    changed = LearnCold(links::FromReport(*report.m_cold, Now())) || changed;
   if (report.m_leaving)
     changed = LearnLeaving(*report.m_leaving, entry) || changed;
+  Refresh();
   if (changed)
     SendToAll();
 }
 
+void SlotGranter::SetIncarnation(const std::string& replica,
+                                 uint64_t started_ms) {
+  if (replica == m_known_replica && started_ms == m_known_started_ms)
+    return;
+  m_known_replica = replica;
+  m_known_started_ms = started_ms;
+  m_known = {};
+  m_cold_logged_until = {};
+  m_queue.m_granted_calls.clear();
+  decide::SetRate(m_queue.m_rate, std::nullopt, Now());
+}
+
+void SlotGranter::Refresh() {
+  const TimePoint now = Now();
+  const model::Replica* own = OwnReplica(m_state);
+  const uint64_t started_ms = m_state.m_engine_started_ms != 0 || !own
+                                  ? m_state.m_engine_started_ms
+                                  : own->m_started_ms;
+  // An entry may have told of a later start than is known here.
+  if (own && (own->m_id != m_known_replica || started_ms != m_seen_started_ms))
+    SetIncarnation(own->m_id, started_ms);
+  m_seen_started_ms = started_ms;
+  if (own && own->m_started_ms == m_known_started_ms && own->m_cold_left &&
+      decide::IsValidColdTime(*own->m_cold_left))
+    LearnCold(decide::ColdByRow(*own->m_cold_left, own->m_revision, now));
+  if (m_state.m_engine_cold &&
+      m_state.m_engine_started_ms == m_known_started_ms)
+    LearnCold(*m_state.m_engine_cold);
+  decide::SetLimit(
+      m_queue.m_rate,
+      decide::EffectiveLimit(m_known.m_rate_limit.m_rate, m_known.m_cold,
+                             m_state.m_cold_limits, now),
+      now);
+  ReportCold();
+}
+
+void SlotGranter::ReportCold() {
+  if (m_state.m_cold_limits.m_rate <= 0)
+    return;
+  const TimePoint now = Now();
+  m_state.m_metrics.Set("replicas_cold", "",
+                        decide::IsCold(m_known.m_cold, now) ? 1 : 0);
+  links::LogColdChange(m_known_replica, m_known.m_cold, m_cold_logged_until,
+                       now);
+}
+
+bool SlotGranter::LearnCold(const decide::ColdState& cold) {
+  return m_state.m_cold_limits.m_rate > 0 &&
+         decide::MergeCold(m_known.m_cold, cold, Now());
+}
+
 bool SlotGranter::LearnRateLimit(const links::RateLimitReport& report,
                                  const Endpoint& entry) {
   const TimePoint now = Now();
@@ -125,7 +193,6 @@
   const double before = limit.m_rate.value_or(kNoLimit);
   if (!decide::MergeRateLimit(limit, links::FromReport(report, now)))
     return false;
-  decide::SetRate(m_queue.m_rate, limit.m_rate, now);
   m_state.m_metrics.Set("replica_rate_limit", "",
                         limit.m_rate.value_or(kNoLimit));
   LogLine("rate_limit")
@@ -180,7 +247,7 @@
 void SlotGranter::SendChanges() {
   SendUpdates([](const EntrySubscription& follower,
                  const links::ReplicaUpdate& update) {
-    return update != follower.m_last_update;
+    return HasNews(update, follower.m_last_update);
   });
 }
 
@@ -221,6 +288,7 @@
   update.m_queued_calls = waiting();
   const auto leaving = update.m_statements.m_leaving;
   update.m_statements = links::ReportOf(m_known, m_known_started_ms, Now());
+  update.m_statements.m_started_ms = m_known_started_ms;
   if (leaving)
     update.m_statements.m_leaving = leaving;
   return update;
--- a/src/libverbenalead/target/slot_granter.h
+++ b/src/libverbenalead/target/slot_granter.h
@@ -58,9 +58,18 @@
   void LearnStatements(const std::string& replica,
                        const links::StatementReport& report,
                        const Endpoint& entry);
+  /// Takes over which incarnation of the replica runs and how long it is cold,
+  /// by its row and its own report, and sets the limit of the calls that it
+  /// takes. Called before any decision.
+  void Refresh();
+  /// Forgets what was known of the replica if these name another incarnation.
+  void SetIncarnation(const std::string& replica, uint64_t started_ms);
+  /// Logs a change of the replica's cold time and exports whether it is cold.
+  void ReportCold();
   /// These return whether the report is news.
   bool LearnRateLimit(const links::RateLimitReport& report,
                       const Endpoint& entry);
+  bool LearnCold(const decide::ColdState& cold);
   bool LearnLeaving(uint64_t started_ms, const Endpoint& entry);
   /// Whether the replica is leaving, as entries or the engine itself state. It
   /// is granted no more calls.
@@ -87,6 +96,10 @@
   decide::KnownStatements m_known;
   std::string m_known_replica;
   uint64_t m_known_started_ms = 0;
+  /// The start that the engine or its row named last.
+  uint64_t m_seen_started_ms = 0;
+  /// End of the cold time that was logged last; the default: it was warm.
+  TimePoint m_cold_logged_until{};
 };
 
 }  // namespace verbenalead::target
--- a/src/libverbenalead/target/slot_granter_test.cc
+++ b/src/libverbenalead/target/slot_granter_test.cc
@@ -22,6 +22,9 @@
   CPPUNIT_TEST(LeavingReplicaIsGrantedNoSlots);
   CPPUNIT_TEST(WaitingCallsAreRejectedWhenTheReplicaLeaves);
   CPPUNIT_TEST(NewReplicaIsNotLeaving);
+  CPPUNIT_TEST(RequestTellsAStartedTargetThatTheReplicaIsCold);
+  CPPUNIT_TEST(OwnRowAndReportTellThatTheReplicaIsCold);
+  CPPUNIT_TEST(ReportsOfAnEarlierIncarnationChangeNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -111,6 +114,59 @@
     CPPUNIT_ASSERT_EQUAL(1U, m_slot_granter->Calls().m_calls);
   }
 
+  // Guards against a target process that has just started and grants all slots
+  // of a cold replica at once.
+  void RequestTellsAStartedTargetThatTheReplicaIsCold() {
+    m_state->m_cold_limits = {14, 1.5, 5};
+    RequestColdSlot(0, 7);
+    CPPUNIT_ASSERT_EQUAL(0U, m_slot_granter->Calls().m_calls);
+    RequestSlot(kOther, 0);
+    CPPUNIT_ASSERT_EQUAL(0U, m_slot_granter->Calls().m_calls);
+    // Without limits for cold replicas the statement changes nothing.
+    setUp();
+    RequestColdSlot(0, 7);
+    CPPUNIT_ASSERT_EQUAL(1U, m_slot_granter->Calls().m_calls);
+  }
+
+  void OwnRowAndReportTellThatTheReplicaIsCold() {
+    m_state->m_cold_limits = {14, 1.5, 5};
+    model::Replica& own = ListOwnReplica();
+    RequestSlot(kEntry, 0);
+    CPPUNIT_ASSERT_EQUAL(1U, m_slot_granter->Calls().m_calls);
+    own.m_cold_left = 5s;
+    own.m_revision = {0, 9};
+    RequestSlot(kEntry, 1);
+    CPPUNIT_ASSERT_EQUAL(1U, m_slot_granter->Calls().m_calls);
+    m_state->m_engine_started_ms = 1;
+    m_state->m_engine_cold = decide::ColdByAnswer(0s, Now());
+    RequestSlot(kEntry, 1);
+    CPPUNIT_ASSERT_EQUAL(2U, m_slot_granter->Calls().m_calls);
+    m_state->m_engine_cold = decide::ColdByAnswer(5s, Now());
+    RequestSlot(kEntry, 2);
+    CPPUNIT_ASSERT_EQUAL(2U, m_slot_granter->Calls().m_calls);
+  }
+
+  // Guards against a restarted replica under the same id that is taken for cold
+  // or limited, as an entry hasn't heard of the restart yet, and against one
+  // that isn't taken for cold, as this process hasn't.
+  void ReportsOfAnEarlierIncarnationChangeNothing() {
+    m_state->m_cold_limits = {14, 1.5, 5};
+    ListOwnReplica().m_started_ms = 8;
+    RequestColdSlot(0, 7);
+    CPPUNIT_ASSERT_EQUAL(1U, m_slot_granter->Calls().m_calls);
+    links::CallUpdate update;
+    update.m_replica = "i-1";
+    update.m_calls.m_calls = 1;
+    update.m_statements.m_rate_limit = links::RateLimitReport{0, Duration()};
+    update.m_statements.m_started_ms = 7;
+    m_slot_granter->HandleCallReport(kEntry, update);
+    RequestSlot(kEntry, 1);
+    CPPUNIT_ASSERT_EQUAL(2U, m_slot_granter->Calls().m_calls);
+    RequestColdSlot(2, 9);
+    RequestSlot(kEntry, 2);
+    CPPUNIT_ASSERT_EQUAL(2U, m_slot_granter->Calls().m_calls);
+  }
+
   void NewReplicaHasNoRateLimit() {
     links::CallUpdate update;
     update.m_replica = "i-1";
@@ -128,6 +184,28 @@
     return update;
   }
 
+  /// Lists the replica on this host in the store, started at 1.
+  model::Replica& ListOwnReplica() {
+    model::Replica& own = m_state->m_replicas["i-1"];
+    own.m_id = "i-1";
+    own.m_started_ms = 1;
+    own.m_endpoint = m_state->m_options.m_engine;
+    own.m_service = m_state->m_options.m_service;
+    return own;
+  }
+
+  /// kEntry, which has `calls` at the replica, requests one more slot, and says
+  /// that the incarnation that began at `started_ms` is cold.
+  void RequestColdSlot(uint32_t calls, uint64_t started_ms) {
+    links::SlotRequestMessage request;
+    request.m_replica = "i-1";
+    request.m_calls.m_calls = calls;
+    request.m_statements.m_cold =
+        links::ColdReport{5s, decide::ColdSource::kRow, {0, 5}, Duration()};
+    request.m_statements.m_started_ms = started_ms;
+    m_slot_granter->Grant(kEntry, request);
+  }
+
   /// `entry`, which has `calls` at the replica, requests one more slot.
   void RequestSlot(const Endpoint& entry,
                    uint32_t calls,
--- a/src/libverbenalead/target/target_rows.cc
+++ b/src/libverbenalead/target/target_rows.cc
@@ -5,6 +5,7 @@
 #include "base/catch_failure.h"
 #include "base/log.h"
 #include "decide/placement/live_replicas.h"
+#include "links/cold_log.h"
 #include "platform/decode_config.h"
 #include "platform/decode_replica.h"
 #include "platform/decode_weights.h"
@@ -13,6 +14,17 @@
 namespace verbenalead::target {
 namespace {
 
+/// Applies what the configuration says of cold replicas of the service.
+void ApplyColdConfig(TargetState& state, const model::Service& service) {
+  const bool valid = decide::IsValidColdRate(service.m_cold_rate);
+  if (!valid &&
+      (service.m_cold_rate != 0 || service.m_cold_start != Duration()))
+    links::LogBadColdService(service);
+  state.m_cold_limits = {valid ? service.m_cold_rate : 0,
+                         state.m_options.m_cold_overrun,
+                         state.m_options.m_cold_slack};
+}
+
 /// Applies a newer configuration; logs and ignores a malformed one.
 void ApplyConfig(TargetState& state, const std::string& text) {
   auto config = CatchFailure([&] { return platform::DecodeConfig(text); });
@@ -24,8 +36,10 @@
     return;
   state.m_config_version = config->m_version;
   for (const model::Service& service : config->m_services) {
-    if (service.m_name == state.m_options.m_service)
+    if (service.m_name == state.m_options.m_service) {
       state.m_engine = service.m_engine;
+      ApplyColdConfig(state, service);
+    }
     if (!service.m_origin.empty()) {
       state.m_origin = service.m_origin;
       state.m_origin_rate = service.m_origin_rate;
--- a/src/libverbenalead/target/target_state.h
+++ b/src/libverbenalead/target/target_state.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/metrics.h"
+#include "decide/limits/cold_state.h"
 #include "model/replica.h"
 #include "model/routing_config.h"
 #include "target/chunk_cache.h"
@@ -25,6 +26,13 @@
   /// Engine profile of the service on this host; absent if the configuration is
   /// not known yet or the service has no engine.
   std::optional<model::EngineProfile> m_engine;
+  /// What the configuration and the settings say of cold replicas.
+  decide::ColdLimits m_cold_limits;
+  /// Start of the engine as it reports it, in Unix milliseconds; 0 if it didn't
+  /// answer or tell.
+  uint64_t m_engine_started_ms = 0;
+  /// How long the engine is cold, as it reported last.
+  std::optional<decide::ColdState> m_engine_cold;
   Endpoint m_origin;
   uint64_t m_origin_rate = 0;
   /// When each version was declared, as estimated on this host.
