Rows of unknown services take over no address

Cause: of two rows with the same address the newer one counted, so that a row of another program with a service that the configuration doesn't have took a replica out of use at the entries, and hid it from its own target process.

Change: rows of services of the configuration go before others at an address. The hash of the list, which processes compare, is unchanged.

Result: row_applier_test, RowOfAnUnknownServiceTakesOverNoAddress.

--- a/src/libverbenalead/decide/placement/live_replicas.cc
+++ b/src/libverbenalead/decide/placement/live_replicas.cc
@@ -5,12 +5,18 @@
 namespace verbenalead::decide {
 
 std::map<std::string, model::Replica> LiveReplicas(
-    const std::map<std::string, model::Replica>& listed) {
+    const std::map<std::string, model::Replica>& listed,
+    const std::set<std::string>* services) {
+  const auto is_older = [services](const model::Replica& a,
+                                   const model::Replica& b) {
+    const bool a_known = !services || services->contains(a.m_service);
+    const bool b_known = !services || services->contains(b.m_service);
+    return a_known == b_known ? a.m_revision < b.m_revision : b_known;
+  };
   std::map<Endpoint, const model::Replica*> newest;
   for (const auto& [id, replica] : listed) {
     const model::Replica*& newest_at_endpoint = newest[replica.m_endpoint];
-    if (!newest_at_endpoint ||
-        newest_at_endpoint->m_revision < replica.m_revision)
+    if (!newest_at_endpoint || is_older(*newest_at_endpoint, replica))
       newest_at_endpoint = &replica;
   }
   std::map<std::string, model::Replica> live;
--- a/src/libverbenalead/decide/placement/live_replicas.h
+++ b/src/libverbenalead/decide/placement/live_replicas.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 #include "model/replica.h"
@@ -18,8 +19,13 @@
 /// longer exists, and are rejected. Two live replicas can't share an address,
 /// and a dead one writes no more rows, so the row with the highest revision is
 /// valid.
+///
+/// `services`: the services of the configuration; rows of other services, as
+/// another program may write them, take over no address from a replica of one
+/// of these. Null: the revision alone decides.
 std::map<std::string, model::Replica> LiveReplicas(
-    const std::map<std::string, model::Replica>& listed);
+    const std::map<std::string, model::Replica>& listed,
+    const std::set<std::string>* services = nullptr);
 
 /// Hash of a list of replicas. Processes with equal hashes have the same list
 /// and need not exchange it. Fields that change with each heartbeat are left
--- a/src/libverbenalead/entry/row_applier.cc
+++ b/src/libverbenalead/entry/row_applier.cc
@@ -303,14 +303,22 @@
 }
 
 void RowApplier::ReviewGoneReplicas() {
-  if (m_hides_replicas)
+  // A new configuration may have the service of a row that was left out.
+  if (m_hides_replicas || m_pools_config_version != ConfigVersion(m_state))
     UpdatePools(TimePoint());
 }
 
 void RowApplier::UpdatePools(TimePoint keep_missing_until) {
-  std::map<std::string, model::Replica> live = decide::LiveReplicas(m_replicas);
   // Other processes compare the list as the table has it.
-  m_state.m_replicas_hash = decide::HashOf(live);
+  m_state.m_replicas_hash = decide::HashOf(decide::LiveReplicas(m_replicas));
+  std::set<std::string> services;
+  if (m_state.m_routes) {
+    for (const model::Service& service : m_state.m_routes->config().m_services)
+      services.insert(service.m_name);
+  }
+  m_pools_config_version = ConfigVersion(m_state);
+  std::map<std::string, model::Replica> live =
+      decide::LiveReplicas(m_replicas, m_state.m_routes ? &services : nullptr);
   m_hides_replicas =
       std::erase_if(live, [&](const auto& entry) {
         return decide::IsBackFromCopy(m_gone, entry.second,
--- a/src/libverbenalead/entry/row_applier.h
+++ b/src/libverbenalead/entry/row_applier.h
@@ -91,6 +91,8 @@
   decide::GoneReplicas m_gone;
   /// Some rows are taken for those of replicas that are gone.
   bool m_hides_replicas = false;
+  /// Version of the configuration by whose services the pools were updated.
+  uint64_t m_pools_config_version = 0;
 };
 
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/row_applier_test.cc
+++ b/src/libverbenalead/entry/row_applier_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(AgesAreRelayedWithoutTheStoresClock);
   CPPUNIT_TEST(UndecodableRowAddsNoReplica);
   CPPUNIT_TEST(RowsOfAnotherWriterDisturbNoReplica);
+  CPPUNIT_TEST(RowOfAnUnknownServiceTakesOverNoAddress);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -195,6 +196,29 @@
     CPPUNIT_ASSERT(Replicas().contains("1"));
   }
 
+  // Guards against a newer row of another program that names the address of a
+  // replica, which then counts as gone.
+  void RowOfAnUnknownServiceTakesOverNoAddress() {
+    platform::Row foreign = ReplicaRow("1", 9);
+    foreign.m_key = "x";
+    foreign.m_value.replace(foreign.m_value.find("pool"), 4, "other");
+    model::RoutingConfig config;
+    config.m_version = 1;
+    config.m_services.emplace_back().m_name = "pool";
+    m_state->m_routes = std::make_shared<decide::RouteTable>(config);
+    m_intake->ApplyReplicaRows(Rows(9, {ReplicaRow("1", 5), foreign}), true,
+                               TimePoint());
+    CPPUNIT_ASSERT(Replicas().contains("1"));
+    CPPUNIT_ASSERT(!m_state->m_services.contains("other"));
+    // The service is added.
+    config.m_version = 2;
+    config.m_services.emplace_back().m_name = "other";
+    m_state->m_routes = std::make_shared<decide::RouteTable>(config);
+    m_intake->ReviewGoneReplicas();
+    CPPUNIT_ASSERT(
+        m_state->m_services.at("other").m_pool.m_replicas.contains("x"));
+  }
+
  private:
   /// Applies an answer of the store, whose clock is this host's.
   void TakeAnswer(Duration requested_at,
--- a/src/libverbenalead/target/slot_granter_test.cc
+++ b/src/libverbenalead/target/slot_granter_test.cc
@@ -186,7 +186,7 @@
 
   /// Lists the replica on this host in the store, started at 1.
   model::Replica& ListOwnReplica() {
-    model::Replica& own = m_state->m_replicas["i-1"];
+    model::Replica& own = m_state->m_listed["i-1"];
     own.m_id = "i-1";
     own.m_started_ms = 1;
     own.m_endpoint = m_state->m_options.m_engine;
--- a/src/libverbenalead/target/target_rows.cc
+++ b/src/libverbenalead/target/target_rows.cc
@@ -35,7 +35,9 @@
   if (config->m_version <= state.m_config_version)
     return;
   state.m_config_version = config->m_version;
+  state.m_services.clear();
   for (const model::Service& service : config->m_services) {
+    state.m_services.insert(service.m_name);
     if (service.m_name == state.m_options.m_service) {
       state.m_engine = service.m_engine;
       ApplyColdConfig(state, service);
@@ -73,12 +75,19 @@
 }  // namespace
 
 const model::Replica* OwnReplica(const TargetState& state) {
-  for (const auto& [id, replica] : state.m_replicas) {
-    if (replica.m_endpoint == state.m_options.m_engine &&
-        replica.m_service == state.m_options.m_service)
-      return &replica;
+  // The newest row of the address, unless it is of a service that the
+  // configuration doesn't have, as another program may write it.
+  const model::Replica* newest = nullptr;
+  for (const auto& [id, replica] : state.m_listed) {
+    if (replica.m_endpoint != state.m_options.m_engine ||
+        (!state.m_services.empty() &&
+         !state.m_services.contains(replica.m_service)))
+      continue;
+    if (!newest || newest->m_revision < replica.m_revision)
+      newest = &replica;
   }
-  return nullptr;
+  return newest && newest->m_service == state.m_options.m_service ? newest
+                                                                  : nullptr;
 }
 
 void ApplyOperatorRows(TargetState& state,
--- a/src/libverbenalead/target/target_state.h
+++ b/src/libverbenalead/target/target_state.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include "base/metrics.h"
@@ -33,6 +34,8 @@
   uint64_t m_engine_started_ms = 0;
   /// How long the engine is cold, as it reported last.
   std::optional<decide::ColdState> m_engine_cold;
+  /// Names of the services of the configuration; empty: it isn't known.
+  std::set<std::string> m_services;
   Endpoint m_origin;
   uint64_t m_origin_rate = 0;
   /// When each version was declared, as estimated on this host.
