--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -33,6 +33,10 @@
         self.guest_keys = []
         # Number of additional routes, to which no calls are sent.
         self.more_routes = 0
+        # Fields that the configuration has for each service with replicas, and
+        # settings of all entries and target processes.
+        self.service_fields = {}
+        self.common_settings = {}
 
     def store_for(self, name):
         """Address at which the process `name` connects to the store."""
@@ -97,8 +101,8 @@
         return {
             "version": self.version, "routes": routes,
             "services": [
-                {"name": "pool", "engine": engine},
-                {"name": "ledger"},
+                dict(self.service_fields, name="pool", engine=engine),
+                dict(self.service_fields, name="ledger"),
                 {"name": "weights", "origin": self.origin,
                  "link_mbps": 100.0}],
             "tenants": [{"name": "acme", "api_keys": self.keys},
@@ -125,6 +129,7 @@
                         "metrics": entry["metrics"],
                         "peers": "%s:%d" % (ip, self.peer_port)},
                     "store": {"address": self.store_for(name)}}
+        settings.update(self.common_settings)
         settings.update(extra)
         self.cluster.start_platform_program(name, "vlentry", settings)
         self.entries.append(entry)
@@ -151,10 +156,11 @@
         if model:
             self.cluster.start_platform_program(
                 replica["target"], "vltarget",
-                {"host": replica["target"], "data_center": data_center,
-                 "service": service, "engine": replica["address"],
-                 "listen": {"peers": "%s:%d" % (ip, self.peer_port)},
-                 "store": {"address": self.store_for(replica["target"])}})
+                dict(self.common_settings,
+                     host=replica["target"], data_center=data_center,
+                     service=service, engine=replica["address"],
+                     listen={"peers": "%s:%d" % (ip, self.peer_port)},
+                     store={"address": self.store_for(replica["target"])}))
         self.replicas.append(replica)
         return replica
 
@@ -169,6 +175,10 @@
         """Sets the rate limit that the answers of `replica` name; "": none."""
         harness.call(replica["address"], "POST", "/limit", text)
 
+    def make_cold(self, replica, milliseconds):
+        """Makes `replica` cold for this long, counted from now."""
+        harness.call(replica["address"], "POST", "/cold", str(milliseconds))
+
     def call_log(self, replica):
         """Calls that arrived, with what the answer to each stated."""
         return harness.call(replica["address"], "GET", "/call-log").json()
--- a/testsuite/standins/platform_replica/main.cc
+++ b/testsuite/standins/platform_replica/main.cc
@@ -27,6 +27,9 @@
       .Integer("load", 50, 0, 10000, "ms", "time that a load takes")
       .Text("rate_limit", "",
             "requests a second that its answers name as its limit; empty: none")
+      .Integer("cold", 0, 0, 600000, "ms", "time for which it starts cold")
+      .Integer("cold_calls", 0, 0, 100000, "calls",
+               "calls in a second above which it crashes while cold; 0: none")
       .Integer("version", 0, 0, 1000000, "",
                "version that it has loaded at its start; 0: none");
 }
--- a/testsuite/standins/platform_replica/replica.cc
+++ b/testsuite/standins/platform_replica/replica.cc
@@ -1,5 +1,6 @@
 #include "standins/platform_replica/replica.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <chrono>
 
@@ -46,7 +47,13 @@
       m_call_duration(settings.Milliseconds("work")),
       m_load_duration(settings.Milliseconds("load")),
       m_started_ms(UnixMilliseconds()),
-      m_rate_limit(settings.Text("rate_limit")) {}
+      m_rate_limit(settings.Text("rate_limit")),
+      m_cold_until(Now() + settings.Milliseconds("cold")),
+      m_cold_calls(static_cast<uint32_t>(settings.Integer("cold_calls"))) {}
+
+Duration ColdLeft(const Replica& replica) {
+  return std::max(Duration(), replica.m_cold_until - Now());
+}
 
 std::string EncodeRow(const Replica& replica) {
   json::object row = {{"service", replica.m_service},
@@ -55,7 +62,7 @@
                       {"version", "v1"},
                       {"slots", replica.m_slots},
                       {"state", replica.m_leaving ? "draining" : "ready"},
-                      {"cold_left_ms", 0},
+                      {"cold_left_ms", ToMilliseconds(ColdLeft(replica))},
                       {"born", replica.m_started_ms},
                       {"sequence", replica.m_accepted_orders}};
   if (!replica.m_model.empty())
--- a/testsuite/standins/platform_replica/replica.h
+++ b/testsuite/standins/platform_replica/replica.h
@@ -2,6 +2,7 @@
 #define VERBENALEAD_STANDINS_PLATFORM_REPLICA_REPLICA_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -64,12 +65,23 @@
   std::string m_rest;
   /// Percentage of the calls whose connections it closes without an answer.
   uint32_t m_cut_percent = 0;
+  /// End of the time for which it is cold, as its row, its reports and its
+  /// answers say; it may be in the past.
+  TimePoint m_cold_until{};
+  /// While it is cold, more calls than this in any second crash it; 0: none
+  /// do. Calls meant for another replica don't count.
+  uint32_t m_cold_calls = 0;
+  /// The latest calls that count, at most m_cold_calls.
+  std::deque<TimePoint> m_counted;
   /// All calls, whatever became of them.
   std::vector<Arrival> m_arrivals;
   /// Loads in which a staged chunk was missing or not that of the version.
   uint64_t m_bad_loads = 0;
 };
 
+/// How much longer the replica is cold.
+Duration ColdLeft(const Replica& replica);
+
 /// The row by which the replica registers in the store.
 std::string EncodeRow(const Replica& replica);
 /// The response to GET /report.
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -62,6 +62,10 @@
     headers[platform::kRateLimit] = replica.m_rate_limit;
   if (!replica.m_leaving_text.empty())
     headers[kLeaving] = replica.m_leaving_text;
+  if (ColdLeft(replica) > Duration()) {
+    headers[platform::kPrefixedColdLeft] =
+        std::to_string(ToMilliseconds(ColdLeft(replica)));
+  }
 }
 
 wire::Headers AnswerHeaders(const wire::Request& request,
@@ -169,6 +173,24 @@
       .Info();
 }
 
+/// Counts a call, and ends the process if it is cold and there were too many in
+/// a second.
+void CountColdCall(Replica& replica) {
+  if (replica.m_cold_calls == 0)
+    return;
+  const TimePoint now = Now();
+  std::deque<TimePoint>& counted = replica.m_counted;
+  counted.push_back(now);
+  if (counted.size() <= replica.m_cold_calls)
+    return;
+  const bool too_many = now - counted.front() < 1s;
+  counted.pop_front();
+  if (!too_many || ColdLeft(replica) == Duration())
+    return;
+  LogLine("cold_overrun").With("calls", uint64_t{counted.size() + 1}).Error();
+  std::_Exit(1);
+}
+
 /// Whether the call that has just arrived is one of those that are cut off,
 /// which are spread evenly over the calls.
 bool IsCut(const Replica& replica) {
@@ -187,6 +209,7 @@
     co_await writer.Send(NotRun(421, *replica));
     co_return;
   }
+  CountColdCall(*replica);
   if (IsCut(*replica))
     co_return;
   if (!replica->m_rest.empty()) {
@@ -253,6 +276,9 @@
     replica.m_leaving_text = body;
   else if (path == "/leave")
     replica.m_leaving = true;
+  else if (path == "/cold")
+    replica.m_cold_until =
+        Now() + std::chrono::milliseconds(std::atoll(body.c_str()));
   else if (path == "/rest")
     replica.m_rest = body;
   else if (path == "/cut")
