--- a/src/libverbenalead/entry/evacuation_rows.cc
+++ b/src/libverbenalead/entry/evacuation_rows.cc
@@ -50,6 +50,17 @@
   ++state.m_evacuation_changes;
 }
 
+/// The replicas may have become cold during the evacuation, and their rows tell
+/// of it only with their next write.
+void PresumeColdAfterEnd(EntryState& state,
+                         const std::string& data_center,
+                         model::Revision revision) {
+  for (auto& [name, service] : state.m_services) {
+    decide::PresumeCold(service.m_pool, data_center,
+                        service.m_pool.m_cold_start, revision, Now());
+  }
+}
+
 void ApplyChange(EntryState& state,
                  const std::string& data_center,
                  const std::string& source) {
@@ -67,6 +78,8 @@
       .With("revision", ToString(evacuation.m_revision))
       .Info();
   UpdatePoolsAfterChange(state);
+  if (!evacuation.m_active)
+    PresumeColdAfterEnd(state, data_center, evacuation.m_revision);
 }
 
 void Apply(EntryState& state,
--- a/src/libverbenalead/target/target_state.h
+++ b/src/libverbenalead/target/target_state.h
@@ -4,9 +4,11 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include "base/metrics.h"
+#include "decide/limits/cold_state.h"
 #include "model/replica.h"
 #include "model/routing_config.h"
 #include "target/chunk_cache.h"
@@ -25,6 +27,15 @@
   /// Engine profile of the service on this host; absent if the configuration is
   /// not known yet or the service has no engine.
   std::optional<model::EngineProfile> m_engine;
+  /// What the configuration and the settings say of cold replicas.
+  decide::ColdLimits m_cold_limits;
+  /// Start of the engine as it reports it, in Unix milliseconds; 0 if it didn't
+  /// answer or tell.
+  uint64_t m_engine_started_ms = 0;
+  /// How long the engine is cold, as it reported last.
+  std::optional<decide::ColdState> m_engine_cold;
+  /// Names of the services of the configuration; empty: it isn't known.
+  std::set<std::string> m_services;
   Endpoint m_origin;
   uint64_t m_origin_rate = 0;
   /// The origin is unavailable; known only with m_options.m_origin_outages.
