Keep places in the fetch window for the last chunks of a version

Chunks from busy hosts take longer than the threshold of the fetch window, so that it is smallest when the last chunks come. With weights.origin_outages a host fetches at least 7 chunks at once during the last quarter of a version. transfer_outage_test sends chunks in the order of UploadSlots now, as hosts do, and bounds the time from the last chunk at its first host to all hosts.

--- a/src/libverbenalead/decide/transfer/transfer.cc
+++ b/src/libverbenalead/decide/transfer/transfer.cc
@@ -148,11 +148,19 @@
   }
 }
 
+uint32_t MaxPeerFetches(const TransferState& state) {
+  const size_t missing = state.m_chunks.size() - state.m_have_count;
+  return missing < state.m_limits.m_last_chunks
+             ? std::max(state.m_window.m_size,
+                        state.m_limits.m_min_last_fetches)
+             : state.m_window.m_size;
+}
+
 void FetchRarest(TransferState& state,
                  TimePoint now,
                  std::mt19937_64& random,
                  TransferActions& actions) {
-  while (PeerFetches(state) < state.m_window.m_size) {
+  while (PeerFetches(state) < MaxPeerFetches(state)) {
     const uint64_t available =
         AvailableNeighbours(state, now) & state.m_in_region;
     if (available == 0)
--- a/src/libverbenalead/decide/transfer/transfer_limits.h
+++ b/src/libverbenalead/decide/transfer/transfer_limits.h
@@ -46,6 +46,12 @@
   /// A longer wait for a chunk reduces the number of concurrent fetches; zero:
   /// never.
   Duration m_slow_fetch_threshold{};
+  /// Least number of concurrent fetches from other hosts while fewer than
+  /// m_last_chunks chunks are missing; 0: as many as before. Slow chunks from
+  /// busy hosts shrink the fetch window, and then the last chunks wait although
+  /// the link has room.
+  uint32_t m_min_last_fetches = 0;
+  uint32_t m_last_chunks = 0;
   uint32_t m_max_own_origin_fetches = 2;
 
   /// Neighbours in the same data centre, in other data centres of the same
--- a/src/libverbenalead/decide/transfer/transfer_outage_test.cc
+++ b/src/libverbenalead/decide/transfer/transfer_outage_test.cc
@@ -7,6 +7,7 @@
 
 #include "decide/transfer/origin_fetches.h"
 #include "decide/transfer/transfer.h"
+#include "decide/transfer/upload_slots.h"
 #include "decide/transfer/version_choice.h"
 
 namespace verbenalead::decide {
@@ -22,7 +23,6 @@
 constexpr Duration kUpdateDelay = 60ms;
 constexpr Duration kAnnounceDelay = 10ms;
 constexpr Duration kAnnounceInterval = 250ms;
-constexpr size_t kUploads = 2;
 constexpr Duration kTimeLimit = 60s;
 /// Time from a request to the first bytes of the origin's answer.
 constexpr Duration kRequestDelay = 10ms;
@@ -30,10 +30,15 @@
 constexpr Duration kHangTimeout = 300ms;
 constexpr uint32_t kMaxOriginFetches = 5;
 constexpr uint32_t kMaxOwnOriginFetches = 4;
+constexpr uint32_t kMinLastFetches = 7;
 /// Bounds of docs/design/demands.md: time from the origin's return to its last
 /// chunk in multiples of the link's time, and copies fetched from the origin.
 constexpr double kMaxLinkTimeFactor = 1.05;
 constexpr double kMaxCopies = 1.03;
+/// Time from the last chunk at its first host to all hosts, up to 88 hosts and
+/// with 300.
+constexpr Duration kMaxTail = 950ms;
+constexpr Duration kMaxLargeTail = 1100ms;
 /// Dead hosts stay in the list of members for this long.
 constexpr Duration kMembershipLag = 3s;
 
@@ -48,6 +53,7 @@
   bool m_announced = true;
   uint32_t m_chunks = 64;
   Duration m_origin_chunk = kOriginChunk;
+  Duration m_host_chunk = kHostChunk;
   /// Whether hosts probe the origin in turns and announce its return.
   bool m_shared_probes = false;
   /// Whether connections to the unavailable origin hang until they time out;
@@ -128,6 +134,11 @@
   }
 
  private:
+  struct Upload {
+    size_t m_to = 0;
+    uint32_t m_chunk = 0;
+    Duration m_left{};
+  };
   struct Host {
     TransferState m_state;
     TimePoint m_started_at{};
@@ -135,9 +146,10 @@
     bool m_dead = false;
     std::vector<uint32_t> m_held;
     size_t m_told = 0;
-    /// Requesting hosts and chunks, in order; the first ones are being sent.
-    std::vector<std::pair<size_t, uint32_t>> m_uploads;
-    Duration m_sent{};
+    UploadSlots m_slots;
+    /// Waiting and running uploads by their id.
+    std::map<uint64_t, Upload> m_uploads;
+    uint64_t m_last_upload = 0;
   };
   struct OriginFetch {
     size_t m_host = 0;
@@ -167,6 +179,10 @@
       limits.m_origin_budget_percent = 100;
       limits.m_max_origin_fetches = kMaxOriginFetches;
       limits.m_max_own_origin_fetches = kMaxOwnOriginFetches;
+      limits.m_min_last_fetches = kMinLastFetches;
+      limits.m_last_chunks = m_load.m_chunks / 4;
+      limits.m_slow_fetch_threshold =
+          2 * limits.m_max_fetches * m_load.m_host_chunk;
     }
     return limits;
   }
@@ -299,34 +315,37 @@
 
   void RunUploads() {
     for (Host& host : m_hosts) {
-      if (host.m_dead || host.m_uploads.empty())
+      if (host.m_dead)
         continue;
-      const size_t active = std::min(kUploads, host.m_uploads.size());
-      host.m_sent += kTick;
-      if (host.m_sent < UploadTime(host, active))
-        continue;
-      host.m_sent = Duration();
-      const std::vector<std::pair<size_t, uint32_t>> sent(
-          host.m_uploads.begin(),
-          host.m_uploads.begin() + static_cast<std::ptrdiff_t>(active));
-      host.m_uploads.erase(
-          host.m_uploads.begin(),
-          host.m_uploads.begin() + static_cast<std::ptrdiff_t>(active));
-      for (const auto& [to, chunk] : sent)
-        Arrive(to, chunk);
+      while (StartNextUpload(host.m_slots, m_now)) {
+      }
+      std::vector<uint64_t> done;
+      for (const auto& [id, started] : host.m_slots.m_running) {
+        Upload& upload = host.m_uploads.at(id);
+        upload.m_left -= LinkShare(host, upload);
+        if (upload.m_left <= Duration())
+          done.push_back(id);
+      }
+      for (const uint64_t id : done) {
+        Arrive(host.m_uploads.at(id).m_to, host.m_uploads.at(id).m_chunk);
+        EndUploadOf(host, id);
+      }
     }
   }
 
-  Duration UploadTime(const Host& from, size_t active) const {
+  Duration LinkShare(const Host& from, const Upload& upload) const {
     const bool narrowed = !IsOriginDown() && Elapsed() > m_load.m_outage_start;
-    Duration total{};
-    for (size_t i = 0; i < active; ++i) {
-      const Host& to = m_hosts[from.m_uploads[i].first];
-      const bool remote =
-          to.m_state.m_self.m_region != from.m_state.m_self.m_region;
-      total += kHostChunk * (remote && narrowed ? m_load.m_narrowing : 1);
-    }
-    return total;
+    return kTick / std::ssize(from.m_slots.m_running) /
+           (narrowed && IsRemote(from, upload.m_to) ? m_load.m_narrowing : 1);
+  }
+
+  bool IsRemote(const Host& from, size_t to) const {
+    return m_hosts[to].m_state.m_self.m_region != from.m_state.m_self.m_region;
+  }
+
+  static void EndUploadOf(Host& host, uint64_t id) {
+    EndUpload(host.m_slots, id);
+    host.m_uploads.erase(id);
   }
 
   bool Follows(size_t follower, const std::string& name) const {
@@ -423,8 +442,14 @@
       });
       return;
     }
-    std::erase(m_hosts[Index(cancel.m_source.m_host)].m_uploads,
-               std::pair<size_t, uint32_t>(index, cancel.m_chunk));
+    Host& from = m_hosts[Index(cancel.m_source.m_host)];
+    const auto upload = std::find_if(
+        from.m_uploads.begin(), from.m_uploads.end(), [&](const auto& each) {
+          return each.second.m_to == index &&
+                 each.second.m_chunk == cancel.m_chunk;
+        });
+    if (upload != from.m_uploads.end())
+      EndUploadOf(from, upload->first);
   }
 
   void Send(size_t index, const FetchChunk& fetch) {
@@ -434,8 +459,13 @@
       return;
     }
     Host& from = m_hosts[Index(fetch.m_source.m_host)];
-    if (!from.m_dead)
-      from.m_uploads.emplace_back(index, fetch.m_chunk);
+    if (from.m_dead)
+      return;
+    const uint64_t id = ++from.m_last_upload;
+    from.m_uploads[id] = {index, fetch.m_chunk, m_load.m_host_chunk};
+    EnqueueRequest(from.m_slots, 1,
+                   {id, fetch.m_chunk, IsRemote(from, index),
+                    m_hosts[index].m_state.m_have_count});
   }
 
   const OutageScenario m_load;
@@ -587,6 +617,7 @@
     load.m_hosts = hosts;
     load.m_chunks = 96;
     load.m_origin_chunk = 45ms;
+    load.m_host_chunk = 34ms;
     load.m_shared_probes = true;
     return load;
   }
@@ -616,6 +647,9 @@
       Print(name, load, fleet);
       CPPUNIT_ASSERT_EQUAL(0U, fleet.RepeatedFetches());
       CPPUNIT_ASSERT_LESSEQUAL(kMaxLinkTimeFactor, fleet.LinkTimeFactor());
+      if (load.m_narrowing == 1)
+        CPPUNIT_ASSERT_LESSEQUAL(large ? kMaxLargeTail : kMaxTail,
+                                 fleet.TailDelay());
     }
   }
 };
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -78,6 +78,10 @@
 /// chunks are complete, and passed on, sooner.
 constexpr uint32_t kMaxSingleCopyFetches = 5;
 constexpr uint32_t kMaxOwnSingleCopyFetches = 4;
+/// Concurrent fetches from other hosts for the last part of a version, and the
+/// divisor that gives the number of chunks in that part.
+constexpr uint32_t kMinLastFetches = 7;
+constexpr uint32_t kLastPartDivisor = 4;
 /// Interval between announcements of an origin fetch in progress.
 constexpr Duration kAnnouncementInterval = 250ms;
 /// After this many chunks from the origin that do not match their digests, the
@@ -110,6 +114,8 @@
   if (state.m_options.m_origin_outages) {
     limits.m_max_origin_fetches = kMaxSingleCopyFetches;
     limits.m_max_own_origin_fetches = kMaxOwnSingleCopyFetches;
+    limits.m_min_last_fetches = kMinLastFetches;
+    limits.m_last_chunks = state.m_engine->m_chunks / kLastPartDivisor;
   }
   limits.m_max_origin_backoff = kMaxOriginBackoff;
   return limits;
@@ -517,6 +523,7 @@
   if (has_digests && is_current() && !m_prefetch && !IsGivenUp(version)) {
     decide::TransferLimits limits = LimitsOf(m_state);
     limits.m_max_fetches = kMaxFetchesAhead;
+    limits.m_min_last_fetches = 0;
     const auto transfer = CreateTransfer(version, limits, executor);
     m_prefetch = transfer;
     co_await Run(transfer, executor);
