--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -325,9 +325,15 @@
   if (!m_supply.GiveUp(version))
     return false;
   for (auto* transfer : {&m_transfer, &m_prefetch}) {
-    if (*transfer && (*transfer)->m_version == version)
-      StopTransfer(*transfer);
+    if (!*transfer || (*transfer)->m_version != version)
+      continue;
+    (*transfer)->CancelAll();
+    StopTransfer(*transfer);
   }
+  // Its chunks would keep those of the newer version out of the staging area
+  // until that one is complete.
+  if (!m_state.m_cache.Complete(version))
+    m_state.m_cache.Drop(version);
   return true;
 }
 
