cold_fleet_test: bursts at full buckets while the holder changes

Guards against a bucket that an idle time has filled and that a burst empties while another process takes over: disruptions from 1.0 s before to 1.5 s after the begin of the burst, at 3 and 8 entries.

--- a/src/libverbenalead/decide/limits/cold_fleet_test.cc
+++ b/src/libverbenalead/decide/limits/cold_fleet_test.cc
@@ -1,13 +1,15 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <cstdio>
+#include <vector>
 
 #include "decide/limits/fake_cold_fleet.h"
 
 namespace verbenalead::decide {
 namespace {
 
-constexpr uint32_t kFleets[] = {3, 8, 44, 300};
+constexpr std::array<uint32_t, 4> kFleets = {3, 8, 44, 300};
 /// Most calls in any second: 14 * 1.5 + 5.
 constexpr size_t kBound = 26;
 /// Least share of the cold rate that is used while more calls come.
@@ -16,6 +18,7 @@
 class ColdFleetTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ColdFleetTest);
   CPPUNIT_TEST(BurstAtManyReplicasKeepsTheBoundAndUsesTheRate);
+  CPPUNIT_TEST(BurstAfterAnIdleTimeKeepsTheBound);
   CPPUNIT_TEST(KilledHolderKeepsTheBound);
   CPPUNIT_TEST(PausedEntryKeepsTheBound);
   CPPUNIT_TEST(StartedEntryKeepsTheBound);
@@ -30,6 +33,32 @@
         "burst", [](ColdFleetSettings&) {}, kLeastUse);
   }
 
+  // Guards against a full bucket that is emptied by a burst while another
+  // process takes over.
+  void BurstAfterAnIdleTimeKeepsTheBound() {
+    for (const Duration before :
+         {-1500ms, -1000ms, -300ms, -50ms, 50ms, 300ms, 1000ms}) {
+      for (const int what : {0, 1, 2, 3, 4}) {
+        ForAll("idle",
+               [=](ColdFleetSettings& settings) {
+                 settings.m_idle = {3s, 5s};
+                 settings.m_demand = 200;
+                 settings.m_duration = 9s;
+                 const Duration at = 5s - before;
+                 if (what == 1)
+                   settings.m_kill_at = at;
+                 else if (what == 2)
+                   settings.m_pause = {at - 2s, at};
+                 else if (what == 3)
+                   settings.m_start_at = at;
+                 else if (what == 4)
+                   settings.m_cut_at = at;
+               },
+               0, {3, 8});
+      }
+    }
+  }
+
   // Guards against two buckets one after the other that both begin full.
   void KilledHolderKeepsTheBound() {
     ForAll("killed",
@@ -61,9 +90,13 @@
 
  private:
   template <typename Change>
-  static void ForAll(const char* what, Change change, double least_use = 0) {
+  static void ForAll(const char* what,
+                     Change change,
+                     double least_use = 0,
+                     const std::vector<uint32_t>& fleets = {kFleets.begin(),
+                                                            kFleets.end()}) {
     for (const bool has_targets : {true, false}) {
-      for (const uint32_t entries : kFleets) {
+      for (const uint32_t entries : fleets) {
         ColdFleetSettings settings;
         settings.m_entries = entries;
         settings.m_has_targets = has_targets;
--- a/src/libverbenalead/decide/limits/fake_cold_fleet.h
+++ b/src/libverbenalead/decide/limits/fake_cold_fleet.h
@@ -36,6 +36,9 @@
   /// From this time on the entry that is first in rank for the first replica
   /// isn't heard by the second any more, but hears it.
   std::optional<Duration> m_cut_at;
+  /// No calls come between these times, so that the buckets are full at the
+  /// end.
+  std::pair<Duration, Duration> m_idle{};
   Duration m_duration = 12s;
   uint64_t m_seed = 1;
 };
@@ -289,7 +292,9 @@
     const auto wait = std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(gap(m_random)));
     At(m_now + wait, [this, replica] {
-      Call(m_random() % m_entries.size(), replica);
+      if (m_now < Start() + m_settings.m_idle.first ||
+          m_now >= Start() + m_settings.m_idle.second)
+        Call(m_random() % m_entries.size(), replica);
       ScheduleCall(replica);
     });
   }
