--- a/src/libverbenalead/target/engine_controller.cc
+++ b/src/libverbenalead/target/engine_controller.cc
@@ -25,6 +25,9 @@
 /// are chosen 0.4 s earlier. Such a replica may load after the deadline, as no
 /// call starts there any more.
 constexpr Duration kDeadlineMargin = 700ms;
+/// Cost of one more load of all replicas when versions are chosen: each replica
+/// is out of service for about this time, for its drain and its load.
+constexpr Duration kLoadCost = 1000ms;
 /// How much longer than the engine's load the query for its end continues.
 constexpr Duration kLoadTimeout = 1000ms;
 /// Time from the end of a load until entries send calls again, beside the load
@@ -257,7 +260,7 @@
     return;
   const decide::VersionTimes times = {m_fetcher.OriginInterval(),
                                       SpreadTime(m_state),
-                                      m_state.m_engine->m_load, kLoadOutage};
+                                      m_state.m_engine->m_load, kLoadCost};
   decide::VersionChoice choice =
       decide::ChooseVersions(Supplies(), times, !m_state.m_origin_away, Now());
   m_fetcher.GiveUp(choice.m_given_up);
