--- a/src/libverbenalead/entry/row_applier_test.cc
+++ b/src/libverbenalead/entry/row_applier_test.cc
@@ -236,103 +236,104 @@
     m_intake->ApplyOperatorRows(Rows(5, {unknown, EvacuationRow(4)}), true);
     CPPUNIT_ASSERT(Evacuated("pool") == std::set<std::string>{"a"});
     CPPUNIT_ASSERT(m_intake->operator_rows().at("evacuate/nowhere") == unknown);
-    // Guards against a row that another program wrote, whatever it holds, which
-    // takes replicas out of use or adds one.
-    void RowsOfAnotherWriterDisturbNoReplica() {
-      const std::string good = ReplicaRow("1", 5).m_value;
-      const std::vector<std::string> values = {
-          "",
-          "\xff\xfe\x00",
-          "[]",
-          "null",
-          R"({"service":"pool"})",
-          R"({"service":7,"address":"10.0.0.1:80","zone":"a","slots":4,)"
-          R"("state":"ready"})",
-          R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":-4,)"
-          R"("state":"ready"})",
-          R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":4,)"
-          R"("state":"asleep"})",
-          R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":4,)"
-          R"("state":"ready","born":"now"})",
-          R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":4,)"
-          R"("state":"ready","models":[{"name":7}]})"};
-      std::vector<platform::Row> rows = {ReplicaRow("1", 5),
-                                         ReplicaRow("2", 6)};
-      for (const std::string& value : values) {
-        platform::Row row = ReplicaRow("x" + std::to_string(rows.size()), 7);
-        row.m_value = value;
-        rows.push_back(std::move(row));
-      }
-      m_intake->ApplyReplicaRows(Rows(7, rows), true, TimePoint());
-      CPPUNIT_ASSERT_EQUAL(size_t{2}, Replicas().size());
-      std::mt19937_64 random(1);
-      CPPUNIT_ASSERT(decide::AcquireSlot(m_state->m_services.at("pool").m_pool,
-                                         {}, Now(), random));
-      // Another replica's row that becomes unreadable takes only that one out.
-      platform::Row spoilt = ReplicaRow("2", 9);
-      spoilt.m_value = "{";
-      m_intake->ApplyReplicaRows(Rows(9, {spoilt}), false, TimePoint());
-      CPPUNIT_ASSERT_EQUAL(size_t{1}, Replicas().size());
-      CPPUNIT_ASSERT(Replicas().contains("1"));
-    }
+  }
 
-    // Guards against a newer row of another program that names the address of a
-    // replica, which then counts as gone.
-    void RowOfAnUnknownServiceTakesOverNoAddress() {
-      platform::Row foreign = ReplicaRow("1", 9);
-      foreign.m_key = "x";
-      foreign.m_value.replace(foreign.m_value.find("pool"), 4, "other");
-      model::RoutingConfig config;
-      config.m_version = 1;
-      config.m_services.emplace_back().m_name = "pool";
-      m_state->m_routes = std::make_shared<decide::RouteTable>(config);
-      m_intake->ApplyReplicaRows(Rows(9, {ReplicaRow("1", 5), foreign}), true,
-                                 TimePoint());
-      CPPUNIT_ASSERT(Replicas().contains("1"));
-      CPPUNIT_ASSERT(!m_state->m_services.contains("other"));
-      // The service is added.
-      config.m_version = 2;
-      config.m_services.emplace_back().m_name = "other";
-      m_state->m_routes = std::make_shared<decide::RouteTable>(config);
-      m_intake->ReviewGoneReplicas();
-      CPPUNIT_ASSERT(
-          m_state->m_services.at("other").m_pool.m_replicas.contains("x"));
+  // Guards against a row that another program wrote, whatever it holds, which
+  // takes replicas out of use or adds one.
+  void RowsOfAnotherWriterDisturbNoReplica() {
+    const std::string good = ReplicaRow("1", 5).m_value;
+    const std::vector<std::string> values = {
+        "",
+        "\xff\xfe\x00",
+        "[]",
+        "null",
+        R"({"service":"pool"})",
+        R"({"service":7,"address":"10.0.0.1:80","zone":"a","slots":4,)"
+        R"("state":"ready"})",
+        R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":-4,)"
+        R"("state":"ready"})",
+        R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":4,)"
+        R"("state":"asleep"})",
+        R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":4,)"
+        R"("state":"ready","born":"now"})",
+        R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":4,)"
+        R"("state":"ready","models":[{"name":7}]})"};
+    std::vector<platform::Row> rows = {ReplicaRow("1", 5), ReplicaRow("2", 6)};
+    for (const std::string& value : values) {
+      platform::Row row = ReplicaRow("x" + std::to_string(rows.size()), 7);
+      row.m_value = value;
+      rows.push_back(std::move(row));
     }
+    m_intake->ApplyReplicaRows(Rows(7, rows), true, TimePoint());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Replicas().size());
+    std::mt19937_64 random(1);
+    CPPUNIT_ASSERT(decide::AcquireSlot(m_state->m_services.at("pool").m_pool,
+                                       {}, Now(), random));
+    // Another replica's row that becomes unreadable takes only that one out.
+    platform::Row spoilt = ReplicaRow("2", 9);
+    spoilt.m_value = "{";
+    m_intake->ApplyReplicaRows(Rows(9, {spoilt}), false, TimePoint());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Replicas().size());
+    CPPUNIT_ASSERT(Replicas().contains("1"));
+  }
 
-   private:
-    const std::set<std::string>& Evacuated(const std::string& service) {
-      return GetOrCreateService(*m_state, service)
-          .m_pool.m_evacuated_data_centers;
-    }
+  // Guards against a newer row of another program that names the address of a
+  // replica, which then counts as gone.
+  void RowOfAnUnknownServiceTakesOverNoAddress() {
+    platform::Row foreign = ReplicaRow("1", 9);
+    foreign.m_key = "x";
+    foreign.m_value.replace(foreign.m_value.find("pool"), 4, "other");
+    model::RoutingConfig config;
+    config.m_version = 1;
+    config.m_services.emplace_back().m_name = "pool";
+    m_state->m_routes = std::make_shared<decide::RouteTable>(config);
+    m_intake->ApplyReplicaRows(Rows(9, {ReplicaRow("1", 5), foreign}), true,
+                               TimePoint());
+    CPPUNIT_ASSERT(Replicas().contains("1"));
+    CPPUNIT_ASSERT(!m_state->m_services.contains("other"));
+    // The service is added.
+    config.m_version = 2;
+    config.m_services.emplace_back().m_name = "other";
+    m_state->m_routes = std::make_shared<decide::RouteTable>(config);
+    m_intake->ReviewGoneReplicas();
+    CPPUNIT_ASSERT(
+        m_state->m_services.at("other").m_pool.m_replicas.contains("x"));
+  }
 
-    /// The rows of another entry as they arrive here.
-    static links::RelayedRows Relayed(const RowApplier& rows,
-                                      uint64_t revision) {
-      return links::DecodeRows(
-                 links::EncodeRows(rows.operator_rows(), {0, revision}, {}), {})
-          .value();
-    }
+ private:
+  const std::set<std::string>& Evacuated(const std::string& service) {
+    return GetOrCreateService(*m_state, service)
+        .m_pool.m_evacuated_data_centers;
+  }
 
-    /// Applies an answer of the store, whose clock is this host's.
-    void TakeAnswer(Duration requested_at, Duration answered_at,
-                    std::vector<platform::Row> rows) {
-      platform::Rows answer = Rows(7, std::move(rows));
-      answer.m_asked_at = requested_at;
-      answer.m_store_time = answered_at;
-      m_intake->ApplyOperatorRows(answer, m_first_answer);
-      m_first_answer = false;
-    }
+  /// The rows of another entry as they arrive here.
+  static links::RelayedRows Relayed(const RowApplier& rows, uint64_t revision) {
+    return links::DecodeRows(
+               links::EncodeRows(rows.operator_rows(), {0, revision}, {}), {})
+        .value();
+  }
 
-    const std::map<std::string, decide::ReplicaState>& Replicas() const {
-      return m_state->m_services.at("pool").m_pool.m_replicas;
-    }
+  /// Applies an answer of the store, whose clock is this host's.
+  void TakeAnswer(Duration requested_at,
+                  Duration answered_at,
+                  std::vector<platform::Row> rows) {
+    platform::Rows answer = Rows(7, std::move(rows));
+    answer.m_asked_at = requested_at;
+    answer.m_store_time = answered_at;
+    m_intake->ApplyOperatorRows(answer, m_first_answer);
+    m_first_answer = false;
+  }
+
+  const std::map<std::string, decide::ReplicaState>& Replicas() const {
+    return m_state->m_services.at("pool").m_pool.m_replicas;
+  }
 
-    std::unique_ptr<EntryState> m_state;
-    std::unique_ptr<RowApplier> m_intake;
-    bool m_first_answer = true;
-  };
+  std::unique_ptr<EntryState> m_state;
+  std::unique_ptr<RowApplier> m_intake;
+  bool m_first_answer = true;
+};
 
-  CPPUNIT_TEST_SUITE_REGISTRATION(RowApplierTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(RowApplierTest);
 
 }  // namespace
 }  // namespace verbenalead::entry
