Answers and ends of an earlier incarnation say nothing of the new one

Cause: an attempt looked its replica up by id alone. If the replica had restarted under the same id meanwhile, the late answer of the earlier process made the new one leaving, limited or newer in its weights, and calls that broke off with the earlier process counted as failures of the new one, which is then left out for up to 3 s.

Change: what an answer states, and how the attempt ended, counts only if the incarnation that got the call still runs. The slot is released either way.

--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -43,6 +43,11 @@
   return "unknown";
 }
 
+/// Identifies the process that got a call.
+std::string IncarnationOf(const model::Replica& replica) {
+  return replica.m_id + "/" + std::to_string(replica.m_started_ms);
+}
+
 }  // namespace
 
 CallAttempt::CallAttempt(CallServices services,
@@ -69,8 +74,7 @@
     co_return false;
   }
   const decide::ReplicaState& replica = found->second;
-  m_incarnation =
-      m_replica + "/" + std::to_string(replica.m_replica.m_started_ms);
+  m_incarnation = IncarnationOf(replica.m_replica);
   m_record->m_pool_call.m_attempted_replicas.insert(m_replica);
   m_number = ++m_record->m_attempts;
   m_sent_at = Now();
@@ -141,13 +145,10 @@
   LogUnknownFields();
   if (!m_result.m_metadata.m_weights)
     return;
-  auto& replicas =
-      GetOrCreateService(m_services.m_state, m_record->m_plan.m_service)
-          .m_pool.m_replicas;
-  const auto known = replicas.find(m_replica);
-  if (known != replicas.end()) {
-    known->second.m_weights =
-        std::max(known->second.m_weights, *m_result.m_metadata.m_weights);
+  decide::ReplicaState* replica = CurrentReplica();
+  if (replica) {
+    replica->m_weights =
+        std::max(replica->m_weights, *m_result.m_metadata.m_weights);
   }
 }
 
@@ -159,8 +160,15 @@
          m_result.m_end == AttemptEnd::kNotRun;
 }
 
-void CallAttempt::ApplyStatements() {
+decide::ReplicaState* CallAttempt::CurrentReplica() const {
   decide::ReplicaState* replica = FindReplica(m_services.m_state, m_replica);
+  if (!replica || IncarnationOf(replica->m_replica) != m_incarnation)
+    return nullptr;
+  return replica;
+}
+
+void CallAttempt::ApplyStatements() {
+  decide::ReplicaState* replica = CurrentReplica();
   if (!replica || !IsOwnAnswer())
     return;
   LogMalformedStatements();
@@ -264,6 +272,9 @@
   m_result.m_reader.reset();
   if (m_replica.empty())
     return;
+  // Calls of an earlier incarnation break off when its process ends.
+  if (!m_incarnation.empty() && !CurrentReplica())
+    end = AttemptEnd::kAbandoned;
   m_services.m_slot_allocator.Release(
       m_record->m_plan.m_service, std::exchange(m_replica, std::string()), end);
 }
--- a/src/libverbenalead/entry/call_attempt.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -76,6 +76,9 @@
   void NoteData();
   /// Learns what the head of the answer states of the replica.
   void ApplyStatements();
+  /// The replica, if the incarnation that got the call still runs; otherwise
+  /// null: how the attempt went says nothing of the new one.
+  decide::ReplicaState* CurrentReplica() const;
   void ApplyRateLimit(decide::ReplicaState& replica);
   void ApplyCold(decide::ReplicaState& replica);
   /// Whether the answer is the replica's own, as far as can be told.
