case/cold_replica: judges only while all replicas are cold

Cause: the end of the judged time counted from when the last replica had been started. On a busy machine the first one was warm a second before that, took all calls rightly, and the case failed once of two runs (29 in a second; the replica, which crashes above 14 while cold, didn't).

--- a/testsuite/cases/cold_replica/run.py
+++ b/testsuite/cases/cold_replica/run.py
@@ -43,13 +43,14 @@
     fleet.start_platform()
     # They start cold, and crash above the allowance.
     cold = {"cold": COLD_MS, "cold_calls": ALLOWED}
+    first_started = now_ms()
     replicas = {"engine": fleet.add_replica(version=1, **cold),
                 "other engine": fleet.add_replica(version=1, **cold),
                 "plain": fleet.add_replica(service="ledger", model="",
                                            slots=100, **cold),
                 "other plain": fleet.add_replica(service="ledger", model="",
                                                  slots=100, **cold)}
-    started = now_ms()
+    last_started = now_ms()
     for _ in range(ENTRIES):
         fleet.add_entry()
     fleet.wait_ready()
@@ -57,9 +58,10 @@
     callers = fleet_callers.FleetCallers(fleet, CALLERS, PAUSE_S)
     # A new holder of a token bucket waits before it grants the first token.
     settled = begin + SETTLE_MS
-    end = started + COLD_MS - 1000
+    # Until then all of them are cold.
+    end = first_started + COLD_MS
     assert end > settled + 3000, "the start took too long"
-    time.sleep((started + COLD_MS + SETTLE_MS - now_ms()) / 1000)
+    time.sleep((last_started + COLD_MS + SETTLE_MS - now_ms()) / 1000)
     warm = now_ms()
     time.sleep(3)
     callers.stop()
