Let probes of the origin wait longer the longer it is unavailable

With a fixed limit of 300 ms, an origin that answers each request after more than that is never seen to answer: in a trial with 12 targets and a suspended origin that then had to work off abandoned requests, the version was complete nowhere. The limit is an eighth of the time of the outage, at least 300 ms and at most 2 s.

--- a/src/libverbenalead/decide/transfer/origin_probe.cc
+++ b/src/libverbenalead/decide/transfer/origin_probe.cc
@@ -11,6 +11,11 @@
 /// Probes that are heard of within this time were started independently of each
 /// other. All hosts follow the one whose host has the lowest name.
 constexpr Duration kSameTurn = kProbeInterval / 2;
+/// Limits for the answer to a probe, and the part of the outage's time in
+/// between.
+constexpr Duration kMinProbeTimeout = 300ms;
+constexpr Duration kMaxProbeTimeout = 2s;
+constexpr int kTimeoutDivisor = 8;
 
 size_t PositionOf(const std::vector<TransferMember>& members,
                   const std::string& host) {
@@ -21,8 +26,14 @@
                                 : static_cast<size_t>(found - members.begin());
 }
 
-void FollowProbe(OriginProbe& probe, const std::string& host, TimePoint now) {
+void SetAway(OriginProbe& probe, TimePoint now) {
+  if (!probe.m_away)
+    probe.m_away_since = now;
   probe.m_away = true;
+}
+
+void FollowProbe(OriginProbe& probe, const std::string& host, TimePoint now) {
+  SetAway(probe, now);
   if (!probe.m_last_prober.empty() && now - probe.m_last_probe < kSameTurn &&
       probe.m_last_prober < host)
     return;
@@ -35,7 +46,7 @@
 void RecordOriginUnreachable(OriginProbe& probe, TimePoint now) {
   if (probe.m_away || now - probe.m_last_answer < kAnswerLifetime)
     return;
-  probe.m_away = true;
+  SetAway(probe, now);
   probe.m_last_prober.clear();
   probe.m_last_probe = now;
 }
@@ -56,6 +67,11 @@
   return was_away;
 }
 
+Duration ProbeTimeout(const OriginProbe& probe, TimePoint now) {
+  return std::clamp<Duration>((now - probe.m_away_since) / kTimeoutDivisor,
+                              kMinProbeTimeout, kMaxProbeTimeout);
+}
+
 TimePoint NextProbeTime(const OriginProbe& probe,
                         const std::vector<TransferMember>& members,
                         const std::string& self) {
--- a/src/libverbenalead/decide/transfer/origin_probe.h
+++ b/src/libverbenalead/decide/transfer/origin_probe.h
@@ -23,6 +23,7 @@
 struct OriginProbe {
   /// The origin is unavailable, as far as this host knows.
   bool m_away = false;
+  TimePoint m_away_since{};
   /// When the origin last answered this host or one that announced it.
   TimePoint m_last_answer{};
   /// The last probe of any host, and when it was heard of. Empty: this host has
@@ -47,6 +48,10 @@
                        TimePoint now);
 /// The origin answered, here or elsewhere. Returns whether it was unavailable.
 bool RecordProbeAnswer(OriginProbe& probe, TimePoint now);
+/// How long a probe may wait for the head of its answer. It grows with the time
+/// of the outage: an origin that answers each request after more than the
+/// shortest limit would otherwise never be seen to answer.
+Duration ProbeTimeout(const OriginProbe& probe, TimePoint now);
 /// When it is the turn of `self`; `members` are in the same order on all hosts.
 TimePoint NextProbeTime(const OriginProbe& probe,
                         const std::vector<TransferMember>& members,
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -60,11 +60,9 @@
 /// cancels the fetch sooner if other hosts respond faster.
 constexpr Duration kResponseHeaderTimeout = 4s;
 constexpr Duration kOriginTimeout = 3s;
-/// Limits for the head of the origin's response where its return is announced:
-/// usually, and while it is unavailable. A connection that hangs for longer
-/// would take up the time of several probes.
+/// Limit for the head of the origin's response where its return is announced,
+/// except for probes.
 constexpr Duration kOriginHeadTimeout = 1s;
-constexpr Duration kProbeTimeout = 300ms;
 constexpr Duration kMembersInterval = 500ms;
 /// A transfer that received no chunk for this time, ten times the duration of a
 /// chunk, has stalled.
@@ -632,7 +630,8 @@
   deadlines.m_piece = kOriginTimeout;
   if (announces_return) {
     deadlines.m_head =
-        Now() + (m_state.m_origin_away ? kProbeTimeout : kOriginHeadTimeout);
+        Now() + (m_state.m_origin_away ? decide::ProbeTimeout(m_probe, Now())
+                                       : kOriginHeadTimeout);
   }
   auto opened =
       co_await m_origin.OpenChunk(m_state.m_origin, m_state.m_engine->m_model,
