--- a/src/libverbenalead/decide/admission/call_policy.cc
+++ b/src/libverbenalead/decide/admission/call_policy.cc
@@ -28,6 +28,16 @@
 /// the request to be informed.
 constexpr Duration kRetryAfterCrashes = 60s;
 
+/// Range of the retry delay while a pool is full. A full pool stays full for a
+/// second or two, while many calls arrive at once or replicas load weights. A
+/// caller that retries sooner finds the same queue and has used up its retry.
+constexpr Duration kMinFullDelay = 800ms;
+constexpr Duration kMaxFullDelay = 1900ms;
+/// Limits of the time for which an overload is expected to last. Callers don't
+/// wait longer than a part of the few seconds that they have.
+constexpr Duration kMinOverload = 400ms;
+constexpr Duration kMaxOverload = 3s;
+
 Duration RandomDuration(Duration min, Duration max, std::mt19937_64& random) {
   return Duration(
       std::uniform_int_distribution<int64_t>(min.count(), max.count())(random));
@@ -137,10 +147,7 @@
       return RandomDuration(1500ms, 2500ms, random);
     case Refusal::kFull:
     case Refusal::kRateLimit:
-      // A full pool stays full for a second or two, while many calls arrive at
-      // once or replicas load weights. A caller that retries sooner finds the
-      // same queue and has used up its retry.
-      return RandomDuration(800ms, 1900ms, random);
+      return RandomDuration(kMinFullDelay, kMaxFullDelay, random);
     case Refusal::kRest:
       // A replica returns to its slots within a second after its rest.
       return RandomDuration(50ms, 1050ms, random);
@@ -150,6 +157,23 @@
   return 1s;
 }
 
+Duration RetryAfterOverload(std::optional<Duration> expected,
+                            size_t position,
+                            size_t ranks,
+                            std::mt19937_64& random) {
+  Duration min = kMinFullDelay;
+  Duration max = kMaxFullDelay;
+  if (expected) {
+    const Duration center = std::clamp(*expected, kMinOverload, kMaxOverload);
+    min = center * 2 / 3;
+    max = center * 3 / 2;
+  }
+  if (ranks > 1)
+    max = min + (max - min) * static_cast<int64_t>(position + 1) /
+                    static_cast<int64_t>(ranks);
+  return RandomDuration(min, max, random);
+}
+
 void PrepareRetry(PoolCall& call, double prefill_rate, TimePoint now) {
   if (call.m_read_deadline == TimePoint::max() || prefill_rate <= 0)
     return;
--- a/src/libverbenalead/decide/admission/call_policy.h
+++ b/src/libverbenalead/decide/admission/call_policy.h
@@ -2,6 +2,7 @@
 #define VERBENALEAD_DECIDE_ADMISSION_CALL_POLICY_H_
 
 #include <cstdint>
+#include <optional>
 #include <random>
 
 #include "decide/admission/call_progress.h"
@@ -81,6 +82,17 @@
 /// then.
 Duration RetryAfter(Refusal refusal, std::mt19937_64& random);
 
+/// Delay after which a caller that was refused as kFull should retry, if the
+/// overload is expected to last for `expected`; absent: unknown. The call has
+/// rank number `position`, 0 is the most urgent, of the `ranks` of its service.
+///
+/// The delay is random around that time, so that the callers return one after
+/// the other, those of more urgent ranks in the earlier part of it.
+Duration RetryAfterOverload(std::optional<Duration> expected,
+                            size_t position,
+                            size_t ranks,
+                            std::mt19937_64& random);
+
 /// How long a retried call may wait for a slot if it has not run yet.
 constexpr Duration kRetryWait = 300ms;
 
--- a/src/libverbenalead/decide/admission/call_policy_test.cc
+++ b/src/libverbenalead/decide/admission/call_policy_test.cc
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include "decide/admission/overload_estimate.h"
+
 namespace verbenalead::decide {
 namespace {
 
@@ -39,6 +41,7 @@
   CPPUNIT_TEST(AtMostOnceNeverRunsTwice);
   CPPUNIT_TEST(NoCallRunsAtMoreReplicasThanItsRouteAllows);
   CPPUNIT_TEST(RetriesAreSpreadOut);
+  CPPUNIT_TEST(RetryAfterFollowsTheOverload);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -138,6 +141,30 @@
     CPPUNIT_ASSERT(least >= 800ms && most <= 1900ms);
     CPPUNIT_ASSERT(most - least > 1s);
   }
+
+  // Guards against callers that return while the queue that they were refused
+  // for still stands, and against urgent ones that return last.
+  void RetryAfterFollowsTheOverload() {
+    std::mt19937_64 random(1);
+    OverloadEstimate overload;
+    const TimePoint now = TimePoint() + 3600s;
+    CPPUNIT_ASSERT(!ExpectedOverload(overload, 5, now));
+    for (int i = 0; i < 100; ++i) {
+      NoteStart(overload, now);
+      NoteRefusal(overload, now);
+    }
+    const auto expected = ExpectedOverload(overload, 0, now);
+    CPPUNIT_ASSERT(expected && *expected == 2s);
+    CPPUNIT_ASSERT(*ExpectedOverload(overload, 50, now) == 3s);
+    for (int i = 0; i < 1000; ++i) {
+      const Duration urgent = RetryAfterOverload(expected, 0, 3, random);
+      const Duration last = RetryAfterOverload(expected, 2, 3, random);
+      const Duration unknown = RetryAfterOverload(std::nullopt, 0, 0, random);
+      CPPUNIT_ASSERT(urgent >= 1333ms && urgent <= 1890ms);
+      CPPUNIT_ASSERT(last >= 1333ms && last <= 3s);
+      CPPUNIT_ASSERT(unknown >= 800ms && unknown <= 1900ms);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallPolicyTest);
--- a/src/libverbenalead/decide/admission/slot_queue.cc
+++ b/src/libverbenalead/decide/admission/slot_queue.cc
@@ -1,7 +1,10 @@
 #include "decide/admission/slot_queue.h"
 
 #include <algorithm>
+#include <map>
 
+#include "decide/admission/early_refusal.h"
+#include "decide/admission/slot_order.h"
 #include "decide/placement/replica_pool.h"
 
 namespace verbenalead::decide {
@@ -10,45 +13,53 @@
 /// Limit of queued requests, several times what can be granted in time.
 constexpr size_t kMaxQueuedRequests = 256;
 
-Duration ReadingTime(const SlotQueue& queue, uint64_t tokens) {
-  if (queue.m_prefill_rate <= 0)
-    return Duration();
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      static_cast<double>(tokens) / queue.m_prefill_rate));
-}
+/// A request that is withdrawn this long before the end of its time counts as
+/// unserved: its entry ended the wait, and the two clocks differ by the delay
+/// of the messages.
+constexpr Duration kWithdrawalMargin = 20ms;
 
-/// Latest time at which a call must start at an idle replica to be on time.
-TimePoint StartBy(const SlotQueue& queue, const SlotRequest& request) {
-  return request.m_read_deadline - ReadingTime(queue, request.m_prompt_tokens);
+/// Whether all on-time calls that were granted a slot can still begin in time
+/// if another prompt is read until `read_at`. An engine reads all prompts that
+/// arrive between two passes before the next pass writes, so a long prompt
+/// delays every call that arrived with it. Calls of less urgent ranks, or of
+/// organisations that had got more, don't count: one that was granted a slot at
+/// the last moment would keep out all calls that precede it.
+bool KeepsGrantsOnTime(const SlotQueue& queue,
+                       const SlotRequest& request,
+                       TimePoint read_at) {
+  const bool ahead =
+      IsAhead(queue.m_shares, request.m_rank, request.m_organisation);
+  return std::all_of(queue.m_granted_calls.begin(), queue.m_granted_calls.end(),
+                     [&](const SlotQueue::GrantedCall& grant) {
+                       const bool yields = grant.m_rank > request.m_rank ||
+                                           (grant.m_rank == request.m_rank &&
+                                            grant.m_ahead && !ahead);
+                       return yields || read_at <= grant.m_read_deadline;
+                     });
 }
 
-/// Order of on-time requests, smallest first. Ordered by the latest start
-/// alone, a call with a long prompt would often be left too little time: its
-/// latest start is early, yet it would rank behind all calls whose time is
-/// nearly up. So its reading time counts three times.
-TimePoint UrgencyRank(const SlotQueue& queue, const SlotRequest& request) {
-  return StartBy(queue, request) -
-         2 * ReadingTime(queue, request.m_prompt_tokens);
+/// Whether the replica could take a call with a short prompt now.
+bool HasFreeSlot(const SlotQueue& queue,
+                 const ReplicaLoad& load,
+                 TimePoint now) {
+  return HasToken(queue.m_rate, now) &&
+         HasRoom(queue.m_slots, queue.m_prefill_rate, load.m_calls,
+                 load.m_unread_tokens);
 }
 
-bool IsMoreUrgent(const SlotQueue& queue,
-                  const SlotRequest& a,
-                  const SlotRequest& b) {
-  if (a.m_can_be_on_time != b.m_can_be_on_time)
-    return a.m_can_be_on_time;
-  return a.m_can_be_on_time ? UrgencyRank(queue, a) < UrgencyRank(queue, b)
-                            : a.m_read_deadline < b.m_read_deadline;
+/// Whether the last free slot is still kept for calls that precede this one.
+bool IsHeld(const SlotQueue& queue,
+            const SlotRequest& request,
+            const ReplicaLoad& load,
+            TimePoint now) {
+  return now < queue.m_freed_at + kPrecedenceHold &&
+         load.m_calls + 1 >= queue.m_slots && Yields(queue, request);
 }
 
-/// Whether all on-time calls that were granted a slot can still begin in time
-/// if another prompt is read until `read_at`. An engine reads all prompts that
-/// arrive between two passes before the next pass writes, so a long prompt
-/// delays every call that arrived with it.
-bool KeepsGrantsOnTime(const SlotQueue& queue, TimePoint read_at) {
-  return std::all_of(queue.m_granted_calls.begin(), queue.m_granted_calls.end(),
-                     [read_at](const SlotQueue::GrantedCall& grant) {
-                       return read_at <= grant.m_read_deadline;
-                     });
+void NoteLoad(SlotQueue& queue, const ReplicaLoad& load, TimePoint now) {
+  if (load.m_calls < queue.m_turnover.m_calls)
+    queue.m_freed_at = now;
+  NoteCalls(queue.m_turnover, load.m_calls, now);
 }
 
 bool CanStart(const SlotQueue& queue,
@@ -57,10 +68,9 @@
               TimePoint now) {
   const TimePoint read_at =
       now + ReadingTime(queue, load.m_unread_tokens + request.m_prompt_tokens);
-  if (!HasToken(queue.m_rate, now) ||
-      !HasRoom(queue.m_slots, queue.m_prefill_rate, load.m_calls,
-               load.m_unread_tokens) ||
-      !KeepsGrantsOnTime(queue, read_at))
+  if (!HasFreeSlot(queue, load, now) ||
+      !KeepsGrantsOnTime(queue, request, read_at) ||
+      IsHeld(queue, request, load, now))
     return false;
   return !request.m_can_be_on_time ||
          now + ReadingTime(queue, load.m_unread_tokens) <=
@@ -107,14 +117,48 @@
   if (most_urgent == queue.m_slot_requests.end() ||
       IsMoreUrgent(queue, request, *most_urgent))
     return true;
-  return request.m_can_be_on_time && !CanStart(queue, *most_urgent, load, now);
+  return request.m_can_be_on_time &&
+         !CanStart(queue, *most_urgent, load, now) &&
+         LeavesTimeForOthers(queue, request, load, now);
+}
+
+/// The request that gets the next slot, or the end iterator. If the most urgent
+/// one can't start, this may be the most urgent on-time one of another rank or
+/// organisation, if it leaves the more urgent ones enough time.
+std::vector<SlotRequest>::iterator FindStartable(SlotQueue& queue,
+                                                 const ReplicaLoad& load,
+                                                 TimePoint now) {
+  const auto end = queue.m_slot_requests.end();
+  const auto most_urgent = FindMostUrgent(queue);
+  if (most_urgent == end || CanStart(queue, *most_urgent, load, now))
+    return most_urgent;
+  if (!HasFreeSlot(queue, load, now))
+    return end;
+  // The most urgent on-time request of each precedence.
+  std::map<Precedence, std::vector<SlotRequest>::iterator> firsts;
+  for (auto each = queue.m_slot_requests.begin(); each != end; ++each) {
+    if (!each->m_can_be_on_time)
+      continue;
+    const auto first = firsts.emplace(PrecedenceOf(queue, *each), each).first;
+    if (IsMoreUrgent(queue, *each, *first->second))
+      first->second = each;
+  }
+  for (const auto& [precedence, first] : firsts) {
+    if (first != most_urgent && CanStart(queue, *first, load, now) &&
+        LeavesTimeForOthers(queue, *first, load, now))
+      return first;
+  }
+  return end;
 }
 
 /// Drops requests that can no longer be met, and grants whose calls have begun
 /// or are late.
 void DropExpired(SlotQueue& queue, TimePoint now) {
   std::erase_if(queue.m_slot_requests, [&](const SlotRequest& request) {
-    return IsExpired(queue, request, now);
+    const bool expired = IsExpired(queue, request, now);
+    if (expired)
+      NoteUnserved(queue.m_rank_floor, request.m_rank, kRequestWeight, now);
+    return expired;
   });
   std::erase_if(
       queue.m_granted_calls, [&](const SlotQueue::GrantedCall& grant) {
@@ -128,14 +172,27 @@
                  const ReplicaLoad& load,
                  TimePoint now) {
   TakeToken(queue.m_rate, now);
+  NoteGranted(queue.m_rank_floor, request.m_rank, now);
+  const bool ahead =
+      IsAhead(queue.m_shares, request.m_rank, request.m_organisation);
+  ChargeCall(queue.m_shares, request.m_rank, request.m_organisation,
+             CostOf(queue, request));
+  NoteCalls(queue.m_turnover, load.m_calls + 1, now);
   if (request.m_can_be_on_time) {
     queue.m_granted_calls.push_back(
         {request.m_read_deadline,
-         now + ReadingTime(queue,
-                           load.m_unread_tokens + request.m_prompt_tokens)});
+         now +
+             ReadingTime(queue, load.m_unread_tokens + request.m_prompt_tokens),
+         request.m_rank, ahead});
   }
 }
 
+void EraseRequest(SlotQueue& queue, const Endpoint& entry, uint64_t ticket) {
+  std::erase_if(queue.m_slot_requests, [&](const SlotRequest& request) {
+    return request.m_entry == entry && request.m_ticket == ticket;
+  });
+}
+
 }  // namespace
 
 SlotVerdict RequestSlot(SlotQueue& queue,
@@ -143,15 +200,20 @@
                         const ReplicaLoad& load,
                         TimePoint now) {
   DropExpired(queue, now);
+  NoteLoad(queue, load, now);
   if (MayOvertake(queue, request, load, now) &&
       CanStart(queue, request, load, now)) {
     RecordGrant(queue, request, load, now);
     return SlotVerdict::kGranted;
   }
-  if (IsExpired(queue, request, now) || GetsNoToken(queue, request, now) ||
-      queue.m_slot_requests.size() >= kMaxQueuedRequests)
+  if (IsExpired(queue, request, now))
+    return SlotVerdict::kDenied;
+  if (GetsNoToken(queue, request, now) || IsTurnTooLate(queue, request, now) ||
+      queue.m_slot_requests.size() >= kMaxQueuedRequests) {
+    NoteUnserved(queue.m_rank_floor, request.m_rank, kRequestWeight, now);
     return SlotVerdict::kDenied;
-  WithdrawRequest(queue, request.m_entry, request.m_ticket);
+  }
+  EraseRequest(queue, request.m_entry, request.m_ticket);
   queue.m_slot_requests.push_back(request);
   return SlotVerdict::kQueued;
 }
@@ -160,24 +222,30 @@
                                     ReplicaLoad load,
                                     TimePoint now) {
   DropExpired(queue, now);
+  NoteLoad(queue, load, now);
   std::vector<SlotRequest> granted;
-  for (auto most_urgent = FindMostUrgent(queue);
-       most_urgent != queue.m_slot_requests.end() &&
-       CanStart(queue, *most_urgent, load, now);
-       most_urgent = FindMostUrgent(queue)) {
-    RecordGrant(queue, *most_urgent, load, now);
+  for (auto next = FindStartable(queue, load, now);
+       next != queue.m_slot_requests.end();
+       next = FindStartable(queue, load, now)) {
+    RecordGrant(queue, *next, load, now);
     ++load.m_calls;
-    load.m_unread_tokens += most_urgent->m_prompt_tokens;
-    granted.push_back(*most_urgent);
-    queue.m_slot_requests.erase(most_urgent);
+    load.m_unread_tokens += next->m_prompt_tokens;
+    granted.push_back(*next);
+    queue.m_slot_requests.erase(next);
   }
   return granted;
 }
 
-void WithdrawRequest(SlotQueue& queue, const Endpoint& entry, uint64_t ticket) {
-  std::erase_if(queue.m_slot_requests, [&](const SlotRequest& request) {
-    return request.m_entry == entry && request.m_ticket == ticket;
-  });
+void WithdrawRequest(SlotQueue& queue,
+                     const Endpoint& entry,
+                     uint64_t ticket,
+                     TimePoint now) {
+  for (const SlotRequest& request : queue.m_slot_requests) {
+    if (request.m_entry == entry && request.m_ticket == ticket &&
+        LatestStart(queue, request) <= now + kWithdrawalMargin)
+      NoteUnserved(queue.m_rank_floor, request.m_rank, kRequestWeight, now);
+  }
+  EraseRequest(queue, entry, ticket);
 }
 
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/admission/slot_queue.h
+++ b/src/libverbenalead/decide/admission/slot_queue.h
@@ -2,10 +2,15 @@
 #define VERBENALEAD_DECIDE_ADMISSION_SLOT_QUEUE_H_
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "base/endpoint.h"
 #include "base/time.h"
+#include "decide/admission/organisation_shares.h"
+#include "decide/admission/rank_floor.h"
+#include "decide/admission/slot_turnover.h"
 #include "decide/limits/rate_gate.h"
 
 namespace verbenalead::decide {
@@ -33,6 +38,15 @@
   TimePoint m_read_deadline{};
   /// Time until which the call waits; a time in the past if it must not wait.
   TimePoint m_until{};
+  /// 0 is the most urgent; 0 where all calls of the service have the same.
+  int m_rank = 0;
+  /// Absent where organisations have no shares; empty if the call is made for
+  /// no organisation.
+  std::optional<std::string> m_organisation;
+  /// Expected run time of the call; zero if unknown.
+  Duration m_run_time{};
+  /// The request is denied as soon as its turn can't come in its time.
+  bool m_deny_early = false;
 
   friend bool operator==(const SlotRequest&, const SlotRequest&) = default;
 };
@@ -51,6 +65,11 @@
 /// may start in such a case, see RequestSlot(). A late call gets a slot only if
 /// no on-time call wants it.
 ///
+/// Where calls have ranks, the more urgent rank goes first, and within a rank
+/// the organisation that has had the least of the replica's time. A call that
+/// they put behind may start before the most urgent one if it takes neither a
+/// slot nor reading time that this one needs.
+///
 ///     if (RequestSlot(queue, request, load, now) == SlotVerdict::kGranted) ...
 ///     for (const SlotRequest& granted : GrantSlots(queue, load, now)) ...
 ///
@@ -64,6 +83,9 @@
     TimePoint m_read_deadline{};
     /// Time at which these prompts will have been read, unless more arrive.
     TimePoint m_read_at{};
+    int m_rank = 0;
+    /// Its organisation had got more than others of the rank.
+    bool m_ahead = false;
   };
 
   uint32_t m_slots = 0;
@@ -73,13 +95,23 @@
   RateGate m_rate;
   std::vector<SlotRequest> m_slot_requests;
   std::vector<GrantedCall> m_granted_calls;
+  RankFloor m_rank_floor;
+  OrganisationShares m_shares;
+  SlotTurnover m_turnover;
+  /// When a slot last came free.
+  TimePoint m_freed_at{};
 };
 
+/// Time for which the last free slot is kept for calls that don't yield, see
+/// Yields(): targets tell entries of free slots every 50 ms.
+constexpr Duration kPrecedenceHold = 60ms;
+
 enum class SlotVerdict {
   kGranted,
   kQueued,
   /// The call can't be on time here, must not wait, or would get no token of
-  /// the rate limit in time; or the queue is full.
+  /// the rate limit in time; or its turn can't come in its time; or the queue
+  /// is full.
   kDenied,
 };
 
@@ -99,9 +131,12 @@
                                     ReplicaLoad load,
                                     TimePoint now);
 
-/// Removes the request of a call that got a slot elsewhere or whose caller
-/// left.
-void WithdrawRequest(SlotQueue& queue, const Endpoint& entry, uint64_t ticket);
+/// Removes the request of a call that got a slot elsewhere, whose caller left,
+/// or whose time is over.
+void WithdrawRequest(SlotQueue& queue,
+                     const Endpoint& entry,
+                     uint64_t ticket,
+                     TimePoint now);
 
 }  // namespace verbenalead::decide
 
--- a/src/libverbenalead/decide/admission/slot_queue_test.cc
+++ b/src/libverbenalead/decide/admission/slot_queue_test.cc
@@ -5,6 +5,8 @@
 
 #include <set>
 
+#include "decide/admission/early_refusal.h"
+
 namespace verbenalead::decide {
 namespace {
 
@@ -47,6 +49,12 @@
   CPPUNIT_TEST(GrantsNoMoreThanTheRateLimit);
   CPPUNIT_TEST(CallThatGetsNoTokenInTimeIsDeniedAtOnce);
   CPPUNIT_TEST(AnySequenceKeepsTheLimits);
+  CPPUNIT_TEST(UrgentRankIsNext);
+  CPPUNIT_TEST(LessUrgentCallLeavesReadingTime);
+  CPPUNIT_TEST(SlotIsNotHeldForCallThatCannotStart);
+  CPPUNIT_TEST(CallWhoseTurnComesTooLateIsDenied);
+  CPPUNIT_TEST(DisplacedCallIsTold);
+  CPPUNIT_TEST(NoRankIsInvertedAndNoSlotIdle);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -131,9 +139,9 @@
   void WithdrawnRequestGetsNoSlot() {
     SlotQueue queue = MakeQueue();
     RequestSlot(queue, MakeRequest(1, 300ms), kFull, kStart);
-    WithdrawRequest(queue, Endpoint("10.0.0.2", 1), 1);
+    WithdrawRequest(queue, Endpoint("10.0.0.2", 1), 1, kStart);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, queue.m_slot_requests.size());
-    WithdrawRequest(queue, Endpoint("10.0.0.1", 1), 1);
+    WithdrawRequest(queue, Endpoint("10.0.0.1", 1), 1, kStart);
     CPPUNIT_ASSERT(GrantSlots(queue, {}, kStart).empty());
   }
 
@@ -194,7 +202,7 @@
           for (const SlotRequest& request : GrantSlots(queue, load, now))
             record_grant(request);
         } else if (step == 4 && ticket > 0) {
-          WithdrawRequest(queue, Endpoint("10.0.0.1", 1), ticket);
+          WithdrawRequest(queue, Endpoint("10.0.0.1", 1), ticket, now);
         }
         for (const SlotRequest& request : queue.m_slot_requests)
           RC_ASSERT(!granted.contains(request.m_ticket));
@@ -202,6 +210,151 @@
     });
     CPPUNIT_ASSERT(held);
   }
+
+  // Guards against a slot that goes to a less urgent rank, because its call has
+  // less time left.
+  void UrgentRankIsNext() {
+    SlotQueue queue = MakeQueue();
+    RequestSlot(queue, MakeRanked(1, 2, 150ms), kFull, kStart);
+    RequestSlot(queue, MakeRanked(2, 0, 300ms), kFull, kStart);
+    RequestSlot(queue, MakeRanked(3, 0, 300ms, false), kFull, kStart);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2},
+                         GrantSlots(queue, kOneFree, kStart).at(0).m_ticket);
+    const TimePoint free_at = kStart + 1ms;
+    GrantSlots(queue, kFull, free_at);
+    CPPUNIT_ASSERT(GrantSlots(queue, kOneFree, free_at).empty());
+    CPPUNIT_ASSERT_EQUAL(
+        uint64_t{1},
+        GrantSlots(queue, kOneFree, free_at + kPrecedenceHold).at(0).m_ticket);
+  }
+
+  // Guards against a long prompt of a less urgent rank that is read before the
+  // prompt of a waiting urgent call, which is late then.
+  void LessUrgentCallLeavesReadingTime() {
+    SlotQueue queue = MakeQueue();
+    SlotRequest first = MakeRanked(1, 0, 150ms);
+    first.m_prompt_tokens = 150;
+    CPPUNIT_ASSERT(RequestSlot(queue, first, {}, kStart) ==
+                   SlotVerdict::kGranted);
+    CPPUNIT_ASSERT(RequestSlot(queue, MakeRanked(2, 0, 250ms), {1, 150},
+                               kStart + 1ms) == SlotVerdict::kQueued);
+    SlotRequest long_prompt = MakeRanked(3, 2, 2s);
+    long_prompt.m_prompt_tokens = 120;
+    CPPUNIT_ASSERT(RequestSlot(queue, long_prompt, {1, 150}, kStart + 1ms) ==
+                   SlotVerdict::kQueued);
+    const auto granted = GrantSlots(queue, {1, 0}, kStart + 150ms);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, granted.at(0).m_ticket);
+  }
+
+  // Guards against an empty slot beside a waiting call: the urgent call can't
+  // be on time here any more, and its time isn't over.
+  void SlotIsNotHeldForCallThatCannotStart() {
+    SlotQueue queue = MakeQueue();
+    RequestSlot(queue, MakeRanked(1, 0, 100ms), kFull, kStart);
+    RequestSlot(queue, MakeRanked(2, 2, 1s), kFull, kStart);
+    queue.m_granted_calls = {{kStart + 1s, kStart + 150ms}};
+    const auto granted = GrantSlots(queue, {1, 150}, kStart);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, granted.size());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, granted[0].m_ticket);
+  }
+
+  // Guards against a call that waits for its whole time behind others, and is
+  // refused then.
+  void CallWhoseTurnComesTooLateIsDenied() {
+    SlotQueue queue = QueueWithTurnover();
+    for (uint64_t ticket = 1; ticket <= 8; ++ticket) {
+      CPPUNIT_ASSERT(RequestSlot(queue, MakeRanked(ticket, 0, 900ms), kFull,
+                                 kStart) == SlotVerdict::kQueued);
+    }
+    CPPUNIT_ASSERT(RequestSlot(queue, MakeRanked(9, 1, 250ms), kFull, kStart) ==
+                   SlotVerdict::kDenied);
+    CPPUNIT_ASSERT(RequestSlot(queue, MakeRanked(10, 1, 2s), kFull, kStart) ==
+                   SlotVerdict::kQueued);
+    CPPUNIT_ASSERT(RequestSlot(queue, MakeRequest(11, 950ms), kFull, kStart) ==
+                   SlotVerdict::kQueued);
+  }
+
+  // Guards against a call that isn't told that more urgent ones have taken its
+  // turn.
+  void DisplacedCallIsTold() {
+    SlotQueue queue = QueueWithTurnover();
+    RequestSlot(queue, MakeRanked(1, 1, 400ms), kFull, kStart);
+    for (uint64_t ticket = 2; ticket <= 3; ++ticket)
+      RequestSlot(queue, MakeRanked(ticket, 0, 900ms), kFull, kStart);
+    CPPUNIT_ASSERT(TakeDisplaced(queue, kStart).empty());
+    for (uint64_t ticket = 4; ticket <= 10; ++ticket)
+      RequestSlot(queue, MakeRanked(ticket, 0, 900ms), kFull, kStart);
+    const auto displaced = TakeDisplaced(queue, kStart);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, displaced.size());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, displaced[0].m_ticket);
+  }
+
+  // Calls of several ranks and organisations with short prompts wait, and slots
+  // come free. A grant never goes to a call while one of a rank that goes
+  // before it waits, and no slot is left empty for longer than kPrecedenceHold
+  // while a call waits.
+  void NoRankIsInvertedAndNoSlotIdle() {
+    const bool held = rc::check("ranks", [] {
+      SlotQueue queue = MakeQueue();
+      ReplicaLoad load = kFull;
+      TimePoint now = kStart;
+      uint64_t ticket = 0;
+      const auto steps =
+          *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 12));
+      TimePoint free_since = now;
+      for (int step : steps) {
+        now += 10ms;
+        if (step < 9) {
+          SlotRequest request =
+              MakeRanked(++ticket, step / 3, now - kStart + 5s);
+          request.m_prompt_tokens = 1;
+          request.m_organisation = std::to_string(step % 3);
+          if (RequestSlot(queue, request, load, now) == SlotVerdict::kGranted)
+            ++load.m_calls;
+        } else if (load.m_calls > 0) {
+          free_since = now;
+          --load.m_calls;
+          const SlotQueue before = queue;
+          for (const SlotRequest& granted : GrantSlots(queue, load, now)) {
+            ++load.m_calls;
+            for (const SlotRequest& waiting : queue.m_slot_requests)
+              RC_ASSERT(OrderedRank(before.m_rank_floor, granted.m_rank) <=
+                        OrderedRank(before.m_rank_floor, waiting.m_rank));
+          }
+        }
+        if (now >= free_since + kPrecedenceHold)
+          load.m_calls +=
+              static_cast<uint32_t>(GrantSlots(queue, load, now).size());
+        RC_ASSERT(load.m_calls == kSlots || queue.m_slot_requests.empty() ||
+                  now < free_since + kPrecedenceHold);
+      }
+    });
+    CPPUNIT_ASSERT(held);
+  }
+
+ private:
+  static SlotRequest MakeRanked(uint64_t ticket,
+                                int rank,
+                                Duration read_within,
+                                bool can_be_on_time = true) {
+    SlotRequest request = MakeRequest(ticket, read_within, can_be_on_time);
+    request.m_rank = rank;
+    request.m_deny_early = true;
+    return request;
+  }
+
+  /// A queue of a replica whose four slots each come free every 0.8 s or a
+  /// little sooner.
+  static SlotQueue QueueWithTurnover() {
+    SlotQueue queue = MakeQueue();
+    for (int i = 0; i < 30; ++i) {
+      const TimePoint at = kStart - 6s + i * 200ms;
+      NoteCalls(queue.m_turnover, kSlots, at);
+      NoteCalls(queue.m_turnover, kSlots - 1, at);
+      NoteCalls(queue.m_turnover, kSlots, at);
+    }
+    return queue;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SlotQueueTest);
--- a/src/libverbenalead/decide/config/route_table.cc
+++ b/src/libverbenalead/decide/config/route_table.cc
@@ -1,6 +1,7 @@
 #include "decide/config/route_table.h"
 
 #include <algorithm>
+#include <set>
 
 namespace verbenalead::decide {
 
@@ -20,6 +21,32 @@
   }
   for (const model::Service& service : m_config.m_services)
     m_services[service.m_name] = &service;
+  for (const model::Route& route : m_config.m_routes)
+    AddRanks(route);
+  std::erase_if(m_ranks,
+                [](const auto& each) { return each.second.size() < 2; });
+}
+
+void RouteTable::AddRanks(const model::Route& route) {
+  std::set<int> ranks;
+  // Organisations are known only for calls that need a key.
+  if (route.m_anonymous || m_config.m_organisations.empty())
+    ranks.insert(route.m_urgency);
+  for (const model::Organisation& organisation : m_config.m_organisations) {
+    if (!route.m_anonymous)
+      ranks.insert(organisation.m_urgency.value_or(route.m_urgency));
+  }
+  for (const model::ServiceShare& share : route.m_services) {
+    std::vector<int>& all = m_ranks[share.m_service];
+    ranks.insert(all.begin(), all.end());
+    all.assign(ranks.begin(), ranks.end());
+  }
+}
+
+const std::vector<int>& RouteTable::RanksOf(const std::string& service) const {
+  static const std::vector<int> kAllEqual;
+  const auto found = m_ranks.find(service);
+  return found == m_ranks.end() ? kAllEqual : found->second;
 }
 
 const model::Route* RouteTable::FindRoute(const std::string& host,
--- a/src/libverbenalead/decide/config/route_table.h
+++ b/src/libverbenalead/decide/config/route_table.h
@@ -29,13 +29,21 @@
   const model::Organisation* FindOrganisation(const std::string& key) const;
   /// The service with this name, or null.
   const model::Service* FindService(const std::string& name) const;
+  /// The ranks that calls of this service may have, the most urgent first;
+  /// empty if all have the same.
+  const std::vector<int>& RanksOf(const std::string& service) const;
 
  private:
+  /// Adds the ranks that calls on `route` may have.
+  void AddRanks(const model::Route& route);
+
   const model::RoutingConfig m_config;
   /// Routes by host, the longest path prefix first.
   std::unordered_map<std::string, std::vector<const model::Route*>> m_routes;
   std::unordered_map<std::string, const model::Organisation*> m_keys;
   std::unordered_map<std::string, const model::Service*> m_services;
+  /// By service.
+  std::unordered_map<std::string, std::vector<int>> m_ranks;
 };
 
 /// Selects the service for a call on `route` at random, in proportion to the
--- a/src/libverbenalead/decide/config/route_table_test.cc
+++ b/src/libverbenalead/decide/config/route_table_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(FindsOrganisationByKey);
   CPPUNIT_TEST(ServicesAreSelectedByWeight);
   CPPUNIT_TEST(WeightsBindAtDeclaredTime);
+  CPPUNIT_TEST(RanksAreThoseOfTheService);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -48,6 +49,22 @@
     CPPUNIT_ASSERT(!table.FindOrganisation(""));
   }
 
+  // Guards against ranks that are sent where all calls have the same, and ranks
+  // of organisations that are left out.
+  void RanksAreThoseOfTheService() {
+    model::RoutingConfig config;
+    config.m_routes = {MakeRoute("h", "/a/"), MakeRoute("h", "/b/")};
+    config.m_routes[1].m_services = {{"b", 1}};
+    config.m_routes[1].m_urgency = 2;
+    CPPUNIT_ASSERT(RouteTable(config).RanksOf("a").empty());
+    CPPUNIT_ASSERT(RouteTable(config).RanksOf("b") == (std::vector<int>{0, 2}));
+    config.m_organisations = {{"acme", {"k1"}, 1}};
+    CPPUNIT_ASSERT(RouteTable(config).RanksOf("b").empty());
+    config.m_organisations.push_back({"other", {"k2"}, std::nullopt});
+    CPPUNIT_ASSERT(RouteTable(config).RanksOf("a") == (std::vector<int>{0, 1}));
+    CPPUNIT_ASSERT(RouteTable(config).RanksOf("none").empty());
+  }
+
   void ServicesAreSelectedByWeight() {
     std::mt19937_64 random(1);
     const model::Route route = MakeRoute("h", "/");
--- a/src/libverbenalead/decide/placement/fake_fleet.h
+++ b/src/libverbenalead/decide/placement/fake_fleet.h
@@ -4,11 +4,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "decide/admission/early_refusal.h"
 #include "decide/admission/late_call_shedding.h"
 #include "decide/admission/slot_queue.h"
 #include "decide/placement/fake_replica.h"
@@ -16,6 +18,20 @@
 
 namespace verbenalead::decide {
 
+/// Calls of one rank and organisation on a simulated fleet.
+struct FakeKind {
+  int m_rank = 0;
+  std::string m_organisation;
+  double m_calls_per_second = 0;
+  /// Length of the prompts, relative to those of other calls.
+  double m_prompt_scale = 1;
+  Duration m_from{};
+  Duration m_until = std::chrono::hours(1);
+  /// The caller sends a refused call again at once, up to this many times, as
+  /// if it was a new one.
+  int m_repeats = 0;
+};
+
 /// Load on a simulated fleet, and the policies that its entries and targets
 /// use.
 struct FakeLoad {
@@ -29,6 +45,11 @@
   /// Whether entries refuse second attempts at once while they refuse first
   /// ones.
   bool m_shed_late_calls = true;
+  /// In place of m_calls_per_second, unless empty.
+  std::vector<FakeKind> m_kinds;
+  bool m_uses_ranks = false;
+  bool m_uses_shares = false;
+  bool m_refuses_early = false;
 };
 
 /// Number of calls by outcome.
@@ -37,7 +58,14 @@
   uint32_t m_on_time = 0;
   uint32_t m_late = 0;
   uint32_t m_refused = 0;
+  /// Sum of the times after which calls were refused for the first time, and
+  /// their number.
+  Duration m_refused_after{};
+  uint32_t m_refused_first = 0;
 
+  double Served() const {
+    return static_cast<double>(m_on_time + m_late) / m_asked;
+  }
   double OnTime() const { return static_cast<double>(m_on_time) / m_asked; }
   double Late() const { return static_cast<double>(m_late) / m_asked; }
 };
@@ -64,14 +92,12 @@
   /// Runs the load. Returns the outcomes of all calls, and of the tenth with
   /// the longest prompts.
   std::pair<CallOutcomes, CallOutcomes> Play() {
-    std::exponential_distribution<double> gap(m_load.m_calls_per_second);
-    const TimePoint end = m_now + m_load.m_length;
-    for (TimePoint at = m_now; at < end;
-         at += std::chrono::duration_cast<Duration>(
-             std::chrono::duration<double>(gap(m_random)))) {
-      const uint64_t call = m_calls.size();
-      m_calls.push_back(MakeCall(at));
-      Schedule(at, [this, call] { Try(call); });
+    if (m_load.m_kinds.empty())
+      AddCalls(m_load.m_calls_per_second, m_now, m_now + m_load.m_length, 0);
+    for (size_t kind = 0; kind < m_load.m_kinds.size(); ++kind) {
+      const FakeKind& calls = m_load.m_kinds[kind];
+      AddCalls(calls.m_calls_per_second, m_now + calls.m_from,
+               m_now + std::min(m_load.m_length, calls.m_until), kind);
     }
     while (!m_events.empty()) {
       const Event event = m_events.top();
@@ -82,6 +108,11 @@
     return {Count(0), Count(kLargeTokens)};
   }
 
+  /// Outcomes of the calls of m_kinds[kind] after Play().
+  CallOutcomes OfKind(size_t kind) const {
+    return CountIf([kind](const Call& call) { return call.m_kind == kind; });
+  }
+
   /// A tenth of the prompts have more tokens than this.
   static constexpr uint32_t kLargeTokens = 2000;
 
@@ -114,6 +145,13 @@
     bool m_began_to_answer = false;
     bool m_on_time = false;
     bool m_answered = false;
+    size_t m_kind = 0;
+    /// Targets that were asked for a slot in the current wait and haven't
+    /// denied it.
+    int m_open_requests = 0;
+    int m_repeats = 0;
+    TimePoint m_sent_at{};
+    std::optional<Duration> m_refused_after;
   };
   struct Target {
     SlotQueue m_queue;
@@ -142,6 +180,30 @@
     m_events.push({at, m_next++, std::move(what)});
   }
 
+  void AddCalls(double per_second,
+                TimePoint from,
+                TimePoint until,
+                size_t kind) {
+    std::exponential_distribution<double> gap(per_second);
+    for (TimePoint at = from; at < until;
+         at += std::chrono::duration_cast<Duration>(
+             std::chrono::duration<double>(gap(m_random)))) {
+      const uint64_t call = m_calls.size();
+      m_calls.push_back(MakeCall(at));
+      m_calls.back().m_kind = kind;
+      if (const FakeKind* own = KindOf(call)) {
+        m_calls.back().m_prompt_tokens = static_cast<uint32_t>(
+            m_calls.back().m_prompt_tokens * own->m_prompt_scale);
+      }
+      Schedule(at, [this, call] { Try(call); });
+    }
+  }
+
+  const FakeKind* KindOf(uint64_t number) const {
+    return m_load.m_kinds.empty() ? nullptr
+                                  : &m_load.m_kinds[m_calls[number].m_kind];
+  }
+
   Call MakeCall(TimePoint at) {
     std::lognormal_distribution<double> tokens(6.6, 0.8);
     std::lognormal_distribution<double> events(2.75, 0.6);
@@ -166,6 +228,10 @@
     pool_call.m_can_be_on_time = call.m_tries == 1;
     if (pool_call.m_can_be_on_time && m_load.m_queue_at_targets)
       pool_call.m_read_deadline = call.m_started_at + kObjective - kSlack;
+    if (m_load.m_uses_ranks)
+      pool_call.m_urgency = KindOf(number)->m_rank;
+    if (m_load.m_uses_shares)
+      pool_call.m_organisation = KindOf(number)->m_organisation;
     return pool_call;
   }
 
@@ -180,6 +246,7 @@
     const Duration wait_limit =
         call.m_tries == 1 ? kObjective - kSlack - PrefillTime(call) : kLateWait;
     call.m_waits = true;
+    call.m_sent_at = m_now;
     const uint64_t wait = ++call.m_wait;
     const TimePoint until = m_now + std::max(wait_limit, Duration());
     Schedule(until, [this, number, wait] {
@@ -234,6 +301,9 @@
     if (slot_request.m_read_deadline == TimePoint::max())
       slot_request.m_read_deadline = m_now + std::chrono::hours(1);
     slot_request.m_until = until;
+    slot_request.m_rank = call.m_urgency.value_or(0);
+    slot_request.m_organisation = call.m_organisation;
+    slot_request.m_deny_early = m_load.m_refuses_early;
     return slot_request;
   }
 
@@ -275,22 +345,46 @@
 
   /// Queues slot requests for the call at kReservations targets.
   void Reserve(uint64_t number, TimePoint until) {
-    const Call& call = m_calls[number];
+    Call& call = m_calls[number];
+    call.m_open_requests = 0;
     for (const std::string& replica :
          ReplicasToWaitAt(m_entries[call.m_entry], PoolCallOf(number),
                           kReservations, m_now, m_random)) {
       const size_t index = std::stoul(replica);
+      ++call.m_open_requests;
       Schedule(m_now + kNetworkDelay, [this, number, index, until] {
         Target& target = m_targets[index];
         if (!m_calls[number].m_waits)
           return;  // It was withdrawn.
-        if (RequestSlot(target.m_queue, SlotRequestOf(number, until),
-                        target.m_load, m_now) == SlotVerdict::kGranted)
+        const SlotVerdict verdict = RequestSlot(
+            target.m_queue, SlotRequestOf(number, until), target.m_load, m_now);
+        if (verdict == SlotVerdict::kGranted)
           SendGrant(number, index);
+        if (verdict == SlotVerdict::kDenied)
+          SendDenial(number);
+        for (const SlotRequest& displaced :
+             TakeDisplaced(target.m_queue, m_now))
+          SendDenial(displaced.m_ticket);
       });
     }
   }
 
+  /// The entry refuses the call if all targets that it asked have denied it a
+  /// slot.
+  void SendDenial(uint64_t number) {
+    if (!m_load.m_refuses_early)
+      return;
+    Schedule(m_now + kNetworkDelay, [this, number,
+                                     wait = m_calls[number].m_wait] {
+      Call& call = m_calls[number];
+      if (!call.m_waits || call.m_wait != wait || --call.m_open_requests > 0)
+        return;
+      Wake(call.m_entry);
+      if (call.m_waits)
+        Refuse(number);
+    });
+  }
+
   /// Sends a grant to the entry of a waiting call.
   void SendGrant(uint64_t number, size_t replica) {
     CountGranted(number, replica);
@@ -314,6 +408,9 @@
     Target& target = m_targets[replica];
     --target.m_load.m_calls;
     target.m_load.m_unread_tokens -= unread;
+    if (m_load.m_uses_ranks || m_load.m_uses_shares)
+      Schedule(m_now + kPrecedenceHold,
+               [this, replica] { GrantWaiting(replica); });
     GrantWaiting(replica);
   }
 
@@ -410,10 +507,20 @@
     call.m_waits = false;
     RemoveWaitingCall(m_entries[call.m_entry], number);
     for (Target& target : m_targets)
-      WithdrawRequest(target.m_queue, EntryAddress(call.m_entry), number);
+      WithdrawRequest(target.m_queue, EntryAddress(call.m_entry), number,
+                      m_now);
     if (call.m_tries > 1)
       return;
+    if (!call.m_refused_after)
+      call.m_refused_after = m_now - call.m_sent_at;
     NoteOnTimeRefusal(m_late[call.m_entry], m_now);
+    if (KindOf(number) && call.m_repeats < KindOf(number)->m_repeats) {
+      ++call.m_repeats;
+      call.m_tries = 0;
+      call.m_started_at = m_now;
+      Schedule(m_now + 2 * kNetworkDelay, [this, number] { Try(number); });
+      return;
+    }
     std::uniform_int_distribution<int> pause(300, 1500);
     Schedule(m_now + std::chrono::milliseconds(pause(m_random)),
              [this, number] { Try(number); });
@@ -422,10 +529,21 @@
   Call& CallAt(uint64_t number) { return m_calls[number]; }
 
   CallOutcomes Count(uint32_t least_tokens) const {
+    return CountIf([least_tokens](const Call& call) {
+      return call.m_prompt_tokens >= least_tokens;
+    });
+  }
+
+  template <typename Which>
+  CallOutcomes CountIf(Which which) const {
     CallOutcomes count;
     for (const Call& call : m_calls) {
-      if (call.m_prompt_tokens < least_tokens)
+      if (!which(call))
         continue;
+      if (call.m_refused_after) {
+        ++count.m_refused_first;
+        count.m_refused_after += *call.m_refused_after;
+      }
       ++count.m_asked;
       if (!call.m_answered)
         ++count.m_refused;
--- a/src/libverbenalead/decide/placement/pool_call.h
+++ b/src/libverbenalead/decide/placement/pool_call.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -16,10 +17,12 @@
   /// The call can still meet its latency objective. Late calls are queued
   /// behind on-time ones.
   bool m_can_be_on_time = true;
-  /// 0 is the most urgent.
-  int m_urgency = 0;
-  /// Empty if the call is made for no organisation.
-  std::string m_organisation;
+  /// Rank, 0 is the most urgent; absent where all calls of the service have the
+  /// same.
+  std::optional<int> m_urgency;
+  /// Absent where organisations have no shares; empty if the call is made for
+  /// no organisation.
+  std::optional<std::string> m_organisation;
   /// The only data centres whose replicas may get the call; null: all.
   std::shared_ptr<const std::set<std::string>> m_data_centers;
   uint32_t m_prompt_tokens = 0;
@@ -32,6 +35,12 @@
   std::set<std::string> m_attempted_replicas;
 };
 
+/// Whether the call is refused as soon as its turn can't come in its time.
+/// Calls of services without ranks and shares wait until their time is over.
+inline bool IsRefusedEarly(const PoolCall& call) {
+  return call.m_urgency || call.m_organisation;
+}
+
 }  // namespace verbenalead::decide
 
 #endif  // VERBENALEAD_DECIDE_PLACEMENT_POOL_CALL_H_
--- a/src/libverbenalead/decide/placement/replica_pool.cc
+++ b/src/libverbenalead/decide/placement/replica_pool.cc
@@ -1,6 +1,7 @@
 #include "decide/placement/replica_pool.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "decide/limits/rate_gate.h"
@@ -76,6 +77,9 @@
 constexpr Duration kStatementLifetime = std::chrono::minutes(10);
 constexpr size_t kMaxUnlisted = 1024;
 
+/// Run time of a call whose caller gave no estimate.
+constexpr Duration kAssumedRunTime = 500ms;
+
 /// Whether the replica wants calls of this entry, by its own statements.
 bool WantsCalls(const ReplicaState& state, TimePoint now) {
   return !state.m_known.m_leaving && state.m_known.m_rest_until <= now;
@@ -166,6 +170,14 @@
   return now + reading <= call.m_read_deadline;
 }
 
+/// Time of the replica that the call takes, as all its slots share its steps.
+Duration CostOf(const ReplicaState& state, const PoolCall& call) {
+  const Duration run = call.m_expected_run_time > Duration()
+                           ? call.m_expected_run_time
+                           : kAssumedRunTime;
+  return run / std::max<uint32_t>(1, state.m_replica.m_slots);
+}
+
 /// The cost and the id of a replica.
 using Candidate = std::pair<double, std::string>;
 
@@ -279,6 +291,32 @@
   });
 }
 
+/// What orders waiting calls before their arrival, smallest first: whether they
+/// are late, their rank, and the virtual time of their organisation.
+using WaitingKey = std::tuple<bool, int, double>;
+using WaitingCall = std::pair<WaitingKey, std::list<PoolCall>::iterator>;
+
+WaitingKey KeyOf(const ReplicaPool& pool, const PoolCall& call) {
+  const int rank = call.m_urgency.value_or(0);
+  return {!call.m_can_be_on_time, OrderedRank(pool.m_rank_floor, rank),
+          VirtualTime(pool.m_shares, rank, call.m_organisation)};
+}
+
+template <typename Iterator>
+void SortWaiting(Iterator begin, Iterator end) {
+  std::stable_sort(begin, end, [](const WaitingCall& a, const WaitingCall& b) {
+    return a.first < b.first;
+  });
+}
+
+std::vector<WaitingCall> OrderOfWaiting(ReplicaPool& pool) {
+  std::vector<WaitingCall> order;
+  for (auto call = pool.m_waiting.begin(); call != pool.m_waiting.end(); ++call)
+    order.emplace_back(KeyOf(pool, *call), call);
+  SortWaiting(order.begin(), order.end());
+  return order;
+}
+
 }  // namespace
 
 bool HasRoom(uint32_t slots,
@@ -389,6 +427,8 @@
   ++best->m_in_flight;
   ++best->m_calls_since_rest;
   best->m_unread_tokens += call.m_prompt_tokens;
+  ChargeCall(pool.m_shares, call.m_urgency.value_or(0), call.m_organisation,
+             CostOf(*best, call));
   return best->m_replica.m_id;
 }
 
@@ -447,19 +487,23 @@
                                            TimePoint now,
                                            std::mt19937_64& random) {
   std::vector<StartedCall> starts;
-  for (const bool can_be_on_time : {true, false}) {
-    auto call = pool.m_waiting.begin();
-    while (call != pool.m_waiting.end()) {
-      const auto replica = call->m_can_be_on_time == can_be_on_time
-                               ? AcquireSlot(pool, *call, now, random)
-                               : std::nullopt;
-      if (!replica) {
-        ++call;
-        continue;
-      }
-      starts.push_back({call->m_ticket, *replica});
-      call = pool.m_waiting.erase(call);
-    }
+  std::vector<WaitingCall> order = OrderOfWaiting(pool);
+  for (size_t next = 0; next < order.size(); ++next) {
+    const auto call = order[next].second;
+    const auto replica = AcquireSlot(pool, *call, now, random);
+    if (!replica)
+      continue;
+    starts.push_back({call->m_ticket, *replica});
+    const bool has_share = call->m_organisation.has_value();
+    pool.m_waiting.erase(call);
+    if (!has_share)
+      continue;
+    // The organisation has been charged for the call, so the others may precede
+    // its next one.
+    for (size_t i = next + 1; i < order.size(); ++i)
+      order[i].first = KeyOf(pool, *order[i].second);
+    SortWaiting(order.begin() + static_cast<std::ptrdiff_t>(next) + 1,
+                order.end());
   }
   return starts;
 }
--- a/src/libverbenalead/decide/placement/replica_pool.h
+++ b/src/libverbenalead/decide/placement/replica_pool.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "decide/admission/organisation_shares.h"
+#include "decide/admission/rank_floor.h"
 #include "decide/placement/pool_call.h"
 #include "decide/placement/replica_state.h"
 
@@ -65,6 +67,10 @@
   /// Prompt tokens that a replica reads per second; 0 if the service runs no
   /// model.
   double m_prefill_rate = 0;
+  /// These order the waiting calls where calls have ranks, or organisations
+  /// have shares.
+  RankFloor m_rank_floor;
+  OrganisationShares m_shares;
 };
 
 /// Whether a replica that has `calls` calls and `unread` prompt tokens to read
@@ -146,8 +152,10 @@
 /// Removes a waiting call: it got a slot from a target, its caller left, or its
 /// wait limit passed.
 void RemoveWaitingCall(ReplicaPool& pool, uint64_t ticket);
-/// Acquires free slots for waiting calls, on-time calls first, and returns the
-/// calls that got one.
+/// Acquires free slots for waiting calls and returns the calls that got one:
+/// on-time calls first, of these the more urgent rank, of these the
+/// organisation that has had the least of the replicas' time, of these the
+/// earliest.
 std::vector<StartedCall> StartWaitingCalls(ReplicaPool& pool,
                                            TimePoint now,
                                            std::mt19937_64& random);
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -1,5 +1,6 @@
 #include "links/message.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <limits>
 
@@ -9,6 +10,7 @@
 #include "links/statement_codec.h"
 #include "links/summary_codec.h"
 #include "model/json_fields.h"
+#include "model/rank.h"
 
 namespace verbenalead::links {
 namespace {
@@ -131,6 +133,12 @@
                          {"read_ms", ToMilliseconds(request.m_read_within)},
                          {"wait_ms", ToMilliseconds(request.m_max_wait)},
                          {"calls", EncodeCalls(request.m_calls)}};
+  if (request.m_rank)
+    object["rank"] = *request.m_rank;
+  if (request.m_organisation)
+    object["organisation"] = *request.m_organisation;
+  if (request.m_run_time > Duration())
+    object["run_ms"] = ToMilliseconds(request.m_run_time);
   EncodeStatements(object, request.m_statements);
   return object;
 }
@@ -141,6 +149,8 @@
   object["ticket"] = answer.m_ticket;
   object["granted"] = answer.m_granted;
   object["queued"] = answer.m_queued;
+  if (answer.m_expected_wait)
+    object["turn_ms"] = ToMilliseconds(*answer.m_expected_wait);
   return object;
 }
 
@@ -261,6 +271,16 @@
   BOOST_LEAF_ASSIGN(request.m_read_within, TimeField(object, "read_ms"));
   BOOST_LEAF_ASSIGN(request.m_max_wait, TimeField(object, "wait_ms"));
   BOOST_LEAF_ASSIGN(request.m_calls, DecodeCalls(object, "calls"));
+  if (object.contains("rank")) {
+    BOOST_LEAF_AUTO(rank, model::NumberField(object, "rank"));
+    request.m_rank =
+        static_cast<int>(std::min<uint64_t>(rank, model::kLeastUrgentRank));
+  }
+  if (object.contains("organisation")) {
+    BOOST_LEAF_ASSIGN(request.m_organisation,
+                      model::TextField(object, "organisation"));
+  }
+  BOOST_LEAF_ASSIGN(request.m_run_time, TimeField(object, "run_ms"));
   BOOST_LEAF_ASSIGN(request.m_statements, DecodeStatements(object));
   return request;
 }
@@ -272,6 +292,9 @@
                     model::FlagFieldOr(object, "granted", false));
   BOOST_LEAF_ASSIGN(answer.m_queued,
                     model::FlagFieldOr(object, "queued", false));
+  if (object.contains("turn_ms")) {
+    BOOST_LEAF_ASSIGN(answer.m_expected_wait, TimeField(object, "turn_ms"));
+  }
   BOOST_LEAF_ASSIGN(answer.m_update, DecodeReplica(object));
   return answer;
 }
--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -66,6 +66,17 @@
     replica.m_queued_calls = 3;
     replica.m_statements = {RateLimitReport{std::nullopt, 3s}, 1792};
     replica.m_rate_hold_off = 250ms;
+    SlotRequestMessage ranked{"i-1", 9, 1290, false, 120ms, 250ms, {2, 100}};
+    const SlotRequestMessage unranked = ranked;
+    // Older processes, and deployments without ranks and shares, get the same
+    // bytes as before.
+    for (const char* field : {"rank", "organisation", "run_ms"})
+      CPPUNIT_ASSERT(EncodeMessage(unranked).find(field) == std::string::npos);
+    ranked.m_rank = 0;
+    ranked.m_organisation = "";
+    ranked.m_run_time = 80ms;
+    SlotAnswer denied{9, false, false, replica};
+    denied.m_expected_wait = 310ms;
     const Message messages[] = {
         entry,
         entry_with_count,
@@ -84,6 +95,8 @@
         SlotAnswer{9, true, false, replica},
         SlotAnswer{9, false, true, replica},
         SlotWithdrawal{"i-1", 9},
+        ranked,
+        denied,
     };
     for (const Message& message : messages) {
       const std::string text = EncodeMessage(message);
--- a/src/libverbenalead/links/slot_answer.h
+++ b/src/libverbenalead/links/slot_answer.h
@@ -2,6 +2,7 @@
 #define VERBENALEAD_LINKS_SLOT_ANSWER_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "links/replica_update.h"
 
@@ -16,6 +17,9 @@
   bool m_queued = false;
   /// State of the replica, without the slot granted by this answer.
   ReplicaUpdate m_update;
+  /// Denied only: time until the calls ahead of this one would have got a slot;
+  /// absent if unknown.
+  std::optional<Duration> m_expected_wait;
 
   friend bool operator==(const SlotAnswer&, const SlotAnswer&) = default;
 };
--- a/src/libverbenalead/links/slot_request_message.h
+++ b/src/libverbenalead/links/slot_request_message.h
@@ -2,6 +2,7 @@
 #define VERBENALEAD_LINKS_SLOT_REQUEST_MESSAGE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/time.h"
@@ -29,6 +30,15 @@
   /// like this one. Each request includes them, so that the first request after
   /// a restart of either process corrects the counts of the target process.
   ReplicaCalls m_calls;
+  /// Rank of the call, 0 is the most urgent; absent where all calls of the
+  /// service have the same.
+  std::optional<int> m_rank;
+  /// Absent where organisations have no shares; empty if the call is made for
+  /// no organisation.
+  std::optional<std::string> m_organisation;
+  /// Expected run time of the call; zero if unknown or if nothing depends on
+  /// it.
+  Duration m_run_time{};
   /// What the entry knows of the replica's statements.
   StatementReport m_statements;
 
--- a/src/libverbenalead/model/routing_config.h
+++ b/src/libverbenalead/model/routing_config.h
@@ -2,6 +2,7 @@
 #define VERBENALEAD_MODEL_ROUTING_CONFIG_H_
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "base/time.h"
@@ -18,6 +19,9 @@
   std::vector<Route> m_routes;
   std::vector<Service> m_services;
   std::vector<Organisation> m_organisations;
+  /// Ranks that aren't whole numbers from 0 to kLeastUrgentRank, with the route
+  /// or organisation; the nearest allowed rank is used.
+  std::vector<std::string> m_clamped_ranks;
   uint32_t m_max_header_bytes = 16 * 1024;
   uint64_t m_max_body_bytes = 4 * 1024 * 1024;
   /// How long a caller may take to send a request header, and how long its
--- a/src/libverbenalead/target/slot_granter.cc
+++ b/src/libverbenalead/target/slot_granter.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "decide/admission/early_refusal.h"
 
 namespace verbenalead::target {
 namespace {
@@ -32,6 +33,10 @@
   slot_request.m_can_be_on_time = request.m_can_be_on_time;
   slot_request.m_read_deadline = now + request.m_read_within;
   slot_request.m_until = now + request.m_max_wait;
+  slot_request.m_rank = request.m_rank.value_or(0);
+  slot_request.m_organisation = request.m_organisation;
+  slot_request.m_run_time = request.m_run_time;
+  slot_request.m_deny_early = request.m_rank || request.m_organisation;
   links::SlotAnswer answer;
   answer.m_ticket = request.m_ticket;
   answer.m_update = UpdateFor(follower);
@@ -41,6 +46,8 @@
         decide::RequestSlot(m_queue, slot_request, Load(), now);
     answer.m_granted = decision == decide::SlotVerdict::kGranted;
     answer.m_queued = decision == decide::SlotVerdict::kQueued;
+    if (decision == decide::SlotVerdict::kDenied && slot_request.m_deny_early)
+      answer.m_expected_wait = decide::ExpectedWait(m_queue, slot_request);
   }
   if (!answer.m_granted && !leaving && !decide::HasToken(m_queue.m_rate, now)) {
     // A call that would wait asks once, so it isn't one of the entries that
@@ -56,10 +63,24 @@
   if (answer.m_granted)
     CountGranted(follower, request.m_prompt_tokens);
   m_datagrams.Send(entry, answer);
+  if (answer.m_queued)
+    DenyDisplaced(now);
+}
+
+void SlotGranter::DenyDisplaced(TimePoint now) {
+  for (const decide::SlotRequest& request :
+       decide::TakeDisplaced(m_queue, now)) {
+    links::SlotAnswer answer;
+    answer.m_ticket = request.m_ticket;
+    answer.m_update = UpdateFor(m_entries[request.m_entry]);
+    answer.m_expected_wait = decide::ExpectedWait(m_queue, request);
+    m_datagrams.Send(request.m_entry, answer);
+    m_state.m_metrics.Count("slot_requests_displaced_total", "");
+  }
 }
 
 void SlotGranter::Withdraw(const Endpoint& entry, uint64_t ticket) {
-  decide::WithdrawRequest(m_queue, entry, ticket);
+  decide::WithdrawRequest(m_queue, entry, ticket, Now());
 }
 
 void SlotGranter::CountGranted(EntrySubscription& follower,
@@ -107,6 +128,8 @@
     m_known_replica = replica;
     m_known_started_ms = started_ms;
     m_known = {};
+    m_queue.m_turnover = {};
+    m_queue.m_shares = {};
     decide::SetRate(m_queue.m_rate, std::nullopt, Now());
   }
   bool changed = false;
--- a/src/libverbenalead/target/slot_granter.h
+++ b/src/libverbenalead/target/slot_granter.h
@@ -72,6 +72,8 @@
   decide::ReplicaLoad Load() const;
   /// Adds a granted call to the calls of `follower`.
   static void CountGranted(EntrySubscription& follower, uint32_t prompt_tokens);
+  /// Denies the queued requests whose turn can't come in their time any more.
+  void DenyDisplaced(TimePoint now);
   /// Grants free slots to queued requests.
   void GrantWaiting();
   /// Sends an update to the subscribed entries that `which` selects.
