Entry: ranks and shares in slot requests, refusals, log lines and counters

Cause: the entry sent neither rank nor organisation, and the line of a refusal didn't say what decided it.

Change: the rank is used where the ranks of a service's calls differ (RouteTable::RanksOf), the organisation where shares.organisations is on. Such calls are refused once all targets that were asked have denied them and no free slot is known. Ranks are clamped to 0 to 9 and logged as rank_clamped. Refused calls have rank, share, queued and expected_wait_ms; calls_by_rank_total and calls_by_organisation_total count by them.

Measured: slot_allocator_test, message_test, decode_test, route_table_test, call_policy_test, slot_granter_test and replica_pool_test pass. End-to-end cases were not run.

--- a/src/libverbenalead/entry/call_plan.h
+++ b/src/libverbenalead/entry/call_plan.h
@@ -22,6 +22,9 @@
   /// Model that the service's engines run; empty: the replicas aren't engines.
   std::string m_model;
   std::string m_organisation;
+  /// The ranks that calls of the service may have, the most urgent first; empty
+  /// if all have the same.
+  std::vector<int> m_ranks;
   uint64_t m_config_version = 0;
   /// Identifies equal requests, so that one that crashes replicas is recognised
   /// when a caller retries it.
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -21,6 +21,20 @@
 constexpr char kCut[] = "cut";
 constexpr char kRefused[] = "refused";
 
+/// A label's value in the exposition format, with its quotes.
+std::string EscapeLabel(const std::string& value) {
+  std::string text = "\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\')
+      text += '\\';
+    if (c == '\n')
+      text += "\\n";
+    else
+      text += c;
+  }
+  return text + '"';
+}
+
 }  // namespace
 
 CallRun::CallRun(CallServices services,
@@ -45,8 +59,10 @@
     call.m_read_deadline =
         m_plan.m_started_at + m_plan.m_wait_limit.m_read_within;
   call.m_expected_run_time = m_plan.m_expected_run_time;
-  call.m_urgency = m_plan.m_route.m_urgency;
-  call.m_organisation = m_plan.m_organisation;
+  if (!m_plan.m_ranks.empty())
+    call.m_urgency = m_plan.m_route.m_urgency;
+  if (m_state.m_options.m_shares_organisations)
+    call.m_organisation = m_plan.m_organisation;
 }
 
 Awaitable<void> CallRun::Run() {
@@ -246,14 +262,41 @@
         wait->m_left);
     co_return;
   }
+  if (usable)
+    NoteFull();
   co_await Refuse(usable ? decide::Refusal::kFull
                          : decide::Refusal::kNoReplica);
 }
 
+void CallRun::NoteFull() {
+  ServiceState& service = GetOrCreateService(m_state, m_plan.m_service);
+  decide::NoteRefusal(service.m_overload, Now());
+  if (m_record->m_pool_call.m_urgency)
+    decide::NoteUnserved(service.m_pool.m_rank_floor,
+                         *m_record->m_pool_call.m_urgency, 1, Now());
+}
+
 Awaitable<void> CallRun::Refuse(decide::Refusal refusal) {
-  co_await SendRefusal(kUnavailable,
-                       std::string("not run: ") + decide::ToString(refusal),
-                       decide::RetryAfter(refusal, m_state.m_random));
+  Duration delay;
+  if (refusal == decide::Refusal::kFull &&
+      decide::IsRefusedEarly(m_record->m_pool_call))
+    delay = OverloadDelay();
+  else
+    delay = decide::RetryAfter(refusal, m_state.m_random);
+  const std::string reason =
+      std::string("not run: ") + decide::ToString(refusal);
+  co_await SendRefusal(kUnavailable, reason, delay);
+}
+
+Duration CallRun::OverloadDelay() {
+  const ServiceState& service = GetOrCreateService(m_state, m_plan.m_service);
+  const auto expected = decide::ExpectedOverload(
+      service.m_overload, service.m_pool.m_waiting.size(), Now());
+  const auto own = std::find(m_plan.m_ranks.begin(), m_plan.m_ranks.end(),
+                             m_plan.m_route.m_urgency);
+  return decide::RetryAfterOverload(
+      expected, static_cast<size_t>(own - m_plan.m_ranks.begin()),
+      m_plan.m_ranks.size(), m_state.m_random);
 }
 
 Awaitable<void> CallRun::RefuseUntil(decide::Refusal refusal, Duration wait) {
@@ -275,10 +318,23 @@
 void CallRun::RecordSent(TimePoint wait_began) {
   const TimePoint now = Now();
   m_record->m_times.m_slot_wait += now - wait_began;
+  if (m_record->m_attempts == 1)
+    NoteSlot(now);
   StartAwaitingData(m_record->m_times, now);
   StartHedge();
 }
 
+void CallRun::NoteSlot(TimePoint now) {
+  const decide::PoolCall& call = m_record->m_pool_call;
+  ServiceState& service = GetOrCreateService(m_state, m_plan.m_service);
+  decide::NoteStart(service.m_overload, now);
+  if (call.m_urgency)
+    decide::NoteGranted(service.m_pool.m_rank_floor, *call.m_urgency, now);
+  if (call.m_organisation)
+    decide::NoteTime(service.m_use, *call.m_organisation,
+                     call.m_expected_run_time, now);
+}
+
 void CallRun::StartHedge() {
   StopHedge();
   if (!decide::HedgeDelay(m_record->m_progress, m_plan.m_route))
@@ -348,6 +404,7 @@
 
 void CallRun::LogCall(const std::string& outcome, int status) {
   m_state.m_metrics.Count("calls_total", "outcome=\"" + outcome + "\"");
+  CountByClass(outcome);
   const std::string ended_by = outcome == kCut ? CutCause() : "";
   if (!ended_by.empty())
     m_state.m_metrics.Count("answers_cut_total", "by=\"" + ended_by + "\"");
@@ -390,11 +447,44 @@
                              : 0)
       .With("lag_ms", ToMilliseconds(WorstLag(m_state.m_lag, now)))
       .With("reason", m_reason);
-  if (outcome == kRefused)
+  if (outcome == kRefused) {
     LogPool(line);
+    LogClass(line);
+  }
   line.Info();
 }
 
+void CallRun::CountByClass(const std::string& outcome) {
+  const decide::PoolCall& call = m_record->m_pool_call;
+  const std::string label = ",outcome=\"" + outcome + "\"";
+  if (call.m_urgency)
+    m_state.m_metrics.Count(
+        "calls_by_rank_total",
+        "rank=\"" + std::to_string(*call.m_urgency) + "\"" + label);
+  if (!call.m_organisation)
+    return;
+  decide::OrganisationUse& use =
+      GetOrCreateService(m_state, m_plan.m_service).m_use;
+  decide::NoteCall(use, *call.m_organisation, Now());
+  m_state.m_metrics.Count(
+      "calls_by_organisation_total",
+      "organisation=" +
+          EscapeLabel(decide::CounterLabel(use, *call.m_organisation)) + label);
+}
+
+void CallRun::LogClass(LogLine& line) const {
+  const decide::PoolCall& call = m_record->m_pool_call;
+  const ServiceState& service = GetOrCreateService(m_state, m_plan.m_service);
+  if (call.m_urgency)
+    line.With("rank", *call.m_urgency);
+  if (call.m_organisation)
+    line.With("share", decide::ShareOf(service.m_use, *call.m_organisation));
+  const auto wait = decide::StatedQueueWait(service.m_overload, Now());
+  if (decide::IsRefusedEarly(call))
+    line.With("queued", static_cast<uint64_t>(service.m_pool.m_waiting.size()))
+        .With("expected_wait_ms", wait ? ToMilliseconds(*wait) : -1);
+}
+
 void CallRun::LogPool(LogLine& line) const {
   const decide::ReplicaPool& pool =
       GetOrCreateService(m_state, m_plan.m_service).m_pool;
--- a/src/libverbenalead/entry/call_run.h
+++ b/src/libverbenalead/entry/call_run.h
@@ -83,6 +83,18 @@
   /// Adds to the line of a refused call the slots of all usable replicas of its
   /// service, which show whether there was room.
   void LogPool(LogLine& line) const;
+  /// Adds the call's rank, its organisation's share and the expected wait,
+  /// where they decide anything.
+  void LogClass(LogLine& line) const;
+  /// Counts the call by its rank and its organisation, where they decide
+  /// anything.
+  void CountByClass(const std::string& outcome);
+  /// Records that the call got its first slot.
+  void NoteSlot(TimePoint now);
+  /// Records that the call got no slot as the replicas are full.
+  void NoteFull();
+  /// Delay after which the caller should retry while the replicas are full.
+  Duration OverloadDelay();
   /// What cut an answer short: `replica`, `caller`, `time` (deadline of the
   /// caller or the route), `silence` (this entry timed out on the replica
   /// before the deadline).
--- a/src/libverbenalead/entry/call_server.cc
+++ b/src/libverbenalead/entry/call_server.cc
@@ -110,6 +110,7 @@
   plan.m_fingerprint = decide::RequestKey(plan.m_organisation, request.m_method,
                                           request.m_path, request.m_body);
   plan.m_service = decide::SelectService(*route, m_state.m_random);
+  plan.m_ranks = routes->RanksOf(plan.m_service);
   for (const std::string& part : call.m_shared_parts)
     plan.m_parts.push_back(decide::PartKey(plan.m_service, part));
   if (IsBlockedCall(m_state, plan)) {
--- a/src/libverbenalead/entry/entry_options.cc
+++ b/src/libverbenalead/entry/entry_options.cc
@@ -68,7 +68,10 @@
       .Number("cold.overrun", 1, "times the stated rate",
               "calls that a cold replica may get in a second, from all entries "
               "together")
-      .Number("cold.slack", 0, "calls", "calls in a second beyond that");
+      .Number("cold.slack", 0, "calls", "calls in a second beyond that")
+      .Flag("shares.organisations", false,
+            "under overload each organisation gets an equal share of the "
+            "replicas' time, within each rank");
 }
 
 EntryOptions ReadEntryOptions(const Settings& settings) {
@@ -94,6 +97,7 @@
   options.m_regions = RegionsFrom(settings.TextList("regions"));
   options.m_cold_overrun = settings.Number("cold.overrun");
   options.m_cold_slack = settings.Number("cold.slack");
+  options.m_shares_organisations = settings.Flag("shares.organisations");
   return options;
 }
 
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -11,6 +11,8 @@
 #include "base/loop_lag.h"
 #include "base/metrics.h"
 #include "decide/admission/late_call_shedding.h"
+#include "decide/admission/organisation_use.h"
+#include "decide/admission/overload_estimate.h"
 #include "decide/admission/wait_share.h"
 #include "decide/attempts/retry_window.h"
 #include "decide/config/route_table.h"
@@ -42,6 +44,9 @@
   decide::RetryWindow m_retries;
   decide::WaitShare m_wait_share;
   decide::LateCallShedding m_late_shedding;
+  decide::OverloadEstimate m_overload;
+  /// Empty where organisations have no shares.
+  decide::OrganisationUse m_use;
 };
 
 /// The complete state of an entry. Only the single thread of the entry accesses
--- a/src/libverbenalead/entry/row_applier.cc
+++ b/src/libverbenalead/entry/row_applier.cc
@@ -9,6 +9,7 @@
 #include "decide/placement/live_replicas.h"
 #include "decide/store/earliest_write.h"
 #include "entry/store_return.h"
+#include "model/rank.h"
 #include "platform/decode_config.h"
 #include "platform/decode_replica.h"
 #include "platform/decode_weights.h"
@@ -163,6 +164,14 @@
       .With("before", before)
       .With("routes", static_cast<uint64_t>(config->m_routes.size()))
       .Info();
+  for (const std::string& rank : config->m_clamped_ranks) {
+    LogLine("rank_clamped")
+        .With("version", config->m_version)
+        .With("value", rank)
+        .With("allowed", "whole numbers from 0 to " +
+                             std::to_string(model::kLeastUrgentRank))
+        .Warn();
+  }
   m_state.m_routes =
       std::make_shared<const decide::RouteTable>(std::move(*config));
   return true;
--- a/src/libverbenalead/entry/slot_allocator.cc
+++ b/src/libverbenalead/entry/slot_allocator.cc
@@ -25,14 +25,17 @@
 struct SlotAllocator::Waiter {
   Waiter(const asio::any_io_executor& executor,
          std::string service,
-         uint32_t prompt_tokens)
+         const decide::PoolCall& call)
       : m_timer(executor),
         m_service(std::move(service)),
-        m_prompt_tokens(prompt_tokens) {}
+        m_prompt_tokens(call.m_prompt_tokens),
+        m_refused_early(decide::IsRefusedEarly(call)) {}
 
   asio::steady_timer m_timer;
   const std::string m_service;
   const uint32_t m_prompt_tokens;
+  /// The call is refused once all targets have denied it a slot.
+  const bool m_refused_early;
   std::optional<Slot> m_slot;
 };
 
@@ -99,7 +102,7 @@
     co_return std::nullopt;
   const uint64_t ticket = call.m_ticket;
   auto waiter = std::make_shared<Waiter>(co_await asio::this_coro::executor,
-                                         service, call.m_prompt_tokens);
+                                         service, call);
   waiter->m_timer.expires_at(deadline);
   m_waiters[ticket] = waiter;
   Reserve(service, call, deadline);
@@ -173,9 +176,46 @@
   if (found == m_ticket_by_reservation.end())
     return;
   const uint64_t ticket = found->second;
-  const auto waiter = m_waiters.find(ticket);
-  if (waiter != m_waiters.end() && !waiter->second->m_slot)
-    MoveReservations(waiter->second->m_service, ticket);
+  const auto found_waiter = m_waiters.find(ticket);
+  if (found_waiter == m_waiters.end() || found_waiter->second->m_slot)
+    return;
+  const std::shared_ptr<Waiter> waiter = found_waiter->second;
+  MoveReservations(waiter->m_service, ticket);
+  if (waiter->m_refused_early)
+    DropDenied(*waiter, ticket, reservation);
+}
+
+void SlotAllocator::DropDenied(Waiter& waiter,
+                               uint64_t ticket,
+                               uint64_t reservation) {
+  const auto found = m_reservations.find(ticket);
+  if (found == m_reservations.end() ||
+      std::erase(found->second, reservation) == 0)
+    return;
+  m_ticket_by_reservation.erase(reservation);
+  if (!found->second.empty())
+    return;
+  const std::string replica =
+      m_slot_requester.ReplicaOfReservation(reservation);
+  m_reservations.erase(found);
+  // A replica that loads weights denies all calls, whatever its queue.
+  if (IsLoading(waiter.m_service, replica)) {
+    ReserveAgain(waiter.m_service, ticket);
+    return;
+  }
+  Wake(waiter.m_service);
+  if (waiter.m_slot)
+    return;
+  m_state.m_metrics.Count("calls_refused_early_total", "");
+  waiter.m_timer.cancel();
+}
+
+bool SlotAllocator::IsLoading(const std::string& service,
+                              const std::string& replica) const {
+  const decide::ReplicaPool& pool = GetOrCreateService(m_state, service).m_pool;
+  const auto found = pool.m_replicas.find(replica);
+  return found != pool.m_replicas.end() &&
+         found->second.m_loading_until > Now();
 }
 
 void SlotAllocator::LeaveUnwantedReplicas(const std::string& service) {
@@ -214,6 +254,11 @@
     return;
   m_reservations.erase(found);
   m_state.m_metrics.Count("waiting_calls_moved_total", "");
+  ReserveAgain(service, ticket);
+}
+
+void SlotAllocator::ReserveAgain(const std::string& service, uint64_t ticket) {
+  const decide::ReplicaPool& pool = GetOrCreateService(m_state, service).m_pool;
   const auto call = std::find_if(pool.m_waiting.begin(), pool.m_waiting.end(),
                                  [ticket](const decide::PoolCall& each) {
                                    return each.m_ticket == ticket;
--- a/src/libverbenalead/entry/slot_allocator.h
+++ b/src/libverbenalead/entry/slot_allocator.h
@@ -74,6 +74,12 @@
   /// Called when a target doesn't queue a call. If its replica wants no calls,
   /// the call is queued at another one.
   void HandleRejection(uint64_t reservation);
+  /// Removes a reservation that its target denied. If it was the call's last
+  /// one and no free slot is known, ends the wait.
+  void DropDenied(Waiter& waiter, uint64_t ticket, uint64_t reservation);
+  bool IsLoading(const std::string& service, const std::string& replica) const;
+  /// Queues a waiting call, which has no reservation, at other targets.
+  void ReserveAgain(const std::string& service, uint64_t ticket);
   /// Moves the waiting calls of `service` away from replicas that want no calls
   /// any more, and ends their wait if no replica does.
   ///
--- a/src/libverbenalead/entry/slot_allocator_test.cc
+++ b/src/libverbenalead/entry/slot_allocator_test.cc
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(WaitEndsAtOnceIfTheLastReplicaLeaves);
   CPPUNIT_TEST(WaitingCallMovesAwayFromAReplicaAtRest);
   CPPUNIT_TEST(WaitEndsAtOnceIfTheLastReplicaRestsForLonger);
+  CPPUNIT_TEST(RankedCallIsRefusedOnceAllTargetsDenyIt);
+  CPPUNIT_TEST(RankedCallMovesAwayFromALoadingReplica);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -150,7 +152,46 @@
     CPPUNIT_ASSERT(m_done && !m_slot);
   }
 
+  // Guards against a call that goes on waiting although no target has queued
+  // it. Calls of services without ranks wait on, as slots may come free here.
+  void RankedCallIsRefusedOnceAllTargetsDenyIt() {
+    AddOther();
+    Take(10s, 1);
+    HandleDenial(1);
+    m_io->poll();
+    CPPUNIT_ASSERT(!m_done);
+    HandleDenial(2);
+    m_io->poll();
+    CPPUNIT_ASSERT(m_done && !m_slot);
+    m_done = false;
+    Take(10s);
+    HandleDenial(3);
+    HandleDenial(4);
+    m_io->poll();
+    CPPUNIT_ASSERT(!m_done);
+  }
+
+  // Guards against a refusal because one replica loads weights.
+  void RankedCallMovesAwayFromALoadingReplica() {
+    Take(10s, 1);
+    AddOther();
+    links::SlotAnswer denial = Answer(1, false);
+    denial.m_queued = false;
+    denial.m_update.m_loading = true;
+    m_slot_requester->HandleAnswer(denial);
+    m_io->poll();
+    CPPUNIT_ASSERT(!m_done);
+    CPPUNIT_ASSERT(m_slot_requester->ReplicaOfReservation(2) == "i-2");
+  }
+
  private:
+  void HandleDenial(uint64_t ticket) {
+    links::SlotAnswer denial = Answer(ticket, false);
+    denial.m_queued = false;
+    denial.m_update.m_replica = m_slot_requester->ReplicaOfReservation(ticket);
+    m_slot_requester->HandleAnswer(denial);
+  }
+
   static constexpr uint64_t kTicket = 77;
 
   decide::ReplicaPool& Pool() {
@@ -166,17 +207,19 @@
     Pool().m_replicas.at("i-2").m_other_entries_calls = kSlots;
   }
 
-  Awaitable<void> AcquireOneSlot(Duration wait) {
+  Awaitable<void> AcquireOneSlot(Duration wait, std::optional<int> rank) {
     decide::PoolCall call;
     call.m_ticket = kTicket;
     call.m_prompt_tokens = 10;
     call.m_read_deadline = Now() + 10s;
+    call.m_urgency = rank;
     m_slot = co_await m_slot_allocator->Acquire("pool", call, Now() + wait);
     m_done = true;
   }
 
-  void Take(Duration wait) {
-    boost::asio::co_spawn(*m_io, AcquireOneSlot(wait), boost::asio::detached);
+  void Take(Duration wait, std::optional<int> rank = std::nullopt) {
+    boost::asio::co_spawn(*m_io, AcquireOneSlot(wait, rank),
+                          boost::asio::detached);
     m_io->poll();
   }
 
--- a/src/libverbenalead/entry/slot_requester.cc
+++ b/src/libverbenalead/entry/slot_requester.cc
@@ -132,6 +132,10 @@
       call.m_read_deadline == TimePoint::max()
           ? kNoReadLimit
           : std::max<Duration>(Duration(), call.m_read_deadline - Now());
+  request.m_rank = call.m_urgency;
+  request.m_organisation = call.m_organisation;
+  if (call.m_organisation)
+    request.m_run_time = call.m_expected_run_time;
   request.m_calls = ReportedCallsAt(replica);
   request.m_statements = StatementsOf(replica, Now());
   return request;
@@ -139,6 +143,10 @@
 
 void SlotRequester::HandleAnswer(const links::SlotAnswer& answer) {
   ApplyUpdate(m_state, answer.m_update, Now());
+  if (answer.m_expected_wait)
+    decide::NoteExpectedWait(
+        GetOrCreateService(m_state, answer.m_update.m_service).m_overload,
+        *answer.m_expected_wait, Now());
   if (m_reservations.contains(answer.m_ticket)) {
     if (answer.m_granted && m_granted)
       m_granted(answer.m_ticket);
--- a/src/libverbenalead/platform/decode_config.cc
+++ b/src/libverbenalead/platform/decode_config.cc
@@ -1,8 +1,10 @@
 #include "platform/decode_config.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 #include "base/catch_failure.h"
+#include "model/rank.h"
 #include "platform/json_read.h"
 
 namespace verbenalead::platform {
@@ -48,6 +50,33 @@
   return shares;
 }
 
+/// The rank that `object` states, clamped to the allowed ones; nothing if it
+/// states none.
+std::optional<int> RankFrom(const json::object& object) {
+  const auto priority = ReadNumber(object, "priority");
+  if (!priority)
+    return std::nullopt;
+  return static_cast<int>(
+      std::clamp<double>(*priority, 0, model::kLeastUrgentRank));
+}
+
+/// Adds the members of the list `name` whose ranks aren't used as stated.
+void FindClampedRanks(const json::object& object,
+                      const char* name,
+                      std::vector<std::string>& found) {
+  const json::array* list = ReadList(object, name);
+  if (!list)
+    return;
+  for (const json::value& item : *list) {
+    const json::object* member = item.if_object();
+    const auto stated = member ? ReadNumber(*member, "priority") : std::nullopt;
+    if (stated && *stated != *RankFrom(*member))
+      found.push_back(std::string(name) + " " +
+                      ReadText(*member, "name").value_or("") + ": " +
+                      json::serialize(json::value(*stated)));
+  }
+}
+
 /// The regions that `object` restricts calls to; empty if it names none.
 std::vector<std::string> RegionsFrom(const json::object& object) {
   std::vector<std::string> regions;
@@ -77,8 +106,7 @@
   route.m_timeout =
       ReadMilliseconds(*object, "timeout_ms").value_or(Duration());
   route.m_objective = ReadMilliseconds(*object, "slo_ms").value_or(Duration());
-  route.m_urgency =
-      static_cast<int>(ReadNumber(*object, "priority").value_or(0));
+  route.m_urgency = RankFrom(*object).value_or(0);
   route.m_max_attempts =
       static_cast<uint32_t>(ReadCount(*object, "max_attempts").value_or(1));
   route.m_anonymous = ReadFlag(*object, "anonymous").value_or(false);
@@ -154,8 +182,7 @@
         organisation.m_keys.emplace_back(key.as_string());
     }
   }
-  if (const auto urgency = ReadNumber(*object, "priority"))
-    organisation.m_urgency = static_cast<int>(*urgency);
+  organisation.m_urgency = RankFrom(*object);
   organisation.m_regions = RegionsFrom(*object);
   return organisation;
 }
@@ -212,6 +239,8 @@
   BOOST_LEAF_ASSIGN(
       config.m_organisations,
       DecodeList<model::Organisation>(*object, "tenants", OrganisationFrom));
+  FindClampedRanks(*object, "routes", config.m_clamped_ranks);
+  FindClampedRanks(*object, "tenants", config.m_clamped_ranks);
   ReadLimits(*object, config);
   return config;
 }
--- a/src/libverbenalead/platform/decode_test.cc
+++ b/src/libverbenalead/platform/decode_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(DecodesOrRejectsAnyBytes);
   CPPUNIT_TEST(DecodesReport);
   CPPUNIT_TEST(DecodesConfiguration);
+  CPPUNIT_TEST(RanksAreClamped);
   CPPUNIT_TEST(UnknownKindsRunAtMostOnce);
   CPPUNIT_TEST(RejectsConfigurationWithBadRoute);
   CPPUNIT_TEST(DecodesDeclaredWeights);
@@ -139,6 +140,22 @@
     CPPUNIT_ASSERT(config->m_organisations.at(0).m_urgency == 0);
   }
 
+  // Guards against ranks without a place in the order: a negative, a too large
+  // and a broken one.
+  void RanksAreClamped() {
+    const auto config = CatchFailure([] {
+      return DecodeConfig(
+          R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/",)"
+          R"("service":"a","priority":-3}],"tenants":[)"
+          R"({"name":"x","priority":1e300},{"name":"y","priority":1.5},)"
+          R"({"name":"z","priority":9}]})");
+    });
+    CPPUNIT_ASSERT_EQUAL(0, config->m_routes.at(0).m_urgency);
+    CPPUNIT_ASSERT(config->m_organisations.at(0).m_urgency == 9);
+    CPPUNIT_ASSERT(config->m_organisations.at(1).m_urgency == 1);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, config->m_clamped_ranks.size());
+  }
+
   void UnknownKindsRunAtMostOnce() {
     const auto config = CatchFailure([] {
       return DecodeConfig(
