--- a/src/libverbenalead/entry/call_plan.h
+++ b/src/libverbenalead/entry/call_plan.h
@@ -26,6 +26,9 @@
   std::string m_organisation;
   /// The only data centres whose replicas may get the call; null: all.
   std::shared_ptr<const std::set<std::string>> m_data_centers;
+  /// The ranks that calls of the service may have, the most urgent first; empty
+  /// if all have the same.
+  std::vector<int> m_ranks;
   uint64_t m_config_version = 0;
   /// Identifies equal requests, so that one that crashes replicas is recognised
   /// when a caller retries it.
