Few hosts read digests from an origin that returns

Two versions are declared, and the origin goes away before any host has the digests of the newer one. The delays count from the last failed read now, so four hosts read and the others request from them.

cold_pool_test is adapted to a merged signature.

--- a/src/libverbenalead/decide/placement/cold_pool_test.cc
+++ b/src/libverbenalead/decide/placement/cold_pool_test.cc
@@ -116,13 +116,13 @@
   void CallsWaitOnlyForWhatColdReplicasTake() {
     ReplicaPool pool = MakePool({MakeReplica("cold", 5s)});
     for (uint64_t ticket = 0; ticket < 8; ++ticket) {
-      CPPUNIT_ASSERT(MayStartBy(pool, kStart + 500ms, kStart));
+      CPPUNIT_ASSERT(MayStartBy(pool, PoolCall(), kStart + 500ms, kStart));
       PoolCall call;
       call.m_ticket = ticket;
       AddWaitingCall(pool, call);
     }
-    CPPUNIT_ASSERT(!MayStartBy(pool, kStart + 500ms, kStart));
-    CPPUNIT_ASSERT(MayStartBy(pool, kStart + 5s, kStart));
+    CPPUNIT_ASSERT(!MayStartBy(pool, PoolCall(), kStart + 500ms, kStart));
+    CPPUNIT_ASSERT(MayStartBy(pool, PoolCall(), kStart + 5s, kStart));
   }
 
   // Guards against replicas that get the calls of all entries at once after an
--- a/src/libverbenalead/target/digest_reader.cc
+++ b/src/libverbenalead/target/digest_reader.cc
@@ -87,6 +87,11 @@
           .With("version", version)
           .With(digests.error())
           .Warn();
+      // Failure: the origin is unavailable for so long that many hosts may read
+      // from it. Symptom: all of them do when it returns, and their answers
+      // delay the first chunks. The delays count from the last failure, so that
+      // again the first hosts read at once and the others request from them.
+      m_missing_since[version] = Now();
       break;
     }
     if (digests->size() == m_state.m_engine->m_chunks)
--- a/src/libverbenalead/target/digest_reader.h
+++ b/src/libverbenalead/target/digest_reader.h
@@ -45,7 +45,7 @@
   wire::Client& m_peers;
   platform::OriginClient& m_origin;
   /// Versions whose digests are missing, with the time of the first attempt to
-  /// obtain them.
+  /// obtain them, or of the last one to read them from the origin that failed.
   std::map<uint64_t, TimePoint> m_missing_since;
   /// Earliest time of the next attempt.
   TimePoint m_next{};
