Ranks: the organisation's decides, then the route's

The rank of a call is its position among the pairs of both that calls of the service may have. Where all pairs are equal nothing is sent, as before.

--- a/src/libverbenalead/decide/config/route_table.cc
+++ b/src/libverbenalead/decide/config/route_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "model/rank.h"
+
 namespace verbenalead::decide {
 
 RouteTable::RouteTable(model::RoutingConfig config)
@@ -27,26 +29,49 @@
                 [](const auto& each) { return each.second.size() < 2; });
 }
 
+RouteTable::RankPair RouteTable::RankPairOf(
+    const model::Route& route,
+    const model::Organisation* organisation) {
+  const int rank = organisation
+                       ? organisation->m_urgency.value_or(route.m_urgency)
+                       : route.m_urgency;
+  return {rank, route.m_urgency};
+}
+
 void RouteTable::AddRanks(const model::Route& route) {
-  std::set<int> ranks;
+  std::set<RankPair> ranks;
   // Organisations are known only for calls that need a key.
   if (route.m_anonymous || m_config.m_organisations.empty())
-    ranks.insert(route.m_urgency);
+    ranks.insert(RankPairOf(route, nullptr));
   for (const model::Organisation& organisation : m_config.m_organisations) {
     if (!route.m_anonymous)
-      ranks.insert(organisation.m_urgency.value_or(route.m_urgency));
+      ranks.insert(RankPairOf(route, &organisation));
   }
   for (const model::ServiceShare& share : route.m_services) {
-    std::vector<int>& all = m_ranks[share.m_service];
-    ranks.insert(all.begin(), all.end());
-    all.assign(ranks.begin(), ranks.end());
+    std::vector<RankPair>& all = m_ranks[share.m_service];
+    std::set<RankPair> merged = ranks;
+    merged.insert(all.begin(), all.end());
+    all.assign(merged.begin(), merged.end());
   }
 }
 
-const std::vector<int>& RouteTable::RanksOf(const std::string& service) const {
-  static const std::vector<int> kAllEqual;
+size_t RouteTable::CountRanks(const std::string& service) const {
+  const auto found = m_ranks.find(service);
+  return found == m_ranks.end() ? 0 : found->second.size();
+}
+
+std::optional<int> RouteTable::RankOf(
+    const std::string& service,
+    const model::Route& route,
+    const model::Organisation* organisation) const {
   const auto found = m_ranks.find(service);
-  return found == m_ranks.end() ? kAllEqual : found->second;
+  if (found == m_ranks.end())
+    return std::nullopt;
+  const auto& ranks = found->second;
+  const auto position = std::lower_bound(ranks.begin(), ranks.end(),
+                                         RankPairOf(route, organisation)) -
+                        ranks.begin();
+  return std::min(static_cast<int>(position), model::kLeastUrgentRank);
 }
 
 const model::Route* RouteTable::FindRoute(const std::string& host,
--- a/src/libverbenalead/decide/config/route_table.h
+++ b/src/libverbenalead/decide/config/route_table.h
@@ -2,9 +2,11 @@
 #define VERBENALEAD_DECIDE_CONFIG_ROUTE_TABLE_H_
 
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "model/routing_config.h"
@@ -32,11 +34,22 @@
   const model::Organisation* FindOrganisation(const std::string& key) const;
   /// The service with this name, or null.
   const model::Service* FindService(const std::string& name) const;
-  /// The ranks that calls of this service may have, the most urgent first;
-  /// empty if all have the same.
-  const std::vector<int>& RanksOf(const std::string& service) const;
+  /// Number of different ranks that calls of this service may have; 0 if all
+  /// have the same.
+  size_t CountRanks(const std::string& service) const;
+  /// Position of a call's rank among these, 0 for the most urgent; absent if
+  /// all have the same. The organisation's rank decides, and the route's among
+  /// calls whose organisations have the same. `organisation` may be null.
+  std::optional<int> RankOf(const std::string& service,
+                            const model::Route& route,
+                            const model::Organisation* organisation) const;
 
  private:
+  /// The rank of the organisation, and that of the route.
+  using RankPair = std::pair<int, int>;
+
+  static RankPair RankPairOf(const model::Route& route,
+                             const model::Organisation* organisation);
   /// Adds the ranks that calls on `route` may have.
   void AddRanks(const model::Route& route);
 
@@ -45,8 +58,8 @@
   std::unordered_map<std::string, std::vector<const model::Route*>> m_routes;
   std::unordered_map<std::string, const model::Organisation*> m_keys;
   std::unordered_map<std::string, const model::Service*> m_services;
-  /// By service.
-  std::unordered_map<std::string, std::vector<int>> m_ranks;
+  /// By service, the most urgent first.
+  std::unordered_map<std::string, std::vector<RankPair>> m_ranks;
 };
 
 /// Selects the service for a call on `route` at random, in proportion to the
--- a/src/libverbenalead/decide/config/route_table_test.cc
+++ b/src/libverbenalead/decide/config/route_table_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(ServicesAreSelectedByWeight);
   CPPUNIT_TEST(WeightsBindAtDeclaredTime);
   CPPUNIT_TEST(RanksAreThoseOfTheService);
+  CPPUNIT_TEST(RouteDecidesAmongOrganisationsOfOneRank);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -56,13 +57,33 @@
     config.m_routes = {MakeRoute("h", "/a/"), MakeRoute("h", "/b/")};
     config.m_routes[1].m_services = {{"b", 1}};
     config.m_routes[1].m_urgency = 2;
-    CPPUNIT_ASSERT(RouteTable(config).RanksOf("a").empty());
-    CPPUNIT_ASSERT(RouteTable(config).RanksOf("b") == (std::vector<int>{0, 2}));
-    config.m_organisations = {{"acme", {"k1"}, 1}};
-    CPPUNIT_ASSERT(RouteTable(config).RanksOf("b").empty());
-    config.m_organisations.push_back({"other", {"k2"}, std::nullopt});
-    CPPUNIT_ASSERT(RouteTable(config).RanksOf("a") == (std::vector<int>{0, 1}));
-    CPPUNIT_ASSERT(RouteTable(config).RanksOf("none").empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, RouteTable(config).CountRanks("a"));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, RouteTable(config).CountRanks("b"));
+    const model::Route& first = config.m_routes[0];
+    const model::Route& second = config.m_routes[1];
+    CPPUNIT_ASSERT(!RouteTable(config).RankOf("a", first, nullptr));
+    CPPUNIT_ASSERT_EQUAL(0, *RouteTable(config).RankOf("b", first, nullptr));
+    CPPUNIT_ASSERT_EQUAL(1, *RouteTable(config).RankOf("b", second, nullptr));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, RouteTable(config).CountRanks("none"));
+  }
+
+  // Guards against routes whose ranks decide nothing, because organisations
+  // have ranks too.
+  void RouteDecidesAmongOrganisationsOfOneRank() {
+    model::RoutingConfig config;
+    config.m_routes = {MakeRoute("h", "/a/"), MakeRoute("h", "/b/")};
+    config.m_routes[0].m_services = config.m_routes[1].m_services = {{"b", 1}};
+    config.m_routes[0].m_urgency = 2;
+    config.m_organisations = {{"acme", {"k1"}, 1}, {"first", {"k2"}, 0}};
+    const RouteTable table(config);
+    const auto rank = [&](size_t route, size_t organisation) {
+      return *table.RankOf("b", config.m_routes[route],
+                           &config.m_organisations[organisation]);
+    };
+    CPPUNIT_ASSERT_EQUAL(0, rank(1, 1));
+    CPPUNIT_ASSERT_EQUAL(1, rank(0, 1));
+    CPPUNIT_ASSERT_EQUAL(2, rank(1, 0));
+    CPPUNIT_ASSERT_EQUAL(3, rank(0, 0));
   }
 
   void ServicesAreSelectedByWeight() {
--- a/src/libverbenalead/entry/call_plan.h
+++ b/src/libverbenalead/entry/call_plan.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,9 +27,10 @@
   std::string m_organisation;
   /// The only data centres whose replicas may get the call; null: all.
   std::shared_ptr<const std::set<std::string>> m_data_centers;
-  /// The ranks that calls of the service may have, the most urgent first; empty
-  /// if all have the same.
-  std::vector<int> m_ranks;
+  /// 0 is the most urgent of the service's m_rank_count ranks; absent if all
+  /// calls of the service have the same.
+  std::optional<int> m_rank;
+  size_t m_rank_count = 0;
   uint64_t m_config_version = 0;
   /// Identifies equal requests, so that one that crashes replicas is recognised
   /// when a caller retries it.
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -61,8 +61,7 @@
     call.m_read_deadline =
         m_plan.m_started_at + m_plan.m_wait_limit.m_read_within;
   call.m_expected_run_time = m_plan.m_expected_run_time;
-  if (!m_plan.m_ranks.empty())
-    call.m_urgency = m_plan.m_route.m_urgency;
+  call.m_urgency = m_plan.m_rank;
   if (m_state.m_options.m_shares_organisations)
     call.m_organisation = m_plan.m_organisation;
   call.m_data_centers = m_plan.m_data_centers;
@@ -317,11 +316,9 @@
   const ServiceState& service = GetOrCreateService(m_state, m_plan.m_service);
   const auto expected = decide::ExpectedOverload(
       service.m_overload, service.m_pool.m_waiting.size(), Now());
-  const auto own = std::find(m_plan.m_ranks.begin(), m_plan.m_ranks.end(),
-                             m_plan.m_route.m_urgency);
   return decide::RetryAfterOverload(
-      expected, static_cast<size_t>(own - m_plan.m_ranks.begin()),
-      m_plan.m_ranks.size(), m_state.m_random);
+      expected, static_cast<size_t>(m_plan.m_rank.value_or(0)),
+      m_plan.m_rank_count, m_state.m_random);
 }
 
 Awaitable<void> CallRun::RefuseUntil(decide::Refusal refusal, Duration wait) {
--- a/src/libverbenalead/entry/call_server.cc
+++ b/src/libverbenalead/entry/call_server.cc
@@ -103,11 +103,8 @@
     co_return;
   }
   plan.m_route = *route;
-  if (needs_key) {
+  if (needs_key)
     plan.m_organisation = organisation->m_name;
-    if (organisation->m_urgency)
-      plan.m_route.m_urgency = *organisation->m_urgency;
-  }
   plan.m_data_centers = decide::AllowedDataCenters(
       route->m_regions,
       needs_key ? organisation->m_regions : std::vector<std::string>(),
@@ -115,7 +112,9 @@
   plan.m_fingerprint = decide::RequestKey(plan.m_organisation, request.m_method,
                                           request.m_path, request.m_body);
   plan.m_service = decide::SelectService(*route, m_state.m_random);
-  plan.m_ranks = routes->RanksOf(plan.m_service);
+  plan.m_rank = routes->RankOf(plan.m_service, *route,
+                               needs_key ? organisation : nullptr);
+  plan.m_rank_count = routes->CountRanks(plan.m_service);
   for (const std::string& part : call.m_shared_parts)
     plan.m_parts.push_back(decide::PartKey(plan.m_service, part));
   if (IsBlockedCall(m_state, plan)) {
