A complete version doesn't hold back the next one's digests

Cause: with all versions of the fetch order complete and no transfer under way, ShouldFinishFetch compared 0 with 0 and Obtain returned early.

ContinuesTransfer holds the comparison now, with a test.

--- a/src/libverbenalead/decide/transfer/version_choice.h
+++ b/src/libverbenalead/decide/transfer/version_choice.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "decide/transfer/given_up_version.h"
@@ -43,6 +44,19 @@
                              bool origin_answers,
                              TimePoint now);
 
+/// Whether the transfer of `in_progress` (0: there is none) goes on before any
+/// other one begins. `next` is the first version of the fetch order that isn't
+/// complete; absent if all are.
+///
+/// Failure: without a transfer and with all versions of the order complete, a
+/// host takes this for a transfer to finish. Symptom: it doesn't obtain the
+/// digests of a version that was declared since, which can't be in the order
+/// without them, until it has loaded the older one.
+inline bool ContinuesTransfer(uint64_t in_progress,
+                              std::optional<uint64_t> next) {
+  return in_progress != 0 && next == in_progress;
+}
+
 }  // namespace verbenalead::decide
 
 #endif  // VERBENALEAD_DECIDE_TRANSFER_VERSION_CHOICE_H_
--- a/src/libverbenalead/decide/transfer/version_choice_test.cc
+++ b/src/libverbenalead/decide/transfer/version_choice_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(GivenUpVersionStillBinds);
   CPPUNIT_TEST(MiddleOfThreeIsGivenUp);
   CPPUNIT_TEST(ManyVersionsEndWithTheNewest);
+  CPPUNIT_TEST(NoTransferKeepsAnotherOneFromBeginning);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -172,6 +173,15 @@
     CPPUNIT_ASSERT_EQUAL(size_t{39}, choice.m_given_up.size());
   }
 
+  // Guards against a version whose digests are obtained only after the load of
+  // an older one that is complete.
+  void NoTransferKeepsAnotherOneFromBeginning() {
+    CPPUNIT_ASSERT(!ContinuesTransfer(0, std::nullopt));
+    CPPUNIT_ASSERT(!ContinuesTransfer(2, std::nullopt));
+    CPPUNIT_ASSERT(!ContinuesTransfer(2, 3));
+    CPPUNIT_ASSERT(ContinuesTransfer(2, 2));
+  }
+
  private:
   static VersionChoice Choose(const std::map<uint64_t, VersionSupply>& versions,
                               Duration now,
--- a/src/libverbenalead/target/engine_controller.cc
+++ b/src/libverbenalead/target/engine_controller.cc
@@ -233,7 +233,7 @@
   // long time.
   const uint64_t version = m_fetcher.version();
   if (!m_fetch_order.empty())
-    return version == VersionToFetch(version);
+    return decide::ContinuesTransfer(version, NextOfFetchOrder());
   return version > Loaded() && m_fetcher.is_progressing() &&
          m_state.m_cache.HeldShare(version) >= decide::kMinShareToFinish;
 }
@@ -267,11 +267,15 @@
   m_fetch_order = std::move(choice.m_fetch_order);
 }
 
-uint64_t EngineController::VersionToFetch(uint64_t planned) const {
+std::optional<uint64_t> EngineController::NextOfFetchOrder() const {
   const auto next = std::find_if(
       m_fetch_order.begin(), m_fetch_order.end(),
       [&](uint64_t each) { return !m_state.m_cache.Complete(each); });
-  return next == m_fetch_order.end() ? planned : *next;
+  return next == m_fetch_order.end() ? std::nullopt : std::optional(*next);
+}
+
+uint64_t EngineController::VersionToFetch(uint64_t planned) const {
+  return NextOfFetchOrder().value_or(planned);
 }
 
 bool EngineController::IsLoadedElsewhere(uint64_t version) const {
--- a/src/libverbenalead/target/engine_controller.h
+++ b/src/libverbenalead/target/engine_controller.h
@@ -72,6 +72,8 @@
   void ChooseVersion();
   /// What the hosts know of the versions to choose from.
   std::map<uint64_t, decide::VersionSupply> Supplies() const;
+  /// The first version of the fetch order that isn't complete.
+  std::optional<uint64_t> NextOfFetchOrder() const;
   /// The version to fetch now, where `planned` is the next one to load.
   uint64_t VersionToFetch(uint64_t planned) const;
   /// Records when each version in the cache became complete.
