Names and comments after a newcomer's read

The margin of the rank floor, the window of loads, the credit of organisations and the ends of evacuations are explained where they stand; bound_past is window_past, away is unavailable, the rank of a call has one name. The texts of version_given_up and cold_config_ignored say what an operator needs.

--- a/src/libverbenalead/decide/admission/call_policy.cc
+++ b/src/libverbenalead/decide/admission/call_policy.cc
@@ -33,8 +33,9 @@
 /// caller that retries sooner finds the same queue and has used up its retry.
 constexpr Duration kMinFullDelay = 800ms;
 constexpr Duration kMaxFullDelay = 1900ms;
-/// Limits of the time for which an overload is expected to last. Callers don't
-/// wait longer than a part of the few seconds that they have.
+/// Range to which the expected duration of an overload is clamped; the retry
+/// delay is 2/3 to 3/2 of it. A caller has only a few seconds for all its
+/// tries.
 constexpr Duration kMinOverload = 400ms;
 constexpr Duration kMaxOverload = 3s;
 
--- a/src/libverbenalead/decide/admission/early_refusal.cc
+++ b/src/libverbenalead/decide/admission/early_refusal.cc
@@ -9,10 +9,10 @@
 namespace verbenalead::decide {
 namespace {
 
-/// Part of the expected wait that must fit into the time that is left. Slots
-/// don't come free evenly, and requests ahead may be withdrawn, so a call whose
-/// expected wait is a little too long may still be served.
-constexpr double kCertainWait = 0.5;
+/// A request is denied early only if this part of its expected wait exceeds the
+/// time it has left. Slots come free unevenly and requests ahead may be
+/// withdrawn, so the wait may be shorter than expected.
+constexpr double kMinWaitFactor = 0.5;
 /// Number of requests ahead below which none is refused early: with so few,
 /// when the next slots come free is up to chance.
 constexpr double kMinAhead = 4;
@@ -22,7 +22,7 @@
   if (!rate)
     return std::nullopt;
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(ahead * kRequestWeight / *rate));
+      std::chrono::duration<double>(ahead * kSlotsPerRequest / *rate));
 }
 
 bool IsTooLate(const SlotQueue& queue,
@@ -33,7 +33,7 @@
     return false;
   const auto wait = WaitBehind(queue, ahead);
   return wait &&
-         now + std::chrono::duration_cast<Duration>(*wait * kCertainWait) >
+         now + std::chrono::duration_cast<Duration>(*wait * kMinWaitFactor) >
              LatestStart(queue, request);
 }
 
@@ -90,7 +90,7 @@
   }
   waiting = std::move(kept);
   for (const SlotRequest& request : displaced)
-    NoteUnserved(queue.m_rank_floor, request.m_rank, kRequestWeight, now);
+    NoteUnserved(queue.m_rank_floor, request.m_rank, kSlotsPerRequest, now);
   return displaced;
 }
 
--- a/src/libverbenalead/decide/admission/early_refusal.h
+++ b/src/libverbenalead/decide/admission/early_refusal.h
@@ -8,9 +8,9 @@
 
 namespace verbenalead::decide {
 
-/// Share of a request that counts in the queue: a call waits at two targets and
-/// takes a slot of one.
-constexpr double kRequestWeight = 0.5;
+/// Slots that a queued request takes on average: a call queues a request at two
+/// targets and takes a slot of one.
+constexpr double kSlotsPerRequest = 0.5;
 
 /// Time until the requests that precede this one have got a slot; absent if it
 /// is unknown how fast slots come free.
--- a/src/libverbenalead/decide/admission/organisation_shares.cc
+++ b/src/libverbenalead/decide/admission/organisation_shares.cc
@@ -12,9 +12,11 @@
 /// Limit of the time that an organisation is ahead of the others. One that was
 /// lent the whole capacity gets slots again within this time of replica work.
 constexpr double kMaxAheadSeconds = 1;
-/// Limit of the time that an organisation stays behind the others while they
-/// are lent what it leaves. Without it, one that asks at all times for a little
-/// less than it is offered would lose its turn with each slot that is lent.
+/// Limit of the credit, in seconds of replica time, that an organisation keeps
+/// while others are lent what it leaves. With no credit, one that always asks
+/// for a little less than its share would lose its turn with each slot that is
+/// lent; with unlimited credit, one that was idle would get all slots when it
+/// returns.
 constexpr double kMaxBehindSeconds = 1;
 
 double CurrentTime(const OrganisationShares& shares, int rank) {
--- a/src/libverbenalead/decide/admission/organisation_shares.h
+++ b/src/libverbenalead/decide/admission/organisation_shares.h
@@ -40,8 +40,8 @@
                    int rank,
                    const std::optional<std::string>& organisation);
 
-/// Whether the organisation has had more than the one that was served last, and
-/// there are several.
+/// Whether the organisation's virtual time is later than that of its rank, and
+/// another organisation of the rank has a virtual time of its own.
 bool IsAhead(const OrganisationShares& shares,
              int rank,
              const std::optional<std::string>& organisation);
--- a/src/libverbenalead/decide/admission/rank_floor.h
+++ b/src/libverbenalead/decide/admission/rank_floor.h
@@ -10,8 +10,8 @@
 
 namespace verbenalead::decide {
 
-/// Keeps a rank from starving: a rank that is served less than half as often as
-/// the mean of all ranks goes first until it no longer is.
+/// Keeps a rank from starving: a rank that is served less than kRankFloorShare
+/// as often as the mean of all ranks goes first until it no longer is.
 ///
 /// Load: urgent calls alone ask for more than the capacity. Harm: with a strict
 /// order, calls of the less urgent ranks would never get a slot.
@@ -38,8 +38,8 @@
 
 constexpr Duration kRankFloorDecay = 6s;
 /// A rank goes first while it is served less often than this share of the mean.
-/// It is above one half because the counts are noisy: a target sees a few calls
-/// a second.
+/// The guarantee is one half; the rest is margin, as a target sees only a few
+/// calls a second and the counts are noisy.
 constexpr double kRankFloorShare = 0.62;
 /// Number of calls of a rank below which its count says nothing.
 constexpr double kMinAskedForFloor = 1;
--- a/src/libverbenalead/decide/admission/slot_order.cc
+++ b/src/libverbenalead/decide/admission/slot_order.cc
@@ -15,8 +15,9 @@
 }
 
 /// Time at which the replica will have read all prompts that it has. The load
-/// counts a prompt in full until its call begins to answer, so the times of
-/// the grants are closer if they are earlier.
+/// counts a prompt in full until its call begins to answer, which overestimates
+/// the remaining time; so the end by the granted calls is used if it is
+/// earlier.
 TimePoint ReadingEnd(const SlotQueue& queue,
                      const ReplicaLoad& load,
                      TimePoint now) {
--- a/src/libverbenalead/decide/admission/slot_queue.cc
+++ b/src/libverbenalead/decide/admission/slot_queue.cc
@@ -157,7 +157,7 @@
   std::erase_if(queue.m_slot_requests, [&](const SlotRequest& request) {
     const bool expired = IsExpired(queue, request, now);
     if (expired)
-      NoteUnserved(queue.m_rank_floor, request.m_rank, kRequestWeight, now);
+      NoteUnserved(queue.m_rank_floor, request.m_rank, kSlotsPerRequest, now);
     return expired;
   });
   std::erase_if(
@@ -210,7 +210,7 @@
     return SlotVerdict::kDenied;
   if (GetsNoToken(queue, request, now) || IsTurnTooLate(queue, request, now) ||
       queue.m_slot_requests.size() >= kMaxQueuedRequests) {
-    NoteUnserved(queue.m_rank_floor, request.m_rank, kRequestWeight, now);
+    NoteUnserved(queue.m_rank_floor, request.m_rank, kSlotsPerRequest, now);
     return SlotVerdict::kDenied;
   }
   EraseRequest(queue, request.m_entry, request.m_ticket);
@@ -243,7 +243,7 @@
   for (const SlotRequest& request : queue.m_slot_requests) {
     if (request.m_entry == entry && request.m_ticket == ticket &&
         LatestStart(queue, request) <= now + kWithdrawalMargin)
-      NoteUnserved(queue.m_rank_floor, request.m_rank, kRequestWeight, now);
+      NoteUnserved(queue.m_rank_floor, request.m_rank, kSlotsPerRequest, now);
   }
   EraseRequest(queue, entry, ticket);
 }
--- a/src/libverbenalead/decide/limits/rate_holder.h
+++ b/src/libverbenalead/decide/limits/rate_holder.h
@@ -44,8 +44,9 @@
 /// A longer time between two confirmations begins a new term: the process may
 /// have been paused. Others take over after 1.3 s without an update.
 constexpr Duration kMaxTermGap = 800ms;
-/// Time from the begin of a term until the holder grants tokens: 1.3 s until
-/// the one before it has noticed, and 100 ms for its last calls.
+/// Time from the beginning of a term until the holder grants tokens: 1.3 s
+/// until the one before it has noticed, 100 ms for its last calls, and 100 ms
+/// margin.
 constexpr Duration kTermPause = 1500ms;
 
 /// Records that the process holds the bucket at `now`; returns true if a new
@@ -60,7 +61,8 @@
   TimePoint m_heard_at{};
 };
 
-/// Time for which a claim counts: three intervals between updates of entries.
+/// Time for which a claim counts: three update intervals of 400 ms, and 100 ms
+/// for the delay of an update.
 constexpr Duration kClaimLifetime = 1300ms;
 
 /// Whether `self`, which takes itself for the holder, is so by more than half
--- a/src/libverbenalead/decide/placement/fake_fleet.h
+++ b/src/libverbenalead/decide/placement/fake_fleet.h
@@ -229,7 +229,7 @@
     if (pool_call.m_can_be_on_time && m_load.m_queue_at_targets)
       pool_call.m_read_deadline = call.m_started_at + kObjective - kSlack;
     if (m_load.m_uses_ranks)
-      pool_call.m_urgency = KindOf(number)->m_rank;
+      pool_call.m_rank = KindOf(number)->m_rank;
     if (m_load.m_uses_shares)
       pool_call.m_organisation = KindOf(number)->m_organisation;
     return pool_call;
@@ -301,7 +301,7 @@
     if (slot_request.m_read_deadline == TimePoint::max())
       slot_request.m_read_deadline = m_now + std::chrono::hours(1);
     slot_request.m_until = until;
-    slot_request.m_rank = call.m_urgency.value_or(0);
+    slot_request.m_rank = call.m_rank.value_or(0);
     slot_request.m_organisation = call.m_organisation;
     slot_request.m_deny_early = m_load.m_refuses_early;
     return slot_request;
--- a/src/libverbenalead/decide/placement/pool_call.h
+++ b/src/libverbenalead/decide/placement/pool_call.h
@@ -19,7 +19,7 @@
   bool m_can_be_on_time = true;
   /// Rank, 0 is the most urgent; absent where all calls of the service have the
   /// same.
-  std::optional<int> m_urgency;
+  std::optional<int> m_rank;
   /// Absent where organisations have no shares; empty if the call is made for
   /// no organisation.
   std::optional<std::string> m_organisation;
@@ -38,7 +38,7 @@
 /// Whether the call is refused as soon as its turn can't come in its time.
 /// Calls of services without ranks and shares wait until their time is over.
 inline bool IsRefusedEarly(const PoolCall& call) {
-  return call.m_urgency || call.m_organisation;
+  return call.m_rank || call.m_organisation;
 }
 
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/placement/replica_pool.cc
+++ b/src/libverbenalead/decide/placement/replica_pool.cc
@@ -113,7 +113,8 @@
   return !state.m_known.m_leaving && !IsEvacuated(pool, state);
 }
 
-/// The same for now.
+/// Whether the replica may get calls of this entry now: MayWantCalls() holds,
+/// and the replica isn't at rest.
 bool WantsCalls(const ReplicaPool& pool,
                 const ReplicaState& state,
                 TimePoint now) {
@@ -388,7 +389,7 @@
 using WaitingCall = std::pair<WaitingKey, std::list<PoolCall>::iterator>;
 
 WaitingKey KeyOf(const ReplicaPool& pool, const PoolCall& call) {
-  const int rank = call.m_urgency.value_or(0);
+  const int rank = call.m_rank.value_or(0);
   return {!call.m_can_be_on_time, OrderedRank(pool.m_rank_floor, rank),
           VirtualTime(pool.m_shares, rank, call.m_organisation)};
 }
@@ -559,7 +560,7 @@
   ++best->m_in_flight;
   ++best->m_calls_since_rest;
   best->m_unread_tokens += call.m_prompt_tokens;
-  ChargeCall(pool.m_shares, call.m_urgency.value_or(0), call.m_organisation,
+  ChargeCall(pool.m_shares, call.m_rank.value_or(0), call.m_organisation,
              CostOf(*best, call));
   return best->m_replica.m_id;
 }
--- a/src/libverbenalead/decide/regions/evacuations.h
+++ b/src/libverbenalead/decide/regions/evacuations.h
@@ -65,8 +65,8 @@
     TimePoint now);
 
 /// Ends evacuations whose row was last seen before `era`, and returns their
-/// data centres. Must be called only once this process knows the whole table as
-/// it was after the operator had written again what the copy lacked.
+/// data centres. Must be called only after the operator has had the time to
+/// write lost rows again and this process knows the whole table since then.
 std::vector<std::string> EndEvacuationsBeforeEra(Evacuations& evacuations,
                                                  uint64_t era,
                                                  TimePoint now);
--- a/src/libverbenalead/decide/rollout/load_turn.cc
+++ b/src/libverbenalead/decide/rollout/load_turn.cc
@@ -19,7 +19,7 @@
 /// Longest drain of a replica that gets no new calls because its weights are
 /// too old. Each replica is then needed as soon as possible, and other replicas
 /// can't take over its streams.
-constexpr Duration kDrainTimeAfterBound = 250ms;
+constexpr Duration kDrainTimeAfterWindow = 250ms;
 /// Bounds of the share of the replicas that may be out of service at the same
 /// time, for a full pool and for one with free slots. Both exceed the share of
 /// free slots: most slots of a draining replica are still in use, and with
@@ -139,8 +139,8 @@
       return "spread";
     case TurnReason::kHalf:
       return "half";
-    case TurnReason::kBoundPast:
-      return "bound_past";
+    case TurnReason::kWindowPast:
+      return "window_past";
     case TurnReason::kEvacuated:
       return "evacuated";
     case TurnReason::kUnlisted:
@@ -151,7 +151,7 @@
 
 Duration DrainTime(const LoadWindow& window) {
   if (Length(window) == Duration())
-    return kDrainTimeAfterBound;
+    return kDrainTimeAfterWindow;
   const double free_share = std::clamp(1 - window.m_fullness, 0.0, 1.0);
   const double full_drain_share =
       std::min(1.0, free_share / (1 - kMaxFullnessForFullDrain));
@@ -179,8 +179,8 @@
     turn.m_reason = TurnReason::kEvacuated;
     turn.m_drain = kMaxDrainTime;
   } else if (now >= window.m_end) {
-    turn.m_reason = TurnReason::kBoundPast;
-    turn.m_drain = std::min(turn.m_drain, kDrainTimeAfterBound);
+    turn.m_reason = TurnReason::kWindowPast;
+    turn.m_drain = std::min(turn.m_drain, kDrainTimeAfterWindow);
   } else if (own == replicas.end()) {
     turn.m_reason = TurnReason::kUnlisted;
   } else if (NeedsHalves(window)) {
--- a/src/libverbenalead/decide/rollout/load_turn.h
+++ b/src/libverbenalead/decide/rollout/load_turn.h
@@ -25,7 +25,8 @@
   TimePoint m_begin{};
   /// From then on, replicas with older weights get no calls.
   TimePoint m_end{};
-  /// When the last replica should be back. Not before `m_end`.
+  /// Deadline for new weights, by which the last replica should be back. Not
+  /// before `m_end`, from which on entries send no calls to older weights.
   TimePoint m_bound{};
   /// Time from the end of the drain until the replica gets calls again.
   Duration m_load{};
@@ -39,11 +40,11 @@
 
 /// What the time of a turn follows from.
 enum class TurnReason {
-  kSpread,     ///< The turns are spread over the window.
-  kHalf,       ///< The window is short: one half follows the other.
-  kBoundPast,  ///< The replica gets no calls any more.
-  kEvacuated,  ///< The replica's data centre gets no calls.
-  kUnlisted,   ///< The replica isn't in the list, so it has no rank.
+  kSpread,      ///< The turns are spread over the window.
+  kHalf,        ///< The window is short: one half follows the other.
+  kWindowPast,  ///< The window is over: the replica gets no calls any more.
+  kEvacuated,   ///< The replica's data centre gets no calls.
+  kUnlisted,    ///< The replica isn't in the list, so it has no rank.
 };
 
 const char* ToString(TurnReason reason);
--- a/src/libverbenalead/decide/rollout/load_turn_test.cc
+++ b/src/libverbenalead/decide/rollout/load_turn_test.cc
@@ -148,7 +148,7 @@
     auto replicas = Replicas(12);
     const auto late =
         TurnOf(Window(3s, 0.66), "r11", replicas, kWhole + 3500ms);
-    CPPUNIT_ASSERT(late.m_reason == TurnReason::kBoundPast);
+    CPPUNIT_ASSERT(late.m_reason == TurnReason::kWindowPast);
     CPPUNIT_ASSERT(late.m_at <= kWhole + 3500ms);
     CPPUNIT_ASSERT(late.m_drain < DrainTime(Window(3s, 0.66)));
     for (TurnReplica& replica : replicas)
--- a/src/libverbenalead/decide/transfer/given_up_version.h
+++ b/src/libverbenalead/decide/transfer/given_up_version.h
@@ -8,7 +8,9 @@
 enum class GiveUpReason {
   /// A newer version becomes binding before this one could be loaded.
   kTooLate,
-  /// Without it there is less time without usable weights, or one load less.
+  /// Fetching it would leave replicas without usable weights for longer, or
+  /// cost
+  /// one more load.
   kCost
 };
 
--- a/src/libverbenalead/decide/transfer/origin_fetches.cc
+++ b/src/libverbenalead/decide/transfer/origin_fetches.cc
@@ -28,7 +28,7 @@
 constexpr int kMaxDelaysWithoutFetch = 3;
 
 bool OriginReady(const TransferState& state, TimePoint now) {
-  return !state.m_probe.m_away &&
+  return !state.m_probe.m_unavailable &&
          state.m_origin_fetching < state.m_limits.m_max_own_origin_fetches &&
          now >= state.m_origin_retry_at;
 }
@@ -215,7 +215,7 @@
 void StartOriginFetchesInOrder(TransferState& state,
                                TimePoint now,
                                TransferActions& actions) {
-  if (state.m_probe.m_away)
+  if (state.m_probe.m_unavailable)
     return;
   uint32_t room = OriginFetchRoom(state, now);
   for (uint32_t chunk = 0; chunk < state.m_chunks.size() && room > 0; ++chunk) {
@@ -236,7 +236,7 @@
 void StartOriginProbe(TransferState& state,
                       TimePoint now,
                       TransferActions& actions) {
-  if (!state.m_probe.m_away ||
+  if (!state.m_probe.m_unavailable ||
       state.m_origin_fetching >= state.m_limits.m_max_own_origin_fetches ||
       now < NextProbeTime(state.m_probe, state.m_members, state.m_self.m_name))
     return;
--- a/src/libverbenalead/decide/transfer/origin_probe.cc
+++ b/src/libverbenalead/decide/transfer/origin_probe.cc
@@ -27,9 +27,9 @@
 }
 
 void SetAway(OriginProbe& probe, TimePoint now) {
-  if (!probe.m_away)
-    probe.m_away_since = now;
-  probe.m_away = true;
+  if (!probe.m_unavailable)
+    probe.m_unavailable_since = now;
+  probe.m_unavailable = true;
 }
 
 void FollowProbe(OriginProbe& probe, const std::string& host, TimePoint now) {
@@ -44,7 +44,7 @@
 }  // namespace
 
 void RecordOriginUnreachable(OriginProbe& probe, TimePoint now) {
-  if (probe.m_away || now - probe.m_last_answer < kAnswerLifetime)
+  if (probe.m_unavailable || now - probe.m_last_answer < kAnswerLifetime)
     return;
   SetAway(probe, now);
   probe.m_last_prober.clear();
@@ -54,22 +54,23 @@
 bool RecordOriginProbe(OriginProbe& probe,
                        const std::string& host,
                        TimePoint now) {
-  if (!probe.m_away && now - probe.m_last_answer < kAnswerLifetime)
+  if (!probe.m_unavailable && now - probe.m_last_answer < kAnswerLifetime)
     return false;
   FollowProbe(probe, host, now);
   return true;
 }
 
 bool RecordProbeAnswer(OriginProbe& probe, TimePoint now) {
-  const bool was_away = probe.m_away;
-  probe.m_away = false;
+  const bool was_away = probe.m_unavailable;
+  probe.m_unavailable = false;
   probe.m_last_answer = now;
   return was_away;
 }
 
 Duration ProbeTimeout(const OriginProbe& probe, TimePoint now) {
-  return std::clamp<Duration>((now - probe.m_away_since) / kTimeoutDivisor,
-                              kMinProbeTimeout, kMaxProbeTimeout);
+  return std::clamp<Duration>(
+      (now - probe.m_unavailable_since) / kTimeoutDivisor, kMinProbeTimeout,
+      kMaxProbeTimeout);
 }
 
 TimePoint NextProbeTime(const OriginProbe& probe,
--- a/src/libverbenalead/decide/transfer/origin_probe.h
+++ b/src/libverbenalead/decide/transfer/origin_probe.h
@@ -22,8 +22,8 @@
 /// counts the turns between the last known probe and its own.
 struct OriginProbe {
   /// The origin is unavailable, as far as this host knows.
-  bool m_away = false;
-  TimePoint m_away_since{};
+  bool m_unavailable = false;
+  TimePoint m_unavailable_since{};
   /// When the origin last answered this host or one that announced it.
   TimePoint m_last_answer{};
   /// The last probe of any host, and when it was heard of. Empty: this host has
--- a/src/libverbenalead/decide/transfer/transfer_outage_test.cc
+++ b/src/libverbenalead/decide/transfer/transfer_outage_test.cc
@@ -398,7 +398,7 @@
       fetches_from_origin |= fetch.m_source.IsOrigin();
       Send(index, fetch);
     }
-    const bool away = host.m_state.m_probe.m_away;
+    const bool away = host.m_state.m_probe.m_unavailable;
     if (fetches_from_origin ||
         (!away && m_now - host.m_announced >= kAnnounceInterval))
       Announce(index, {},
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -61,7 +61,7 @@
     call.m_read_deadline =
         m_plan.m_started_at + m_plan.m_wait_limit.m_read_within;
   call.m_expected_run_time = m_plan.m_expected_run_time;
-  call.m_urgency = m_plan.m_rank;
+  call.m_rank = m_plan.m_rank;
   if (m_state.m_options.m_shares_organisations)
     call.m_organisation = m_plan.m_organisation;
   call.m_data_centers = m_plan.m_data_centers;
@@ -295,9 +295,9 @@
 void CallRun::NoteFull() {
   ServiceState& service = GetOrCreateService(m_state, m_plan.m_service);
   decide::NoteRefusal(service.m_overload, Now());
-  if (m_record->m_pool_call.m_urgency)
+  if (m_record->m_pool_call.m_rank)
     decide::NoteUnserved(service.m_pool.m_rank_floor,
-                         *m_record->m_pool_call.m_urgency, 1, Now());
+                         *m_record->m_pool_call.m_rank, 1, Now());
 }
 
 Awaitable<void> CallRun::Refuse(decide::Refusal refusal) {
@@ -350,8 +350,8 @@
   const decide::PoolCall& call = m_record->m_pool_call;
   ServiceState& service = GetOrCreateService(m_state, m_plan.m_service);
   decide::NoteStart(service.m_overload, now);
-  if (call.m_urgency)
-    decide::NoteGranted(service.m_pool.m_rank_floor, *call.m_urgency, now);
+  if (call.m_rank)
+    decide::NoteGranted(service.m_pool.m_rank_floor, *call.m_rank, now);
   if (call.m_organisation)
     decide::NoteTime(service.m_use, *call.m_organisation,
                      call.m_expected_run_time, now);
@@ -479,10 +479,10 @@
 void CallRun::CountByClass(const std::string& outcome) {
   const decide::PoolCall& call = m_record->m_pool_call;
   const std::string label = ",outcome=\"" + outcome + "\"";
-  if (call.m_urgency)
+  if (call.m_rank)
     m_state.m_metrics.Count(
         "calls_by_rank_total",
-        "rank=\"" + std::to_string(*call.m_urgency) + "\"" + label);
+        "rank=\"" + std::to_string(*call.m_rank) + "\"" + label);
   if (!call.m_organisation)
     return;
   decide::OrganisationUse& use =
@@ -497,8 +497,8 @@
 void CallRun::LogClass(LogLine& line) const {
   const decide::PoolCall& call = m_record->m_pool_call;
   const ServiceState& service = GetOrCreateService(m_state, m_plan.m_service);
-  if (call.m_urgency)
-    line.With("rank", *call.m_urgency);
+  if (call.m_rank)
+    line.With("rank", *call.m_rank);
   if (call.m_organisation)
     line.With("share", decide::ShareOf(service.m_use, *call.m_organisation));
   const auto wait = decide::StatedQueueWait(service.m_overload, Now());
--- a/src/libverbenalead/entry/evacuation_rows.h
+++ b/src/libverbenalead/entry/evacuation_rows.h
@@ -30,10 +30,11 @@
                                               const platform::Rows& table,
                                               const std::string& source);
 
-/// Ends evacuations whose rows are missing from the copy from which the store
-/// came back, once the store has confirmed, after the operator had written
-/// again what the copy lacked, that this entry knows the newest rows. Returns
-/// their data centres.
+/// Ends the evacuations whose rows the store lost when it came back from a
+/// copy, and returns their data centres. Does nothing until the operator has
+/// had the time to write lost rows again and the store has confirmed that this
+/// entry knows the newest rows: a row that is written again keeps its
+/// evacuation.
 std::vector<std::string> EndEvacuationsMissingFromCopy(EntryState& state);
 
 /// The evacuations to report to other entries.
--- a/src/libverbenalead/entry/slot_allocator_test.cc
+++ b/src/libverbenalead/entry/slot_allocator_test.cc
@@ -233,7 +233,7 @@
     call.m_ticket = kTicket;
     call.m_prompt_tokens = 10;
     call.m_read_deadline = Now() + 10s;
-    call.m_urgency = rank;
+    call.m_rank = rank;
     m_slot = co_await m_slot_allocator->Acquire("pool", call, Now() + wait);
     m_done = true;
   }
--- a/src/libverbenalead/entry/slot_requester.cc
+++ b/src/libverbenalead/entry/slot_requester.cc
@@ -133,7 +133,7 @@
       call.m_read_deadline == TimePoint::max()
           ? kNoReadLimit
           : std::max<Duration>(Duration(), call.m_read_deadline - Now());
-  request.m_rank = call.m_urgency;
+  request.m_rank = call.m_rank;
   request.m_organisation = call.m_organisation;
   if (call.m_organisation)
     request.m_run_time = call.m_expected_run_time;
--- a/src/libverbenalead/links/cold_log.cc
+++ b/src/libverbenalead/links/cold_log.cc
@@ -51,8 +51,8 @@
       .With("replica", replica)
       .With("source", source)
       .With("left_ms", ToMilliseconds(left))
-      .With("min_ms", 0)
-      .With("max_ms", ToMilliseconds(decide::kMaxColdTime))
+      .With("min_cold_start_ms", 0)
+      .With("max_cold_start_ms", ToMilliseconds(decide::kMaxColdTime))
       .Warn();
 }
 
@@ -60,7 +60,7 @@
   LogLine("cold_config_ignored")
       .With("service", service.m_name)
       .With("cold_per_s", service.m_cold_rate)
-      .With("above", 0)
+      .With("above_per_s", 0)
       .With("max_per_s", decide::kMaxColdRate)
       .With("cold_start_ms", ToMilliseconds(service.m_cold_start))
       .With("min_ms", 0)
--- a/src/libverbenalead/links/token_answer.h
+++ b/src/libverbenalead/links/token_answer.h
@@ -19,7 +19,7 @@
   Duration m_hold_off{};
   /// What the holder knows about the limit; absent if it knows of none.
   std::optional<RateLimitReport> m_limit;
-  /// The same for how long the replica is cold.
+  /// What the sender knows of how long the replica is cold; absent: nothing.
   std::optional<ColdReport> m_cold;
   /// Start of the incarnation that they are about, in Unix milliseconds; 0 if
   /// it isn't known.
--- a/src/libverbenalead/links/token_request.h
+++ b/src/libverbenalead/links/token_request.h
@@ -18,7 +18,7 @@
   /// What the sender knows about the limit. Included in each request, so that a
   /// holder that has just started or taken over knows it.
   RateLimitReport m_limit;
-  /// The same for how long the replica is cold.
+  /// What the sender knows of how long the replica is cold; absent: nothing.
   std::optional<ColdReport> m_cold;
   /// Start of the incarnation that they are about, in Unix milliseconds; 0 if
   /// it isn't known.
--- a/src/libverbenalead/model/organisation.h
+++ b/src/libverbenalead/model/organisation.h
@@ -11,7 +11,8 @@
 struct Organisation {
   std::string m_name;
   std::vector<std::string> m_keys;
-  /// Overrides the urgency of the route if set.
+  /// Rank of its calls, 0 is the most urgent; absent: that of the route. Among
+  /// calls whose organisations have the same rank, the route's rank decides.
   std::optional<int> m_urgency;
   /// The only regions whose replicas may serve its calls; empty: all. Where
   /// the route names regions as well, both bind.
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -51,8 +51,9 @@
 /// Most bytes that all hosts together fetch from the origin, in percent of the
 /// size of a version. The origin charges by the byte.
 constexpr uint32_t kOriginBudgetPercent = 103;
-/// The same where the hosts fetch each chunk from the origin only once. A
-/// second copy takes the link from chunks that no host has yet.
+/// Most bytes that all hosts together fetch from the origin, in percent of the
+/// size of a version, where hosts fetch each chunk only once. A second copy
+/// takes the link from chunks that no host has yet.
 constexpr uint32_t kSingleCopyPercent = 100;
 constexpr Duration kPeerRequestTimeout = 1s;
 /// Time to wait for the response header. It is long because the sending host
@@ -70,10 +71,11 @@
 /// Most concurrent origin fetches of all hosts together. With fewer, the
 /// origin's link is idle until the next host learns that a fetch has ended.
 constexpr uint32_t kMaxOriginFetches = 8;
-/// The same, and those of one host, where each chunk is fetched only once. A
-/// host has to fetch all chunks for which it comes first; if it may not, the
-/// chunk waits until the next host takes it over. With fewer fetches at once,
-/// chunks are complete, and passed on, sooner.
+/// Most concurrent origin fetches of all hosts together, and of one host, where
+/// each chunk is fetched only once. A host has to fetch all chunks for which it
+/// comes first; if it may not, the chunk waits until the next host takes it
+/// over. With fewer fetches at once, chunks are complete, and passed on,
+/// sooner.
 constexpr uint32_t kMaxSingleCopyFetches = 5;
 constexpr uint32_t kMaxOwnSingleCopyFetches = 4;
 /// Concurrent fetches from other hosts for the last part of a version, and the
@@ -125,8 +127,10 @@
 
 std::string ReasonText(decide::GiveUpReason reason) {
   return reason == decide::GiveUpReason::kTooLate
-             ? "a newer version binds before this one could be loaded"
-             : "less time without usable weights, or fewer loads, without it";
+             ? "a newer version becomes binding before this one could be loaded"
+             : "fetching it would leave replicas without usable weights for "
+               "longer, "
+               "or cost one more load";
 }
 
 /// When the first origin fetch of `version` is due.
@@ -290,8 +294,8 @@
   if (!m_state.m_options.m_origin_outages)
     return;
   m_probe = probe;
-  m_state.m_origin_away = probe.m_away;
-  RecordOriginState(!probe.m_away, source, reason);
+  m_state.m_origin_unavailable = probe.m_unavailable;
+  RecordOriginState(!probe.m_unavailable, source, reason);
 }
 
 void ChunkFetcher::HandleOriginAnswer(Transfer& transfer) {
@@ -450,7 +454,7 @@
   const TimePoint now = Now();
   const TimePoint tick = now + decide::kTransferTick;
   const decide::TransferState& core = transfer.m_core;
-  if (!core.m_probe.m_away)
+  if (!core.m_probe.m_unavailable)
     return tick;
   const TimePoint probe =
       decide::NextProbeTime(core.m_probe, core.m_members, core.m_self.m_name);
@@ -585,7 +589,7 @@
   }
   // While the origin is unavailable, only the start of a probe is announced:
   // the turns of the other hosts count from it.
-  const bool away = transfer->m_core.m_probe.m_away;
+  const bool away = transfer->m_core.m_probe.m_unavailable;
   if (starts_origin_fetch || (!away && Now() >= transfer->m_next_announcement))
     AnnounceOriginFetches(*transfer, {},
                           away ? decide::OriginStatus::kProbed
@@ -629,9 +633,9 @@
   deadlines.m_head = deadlines.m_end;
   deadlines.m_piece = kOriginTimeout;
   if (announces_return) {
-    deadlines.m_head =
-        Now() + (m_state.m_origin_away ? decide::ProbeTimeout(m_probe, Now())
-                                       : kOriginHeadTimeout);
+    deadlines.m_head = Now() + (m_state.m_origin_unavailable
+                                    ? decide::ProbeTimeout(m_probe, Now())
+                                    : kOriginHeadTimeout);
   }
   auto opened =
       co_await m_origin.OpenChunk(m_state.m_origin, m_state.m_engine->m_model,
--- a/src/libverbenalead/target/digest_reader.cc
+++ b/src/libverbenalead/target/digest_reader.cc
@@ -13,7 +13,7 @@
 constexpr Duration kOriginTimeout = 3s;
 /// While the origin is unavailable, a connection that hangs must not delay the
 /// next attempt.
-constexpr Duration kAwayOriginTimeout = 300ms;
+constexpr Duration kUnavailableOriginTimeout = 300ms;
 /// Number of hosts from which the digests are requested, among those first in
 /// line at the origin (`decide::kDigestReaders`).
 constexpr size_t kMaxHostsQueried = 2;
@@ -78,7 +78,7 @@
     uint64_t version,
     std::vector<std::vector<Digest>> answers) {
   const Duration timeout =
-      m_state.m_origin_away ? kAwayOriginTimeout : kOriginTimeout;
+      m_state.m_origin_unavailable ? kUnavailableOriginTimeout : kOriginTimeout;
   for (int attempts = 0; attempts < kMaxOriginAttempts; ++attempts) {
     auto digests = co_await m_origin.ReadDigests(
         m_state.m_origin, m_state.m_engine->m_model, version, Now() + timeout);
--- a/src/libverbenalead/target/engine_controller.cc
+++ b/src/libverbenalead/target/engine_controller.cc
@@ -261,8 +261,8 @@
   const decide::VersionTimes times = {m_fetcher.OriginInterval(),
                                       SpreadTime(m_state),
                                       m_state.m_engine->m_load, kLoadCost};
-  decide::VersionChoice choice =
-      decide::ChooseVersions(Supplies(), times, !m_state.m_origin_away, Now());
+  decide::VersionChoice choice = decide::ChooseVersions(
+      Supplies(), times, !m_state.m_origin_unavailable, Now());
   m_fetcher.GiveUp(choice.m_given_up);
   m_fetch_order = std::move(choice.m_fetch_order);
 }
--- a/src/libverbenalead/target/target_state.h
+++ b/src/libverbenalead/target/target_state.h
@@ -39,7 +39,7 @@
   Endpoint m_origin;
   uint64_t m_origin_rate = 0;
   /// The origin is unavailable; known only with m_options.m_origin_outages.
-  bool m_origin_away = false;
+  bool m_origin_unavailable = false;
   /// When each version was declared, as estimated on this host.
   std::map<uint64_t, TimePoint> m_declared;
   /// Replicas that the store lists, by id, without malformed rows.
