Preparing for outages of the origin is a matter of settings and configuration

Cause: weights.origin_outages is on in the template of all deployments, and the turns of loads had no setting at all, so that deployments whose origin sends a copy in a small part of the bound were served otherwise than before.

Change: weights.min_copy_share. Probes in turns, the choice between versions, single copies and turns by the window have an effect only where the origin needs this share of the bound to send a copy (0.25 in the template); elsewhere the fetches and even turns of before hold (decide/rollout/even_turn, with the tests and bounds that they had).

--- a/src/libverbenalead/decide/rollout/load_turn.cc
+++ b/src/libverbenalead/decide/rollout/load_turn.cc
@@ -137,6 +137,8 @@
   switch (reason) {
     case TurnReason::kSpread:
       return "spread";
+    case TurnReason::kEven:
+      return "even";
     case TurnReason::kHalf:
       return "half";
     case TurnReason::kWindowPast:
--- a/src/libverbenalead/decide/rollout/load_turn.h
+++ b/src/libverbenalead/decide/rollout/load_turn.h
@@ -41,6 +41,7 @@
 /// What the time of a turn follows from.
 enum class TurnReason {
   kSpread,      ///< The turns are spread over the window.
+  kEven,        ///< Even intervals, as versions are complete early.
   kHalf,        ///< The window is short: one half follows the other.
   kWindowPast,  ///< The window is over: the replica gets no calls any more.
   kEvacuated,   ///< The replica's data centre gets no calls.
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -100,9 +100,8 @@
   links.m_origin = state.m_origin_rate;
   decide::TransferLimits limits = decide::LimitsFor(
       links, decide::TransferPreference::kTimeFirst,
-      state.m_options.m_origin_outages ? kSingleCopyPercent
-                                       : kOriginBudgetPercent);
-  limits.m_shared_probes = state.m_options.m_origin_outages;
+      PreparesForOutages(state) ? kSingleCopyPercent : kOriginBudgetPercent);
+  limits.m_shared_probes = PreparesForOutages(state);
   limits.m_max_fetches = kMaxFetches;
   const double chunk_seconds = static_cast<double>(links.m_chunk_bytes) /
                                static_cast<double>(links.m_host);
@@ -111,7 +110,7 @@
           chunk_seconds * kMaxFetches * kSlowLinkFactor));
   limits.m_takeover_delay = kOriginTakeoverDelay;
   limits.m_max_origin_fetches = kMaxOriginFetches;
-  if (state.m_options.m_origin_outages) {
+  if (PreparesForOutages(state)) {
     limits.m_max_origin_fetches = kMaxSingleCopyFetches;
     limits.m_max_own_origin_fetches = kMaxOwnSingleCopyFetches;
     limits.m_min_last_fetches = kMinLastFetches;
@@ -236,7 +235,7 @@
 void ChunkFetcher::HandleOriginFetches(const links::OriginFetchUpdate& update) {
   if (!m_state.m_engine || update.m_model != m_state.m_engine->m_model)
     return;
-  if (m_state.m_options.m_origin_outages)
+  if (PreparesForOutages(m_state))
     AdoptGivenUp(update);
   if (!decide::HasOnlyKnownChunks(update.m_report,
                                   m_state.m_engine->m_chunks)) {
@@ -263,7 +262,7 @@
 }
 
 void ChunkFetcher::HandleOriginStatus(const links::OriginFetchUpdate& update) {
-  if (!m_state.m_options.m_origin_outages)
+  if (!PreparesForOutages(m_state))
     return;
   const decide::OriginFetchReport& report = update.m_report;
   const bool answers = report.m_origin == decide::OriginStatus::kAnswers ||
@@ -291,7 +290,7 @@
 void ChunkFetcher::AdoptProbe(const decide::OriginProbe& probe,
                               const std::string& source,
                               const std::string& reason) {
-  if (!m_state.m_options.m_origin_outages)
+  if (!PreparesForOutages(m_state))
     return;
   m_probe = probe;
   m_state.m_origin_unavailable = probe.m_unavailable;
@@ -437,7 +436,7 @@
       m_state.m_engine->m_chunks, limits, Now(),
       FirstOriginFetchTime(m_state, version, Now()));
   transfer->m_core.m_probe = m_probe;
-  if (m_state.m_options.m_origin_outages) {
+  if (PreparesForOutages(m_state)) {
     for (uint32_t chunk : m_supply.OriginFetched(version))
       transfer->m_core.m_chunks[chunk].m_origin_fetched = true;
   }
@@ -627,7 +626,7 @@
     std::shared_ptr<Transfer> transfer,
     uint32_t chunk,
     std::shared_ptr<PendingFetch> arrival) {
-  const bool announces_return = m_state.m_options.m_origin_outages;
+  const bool announces_return = PreparesForOutages(m_state);
   ReadDeadlines deadlines;
   deadlines.m_end = Now() + kOriginTimeout;
   deadlines.m_head = deadlines.m_end;
@@ -743,7 +742,7 @@
       bytes.has_value() || bytes.error().m_code == FailureCode::kCorrupt;
   if (corrupt && from_origin)
     ++transfer->m_origin_mismatches;
-  if (from_origin && !corrupt && !m_state.m_options.m_origin_outages)
+  if (from_origin && !corrupt && !PreparesForOutages(m_state))
     RecordOriginState(false, "own fetch", ToString(bytes.error()));
   LogLine("chunk_failed")
       .With("chunk", uint64_t{chunk})
--- a/src/libverbenalead/target/engine_controller.cc
+++ b/src/libverbenalead/target/engine_controller.cc
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
+#include "decide/rollout/even_turn.h"
 #include "links/cold_log.h"
 
 namespace verbenalead::target {
@@ -51,16 +52,6 @@
 constexpr Duration kTimePerDoubling = 130ms;
 constexpr Duration kLoadPollInterval = 25ms;
 
-/// Time of a copy of the weights over a link; zero if its rate is not known.
-Duration CopyTime(const model::EngineProfile& engine, uint64_t rate) {
-  const double bytes = static_cast<double>(engine.m_chunk_bytes) *
-                       static_cast<double>(engine.m_chunks);
-  return rate == 0 ? Duration()
-                   : std::chrono::duration_cast<Duration>(
-                         std::chrono::duration<double>(
-                             bytes / static_cast<double>(rate)));
-}
-
 /// Time until a chunk that one host has is on all hosts.
 Duration SpreadTime(const TargetState& state) {
   const double hosts =
@@ -70,8 +61,10 @@
 }
 
 Duration TransferTime(const TargetState& state) {
-  const Duration link = CopyTime(*state.m_engine, state.m_options.m_link_rate);
-  const Duration origin = CopyTime(*state.m_engine, state.m_origin_rate);
+  const Duration link =
+      decide::CopyTime(*state.m_engine, state.m_options.m_link_rate);
+  const Duration origin =
+      decide::CopyTime(*state.m_engine, state.m_origin_rate);
   return std::chrono::duration_cast<Duration>(link * kLinkCopyFactor +
                                               origin * kOriginCopyFactor) +
          SpreadTime(state);
@@ -256,7 +249,7 @@
 
 void EngineController::ChooseVersion() {
   m_fetch_order.clear();
-  if (!m_state.m_options.m_origin_outages || Loaded() == 0)
+  if (!PreparesForOutages(m_state) || Loaded() == 0)
     return;
   const decide::VersionTimes times = {m_fetcher.OriginInterval(),
                                       SpreadTime(m_state),
@@ -387,12 +380,18 @@
   std::vector<decide::TurnReplica> replicas;
   for (const auto& [id, replica] : m_state.m_replicas) {
     if (replica.m_service == m_state.m_options.m_service && !replica.m_leaving)
-      replicas.push_back({id, replica.m_data_center, false});
+      replicas.push_back(
+          {id, replica.m_data_center,
+           m_state.m_evacuated_data_centers.contains(replica.m_data_center)});
   }
-  const decide::LoadWindow window = {plan.m_first_load_at, plan.m_last_load_at,
-                                     plan.m_last_load_at + kDeadlineMargin,
-                                     m_state.m_engine->m_load + kLoadOverhead,
-                                     m_window_fullness};
+  const bool prepares = PreparesForOutages(m_state);
+  const decide::LoadWindow window = {
+      plan.m_first_load_at, plan.m_last_load_at,
+      plan.m_last_load_at + kDeadlineMargin,
+      m_state.m_engine->m_load + kLoadOverhead,
+      prepares ? m_window_fullness : m_get_utilisation()};
+  if (!prepares)
+    return decide::EvenTurnOf(window, own ? own->m_id : "", replicas);
   return decide::TurnOf(window, own ? own->m_id : "", replicas, Now());
 }
 
--- a/src/libverbenalead/target/engine_controller.h
+++ b/src/libverbenalead/target/engine_controller.h
@@ -68,7 +68,7 @@
   /// Whether the current transfer should finish before another one starts.
   bool ShouldFinishFetch() const;
   /// Chooses which of the declared versions are fetched and in which order.
-  /// Only with m_options.m_origin_outages.
+  /// Only if PreparesForOutages().
   void ChooseVersion();
   /// What the hosts know of the versions to choose from.
   std::map<uint64_t, decide::VersionSupply> Supplies() const;
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "base/io_threads.h"
+#include "base/join_names.h"
 #include "base/log.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
@@ -153,9 +154,19 @@
     if (request.m_same_data_center) {
       m_slot_granter.Follow(sender, until);
       m_pool_utilisation = request.m_used_slots_percent / kPercent;
+      LearnEvacuations(request.m_evacuated_data_centers);
     }
   }
 
+  void LearnEvacuations(const std::set<std::string>& data_centers) {
+    if (m_state.m_evacuated_data_centers == data_centers)
+      return;
+    m_state.m_evacuated_data_centers = data_centers;
+    LogLine("evacuations_known")
+        .With("data_centers", JoinNames(data_centers))
+        .Info();
+  }
+
   void SendChunkUpdate(const Endpoint& to) {
     if (!m_state.m_engine)
       return;
--- a/src/libverbenalead/target/target_options.cc
+++ b/src/libverbenalead/target/target_options.cc
@@ -17,9 +17,14 @@
       .Number("link", 1000, "Mbit/s", "rate of this host's link")
       .Number("bounds.weights", 8000, "ms",
               "time within which new weights must be in force")
-      .Flag("weights.origin_outages", false,
-            "hosts probe an unavailable origin in turns, announce its return, "
-            "and choose together which of several declared versions they fetch")
+      .Flag(
+          "weights.origin_outages", false,
+          "hosts probe an unavailable origin in turns, announce its return, "
+          "choose together which of several declared versions they fetch, and "
+          "load in turns that fit the time left")
+      .Number("weights.min_copy_share", 0, "of bounds.weights",
+              "weights.origin_outages has no effect where the origin sends a "
+              "copy of the weights in less")
       .Number("cold.overrun", 1, "times the stated rate",
               "calls that a cold replica may get in a second, from all entries "
               "together")
@@ -42,6 +47,7 @@
       std::chrono::duration<double, std::milli>(
           settings.Number("bounds.weights")));
   options.m_origin_outages = settings.Flag("weights.origin_outages");
+  options.m_min_copy_share = settings.Number("weights.min_copy_share");
   options.m_cold_overrun = settings.Number("cold.overrun");
   options.m_cold_slack = settings.Number("cold.slack");
   return options;
--- a/src/libverbenalead/target/target_options.h
+++ b/src/libverbenalead/target/target_options.h
@@ -26,8 +26,12 @@
   /// take calls must use them.
   Duration m_weights_bound{};
   /// Whether hosts probe an unavailable origin in turns, announce its return,
-  /// and give up declared versions for newer ones.
+  /// give up declared versions for newer ones, and load in turns that fit
+  /// the time that is left.
   bool m_origin_outages = false;
+  /// Share of `m_weights_bound` that the origin needs at least for one copy of
+  /// the weights where `m_origin_outages` has an effect.
+  double m_min_copy_share = 0;
   /// As in entry::EntryOptions.
   double m_cold_overrun = 1;
   double m_cold_slack = 0;
--- a/src/libverbenalead/target/target_state.h
+++ b/src/libverbenalead/target/target_state.h
@@ -9,6 +9,7 @@
 
 #include "base/metrics.h"
 #include "decide/limits/cold_state.h"
+#include "decide/transfer/copy_time.h"
 #include "model/replica.h"
 #include "model/routing_config.h"
 #include "target/chunk_cache.h"
@@ -38,8 +39,12 @@
   std::set<std::string> m_services;
   Endpoint m_origin;
   uint64_t m_origin_rate = 0;
-  /// The origin is unavailable; known only with m_options.m_origin_outages.
+  /// The origin is unavailable; known only if
+  /// PreparesForOutages().
   bool m_origin_unavailable = false;
+  /// Data centres that the operator has evacuated, as last stated by an entry
+  /// of this data centre.
+  std::set<std::string> m_evacuated_data_centers;
   /// When each version was declared, as estimated on this host.
   std::map<uint64_t, TimePoint> m_declared;
   /// Replicas that the store lists, by id, without malformed rows.
@@ -55,6 +60,15 @@
   return state.m_declared.empty() ? 1 : state.m_declared.rbegin()->first;
 }
 
+/// Whether this host prepares for outages of the origin: the settings ask for
+/// it, and the origin needs long enough for a copy of the weights.
+inline bool PreparesForOutages(const TargetState& state) {
+  return state.m_options.m_origin_outages && state.m_engine &&
+         decide::IsOriginScarce(
+             decide::CopyTime(*state.m_engine, state.m_origin_rate),
+             state.m_options.m_weights_bound, state.m_options.m_min_copy_share);
+}
+
 /// The replica on this host as listed in the store; null if it is not listed.
 const model::Replica* OwnReplica(const TargetState& state);
 
