Targets are told which data centres are evacuated

Cause: turns of loads treat replicas in evacuated data centres apart, but no target process knew of evacuations, so idle replicas waited for turns.

Change: entries name them in the requests by which they follow the targets of their data centre (evacuated; no field if there are none).

--- a/src/libverbenalead/entry/update_sender.cc
+++ b/src/libverbenalead/entry/update_sender.cc
@@ -103,6 +103,7 @@
       request.m_used_slots_percent = fullness;
       request.m_weights_revision = m_state.m_weights_revision;
       request.m_replicas_hash = m_state.m_replicas_hash;
+      request.m_evacuated_data_centers = m_state.m_evacuated_data_centers;
       request.m_same_data_center =
           replica.m_replica.m_data_center ==
           m_state.m_options.m_own_address.m_data_center;
--- a/src/libverbenalead/links/evacuation_codec.cc
+++ b/src/libverbenalead/links/evacuation_codec.cc
@@ -9,6 +9,7 @@
 namespace json = boost::json;
 
 constexpr char kEvacuations[] = "evacuations";
+constexpr char kEvacuated[] = "evacuated";
 
 Result<EvacuationReport> DecodeReport(const json::object& object) {
   EvacuationReport report;
@@ -55,4 +56,26 @@
   return reports;
 }
 
+void EncodeEvacuatedDataCenters(json::object& object,
+                                const std::set<std::string>& data_centers) {
+  if (!data_centers.empty())
+    object[kEvacuated] = json::array(data_centers.begin(), data_centers.end());
+}
+
+Result<std::set<std::string>> DecodeEvacuatedDataCenters(
+    const json::object& object) {
+  std::set<std::string> data_centers;
+  const json::value* list = object.if_contains(kEvacuated);
+  if (!list)
+    return data_centers;
+  if (!list->is_array())
+    return model::BadField(kEvacuated, "a list");
+  for (const json::value& value : list->as_array()) {
+    if (!value.is_string())
+      return model::BadField(kEvacuated, "texts");
+    data_centers.emplace(value.as_string());
+  }
+  return data_centers;
+}
+
 }  // namespace verbenalead::links
--- a/src/libverbenalead/links/evacuation_codec.h
+++ b/src/libverbenalead/links/evacuation_codec.h
@@ -2,6 +2,8 @@
 #define VERBENALEAD_LINKS_EVACUATION_CODEC_H_
 
 #include <boost/json.hpp>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "base/failure.h"
@@ -17,6 +19,12 @@
 Result<std::vector<EvacuationReport>> DecodeEvacuations(
     const boost::json::object& object);
 
+/// The names of evacuated data centres; no field if there are none.
+void EncodeEvacuatedDataCenters(boost::json::object& object,
+                                const std::set<std::string>& data_centers);
+Result<std::set<std::string>> DecodeEvacuatedDataCenters(
+    const boost::json::object& object);
+
 }  // namespace verbenalead::links
 
 #endif  // VERBENALEAD_LINKS_EVACUATION_CODEC_H_
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -125,13 +125,15 @@
 }
 
 json::object Encode(const SubscriptionRequest& request) {
-  return {{"kind", kFollow},
-          {"chunks", request.m_wants_chunks},
-          {"near", request.m_same_data_center},
-          {"revision", request.m_weights_revision.m_number},
-          {"era", request.m_weights_revision.m_era},
-          {"replicas", std::to_string(request.m_replicas_hash)},
-          {"fullness", request.m_used_slots_percent}};
+  json::object object = {{"kind", kFollow},
+                         {"chunks", request.m_wants_chunks},
+                         {"near", request.m_same_data_center},
+                         {"revision", request.m_weights_revision.m_number},
+                         {"era", request.m_weights_revision.m_era},
+                         {"replicas", std::to_string(request.m_replicas_hash)},
+                         {"fullness", request.m_used_slots_percent}};
+  EncodeEvacuatedDataCenters(object, request.m_evacuated_data_centers);
+  return object;
 }
 
 json::object Encode(const SlotRequestMessage& request) {
@@ -199,6 +201,8 @@
   request.m_replicas_hash = std::strtoull(hash.c_str(), nullptr, 10);
   BOOST_LEAF_AUTO(fullness, model::NumberFieldOr(object, "fullness", 100));
   request.m_used_slots_percent = static_cast<uint32_t>(fullness);
+  BOOST_LEAF_ASSIGN(request.m_evacuated_data_centers,
+                    DecodeEvacuatedDataCenters(object));
   return request;
 }
 
--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -113,6 +113,7 @@
         OriginFetchUpdate{
             "m", 4, {"10.0.0.2", {}, {}, decide::OriginStatus::kAnswers}, {}},
         SubscriptionRequest{true, true, 77, uint64_t{1} << 63, 85},
+        SubscriptionRequest{false, true, {1, 7}, 85, 50, {"a", "b"}},
         SlotRequestMessage{"i-1", 9, 1290, false, 120ms, 250ms, {2, 100}},
         SlotAnswer{9, true, false, replica},
         SlotAnswer{9, false, true, replica},
--- a/src/libverbenalead/links/subscription_request.h
+++ b/src/libverbenalead/links/subscription_request.h
@@ -2,6 +2,8 @@
 #define VERBENALEAD_LINKS_SUBSCRIPTION_REQUEST_H_
 
 #include <cstdint>
+#include <set>
+#include <string>
 
 #include "model/revision.h"
 
@@ -27,6 +29,8 @@
   /// Share of the slots of the usable replicas of the target's service that are
   /// in use, as far as the sender knows, in percent.
   uint32_t m_used_slots_percent = 100;
+  /// Data centres that the operator has evacuated, as far as the sender knows.
+  std::set<std::string> m_evacuated_data_centers;
 
   friend bool operator==(const SubscriptionRequest&,
                          const SubscriptionRequest&) = default;
