Calls are shared by the speed of replicas, where settings ask for it

Cause: all replicas of a service counted as equally fast. A replica that states in its report that it is slow (pace), or that answers slowly, got as many calls as the others, and its target computed reading times from the usual rate.

Change: decide/placement/replica_speed keeps what an entry knows of a replica's speed: the pace that its target process states, for 5 s, or for plain replicas the run times of the entry's own answers against the mean of the service, for 10 s. The cost of a placement (now decide/placement/placement_cost, taken out of replica_pool.cc) is the time until a replica has done its calls and one more. Targets divide the reading rate by the pace.

--- a/src/libverbenalead/decide/admission/slot_queue.cc
+++ b/src/libverbenalead/decide/admission/slot_queue.cc
@@ -5,7 +5,7 @@
 
 #include "decide/admission/early_refusal.h"
 #include "decide/admission/slot_order.h"
-#include "decide/placement/replica_pool.h"
+#include "decide/placement/placement_cost.h"
 
 namespace verbenalead::decide {
 namespace {
--- a/src/libverbenalead/decide/placement/fake_fleet.h
+++ b/src/libverbenalead/decide/placement/fake_fleet.h
@@ -50,6 +50,16 @@
   bool m_uses_ranks = false;
   bool m_uses_shares = false;
   bool m_refuses_early = false;
+  /// How many times slower than usual the replicas are, by turns; empty: none
+  /// is slower.
+  std::vector<double> m_paces;
+  /// Whether speeds count when calls are placed.
+  bool m_by_speed = false;
+  /// Replicas and entries are in these data centres by turns.
+  size_t m_data_centers = 1;
+  /// Share of the calls that arrive at entries of the first data centre; the
+  /// others arrive at any other entry. 0: calls arrive at any entry.
+  double m_first_share = 0;
 };
 
 /// Number of calls by outcome.
@@ -79,13 +89,21 @@
     for (size_t r = 0; r < load.m_replicas; ++r) {
       m_targets.emplace_back();
       m_targets.back().m_queue.m_slots = m_engine.m_slots;
-      m_targets.back().m_queue.m_prefill_rate = m_engine.m_prefill_rate;
+      m_targets.back().m_queue.m_prefill_rate =
+          m_engine.m_prefill_rate / StatedPace(r);
+      m_targets.back().m_replica.m_engine = SlowedEngine(Pace(r));
     }
+    m_answered.resize(load.m_replicas);
     m_entries.resize(load.m_entries);
     m_late.resize(load.m_entries);
-    for (ReplicaPool& pool : m_entries) {
+    for (size_t e = 0; e < m_entries.size(); ++e) {
+      ReplicaPool& pool = m_entries[e];
       pool.m_prefill_rate = m_engine.m_prefill_rate;
+      pool.m_data_center = DataCenter(e);
+      pool.m_by_speed = load.m_by_speed;
       SetReplicas(pool, Replicas(), TimePoint(), m_now);
+      for (size_t r = 0; r < load.m_replicas; ++r)
+        StatePace(e, r);
     }
   }
 
@@ -113,6 +131,9 @@
     return CountIf([kind](const Call& call) { return call.m_kind == kind; });
   }
 
+  /// Calls that the replica has answered.
+  uint32_t AnsweredAt(size_t replica) const { return m_answered[replica]; }
+
   /// A tenth of the prompts have more tokens than this.
   static constexpr uint32_t kLargeTokens = 2000;
 
@@ -165,12 +186,52 @@
     return {"entry", static_cast<uint16_t>(entry)};
   }
 
+  double Pace(size_t replica) const {
+    return m_load.m_paces.empty()
+               ? 1
+               : m_load.m_paces[replica % m_load.m_paces.size()];
+  }
+  double StatedPace(size_t replica) const {
+    return m_load.m_by_speed ? Pace(replica) : 1;
+  }
+  FakeEngine SlowedEngine(double pace) const {
+    FakeEngine engine = m_engine;
+    engine.m_step =
+        std::chrono::duration_cast<Duration>(m_engine.m_step * pace);
+    engine.m_step_per_call =
+        std::chrono::duration_cast<Duration>(m_engine.m_step_per_call * pace);
+    engine.m_prefill_rate /= pace;
+    return engine;
+  }
+  std::string DataCenter(size_t index) const {
+    return std::to_string(index % m_load.m_data_centers);
+  }
+  void StatePace(size_t entry, size_t replica) {
+    ReplicaSpeed& speed = m_entries[entry].m_replicas.at(Name(replica)).m_speed;
+    speed.m_stated_pace = StatedPace(replica);
+    speed.m_stated_at = m_now;
+  }
+
+  /// An entry at which a call arrives.
+  size_t PickEntry() {
+    const size_t any = m_random() % m_entries.size();
+    if (m_load.m_first_share == 0)
+      return any;
+    std::bernoulli_distribution first(m_load.m_first_share);
+    const bool wants_first = first(m_random);
+    size_t entry = any;
+    while ((entry % m_load.m_data_centers == 0) != wants_first)
+      entry = m_random() % m_entries.size();
+    return entry;
+  }
+
   std::vector<model::Replica> Replicas() const {
     std::vector<model::Replica> replicas(m_load.m_replicas);
     for (size_t r = 0; r < replicas.size(); ++r) {
       replicas[r].m_id = Name(r);
       replicas[r].m_endpoint = Endpoint(Name(r), 1);
       replicas[r].m_slots = m_engine.m_slots;
+      replicas[r].m_data_center = DataCenter(r);
       replicas[r].m_weights["m"] = 1;
     }
     return replicas;
@@ -239,7 +300,7 @@
   void Try(uint64_t number) {
     Call& call = m_calls[number];
     ++call.m_tries;
-    call.m_entry = m_random() % m_entries.size();
+    call.m_entry = PickEntry();
     if (call.m_tries > 1 && m_load.m_shed_late_calls &&
         ShedsLateCalls(m_late[call.m_entry], PoolCall(), m_now))
       return;
@@ -465,6 +526,7 @@
     if (run.m_events_left > 0)
       return;
     call.m_answered = true;
+    ++m_answered[replica];
     ReleaseSlot(pool, Name(replica), AttemptEnd::kGood, m_now);
     const size_t entry = call.m_entry;
     Schedule(m_now + kNetworkDelay,
@@ -493,6 +555,7 @@
         std::min(target.m_load.m_unread_tokens, state.m_unread_tokens);
     state.m_queued_calls =
         static_cast<uint32_t>(target.m_queue.m_slot_requests.size());
+    StatePace(entry, replica);
   }
 
   void Wake(size_t entry) {
@@ -566,6 +629,8 @@
   /// By entry.
   std::vector<LateCallShedding> m_late;
   std::vector<Target> m_targets;
+  /// Answered calls by replica.
+  std::vector<uint32_t> m_answered;
 };
 
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/placement/replica_pool.cc
+++ b/src/libverbenalead/decide/placement/replica_pool.cc
@@ -6,18 +6,11 @@
 #include <utility>
 
 #include "decide/limits/rate_gate.h"
+#include "decide/placement/placement_cost.h"
 
 namespace verbenalead::decide {
 namespace {
 
-/// Cost of a replica in another data centre, as a share of its slots: calls
-/// stay in their own data centre until its replicas are fuller by a quarter.
-/// Traffic between data centres is charged, and a batch that is fuller by a
-/// quarter makes each token only 1% slower.
-constexpr double kRemoteCost = 0.25;
-/// Cost of a replica that fails all calls. One that fails half of its calls
-/// costs as much as a full replica.
-constexpr double kFailureCost = 2;
 /// Weight of the latest call in the moving average of failures.
 constexpr double kFailureWeight = 0.1;
 /// Upper bound of the random part of a replica's cost. It is below the cost of
@@ -25,29 +18,6 @@
 /// it, entries that see the same loads would all choose the same replica.
 constexpr double kTieBreakNoise = 0.06;
 
-/// Limit of the unread prompts at a replica, in seconds of reading; above it
-/// the replica gets no more calls. Unread prompts delay the first event of each
-/// further call. Without the limit, an empty replica, for example one that has
-/// just loaded weights, would be filled at once, and the last of its prompts
-/// would be read long after its call had to begin.
-constexpr double kMaxUnreadSeconds = 0.2;
-/// Cost of a replica whose unread prompts reach this limit.
-constexpr double kUnreadCost = 0.5;
-
-/// Cost of a replica whose target does not answer. A target whose link is
-/// saturated with weight chunks answers late. An entry that relied on its own
-/// view would add calls to those of all other entries, and all of them would
-/// begin late. With this cost the replica is used once others are fuller by
-/// half.
-constexpr double kSilentTargetCost = 0.5;
-/// Cost of a replica that is about to load weights, for calls that run for
-/// kLongCall or longer. The load cuts off calls that are still running. Such a
-/// replica gets calls if all others are full, short calls first.
-constexpr double kClosingCost = 1;
-/// Run time from which a call is charged all of kClosingCost; a shorter call is
-/// charged in proportion.
-constexpr Duration kLongCall = 1s;
-
 constexpr Duration kMinBackoff = 200ms;
 constexpr Duration kMaxBackoff = 3s;
 constexpr uint32_t kMaxDoublings = 4;
@@ -81,8 +51,6 @@
 /// Run time of a call whose caller gave no estimate.
 constexpr Duration kAssumedRunTime = 500ms;
 
-/// Cost of a cold replica: it gets calls where the others are full.
-constexpr double kColdCost = 1;
 /// The free slots of a cold replica that count as capacity are those that its
 /// calls may take in this time. A call that waits longer is refused or late.
 constexpr double kColdCapacitySeconds = 0.1;
@@ -136,14 +104,6 @@
          state.m_weights >= pool.m_required_weights;
 }
 
-/// Whether the replica is cold, and calls to it are limited for that.
-bool IsLimitedCold(const ReplicaPool& pool,
-                   const ReplicaState& state,
-                   TimePoint now) {
-  return IsValidColdRate(pool.m_cold_limits.m_rate) &&
-         IsCold(state.m_known.m_cold, now);
-}
-
 /// Whether the replica has a rate limit and no token for this entry now.
 bool IsHeldBack(const ReplicaPool& pool,
                 const ReplicaState& state,
@@ -151,16 +111,12 @@
   return state.m_rate_held_until > now && LimitOf(pool, state, now).m_rate;
 }
 
-uint32_t Load(const ReplicaState& state) {
-  return state.m_in_flight + state.m_other_entries_calls;
-}
-
 /// Free slots of a usable replica that calls may take now.
 uint32_t AvailableSlots(const ReplicaPool& pool,
                         const ReplicaState& state,
                         TimePoint now) {
   const uint32_t slots = state.m_replica.m_slots;
-  const uint32_t free = slots - std::min(Load(state), slots);
+  const uint32_t free = slots - std::min(CallsAt(state), slots);
   if (IsHeldBack(pool, state, now))
     return 0;
   if (!IsLimitedCold(pool, state, now))
@@ -170,69 +126,6 @@
   return std::min(free, static_cast<uint32_t>(std::ceil(calls)));
 }
 
-/// Time that the replica needs to read its unread prompts, as a share of
-/// kMaxUnreadSeconds.
-double UnreadShare(const ReplicaPool& pool, const ReplicaState& state) {
-  if (pool.m_prefill_rate <= 0)
-    return 0;
-  return static_cast<double>(state.m_unread_tokens +
-                             state.m_other_entries_unread_tokens) /
-         pool.m_prefill_rate / kMaxUnreadSeconds;
-}
-
-/// Cost of placing `call` at a replica that may be about to load weights.
-double ClosingCost(const ReplicaState& state,
-                   const PoolCall& call,
-                   TimePoint now) {
-  if (state.m_closing_until <= now)
-    return 0;
-  if (call.m_expected_run_time == Duration())
-    return kClosingCost;
-  const auto length = static_cast<double>(call.m_expected_run_time.count());
-  return kClosingCost *
-         std::min(1.0, length / static_cast<double>(kLongCall.count()));
-}
-
-/// Cost of a call that waits for a slot at the replica, relative to a running
-/// call. Both cost the same: a new call has to wait until a slot has come free
-/// for each of them.
-constexpr double kWaitingCost = 1;
-
-double PlacementCost(const ReplicaPool& pool,
-                     const ReplicaState& state,
-                     const PoolCall& call,
-                     TimePoint now) {
-  const double calls = Load(state) + kWaitingCost * state.m_queued_calls;
-  double cost =
-      calls / state.m_replica.m_slots + kFailureCost * state.m_failure_rate +
-      kUnreadCost * UnreadShare(pool, state) + ClosingCost(state, call, now);
-  if (state.m_replica.m_data_center != pool.m_data_center)
-    cost += kRemoteCost;
-  if (state.m_unresponsive_until > now)
-    cost += kSilentTargetCost;
-  if (IsLimitedCold(pool, state, now))
-    cost += kColdCost;
-  return cost;
-}
-
-/// Whether the unread prompts at the replica leave `call` enough time to be on
-/// time there.
-bool CanReadInTime(const ReplicaPool& pool,
-                   const ReplicaState& state,
-                   const PoolCall& call,
-                   TimePoint now) {
-  if (!call.m_can_be_on_time || pool.m_prefill_rate <= 0 ||
-      call.m_read_deadline == TimePoint::max())
-    return true;
-  const uint64_t tokens = state.m_unread_tokens +
-                          state.m_other_entries_unread_tokens +
-                          call.m_prompt_tokens;
-  const auto reading =
-      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-          static_cast<double>(tokens) / pool.m_prefill_rate));
-  return now + reading <= call.m_read_deadline;
-}
-
 /// Time of the replica that the call takes, as all its slots share its steps.
 Duration CostOf(const ReplicaState& state, const PoolCall& call) {
   const Duration run = call.m_expected_run_time > Duration()
@@ -411,15 +304,6 @@
 
 }  // namespace
 
-bool HasRoom(uint32_t slots,
-             double prefill_rate,
-             uint32_t calls,
-             uint64_t unread) {
-  return calls < slots &&
-         (prefill_rate <= 0 ||
-          static_cast<double>(unread) < prefill_rate * kMaxUnreadSeconds);
-}
-
 void SetReplicas(ReplicaPool& pool,
                  const std::vector<model::Replica>& replicas,
                  TimePoint keep_missing_until,
@@ -545,7 +429,8 @@
     if (!Usable(pool, state, now) || !IsAllowed(state, call) ||
         IsHeldBack(pool, state, now) || !MayReturn(state, now) ||
         call.m_attempted_replicas.contains(id) ||
-        !HasRoom(state.m_replica.m_slots, pool.m_prefill_rate, Load(state),
+        !HasRoom(state.m_replica.m_slots, ReadingRate(pool, state, now),
+                 CallsAt(state),
                  state.m_unread_tokens + state.m_other_entries_unread_tokens) ||
         !CanReadInTime(pool, state, call, now))
       continue;
@@ -641,6 +526,14 @@
   return starts;
 }
 
+void NoteRunTime(ReplicaPool& pool,
+                 ReplicaState& replica,
+                 Duration run,
+                 TimePoint now) {
+  AddRun(replica.m_speed.m_run_time, run, now);
+  AddRun(pool.m_run_time, run, now);
+}
+
 void NotePromptRead(ReplicaPool& pool,
                     const std::string& replica,
                     uint32_t prompt_tokens) {
@@ -818,7 +711,7 @@
   for (const auto& [id, state] : pool.m_replicas) {
     if (!Usable(pool, state, now) || !IsAllowed(state, call))
       continue;
-    const uint32_t used = std::min(Load(state), state.m_replica.m_slots);
+    const uint32_t used = std::min(CallsAt(state), state.m_replica.m_slots);
     load.m_slots += used + AvailableSlots(pool, state, now);
     load.m_used_slots += used;
   }
--- a/src/libverbenalead/decide/placement/replica_pool.h
+++ b/src/libverbenalead/decide/placement/replica_pool.h
@@ -69,6 +69,10 @@
   /// Prompt tokens that a replica reads per second; 0 if the service runs no
   /// model.
   double m_prefill_rate = 0;
+  /// Whether the speeds of replicas count when calls are placed.
+  bool m_by_speed = false;
+  /// Run times of this entry's calls at all plain replicas of the pool.
+  RunTimeMean m_run_time;
   ColdLimits m_cold_limits;
   /// How long a replica is cold that starts while calls run; 0: replicas that
   /// don't say that they are cold aren't.
@@ -81,13 +85,6 @@
   OrganisationShares m_shares;
 };
 
-/// Whether a replica that has `calls` calls and `unread` prompt tokens to read
-/// takes one more call.
-bool HasRoom(uint32_t slots,
-             double prefill_rate,
-             uint32_t calls,
-             uint64_t unread);
-
 struct StartedCall {
   uint64_t m_ticket = 0;
   std::string m_replica;
@@ -206,6 +203,12 @@
                                            TimePoint now,
                                            std::mt19937_64& random);
 
+/// Records the run time of a call that a plain replica has answered.
+void NoteRunTime(ReplicaPool& pool,
+                 ReplicaState& replica,
+                 Duration run,
+                 TimePoint now);
+
 /// Records that a call with `prompt_tokens` has begun to answer, so that its
 /// prompt has been read.
 void NotePromptRead(ReplicaPool& pool,
--- a/src/libverbenalead/decide/placement/replica_state.h
+++ b/src/libverbenalead/decide/placement/replica_state.h
@@ -5,6 +5,7 @@
 
 #include "base/time.h"
 #include "decide/placement/known_statements.h"
+#include "decide/placement/replica_speed.h"
 #include "model/replica.h"
 
 namespace verbenalead::decide {
@@ -41,6 +42,7 @@
   /// may be outdated.
   TimePoint m_unresponsive_until{};
   KnownStatements m_known;
+  ReplicaSpeed m_speed;
   /// End of the cold time that was logged last; the default: it was warm.
   TimePoint m_cold_logged_until{};
   /// Until this time this entry doesn't ask for a token of its rate limit,
--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -275,10 +275,20 @@
   // Calls of an earlier incarnation break off when its process ends.
   if (!m_incarnation.empty() && !CurrentReplica())
     end = AttemptEnd::kAbandoned;
+  if (end == AttemptEnd::kGood)
+    NoteRunTime();
   m_services.m_slot_allocator.Release(
       m_record->m_plan.m_service, std::exchange(m_replica, std::string()), end);
 }
 
+void CallAttempt::NoteRunTime() {
+  decide::ReplicaPool& pool =
+      GetOrCreateService(m_services.m_state, m_record->m_plan.m_service).m_pool;
+  decide::ReplicaState* replica = CurrentReplica();
+  if (replica && !HasTargetProcesses(pool))
+    decide::NoteRunTime(pool, *replica, Now() - m_sent_at, Now());
+}
+
 platform::ForwardedCall CallAttempt::ToForwardedCall(
     const decide::ReplicaState& replica) const {
   platform::ForwardedCall call;
--- a/src/libverbenalead/entry/call_attempt.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -74,6 +74,8 @@
   Awaitable<std::optional<std::string>> AcquireSlot(TimePoint wait_until);
   /// Records that the replica has sent data.
   void NoteData();
+  /// Records how long a plain replica took for the answer.
+  void NoteRunTime();
   /// Learns what the head of the answer states of the replica.
   void ApplyStatements();
   /// The replica, if the incarnation that got the call still runs; otherwise
--- a/src/libverbenalead/entry/entry_options.cc
+++ b/src/libverbenalead/entry/entry_options.cc
@@ -69,6 +69,9 @@
               "calls that a cold replica may get in a second, from all entries "
               "together")
       .Number("cold.slack", 0, "calls", "calls in a second beyond that")
+      .Flag("placement.by_speed", false,
+            "slower replicas get fewer calls, by the pace that target "
+            "processes state or by the run times of answers")
       .Flag("shares.organisations", false,
             "under overload each organisation gets an equal share of the "
             "replicas' time, within each rank");
@@ -97,6 +100,7 @@
   options.m_regions = RegionsFrom(settings.TextList("regions"));
   options.m_cold_overrun = settings.Number("cold.overrun");
   options.m_cold_slack = settings.Number("cold.slack");
+  options.m_by_speed = settings.Flag("placement.by_speed");
   options.m_shares_organisations = settings.Flag("shares.organisations");
   return options;
 }
--- a/src/libverbenalead/entry/entry_options.h
+++ b/src/libverbenalead/entry/entry_options.h
@@ -38,6 +38,8 @@
   /// m_cold_slack calls more, from all entries together.
   double m_cold_overrun = 1;
   double m_cold_slack = 0;
+  /// Whether the speeds of replicas count when calls are placed.
+  bool m_by_speed = false;
   /// Whether organisations get equal shares of the replicas under overload.
   bool m_shares_organisations = false;
 };
--- a/src/libverbenalead/entry/entry_state.cc
+++ b/src/libverbenalead/entry/entry_state.cc
@@ -34,6 +34,7 @@
   if (is_new)
     found.m_pool.m_evacuated_data_centers = state.m_evacuated_data_centers;
   found.m_retries.m_started_at = state.m_started_at;
+  found.m_pool.m_by_speed = state.m_options.m_by_speed;
   found.m_pool.m_data_center = state.m_options.m_own_address.m_data_center;
   return found;
 }
--- a/src/libverbenalead/entry/peer_updates.cc
+++ b/src/libverbenalead/entry/peer_updates.cc
@@ -271,6 +271,9 @@
   replica.m_other_entries_unread_tokens =
       update.m_other_entries_calls.m_unread_tokens;
   replica.m_queued_calls = update.m_queued_calls;
+  replica.m_speed.m_stated_pace =
+      static_cast<double>(update.m_pace_percent) / links::kUsualPace;
+  replica.m_speed.m_stated_at = now;
   ApplyStatements(state, replica, update.m_statements, "target", now);
   if (update.m_rate_hold_off > Duration())
     HoldBackReplica(state, replica, "target", update.m_rate_hold_off);
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -89,6 +89,8 @@
     object["loading"] = true;
   if (update.m_queued_calls > 0)
     object["waiting"] = update.m_queued_calls;
+  if (update.m_pace_percent != kUsualPace)
+    object["pace"] = update.m_pace_percent;
   EncodeStatements(object, update.m_statements);
   if (update.m_rate_hold_off > Duration())
     object["hold_ms"] = ToMilliseconds(update.m_rate_hold_off);
@@ -270,6 +272,9 @@
                     DecodeCalls(object, "elsewhere"));
   BOOST_LEAF_AUTO(waiting, model::NumberFieldOr(object, "waiting", 0));
   update.m_queued_calls = static_cast<uint32_t>(waiting);
+  BOOST_LEAF_AUTO(pace, model::NumberFieldOr(object, "pace", kUsualPace));
+  update.m_pace_percent =
+      static_cast<uint32_t>(std::min<uint64_t>(pace, kMaxPacePercent));
   BOOST_LEAF_ASSIGN(update.m_statements, DecodeStatements(object));
   BOOST_LEAF_ASSIGN(update.m_rate_hold_off, TimeField(object, "hold_ms"));
   return update;
--- a/src/libverbenalead/links/replica_update.h
+++ b/src/libverbenalead/links/replica_update.h
@@ -9,6 +9,9 @@
 
 namespace verbenalead::links {
 
+constexpr uint32_t kUsualPace = 100;
+constexpr uint32_t kMaxPacePercent = 10'000;
+
 /// State of a replica, sent by the target process on its host to one entry.
 struct ReplicaUpdate {
   std::string m_replica;
@@ -25,6 +28,8 @@
   ReplicaCalls m_other_entries_calls;
   /// Calls queued at the target process for a slot.
   uint32_t m_queued_calls = 0;
+  /// How many times slower than usual the replica works, in percent.
+  uint32_t m_pace_percent = kUsualPace;
   /// What the target process knows of the replica's statements.
   StatementReport m_statements;
   /// In the answer to a slot request for which the rate limit had no token:
--- a/src/libverbenalead/model/engine_report.h
+++ b/src/libverbenalead/model/engine_report.h
@@ -24,6 +24,9 @@
   bool m_leaving = false;
   /// How much longer the engine is cold; absent if it doesn't say.
   std::optional<Duration> m_cold_left;
+  /// How many times slower than usual the engine works, as it states; absent if
+  /// it doesn't.
+  std::optional<double> m_pace;
   uint32_t m_queued = 0;
   uint32_t m_active = 0;
 
--- a/src/libverbenalead/platform/decode_replica.cc
+++ b/src/libverbenalead/platform/decode_replica.cc
@@ -86,6 +86,7 @@
     return Unreadable(kStep, "", "a field is missing or has another type");
   report.m_started_ms = ReadCount(*object, "born").value_or(0);
   report.m_cold_left = ReadMilliseconds(*object, "cold_left_ms");
+  report.m_pace = ReadNumber(*object, "pace");
   // Both fields are about load orders, not about requests: `busy` is set while
   // an order is carried out, and `sequence` counts the orders.
   report.m_loading = *busy;
--- a/src/libverbenalead/target/engine_controller.cc
+++ b/src/libverbenalead/target/engine_controller.cc
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
+#include "decide/placement/replica_speed.h"
 #include "decide/rollout/even_turn.h"
 #include "links/cold_log.h"
 
@@ -26,6 +27,8 @@
 /// are chosen 0.4 s earlier. Such a replica may load after the deadline, as no
 /// call starts there any more.
 constexpr Duration kDeadlineMargin = 700ms;
+/// Paces are rounded to multiples of this, as each change is sent to entries.
+constexpr double kPaceStep = 0.25;
 /// Cost of one more load of all replicas when versions are chosen: each replica
 /// is out of service for about this time, for its drain and its load.
 constexpr Duration kLoadCost = 1000ms;
@@ -131,6 +134,8 @@
   update.m_replica = replica ? replica->m_id : "";
   update.m_service = m_state.m_options.m_service;
   update.m_version = m_state.m_engine ? Loaded() : 0;
+  update.m_pace_percent = static_cast<uint32_t>(
+      std::lround(m_state.m_engine_pace * links::kUsualPace));
   update.m_closing = m_closing;
   update.m_loading = m_calls_stopped || (m_report && m_report->m_loading);
   if (IsLeaving())
@@ -169,6 +174,30 @@
   }
   m_report = *report;
   RecordCold(*m_report);
+  RecordPace(*m_report);
+}
+
+void EngineController::RecordPace(const model::EngineReport& report) {
+  if (!m_state.m_options.m_by_speed)
+    return;
+  const auto pace = report.m_pace ? decide::ValidPace(*report.m_pace) : 1;
+  if (!pace && m_logged_pace != report.m_pace) {
+    m_logged_pace = report.m_pace;
+    LogLine("pace_ignored")
+        .With("pace", *report.m_pace)
+        .With("above", 0)
+        .With("max", decide::kMaxPace)
+        .Warn();
+  }
+  const double used = std::round(pace.value_or(1) / kPaceStep) * kPaceStep;
+  if (used == m_state.m_engine_pace)
+    return;
+  LogLine("engine_pace")
+      .With("pace", used)
+      .With("before", m_state.m_engine_pace)
+      .Info();
+  m_state.m_engine_pace = used;
+  m_state.m_metrics.Set("engine_pace", "", used);
 }
 
 void EngineController::RecordCold(const model::EngineReport& report) {
--- a/src/libverbenalead/target/engine_controller.h
+++ b/src/libverbenalead/target/engine_controller.h
@@ -45,6 +45,8 @@
   /// Records the status of the engine, or that the query failed. After a
   /// restart of the engine, its staged chunks are no longer relied on.
   void RecordEngineReport(AsyncResult<model::EngineReport> report);
+  /// Records how many times slower than usual the engine works.
+  void RecordPace(const model::EngineReport& report);
   /// Records the engine's start and how long it reports to be cold.
   void RecordCold(const model::EngineReport& report);
   /// Whether a replica on another host has loaded `version` or a newer one, so
@@ -100,6 +102,7 @@
   ChunkStager m_stager;
   /// A cold time that can't be used and was logged.
   std::optional<Duration> m_logged_cold_left;
+  std::optional<double> m_logged_pace;
   /// The newest version for which the staging area was searched; 0: none since
   /// the engine started.
   uint64_t m_staging_searched_for = 0;
--- a/src/libverbenalead/target/slot_granter.cc
+++ b/src/libverbenalead/target/slot_granter.cc
@@ -37,7 +37,8 @@
   follower.m_calls = request.m_calls;
   follower.m_calls_reported_at = Now();
   m_queue.m_slots = m_state.m_engine->m_slots;
-  m_queue.m_prefill_rate = m_state.m_engine->m_prefill_rate;
+  m_queue.m_prefill_rate =
+      m_state.m_engine->m_prefill_rate / m_state.m_engine_pace;
   LearnStatements(request.m_replica, request.m_statements, entry);
   const TimePoint now = Now();
   decide::SlotRequest slot_request;
@@ -49,7 +50,8 @@
   slot_request.m_until = now + request.m_max_wait;
   slot_request.m_rank = request.m_rank.value_or(0);
   slot_request.m_organisation = request.m_organisation;
-  slot_request.m_run_time = request.m_run_time;
+  slot_request.m_run_time = std::chrono::duration_cast<Duration>(
+      request.m_run_time * m_state.m_engine_pace);
   slot_request.m_deny_early = request.m_rank || request.m_organisation;
   links::SlotAnswer answer;
   answer.m_ticket = request.m_ticket;
--- a/src/libverbenalead/target/target_options.cc
+++ b/src/libverbenalead/target/target_options.cc
@@ -25,6 +25,9 @@
       .Number("weights.min_copy_share", 0, "of bounds.weights",
               "weights.origin_outages has no effect where the origin sends a "
               "copy of the weights in less")
+      .Flag("placement.by_speed", false,
+            "reading times follow the pace that the engine states, and entries "
+            "are told of it")
       .Number("cold.overrun", 1, "times the stated rate",
               "calls that a cold replica may get in a second, from all entries "
               "together")
@@ -48,6 +51,7 @@
           settings.Number("bounds.weights")));
   options.m_origin_outages = settings.Flag("weights.origin_outages");
   options.m_min_copy_share = settings.Number("weights.min_copy_share");
+  options.m_by_speed = settings.Flag("placement.by_speed");
   options.m_cold_overrun = settings.Number("cold.overrun");
   options.m_cold_slack = settings.Number("cold.slack");
   return options;
--- a/src/libverbenalead/target/target_options.h
+++ b/src/libverbenalead/target/target_options.h
@@ -32,6 +32,8 @@
   /// Share of `m_weights_bound` that the origin needs at least for one copy of
   /// the weights where `m_origin_outages` has an effect.
   double m_min_copy_share = 0;
+  /// Whether the speeds of replicas count when calls are placed.
+  bool m_by_speed = false;
   /// As in entry::EntryOptions.
   double m_cold_overrun = 1;
   double m_cold_slack = 0;
--- a/src/libverbenalead/target/target_state.h
+++ b/src/libverbenalead/target/target_state.h
@@ -33,6 +33,9 @@
   /// Start of the engine as it reports it, in Unix milliseconds; 0 if it didn't
   /// answer or tell.
   uint64_t m_engine_started_ms = 0;
+  /// How many times slower than usual the engine works, as it reported last;
+  /// known only with m_options.m_by_speed.
+  double m_engine_pace = 1;
   /// How long the engine is cold, as it reported last.
   std::optional<decide::ColdState> m_engine_cold;
   /// Names of the services of the configuration; empty: it isn't known.
