An unanswered probe leaves its chunk to the host that comes first for it

A host that hears of the return cancels its unanswered probe if another host comes first for the chunk; before, it did so only after 200 ms.

--- a/src/libverbenalead/decide/transfer/origin_fetches.cc
+++ b/src/libverbenalead/decide/transfer/origin_fetches.cc
@@ -160,44 +160,28 @@
   }
 }
 
-void CancelHangingFetches(TransferState& state, TimePoint now) {
-  std::vector<uint32_t> hanging;
+/// Cancels fetches that began while the origin was unavailable and that it
+/// hasn't answered: those that hang, and those of chunks for which another host
+/// comes first.
+///
+/// Failure: the origin returns while the probes of several hosts are under way,
+/// and the answer to one of them is announced. Symptom: the hosts that come
+/// first for the chunks of the other probes fetch these too, as probes hold no
+/// chunk back, and the origin sends them twice.
+void CancelUnansweredFetches(TransferState& state, TimePoint now) {
+  std::vector<uint32_t> unanswered;
   for (const auto& [chunk, fetch] : state.m_fetching) {
     if (fetch.m_source.IsOrigin() && fetch.m_progress == fetch.m_started_at &&
-        now - fetch.m_started_at >= kHangTime)
-      hanging.push_back(chunk);
+        (now - fetch.m_started_at >= kHangTime ||
+         state.m_chunks[chunk].m_rank > 0))
+      unanswered.push_back(chunk);
   }
-  for (const uint32_t chunk : hanging) {
+  for (const uint32_t chunk : unanswered) {
     EndFetch(state, chunk);
     state.m_pending.m_cancels.push_back({chunk, {}});
   }
 }
 
-/// Leaves the chunks of probes that may still be answered to their hosts.
-///
-/// Failure: the origin returns while several probes are under way, and the
-/// answer to one of them is announced first. Symptom: the chunks of the other
-/// probes, which are not announced as fetches, are fetched by other hosts too,
-/// and the origin sends them twice. A host that hears of the return cancels its
-/// probe if it hangs, so only recent ones count.
-void HoldProbedChunks(TransferState& state, TimePoint now) {
-  for (uint32_t chunk = 0; chunk < state.m_chunks.size(); ++chunk) {
-    const TimePoint probed_at = state.m_chunks[chunk].m_probed_at;
-    if (probed_at != TimePoint() && now - probed_at < kHangTime)
-      HoldOriginFetch(state, chunk,
-                      probed_at + state.m_limits.m_announcement_ttl);
-  }
-}
-
-void RecordProbedChunks(TransferState& state,
-                        const std::vector<uint32_t>& chunks,
-                        TimePoint now) {
-  for (const uint32_t chunk : chunks) {
-    if (chunk < state.m_chunks.size())
-      state.m_chunks[chunk].m_probed_at = now;
-  }
-}
-
 /// The chunk that this host probes with: the one for which the fewest hosts
 /// precede it, so that hosts whose probes are answered together rarely fetch
 /// the same chunk.
@@ -313,9 +297,8 @@
   // hosts of all ranks start at the same time.
   for (TransferState::Chunk& chunk : state.m_chunks)
     chunk.m_open_since.reset();
-  CancelHangingFetches(state, now);
+  CancelUnansweredFetches(state, now);
   RescheduleOverdue(state, now);
-  HoldProbedChunks(state, now);
   return true;
 }
 
@@ -334,14 +317,12 @@
 void RecordOriginFetches(TransferState& state,
                          const OriginFetchReport& report,
                          TimePoint now) {
-  // A probe doesn't hold chunks back until the origin returns: most probes
-  // fail.
+  // A probe doesn't hold chunks back: most probes fail, and hosts that waited
+  // for them would start late after the return.
   if (report.m_origin == OriginStatus::kProbed &&
       state.m_limits.m_shared_probes &&
-      RecordOriginProbe(state.m_probe, report.m_host, now)) {
-    RecordProbedChunks(state, report.m_in_progress, now);
+      RecordOriginProbe(state.m_probe, report.m_host, now))
     return;
-  }
   if (report.m_origin == OriginStatus::kAnswers)
     RecordOriginAnswer(state, now);
   if (report.m_in_progress.empty()) {
--- a/src/libverbenalead/decide/transfer/origin_fetches.h
+++ b/src/libverbenalead/decide/transfer/origin_fetches.h
@@ -47,8 +47,9 @@
 
 /// The head of an answer of the origin was received, or a host announced that
 /// the origin answers again. Returns whether it was unavailable until now: then
-/// all hosts fetch the missing chunks in order, and fetches that still wait for
-/// an answer are cancelled, since their connections may hang.
+/// all hosts fetch the missing chunks in order. Fetches that still wait for an
+/// answer are cancelled if their connections may hang, or if another host comes
+/// first for the chunk.
 bool RecordOriginAnswer(TransferState& state, TimePoint now);
 
 /// An origin fetch ended without a valid chunk; `corrupt`: data was received,
--- a/src/libverbenalead/decide/transfer/origin_fetches_test.cc
+++ b/src/libverbenalead/decide/transfer/origin_fetches_test.cc
@@ -20,8 +20,7 @@
   CPPUNIT_TEST(AnyCompletedOriginFetchEndsTheBackoff);
   CPPUNIT_TEST(ReleasedChunkIsNotFetchedByAllAtOnce);
   CPPUNIT_TEST(CorruptedFirstCopyIsFetchedAgain);
-  CPPUNIT_TEST(ChunkOfAProbeUnderWayIsNotDuplicated);
-  CPPUNIT_TEST(ChunkOfAHangingProbeIsFetchedAtOnce);
+  CPPUNIT_TEST(ProbeUnderWayLeavesItsChunkToTheFirstHost);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -215,40 +214,25 @@
   }
 
   // Guards against a chunk that the origin sends twice: it returns while the
-  // probes of two hosts are under way, and one of them is answered first.
-  void ChunkOfAProbeUnderWayIsNotDuplicated() {
-    TransferState state = ProbedByAnother(1);
-    const TimePoint back = kProbedAt + 150ms;
-    RecordOriginFetches(state, {"y", {}, {}, OriginStatus::kAnswers}, back);
-    CPPUNIT_ASSERT(OriginFetches(state, back) == std::vector<uint32_t>({0, 2}));
-    // The host of the probe has died.
-    const TimePoint timed_out = kProbedAt + m_limits.m_announcement_ttl;
-    CPPUNIT_ASSERT(OriginFetches(state, timed_out) == std::vector<uint32_t>{1});
-  }
-
-  // Guards against a chunk that arrives late after the origin's return: the
-  // connection of a probe hangs, and its host has cancelled it.
-  void ChunkOfAHangingProbeIsFetchedAtOnce() {
-    TransferState state = ProbedByAnother(1);
-    const TimePoint back = kProbedAt + 250ms;
-    RecordOriginFetches(state, {"y", {}, {}, OriginStatus::kAnswers}, back);
-    CPPUNIT_ASSERT(OriginFetches(state, back) ==
-                   std::vector<uint32_t>({0, 1, 2}));
-  }
-
- private:
-  static inline const TimePoint kProbedAt = kStart + 60s;
-
-  /// A host with three missing chunks whose unavailable origin another host
-  /// probes with `chunk` since kProbedAt.
-  TransferState ProbedByAnother(uint32_t chunk) {
+  // probes of two hosts are under way, and one of them is answered first. The
+  // host of rank 0 then fetches the chunk of the other probe.
+  void ProbeUnderWayLeavesItsChunkToTheFirstHost() {
     m_limits.m_shared_probes = true;
-    m_limits.m_max_origin_fetches = 3;
-    m_limits.m_max_own_origin_fetches = 3;
-    TransferState state = Start(kSelf, {kSelf}, 3);
-    RecordOriginFetches(state, {"x", {chunk}, {}, OriginStatus::kProbed},
-                        kProbedAt);
-    return state;
+    const TimePoint lost = kStart + 60s;
+    const TimePoint back = lost + 500ms;
+    for (const uint16_t rank : {0, 1}) {
+      TransferState state = HostOfRank(rank);
+      RecordOriginFetches(state, {"x", {0}, {}, OriginStatus::kProbed}, lost);
+      TimePoint now = lost;
+      while (OriginFetches(state, now).empty() && now < back)
+        now += 10ms;
+      CPPUNIT_ASSERT(now < back);
+      RecordOriginFetches(state, {"y", {}, {}, OriginStatus::kAnswers},
+                          now + 50ms);
+      const bool cancelled =
+          !Step(state, now + 50ms, m_random).m_cancels.empty();
+      CPPUNIT_ASSERT_EQUAL(rank == 1, cancelled);
+    }
   }
 };
 
--- a/src/libverbenalead/decide/transfer/transfer_fixture.h
+++ b/src/libverbenalead/decide/transfer/transfer_fixture.h
@@ -41,16 +41,19 @@
   }
 
   /// The state of the host that has rank 1 for the only chunk.
-  TransferState SecondRankedHost() {
+  TransferState SecondRankedHost() { return HostOfRank(1); }
+
+  /// The state of the host that has this rank for the only chunk.
+  TransferState HostOfRank(uint16_t rank) {
     m_limits.m_takeover_delay = 1s;
     const std::vector<TransferMember> members = {kSelf, kSameDataCenter,
                                                  kSameRegion};
     for (const TransferMember& self : members) {
       TransferState state = Start(self, members, 1);
-      if (state.m_chunks[0].m_rank == 1)
+      if (state.m_chunks[0].m_rank == rank)
         return state;
     }
-    CPPUNIT_FAIL("no host has rank 1");
+    CPPUNIT_FAIL("no host has this rank");
     return {};
   }
 
--- a/src/libverbenalead/decide/transfer/transfer_state.h
+++ b/src/libverbenalead/decide/transfer/transfer_state.h
@@ -63,9 +63,6 @@
     /// Until when this host leaves the chunk to another host that announced an
     /// origin fetch of it.
     TimePoint m_announced_until{};
-    /// When another host last announced that it probes the unavailable origin
-    /// with the chunk.
-    TimePoint m_probed_at{};
     /// When this host may fetch the chunk, if it is in m_origin_schedule or
     /// m_import_schedule.
     TimePoint m_due_at{};
