The hosts that read digests first ask the origin before each other

Change: where hosts prepare for outages, the first four ask the origin first, for 1 s at most, and don't wait out a pause when it returns. Other deployments keep their order (DigestSources).

digest_read_order_test: FirstReadersDoNotAskEachOtherFirst.

--- a/src/libverbenalead/decide/transfer/digest_read_order.cc
+++ b/src/libverbenalead/decide/transfer/digest_read_order.cc
@@ -34,4 +34,14 @@
   return delay;
 }
 
+std::vector<DigestSource> DigestSources(size_t position,
+                                        Duration waited,
+                                        bool origin_first) {
+  if (waited < DigestReadDelay(position))
+    return {DigestSource::kHosts};
+  if (origin_first && position < kDigestReaders)
+    return {DigestSource::kOrigin, DigestSource::kHosts};
+  return {DigestSource::kHosts, DigestSource::kOrigin};
+}
+
 }  // namespace verbenalead::decide
--- a/src/libverbenalead/decide/transfer/digest_read_order.h
+++ b/src/libverbenalead/decide/transfer/digest_read_order.h
@@ -30,6 +30,22 @@
 /// not block the others.
 Duration DigestReadDelay(size_t position);
 
+/// Where a host requests digests.
+enum class DigestSource { kHosts, kOrigin };
+
+/// The sources from which the host at position `position` requests the digests,
+/// in this order, after it has lacked them for `waited`. `origin_first`: hosts
+/// prepare for outages of the origin.
+///
+/// Load: a version is declared while the links of hosts and of the origin are
+/// busy with chunks of an older one. Harm: the hosts that read from the origin
+/// ask each other first, which takes hundreds of milliseconds and yields
+/// nothing. If the origin becomes unavailable meanwhile, no host has the
+/// digests, and the first chunk waits for them after the return.
+std::vector<DigestSource> DigestSources(size_t position,
+                                        Duration waited,
+                                        bool origin_first);
+
 }  // namespace verbenalead::decide
 
 #endif  // VERBENALEAD_DECIDE_TRANSFER_DIGEST_READ_ORDER_H_
--- a/src/libverbenalead/decide/transfer/digest_read_order_test.cc
+++ b/src/libverbenalead/decide/transfer/digest_read_order_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST_SUITE(DigestReadOrderTest);
   CPPUNIT_TEST(AllHostsAgreeOnTheOrder);
   CPPUNIT_TEST(FewHostsReadFromAReturnedOrigin);
+  CPPUNIT_TEST(FirstReadersDoNotAskEachOtherFirst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -45,6 +46,21 @@
     CPPUNIT_ASSERT(DigestReadDelay(kDigestReaders - 1) == Duration());
     CPPUNIT_ASSERT(DigestReadDelay(kDigestReaders) == Duration(1s));
   }
+
+  // Guards against digests that no host has when the origin becomes
+  // unavailable soon after a declaration: the hosts that are to read them at
+  // once asked each other first, over busy links.
+  void FirstReadersDoNotAskEachOtherFirst() {
+    using enum DigestSource;
+    const std::vector<DigestSource> origin_first = {kOrigin, kHosts};
+    const std::vector<DigestSource> hosts_first = {kHosts, kOrigin};
+    const std::vector<DigestSource> hosts = {kHosts};
+    CPPUNIT_ASSERT(DigestSources(0, 0s, true) == origin_first);
+    CPPUNIT_ASSERT(DigestSources(kDigestReaders - 1, 0s, true) == origin_first);
+    CPPUNIT_ASSERT(DigestSources(kDigestReaders, 0s, true) == hosts);
+    CPPUNIT_ASSERT(DigestSources(kDigestReaders, 1s, true) == hosts_first);
+    CPPUNIT_ASSERT(DigestSources(0, 0s, false) == hosts_first);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DigestReadOrderTest);
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -293,6 +293,8 @@
   if (!PreparesForOutages(m_state))
     return;
   m_probe = probe;
+  if (m_state.m_origin_unavailable && !probe.m_unavailable)
+    m_digests.EndRetryPause();
   m_state.m_origin_unavailable = probe.m_unavailable;
   RecordOriginState(!probe.m_unavailable, source, reason);
 }
--- a/src/libverbenalead/target/digest_reader.cc
+++ b/src/libverbenalead/target/digest_reader.cc
@@ -14,6 +14,9 @@
 /// While the origin is unavailable, a connection that hangs must not delay the
 /// next attempt.
 constexpr Duration kUnavailableOriginTimeout = 300ms;
+/// Where hosts prepare for outages: a request that hangs because the origin has
+/// become unavailable must not delay the next attempt until after its return.
+constexpr Duration kScarceOriginTimeout = 1s;
 /// Number of hosts from which the digests are requested, among those first in
 /// line at the origin (`decide::kDigestReaders`).
 constexpr size_t kMaxHostsQueried = 2;
@@ -23,6 +26,12 @@
 constexpr Duration kMinRetryPause = 80ms;
 constexpr Duration kMaxRetryPause = 160ms;
 
+Duration OriginTimeout(const TargetState& state) {
+  if (state.m_origin_unavailable)
+    return kUnavailableOriginTimeout;
+  return PreparesForOutages(state) ? kScarceOriginTimeout : kOriginTimeout;
+}
+
 /// An answer that two sources gave, or that the origin gave twice.
 std::optional<std::vector<Digest>> FindAgreed(
     const std::vector<std::vector<Digest>>& answers) {
@@ -47,12 +56,16 @@
   const std::vector<std::string> order = Order(version);
   const auto rank = static_cast<size_t>(
       std::find(order.begin(), order.end(), Self()) - order.begin());
-  std::vector<std::vector<Digest>> answers =
-      co_await ReadFromHosts(version, order);
-  auto agreed = FindAgreed(answers);
-  if (!agreed && Now() - since >= decide::DigestReadDelay(rank))
-    agreed = co_await ReadFromOrigin(version, std::move(answers));
-  if (agreed) {
+  std::vector<std::vector<Digest>> answers;
+  for (const decide::DigestSource source : decide::DigestSources(
+           rank, Now() - since, PreparesForOutages(m_state))) {
+    if (source == decide::DigestSource::kHosts)
+      co_await ReadFromHosts(version, order, answers);
+    else
+      co_await ReadFromOrigin(version, answers);
+    const auto agreed = FindAgreed(answers);
+    if (!agreed)
+      continue;
     m_state.m_cache.AddVersion(version, *agreed);
     m_missing_since.erase(version);
     co_return true;
@@ -74,11 +87,10 @@
   return decide::DigestReadOrder(std::move(hosts), version);
 }
 
-Awaitable<std::optional<std::vector<Digest>>> DigestReader::ReadFromOrigin(
+Awaitable<void> DigestReader::ReadFromOrigin(
     uint64_t version,
-    std::vector<std::vector<Digest>> answers) {
-  const Duration timeout =
-      m_state.m_origin_unavailable ? kUnavailableOriginTimeout : kOriginTimeout;
+    std::vector<std::vector<Digest>>& answers) {
+  const Duration timeout = OriginTimeout(m_state);
   for (int attempts = 0; attempts < kMaxOriginAttempts; ++attempts) {
     auto digests = co_await m_origin.ReadDigests(
         m_state.m_origin, m_state.m_engine->m_model, version, Now() + timeout);
@@ -96,16 +108,15 @@
     }
     if (digests->size() == m_state.m_engine->m_chunks)
       answers.push_back(std::move(*digests));
-    if (auto agreed = FindAgreed(answers))
-      co_return agreed;
+    if (FindAgreed(answers))
+      break;
   }
-  co_return std::nullopt;
 }
 
-Awaitable<std::vector<std::vector<Digest>>> DigestReader::ReadFromHosts(
+Awaitable<void> DigestReader::ReadFromHosts(
     uint64_t version,
-    std::vector<std::string> order) {
-  std::vector<std::vector<Digest>> answers;
+    std::vector<std::string> order,
+    std::vector<std::vector<Digest>>& answers) {
   std::vector<std::string> hosts = std::move(order);
   hosts.resize(std::min(hosts.size(), decide::kDigestReaders));
   std::erase(hosts, Self());
@@ -124,7 +135,6 @@
     if (digests.size() == m_state.m_engine->m_chunks)
       answers.push_back(std::move(digests));
   }
-  co_return answers;
 }
 
 }  // namespace verbenalead::target
--- a/src/libverbenalead/target/digest_reader.h
+++ b/src/libverbenalead/target/digest_reader.h
@@ -2,7 +2,6 @@
 #define VERBENALEAD_TARGET_DIGEST_READER_H_
 
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,21 +24,23 @@
   /// be obtained now. The origin may send wrong digests, and another host may
   /// have accepted and passed on wrong ones, so two answers must agree.
   Awaitable<bool> Obtain(uint64_t version);
+  /// The origin has returned: the next call of Obtain() needn't wait for the
+  /// pause after a failure.
+  void EndRetryPause() { m_next = {}; }
 
  private:
   std::string Self() const;
   /// The hosts of the service, including this one, in the order in which they
   /// request the digests of `version` from the origin.
   std::vector<std::string> Order(uint64_t version) const;
-  /// Requests the digests from the origin until two answers, from the origin or
-  /// in `answers`, agree. Returns nothing if none do.
-  Awaitable<std::optional<std::vector<Digest>>> ReadFromOrigin(
-      uint64_t version,
-      std::vector<std::vector<Digest>> answers);
-  /// Requests the digests from a few hosts of `order`; returns those received.
-  Awaitable<std::vector<std::vector<Digest>>> ReadFromHosts(
-      uint64_t version,
-      std::vector<std::string> order);
+  /// Requests the digests from the origin until two of `answers` agree; adds
+  /// those received.
+  Awaitable<void> ReadFromOrigin(uint64_t version,
+                                 std::vector<std::vector<Digest>>& answers);
+  /// Requests the digests from a few hosts of `order`; adds those received.
+  Awaitable<void> ReadFromHosts(uint64_t version,
+                                std::vector<std::string> order,
+                                std::vector<std::vector<Digest>>& answers);
 
   TargetState& m_state;
   wire::Client& m_peers;
