--- a/testsuite/cases/platform_soak/run.py
+++ b/testsuite/cases/platform_soak/run.py
@@ -6,7 +6,8 @@
 no removed key is accepted after its bound, and the system recovers. Then plays a
 run in which replicas name rate limits that change, one in which they leave and
 ask for rests in their answers alone, one in which the store comes back from older
-copies, and repeats each seed that once broke a promise.
+copies, one in which a route names a region and the operator evacuates data
+centres, and repeats each seed that once broke a promise.
 """
 
 import sys
@@ -24,6 +25,8 @@
 STATEMENTS_SEED = 9101
 # In this one the store comes back from older copies.
 RETURNS_SEED = 45003
+# In this one data centres are evacuated, and some calls may go to one only.
+REGIONS_SEED = 51002
 
 
 def body(cluster):
@@ -32,7 +35,9 @@
                 run_soak.run_of(STATEMENTS_SEED, SECONDS, False,
                                 statements=True),
                 run_soak.run_of(RETURNS_SEED, SECONDS, False,
-                                returns=True)] + run_soak.kept_runs():
+                                returns=True),
+                run_soak.run_of(REGIONS_SEED, SECONDS, False,
+                                regions=True)] + run_soak.kept_runs():
         assert run_soak.play_alone(cluster.bin, run), run
 
 
--- a/testsuite/cases/soak_judges/run.py
+++ b/testsuite/cases/soak_judges/run.py
@@ -3,6 +3,8 @@
 
 import harness
 from soak.callers import Outcome
+from soak.judge_evacuations import Arrival, Evacuation, find_late, \
+    find_outside
 from soak.judge_limits import Limit, find_exceeded
 from soak import judge_retries
 from soak.judge_lost import Disturbance, ends_of_runs, find_lost
@@ -165,7 +167,41 @@
     assert not exceeded(0, 29000)
 
 
+def check_evacuations():
+    evacuations = [Evacuation("a", 10000, 18000)]
+
+    def late(at_ms, data_center="a", harmed=(), outages=()):
+        return bool(find_late(evacuations,
+                              [Arrival("replica-1", data_center, "c1", at_ms)],
+                              {"c1": "entry-1"}, dict(harmed), outages))
+
+    # From 5 s after the acknowledgement until the removal was sent.
+    assert not late(15000)
+    assert late(15001)
+    assert not late(18000)
+    assert not late(16000, "b")
+    # The entry or the replica was frozen; an outage of the store.
+    assert not late(16000, harmed={"entry-1": [(12000, 16000)]})
+    assert not late(16000, harmed={"replica-1": [(12000, 16000)]})
+    assert late(16000, harmed={"entry-2": [(12000, 16000)]})
+    assert not late(16000, outages=[(9000, 11000)])
+    assert late(16000, outages=[(8000, 9000)])
+
+
+def check_regions():
+    def outside(kind, data_center):
+        return bool(find_outside({"east": ("a",)},
+                                 [Arrival("replica-1", data_center, "c1", 1)],
+                                 {"c1": kind}))
+
+    assert outside("east", "b")
+    assert not outside("east", "a")
+    assert not outside("pay", "b")
+
+
 def body(_):
+    check_evacuations()
+    check_regions()
     check_limits()
     check_lost()
     check_excuses()
--- a/testsuite/soak/deployment.py
+++ b/testsuite/soak/deployment.py
@@ -6,6 +6,11 @@
 import platform_fleet
 
 GUEST_KEY = "key-of-guest"
+REGIONS = ["a=east", "b=west"]
+# The kinds of calls, with their services.
+SERVICES = {"draft": "pool", "pay": "ledger"}
+# Calls that only the region `east` may serve, and its data centres.
+EAST = {"east": ("a",)}
 # Longest time in seconds for which calls with a removed key may still run after
 # the removal was acknowledged.
 KEY_BOUND = 5.0
@@ -35,8 +40,28 @@
         super().__init__(cluster)
         self.size = size
         self.relays = {}
+        self.services = dict(SERVICES)
+        self.entry_settings = {}
+        # Data centres by kinds of calls that may not go to all.
+        self.allowed = {}
         self.guest_keys = [GUEST_KEY]
 
+    def restrict_regions(self):
+        """Adds a route that only one region may serve, and its calls."""
+        self.services["east"] = "ledger"
+        self.allowed = EAST
+        self.entry_settings = {"regions": REGIONS}
+
+    def next_configuration(self):
+        config = super().next_configuration()
+        if self.allowed:
+            config["routes"].append(
+                {"name": "east", "prefix": "/east/", "host": "h",
+                 "service": "ledger", "route_kind": "unsafe",
+                 "max_attempts": 1, "timeout_ms": 20000, "slo_ms": 1000,
+                 "priority": 1, "regions_allowed": ["east"]})
+        return config
+
     def conditions(self, table, key):
         """Requires that the row still has its present revision.
 
@@ -78,7 +103,7 @@
         for data_center in self.spread(self.size.plain):
             self.add_replica("ledger", "", data_center=data_center, work=30)
         for data_center in self.spread(self.size.entries):
-            self.add_entry(data_center)
+            self.add_entry(data_center, **self.entry_settings)
         self.wait_ready()
         self.serve_all("at the start")
 
--- a/testsuite/soak/fault_plan.py
+++ b/testsuite/soak/fault_plan.py
@@ -80,6 +80,28 @@
     return sorted(faults)
 
 
+# How long a data centre is evacuated, in seconds: shorter and longer than the
+# time after which no call may arrive there.
+EVACUATED_FOR = (1.0, 7.0, 9.0)
+
+
+def draw_evacuations(seed, seconds):
+    """Returns when the operator evacuates data centres, one at a time.
+
+    Like the limits, these have a random sequence of their own. `kind` has the
+    data centre behind a space.
+    """
+    rng = random.Random("evacuations %d" % seed)
+    faults = []
+    at = rng.uniform(0.5, 2.0)
+    while at < seconds * 0.75:
+        lasts = rng.choice(EVACUATED_FOR)
+        faults.append(Fault(round(at, 2), "evacuate " + rng.choice("ab"), 0,
+                            lasts))
+        at += lasts + rng.choice((0.3, 1.5, 3.0))
+    return faults
+
+
 # Returns of the store from a copy: how old it is and how long the store is
 # away, in seconds, how long until lost rows are written again, and revisions
 # that other writers use up at once.
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -11,6 +11,7 @@
 
 import harness
 from soak import judge_limits
+from soak.judge_evacuations import Evacuation
 from soak.deployment import GUEST_KEY, KEY_BOUND
 from soak.judge_lost import Disturbance
 
@@ -53,6 +54,7 @@
         # Limits of replicas that hold now, and those that have ended.
         self.limits = {}
         self.ended_limits = []
+        self.evacuations = []
         # Per process, the times (ms) in which it, or its links, were disturbed.
         self.harmed = collections.defaultdict(list)
         # Per process, the times at which it was told to stop.
@@ -85,7 +87,7 @@
             self.disturbances.append(
                 Disturbance(begin, begin + lasts, fault.kind))
         kind, _, argument = fault.kind.partition(" ")
-        if kind in ("limit", "rest", "store_returns"):
+        if kind in ("limit", "rest", "store_returns", "evacuate"):
             getattr(self, kind)(fault, argument)
         else:
             getattr(self, kind)(fault)
@@ -349,6 +351,36 @@
         self.write(lambda: self.deployment.declare(version),
                    self.declare_again, version)
 
+    def evacuate(self, fault, data_center):
+        self.begin_evacuation(data_center, self.now() + fault.lasts)
+
+    def begin_evacuation(self, data_center, until):
+        if self.now() >= until:
+            self.end_evacuation(data_center)
+            return
+        if self.write(
+                lambda: self.deployment.write("op", "evacuate/" + data_center,
+                                              {}),
+                self.begin_evacuation, data_center, until):
+            self.evacuations.append(Evacuation(
+                data_center, time.monotonic() * 1000, float("inf")))
+            self.later(until, self.end_evacuation, data_center)
+
+    def end_evacuation(self, data_center):
+        now = time.monotonic() * 1000
+        self.evacuations = [
+            each._replace(end=min(each.end, now))
+            if each.data_center == data_center else each
+            for each in self.evacuations]
+        self.write(
+            lambda: self.deployment.remove("op", "evacuate/" + data_center),
+            self.end_evacuation, data_center)
+
+    def outages(self):
+        """Times (ms) in which the store was disturbed."""
+        return [(1000 * each.begin, 1000 * each.end)
+                for each in self.disturbances if each.what.startswith("store")]
+
     def revoke(self, fault):
         if not self.deployment.guest_keys:
             return
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -5,7 +5,8 @@
 
 import harness
 import platform_fleet
-from soak import judge_limits, judge_lost, judge_retries, judge_statements
+from soak import (judge_evacuations, judge_limits, judge_lost, judge_retries,
+                  judge_statements)
 from soak.callers import DEADLINE_MS
 from soak.deployment import KEY_BOUND
 
@@ -38,7 +39,8 @@
         if not stamped:
             problems.append("a success without a replica's stamp")
         expected = platform_fleet.events(outcome.events) \
-            if outcome.kind == "draft" else b"ran: /pay/x"
+            if outcome.kind == "draft" else \
+            b"ran: /%s/x" % outcome.kind.encode()
         if outcome.whole and outcome.body != expected:
             problems.append("another body: %r" % outcome.body[:200])
         if not expected.startswith(outcome.body):
@@ -71,7 +73,7 @@
 def find_excess_retries(deployment, outcomes):
     """Returns a line for each service that got too many retries."""
     broken = []
-    for kind, service in (("draft", "pool"), ("pay", "ledger")):
+    for service in sorted(set(deployment.services.values())):
         logs = []
         for replica in deployment.replicas:
             settings = deployment.cluster.settings[replica["name"]][1]
@@ -81,10 +83,28 @@
                     logs.append(log.readlines())
         broken += judge_retries.find_exceeded(
             service, logs, [1000 * outcome.sent for outcome in outcomes
-                            if outcome.kind == kind])
+                            if deployment.services[outcome.kind] == service])
     return broken
 
 
+def find_misplaced(deployment, outcomes, injector):
+    """Returns a line for each call where no replica may have got it."""
+    arrivals = []
+    for replica in deployment.replicas:
+        settings = deployment.cluster.settings[replica["name"]][1]
+        with open(deployment.cluster.path(replica["name"] + ".log"),
+                  errors="replace") as log:
+            arrivals += judge_evacuations.read_arrivals(
+                replica["name"], settings["data_center"], log)
+    return judge_evacuations.find_late(
+        injector.evacuations, arrivals,
+        {outcome.call: outcome.entry for outcome in outcomes},
+        injector.harmed, injector.outages()
+    ) + judge_evacuations.find_outside(
+        deployment.allowed, arrivals,
+        {outcome.call: outcome.kind for outcome in outcomes})
+
+
 def find_broken(deployment, outcomes, injector):
     """Returns a line for each violated invariant."""
     broken = ["%s ended by itself" % name for name in injector.ended]
@@ -122,6 +142,7 @@
                 replica["name"], log, entry_of, harmed,
                 {call for call, at in heard if at == own_id})
     broken += find_excess_retries(deployment, outcomes)
+    broken += find_misplaced(deployment, outcomes, injector)
     for replica in deployment.replicas:
         if deployment.state(replica)["bad_loads"] != 0:
             broken.append("%s loaded chunks of another version" %
--- a/testsuite/soak/run_soak.py
+++ b/testsuite/soak/run_soak.py
@@ -32,7 +32,7 @@
 
 def play(cluster, run):
     """Executes a run; returns a line for each broken promise."""
-    seed, seconds, planned, size, limits, statements, returns = run
+    seed, seconds, planned, size, limits, statements, returns, regions = run
     plan = fault_plan.draw(seed, seconds, planned)
     if limits:
         plan += fault_plan.draw_limits(seed, seconds)
@@ -40,7 +40,11 @@
         plan += fault_plan.draw_statements(seed, seconds)
     if returns:
         plan += fault_plan.draw_returns(seed, seconds)
+    if regions:
+        plan += fault_plan.draw_evacuations(seed, seconds)
     deployment = Deployment(cluster, size)
+    if regions:
+        deployment.restrict_regions()
     deployment.start()
     callers = Callers(deployment, seed, size.callers)
     injector = Injector(deployment, plan, callers.probe_guest)
@@ -80,13 +84,14 @@
     return True
 
 
-Run = collections.namedtuple("Run", "seed seconds planned size limits statements returns")
+Run = collections.namedtuple("Run", "seed seconds planned size limits "
+                             "statements returns regions")
 
 
 def run_of(seed, seconds, planned, limits=False, statements=False,
-           returns=False):
+           returns=False, regions=False):
     return Run(seed, seconds, planned, FULL if planned else SMALL, limits,
-               statements, returns)
+               statements, returns, regions)
 
 
 def kept_runs():
@@ -95,7 +100,7 @@
         lines = [line.split("#")[0].split() for line in file]
     return [run_of(int(line[0]), float(line[1]), "planned" in line[2:],
                    "limits" in line[2:], "statements" in line[2:],
-                   "returns" in line[2:])
+                   "returns" in line[2:], "regions" in line[2:])
             for line in lines if line]
 
 
@@ -117,6 +122,9 @@
                         "answers")
     parser.add_argument("--returns", action="store_true",
                         help="the store comes back from older copies")
+    parser.add_argument("--regions", action="store_true",
+                        help="a route names a region, and the operator "
+                        "evacuates data centres")
     for field in Size._fields:
         parser.add_argument("--" + field, type=int, help="default: %d, with "
                             "--planned %d" % (getattr(SMALL, field),
@@ -133,7 +141,8 @@
     first = options.seed or random.SystemRandom().randrange(1, 1 << 31)
     runs = kept_runs() if options.kept else [
         Run(first + number, options.seconds, options.planned, size,
-            options.limits, options.statements, options.returns)
+            options.limits, options.statements, options.returns,
+            options.regions)
         for number in range(options.seeds)]
     failed = [run.seed for run in runs if not play_alone(options.bin, run)]
     print("%d runs, failed: %s" % (len(runs), failed or "none"))
