--- a/testsuite/standins/platform_replica/main.cc
+++ b/testsuite/standins/platform_replica/main.cc
@@ -19,6 +19,9 @@
       .Address("store", "127.0.0.1:8100", "the platform's store")
       .Integer("slots", 8, 1, 1000, "calls", "calls at once")
       .Integer("event", 10, 1, 10000, "ms", "time between events")
+      .Integer("pace", 0, 0, 10000, "%",
+               "how many times slower than usual its report says that it is, "
+               "which doesn't slow it; 0: it doesn't say")
       .Integer("work", 0, 0, 10000, "ms", "time that a plain call takes")
       .Integer("prefill", 0, 0, 10000, "ms", "time before a stream's head")
       .Text("crash_part", "",
--- a/testsuite/standins/platform_replica/replica.cc
+++ b/testsuite/standins/platform_replica/replica.cc
@@ -42,6 +42,7 @@
       m_store(settings.Address("store")),
       m_slots(static_cast<uint32_t>(settings.Integer("slots"))),
       m_event_interval(settings.Milliseconds("event")),
+      m_pace_percent(settings.Integer("pace")),
       m_prefill_duration(settings.Milliseconds("prefill")),
       m_crash_part(settings.Text("crash_part")),
       m_call_duration(settings.Milliseconds("work")),
@@ -71,13 +72,16 @@
 }
 
 std::string EncodeReport(const Replica& replica) {
-  return json::serialize(json::object{{"stage", "both"},
-                                      {"models", Models(replica)},
-                                      {"busy", replica.m_loading},
-                                      {"sequence", replica.m_accepted_orders},
-                                      {"queued", 0},
-                                      {"active", replica.m_active},
-                                      {"born", replica.m_started_ms}});
+  json::object report = {{"stage", "both"},
+                         {"models", Models(replica)},
+                         {"busy", replica.m_loading},
+                         {"sequence", replica.m_accepted_orders},
+                         {"queued", 0},
+                         {"active", replica.m_active},
+                         {"born", replica.m_started_ms}};
+  if (replica.m_pace_percent > 0)
+    report["pace"] = static_cast<double>(replica.m_pace_percent) / 100;
+  return json::serialize(report);
 }
 
 }  // namespace verbenalead::standins
--- a/testsuite/standins/platform_replica/replica.h
+++ b/testsuite/standins/platform_replica/replica.h
@@ -38,6 +38,8 @@
   const uint32_t m_slots;
   /// Time between two events of a stream.
   const Duration m_event_interval;
+  /// Stated pace in percent; 0: none.
+  const int64_t m_pace_percent;
   /// Time from the start of a stream to its head.
   const Duration m_prefill_duration;
   /// Id of the part of a prompt under which the process ends; empty: none.
