--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -76,6 +76,7 @@
     replica.m_loading = true;
     replica.m_other_entries_calls = {5, 900};
     replica.m_queued_calls = 3;
+    replica.m_pace_percent = 250;
     replica.m_statements = {RateLimitReport{std::nullopt, 3s}, 1792};
     replica.m_rate_hold_off = 250ms;
     const ColdReport cold = {3s, decide::ColdSource::kAnswer, {2, 77}, 40ms};
