Review of speeds, weights and soak: faults mended, wording

Two readers who hadn't written the parts, and one newcomer. Mended: - An error that a plain replica answers at once made it count as fast, and a caller who reads a stream slowly made its replica count as slow. Unit tests of the changed parts, case/slow_replica, case/platform_origin_return, case/evacuated_data_center pass.

Left (read, not run): entries in other data centres hear of a pace only in answers; an entry charges organisations without the pace; a chunk whose first host is dead but listed waits 0.3 s more after the origin's return; a digest read under way at the return still pauses.

--- a/src/libverbenalead/decide/placement/fake_fleet.h
+++ b/src/libverbenalead/decide/placement/fake_fleet.h
@@ -50,12 +50,13 @@
   bool m_uses_ranks = false;
   bool m_uses_shares = false;
   bool m_refuses_early = false;
-  /// How many times slower than usual the replicas are, by turns; empty: none
-  /// is slower.
+  /// How many times slower than usual the replicas are, assigned cyclically;
+  /// empty: none is slower.
   std::vector<double> m_paces;
   /// Whether speeds count when calls are placed.
   bool m_by_speed = false;
-  /// Replicas and entries are in these data centres by turns.
+  /// Number of data centres, to which replicas and entries are assigned
+  /// cyclically.
   size_t m_data_centers = 1;
   /// Share of the calls that arrive at entries of the first data centre; the
   /// others arrive at any other entry. 0: calls arrive at any entry.
--- a/src/libverbenalead/decide/placement/placement_cost.h
+++ b/src/libverbenalead/decide/placement/placement_cost.h
@@ -37,7 +37,8 @@
              uint64_t unread);
 
 /// Cost of placing `call` at the replica: the calls there as a share of its
-/// slots, and additions for what makes it a worse choice. Calls go to the
+/// slots (where speeds count: these and one more, times the replica's
+/// slowness), and additions for what makes it a worse choice. Calls go to the
 /// replica of least cost.
 double PlacementCost(const ReplicaPool& pool,
                      const ReplicaState& state,
--- a/src/libverbenalead/decide/placement/replica_speed.cc
+++ b/src/libverbenalead/decide/placement/replica_speed.cc
@@ -5,8 +5,8 @@
 namespace verbenalead::decide {
 namespace {
 
-/// Run times of single calls vary, so that a mean has to differ by this factor
-/// before it counts.
+/// Run times of single calls vary: a replica whose mean differs from the pool's
+/// by less than this factor counts as equally fast.
 constexpr double kMinRunTimeRatio = 1.25;
 
 /// The ratio of the mean run times; 1 if either isn't known.
@@ -15,9 +15,9 @@
                        TimePoint now) {
   if (replica.m_runs < kMinRuns || pool.m_runs < kMinRuns ||
       now - replica.m_updated_at >= kRunTimeLifetime ||
-      replica.m_seconds <= 0 || pool.m_seconds <= 0)
+      replica.m_mean_seconds <= 0 || pool.m_mean_seconds <= 0)
     return 1;
-  const double ratio = replica.m_seconds / pool.m_seconds;
+  const double ratio = replica.m_mean_seconds / pool.m_mean_seconds;
   return std::max(ratio, 1 / ratio) < kMinRunTimeRatio ? 1 : ratio;
 }
 
@@ -30,11 +30,11 @@
 }
 
 void AddRun(RunTimeMean& mean, Duration run, TimePoint now) {
-  if (now - mean.m_updated_at >= kRunTimeLifetime)
-    mean = {};
+  if (now - mean.m_begun_at >= kRunTimeLifetime)
+    mean = {0, 0, now, now};
   mean.m_runs = std::min(mean.m_runs + 1, kMeanRuns);
-  mean.m_seconds +=
-      (std::chrono::duration<double>(run).count() - mean.m_seconds) /
+  mean.m_mean_seconds +=
+      (std::chrono::duration<double>(run).count() - mean.m_mean_seconds) /
       mean.m_runs;
   mean.m_updated_at = now;
 }
--- a/src/libverbenalead/decide/placement/replica_speed.h
+++ b/src/libverbenalead/decide/placement/replica_speed.h
@@ -10,9 +10,10 @@
 
 /// Moving average of the run times of calls.
 struct RunTimeMean {
-  double m_seconds = 0;
+  double m_mean_seconds = 0;
   /// Number of calls that count, at most kMeanRuns.
   uint32_t m_runs = 0;
+  TimePoint m_begun_at{};
   TimePoint m_updated_at{};
 
   friend bool operator==(const RunTimeMean&, const RunTimeMean&) = default;
@@ -41,12 +42,15 @@
 /// A pace that wasn't stated again for this long no longer counts: its target
 /// process is silent.
 constexpr Duration kPaceLifetime = 5s;
-/// A mean of run times no longer counts this long after the last call, so that
-/// a replica that gets few calls because it was slow shows its speed again.
+/// A mean of run times begins anew after this time, and no longer counts this
+/// long after the last call, so that a replica that gets few calls because it
+/// was slow shows its speed again.
 constexpr Duration kRunTimeLifetime = 10s;
-/// A replica counts as at most this many times slower, so that wrong values
-/// leave it a tenth of its share of the calls.
+/// A replica counts as at most this many times slower or faster, so that a
+/// wrong value leaves it a tenth of its share of the calls.
 constexpr double kMaxSlowness = 10;
+/// A stated pace above this is taken for an error and ignored. Valid paces
+/// above kMaxSlowness are clamped to it.
 constexpr double kMaxPace = 100;
 
 /// The stated pace if it is valid; a replica that states to be faster than
--- a/src/libverbenalead/decide/rollout/even_turn.h
+++ b/src/libverbenalead/decide/rollout/even_turn.h
@@ -10,7 +10,8 @@
 
 /// The turn of `replica`, one of `replicas`, where versions are complete long
 /// before their bound: turns begin at even intervals over the whole window, in
-/// the order of the names. Where versions may be complete late, see TurnOf().
+/// the order of the replicas' ids; evacuated data centres are not treated
+/// differently. Where versions may be complete late, see TurnOf().
 ///
 /// Load: all replicas of a service load a new version at peak load. Harm: if
 /// all did so at once, callers would find no replica. Each host computes the
--- a/src/libverbenalead/decide/transfer/origin_fetches.cc
+++ b/src/libverbenalead/decide/transfer/origin_fetches.cc
@@ -160,9 +160,9 @@
   }
 }
 
-/// Cancels fetches that began while the origin was unavailable and that it
-/// hasn't answered: those that hang, and those of chunks for which another host
-/// comes first.
+/// Called when the origin answers again. Cancels the origin fetches for which
+/// no data was received: those that are older than kHangTime, and those of
+/// chunks for which another host comes first.
 ///
 /// Failure: the origin returns while the probes of several hosts are under way,
 /// and the answer to one of them is announced. Symptom: the hosts that come
--- a/src/libverbenalead/decide/transfer/origin_return_fixture.h
+++ b/src/libverbenalead/decide/transfer/origin_return_fixture.h
@@ -16,7 +16,8 @@
 constexpr double kMaxLinkTimeFactor = 1.05;
 constexpr double kMaxCopies = 1.03;
 /// Time from the last chunk at its first host to all hosts, up to 88 hosts and
-/// with 300.
+/// with 300. Guards against regressions only: docs/design/demands.md requires
+/// 300 ms, which isn't reached.
 constexpr Duration kMaxTail = 950ms;
 constexpr Duration kMaxLargeTail = 1100ms;
 
--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -285,7 +285,11 @@
   decide::ReplicaPool& pool =
       GetOrCreateService(m_services.m_state, m_record->m_plan.m_service).m_pool;
   decide::ReplicaState* replica = CurrentReplica();
-  if (replica && !HasTargetProcesses(pool))
+  // An error says nothing of the replica's speed, and the time of a stream
+  // depends on how fast its caller reads.
+  const bool is_plain_success =
+      m_result.m_head.m_status / 100 == 2 && !m_has_events;
+  if (replica && is_plain_success && !HasTargetProcesses(pool))
     decide::NoteRunTime(pool, *replica, Now() - m_sent_at, Now());
 }
 
--- a/src/libverbenalead/entry/peer_updates.cc
+++ b/src/libverbenalead/entry/peer_updates.cc
@@ -272,7 +272,7 @@
       update.m_other_entries_calls.m_unread_tokens;
   replica.m_queued_calls = update.m_queued_calls;
   replica.m_speed.m_stated_pace =
-      static_cast<double>(update.m_pace_percent) / links::kUsualPace;
+      static_cast<double>(update.m_pace_percent) / links::kUsualPacePercent;
   replica.m_speed.m_stated_at = now;
   ApplyStatements(state, replica, update.m_statements, "target", now);
   if (update.m_rate_hold_off > Duration())
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -89,7 +89,7 @@
     object["loading"] = true;
   if (update.m_queued_calls > 0)
     object["waiting"] = update.m_queued_calls;
-  if (update.m_pace_percent != kUsualPace)
+  if (update.m_pace_percent != kUsualPacePercent)
     object["pace"] = update.m_pace_percent;
   EncodeStatements(object, update.m_statements);
   if (update.m_rate_hold_off > Duration())
@@ -272,9 +272,10 @@
                     DecodeCalls(object, "elsewhere"));
   BOOST_LEAF_AUTO(waiting, model::NumberFieldOr(object, "waiting", 0));
   update.m_queued_calls = static_cast<uint32_t>(waiting);
-  BOOST_LEAF_AUTO(pace, model::NumberFieldOr(object, "pace", kUsualPace));
-  update.m_pace_percent =
-      static_cast<uint32_t>(std::min<uint64_t>(pace, kMaxPacePercent));
+  BOOST_LEAF_AUTO(pace,
+                  model::NumberFieldOr(object, "pace", kUsualPacePercent));
+  update.m_pace_percent = static_cast<uint32_t>(
+      std::clamp<uint64_t>(pace, kUsualPacePercent, kMaxPacePercent));
   BOOST_LEAF_ASSIGN(update.m_statements, DecodeStatements(object));
   BOOST_LEAF_ASSIGN(update.m_rate_hold_off, TimeField(object, "hold_ms"));
   return update;
--- a/src/libverbenalead/links/replica_update.h
+++ b/src/libverbenalead/links/replica_update.h
@@ -9,7 +9,8 @@
 
 namespace verbenalead::links {
 
-constexpr uint32_t kUsualPace = 100;
+/// Paces in messages, in percent; 100 is the usual speed.
+constexpr uint32_t kUsualPacePercent = 100;
 constexpr uint32_t kMaxPacePercent = 10'000;
 
 /// State of a replica, sent by the target process on its host to one entry.
@@ -29,7 +30,7 @@
   /// Calls queued at the target process for a slot.
   uint32_t m_queued_calls = 0;
   /// How many times slower than usual the replica works, in percent.
-  uint32_t m_pace_percent = kUsualPace;
+  uint32_t m_pace_percent = kUsualPacePercent;
   /// What the target process knows of the replica's statements.
   StatementReport m_statements;
   /// In the answer to a slot request for which the rate limit had no token:
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -290,8 +290,12 @@
 void ChunkFetcher::AdoptProbe(const decide::OriginProbe& probe,
                               const std::string& source,
                               const std::string& reason) {
-  if (!PreparesForOutages(m_state))
+  if (!PreparesForOutages(m_state)) {
+    // A new configuration may have ended the preparation during an outage.
+    m_probe = {};
+    m_state.m_origin_unavailable = false;
     return;
+  }
   m_probe = probe;
   if (m_state.m_origin_unavailable && !probe.m_unavailable)
     m_digests.EndRetryPause();
@@ -437,8 +441,8 @@
        m_state.m_options.m_data_center},
       m_state.m_engine->m_chunks, limits, Now(),
       FirstOriginFetchTime(m_state, version, Now()));
-  transfer->m_core.m_probe = m_probe;
   if (PreparesForOutages(m_state)) {
+    transfer->m_core.m_probe = m_probe;
     for (uint32_t chunk : m_supply.OriginFetched(version))
       transfer->m_core.m_chunks[chunk].m_origin_fetched = true;
   }
--- a/src/libverbenalead/target/digest_reader.cc
+++ b/src/libverbenalead/target/digest_reader.cc
@@ -27,9 +27,10 @@
 constexpr Duration kMaxRetryPause = 160ms;
 
 Duration OriginTimeout(const TargetState& state) {
-  if (state.m_origin_unavailable)
-    return kUnavailableOriginTimeout;
-  return PreparesForOutages(state) ? kScarceOriginTimeout : kOriginTimeout;
+  if (!PreparesForOutages(state))
+    return kOriginTimeout;
+  return state.m_origin_unavailable ? kUnavailableOriginTimeout
+                                    : kScarceOriginTimeout;
 }
 
 /// An answer that two sources gave, or that the origin gave twice.
@@ -103,7 +104,8 @@
       // from it. Symptom: all of them do when it returns, and their answers
       // delay the first chunks. The delays count from the last failure, so that
       // again the first hosts read at once and the others request from them.
-      m_missing_since[version] = Now();
+      if (PreparesForOutages(m_state))
+        m_missing_since[version] = Now();
       break;
     }
     if (digests->size() == m_state.m_engine->m_chunks)
--- a/src/libverbenalead/target/engine_controller.cc
+++ b/src/libverbenalead/target/engine_controller.cc
@@ -135,7 +135,7 @@
   update.m_service = m_state.m_options.m_service;
   update.m_version = m_state.m_engine ? Loaded() : 0;
   update.m_pace_percent = static_cast<uint32_t>(
-      std::lround(m_state.m_engine_pace * links::kUsualPace));
+      std::lround(m_state.m_engine_pace * links::kUsualPacePercent));
   update.m_closing = m_closing;
   update.m_loading = m_calls_stopped || (m_report && m_report->m_loading);
   if (IsLeaving())
@@ -359,8 +359,10 @@
   const decide::LoadTurn turn = TurnUnder(*plan);
   if (Loaded() > 0)
     LogTurn(*plan, turn);
+  const Duration read_back =
+      PreparesForOutages(m_state) ? kReadBackTime : Duration();
   // An engine without weights serves no calls, so it loads at once.
-  if (Loaded() == 0 || Now() + kReadBackTime >= turn.m_at)
+  if (Loaded() == 0 || Now() + read_back >= turn.m_at)
     co_await Load(version, turn);
 }
 
@@ -476,6 +478,8 @@
   m_calls_stopped = true;
   m_notify();
   const double fullness = m_get_utilisation();
+  if (turn.m_reason == decide::TurnReason::kEven)
+    turn.m_drain = decide::EvenDrainTime(fullness);
   if (Loaded() > 0)
     co_await WaitForDrain(Now() + turn.m_drain);
   if (!m_report)
--- a/src/libverbenalead/target/engine_controller.h
+++ b/src/libverbenalead/target/engine_controller.h
@@ -102,6 +102,7 @@
   ChunkStager m_stager;
   /// A cold time that can't be used and was logged.
   std::optional<Duration> m_logged_cold_left;
+  /// The last invalid pace that was logged, so that it is logged once.
   std::optional<double> m_logged_pace;
   /// The newest version for which the staging area was searched; 0: none since
   /// the engine started.
--- a/src/libverbenalead/target/platform_target.cc
+++ b/src/libverbenalead/target/platform_target.cc
@@ -154,11 +154,22 @@
     if (request.m_same_data_center) {
       m_slot_granter.Follow(sender, until);
       m_pool_utilisation = request.m_used_slots_percent / kPercent;
-      LearnEvacuations(request.m_evacuated_data_centers);
+      LearnEvacuations(sender, request.m_evacuated_data_centers, until);
     }
   }
 
-  void LearnEvacuations(const std::set<std::string>& data_centers) {
+  /// A data centre counts as evacuated as long as any entry says so: entries
+  /// learn of a change one after the other, and turns must not change with each
+  /// of their messages.
+  void LearnEvacuations(const Endpoint& entry,
+                        const std::set<std::string>& stated,
+                        TimePoint until) {
+    m_evacuations[entry] = {stated, until};
+    std::erase_if(m_evacuations,
+                  [](const auto& each) { return each.second.second <= Now(); });
+    std::set<std::string> data_centers;
+    for (const auto& [from, evacuated] : m_evacuations)
+      data_centers.insert(evacuated.first.begin(), evacuated.first.end());
     if (m_state.m_evacuated_data_centers == data_centers)
       return;
     m_state.m_evacuated_data_centers = data_centers;
@@ -277,6 +288,8 @@
   double m_pool_utilisation = 1;
   /// Hosts that subscribed to chunk updates, and when the subscription ends.
   std::map<Endpoint, TimePoint> m_chunk_subscribers;
+  /// What entries state of evacuated data centres, and until when it holds.
+  std::map<Endpoint, std::pair<std::set<std::string>, TimePoint>> m_evacuations;
 };
 
 PlatformTarget::PlatformTarget(const Settings& settings)
--- a/src/libverbenalead/target/slot_granter.cc
+++ b/src/libverbenalead/target/slot_granter.cc
@@ -37,8 +37,6 @@
   follower.m_calls = request.m_calls;
   follower.m_calls_reported_at = Now();
   m_queue.m_slots = m_state.m_engine->m_slots;
-  m_queue.m_prefill_rate =
-      m_state.m_engine->m_prefill_rate / m_state.m_engine_pace;
   LearnStatements(request.m_replica, request.m_statements, entry);
   const TimePoint now = Now();
   decide::SlotRequest slot_request;
@@ -174,6 +172,10 @@
 
 void SlotGranter::Refresh() {
   const TimePoint now = Now();
+  if (m_state.m_engine) {
+    m_queue.m_prefill_rate =
+        m_state.m_engine->m_prefill_rate / m_state.m_engine_pace;
+  }
   const model::Replica* own = OwnReplica(m_state);
   const uint64_t started_ms = m_state.m_engine_started_ms != 0 || !own
                                   ? m_state.m_engine_started_ms
--- a/src/libverbenalead/target/target_options.h
+++ b/src/libverbenalead/target/target_options.h
@@ -32,7 +32,8 @@
   /// Share of `m_weights_bound` that the origin needs at least for one copy of
   /// the weights where `m_origin_outages` has an effect.
   double m_min_copy_share = 0;
-  /// Whether the speeds of replicas count when calls are placed.
+  /// Whether the pace that the engine states changes the expected reading and
+  /// run times, and is sent to entries.
   bool m_by_speed = false;
   /// As in entry::EntryOptions.
   double m_cold_overrun = 1;
--- a/testsuite/cases/platform_origin_return/run.py
+++ b/testsuite/cases/platform_origin_return/run.py
@@ -44,7 +44,7 @@
         return {target for target, _ in self.events(name, version)}
 
     def targets_without_origin(self):
-        """Targets that believe that the origin is unavailable."""
+        """Targets whose latest line about the origin says that it is lost."""
         without = set()
         for replica in self.replicas:
             with open(self.cluster.path(replica["target"] + ".log")) as log:
--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -82,7 +82,8 @@
             count += 1
             entry = rng.choice(self.deployment.entries)
             outcome = Outcome("c%d-%d" % (number, count),
-                              rng.choice(list(self.deployment.services)), entry["name"],
+                              rng.choice(list(self.deployment.services)),
+                              entry["name"],
                               rng.random() < 0.3, time.monotonic(),
                               rng.randrange(1, MOST_EVENTS))
             connection = connections.pop(entry["name"], None)
--- a/testsuite/soak/fault_plan.py
+++ b/testsuite/soak/fault_plan.py
@@ -82,7 +82,7 @@
 
 # How long a data centre is evacuated, in seconds: shorter and longer than the
 # time after which no call may arrive there.
-EVACUATED_FOR = (1.0, 7.0, 9.0)
+EVACUATED_FOR = (1.0, 7.0, 13.0)
 
 
 def draw_evacuations(seed, seconds):
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -57,7 +57,7 @@
 
 def check_runs(outcome, runs, barred, problems):
     """Checks the response of one call against how often the call ran."""
-    if outcome.kind == "pay" and runs > 1:
+    if outcome.kind != "draft" and runs > 1:
         problems.append("ran %d times" % runs)
     if outcome.status in (401, 503) and runs > 0:
         problems.append("refused as not run, but ran %d times" % runs)
@@ -88,7 +88,7 @@
 
 
 def find_misplaced(deployment, outcomes, injector):
-    """Returns a line for each call where no replica may have got it."""
+    """Returns a line for each call at a data centre where it must not run."""
     arrivals = []
     for replica in deployment.replicas:
         settings = deployment.cluster.settings[replica["name"]][1]
--- a/testsuite/soak/run_soak.py
+++ b/testsuite/soak/run_soak.py
@@ -134,6 +134,9 @@
     size = size._replace(**{
         field: getattr(options, field) for field in Size._fields
         if getattr(options, field) is not None})
+    if options.returns and options.regions:
+        # A copy may lack the row of an evacuation, which then ends rightly.
+        parser.error("--returns and --regions exclude each other")
     for field, value in size._asdict().items():
         if not 1 <= value <= MOST[field]:
             parser.error("--%s is %d: 1 to %d are allowed" % (
