--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -1,7 +1,7 @@
 """Stand-ins for the users' platform, and a small deployment on loopback.
 
-The store, the origin of weights, the replicas and the callers are threads of the
-test's own process. The programs of the project run as separate processes, with
+The store, the origin of weights, the replicas and the callers are threads of
+the test's own process. The programs of the project run as separate processes, with
 the commands of the deploy file and the settings that its templates give.
 """
 
@@ -189,13 +189,12 @@
         self.version = 0
         self.era = 1
         self.away = False
-        self.server = Server(address, self.handle)
-        self.address = address
         # A second address, for the machines that the store turns away with 503
         # while `busy` is set.
         self.busy = False
-        host, port = address.rsplit(":", 1)
-        self.second_address = "127.0.0.2:" + port
+        self.address = address
+        self.second_address = "127.0.0.2:" + address.rsplit(":", 1)[1]
+        self.server = Server(self.address, self.handle)
         self.second = Server(self.second_address, self.handle_second)
 
     def write(self, table, key, value, part=""):
@@ -224,16 +223,15 @@
         return self.version
 
     def copy(self):
-        """Makes the copy from which come_back() starts."""
+        """Returns the copy from which come_back() starts."""
         with self.lock:
             return dict(self.rows), list(self.log), self.version
 
     def leave(self):
+        """Is away: calls get no answer, and their connections stay silent."""
         with self.lock:
             self.away = True
             self.lock.notify_all()
-        for connection in list(self.server.connections):
-            reset(connection)
 
     def come_back(self, copy):
         with self.lock:
@@ -243,10 +241,13 @@
             self.away = False
 
     def handle(self, request, connection, turned_away=lambda: False):
-        if self.away:
-            return False
-        status, answer = self.answer(request, turned_away)
-        if self.away:
+        era = self.era
+        status, answer = 0, {}
+        if not self.away:
+            status, answer = self.answer(request, turned_away)
+        if self.away or self.era != era:
+            # The caller has to notice by itself that no answer comes.
+            connection.recv(1)
             return False
         if turned_away():
             status, answer = 503, {}
@@ -258,6 +259,7 @@
         return True
 
     def handle_second(self, request, connection):
+        """Like handle(), but turns calls away while `busy` is set."""
         return self.handle(request, connection, lambda: self.busy)
 
     def turn_away(self, busy):
@@ -692,7 +694,7 @@
                 time.sleep(0.05)
 
     def call(self, entry, method, path, headers=None, body=b"", key="key-a",
-             deadline_ms=6000, connection=None, name=None):
+             deadline_ms=6000, name=None):
         """Sends one call as a client does, and records it."""
         with self.lock:
             self.calls += 1
