--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,45 +19,65 @@
 # target process asks for a report every 25 ms.
 FREEZE_AFTER_S = 0.008
 STREAM_S = 0.25
-PLAY_S = 25
+# The piece that turns bad.
+PIECE = 7
+PLAY_S = 18
 
 
 class Freezer:
-    """Freezes the target process of `replica` once, while the replica drains."""
+    """Freezes one target process at a time, while its replica drains.
 
-    def __init__(self, fleet, replica):
+    A query that is under way then makes the process give its load up. The next
+    replica's target process is frozen in that case.
+    """
+
+    def __init__(self, fleet):
         self.fleet = fleet
-        self.replica = replica
-        self.read_back = set()
-        self.spoilt_at = None
+        self.read_back = {}
+        self.frozen = None
+        self.done = False
         self.lock = threading.Lock()
 
+    def watch(self, replica):
+        self.read_back[replica] = set()
+        replica.after_call = self.after_call
+        replica.on_start = self.on_start
+
     def after_call(self, replica, request):
+        read_back = self.read_back[replica]
         with self.lock:
             if request.path.startswith("/stage-put/"):
-                self.read_back.clear()
+                read_back.clear()
             elif request.path.startswith("/stage-get/"):
-                self.read_back.add(request.query.get("num"))
-            elif request.path == "/report" and not self.spoilt_at and \
-                    len(self.read_back) == self.fleet.CHUNKS and \
-                    replica.active > 0 and self.is_new_version():
-                self.spoilt_at = time.monotonic()
+                read_back.add(request.query.get("num"))
+            elif request.path == "/report" and self.is_draining(replica):
+                read_back.clear()
+                self.frozen = replica
                 threading.Thread(target=self.freeze, daemon=True).start()
 
-    def is_new_version(self):
-        return self.replica.staged[0] == self.fleet.origin.bytes_of(2, 0)
+    def is_draining(self, replica):
+        """Whether all pieces of a new version were read back and calls run."""
+        return not self.done and not self.frozen and \
+            len(self.read_back[replica]) == self.fleet.CHUNKS and \
+            replica.active > 0 and \
+            replica.staged[0] == self.fleet.origin.bytes_of(2, 0)
+
+    def on_start(self, replica, order):
+        self.done = self.done or bool(order["wrong"])
 
     def freeze(self):
+        replica = self.frozen
         time.sleep(FREEZE_AFTER_S)
-        self.fleet.signal(self.replica.target, signal.SIGSTOP)
-        self.spoilt_at = time.monotonic()
-        piece = bytearray(self.replica.staged[7])
+        self.fleet.signal(replica.target, signal.SIGSTOP)
+        piece = bytearray(replica.staged[PIECE])
         piece[100] ^= 1
-        self.replica.staged[7] = bytes(piece)
-        self.fleet.record.add("piece_turned_bad", replica=self.replica.name,
-                              piece=7)
+        replica.staged[PIECE] = bytes(piece)
+        self.fleet.record.add("piece_turned_bad", replica=replica.name,
+                              piece=PIECE)
         time.sleep(FREEZE_S)
-        self.fleet.signal(self.replica.target, signal.SIGCONT)
+        self.fleet.signal(replica.target, signal.SIGCONT)
+        time.sleep(0.3)
+        self.frozen = None
 
 
 def play(folder, trouble, fleets):
@@ -70,9 +90,9 @@
         fleet.add_replica("pool", zone, event_s=0.1)
     for zone in ("a", "b"):
         fleet.add_entry(zone)
-    freezer = Freezer(fleet, fleet.replicas[0])
-    if trouble:
-        fleet.replicas[0].after_call = freezer.after_call
+    freezer = Freezer(fleet)
+    for replica in fleet.replicas if trouble else ():
+        freezer.watch(replica)
     fleet.wait_ready()
     time.sleep(4)
     stop = threading.Event()
@@ -84,7 +104,7 @@
     stop.set()
     callers.join()
     time.sleep(4)
-    return judge(fleet, freezer, trouble)
+    return judge(fleet, trouble)
 
 
 def keep_calling(fleet, stop):
@@ -100,14 +120,14 @@
         time.sleep(STREAM_S)
 
 
-def judge(fleet, freezer, trouble):
+def judge(fleet, trouble):
     loads = [each for each in fleet.record.all("order")
              if each["version"] == 2]
     runs = [each for each in fleet.record.all("ran") if each["version"] == 2]
     print("%d loads of version 2, %d runs on it" % (len(loads), len(runs)))
     if len(loads) < 3 or not runs:
         raise standins.CannotRun("version 2 was not loaded everywhere")
-    if trouble and not freezer.spoilt_at:
+    if trouble and not fleet.record.all("piece_turned_bad"):
         raise standins.CannotRun("no load order to disturb")
     broken = []
     for load in loads:
