review: TROUBLE in each case, an end after 110 s, crashes that reset

Each case reads TROUBLE itself. A script gives up after 110 s or on SIGTERM, and ends its processes. A crashed replica resets all its connections; before, its other streams went on.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -148,4 +148,5 @@
     return broken
 
 
-standins.main(FOLDER, play)
+# TROUBLE=0: the same without the disruption.
+standins.main(FOLDER, play, os.environ.get("TROUBLE", "1") != "0")
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -91,4 +91,5 @@
                                          each["at"]) for each in late]
 
 
-standins.main(FOLDER, play)
+# TROUBLE=0: the same without the disruption.
+standins.main(FOLDER, play, os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -17,6 +18,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))))
@@ -27,6 +29,8 @@
           "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 104,
           "retry_window_s": 10}
 HEARTBEAT_S = 1.2
+# A case that takes longer is given up.
+LONGEST_S = 110
 STARTED = time.monotonic()
 
 
@@ -161,12 +165,13 @@
 
 
 def reset(connection):
-    """Closes the connection with a reset."""
+    """Closes the connection with a reset, also while threads use it."""
     try:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
                               b"\x01\0\0\0\0\0\0\0")
+        # Wakes a thread that reads, which would keep the connection open.
         connection.shutdown(socket.SHUT_RD)
-        connection.close()
+        os.close(connection.detach())
     except OSError:
         pass
 
@@ -773,11 +778,37 @@
                  "slo_ms": 400, "priority": 1, "max_attempts": 1}, **fields)
 
 
-def main(folder, play):
-    """Runs `play(folder, trouble)`, which returns (fleet, broken), and exits
-    with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def main(folder, play, trouble):
+    """Plays a case, ends all that it started, and exits: with 1 if the rule was
+    broken, 0 if it held, 2 if the case could not run.
+
+    `play(folder, trouble, fleets)` adds each fleet that it makes to `fleets`, and
+    returns a line for each break of the rule.
+    """
     fleets = []
+    ending = threading.Lock()
+
+    def end(code):
+        if not ending.acquire(blocking=False):
+            return  # It ends already.
+        for fleet in fleets:
+            fleet.stop()
+            if os.environ.get("KEEP"):
+                print(fleet.work)
+            else:
+                shutil.rmtree(fleet.work, ignore_errors=True)
+        sys.stdout.flush()
+        os._exit(code)
+
+    def give_up(*_):
+        print("could not run: it was stopped, or took too long")
+        end(2)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, give_up)
+    watchdog = threading.Timer(LONGEST_S, give_up)
+    watchdog.daemon = True
+    watchdog.start()
     code = 2
     try:
         broken = play(folder, trouble, fleets)
@@ -788,14 +819,5 @@
     except Exception as failure:  # Whatever stops the case: it shows nothing.
         print("could not run: %r" % failure)
         if not isinstance(failure, CannotRun):
-            import traceback
             traceback.print_exc()
-    for fleet in fleets:
-        fleet.stop()
-        if os.environ.get("KEEP"):
-            print(fleet.work)
-        else:
-            import shutil
-            shutil.rmtree(fleet.work, ignore_errors=True)
-    sys.stdout.flush()
-    os._exit(code)
+    end(code)
