--- a/review/1/case.py
+++ b/review/1/case.py
@@ -63,6 +63,8 @@
             replica.staged[0] == self.fleet.origin.bytes_of(2, 0)
 
     def on_start(self, replica, order):
+        # Its drain is over; a freeze would come too late.
+        self.read_back[replica].clear()
         self.done = self.done or bool(order["wrong"])
 
     def freeze(self):
