Attempts and declarations log which weights were known and allowed

The record of the incident couldn't tell a wrong date from a wrong belief about a replica: attempts logged weights=0 wherever no answer came, no line told from where a declaration was known, and none that a version had become binding.

New: known_weights and begin_by_ms in attempt, source, before and since_start_ms in weights_declared, weights_binding with the number of replicas that it bars, and the gauge weights_binding_version.

--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -78,9 +78,10 @@
   m_record->m_pool_call.m_attempted_replicas.insert(m_replica);
   m_number = ++m_record->m_attempts;
   m_sent_at = Now();
+  m_known_weights = replica.m_weights;
+  m_begin_by = WeightsDeadline(replica);
   const Endpoint endpoint = replica.m_replica.m_endpoint;
-  const TimePoint head_deadline =
-      std::min(plan.m_deadline, WeightsDeadline(replica));
+  const TimePoint head_deadline = std::min(plan.m_deadline, m_begin_by);
   wire::Request request =
       platform::EncodeForReplica(m_record->m_request, ToForwardedCall(replica));
   on_sent();
@@ -321,6 +322,10 @@
       .With("end", ToString(end))
       .With("number", static_cast<uint64_t>(m_number))
       .With("weights", m_result.m_metadata.m_weights.value_or(0))
+      .With("known_weights", m_known_weights)
+      .With("begin_by_ms", m_begin_by == TimePoint::max()
+                               ? -1
+                               : ToMilliseconds(m_begin_by - m_sent_at))
       .With("rate_limit", statements.m_rate_limit.value_or(-1))
       .With("leaving", statements.m_leaving)
       .With("rest_ms", ToMilliseconds(statements.m_rest.value_or(Duration())))
--- a/src/libverbenalead/entry/call_attempt.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -105,6 +105,10 @@
   /// Number of this attempt within the call, from 1; 0: no slot yet.
   uint32_t m_number = 0;
   TimePoint m_sent_at{};
+  /// The replica's weights as known when the call was sent, and the time from
+  /// which it could no longer begin on them; TimePoint::max(): no limit.
+  uint64_t m_known_weights = 0;
+  TimePoint m_begin_by = TimePoint::max();
   AttemptResult m_result;
   /// The piece of the body that PrefetchBody() stored.
   std::optional<std::string> m_prefetched;
--- a/src/libverbenalead/entry/entry_state.cc
+++ b/src/libverbenalead/entry/entry_state.cc
@@ -1,6 +1,9 @@
 #include "entry/entry_state.h"
 
+#include <algorithm>
+
 #include "base/boot_clock.h"
+#include "base/log.h"
 #include "entry/cold_replicas.h"
 
 namespace verbenalead::entry {
@@ -25,6 +28,28 @@
 /// entries.
 constexpr uint32_t kAssumedEntries = 2000;
 
+/// A version has become mandatory. Logs how many replicas have older weights
+/// and take no calls until they have loaded it.
+void LogBinding(EntryState& state,
+                const std::string& model,
+                uint64_t version,
+                const decide::ReplicaPool& pool) {
+  const auto barred =
+      std::count_if(pool.m_replicas.begin(), pool.m_replicas.end(),
+                    [version](const auto& replica) {
+                      return replica.second.m_weights < version;
+                    });
+  state.m_metrics.Set("weights_binding_version", "model=\"" + model + '"',
+                      static_cast<double>(version));
+  LogLine("weights_binding")
+      .With("model", model)
+      .With("version", version)
+      .With("before", pool.m_required_weights)
+      .With("replicas_barred", static_cast<uint64_t>(barred))
+      .With("replicas", static_cast<uint64_t>(pool.m_replicas.size()))
+      .Info();
+}
+
 }  // namespace
 
 ServiceState& GetOrCreateService(EntryState& state,
@@ -58,6 +83,8 @@
         state.m_weights[service.m_engine->m_model], now + kStartDelay);
     decide::ReplicaPool& pool =
         GetOrCreateService(state, service.m_name).m_pool;
+    if (binding > pool.m_required_weights)
+      LogBinding(state, service.m_engine->m_model, binding, pool);
     pool.m_required_weights = std::max<uint64_t>(1, binding);
     pool.m_prefill_rate = service.m_engine->m_prefill_rate;
   }
--- a/src/libverbenalead/entry/row_applier.cc
+++ b/src/libverbenalead/entry/row_applier.cc
@@ -63,7 +63,8 @@
     if (IsKnown(kept, row))
       continue;
     const model::Revision known = kept.m_revision;
-    const bool applied = !row.m_deleted && ApplyOperatorRow(row, age_of(row));
+    const bool applied =
+        !row.m_deleted && ApplyOperatorRow(row, age_of(row), source);
     kept.m_key = row.m_key;
     if (applied || kept.m_value.empty())
       kept.m_value = row.m_value;
@@ -116,11 +117,13 @@
   MarkEvacuationsEnded(EndEvacuationsMissingFromCopy(m_state));
 }
 
-bool RowApplier::ApplyOperatorRow(const platform::Row& row, Duration age) {
+bool RowApplier::ApplyOperatorRow(const platform::Row& row,
+                                  Duration age,
+                                  const std::string& source) {
   if (row.m_key == platform::kConfigKey)
     return ApplyConfig(row.m_value);
   if (row.m_key.starts_with(platform::kWeightsKeyPrefix))
-    return ApplyWeights(row, age);
+    return ApplyWeights(row, age, source);
   return true;
 }
 
@@ -239,7 +242,9 @@
   }
 }
 
-bool RowApplier::ApplyWeights(const platform::Row& row, Duration age) {
+bool RowApplier::ApplyWeights(const platform::Row& row,
+                              Duration age,
+                              const std::string& source) {
   const auto declared = platform::DecodeWeights(row.m_value);
   if (!declared) {
     LogLine("bad_weights_row").Error();
@@ -260,6 +265,9 @@
   LogLine("weights_declared")
       .With("model", declared->m_model)
       .With("version", declared->m_version)
+      .With("before", newest)
+      .With("source", source)
+      .With("since_start_ms", ToMilliseconds(Now() - m_state.m_started_at))
       .With("age_ms", ToMilliseconds(age))
       .With("binding_in_ms", ToMilliseconds(binding_in))
       .Info();
--- a/src/libverbenalead/entry/row_applier.h
+++ b/src/libverbenalead/entry/row_applier.h
@@ -80,10 +80,14 @@
   void LogUnknownRegions() const;
   /// Applies a row that is not known yet; returns false if it is malformed, or
   /// older by its content than what is known.
-  bool ApplyOperatorRow(const platform::Row& row, Duration age);
+  bool ApplyOperatorRow(const platform::Row& row,
+                        Duration age,
+                        const std::string& source);
   bool ApplyConfig(const std::string& text);
   /// `age`: time since the declaration was made.
-  bool ApplyWeights(const platform::Row& row, Duration age);
+  bool ApplyWeights(const platform::Row& row,
+                    Duration age,
+                    const std::string& source);
   void ApplyReplicaRow(const platform::Row& row);
   /// Removes the rows that a whole table doesn't have.
   void RemoveAbsentReplicas(const platform::Rows& rows);
--- a/src/libverbenalead/target/target_rows.cc
+++ b/src/libverbenalead/target/target_rows.cc
@@ -67,6 +67,7 @@
   LogLine("weights_declared")
       .With("model", declared->m_model)
       .With("version", declared->m_version)
+      .With("before", NewestVersion(state))
       .With("age_ms", ToMilliseconds(age))
       .Info();
   state.m_declared.emplace(declared->m_version, Now() - age);
