--- a/testsuite/run_ctest.py
+++ b/testsuite/run_ctest.py
@@ -6,6 +6,10 @@
 with the name of a CTest test; after a colon it gives the symptom, the cause and
 the issue. At most three lines are allowed. Listed tests still run, and their
 results are printed.
+
+A line that starts with `incident` and a test's name lists the failing test of an
+incident whose fix has yet to follow. There may be one beside the three others, so
+that it drops none of them.
 """
 
 import os
@@ -13,6 +17,8 @@
 import sys
 
 MOST_KNOWN_RED = 3
+MOST_INCIDENTS = 1
+INCIDENT = "incident "
 
 
 def known_red():
@@ -21,9 +27,13 @@
     with open("KNOWN-RED.txt") as file:
         lines = [line.strip() for line in file]
     lines = [line for line in lines if line and not line.startswith("#")]
-    if len(lines) > MOST_KNOWN_RED:
+    incidents = [line for line in lines if line.startswith(INCIDENT)]
+    if len(incidents) > MOST_INCIDENTS:
+        sys.exit("KNOWN-RED.txt lists more than one test of an incident")
+    if len(lines) - len(incidents) > MOST_KNOWN_RED:
         sys.exit("KNOWN-RED.txt lists more than three tests")
-    return {line.split(":", 1)[0].strip(): line for line in lines}
+    return {line.removeprefix(INCIDENT).split(":", 1)[0].strip(): line
+            for line in lines}
 
 
 def main():
