Versions are dated one by one, and the dates are shared and kept

Cause: the store keeps the newest declaration of a model alone, and so did all that entries told each other. A process that started, or was away, between two declarations counted from the second one and let calls begin on the oldest version for the time between; a target process planned its load by the later bound as well. The same class in three more places: a declaration read after 3 s without the store was dated by the answer, also where others knew better; a first table that came late postponed the bound of a process that had just started; after an end of all processes nobody knew any date. A fact that binds by its history was kept as its newest value, and dated by whoever read it.

Change: each version has a date of its own, known (the store had confirmed that it wasn't declared) or guessed. Known dates go with the updates between the entries of a data centre, in the store's time so that no delay moves them, and to target processes with the announcements; the entry that reads the store keeps them in a table of the store, and reads that while it guesses. A known date replaces a guess, else the earlier one counts: a row that is written again gives a later one. A guess after a start counts from the start, not from the first table.

Ruled out: a larger margin (the gap is as long as the time between two declarations); dates from the later of two known ones (unsafe after a return of the store from a copy, when rows are written again).

--- a/src/libverbenalead/decide/config/route_table_test.cc
+++ b/src/libverbenalead/decide/config/route_table_test.cc
@@ -98,9 +98,10 @@
   void WeightsBindAtDeclaredTime() {
     const TimePoint start = TimePoint() + 3600s;
     DeclaredVersions versions;
-    Declare(versions, 2, start + 8s);
-    Declare(versions, 3, start + 10s);
-    Declare(versions, 3, start + 99s);  // A later declaration is ignored.
+    Declare(versions, 2, {8s, false}, start + 8s);
+    Declare(versions, 3, {10s, false}, start + 10s);
+    // A later declaration is ignored.
+    Declare(versions, 3, {99s, false}, start + 99s);
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, Binding(versions, start + 7s));
     CPPUNIT_ASSERT_EQUAL(uint64_t{2}, Binding(versions, start + 8s));
     CPPUNIT_ASSERT_EQUAL(uint64_t{3}, Binding(versions, start + 10s));
--- a/src/libverbenalead/decide/store/earliest_write.h
+++ b/src/libverbenalead/decide/store/earliest_write.h
@@ -29,7 +29,8 @@
 ///
 /// An outage of the store is not counted. No process can act on a declaration
 /// that it cannot read, and counting the outage would reject older weights
-/// before any replica has loaded the newer ones.
+/// before any replica has loaded the newer ones. If only some processes were
+/// without the store, the others know a better date, see IsWriteTimeProved().
 inline Duration EarliestWriteTime(Duration requested_at,
                                   Duration answered_at,
                                   std::optional<Duration> proved_at) {
@@ -42,6 +43,13 @@
   return std::max(*proved_at, answered_at - time_without_query);
 }
 
+/// Whether EarliestWriteTime() is a proved lower bound: the time without an
+/// open query is counted. Otherwise the row may be older.
+inline bool IsWriteTimeProved(Duration requested_at,
+                              std::optional<Duration> proved_at) {
+  return proved_at && requested_at - *proved_at <= kMaxUnprovedTime;
+}
+
 }  // namespace verbenalead::decide
 
 #endif  // VERBENALEAD_DECIDE_STORE_EARLIEST_WRITE_H_
--- a/src/libverbenalead/entry/call_server_test.cc
+++ b/src/libverbenalead/entry/call_server_test.cc
@@ -168,7 +168,7 @@
   void QueuedCallIsCancelledBeforeNewWeightsBind() {
     UseModel();
     const TimePoint binding = Now() + 200ms;
-    decide::Declare(m_state->m_weights["model"], 2, binding);
+    decide::Declare(m_state->m_weights["model"], 2, {}, binding);
     m_replicas.m_answers = {Answer(200, {Event(1)})};
     Call("/stream/1");
     CPPUNIT_ASSERT(m_replicas.m_head_deadlines.at(0) <= binding);
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -96,6 +96,8 @@
   std::map<std::string, ServiceState> m_services;
   /// By model.
   std::map<std::string, decide::DeclaredVersions> m_weights;
+  /// Number of changes of m_weights.
+  uint64_t m_declaration_changes = 0;
   decide::QuarantineState m_crashes{kQuarantine, {}, {}, {}};
   /// Parts of prompts that crash replicas.
   decide::CrashCauses m_causes;
--- a/src/libverbenalead/entry/peer_updates.cc
+++ b/src/libverbenalead/entry/peer_updates.cc
@@ -5,6 +5,7 @@
 #include "base/boot_clock.h"
 #include "base/log.h"
 #include "entry/crash_blame.h"
+#include "entry/declarations.h"
 #include "entry/evacuation_rows.h"
 #include "entry/rate_limits.h"
 #include "entry/statements.h"
@@ -162,6 +163,7 @@
   update.m_remote_entries = state.m_remote_entries;
   update.m_statements = StatementsToReport(state, Now());
   update.m_evacuations = EvacuationsToReport(state, Now());
+  update.m_declarations = DeclarationsToReport(state, Now());
   return update;
 }
 
@@ -232,6 +234,8 @@
         std::max(state.m_remote_entries.value_or(0), *update.m_remote_entries);
   }
   ApplyEvacuationReports(state, update.m_evacuations, update.m_address.m_host);
+  ApplyDeclarationReports(state, update.m_declarations,
+                          update.m_address.m_host);
   ApplyStatementList(state, update.m_statements, update.m_address.m_host, now);
   ApplyHolderClaims(state, update.m_statements, update.m_address.m_host, now);
   ApplyCrashReports(state, update.m_crash_reports, update.m_address.m_host,
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -12,6 +12,7 @@
 #include "entry/caller_addresses.h"
 #include "entry/cold_replicas.h"
 #include "entry/crash_blame.h"
+#include "entry/declaration_table.h"
 #include "entry/entry_registration.h"
 #include "entry/entry_state.h"
 #include "entry/peer_updates.h"
@@ -91,6 +92,10 @@
                m_store,
                m_store_http,
                [this] { ApplyRows(); }),
+        m_declarations(m_threads.main(),
+                       m_state,
+                       m_store,
+                       [this] { return m_rows.reads_store(); }),
         m_registration(
             m_state,
             m_store,
@@ -127,6 +132,7 @@
   /// weights and updates the limits for callers' requests.
   void ApplyRows() {
     m_slot_allocator.WakeAll();
+    ApplyDeclarations();
     // Replicas must use new weights within a set time of their declaration.
     // Targets need most of it to load them, so they are notified at once and
     // not with the next regular update.
@@ -153,6 +159,16 @@
     m_callers.SetLimits(limits);
   }
 
+  /// Applies declared weights and their dates, if any is new: bars older
+  /// weights and has the dates kept.
+  void ApplyDeclarations() {
+    if (m_state.m_declaration_changes == m_applied_declarations)
+      return;
+    m_applied_declarations = m_state.m_declaration_changes;
+    UpdatePools(m_state, Now());
+    m_declarations.Wake();
+  }
+
   Awaitable<void> SendReadiness(const wire::Request&,
                                 wire::ResponseWriter& caller) {
     const bool ready = IsReady(m_state);
@@ -175,6 +191,7 @@
   void HandleMessage(const Endpoint& sender, const links::Message& message) {
     if (const auto* update = std::get_if<links::EntryUpdate>(&message)) {
       ApplyUpdate(m_state, *update, Now());
+      ApplyDeclarations();
       m_update_sender.NotifyStartingEntry(*update);
       m_rows.Compare();
     } else if (const auto* summary =
@@ -295,6 +312,7 @@
   SlotAllocator m_slot_allocator;
   CallServer m_calls;
   RowSynchroniser m_rows;
+  DeclarationTable m_declarations;
   EntryRegistration m_registration;
   http::Server m_callers;
   http::Server m_readiness;
@@ -305,6 +323,8 @@
   /// The configuration that ApplyRows() applied last.
   std::shared_ptr<const decide::RouteTable> m_applied_routes;
   model::Revision m_announced_weights;
+  /// The changes of declarations that ApplyDeclarations() applied.
+  uint64_t m_applied_declarations = 0;
   /// The changes of evacuations that were announced to other entries.
   uint64_t m_announced_evacuations = 0;
   StartupProgress m_start;
@@ -335,6 +355,7 @@
   parts.m_start.m_started = Now();
   const auto main = parts.m_threads.main();
   parts.m_rows.Start();
+  SpawnLoop(main, parts.m_declarations.Run(), "keep_declarations");
   SpawnLoop(main, parts.m_registration.KeepRegistered(), "keep_registered");
   SpawnLoop(main, parts.m_registration.FollowRemoteEntries(),
             "learn_far_entries");
--- a/src/libverbenalead/entry/row_applier.cc
+++ b/src/libverbenalead/entry/row_applier.cc
@@ -10,6 +10,7 @@
 #include "decide/placement/live_replicas.h"
 #include "decide/regions/allowed_data_centers.h"
 #include "decide/store/earliest_write.h"
+#include "entry/declarations.h"
 #include "entry/evacuation_rows.h"
 #include "entry/store_return.h"
 #include "model/rank.h"
@@ -21,17 +22,6 @@
 namespace verbenalead::entry {
 namespace {
 
-/// New weights become mandatory this long before their bound ends. Calls that
-/// have not started on older weights by then are cancelled. The margin covers
-/// the lag of this entry's event loop and the time until the replica sees that
-/// the call was cancelled. It covers no delay of the declaration, whose age is
-/// counted, and no time for a call to start, since a call that has been sent is
-/// cancelled as well.
-constexpr Duration kBindingMargin = 300ms;
-/// Weights that were declared before this process started become mandatory
-/// after this time. The age of the declaration is not known, and after a loss
-/// of power no replica has loaded any weights yet.
-constexpr Duration kBindingAfterStart = 2500ms;
 /// Time after the store's return for which replicas without a row are kept.
 /// Rows that expired while the store was unavailable are back within two
 /// seconds; the rest is the time until this entry reads them.
@@ -53,7 +43,8 @@
 void RowApplier::MergeOperatorRows(
     const platform::Rows& rows,
     const std::string& source,
-    const std::function<Duration(const platform::Row&)>& age_of) {
+    const std::function<decide::DeclarationDate(const platform::Row&)>&
+        date_of) {
   for (const platform::Row& row : rows.m_rows) {
     if (IsEvacuationRow(row)) {
       MergeEvacuationRow(row, source);
@@ -64,7 +55,7 @@
       continue;
     const model::Revision known = kept.m_revision;
     const bool applied =
-        !row.m_deleted && ApplyOperatorRow(row, age_of(row), source);
+        !row.m_deleted && ApplyOperatorRow(row, date_of(row), source);
     kept.m_key = row.m_key;
     if (applied || kept.m_value.empty())
       kept.m_value = row.m_value;
@@ -118,12 +109,12 @@
 }
 
 bool RowApplier::ApplyOperatorRow(const platform::Row& row,
-                                  Duration age,
+                                  decide::DeclarationDate date,
                                   const std::string& source) {
   if (row.m_key == platform::kConfigKey)
     return ApplyConfig(row.m_value);
   if (row.m_key.starts_with(platform::kWeightsKeyPrefix))
-    return ApplyWeights(row, age, source);
+    return ApplyWeights(row, date, source);
   return true;
 }
 
@@ -135,12 +126,16 @@
   const Duration answered_at =
       decide::AnsweredAt(m_state.m_store_clock, rows.m_asked_at, answered);
   const bool first = is_snapshot && !m_operator_rows_read;
-  const Duration written_at = decide::EarliestWriteTime(
-      rows.m_asked_at, answered_at, m_state.m_lease.m_proved_at);
-  const Duration age =
-      first ? AssumedAge()
-            : std::max<Duration>(Duration(), BootNow() - written_at);
-  MergeOperatorRows(rows, "store", [age](const platform::Row&) { return age; });
+  const auto& proved_at = m_state.m_lease.m_proved_at;
+  decide::DeclarationDate date;
+  if (first) {
+    date = AssumedDate(m_state);
+  } else {
+    date = {decide::EarliestWriteTime(rows.m_asked_at, answered_at, proved_at),
+            decide::IsWriteTimeProved(rows.m_asked_at, proved_at)};
+  }
+  MergeOperatorRows(rows, "store",
+                    [&date](const platform::Row&) { return date; });
   if (is_snapshot) {
     m_operator_rows_read = true;
     MarkEvacuationsEnded(EndAbsentEvacuations(m_state, rows, "store"));
@@ -156,10 +151,13 @@
   const platform::Rows& rows = relayed.m_rows;
   const model::StoreTime proof = {rows.m_revision.m_era, rows.m_store_time};
   const bool current = NoteStoreEra(m_state, proof.m_era, "entry");
-  const Duration unknown = AssumedAge();
+  const decide::DeclarationDate unknown = AssumedDate(m_state);
   MergeOperatorRows(rows, "entry", [&](const platform::Row& row) {
     const auto age = relayed.m_max_ages.find(row.m_key);
-    return age == relayed.m_max_ages.end() ? unknown : age->second;
+    // The other entry may have guessed the age; its updates tell what it knows.
+    return age == relayed.m_max_ages.end()
+               ? unknown
+               : decide::DeclarationDate{BootNow() - age->second, false};
   });
   MarkEvacuationsEnded(EndAbsentEvacuations(m_state, rows, "entry"));
   m_operator_rows_read = true;
@@ -179,18 +177,6 @@
   ReviewEvacuations();
 }
 
-Duration RowApplier::BindingDelay() const {
-  return m_state.m_options.m_weights_bound - kBindingMargin;
-}
-
-Duration RowApplier::AssumedAge() const {
-  const Duration now = BootNow();
-  if (m_state.m_lease.m_proved_at)
-    return now -
-           decide::EarliestWriteTime(now, now, m_state.m_lease.m_proved_at);
-  return BindingDelay() - kBindingAfterStart;
-}
-
 bool RowApplier::ApplyConfig(const std::string& text) {
   auto config = CatchFailure([&] { return platform::DecodeConfig(text); });
   if (!config) {
@@ -243,36 +229,41 @@
 }
 
 bool RowApplier::ApplyWeights(const platform::Row& row,
-                              Duration age,
+                              decide::DeclarationDate date,
                               const std::string& source) {
   const auto declared = platform::DecodeWeights(row.m_value);
   if (!declared) {
     LogLine("bad_weights_row").Error();
     return false;
   }
-  decide::DeclaredVersions& versions = m_state.m_weights[declared->m_model];
+  const decide::DeclaredVersions& versions =
+      m_state.m_weights[declared->m_model];
   const uint64_t newest = decide::Newest(versions);
-  if (declared->m_version < newest)
-    return false;
-  const Duration written_at = BootNow() - age;
-  if (declared->m_version == newest) {
-    // Written again: the bound counts from the first declaration.
-    m_seen.try_emplace(row.m_key, written_at);
-    return true;
+  // The row of a version that is known already was written again, or comes from
+  // another process; it says nothing new of when the version was declared.
+  if (!versions.m_declarations.contains(declared->m_version)) {
+    ApplyDeclaration(m_state, declared->m_model, declared->m_version, date,
+                     source);
   }
-  m_seen[row.m_key] = written_at;
-  const Duration binding_in = BindingDelay() - age;
-  LogLine("weights_declared")
-      .With("model", declared->m_model)
-      .With("version", declared->m_version)
-      .With("before", newest)
-      .With("source", source)
-      .With("since_start_ms", ToMilliseconds(Now() - m_state.m_started_at))
-      .With("age_ms", ToMilliseconds(age))
-      .With("binding_in_ms", ToMilliseconds(binding_in))
-      .Info();
-  decide::Declare(versions, declared->m_version, Now() + binding_in);
-  return true;
+  return declared->m_version >= newest;
+}
+
+links::EarliestWriteTimes RowApplier::seen() const {
+  links::EarliestWriteTimes times;
+  for (const auto& [key, row] : m_operator_rows) {
+    if (!key.starts_with(platform::kWeightsKeyPrefix))
+      continue;
+    const auto declared = platform::DecodeWeights(row.m_value);
+    const auto versions = declared ? m_state.m_weights.find(declared->m_model)
+                                   : m_state.m_weights.end();
+    if (versions == m_state.m_weights.end())
+      continue;
+    const auto& declarations = versions->second.m_declarations;
+    const auto found = declarations.find(declared->m_version);
+    if (found != declarations.end())
+      times[key] = found->second.m_date.m_declared_at;
+  }
+  return times;
 }
 
 void RowApplier::ApplyReplicaRow(const platform::Row& row) {
--- a/src/libverbenalead/entry/row_applier.h
+++ b/src/libverbenalead/entry/row_applier.h
@@ -34,7 +34,7 @@
     return m_operator_rows;
   }
   /// The earliest time at which each declaration of weights may have been made.
-  const links::EarliestWriteTimes& seen() const { return m_seen; }
+  links::EarliestWriteTimes seen() const;
   /// Applies rows of the table of replicas. `regained_at`: when the store last
   /// answered again after a failure.
   void ApplyReplicaRows(const platform::Rows& rows,
@@ -51,7 +51,9 @@
   /// The revision up to which replica_rows() contains all changes.
   model::Revision replicas_revision() const { return m_replicas_revision; }
   /// Change with each change of operator_rows(), and of replica_rows().
-  uint64_t operator_generation() const { return m_operator_generation; }
+  uint64_t operator_generation() const {
+    return m_operator_generation + m_state.m_declaration_changes;
+  }
   uint64_t replica_generation() const { return m_replica_generation; }
   /// Uses replicas again that only seemed to be back from a copy of the store.
   /// Called ten times a second.
@@ -61,17 +63,12 @@
   void ReviewEvacuations();
 
  private:
-  /// Time from a declaration of weights until they are mandatory.
-  Duration BindingDelay() const;
-  /// Assumed age of a declaration that may have been made at any time since the
-  /// store last confirmed that this entry had the newest revision.
-  Duration AssumedAge() const;
-  /// `age_of` returns the maximum time since a row was written. `source`:
-  /// `store` or `entry`.
+  /// `date_of` returns when a row was written. `source`: `store` or `entry`.
   void MergeOperatorRows(
       const platform::Rows& rows,
       const std::string& source,
-      const std::function<Duration(const platform::Row&)>& age_of);
+      const std::function<decide::DeclarationDate(const platform::Row&)>&
+          date_of);
   void MergeEvacuationRow(const platform::Row& row, const std::string& source);
   /// Marks the rows of these data centres as deleted, so that other entries
   /// that fetch the rows get the removals too.
@@ -81,12 +78,11 @@
   /// Applies a row that is not known yet; returns false if it is malformed, or
   /// older by its content than what is known.
   bool ApplyOperatorRow(const platform::Row& row,
-                        Duration age,
+                        decide::DeclarationDate date,
                         const std::string& source);
   bool ApplyConfig(const std::string& text);
-  /// `age`: time since the declaration was made.
   bool ApplyWeights(const platform::Row& row,
-                    Duration age,
+                    decide::DeclarationDate date,
                     const std::string& source);
   void ApplyReplicaRow(const platform::Row& row);
   /// Removes the rows that a whole table doesn't have.
@@ -96,7 +92,6 @@
   EntryState& m_state;
   bool m_operator_rows_read = false;
   std::map<std::string, platform::Row> m_operator_rows;
-  links::EarliestWriteTimes m_seen;
   std::map<std::string, platform::Row> m_replica_rows;
   model::Revision m_replicas_revision;
   uint64_t m_operator_generation = 0;
--- a/src/libverbenalead/entry/update_sender.cc
+++ b/src/libverbenalead/entry/update_sender.cc
@@ -1,6 +1,7 @@
 #include "entry/update_sender.h"
 
 #include "entry/crash_blame.h"
+#include "entry/declarations.h"
 #include "entry/peer_updates.h"
 #include "entry/statements.h"
 
@@ -52,7 +53,8 @@
   ++m_update_rounds;
   const bool changed =
       update.m_ready != m_last_update.m_ready || crashes || reports ||
-      !StateTheSame(update.m_statements, m_last_update.m_statements);
+      !StateTheSame(update.m_statements, m_last_update.m_statements) ||
+      update.m_declarations != m_last_update.m_declarations;
   const bool store_lost = update.m_operator_confirmed_at == Duration() &&
                           m_last_update.m_operator_confirmed_at != Duration();
   const bool rows_changed =
@@ -98,12 +100,17 @@
     if (!IsEngineService(m_state, name))
       continue;
     const uint32_t fullness = UsedSlotsPercent(service.m_pool);
+    const std::string& model =
+        m_state.m_routes->FindService(name)->m_engine->m_model;
+    const std::vector<links::DeclarationAge> declared =
+        DeclarationAges(m_state, model, Now());
     for (const auto& [id, replica] : service.m_pool.m_replicas) {
       links::SubscriptionRequest request;
       request.m_used_slots_percent = fullness;
       request.m_weights_revision = m_state.m_weights_revision;
       request.m_replicas_hash = m_state.m_replicas_hash;
       request.m_evacuated_data_centers = m_state.m_evacuated_data_centers;
+      request.m_declared = declared;
       request.m_same_data_center =
           replica.m_replica.m_data_center ==
           m_state.m_options.m_own_address.m_data_center;
--- a/src/libverbenalead/links/entry_update.h
+++ b/src/libverbenalead/links/entry_update.h
@@ -6,6 +6,7 @@
 
 #include "decide/health/quarantine.h"
 #include "links/aged_crash_report.h"
+#include "links/declaration_report.h"
 #include "links/evacuation_report.h"
 #include "links/statement_report.h"
 #include "model/entry_address.h"
@@ -49,6 +50,10 @@
   /// many entries fetch them, or has read a copy of the store that lacks some.
   std::vector<EvacuationReport> m_evacuations;
 
+  /// Declared versions of weights whose dates the entry knows. The rows show
+  /// the newest version alone.
+  std::vector<DeclarationReport> m_declarations;
+
   friend bool operator==(const EntryUpdate&, const EntryUpdate&) = default;
 };
 
--- a/src/libverbenalead/links/message.cc
+++ b/src/libverbenalead/links/message.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "links/crash_report_codec.h"
+#include "links/declaration_codec.h"
 #include "links/evacuation_codec.h"
 #include "links/rate_limit_codec.h"
 #include "links/revision_codec.h"
@@ -57,6 +58,7 @@
   EncodeCrashReports(object, update.m_crash_reports);
   EncodeStatementList(object, update.m_statements);
   EncodeEvacuations(object, update.m_evacuations);
+  EncodeDeclarations(object, update.m_declarations);
   return object;
 }
 
@@ -135,6 +137,7 @@
                          {"replicas", std::to_string(request.m_replicas_hash)},
                          {"fullness", request.m_used_slots_percent}};
   EncodeEvacuatedDataCenters(object, request.m_evacuated_data_centers);
+  EncodeDeclarationAges(object, request.m_declared);
   return object;
 }
 
@@ -205,6 +208,7 @@
   request.m_used_slots_percent = static_cast<uint32_t>(fullness);
   BOOST_LEAF_ASSIGN(request.m_evacuated_data_centers,
                     DecodeEvacuatedDataCenters(object));
+  BOOST_LEAF_ASSIGN(request.m_declared, DecodeDeclarationAges(object));
   return request;
 }
 
@@ -248,6 +252,7 @@
   }
   BOOST_LEAF_ASSIGN(update.m_statements, DecodeStatementList(object));
   BOOST_LEAF_ASSIGN(update.m_evacuations, DecodeEvacuations(object));
+  BOOST_LEAF_ASSIGN(update.m_declarations, DecodeDeclarations(object));
   return update;
 }
 
--- a/src/libverbenalead/links/message_test.cc
+++ b/src/libverbenalead/links/message_test.cc
@@ -48,6 +48,8 @@
     entry_with_count.m_remote_entries = 78;
     entry_with_count.m_evacuations = {{"a", {3, 5}, true},
                                       {"b", {3, 4}, false}};
+    entry_with_count.m_declarations = {{"m", 2, {3, 1234ms}},
+                                       {"m", 3, {3, 5s}}};
     DataCenterSummary summary;
     summary.m_data_center = "a";
     summary.m_sender = "e1";
@@ -115,6 +117,8 @@
             "m", 4, {"10.0.0.2", {}, {}, decide::OriginStatus::kAnswers}, {}},
         SubscriptionRequest{true, true, 77, uint64_t{1} << 63, 85},
         SubscriptionRequest{false, true, {1, 7}, 85, 50, {"a", "b"}},
+        SubscriptionRequest{
+            false, true, {1, 7}, 85, 50, {}, {{2, 1234ms}, {3, 5s}}},
         SlotRequestMessage{"i-1", 9, 1290, false, 120ms, 250ms, {2, 100}},
         SlotAnswer{9, true, false, replica},
         SlotAnswer{9, false, true, replica},
--- a/src/libverbenalead/links/subscription_request.h
+++ b/src/libverbenalead/links/subscription_request.h
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <vector>
 
+#include "links/declaration_report.h"
 #include "model/revision.h"
 
 namespace verbenalead::links {
@@ -31,6 +33,8 @@
   uint32_t m_used_slots_percent = 100;
   /// Data centres that the operator has evacuated, as far as the sender knows.
   std::set<std::string> m_evacuated_data_centers;
+  /// Declared versions of the target's model whose dates the sender knows.
+  std::vector<DeclarationAge> m_declared;
 
   friend bool operator==(const SubscriptionRequest&,
                          const SubscriptionRequest&) = default;
--- a/src/libverbenalead/platform/names.h
+++ b/src/libverbenalead/platform/names.h
@@ -59,6 +59,9 @@
 /// A table of this project rather than of the platform: one row for each entry,
 /// in the part of the table named after the entry's data centre.
 inline constexpr char kEntryTable[] = "entries";
+/// A table of this project, and its only part: one row for each data centre,
+/// with the dates of declared weights.
+inline constexpr char kDeclarationTable[] = "declarations";
 
 }  // namespace verbenalead::platform
 
--- a/src/libverbenalead/target/row_source.cc
+++ b/src/libverbenalead/target/row_source.cc
@@ -183,6 +183,7 @@
                                    const links::SubscriptionRequest& request) {
   m_operator_rows.NoteEra(request.m_weights_revision.m_era);
   m_replica_rows.NoteEra(request.m_weights_revision.m_era);
+  ApplyDeclarationAges(m_state, request.m_declared);
   const bool is_newer = decide::HandleAnnouncement(
       m_changes, request.m_same_data_center, request.m_weights_revision, Now());
   const bool other_replicas =
--- a/src/libverbenalead/target/row_source_test.cc
+++ b/src/libverbenalead/target/row_source_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(DoesNotReadStoreWithoutEngine);
   CPPUNIT_TEST(ReadsNewWeightsFromAnnouncingEntry);
   CPPUNIT_TEST(DoesNotReadKnownReplicasAgain);
+  CPPUNIT_TEST(AVersionThatNoRowShowedIsPlannedFor);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -139,7 +140,26 @@
                    std::vector<std::string>({"10.0.0.1/v1/target-rows"}));
   }
 
+  // Guards against oldest weights that are still loaded when they are barred: a
+  // host that started after two declarations plans its load by the second one.
+  void AVersionThatNoRowShowedIsPlannedFor() {
+    m_state->m_engine.emplace();
+    m_state->m_declared[3] = Now() - 1s;
+    links::SubscriptionRequest request;
+    request.m_declared = {{2, 6s}, {3, 2s}};
+    m_rows->HandleAnnouncement(Endpoint("10.0.0.1", 2), request);
+    // A report that was under way for longer changes nothing.
+    request.m_declared = {{2, 5s}, {3, 1500ms}};
+    m_rows->HandleAnnouncement(Endpoint("10.0.0.1", 2), request);
+    CPPUNIT_ASSERT(AgeOf(2) >= 6s && AgeOf(2) < 7s);
+    CPPUNIT_ASSERT(AgeOf(3) >= 2s && AgeOf(3) < 3s);
+  }
+
  private:
+  Duration AgeOf(uint64_t version) const {
+    return Now() - m_state->m_declared.at(version);
+  }
+
   /// The store's response to a read of the table of entries.
   static wire::Response EntryRows(const std::vector<std::string>& hosts) {
     std::string rows;
--- a/src/libverbenalead/target/target_rows.cc
+++ b/src/libverbenalead/target/target_rows.cc
@@ -108,6 +108,31 @@
   }
 }
 
+void ApplyDeclarationAges(TargetState& state,
+                          const std::vector<links::DeclarationAge>& declared) {
+  if (!state.m_engine)
+    return;
+  for (const links::DeclarationAge& report : declared) {
+    const TimePoint declared_at = Now() - report.m_max_age;
+    const uint64_t newest = NewestVersion(state);
+    const auto [found, is_new] =
+        state.m_declared.try_emplace(report.m_version, declared_at);
+    // Reports that are under way for longer give a later time, so the earliest
+    // one counts. A known time replaces a guess, whatever it is.
+    const bool was_known = !state.m_known_dates.insert(report.m_version).second;
+    const TimePoint before = found->second;
+    found->second = was_known ? std::min(before, declared_at) : declared_at;
+    if (!is_new && was_known)
+      continue;
+    LogLine(is_new ? "weights_declared" : "weights_redated")
+        .With("model", state.m_engine->m_model)
+        .With("version", report.m_version)
+        .With("before", newest)
+        .With("age_ms", ToMilliseconds(report.m_max_age))
+        .Info();
+  }
+}
+
 bool HasEngine(const TargetState& state, const platform::Rows& rows) {
   for (const platform::Row& row : rows.m_rows) {
     if (row.m_deleted || row.m_key != platform::kConfigKey)
--- a/src/libverbenalead/target/target_rows.h
+++ b/src/libverbenalead/target/target_rows.h
@@ -3,7 +3,9 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
+#include "links/declaration_report.h"
 #include "platform/rows.h"
 #include "target/target_state.h"
 
@@ -15,6 +17,11 @@
                        const platform::Rows& rows,
                        const std::map<std::string, Duration>& ages);
 
+/// Applies the dates of declarations that an entry knows, also of versions
+/// whose rows this process never saw, as the store keeps the newest one alone.
+void ApplyDeclarationAges(TargetState& state,
+                          const std::vector<links::DeclarationAge>& declared);
+
 /// Whether the replica on this host has an engine according to the operator's
 /// `rows`.
 bool HasEngine(const TargetState& state, const platform::Rows& rows);
--- a/src/libverbenalead/target/target_state.h
+++ b/src/libverbenalead/target/target_state.h
@@ -50,6 +50,8 @@
   std::set<std::string> m_evacuated_data_centers;
   /// When each version was declared, as estimated on this host.
   std::map<uint64_t, TimePoint> m_declared;
+  /// The versions whose times of declaration an entry has stated as known.
+  std::set<uint64_t> m_known_dates;
   /// Replicas that the store lists, by id, without malformed rows.
   std::map<std::string, model::Replica> m_listed;
   /// `m_listed` without outdated rows, whose address another replica has taken
