Calls that wait at a replica are stopped once its weights are barred

What callers saw: calls that began on barred weights although they had been sent in time. Cause: an attempt took its last moment to begin from what its entry knew when it sent it. A version that was learned, or dated earlier, while the call waited at the replica changed nothing for it; and the limit held for the head of the answer, not for the first event, with which a call begins.

One that must not begin at the moment of sending isn't sent. The replica isn't blamed. New: log line call_barred, counter calls_barred_total.

--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -21,6 +21,8 @@
 /// Limit of the names that LogUnknownFields() logs and remembers.
 constexpr size_t kMaxLoggedFields = 64;
 
+constexpr char kBarredReason[] = "newer weights became mandatory";
+
 const char* ToString(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kGood:
@@ -54,6 +56,10 @@
                          std::shared_ptr<CallRecord> record)
     : m_services(services), m_record(std::move(record)) {}
 
+CallAttempt::~CallAttempt() {
+  NoteBegun();
+}
+
 Awaitable<bool> CallAttempt::Send(TimePoint wait_until,
                                   const std::function<void()>& on_sent) {
   SlotAllocator& slot_allocator = m_services.m_slot_allocator;
@@ -77,21 +83,7 @@
   m_incarnation = IncarnationOf(replica.m_replica);
   m_record->m_pool_call.m_attempted_replicas.insert(m_replica);
   m_number = ++m_record->m_attempts;
-  m_sent_at = Now();
-  m_known_weights = replica.m_weights;
-  m_begin_by = WeightsDeadline(replica);
-  const Endpoint endpoint = replica.m_replica.m_endpoint;
-  const TimePoint head_deadline = std::min(plan.m_deadline, m_begin_by);
-  wire::Request request =
-      platform::EncodeForReplica(m_record->m_request, ToForwardedCall(replica));
-  on_sent();
-  m_record->m_retries.NoteSent();
-  co_await OpenAttempt(m_services.m_replicas, endpoint, std::move(request),
-                       head_deadline, m_result);
-  if (m_cancelled && m_result.m_reader)
-    m_result.m_reader->Cancel();
-  if (m_result.m_reader)
-    co_await ReadAnswerHead(plan.m_call.m_id, head_deadline, m_result);
+  co_await Exchange(replica, on_sent);
   if (m_result.m_end == AttemptEnd::kUnreachable)
     m_record->m_retries.NoteUnreachable();
   else
@@ -105,6 +97,57 @@
   co_return true;
 }
 
+Awaitable<void> CallAttempt::Exchange(const decide::ReplicaState& replica,
+                                      const std::function<void()>& on_sent) {
+  const CallPlan& plan = m_record->m_plan;
+  EntryState& state = m_services.m_state;
+  m_sent_at = Now();
+  m_known_weights = replica.m_weights;
+  m_begin_by = WeightsDeadline(state, plan.m_model, m_known_weights);
+  on_sent();
+  m_record->m_retries.NoteSent();
+  if (m_begin_by <= m_sent_at) {
+    m_barred = true;
+    m_result.m_end = AttemptEnd::kUnreachable;
+    m_result.m_reason = kBarredReason;
+    co_return;
+  }
+  const Endpoint endpoint = replica.m_replica.m_endpoint;
+  wire::Request request =
+      platform::EncodeForReplica(m_record->m_request, ToForwardedCall(replica));
+  if (!plan.m_model.empty()) {
+    state.m_unstarted_calls[m_ticket] = {
+        plan.m_model, m_replica, m_known_weights, [this] { StopBarred(); }};
+  }
+  const TimePoint head_deadline = std::min(plan.m_deadline, m_begin_by);
+  co_await OpenAttempt(m_services.m_replicas, endpoint, std::move(request),
+                       head_deadline, m_result);
+  if ((m_cancelled || m_barred) && m_result.m_reader)
+    m_result.m_reader->Cancel();
+  if (m_result.m_reader)
+    co_await ReadAnswerHead(plan.m_call.m_id, head_deadline, m_result);
+  if (m_barred)
+    m_result.m_reason = kBarredReason;
+}
+
+void CallAttempt::StopBarred() {
+  if (std::exchange(m_barred, true))
+    return;
+  m_services.m_state.m_metrics.Count("calls_barred_total", "");
+  LogLine("call_barred")
+      .With("call", m_record->m_plan.m_call.m_id)
+      .With("replica", m_replica)
+      .With("known_weights", m_known_weights)
+      .With("ms", ToMilliseconds(Now() - m_sent_at))
+      .Info();
+  if (m_result.m_reader)
+    m_result.m_reader->Cancel();
+}
+
+void CallAttempt::NoteBegun() {
+  m_services.m_state.m_unstarted_calls.erase(m_ticket);
+}
+
 Awaitable<std::optional<std::string>> CallAttempt::AcquireSlot(
     TimePoint wait_until) {
   SlotAllocator& slot_allocator = m_services.m_slot_allocator;
@@ -257,6 +300,7 @@
     m_result.m_failure = piece.error().m_code;
     m_result.m_reason = verbenalead::ToString(piece.error());
   } else if (piece->has_value()) {
+    NoteBegun();
     NoteData();
   }
   co_return piece;
@@ -271,11 +315,15 @@
 
 void CallAttempt::End(AttemptEnd end) {
   m_result.m_reader.reset();
+  NoteBegun();
   if (m_replica.empty())
     return;
   // Calls of an earlier incarnation break off when its process ends.
   if (!m_incarnation.empty() && !CurrentReplica())
     end = AttemptEnd::kAbandoned;
+  // The replica isn't to blame.
+  if (m_barred)
+    end = AttemptEnd::kAbandoned;
   if (end == AttemptEnd::kGood)
     NoteRunTime();
   m_services.m_slot_allocator.Release(
@@ -304,15 +352,6 @@
   return call;
 }
 
-TimePoint CallAttempt::WeightsDeadline(
-    const decide::ReplicaState& replica) const {
-  const auto& declared_versions = m_services.m_state.m_weights;
-  const auto versions = declared_versions.find(m_record->m_plan.m_model);
-  if (m_record->m_plan.m_model.empty() || versions == declared_versions.end())
-    return TimePoint::max();
-  return decide::ForbiddenFrom(versions->second, replica.m_weights);
-}
-
 void CallAttempt::Log(AttemptEnd end, const std::string& reason) const {
   const TimePoint now = Now();
   const model::ReplicaStatements& statements = m_result.m_metadata.m_statements;
--- a/src/libverbenalead/entry/call_attempt.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -19,6 +19,7 @@
 class CallAttempt {
  public:
   CallAttempt(CallServices services, std::shared_ptr<CallRecord> record);
+  ~CallAttempt();
 
   CallAttempt(const CallAttempt&) = delete;
   CallAttempt& operator=(const CallAttempt&) = delete;
@@ -61,12 +62,16 @@
  private:
   platform::ForwardedCall ToForwardedCall(
       const decide::ReplicaState& replica) const;
-  /// Time after which the call must not start at `replica`, because newer
-  /// weights than the replica's become mandatory. A call may wait in a
-  /// replica's queue for a second; without this limit, a call sent while the
-  /// older weights were still allowed could start, and be answered by them,
-  /// after that time.
-  TimePoint WeightsDeadline(const decide::ReplicaState& replica) const;
+  /// Sends the call to `replica` and waits for the head of the answer. Gives up
+  /// at the time after which the call must not begin there: it may wait in the
+  /// replica's queue for a second, and begin on weights that are barred by
+  /// then.
+  Awaitable<void> Exchange(const decide::ReplicaState& replica,
+                           const std::function<void()>& on_sent);
+  /// Gives the attempt up, as the call must not begin at the replica any more.
+  void StopBarred();
+  /// The call has begun, or won't: no weights forbid it any more.
+  void NoteBegun();
   /// Updates the call's progress, and the replica's known weights version, from
   /// the head of the answer.
   void ApplyHead();
@@ -96,6 +101,8 @@
   uint64_t m_ticket = 0;
   bool m_cancelled = false;
   bool m_blocked = false;
+  /// Newer weights became mandatory before the call had begun.
+  bool m_barred = false;
   bool m_has_events = false;
   /// The replica at which this attempt holds a slot; empty: none.
   std::string m_replica;
--- a/src/libverbenalead/entry/entry_state.h
+++ b/src/libverbenalead/entry/entry_state.h
@@ -30,6 +30,7 @@
 #include "entry/last_summary.h"
 #include "entry/peer_entry.h"
 #include "entry/replica_change_log.h"
+#include "entry/unstarted_calls.h"
 #include "model/revision.h"
 
 namespace verbenalead::entry {
@@ -107,6 +108,8 @@
   CrashReportLog m_local_reports;
   /// Parts of the prompts of calls that wait for a slot, by the call's ticket.
   std::map<uint64_t, std::vector<uint64_t>> m_waiting_parts;
+  /// Calls with a model that were sent and haven't begun, by ticket.
+  std::map<uint64_t, UnstartedCall> m_unstarted_calls;
   /// Crashes observed by this entry, kept while they are sent to other entries.
   std::vector<decide::CrashRecord> m_own_crashes;
   /// Crashes reported by entries of this data centre, kept while they are sent
--- a/src/libverbenalead/entry/platform_entry.cc
+++ b/src/libverbenalead/entry/platform_entry.cc
@@ -166,6 +166,7 @@
       return;
     m_applied_declarations = m_state.m_declaration_changes;
     UpdatePools(m_state, Now());
+    StopBarredCalls(m_state, Now());
     m_declarations.Wake();
   }
 
@@ -227,6 +228,7 @@
       if (!m_started)
         m_started = RecordStartupSteps(m_state, m_start, Now());
       UpdatePools(m_state, Now());
+      StopBarredCalls(m_state, Now());
       // The target may know of the restart or the cold time from nobody else.
       ReportColdReplicas(
           m_state,
