Calls name the newest weights that their replica is taken to have

X-Verbenalead-Expect-Version was encoded and tested, and nothing set it. An entry now names the version where it takes the replica for one with the newest: such a replica can only have older ones. At a replica with older weights it names none, so a call that waits over a load may begin on the newer ones.

The stand-in of a replica answers 421 to another version. Test in call_barred_test (fails without the change: no field was sent).

--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -349,6 +349,14 @@
   call.m_time_left = m_record->Left(Now()) - kReplicaMargin;
   call.m_organisation = m_record->m_plan.m_organisation;
   call.m_last_event = m_record->m_events.m_last_id;
+  // If the replica is believed to have the newest weights and has others, they
+  // can only be older: it has lost them since, and its row doesn't tell yet. At
+  // a replica with older weights a call may begin on newer ones.
+  const auto& weights = m_services.m_state.m_weights;
+  const auto versions = weights.find(m_record->m_plan.m_model);
+  if (versions != weights.end() && replica.m_weights > 0 &&
+      replica.m_weights == decide::Newest(versions->second))
+    call.m_weights = replica.m_weights;
   return call;
 }
 
--- a/src/libverbenalead/entry/call_barred_test.cc
+++ b/src/libverbenalead/entry/call_barred_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(AStreamThatHasBegunGoesOn);
   CPPUNIT_TEST(ACallAtAReplicaWithTheNewWeightsGoesOn);
   CPPUNIT_TEST(ACallIsNotSentOnceItMustNotBegin);
+  CPPUNIT_TEST(ACallNamesTheNewestWeightsThatItsReplicaIsTakenToHave);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -85,7 +86,29 @@
     CPPUNIT_ASSERT_EQUAL(0U, CallsInFlight());
   }
 
+  // Guards against a call that begins on barred weights at a replica that has
+  // lost the newer ones, which its entry doesn't know yet.
+  void ACallNamesTheNewestWeightsThatItsReplicaIsTakenToHave() {
+    Learn(1s);
+    m_replicas.m_answers = {Answer(200, {Event(1)}), Answer(200, {Event(1)})};
+    Call("/stream/1");
+    CPPUNIT_ASSERT_EQUAL(std::string(), ExpectedWeights(0));
+    SetWeights(2);
+    Call("/stream/2");
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), ExpectedWeights(1));
+    // It has older ones: another replica gets the call.
+    m_replicas.m_answers = {NotRun(), Answer(200, {Event(1)})};
+    m_replicas.m_answers[0].m_head.m_status = 421;
+    CPPUNIT_ASSERT_EQUAL(200, Call("/stream/3").m_status);
+    CPPUNIT_ASSERT(Asked(2) != Asked(3));
+  }
+
  private:
+  std::string ExpectedWeights(size_t number) const {
+    return wire::Get(m_replicas.m_requests.at(number).m_headers,
+                     platform::kExpectWeights);
+  }
+
   static constexpr Duration kBound = 8s;
 
   static wire::ScriptedAnswer Late() {
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -209,6 +209,12 @@
     co_await writer.Send(NotRun(421, *replica));
     co_return;
   }
+  const std::string weights =
+      wire::Get(request.m_headers, platform::kExpectWeights);
+  if (!weights.empty() && weights != std::to_string(replica->m_version)) {
+    co_await writer.Send(NotRun(421, *replica));
+    co_return;
+  }
   CountColdCall(*replica);
   if (IsCut(*replica))
     co_return;
