A load needs a read-back of staged chunks that is recent at its order

Cause: the target process reads the staged chunks back, waits for its turn and for running calls to end, and orders the load without another look, however long a pause of the process lasted in between. A check and the act that it permits, with a wait between them.

Change: the age of the read-back, by a clock that counts while the host is suspended, is part of the decision, after all waits and right before the order. A chunk that is staged, or a restart of the engine, ends a read-back. New log line read_back_outdated.

Not covered: a pause after the check while the connection of the order is opened.

--- a/src/libverbenalead/target/chunk_stager.cc
+++ b/src/libverbenalead/target/chunk_stager.cc
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "base/boot_clock.h"
 #include "base/log.h"
 #include "target/staged_chunk_reader.h"
 
@@ -17,6 +18,7 @@
 
 Awaitable<void> ChunkStager::FindStaged(uint64_t version) {
   const TimePoint begun = Now();
+  const Duration begun_by_boot_clock = BootNow();
   const StagedChunkHandler handle = [&](uint32_t chunk, const auto& bytes) {
     if (!bytes)
       return bytes.error().m_code == FailureCode::kNotFound;
@@ -29,6 +31,7 @@
   if (m_state.m_cache.Staged(version)) {
     m_verified_version = version;
     m_verified_at = begun;
+    RecordReadBack(version, begun_by_boot_clock);
   }
   LogLine("staged_adopted")
       .With("version", version)
@@ -62,6 +65,7 @@
   if (!cached || !cached->m_chunks[chunk].m_bytes)
     co_return true;
   std::string bytes = *cached->m_chunks[chunk].m_bytes;
+  m_read_back_version = 0;
   auto put = co_await m_engine.Stage(m_state.m_engine->m_model, chunk,
                                      std::move(bytes));
   if (!put) {
@@ -82,6 +86,7 @@
       m_state.m_cache.Staged(version))
     co_return true;
   const TimePoint begun = Now();
+  const Duration begun_by_boot_clock = BootNow();
   uint32_t valid_chunks = 0;
   uint64_t invalid_chunks = 0;
   std::optional<Failure> failure;
@@ -109,13 +114,28 @@
       .With("spoilt", invalid_chunks)
       .With("ms", ToMilliseconds(Now() - begun))
       .Info();
-  co_return valid_chunks == profile.m_chunks;
+  if (valid_chunks != profile.m_chunks)
+    co_return false;
+  RecordReadBack(version, begun_by_boot_clock);
+  co_return true;
+}
+
+void ChunkStager::RecordReadBack(uint64_t version, Duration begun) {
+  m_read_back_version = version;
+  m_read_back_at = begun;
+}
+
+std::optional<Duration> ChunkStager::ReadBackAge(uint64_t version) const {
+  if (version == 0 || m_read_back_version != version)
+    return std::nullopt;
+  return BootNow() - m_read_back_at;
 }
 
 void ChunkStager::ForgetAll() {
   m_state.m_cache.RecordAllUnstaged();
   m_version = 0;
   m_verified_version = 0;
+  m_read_back_version = 0;
 }
 
 decide::StagedVersion ChunkStager::Held(uint64_t version) const {
--- a/src/libverbenalead/target/chunk_stager.h
+++ b/src/libverbenalead/target/chunk_stager.h
@@ -2,6 +2,7 @@
 #define VERBENALEAD_TARGET_CHUNK_STAGER_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "decide/transfer/staging_area.h"
 #include "platform/engine_client.h"
@@ -30,6 +31,10 @@
   /// such a chunk is removed from the cache and has to be fetched again. A
   /// version that `FindStaged` has just read back completely is not read again.
   Awaitable<bool> Verify(uint64_t version);
+  /// Time since the last read-back began that found all chunks of `version`
+  /// staged and correct, on a clock that also counts while the host is
+  /// suspended; nullopt: there was none since a chunk was staged.
+  std::optional<Duration> ReadBackAge(uint64_t version) const;
   /// Must be called after the engine restarted: chunks that it had staged may
   /// be lost.
   void ForgetAll();
@@ -37,6 +42,7 @@
  private:
   decide::StagedVersion Held(uint64_t version) const;
   Awaitable<bool> Put(uint64_t version, uint32_t chunk);
+  void RecordReadBack(uint64_t version, Duration begun);
 
   TargetState& m_state;
   platform::EngineClient& m_engine;
@@ -46,6 +52,10 @@
   /// began; 0: none.
   uint64_t m_verified_version = 0;
   TimePoint m_verified_at{};
+  /// The version whose chunks were read back and correct last, and when that
+  /// began; 0: none.
+  uint64_t m_read_back_version = 0;
+  Duration m_read_back_at{};
 };
 
 }  // namespace verbenalead::target
--- a/src/libverbenalead/target/chunk_stager_test.cc
+++ b/src/libverbenalead/target/chunk_stager_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "decide/rollout/read_back.h"
 #include "target/staging_engine.h"
 
 namespace verbenalead::target {
@@ -31,6 +32,7 @@
   CPPUNIT_TEST(ReadsSeveralChunksAtATime);
   CPPUNIT_TEST(FindsCorruptChunksAmongParallelReads);
   CPPUNIT_TEST(FailedReadIsNoCorruptChunk);
+  CPPUNIT_TEST(AReadBackHoldsForALimitedTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -41,6 +43,32 @@
     Restart();
   }
 
+  // Guards against a load of chunks that have been corrupt for seconds: the
+  // process was paused between their read-back and the order.
+  void AReadBackHoldsForALimitedTime() {
+    CPPUNIT_ASSERT(!decide::MayLoadAfterReadBack(m_stager->ReadBackAge(2)));
+    Take(2, kNew, 4);
+    Run(m_stager->Stage(2, 1));
+    CPPUNIT_ASSERT(!m_stager->ReadBackAge(2));
+    CPPUNIT_ASSERT(Verify(2));
+    CPPUNIT_ASSERT(decide::MayLoadAfterReadBack(m_stager->ReadBackAge(2)));
+    CPPUNIT_ASSERT(!decide::MayLoadAfterReadBack(m_stager->ReadBackAge(3)));
+    CPPUNIT_ASSERT(
+        !decide::MayLoadAfterReadBack(decide::kMaxReadBackAge + 1ms));
+    // A chunk that is corrupt now doesn't extend the time of the last one.
+    m_http->m_chunks["1"] = "rotten";
+    const auto before = m_stager->ReadBackAge(2);
+    CPPUNIT_ASSERT(!Verify(2));
+    CPPUNIT_ASSERT(*m_stager->ReadBackAge(2) >= *before);
+    // What was staged since hasn't been read back.
+    CPPUNIT_ASSERT(m_state->m_cache.Put(2, 1, kNew[1]));
+    Run(m_stager->Stage(2, 1));
+    CPPUNIT_ASSERT(!m_stager->ReadBackAge(2));
+    CPPUNIT_ASSERT(Verify(2));
+    m_stager->ForgetAll();
+    CPPUNIT_ASSERT(!m_stager->ReadBackAge(2));
+  }
+
   // Guards against new weights that are 3 s late on a host whose target process
   // was killed during the transfer and fetches all chunks again. Each chunk is
   // staged when it arrives, so that the next process fetches only the rest.
--- a/src/libverbenalead/target/engine_controller.cc
+++ b/src/libverbenalead/target/engine_controller.cc
@@ -9,6 +9,7 @@
 #include "base/spawn.h"
 #include "decide/placement/replica_speed.h"
 #include "decide/rollout/even_turn.h"
+#include "decide/rollout/read_back.h"
 #include "links/cold_log.h"
 
 namespace verbenalead::target {
@@ -465,6 +466,19 @@
   }
 }
 
+Awaitable<bool> EngineController::HasRecentReadBack(uint64_t version) {
+  const auto age = m_stager.ReadBackAge(version);
+  if (decide::MayLoadAfterReadBack(age))
+    co_return true;
+  LogLine("read_back_outdated")
+      .With("version", version)
+      .With("age_ms", ToMilliseconds(age.value_or(Duration(-1ms))))
+      .Warn();
+  const bool correct = co_await m_stager.Verify(version);
+  co_return correct&& decide::MayLoadAfterReadBack(
+      m_stager.ReadBackAge(version));
+}
+
 Awaitable<void> EngineController::Load(uint64_t version,
                                        decide::LoadTurn turn) {
   // Reads the staged chunks back as late as possible before the load; only the
@@ -482,8 +496,11 @@
     turn.m_drain = decide::EvenDrainTime(fullness);
   if (Loaded() > 0)
     co_await WaitForDrain(Now() + turn.m_drain);
-  if (!m_report)
+  const bool may_load = co_await HasRecentReadBack(version);
+  if (!may_load || !m_report) {
+    m_calls_stopped = false;
     co_return;
+  }
   auto loading = co_await m_engine.Load(m_state.m_engine->m_model, version,
                                         m_report->m_orders);
   LogLine line("load_ordered");
--- a/src/libverbenalead/target/engine_controller.h
+++ b/src/libverbenalead/target/engine_controller.h
@@ -60,6 +60,9 @@
   Awaitable<bool> WaitForTurn(uint64_t version, TimePoint at);
   /// Waits until the engine has no calls left, at most until `end`.
   Awaitable<void> WaitForDrain(TimePoint end);
+  /// Whether the staged chunks of `version` may be loaded now. Reads them back
+  /// again if the last read-back is too old, as after a pause of this process.
+  Awaitable<bool> HasRecentReadBack(uint64_t version);
   /// Starts the transfer of `version` into the cache, unless it is complete,
   /// already being fetched, or another transfer should finish first.
   Awaitable<void> Obtain(uint64_t version);
