Requests that fail add no debt to the pace of reading changes

Cause: each poll was charged to the pacer for changes in quick succession, also those that failed; they come each 0.15 to 0.35 s and were charged 0.4 s, so the debt grew with an outage, and after the first answer the reader waited for all of it.

Change: while the store doesn't answer nothing is charged, and the pacer's wait is at most one interval, whatever was charged.

--- a/src/libverbenalead/decide/store/burst_pacer.h
+++ b/src/libverbenalead/decide/store/burst_pacer.h
@@ -24,10 +24,16 @@
   TimePoint m_full_burst_at{};
 };
 
-/// Records a request sent at `now`. Returns how long the next one has to wait.
+/// Records a request sent at `now`. Returns how long the next one has to wait:
+/// at most one interval.
+///
+/// Failure: requests that fail are repeated without regard to the wait.
+/// Symptom: each adds to it, and after the first one that is answered, changes
+/// stay unread for seconds.
 inline Duration RecordRequest(BurstPacer& pacer, TimePoint now) {
   pacer.m_full_burst_at =
-      std::max(pacer.m_full_burst_at, now) + pacer.m_interval;
+      std::min(std::max(pacer.m_full_burst_at, now) + pacer.m_interval,
+               now + (pacer.m_burst + 1) * pacer.m_interval);
   return std::max<Duration>(Duration(), pacer.m_full_burst_at - now -
                                             pacer.m_burst * pacer.m_interval);
 }
--- a/src/libverbenalead/decide/store/burst_pacer_test.cc
+++ b/src/libverbenalead/decide/store/burst_pacer_test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(BurstPacerTest);
   CPPUNIT_TEST(BurstIsNotDelayed);
   CPPUNIT_TEST(LongSeriesIsPacedByTheInterval);
+  CPPUNIT_TEST(RequestsThatIgnoreTheWaitDontProlongIt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -36,6 +37,18 @@
     CPPUNIT_ASSERT(requests >= 25);
     CPPUNIT_ASSERT(requests <= 30);
   }
+
+  // Guards against changes that stay unread for seconds after an outage: the
+  // requests that failed were repeated faster than the pace.
+  void RequestsThatIgnoreTheWaitDontProlongIt() {
+    BurstPacer pacer{5, 400ms};
+    TimePoint now = kStart;
+    for (int request = 0; request < 100; ++request) {
+      RecordRequest(pacer, now);
+      now += 150ms;
+    }
+    CPPUNIT_ASSERT(RecordRequest(pacer, now) <= 400ms);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BurstPacerTest);
--- a/src/libverbenalead/entry/row_synchroniser.cc
+++ b/src/libverbenalead/entry/row_synchroniser.cc
@@ -95,8 +95,12 @@
     // newest revision, so its first request is answered without a wait.
     const bool proved =
         Now() - m_state.m_operator_answered_at < kOperatorLongPoll;
-    schedule = {proved ? kOperatorLongPoll : Duration(),
-                decide::RecordRequest(m_operator_pace, Now()),
+    // Requests while the store doesn't answer read no changes.
+    const Duration interval =
+        m_operator.connection_lost()
+            ? Duration()
+            : decide::RecordRequest(m_operator_pace, Now());
+    schedule = {proved ? kOperatorLongPoll : Duration(), interval,
                 PauseAfterFailure(), false};
     // The first answer that counts as a proof after the store's return is
     // requested as soon as it counts.
