An entry that starts after a return of the store waits for lost changes

Cause: such an entry had no date of the return until it heard one, which was late by the delay of the message, so that a proof taken in between counted as one from before.

Change: in an era after the first one a process that knows no older era takes it to have begun when it saw it first; its proofs count 2 s later, or as soon as another process tells of an earlier time. All times that are told are upper bounds of the true one, so a delay only makes it wait. Processes tell for how long they have known the era also after the first minute.

Tests: the assertion that the starting entry's lease is valid before it hears of the return was the fault itself; it is replaced by its opposite, and by the lease becoming valid once another entry has known the era for a minute. EntriesThatAllStartAfterAReturnWaitForLostChanges is new. store_era_test asserted the same and follows.

--- a/src/libverbenalead/decide/store/store_era.h
+++ b/src/libverbenalead/decide/store/store_era.h
@@ -13,30 +13,38 @@
 struct StoreEra {
   /// Newest era that an answer or another process has stated; 0: none.
   uint64_t m_era = 0;
-  /// When this era was first seen to follow an older one; absent: the process
-  /// has known no older one.
+  /// The earliest time at which a process is known to have seen this era, which
+  /// may have begun right before; absent: the store has never come back.
   std::optional<Duration> m_since;
 };
 
+/// The era of a store that has never come back from a copy.
+constexpr uint64_t kFirstEra = 1;
+
 /// Time after the store's return from a copy within which the operator and the
 /// replicas have written again what the copy lacks.
 constexpr Duration kWrittenAgainWithin = 2s;
 
 /// Records that an answer or another process states `era`. Returns whether it
 /// follows an older one that this process knew.
+///
+/// Failure: a process starts right after the return, and takes the store's
+/// first answer, by the copy, for a proof. Symptom: it runs calls with a key
+/// whose removal the copy lacks. A process that knows no older era can't tell
+/// how long ago the return was, so for it the era begins with what it sees
+/// first, until another process tells of an earlier time.
 inline bool RecordEra(StoreEra& known, uint64_t era, Duration now) {
   if (era <= known.m_era)
     return false;
   const bool follows = known.m_era > 0;
   known.m_era = era;
-  if (follows)
+  if (follows || era > kFirstEra)
     known.m_since = now;
   return follows;
 }
 
-/// Records that another process has known `era` since `since`. A process that
-/// starts right after the store's return learns only from others that it has
-/// just returned.
+/// Records that another process has known `era` since `since`. The era began
+/// before any process saw it, so the earliest time is the closest.
 inline void RecordEraSince(StoreEra& known, uint64_t era, Duration since) {
   if (era == known.m_era && era > 0)
     known.m_since = std::min(known.m_since.value_or(since), since);
--- a/src/libverbenalead/decide/store/store_era_test.cc
+++ b/src/libverbenalead/decide/store/store_era_test.cc
@@ -20,11 +20,11 @@
   // the store confirms that nothing is newer.
   void ProofsRightAfterAReturnDoNotCount() {
     StoreEra era;
-    CPPUNIT_ASSERT(!RecordEra(era, 7, 100s));
+    CPPUNIT_ASSERT(!RecordEra(era, 1, 100s));
     CPPUNIT_ASSERT(IsSettled(era, 100s));
-    CPPUNIT_ASSERT(RecordEra(era, 8, 200s));
-    CPPUNIT_ASSERT(!RecordEra(era, 8, 201s));
-    CPPUNIT_ASSERT(!RecordEra(era, 7, 201s));
+    CPPUNIT_ASSERT(RecordEra(era, 2, 200s));
+    CPPUNIT_ASSERT(!RecordEra(era, 2, 201s));
+    CPPUNIT_ASSERT(!RecordEra(era, 1, 201s));
     CPPUNIT_ASSERT(!IsSettled(era, 200s + kWrittenAgainWithin - 1ms));
     CPPUNIT_ASSERT(IsSettled(era, 200s + kWrittenAgainWithin));
     CPPUNIT_ASSERT(TimeUntilSettled(era, 201s) == kWrittenAgainWithin - 1s);
@@ -34,9 +34,11 @@
   // the return and knows the copy alone.
   void AProcessThatStartsLearnsOfTheReturnFromOthers() {
     StoreEra era;
-    RecordEra(era, 8, 200s);
-    CPPUNIT_ASSERT(IsSettled(era, 200s));
-    CPPUNIT_ASSERT(!IsFromGap(era, 200s));
+    CPPUNIT_ASSERT(!RecordEra(era, 8, 200s));
+    // It may have been there for any time; nobody has told yet.
+    CPPUNIT_ASSERT(!IsSettled(era, 200s));
+    CPPUNIT_ASSERT(!IsSettled(era, 201s));
+    CPPUNIT_ASSERT(IsSettled(era, 202s));
     RecordEraSince(era, 8, 199s);
     CPPUNIT_ASSERT(!IsSettled(era, 200s));
     // Its first proof was given in the gap; one of before would hold.
--- a/src/libverbenalead/entry/store_return.cc
+++ b/src/libverbenalead/entry/store_return.cc
@@ -4,12 +4,6 @@
 #include "base/log.h"
 
 namespace verbenalead::entry {
-namespace {
-
-/// Other entries are told of a return for this long.
-constexpr Duration kReportReturnFor = std::chrono::minutes(1);
-
-}  // namespace
 
 bool NoteStoreEra(EntryState& state, uint64_t era, const std::string& source) {
   const uint64_t before = state.m_store_era.m_era;
@@ -44,9 +38,7 @@
 
 std::optional<Duration> StoreEraAge(const EntryState& state) {
   const auto& since = state.m_store_era.m_since;
-  if (!since || BootNow() - *since > kReportReturnFor)
-    return std::nullopt;
-  return BootNow() - *since;
+  return since ? std::optional(BootNow() - *since) : std::nullopt;
 }
 
 void ApplyProof(EntryState& state, Duration proved_at) {
--- a/src/libverbenalead/entry/store_return_test.cc
+++ b/src/libverbenalead/entry/store_return_test.cc
@@ -98,6 +98,7 @@
   CPPUNIT_TEST(LateAnswersOfTheOlderEraAreIgnored);
   CPPUNIT_TEST(AnEntryThatStartsGetsTheNewerConfigurationOfOthers);
   CPPUNIT_TEST(AnEntryThatStartsAfterAReturnWaitsForLostChanges);
+  CPPUNIT_TEST(EntriesThatAllStartAfterAReturnWaitForLostChanges);
   CPPUNIT_TEST(ProofsOfTheCopyDoNotRenewTheLease);
   CPPUNIT_TEST(AFollowerDatesProofsOfTheNewEra);
   CPPUNIT_TEST(EntriesThatStateNoEraAreNotFollowed);
@@ -226,11 +227,33 @@
     other.Read(Answer({2, 30}, {ConfigRow({2, 20}, 19)}));
     Entry starting("e1");
     starting.Read(Answer({2, 30}, {ConfigRow({2, 20}, 19)}));
-    CPPUNIT_ASSERT(HasValidLease(starting.m_state));
+    CPPUNIT_ASSERT(!HasValidLease(starting.m_state));
     links::DataCenterSummary summary = SummaryOf(other.m_state, Now());
     summary.m_data_center = "b";
     CPPUNIT_ASSERT(ApplySummary(starting.m_state, summary, Now()));
     CPPUNIT_ASSERT(!HasValidLease(starting.m_state));
+    starting.Read(Answer({2, 31}, {}), false);
+    CPPUNIT_ASSERT(!HasValidLease(starting.m_state));
+    // Another one has known the era for long.
+    summary.m_era_age = 60s;
+    ++summary.m_sequence;
+    CPPUNIT_ASSERT(ApplySummary(starting.m_state, summary, Now()));
+    starting.Read(Answer({2, 32}, {}), false);
+    CPPUNIT_ASSERT(HasValidLease(starting.m_state));
+  }
+
+  // Guards against calls with a key that was taken away, if all entries start
+  // right after the return: nobody knows when that was.
+  void EntriesThatAllStartAfterAReturnWaitForLostChanges() {
+    Entry first("e1");
+    Entry second("e2");
+    for (Entry* entry : {&first, &second})
+      entry->Read(Answer({2, 30}, {ConfigRow({2, 20}, 19)}));
+    ApplyUpdate(first.m_state, MakeEntryUpdate(second.m_state), Now());
+    CPPUNIT_ASSERT(!HasValidLease(first.m_state));
+    first.SettleReturn();
+    first.Read(Answer({2, 31}, {}), false);
+    CPPUNIT_ASSERT(HasValidLease(first.m_state));
   }
 
   // Guards against calls with a key whose removal the copy lacks.
