--- a/src/libverbenalead/decide/placement/replica_pool.cc
+++ b/src/libverbenalead/decide/placement/replica_pool.cc
@@ -98,16 +98,10 @@
   return state.m_calls_since_rest < 1 + share * state.m_replica.m_slots;
 }
 
-/// Whether a call that is sent to the replica now begins on weights that are
-/// allowed.
-bool HasRequiredWeights(const ReplicaPool& pool, const ReplicaState& state) {
-  return state.m_weights >=
-         std::max(pool.m_required_weights, state.m_required_weights);
-}
-
 bool Usable(const ReplicaPool& pool, const ReplicaState& state, TimePoint now) {
   return WantsCalls(pool, state, now) && state.m_loading_until <= now &&
-         state.m_backoff_until <= now && HasRequiredWeights(pool, state);
+         state.m_backoff_until <= now &&
+         state.m_weights >= pool.m_required_weights;
 }
 
 /// Whether the replica has a rate limit and no token for this entry now.
@@ -629,7 +623,8 @@
   bool rests = false;
   for (const auto& [id, state] : pool.m_replicas) {
     if (!MayWantCalls(pool, state) || !IsAllowed(state, call) ||
-        state.m_loading_until > now || !HasRequiredWeights(pool, state))
+        state.m_loading_until > now ||
+        state.m_weights < pool.m_required_weights)
       continue;
     // A replica without a limit that is in its backoff is full or fails.
     if (!IsHeldBack(pool, state, now) && WantsCalls(pool, state, now))
--- a/src/libverbenalead/decide/placement/replica_state.h
+++ b/src/libverbenalead/decide/placement/replica_state.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 
 #include "base/time.h"
-#include "decide/placement/begin_delay.h"
 #include "decide/placement/known_statements.h"
 #include "decide/placement/replica_speed.h"
 #include "model/replica.h"
@@ -32,10 +31,6 @@
   uint32_t m_queued_calls = 0;
   /// Newest version of the weights that any source reported for the replica.
   uint64_t m_weights = 0;
-  /// Oldest version on which a call that is sent there now would begin in time;
-  /// at least that of the pool counts.
-  uint64_t m_required_weights = 0;
-  BeginDelay m_begin_delay;
   /// Until this time the replica is expected to load new weights soon.
   TimePoint m_closing_until{};
   /// Until this time it takes no calls, because it loads weights or is about
--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -116,9 +116,8 @@
   wire::Request request =
       platform::EncodeForReplica(m_record->m_request, ToForwardedCall(replica));
   if (!plan.m_model.empty()) {
-    state.m_unstarted_calls[m_ticket] = {plan.m_model, m_replica,
-                                         m_known_weights, m_sent_at,
-                                         [this] { StopBarred(); }};
+    state.m_unstarted_calls[m_ticket] = {
+        plan.m_model, m_replica, m_known_weights, [this] { StopBarred(); }};
   }
   const TimePoint head_deadline = std::min(plan.m_deadline, m_begin_by);
   co_await OpenAttempt(m_services.m_replicas, endpoint, std::move(request),
@@ -146,12 +145,7 @@
 }
 
 void CallAttempt::NoteBegun() {
-  if (m_services.m_state.m_unstarted_calls.erase(m_ticket) == 0)
-    return;
-  decide::ReplicaState* replica = CurrentReplica();
-  const TimePoint now = Now();
-  if (replica)
-    decide::RecordBeginDelay(replica->m_begin_delay, now - m_sent_at, now);
+  m_services.m_state.m_unstarted_calls.erase(m_ticket);
 }
 
 Awaitable<std::optional<std::string>> CallAttempt::AcquireSlot(
--- a/src/libverbenalead/entry/call_attempt.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -70,8 +70,7 @@
                            const std::function<void()>& on_sent);
   /// Gives the attempt up, as the call must not begin at the replica any more.
   void StopBarred();
-  /// The call has begun, or won't: no weights forbid it any more. Records how
-  /// long it waited.
+  /// The call has begun, or won't: no weights forbid it any more.
   void NoteBegun();
   /// Updates the call's progress, and the replica's known weights version, from
   /// the head of the answer.
--- a/src/libverbenalead/entry/call_barred_test.cc
+++ b/src/libverbenalead/entry/call_barred_test.cc
@@ -23,7 +23,6 @@
   CPPUNIT_TEST(AStreamThatHasBegunGoesOn);
   CPPUNIT_TEST(ACallAtAReplicaWithTheNewWeightsGoesOn);
   CPPUNIT_TEST(ACallIsNotSentOnceItMustNotBegin);
-  CPPUNIT_TEST(ACallIsNotSentWhereItWouldBeginTooLate);
   CPPUNIT_TEST(ACallNamesTheNewestWeightsThatItsReplicaIsTakenToHave);
   CPPUNIT_TEST_SUITE_END();
 
@@ -87,29 +86,6 @@
     CPPUNIT_ASSERT_EQUAL(0U, CallsInFlight());
   }
 
-  // Guards against a call that waits on a full link, and its cancellation
-  // behind it, until its weights are barred: those before it have waited for a
-  // second.
-  void ACallIsNotSentWhereItWouldBeginTooLate() {
-    const TimePoint now = Now();
-    Learn(kBound - 2s);
-    UpdatePools(*m_state, now);
-    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, Replica("i-0").m_required_weights);
-    decide::RecordBeginDelay(Replica("i-1").m_begin_delay, 1s, now);
-    m_state->m_unstarted_calls[1000] = {"model", "i-2", 1, now - 1s, [] {}};
-    UpdatePools(*m_state, now);
-    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, Replica("i-0").m_required_weights);
-    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, Replica("i-1").m_required_weights);
-    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, Replica("i-2").m_required_weights);
-    for (int call = 0; call < 6; ++call) {
-      m_replicas.m_answers = {Answer(200, {Event(1)})};
-      CPPUNIT_ASSERT_EQUAL(200, Call("/stream/1").m_status);
-      const std::string asked = Asked(m_replicas.m_requests.size() - 1);
-      CPPUNIT_ASSERT(asked == "i-0" || asked == "i-3");
-    }
-    m_state->m_unstarted_calls.clear();
-  }
-
   // Guards against a call that begins on barred weights at a replica that has
   // lost the newer ones, which its entry doesn't know yet.
   void ACallNamesTheNewestWeightsThatItsReplicaIsTakenToHave() {
--- a/src/libverbenalead/entry/entry_state.cc
+++ b/src/libverbenalead/entry/entry_state.cc
@@ -79,16 +79,14 @@
       continue;
     // At least 1: a replica without any weights takes no calls, even if no
     // weights were declared.
-    const decide::DeclaredVersions& versions =
-        state.m_weights[service.m_engine->m_model];
-    const uint64_t binding = decide::Binding(versions, now + kStartDelay);
+    const uint64_t binding = decide::Binding(
+        state.m_weights[service.m_engine->m_model], now + kStartDelay);
     decide::ReplicaPool& pool =
         GetOrCreateService(state, service.m_name).m_pool;
     if (binding > pool.m_required_weights)
       LogBinding(state, service.m_engine->m_model, binding, pool);
     pool.m_required_weights = std::max<uint64_t>(1, binding);
     pool.m_prefill_rate = service.m_engine->m_prefill_rate;
-    RequireWeightsByDelay(state, service.m_name, versions, kStartDelay, now);
   }
 }
 
--- a/src/libverbenalead/entry/unstarted_calls.cc
+++ b/src/libverbenalead/entry/unstarted_calls.cc
@@ -1,7 +1,6 @@
 #include "entry/unstarted_calls.h"
 
 #include <algorithm>
-#include <map>
 #include <vector>
 
 #include "entry/entry_state.h"
@@ -28,27 +27,6 @@
              : decide::ForbiddenFrom(versions->second, weights);
 }
 
-void RequireWeightsByDelay(EntryState& state,
-                           const std::string& service,
-                           const decide::DeclaredVersions& versions,
-                           Duration start_delay,
-                           TimePoint now) {
-  std::map<std::string, Duration> waiting;
-  for (const auto& [ticket, call] : state.m_unstarted_calls) {
-    Duration& longest = waiting[call.m_replica];
-    longest = std::max(longest, now - call.m_sent_at);
-  }
-  decide::ReplicaPool& pool = GetOrCreateService(state, service).m_pool;
-  for (auto& [id, replica] : pool.m_replicas) {
-    const auto found = waiting.find(id);
-    const Duration delay = decide::ExpectedBeginDelay(
-        replica.m_begin_delay,
-        found == waiting.end() ? Duration() : found->second, now);
-    replica.m_required_weights =
-        decide::Binding(versions, now + start_delay + delay);
-  }
-}
-
 void StopBarredCalls(EntryState& state, TimePoint now) {
   std::vector<std::function<void()>> barred;
   for (const auto& [ticket, call] : state.m_unstarted_calls) {
--- a/src/libverbenalead/entry/unstarted_calls.h
+++ b/src/libverbenalead/entry/unstarted_calls.h
@@ -6,7 +6,6 @@
 #include <string>
 
 #include "base/time.h"
-#include "decide/rollout/declared_versions.h"
 
 namespace verbenalead::entry {
 
@@ -19,7 +18,6 @@
   std::string m_replica;
   /// The replica's weights as known when the call was sent.
   uint64_t m_weights = 0;
-  TimePoint m_sent_at{};
   /// Gives the attempt up.
   std::function<void()> m_stop;
 };
@@ -30,14 +28,6 @@
                           const std::string& model,
                           uint64_t weights);
 
-/// Sets which weights each replica of `service` needs for a call that is sent
-/// now to begin in time, by how long calls wait there.
-void RequireWeightsByDelay(EntryState& state,
-                           const std::string& service,
-                           const decide::DeclaredVersions& versions,
-                           Duration start_delay,
-                           TimePoint now);
-
 /// Gives up the calls that must not begin any more where they were sent.
 ///
 /// Failure: a call waits at a replica, and its entry learns meanwhile that a
