--- a/src/libverbenalead/target/engine_controller.cc
+++ b/src/libverbenalead/target/engine_controller.cc
@@ -475,8 +475,9 @@
       .With("age_ms", ToMilliseconds(age.value_or(Duration(-1ms))))
       .Warn();
   const bool correct = co_await m_stager.Verify(version);
-  co_return correct&& decide::MayLoadAfterReadBack(
-      m_stager.ReadBackAge(version));
+  if (!correct)
+    co_return false;
+  co_return decide::MayLoadAfterReadBack(m_stager.ReadBackAge(version));
 }
 
 Awaitable<void> EngineController::Load(uint64_t version,
