A load whose order arrived late serves only after its chunks were read back

What callers saw: answers made with a piece of weights that had been corrupt for 4 s. The order is then accepted although the read-back is too old.

Cause: a check and the act that it permits, with a wait between them. The age was asked for last, but sending takes time too, and nothing asked afterwards.

Change: the age is asked for again when the order was answered, or its answer lost. If it is too old by then, the replica goes on taking no calls, the chunks are read back, and it serves only if all are correct: what is correct after the answer was correct when the order was accepted. If one is corrupt, it is fetched anew and the version loaded again; an engine that keeps the version that it has (200 in place of 202) stays out of service until another version or a restart. A version that a new process finds staged is taken on the strength of its search for 1 s, now by the clock that counts while the host is suspended: by the steady clock a suspension didn't count.

--- a/src/libverbenalead/platform/engine_client.cc
+++ b/src/libverbenalead/platform/engine_client.cc
@@ -19,6 +19,7 @@
 constexpr size_t kMaxAnswerBytes = size_t{16} << 20;
 
 constexpr int kOk = 200;
+constexpr int kAccepted = 202;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 
@@ -111,7 +112,7 @@
   auto response = co_await Call(std::move(request));
   if (!response)
     co_return response.error();
-  co_return true;
+  co_return response->m_status == kAccepted;
 }
 
 }  // namespace verbenalead::platform
--- a/src/libverbenalead/target/chunk_stager.cc
+++ b/src/libverbenalead/target/chunk_stager.cc
@@ -2,7 +2,6 @@
 
 #include <optional>
 
-#include "base/boot_clock.h"
 #include "base/log.h"
 #include "target/staged_chunk_reader.h"
 
@@ -18,7 +17,7 @@
 
 Awaitable<void> ChunkStager::FindStaged(uint64_t version) {
   const TimePoint begun = Now();
-  const Duration begun_by_boot_clock = BootNow();
+  const Duration begun_by_boot_clock = m_state.m_boot_now();
   const StagedChunkHandler handle = [&](uint32_t chunk, const auto& bytes) {
     if (!bytes)
       return bytes.error().m_code == FailureCode::kNotFound;
@@ -30,7 +29,7 @@
   co_await ReadStagedChunks(m_engine, profile, handle);
   if (m_state.m_cache.Staged(version)) {
     m_verified_version = version;
-    m_verified_at = begun;
+    m_verified_at = begun_by_boot_clock;
     RecordReadBack(version, begun_by_boot_clock);
   }
   LogLine("staged_adopted")
@@ -82,11 +81,11 @@
 
 Awaitable<bool> ChunkStager::Verify(uint64_t version) {
   if (m_verified_version == version &&
-      Now() - m_verified_at < kMaxVerificationAge &&
+      m_state.m_boot_now() - m_verified_at < kMaxVerificationAge &&
       m_state.m_cache.Staged(version))
     co_return true;
   const TimePoint begun = Now();
-  const Duration begun_by_boot_clock = BootNow();
+  const Duration begun_by_boot_clock = m_state.m_boot_now();
   uint32_t valid_chunks = 0;
   uint64_t invalid_chunks = 0;
   std::optional<Failure> failure;
@@ -128,7 +127,7 @@
 std::optional<Duration> ChunkStager::ReadBackAge(uint64_t version) const {
   if (version == 0 || m_read_back_version != version)
     return std::nullopt;
-  return BootNow() - m_read_back_at;
+  return m_state.m_boot_now() - m_read_back_at;
 }
 
 void ChunkStager::ForgetAll() {
--- a/src/libverbenalead/target/chunk_stager.h
+++ b/src/libverbenalead/target/chunk_stager.h
@@ -51,7 +51,7 @@
   /// The version that `FindStaged` found completely staged, and when that check
   /// began; 0: none.
   uint64_t m_verified_version = 0;
-  TimePoint m_verified_at{};
+  Duration m_verified_at{};
   /// The version whose chunks were read back and correct last, and when that
   /// began; 0: none.
   uint64_t m_read_back_version = 0;
--- a/src/libverbenalead/target/engine_controller.cc
+++ b/src/libverbenalead/target/engine_controller.cc
@@ -79,6 +79,13 @@
           TransferTime(state)};
 }
 
+/// Whether the engine has answered that it doesn't carry the order out.
+bool IsRejection(const Failure& failure) {
+  return failure.m_code == FailureCode::kConflict ||
+         failure.m_code == FailureCode::kRefused ||
+         failure.m_code == FailureCode::kNotFound;
+}
+
 }  // namespace
 
 EngineController::EngineController(TargetState& state,
@@ -126,7 +133,9 @@
   if (!m_report)
     return 0;
   const auto found = m_report->m_weights.find(m_state.m_engine->m_model);
-  return found == m_report->m_weights.end() ? 0 : found->second;
+  if (found == m_report->m_weights.end() || found->second == m_unproven_version)
+    return 0;
+  return found->second;
 }
 
 links::ReplicaUpdate EngineController::CurrentUpdate() const {
@@ -172,6 +181,8 @@
   if (restarted) {
     m_stager.ForgetAll();
     m_staging_searched_for = 0;
+    m_unproven_version = 0;
+    m_not_reloaded_version = 0;
   }
   m_report = *report;
   RecordCold(*m_report);
@@ -316,7 +327,7 @@
   RecordEngineReport(co_await m_engine.Report());
   if (m_report && m_report->m_loading)
     co_return;
-  m_calls_stopped = false;
+  m_calls_stopped = m_unproven_version > 0;
   RecordCompleteVersions();
   // Its calls run on to their end, which a load would cut off, and it gets no
   // new ones that would need newer weights.
@@ -357,6 +368,8 @@
     co_await Obtain(VersionToFetch(NewestVersion(m_state)));
   if (!m_state.m_cache.Staged(version))
     co_return;
+  if (version == m_not_reloaded_version)
+    co_return;
   const decide::LoadTurn turn = TurnUnder(*plan);
   if (Loaded() > 0)
     LogTurn(*plan, turn);
@@ -480,6 +493,63 @@
   co_return decide::MayLoadAfterReadBack(m_stager.ReadBackAge(version));
 }
 
+Awaitable<bool> EngineController::AreChunksCorrect(uint64_t version) {
+  while (m_report) {
+    const bool correct = co_await m_stager.Verify(version);
+    if (correct)
+      co_return true;
+    if (!m_state.m_cache.Staged(version))
+      co_return false;
+    // A read failed, which says nothing of the chunks.
+    co_await Sleep(kLoadPollInterval);
+    RecordEngineReport(co_await m_engine.Report());
+  }
+  co_return false;
+}
+
+Awaitable<void> EngineController::CheckLoad(uint64_t version, bool begun) {
+  const auto age = m_stager.ReadBackAge(version);
+  if (decide::MayLoadAfterReadBack(age)) {
+    if (begun)
+      m_unproven_version = 0;
+    else if (version == m_unproven_version)
+      m_not_reloaded_version = version;
+    co_return;
+  }
+  if (!begun)
+    co_return;
+  const bool correct = co_await AreChunksCorrect(version);
+  m_unproven_version = correct ? 0 : version;
+  LogLine("load_ordered_late")
+      .With("version", version)
+      .With("age_ms", ToMilliseconds(age.value_or(Duration(-1ms))))
+      .With("correct", correct)
+      .Warn();
+  m_state.m_metrics.Count("loads_ordered_late_total", "");
+}
+
+Awaitable<void> EngineController::OrderLoad(uint64_t version,
+                                            decide::LoadTurn turn,
+                                            double fullness) {
+  const auto loading = co_await m_engine.Load(m_state.m_engine->m_model,
+                                              version, m_report->m_orders);
+  LogLine line("load_ordered");
+  line.With("version", version)
+      .With("pool_fullness", fullness)
+      .With("drain_ms", ToMilliseconds(turn.m_drain))
+      .With("before", Loaded())
+      .With("orders", m_report->m_orders)
+      .With("accepted", loading.has_value())
+      .With("begun", loading && *loading);
+  if (!loading)
+    line.With(loading.error());
+  line.Info();
+  if (!loading && IsRejection(loading.error()))
+    m_calls_stopped = false;
+  else
+    co_await CheckLoad(version, !loading || *loading);
+}
+
 Awaitable<void> EngineController::Load(uint64_t version,
                                        decide::LoadTurn turn) {
   // Reads the staged chunks back as late as possible before the load; only the
@@ -502,20 +572,7 @@
     m_calls_stopped = false;
     co_return;
   }
-  auto loading = co_await m_engine.Load(m_state.m_engine->m_model, version,
-                                        m_report->m_orders);
-  LogLine line("load_ordered");
-  line.With("version", version)
-      .With("pool_fullness", fullness)
-      .With("drain_ms", ToMilliseconds(turn.m_drain))
-      .With("before", Loaded())
-      .With("orders", m_report->m_orders)
-      .With("accepted", loading.has_value());
-  if (!loading) {
-    line.With(loading.error());
-    m_calls_stopped = false;
-  }
-  line.Info();
+  co_await OrderLoad(version, turn, fullness);
   const TimePoint until = Now() + m_state.m_engine->m_load + kLoadTimeout;
   do {
     co_await Sleep(kLoadPollInterval);
--- a/src/libverbenalead/target/engine_controller.h
+++ b/src/libverbenalead/target/engine_controller.h
@@ -63,6 +63,17 @@
   /// Whether the staged chunks of `version` may be loaded now. Reads them back
   /// again if the last read-back is too old, as after a pause of this process.
   Awaitable<bool> HasRecentReadBack(uint64_t version);
+  /// Decides, after an order to load `version`, whether the replica may serve
+  /// with it. `begun`: the engine has accepted the order, or may have.
+  Awaitable<void> CheckLoad(uint64_t version, bool begun);
+  /// Whether all staged chunks of `version` are correct. Reads them back until
+  /// that is known, or the engine doesn't answer.
+  Awaitable<bool> AreChunksCorrect(uint64_t version);
+  /// Sends the order to load `version`, logs the result, and decides whether
+  /// the replica may serve with it. `fullness` is logged.
+  Awaitable<void> OrderLoad(uint64_t version,
+                            decide::LoadTurn turn,
+                            double fullness);
   /// Starts the transfer of `version` into the cache, unless it is complete,
   /// already being fetched, or another transfer should finish first.
   Awaitable<void> Obtain(uint64_t version);
@@ -92,7 +103,8 @@
   /// Whether the engine states, or its row in the store says, that it is
   /// leaving.
   bool IsLeaving() const;
-  /// The version that the engine runs; 0: none, or not known.
+  /// The version that the engine runs and may serve with; 0: none, or not
+  /// known.
   uint64_t Loaded() const;
 
   TargetState& m_state;
@@ -115,6 +127,18 @@
   /// The replica takes no calls, because it is draining before a load or is
   /// loading.
   bool m_calls_stopped = false;
+  /// The engine loaded this version from chunks that may have been corrupt for
+  /// too long, so the replica takes no calls until it has loaded it again, or
+  /// another one; 0: none.
+  ///
+  /// Failure: the process is paused while its order is under way to the engine.
+  /// Symptom: the order is accepted although the read-back is too old by then.
+  /// Whatever the pause was, the answer to the order comes after it, and chunks
+  /// that are correct then were correct when the order was accepted.
+  uint64_t m_unproven_version = 0;
+  /// The version that the engine had when it was ordered to load it again, so
+  /// that the order had no effect; 0: none.
+  uint64_t m_not_reloaded_version = 0;
   /// When this host was first seen to hold all chunks of each version;
   /// incomplete versions are absent.
   std::map<uint64_t, TimePoint> m_version_complete_at;
--- a/src/libverbenalead/target/target_state.h
+++ b/src/libverbenalead/target/target_state.h
@@ -1,12 +1,14 @@
 #ifndef VERBENALEAD_TARGET_TARGET_STATE_H_
 #define VERBENALEAD_TARGET_TARGET_STATE_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
 
+#include "base/boot_clock.h"
 #include "base/metrics.h"
 #include "decide/limits/cold_state.h"
 #include "decide/transfer/copy_time.h"
@@ -22,6 +24,8 @@
   explicit TargetState(TargetOptions options) : m_options(std::move(options)) {}
 
   const TargetOptions m_options;
+  /// Clock that also counts while the host is suspended.
+  std::function<Duration()> m_boot_now = BootNow;
   Metrics m_metrics;
   std::mt19937_64 m_random{std::random_device{}()};
   uint64_t m_config_version = 0;
