--- /dev/null
+++ b/src/libverbenalead/decide/store/poll_pace.h
@@ -0,0 +1,43 @@
+#ifndef VERBENALEAD_DECIDE_STORE_POLL_PACE_H_
+#define VERBENALEAD_DECIDE_STORE_POLL_PACE_H_
+
+#include <algorithm>
+
+#include "base/time.h"
+#include "decide/store/burst_pacer.h"
+
+namespace verbenalead::decide {
+
+/// Least time from a request for changes that is sent `now` to the next one, if
+/// it is answered. `answering`: the request before it was answered.
+///
+/// Failure: the store is away, or rejects this process, for many seconds, and
+/// each request in vain is charged to the pace of reading changes. Symptom: the
+/// first changes after the return wait until the charge is worked off, and
+/// calls run by a configuration that has been replaced. Requests that read
+/// nothing aren't charged, so all of the burst is left at the first answer.
+inline Duration IntervalAfterRequest(BurstPacer& pacer,
+                                     bool answering,
+                                     TimePoint now) {
+  return answering ? RecordRequest(pacer, now) : Duration();
+}
+
+/// How a request for changes ended.
+struct PollResult {
+  TimePoint m_requested_at{};
+  TimePoint m_ended_at{};
+  bool m_answered = false;
+};
+
+/// When the next request is due: `interval` after the start of one that was
+/// answered, and `pause` after the end of one that wasn't.
+inline TimePoint NextRequestAt(const PollResult& result,
+                               Duration interval,
+                               Duration pause) {
+  return result.m_answered ? result.m_requested_at + interval
+                           : result.m_ended_at + pause;
+}
+
+}  // namespace verbenalead::decide
+
+#endif  // VERBENALEAD_DECIDE_STORE_POLL_PACE_H_
--- a/src/libverbenalead/entry/row_synchroniser.cc
+++ b/src/libverbenalead/entry/row_synchroniser.cc
@@ -95,11 +95,8 @@
     // newest revision, so its first request is answered without a wait.
     const bool proved =
         Now() - m_state.m_operator_answered_at < kOperatorLongPoll;
-    // Requests while the store doesn't answer read no changes.
-    const Duration interval =
-        m_operator.connection_lost()
-            ? Duration()
-            : decide::RecordRequest(m_operator_pace, Now());
+    const Duration interval = decide::IntervalAfterRequest(
+        m_operator_pace, m_operator.is_connected(), Now());
     schedule = {proved ? kOperatorLongPoll : Duration(), interval,
                 PauseAfterFailure(), false};
     // The first answer that counts as a proof after the store's return is
--- a/src/libverbenalead/entry/row_synchroniser.h
+++ b/src/libverbenalead/entry/row_synchroniser.h
@@ -6,8 +6,8 @@
 #include <memory>
 #include <string>
 
-#include "decide/store/burst_pacer.h"
 #include "decide/store/cold_start.h"
+#include "decide/store/poll_pace.h"
 #include "decide/store/reader_failover.h"
 #include "decide/store/row_transfer_limit.h"
 #include "entry/entry_state.h"
--- a/src/libverbenalead/links/table_follower.cc
+++ b/src/libverbenalead/links/table_follower.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/log.h"
+#include "decide/store/poll_pace.h"
 
 namespace verbenalead::links {
 namespace {
@@ -43,9 +44,9 @@
     const bool answered = co_await Poll(schedule.m_long_poll);
     if (m_poll_requested)
       continue;
-    const TimePoint next =
-        answered ? requested_at + schedule.m_interval
-                 : Now() + std::max(schedule.m_retry_pause, RetryPause());
+    const TimePoint next = decide::NextRequestAt(
+        {requested_at, Now(), answered}, schedule.m_interval,
+        std::max(schedule.m_retry_pause, RetryPause()));
     if (next > Now())
       co_await WaitUntil(next);
   }
--- a/src/libverbenalead/links/table_follower.h
+++ b/src/libverbenalead/links/table_follower.h
@@ -50,6 +50,8 @@
   /// Revision up to which all changes are known; number 0 if the table hasn't
   /// been read.
   model::Revision revision() const { return m_cursor.m_revision; }
+  /// Whether the last request was answered.
+  bool is_connected() const { return m_connected; }
   /// Whether the last request failed after an earlier one had succeeded.
   bool connection_lost() const { return m_was_connected && !m_connected; }
   /// When the connection to the store was last restored after a failure; the
