--- a/src/libverbenalead/platform/engine_client.h
+++ b/src/libverbenalead/platform/engine_client.h
@@ -30,9 +30,10 @@
   /// Orders the engine to load the staged chunks as `version`. The engine
   /// aborts requests that still run. `orders` is the number of orders that the
   /// engine must have begun so far; an engine that has begun another number
-  /// rejects the order. False: the engine has that version already, so the order
-  /// had no effect. Fails with kConflict if the order doesn't fit the engine's
-  /// state. After a timeout, the order may or may not have been accepted.
+  /// rejects the order. False: the engine has that version already, so the
+  /// order had no effect. Fails with kConflict if the order doesn't fit the
+  /// engine's state. After a timeout, the order may or may not have been
+  /// accepted.
   Awaitable<AsyncResult<bool>> Load(std::string model,
                                     uint64_t version,
                                     uint64_t orders);
