--- a/src/libverbenalead/decide/health/crash_causes.cc
+++ b/src/libverbenalead/decide/health/crash_causes.cc
@@ -27,6 +27,8 @@
 constexpr size_t kMinRequests = 2;
 /// Time in which the weight of answers and of cut requests falls to 1/e.
 constexpr Duration kMemory = 10s;
+/// Share of its weight that a crash loses if one under the same request counts
+/// already.
 constexpr double kDiscountOfRepeated = 0.25;
 /// Age from which cut requests have no weight.
 constexpr Duration kMaxCutAge = 10 * kMemory;
