A stream that a load cuts off is no crash of its replica

What callers would see: during a rollout each replica cuts off its running streams as it loads. Since crashes count after an event too, each of these looked like a crash, so that shared parts were suspected and their calls sent to one replica until the next whole answer.

Change: a break at a replica that is known to load is no evidence. StreamCutByALoadIsNoCrash guards it; call_blocked_test passed.

--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -221,6 +221,11 @@
   return replica;
 }
 
+bool CallAttempt::IsReplicaLoading() const {
+  const decide::ReplicaState* replica = CurrentReplica();
+  return replica && replica->m_loading_until > Now();
+}
+
 void CallAttempt::ApplyStatements() {
   decide::ReplicaState* replica = CurrentReplica();
   if (!replica || !IsOwnAnswer())
--- a/src/libverbenalead/entry/call_attempt.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -52,6 +52,8 @@
   /// The replica has delivered at least one event in this attempt.
   bool has_events() const { return m_has_events; }
   bool cancelled() const { return m_cancelled; }
+  /// The replica is loading weights, for which it cuts off its calls.
+  bool IsReplicaLoading() const;
   /// The call was not sent, since it crashes replicas.
   bool blocked() const { return m_blocked; }
   const std::string& incarnation() const { return m_incarnation; }
--- a/src/libverbenalead/entry/call_blocked_test.cc
+++ b/src/libverbenalead/entry/call_blocked_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(BreakAfterTheHeadOfAWholeAnswerCounts);
   CPPUNIT_TEST(CrashesAfterAnyEventBlockThePart);
   CPPUNIT_TEST(StreamThatHadBegunIsNoProof);
+  CPPUNIT_TEST(StreamCutByALoadIsNoCrash);
   CPPUNIT_TEST(SoundRequestIsServedAfterCrashesOfOthers);
   CPPUNIT_TEST(AnswerOfTheReplicaRefutesItsCrash);
   CPPUNIT_TEST_SUITE_END();
@@ -199,6 +200,22 @@
     CPPUNIT_ASSERT(m_state->m_causes.m_suspects.empty());
   }
 
+  // Guards against parts that are suspected and isolated during a rollout, when
+  // each replica cuts off its streams as it loads.
+  void StreamCutByALoadIsNoCrash() {
+    wire::ScriptedAnswer breaks = Answer(200, {Event(1), Event(2)}, true);
+    breaks.m_piece_delays[1] = kAttempt;
+    m_replicas.m_answers = {breaks, Answer(200, {Event(3)})};
+    At(kBlockAfter, [this] {
+      for (auto& [id, replica] : Pool().m_replicas) {
+        if (replica.m_in_flight > 0)
+          replica.m_loading_until = Now() + 1s;
+      }
+    });
+    CPPUNIT_ASSERT(Call("/stream/1").m_complete);
+    CPPUNIT_ASSERT(m_state->m_causes.m_suspects.empty());
+  }
+
   // The same sound request comes down with three replicas, each crash having
   // its cause in another request there.
   void SoundRequestIsServedAfterCrashesOfOthers() {
--- a/src/libverbenalead/entry/crash_blame.cc
+++ b/src/libverbenalead/entry/crash_blame.cc
@@ -23,7 +23,10 @@
 
 bool IsEvidence(const CallAttempt& attempt) {
   // A time-out isn't evidence of a crash, nor are bytes that are no answer, nor
-  // a break that this entry caused by cancelling the attempt.
+  // a break that this entry caused by cancelling the attempt, nor one by a
+  // load.
+  if (attempt.IsReplicaLoading())
+    return false;
   const auto failure = attempt.result().m_failure;
   return failure != FailureCode::kTimeout && failure != FailureCode::kCorrupt &&
          failure != FailureCode::kCancelled;
