--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -199,6 +199,15 @@
         """Makes `replica` leave by its row in the store alone."""
         harness.call(replica["address"], "POST", "/leave", "")
 
+    def set_page(self, rows):
+        """Makes answers of the store hold at most `rows` rows."""
+        harness.call(self.store, "POST", "/page", str(rows))
+
+    def store_requests(self):
+        """Requests to the store by path since the last question; those whose
+        target was malformed count as "malformed" as well."""
+        return harness.call(self.store, "GET", "/stats").json()
+
     def drill(self, **parts):
         """The store is away for a moment and comes back from an older copy."""
         return harness.call(self.store, "POST", "/drill", parts).json()
--- a/testsuite/standins/platform_store/main.cc
+++ b/testsuite/standins/platform_store/main.cc
@@ -1,11 +1,15 @@
+#include <algorithm>
 #include <boost/asio/this_coro.hpp>
 #include <boost/json.hpp>
+#include <boost/url/parse.hpp>
+#include <cstdio>
 #include <cstdlib>
 #include <map>
 #include <memory>
 #include <string>
 #include <utility>
 
+#include "base/lenient_json.h"
 #include "base/log.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
@@ -18,6 +22,8 @@
 using namespace verbenalead;
 using standins::RowStore;
 
+/// Most parts of an answer.
+constexpr size_t kPartsPage = 1000;
 /// Interval at which a long poll checks for changes.
 constexpr Duration kChangePollInterval = 5ms;
 
@@ -27,19 +33,56 @@
 
 wire::Response Transact(RowStore& store, const std::string& body) {
   boost::system::error_code error;
-  const boost::json::value value = boost::json::parse(body, error);
+  const boost::json::value value = ParseLenientJson(body, error);
   if (error || !value.is_object())
     return wire::JsonResponse(400, "{}");
   return wire::JsonResponse(store.Apply(value.as_object()) ? 200 : 412, "{}");
 }
 
+/// Returns `answer` as text. Keys that hold half a surrogate pair are sent as
+/// its escape, as by a store that accepts any escape in a key.
+std::string Serialize(const boost::json::object& answer) {
+  const std::string text = boost::json::serialize(answer);
+  std::string escaped;
+  for (size_t at = 0; at < text.size(); ++at) {
+    const auto byte = [&](size_t offset) {
+      return static_cast<unsigned char>(text[at + offset]);
+    };
+    if (byte(0) != 0xED || at + 2 >= text.size() || byte(1) < 0xA0) {
+      escaped += text[at];
+      continue;
+    }
+    const int unit = 0xD000 | (byte(1) & 0x3F) << 6 | (byte(2) & 0x3F);
+    char escape[] = "\\u0000";
+    std::snprintf(escape, sizeof(escape), "\\u%04x", unit);
+    escaped += escape;
+    at += 2;
+  }
+  return escaped;
+}
+
+/// Whether the target of `request` is proper: each character is one that a
+/// target may hold, and each escape has two digits.
+bool HasProperTarget(const wire::Request& request) {
+  return boost::urls::parse_origin_form(request.m_path).has_value();
+}
+
+RowStore::Range RangeOf(const wire::Request& request, size_t page_rows) {
+  RowStore::Range range = {wire::QueryValue(request, "from"),
+                           wire::QueryValue(request, "to"), page_rows};
+  const uint64_t limit = Number(request, "limit");
+  if (limit > 0)
+    range.m_limit = std::min<size_t>(range.m_limit, limit);
+  return range;
+}
+
 wire::Response Changes(const RowStore& store,
                        const std::string& table,
                        uint64_t revision) {
   const auto changes = store.Changes(table, revision);
   if (!changes)
     return wire::JsonResponse(410, "{}");
-  return wire::JsonResponse(200, boost::json::serialize(*changes));
+  return wire::JsonResponse(200, Serialize(*changes));
 }
 
 Duration Milliseconds(const boost::json::object& drill, const char* name) {
@@ -70,7 +113,7 @@
 }
 
 /// Answers no request for "away_ms", then comes back from a copy that is
-/// "age_ms" /// old. "writes" are applied and "skip" revisions used up before
+/// "age_ms" old. "writes" are applied and "skip" revisions used up before
 /// the first request is answered. What the operator and the replicas wrote is
 /// written again after "again_ms". "clock_ms" is added to the stated clock.
 Awaitable<wire::Response> Drill(std::shared_ptr<RowStore> store,
@@ -105,7 +148,8 @@
 
 /// Handles one request. Specific fault: {"forget": N} drops the history of
 /// changes at each of the next N requests.
-Awaitable<void> Serve(std::shared_ptr<RowStore> store,
+Awaitable<void> Serve(std::shared_ptr<size_t> page_rows,
+                      std::shared_ptr<RowStore> store,
                       std::shared_ptr<bool> away,
                       std::shared_ptr<RequestCounts> counts,
                       std::shared_ptr<standins::Faults> faults,
@@ -122,6 +166,11 @@
     co_return;
   }
   ++(*counts)[path];
+  if (path == "/page") {  // Sets the number of rows of a page.
+    *page_rows = std::strtoull(request.m_body.c_str(), nullptr, 10);
+    co_await writer.Send(wire::JsonResponse(200, "{}"));
+    co_return;
+  }
   if (path == "/drill") {
     wire::Response done = co_await Drill(store, away, request.m_body);
     co_await writer.Send(std::move(done));
@@ -129,15 +178,19 @@
   }
   if (*away)
     co_return;  // Closes the connection.
-  if (path == "/rows-tx") {
+  if (!HasProperTarget(request)) {
+    ++(*counts)["malformed"];
+    response = wire::JsonResponse(400, "{}");
+  } else if (path == "/rows-tx") {
     response = Transact(*store, request.m_body);
   } else if (path == "/rows-get") {
     const std::string part = wire::QueryValue(request, "part");
     response = wire::JsonResponse(
-        200, boost::json::serialize(store->Read(table, part)));
+        200, Serialize(store->Read(table, part, RangeOf(request, *page_rows))));
   } else if (path == "/rows-parts") {
-    response =
-        wire::JsonResponse(200, boost::json::serialize(store->Parts(table)));
+    const std::string after = wire::QueryValue(request, "after_rev");
+    response = wire::JsonResponse(
+        200, Serialize(store->Parts(table, after, kPartsPage)));
   } else if (path == "/rows-feed") {
     const uint64_t revision = Number(request, "after_rev");
     const TimePoint end =
@@ -161,14 +214,17 @@
 int main(int argc, char** argv) {
   return standins::RunStandin(
       argc, argv, "standin_platform_store",
-      "Stands in for the platform's store.", standins::StandinSettings(),
-      [](const Settings&, std::shared_ptr<standins::Faults> faults) {
+      "Stands in for the platform's store.",
+      standins::StandinSettings().Integer("page_rows", 500, 1, 500, "rows",
+                                          "most rows of an answer"),
+      [](const Settings& settings, std::shared_ptr<standins::Faults> faults) {
+        auto page_rows = std::make_shared<size_t>(
+            static_cast<size_t>(settings.Integer("page_rows")));
         auto store = std::make_shared<RowStore>();
         auto away = std::make_shared<bool>(false);
         auto counts = std::make_shared<RequestCounts>();
-        return [store, away, counts, faults](const wire::Request& request,
-                                             wire::ResponseWriter& writer) {
-          return Serve(store, away, counts, faults, request, writer);
+        return [=](const wire::Request& request, wire::ResponseWriter& writer) {
+          return Serve(page_rows, store, away, counts, faults, request, writer);
         };
       });
 }
--- a/testsuite/standins/platform_store/row_store.cc
+++ b/testsuite/standins/platform_store/row_store.cc
@@ -107,36 +107,50 @@
   return count;
 }
 
-json::object RowStore::Answer(json::array rows) const {
+json::object RowStore::Answer(json::array rows, bool has_more) const {
   return {{"rows", std::move(rows)},
-          {"has_more", false},
+          {"has_more", has_more},
           {"ver", m_revision},
           {"now_ms", ToMilliseconds(Now().time_since_epoch() + m_clock_shift)}};
 }
 
 json::object RowStore::Read(const std::string& table,
-                            const std::string& part) const {
+                            const std::string& part,
+                            const Range& range) const {
   json::array rows;
-  for (const auto& [key, row] : m_rows) {
-    const auto& [row_table, row_part, row_key] = key;
-    if (row_table != table || row_part != part || row.m_deleted)
+  for (auto row = m_rows.lower_bound({table, part, range.m_from});
+       row != m_rows.end(); ++row) {
+    const auto& [row_table, row_part, row_key] = row->first;
+    if (row_table != table || row_part != part ||
+        (!range.m_to.empty() && row_key >= range.m_to))
+      break;
+    if (row->second.m_deleted)
       continue;
+    if (rows.size() == range.m_limit)
+      return Answer(std::move(rows), true);
     rows.push_back(json::object{{"table", table},
                                 {"part", part},
                                 {"key", row_key},
-                                {"value", row.m_value},
-                                {"ver", row.m_revision}});
+                                {"value", row->second.m_value},
+                                {"ver", row->second.m_revision}});
   }
-  return Answer(std::move(rows));
+  return Answer(std::move(rows), false);
 }
 
-json::object RowStore::Parts(const std::string& table) const {
+json::object RowStore::Parts(const std::string& table,
+                             const std::string& after,
+                             size_t limit) const {
   std::set<std::string> parts;
   for (const auto& [key, row] : m_rows) {
-    if (std::get<0>(key) == table && !row.m_deleted)
-      parts.insert(std::get<1>(key));
+    const std::string& part = std::get<1>(key);
+    if (std::get<0>(key) == table && !row.m_deleted &&
+        (after.empty() || part > after))
+      parts.insert(part);
   }
-  json::object answer = Answer({});
+  const bool has_more = parts.size() > limit;
+  while (parts.size() > limit)
+    parts.erase(std::prev(parts.end()));
+  json::object answer = Answer({}, has_more);
   answer["parts"] = json::array(parts.begin(), parts.end());
   return answer;
 }
@@ -173,7 +187,7 @@
     for (json::value& change : group)
       rows.push_back(std::move(change));
   }
-  return Answer(std::move(rows));
+  return Answer(std::move(rows), false);
 }
 
 }  // namespace verbenalead::standins
--- a/testsuite/standins/platform_store/row_store.h
+++ b/testsuite/standins/platform_store/row_store.h
@@ -34,14 +34,27 @@
     std::map<Key, Row> m_rows;
   };
 
+  /// A range of keys.
+  struct Range {
+    std::string m_from;
+    /// The first key that isn't in the range; empty: there is none.
+    std::string m_to;
+    /// Most rows of an answer.
+    size_t m_limit = 0;
+  };
+
   /// Applies a transaction. Returns false, and changes nothing, if a
   /// precondition does not hold.
   bool Apply(const boost::json::object& transaction);
-  /// Returns all rows of `part` of `table`.
+  /// Returns the rows of `part` of `table` within `range`, in ascending order
+  /// of bytes, and whether there are more.
   boost::json::object Read(const std::string& table,
-                           const std::string& part) const;
-  /// Returns the parts of `table` that contain rows.
-  boost::json::object Parts(const std::string& table) const;
+                           const std::string& part,
+                           const Range& range) const;
+  /// Returns `limit` parts of `table` that contain rows, those after `after`.
+  boost::json::object Parts(const std::string& table,
+                            const std::string& after,
+                            size_t limit) const;
   /// Returns the changes in `table` after `revision`, or nullopt if the history
   /// since then was dropped or `revision` hasn't been given out.
   std::optional<boost::json::object> Changes(const std::string& table,
@@ -75,7 +88,7 @@
 
   static Key KeyOf(const boost::json::object& row);
   bool Holds(const boost::json::object& transaction) const;
-  boost::json::object Answer(boost::json::array rows) const;
+  boost::json::object Answer(boost::json::array rows, bool has_more) const;
   /// Sets the row and records the change, for a later return from a copy.
   void SetRow(const Key& key, Row row, uint64_t revision_before);
 
