Lists of the store are read whatever names stand in them

What callers saw: rows of another writer stood in the list of replicas under names such as a14%#, a28+ and a29+, all processes were restarted, and almost no call was served while the rows stood: 503, "nothing is known of the configuration yet".

Cause: the last key of a page was put into the next request as it is, and "%01" behind it. The store read another key, so the page began again before the last one, for ever, or rejected the target, which was requested again several times a second. The same in another place: a name that no Unicode text holds made the JSON parser reject the whole answer, also that of the feed, which then stood still: 10 of 30 calls reached a replica 2 s after its row said that it leaves. And a row whose value reads as a replica was used under any name: 8 connections to the address in one. Class: a name from outside put into a syntax without being encoded, and one bad row that hides the others.

Ruled out as cause of the refusals: rows that name a true replica's address (a page of 500 on the old programs: served, 28 to 30 of 30 calls), and replicas that had lost power (served 0.1 s after the rows went, one trial).

Change: one builder of request targets encodes each segment and field, in all of src/, and servers decode them. A read of a table is a decision with a test (decide/store/page_cursor): each page begins after the last key, or the read fails with its key; it is bounded in bytes and time, and reads in vain pause up to 2 s. The least key after K is K and a zero byte. Lists of parts are read to their end, and a part that can't be read doesn't keep the others away. Answers of the store are parsed so that an odd text stays one row's fault; rows whose key is no text are left out, logged and counted, on tables and the feed; so is a bad row between entries. An id of a replica consists of letters, digits and "-._~", as those of all deployments do.

Replaced: three texts of RejectsMalformedRowLists asserted that one bad row loses the list, which is the fault; MalformedRowHidesNoOther asserts instead that exactly that row is missing.

--- a/src/libverbenalead/backends/object_store.cc
+++ b/src/libverbenalead/backends/object_store.cc
@@ -2,9 +2,10 @@
 
 #include <boost/property_tree/ptree.hpp>
 #include <boost/property_tree/xml_parser.hpp>
-#include <boost/url/url.hpp>
 #include <sstream>
 
+#include "wire/request_target.h"
+
 namespace verbenalead::backends {
 namespace {
 
@@ -21,6 +22,16 @@
                  "status " + std::to_string(response->m_status)};
 }
 
+/// The target of an object, whose key may have several segments.
+std::string ObjectTarget(const std::string& bucket, const std::string& key) {
+  wire::RequestTarget target("");
+  target.Segment(bucket);
+  std::istringstream segments(key);
+  for (std::string segment; std::getline(segments, segment, '/');)
+    target.Segment(segment);
+  return target.Build();
+}
+
 AsyncResult<std::vector<std::string>> ReadList(const std::string& body,
                                                const Endpoint& endpoint) {
   std::vector<std::string> keys;
@@ -45,7 +56,7 @@
                                               std::string bytes) {
   wire::Request request;
   request.m_method = "PUT";
-  request.m_path = "/" + m_bucket + "/" + key;
+  request.m_path = ObjectTarget(m_bucket, key);
   request.m_body = std::move(bytes);
   auto body =
       Checked(co_await wire::Fetch(m_client, m_endpoint, std::move(request),
@@ -58,7 +69,7 @@
 
 Awaitable<AsyncResult<std::string>> ObjectStore::Get(std::string key) {
   wire::Request request;
-  request.m_path = "/" + m_bucket + "/" + key;
+  request.m_path = ObjectTarget(m_bucket, key);
   co_return Checked(co_await wire::Fetch(m_client, m_endpoint,
                                          std::move(request), Now() + m_timeout),
                     "get object " + key, m_endpoint);
@@ -67,14 +78,12 @@
 Awaitable<AsyncResult<std::vector<std::string>>> ObjectStore::List(
     std::string prefix,
     std::string start_after) {
-  boost::urls::url url;
-  url.set_path("/" + m_bucket);
-  url.params().append({"list-type", "2"});
-  url.params().append({"prefix", prefix});
+  wire::RequestTarget target("");
+  target.Segment(m_bucket).Field("list-type", 2).Field("prefix", prefix);
   if (!start_after.empty())
-    url.params().append({"start-after", start_after});
+    target.Field("start-after", start_after);
   wire::Request request;
-  request.m_path = std::string(url.buffer());
+  request.m_path = target.Build();
   auto body =
       Checked(co_await wire::Fetch(m_client, m_endpoint, std::move(request),
                                    Now() + m_timeout),
--- a/src/libverbenalead/base/failure.h
+++ b/src/libverbenalead/base/failure.h
@@ -39,6 +39,13 @@
   friend bool operator==(const Failure&, const Failure&) = default;
 };
 
+/// Whether the same request would fail again, as its answer can't be read or
+/// its peer doesn't understand it.
+inline bool IsUnreadable(const Failure& failure) {
+  return failure.m_code == FailureCode::kInvalid ||
+         failure.m_code == FailureCode::kCorrupt;
+}
+
 /// Formats `failure` as one line, for example
 /// "fetch chunk 7 with 10.0.0.3:7001: timeout: no byte for 2 s".
 std::string ToString(const Failure& failure);
--- a/src/libverbenalead/daemon/config_messages.cc
+++ b/src/libverbenalead/daemon/config_messages.cc
@@ -6,11 +6,18 @@
 #include "base/catch_failure.h"
 #include "model/json_fields.h"
 #include "peer/header_names.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::daemon {
 
 namespace json = boost::json;
 
+namespace {
+
+constexpr char kConfigPath[] = "/v1/config";
+
+}  // namespace
+
 std::string SerialiseConfigAfter(const ConfigStore& store, uint64_t revision) {
   const auto changes = store.ChangesAfter(revision);
   if (!changes) {
@@ -51,11 +58,12 @@
                                          Duration hold,
                                          Duration timeout) {
   wire::Request request;
-  request.m_path =
-      "/v1/config?after=" + std::to_string(store.current()->m_revision) +
-      "&hold_ms=" + std::to_string(ToMilliseconds(hold));
+  wire::RequestTarget target(kConfigPath);
+  target.Field("after", store.current()->m_revision)
+      .Field("hold_ms", static_cast<uint64_t>(ToMilliseconds(hold)));
   if (hold == Duration::zero())
-    request.m_path += "&fresh=1";
+    target.Field("fresh", 1);
+  request.m_path = target.Build();
   auto response = co_await wire::Fetch(peers, endpoint, std::move(request),
                                        Now() + hold + timeout);
   if (!response)
@@ -83,7 +91,7 @@
   for (int attempt = 0; attempt < 2; ++attempt) {
     wire::Request request;
     request.m_method = "POST";
-    request.m_path = "/v1/config";
+    request.m_path = kConfigPath;
     request.m_body = SerialiseConfigAfter(store, peer_revision);
     auto response =
         co_await wire::Fetch(peers, endpoint, std::move(request), deadline);
--- a/src/libverbenalead/daemon/entry_peer_api.cc
+++ b/src/libverbenalead/daemon/entry_peer_api.cc
@@ -6,6 +6,7 @@
 #include "base/catch_failure.h"
 #include "daemon/config_messages.h"
 #include "peer/header_names.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::daemon {
 namespace {
@@ -73,7 +74,7 @@
   if (path.starts_with(kTracePrefix)) {
     std::string body;
     for (const std::string& line :
-         context.m_journal->Find(path.substr(kTracePrefix.size())))
+         context.m_journal->Find(wire::NameAfter(path, kTracePrefix)))
       body += line + "\n";
     co_return wire::Response{200, {}, std::move(body)};
   }
--- a/src/libverbenalead/daemon/target_directory.cc
+++ b/src/libverbenalead/daemon/target_directory.cc
@@ -7,6 +7,7 @@
 #include "base/sleep.h"
 #include "base/spawn.h"
 #include "peer/header_names.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::daemon {
 namespace {
@@ -60,8 +61,10 @@
 Awaitable<void> TargetDirectory::RequestReport(model::Host host) {
   wire::Request request;
   request.m_path =
-      "/v1/status?hold_ms=" + std::to_string(ToMilliseconds(kHold)) +
-      "&seen=" + m_watched[host.name()].m_report_mark;
+      wire::RequestTarget("/v1/status")
+          .Field("hold_ms", static_cast<uint64_t>(ToMilliseconds(kHold)))
+          .Field("seen", m_watched[host.name()].m_report_mark)
+          .Build();
   auto response = co_await wire::Fetch(m_peers, host.peer(), std::move(request),
                                        Now() + kHold + kReportTimeout);
   m_watched[host.name()].m_request_pending = false;
--- a/src/libverbenalead/daemon/target_peer_api.cc
+++ b/src/libverbenalead/daemon/target_peer_api.cc
@@ -8,6 +8,7 @@
 #include "daemon/transfer_messages.h"
 #include "decide/membership/report_change.h"
 #include "peer/header_names.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::daemon {
 namespace {
@@ -160,7 +161,7 @@
   if (path.starts_with(kManifest))
     co_return ServeManifest(*context, path);
   if (path.starts_with(kTrace))
-    co_return ServeTrace(*context, path.substr(kTrace.size()));
+    co_return ServeTrace(*context, wire::NameAfter(path, kTrace));
   co_return wire::Response{404, {}, "unknown path"};
 }
 
--- a/src/libverbenalead/daemon/trace_collector.cc
+++ b/src/libverbenalead/daemon/trace_collector.cc
@@ -11,6 +11,7 @@
 
 #include "base/sleep.h"
 #include "base/spawn.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::daemon {
 namespace {
@@ -56,7 +57,7 @@
                     wire::Client& peers,
                     model::Host host) {
   wire::Request request;
-  request.m_path = "/v1/trace/" + request_id;
+  request.m_path = wire::RequestTarget("/v1/trace").Segment(request_id).Build();
   auto response = co_await wire::Fetch(peers, host.peer(), std::move(request),
                                        Now() + kTraceTimeout);
   if (response)
--- a/src/libverbenalead/decide/store/poll_pace.h
+++ b/src/libverbenalead/decide/store/poll_pace.h
@@ -22,6 +22,23 @@
   return answering ? RecordRequest(pacer, now) : Duration();
 }
 
+/// Least pause after `failures` reads in a row that the same request would
+/// repeat, because the answer can't be read or the store doesn't understand the
+/// request.
+///
+/// Failure: a table can't be read for as long as another writer's row stands in
+/// it. Symptom: all processes together read it hundreds of times a second, and
+/// requests to the store are limited and paid for. The pause doubles up to two
+/// seconds, within which the table is read after the row has gone.
+constexpr Duration PauseAfterUnreadable(uint64_t failures) {
+  constexpr Duration kFirst = 250ms;
+  constexpr Duration kMost = 2s;
+  Duration pause = kFirst;
+  for (uint64_t doubled = 1; doubled < failures && pause < kMost; ++doubled)
+    pause *= 2;
+  return std::min(pause, kMost);
+}
+
 /// How a request for changes ended.
 struct PollResult {
   TimePoint m_requested_at{};
--- a/src/libverbenalead/entry/entry_registration.cc
+++ b/src/libverbenalead/entry/entry_registration.cc
@@ -113,15 +113,17 @@
     if (part == m_state.m_options.m_own_address.m_data_center)
       continue;
     const auto rows = co_await m_store.ReadTable(platform::kEntryTable, part);
-    if (!rows) {
-      LogLine("entries_not_read")
-          .With("data_center", part)
-          .With(rows.error())
-          .Warn();
-      co_return false;
+    if (rows) {
+      remote_entries += ApplyRows(*rows);
+      continue;
     }
-    remote_entries += static_cast<uint32_t>(rows->m_rows.size());
-    ApplyRows(*rows);
+    LogLine("entries_not_read")
+        .With("data_center", part)
+        .With(rows.error())
+        .Warn();
+    // Another writer's part that can't be read must not hide the others.
+    if (!IsUnreadable(rows.error()))
+      co_return false;
   }
   m_state.m_remote_entries =
       std::max(m_state.m_remote_entries.value_or(0), remote_entries);
@@ -132,12 +134,13 @@
   co_return true;
 }
 
-void EntryRegistration::ApplyRows(const platform::Rows& rows) {
+uint32_t EntryRegistration::ApplyRows(const platform::Rows& rows) {
   // This small answer is the first one after a start. It sets the offset of the
   // store's clock, with which the proofs of other entries are dated.
   NoteStoreEra(m_state, rows.m_revision.m_era, "store");
   decide::AnsweredAt(m_state.m_store_clock, rows.m_asked_at,
                      {rows.m_revision.m_era, rows.m_store_time});
+  uint32_t entries = 0;
   for (const platform::Row& row : rows.m_rows) {
     if (row.m_deleted || row.m_key == m_state.m_options.m_own_address.m_host)
       continue;
@@ -149,10 +152,12 @@
       LogLine("bad_entry_row").With("key", row.m_key).Warn();
       continue;
     }
+    ++entries;
     PeerEntry& peer = m_state.m_peers[update->m_address.m_host];
     if (peer.m_last_seen_at == TimePoint())
       peer.m_address = update->m_address;
   }
+  return entries;
 }
 
 }  // namespace verbenalead::entry
--- a/src/libverbenalead/entry/entry_registration.h
+++ b/src/libverbenalead/entry/entry_registration.h
@@ -42,7 +42,8 @@
   Awaitable<void> AwaitNextRead();
   /// Returns false if not all rows could be read.
   Awaitable<bool> ReadRemoteEntries();
-  void ApplyRows(const platform::Rows& rows);
+  /// Returns the number of rows that name another entry.
+  uint32_t ApplyRows(const platform::Rows& rows);
 
   EntryState& m_state;
   platform::Store& m_store;
--- a/src/libverbenalead/entry/row_applier.cc
+++ b/src/libverbenalead/entry/row_applier.cc
@@ -233,7 +233,7 @@
                               const std::string& source) {
   const auto declared = platform::DecodeWeights(row.m_value);
   if (!declared) {
-    LogLine("bad_weights_row").Error();
+    LogLine("bad_weights_row").With("key", row.m_key).Error();
     return false;
   }
   const decide::DeclaredVersions& versions =
--- a/src/libverbenalead/front/operators_api.cc
+++ b/src/libverbenalead/front/operators_api.cc
@@ -6,6 +6,7 @@
 #include "base/catch_failure.h"
 #include "front/trace_summary.h"
 #include "model/json_fields.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::front {
 namespace {
@@ -75,8 +76,9 @@
     rest.erase(0, 1);
   const size_t slash = rest.find('/');
   if (slash == std::string::npos)
-    return {rest, ""};
-  return {rest.substr(0, slash), rest.substr(slash + 1)};
+    return {wire::NameAfter(rest, ""), ""};
+  return {wire::NameAfter(rest.substr(0, slash), ""),
+          wire::NameAfter(rest.substr(slash + 1), "")};
 }
 
 wire::Response ListResources(const OperatorsContext& context,
@@ -230,9 +232,9 @@
   if (path == "/v1/status")
     co_return Status(*context);
   if (path.starts_with(kTrace))
-    co_return co_await Trace(context, path.substr(kTrace.size()));
+    co_return co_await Trace(context, wire::NameAfter(path, kTrace));
   if (path.starts_with(kDrain) && request.m_method == "POST")
-    co_return co_await Drain(context, path.substr(kDrain.size()));
+    co_return co_await Drain(context, wire::NameAfter(path, kDrain));
   co_return Error(404, "unknown path " + path);
 }
 
--- a/src/libverbenalead/links/relayed_rows.cc
+++ b/src/libverbenalead/links/relayed_rows.cc
@@ -8,6 +8,7 @@
 #include "base/boot_clock.h"
 #include "base/catch_failure.h"
 #include "base/deflate.h"
+#include "base/log.h"
 #include "links/revision_codec.h"
 #include "model/json_fields.h"
 
@@ -78,6 +79,21 @@
   return row;
 }
 
+Result<bool> AddRow(const json::value& value,
+                    const RelayMetadata& facts,
+                    RelayedRows& relayed) {
+  const json::object* object = value.if_object();
+  if (!object)
+    return model::BadField("rows", "objects");
+  BOOST_LEAF_AUTO(row, DecodeRow(*object, relayed.m_rows.m_revision.m_era));
+  BOOST_LEAF_AUTO(seen, model::NumberFieldOr(*object, "seen_ms", 0));
+  const Duration seen_at = std::chrono::milliseconds(seen);
+  if (seen > 0 && facts.m_sent_at >= seen_at)
+    relayed.m_max_ages[row.m_key] = facts.m_sent_at - seen_at;
+  relayed.m_rows.m_rows.push_back(std::move(row));
+  return true;
+}
+
 Result<RelayedRows> ReadRelayed(const wire::Response& response) {
   const RelayMetadata facts = DecodeRelayMetadata(response.m_headers);
   if (wire::Get(response.m_headers, kEncoding) != kDeflate)
@@ -148,15 +164,11 @@
   if (!list || !list->is_array())
     return model::BadField("rows", "a list");
   for (const json::value& value : list->as_array()) {
-    if (!value.is_object())
-      return model::BadField("rows", "objects");
-    BOOST_LEAF_AUTO(row, DecodeRow(value.as_object(), rows.m_revision.m_era));
-    BOOST_LEAF_AUTO(seen,
-                    model::NumberFieldOr(value.as_object(), "seen_ms", 0));
-    const Duration seen_at = std::chrono::milliseconds(seen);
-    if (seen > 0 && facts.m_sent_at >= seen_at)
-      relayed.m_max_ages[row.m_key] = facts.m_sent_at - seen_at;
-    rows.m_rows.push_back(std::move(row));
+    // A row that can't be read must not hide the others.
+    const auto added =
+        CatchFailure([&] { return AddRow(value, facts, relayed); });
+    if (!added)
+      LogLine("relayed_row_left_out").With(added.error()).Warn();
   }
   return relayed;
 }
--- a/src/libverbenalead/links/relayed_rows_test.cc
+++ b/src/libverbenalead/links/relayed_rows_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(CarriesTimeSinceStoreWasRegained);
   CPPUNIT_TEST(CarriesRowAges);
   CPPUNIT_TEST(RejectsMalformedRowLists);
+  CPPUNIT_TEST(MalformedRowHidesNoOther);
   CPPUNIT_TEST(CompressesReplicaTable);
   CPPUNIT_TEST_SUITE_END();
 
@@ -93,16 +94,28 @@
 
   void RejectsMalformedRowLists() {
     for (const char* text :
-         {"", "[]", "{\"revision\":1}", "{\"revision\":1,\"rows\":[1]}",
-          "{\"revision\":1,\"rows\":[{\"key\":\"a\",\"value\":"
-          "\"!\",\"revision\":1}]}",
-          "{\"revision\":1,\"rows\":[{\"key\":\"a\",\"value\":"
-          "\"\",\"revision\":1,\"seen_ms\":\"x\"}]}",
+         {"", "[]", "{\"revision\":1}", "{\"revision\":1,\"rows\":{}}",
           "{\"revision\":\"x\",\"rows\":[]}"}) {
       CPPUNIT_ASSERT(!CatchFailure([&] { return DecodeRows(text, {}); }));
     }
   }
 
+  // Guards against a list of replicas that is lost for one row of another
+  // writer.
+  void MalformedRowHidesNoOther() {
+    for (const std::string row :
+         {"1", "{\"key\":2}", "{\"key\":\"a\",\"value\":\"!\",\"revision\":1}",
+          "{\"key\":\"a\",\"value\":\"\",\"revision\":1,"
+          "\"seen_ms\":\"x\"}"}) {
+      const std::string good = "{\"key\":\"b\",\"text\":\"v\",\"revision\":1}";
+      const RelayedRows relayed =
+          Decode("{\"revision\":1,\"rows\":[" + row + "," + good + "]}", {});
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, relayed.m_rows.m_rows.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("b"), relayed.m_rows.m_rows[0].m_key);
+      CPPUNIT_ASSERT(relayed.m_max_ages.empty());
+    }
+  }
+
  private:
   static RelayedRows Decode(const std::string& text,
                             const RelayMetadata& facts) {
--- a/src/libverbenalead/links/table_follower.cc
+++ b/src/libverbenalead/links/table_follower.cc
@@ -49,7 +49,7 @@
       continue;
     const TimePoint next = decide::NextRequestAt(
         {requested_at, Now(), answered}, schedule.m_interval,
-        std::max(schedule.m_retry_pause, RetryPause()));
+        std::max({schedule.m_retry_pause, RetryPause(), m_unreadable_pause}));
     if (next > Now())
       co_await WaitUntil(next);
   }
@@ -141,6 +141,9 @@
 
 void TableFollower::RecordFailure(const Failure& failure) {
   ++m_failures;
+  m_unreadable_pause = IsUnreadable(failure)
+                           ? decide::PauseAfterUnreadable(m_failures)
+                           : Duration();
   const TimePoint now = Now();
   const bool lost = std::exchange(m_connected, false);
   if (!lost && now < m_next_failure_line)
--- a/src/libverbenalead/links/table_follower.h
+++ b/src/libverbenalead/links/table_follower.h
@@ -83,6 +83,8 @@
   /// Reads that have failed since the last one that was answered.
   uint64_t m_failures = 0;
   TimePoint m_next_failure_line{};
+  /// Least pause after a read that the same request would repeat.
+  Duration m_unreadable_pause{};
   bool m_was_connected = false;
   TimePoint m_regained_at{};
 };
--- a/src/libverbenalead/platform/decode_replica.cc
+++ b/src/libverbenalead/platform/decode_replica.cc
@@ -1,6 +1,8 @@
 #include "platform/decode_replica.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
 
 #include "base/catch_failure.h"
 #include "platform/json_read.h"
@@ -17,6 +19,17 @@
       Failure{FailureCode::kInvalid, step, peer, what});
 }
 
+/// Whether `key` may be the id of a replica, such as "i-7f3a91c2": letters,
+/// digits and "-._~" (the unreserved characters of RFC 3986).
+///
+/// Failure: another writer's row stands in the list of replicas under a name of
+/// its own. Symptom: calls go to the address in it, or it hides the replica
+/// that has this address. Its name holds other characters.
+bool IsReplicaId(const std::string& key) {
+  return !key.empty() &&
+         std::all_of(key.begin(), key.end(), boost::urls::unreserved_chars);
+}
+
 /// Reads the models and the versions of their weights; returns false if the
 /// list is malformed.
 bool ReadWeights(const json::object& object,
@@ -43,6 +56,8 @@
 Result<model::Replica> DecodeReplica(const std::string& id,
                                      std::string_view text) {
   constexpr char kStep[] = "read replica";
+  if (!IsReplicaId(id))
+    return Unreadable(kStep, id, "the key is no id of a replica");
   const auto object = ReadObject(text);
   if (!object)
     return Unreadable(kStep, id, "the row is no JSON object");
--- a/src/libverbenalead/platform/decode_test.cc
+++ b/src/libverbenalead/platform/decode_test.cc
@@ -25,9 +25,14 @@
   return text.replace(text.find(before), before.size(), after);
 }
 
+AsyncResult<model::Replica> ReplicaNamed(const std::string& id) {
+  return CatchFailure([&] { return DecodeReplica(id, kReplica); });
+}
+
 class DecodeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DecodeTest);
   CPPUNIT_TEST(DecodesReplica);
+  CPPUNIT_TEST(OddNameIsNoReplica);
   CPPUNIT_TEST(RejectsMalformedReplicaRows);
   CPPUNIT_TEST(DecodesOrRejectsAnyBytes);
   CPPUNIT_TEST(DecodesReport);
@@ -40,6 +45,17 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against calls to the address in another writer's row, and against
+  // the replica at that address being hidden by it.
+  void OddNameIsNoReplica() {
+    for (const char* id : {"i-7f3a91c2", "i-1", "srv.a_3~x"})
+      CPPUNIT_ASSERT_MESSAGE(id, ReplicaNamed(id));
+    for (const char* id :
+         {"", "a14%#", "a28+", "i-3&", "i-3 x", "i-3/x", "i-3?",
+          "i-3=", "i-3\"", "i-3\n", "i-3\u00e9", "i-3,"})
+      CPPUNIT_ASSERT_MESSAGE(id, !ReplicaNamed(id));
+  }
+
   void DecodesReplica() {
     const auto replica = Replica(kReplica);
     CPPUNIT_ASSERT(replica.has_value());
--- a/src/libverbenalead/platform/engine_client.cc
+++ b/src/libverbenalead/platform/engine_client.cc
@@ -5,6 +5,7 @@
 #include "base/catch_failure.h"
 #include "platform/decode_replica.h"
 #include "platform/decode_statements.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::platform {
 namespace {
@@ -77,7 +78,10 @@
                                                  std::string bytes) {
   wire::Request request;
   request.m_method = "PUT";
-  request.m_path = "/stage-put/" + model + "?num=" + std::to_string(chunk);
+  request.m_path = wire::RequestTarget("/stage-put")
+                       .Segment(model)
+                       .Field("num", chunk)
+                       .Build();
   request.m_headers["content-type"] = "application/octet-stream";
   request.m_body = std::move(bytes);
   auto response = co_await Call(std::move(request));
@@ -89,7 +93,10 @@
 Awaitable<AsyncResult<std::string>> EngineClient::ReadStaged(std::string model,
                                                              uint32_t chunk) {
   wire::Request request;
-  request.m_path = "/stage-get/" + model + "?num=" + std::to_string(chunk);
+  request.m_path = wire::RequestTarget("/stage-get")
+                       .Segment(model)
+                       .Field("num", chunk)
+                       .Build();
   auto response = co_await Call(std::move(request));
   if (!response)
     co_return response.error();
--- a/src/libverbenalead/platform/origin_client.cc
+++ b/src/libverbenalead/platform/origin_client.cc
@@ -4,6 +4,7 @@
 
 #include "base/catch_failure.h"
 #include "platform/json_read.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::platform {
 namespace {
@@ -64,9 +65,12 @@
     std::string model,
     uint64_t version,
     TimePoint deadline) {
-  auto body = co_await Get(
-      origin, "/manifest/" + model + "?version=" + std::to_string(version),
-      deadline);
+  auto body = co_await Get(origin,
+                           wire::RequestTarget("/manifest")
+                               .Segment(model)
+                               .Field("version", version)
+                               .Build(),
+                           deadline);
   if (!body)
     co_return body.error();
   auto digests = CatchFailure([&] { return DecodeDigests(*body, version); });
@@ -82,8 +86,11 @@
                         uint32_t chunk,
                         TimePoint deadline) {
   wire::Request request;
-  request.m_path = "/piece/" + model + "?num=" + std::to_string(chunk) +
-                   "&version=" + std::to_string(version);
+  request.m_path = wire::RequestTarget("/piece")
+                       .Segment(model)
+                       .Field("num", chunk)
+                       .Field("version", version)
+                       .Build();
   co_return co_await m_http.Open(origin, std::move(request), deadline);
 }
 
--- a/src/libverbenalead/platform/store.cc
+++ b/src/libverbenalead/platform/store.cc
@@ -1,20 +1,26 @@
 #include "platform/store.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
 
 #include "base/base64.h"
 #include "base/boot_clock.h"
-#include "base/catch_failure.h"
 #include "base/log.h"
-#include "platform/json_read.h"
 #include "platform/names.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::platform {
 namespace {
 
 namespace json = boost::json;
 
+constexpr char kRowsPath[] = "/rows-get";
+constexpr char kFeedPath[] = "/rows-feed";
+constexpr char kPartsPath[] = "/rows-parts";
+constexpr char kTableField[] = "table";
+constexpr char kAfterField[] = "after_rev";
+
 /// Longest wait for an answer beyond the long-poll wait stated in the request,
 /// and longest pause within an answer. An answer usually takes 4 ms; one that
 /// takes 60 times as long must still be accepted.
@@ -27,7 +33,12 @@
 /// Longest answer: 1 MB of rows, or the rows of a table's changes.
 constexpr size_t kMaxAnswerBytes = size_t{16} << 20;
 
+/// Least time between two log lines of rows that were left out.
+constexpr Duration kLeftOutLineInterval = 10s;
+
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kInternalError = 500;
 constexpr int kPreconditionFailed = 412;
 constexpr int kGone = 410;
 constexpr int kForbidden = 403;
@@ -45,14 +56,17 @@
   else if (status == kTooManyRequests || status == kUnavailable ||
            status == kForbidden)
     code = FailureCode::kRefused;
+  else if (status >= kBadRequest && status < kInternalError)
+    code = FailureCode::kInvalid;
   return Failure{code, step, ToString(endpoint),
                  "status " + std::to_string(status)};
 }
 
 /// Adds to `failure` the page of a table that could not be read.
-Failure AtPage(Failure failure, int number, const std::string& from) {
-  failure.m_reason +=
-      "; page " + std::to_string(number) + " from key '" + from + "'";
+Failure AtPage(Failure failure, const decide::PageCursor& cursor) {
+  failure.m_reason += "; page " + std::to_string(cursor.m_pages + 1);
+  if (cursor.m_last_key)
+    failure.m_reason += " after key " + wire::PercentEncode(*cursor.m_last_key);
   return failure;
 }
 
@@ -64,78 +78,19 @@
   return era;
 }
 
-/// Returns a row, or nothing if it has no key. Other programs may write
-/// arbitrary rows to a table, and a malformed one must not hide the others.
-std::optional<Row> ReadRow(const json::value& value, uint64_t era) {
-  const json::object* object = value.if_object();
-  if (!object)
-    return std::nullopt;
-  const json::value* key = object->if_contains("key");
-  const json::value* revision = object->if_contains("ver");
-  if (!key || !key->is_string())
-    return std::nullopt;
-  Row row;
-  row.m_key = std::string(key->as_string());
-  if (revision && revision->is_int64())
-    row.m_revision = {era, static_cast<uint64_t>(revision->as_int64())};
-  const json::value* deleted = object->if_contains("deleted");
-  if (deleted && (!deleted->is_bool() || deleted->as_bool())) {
-    row.m_deleted = true;
-    return row;
-  }
-  const json::value* text = object->if_contains("value");
-  if (!text || !text->is_string())
-    return row;
-  auto bytes = CatchFailure([&] { return DecodeBase64(text->as_string()); });
-  if (!bytes) {
-    LogLine("bad_row").With("key", row.m_key).With(bytes.error()).Warn();
-    return row;
-  }
-  row.m_value = std::move(*bytes);
-  return row;
-}
-
-struct Page {
-  Rows m_rows;
-  bool m_has_more = false;
-};
-
-std::optional<Page> ReadPage(const std::string& body, uint64_t era) {
-  boost::system::error_code error;
-  const json::value value = json::parse(body, error);
-  const json::object* object = error ? nullptr : value.if_object();
-  if (!object)
-    return std::nullopt;
-  const json::value* revision = object->if_contains("ver");
-  const auto time = ReadMilliseconds(*object, "now_ms");
-  const json::value* rows = object->if_contains("rows");
-  if (!revision || !revision->is_int64() || !time || !rows || !rows->is_array())
-    return std::nullopt;
-  Page page;
-  page.m_rows.m_revision = {era, static_cast<uint64_t>(revision->as_int64())};
-  page.m_rows.m_store_time = *time;
-  for (const json::value& entry : rows->as_array()) {
-    if (auto row = ReadRow(entry, era))
-      page.m_rows.m_rows.push_back(std::move(*row));
-  }
-  const json::value* more = object->if_contains("has_more");
-  page.m_has_more = more && more->is_bool() && more->as_bool();
-  return page;
+std::string TableLabel(const std::string& table) {
+  return "table=\"" + table + "\"";
 }
 
-std::optional<std::vector<std::string>> ReadParts(const std::string& body) {
-  boost::system::error_code error;
-  const json::value value = json::parse(body, error);
-  const json::object* object = error ? nullptr : value.if_object();
-  const json::value* list = object ? object->if_contains("parts") : nullptr;
-  if (!list || !list->is_array())
-    return std::nullopt;
-  std::vector<std::string> parts;
-  for (const json::value& part : list->as_array()) {
-    if (part.is_string())
-      parts.emplace_back(part.as_string());
-  }
-  return parts;
+/// The target that reads the page after those in `cursor`.
+std::string PageTarget(const std::string& table,
+                       const std::string& part,
+                       const decide::PageCursor& cursor) {
+  wire::RequestTarget target(kRowsPath);
+  target.Field(kTableField, table).Field("part", part);
+  if (cursor.m_last_key)
+    target.Field("from", decide::LeastKeyAfter(*cursor.m_last_key));
+  return target.Build();
 }
 
 wire::Request PostRequest(std::string body) {
@@ -151,77 +106,111 @@
 
 Awaitable<AsyncResult<Rows>> Store::ReadTable(std::string table,
                                               std::string part) {
+  const std::string step = "GET " + std::string(kRowsPath);
   Rows all;
-  std::string from;
-  int number = 1;
+  decide::PageCursor cursor;
+  cursor.m_started = Now();
   while (true) {
-    std::string path = "/rows-get?table=" + table + "&part=" + part;
-    if (!from.empty())
-      path += "&from=" + from;
-    bool has_more = false;
-    auto page = co_await Read(table, std::move(path), Duration(), &has_more);
+    auto page =
+        co_await Read(table, PageTarget(table, part, cursor), Duration());
     if (!page)
-      co_return AtPage(page.error(), number, from);
-    ++number;
+      co_return AtPage(page.error(), cursor);
     // Rows of later pages may be newer than the revision of the first page.
     // Returning the first page's revision makes the follower read the changes
     // after it again, which is harmless; with a later one it would miss changes
     // of rows on earlier pages.
-    if (from.empty()) {
-      all.m_asked_at = page->m_asked_at;
-      all.m_store_time = page->m_store_time;
-      all.m_revision = page->m_revision;
+    if (cursor.m_pages == 0) {
+      all.m_asked_at = page->m_rows.m_asked_at;
+      all.m_store_time = page->m_rows.m_store_time;
+      all.m_revision = page->m_rows.m_revision;
     }
-    if (page->m_revision.m_era != all.m_revision.m_era) {
-      co_return Failure{FailureCode::kBroken, "GET /rows-get",
-                        ToString(m_endpoint),
+    if (page->m_rows.m_revision.m_era != all.m_revision.m_era) {
+      co_return Failure{FailureCode::kBroken, step, ToString(m_endpoint),
                         "the store came back from a copy between two pages"};
     }
-    for (Row& row : page->m_rows)
+    const decide::PageCursor before = cursor;
+    const decide::PageStep next =
+        decide::RecordPage(cursor, page->m_facts, Now());
+    if (next != decide::PageStep::kDone &&
+        next != decide::PageStep::kReadNext) {
+      CountFailure(table);
+      co_return AtPage(Failure{FailureCode::kCorrupt, step,
+                               ToString(m_endpoint), decide::ToString(next)},
+                       before);
+    }
+    for (Row& row : page->m_rows.m_rows)
       all.m_rows.push_back(std::move(row));
-    if (!has_more || all.m_rows.empty())
+    if (next == decide::PageStep::kDone)
       co_return all;
-    from = all.m_rows.back().m_key + "%01";
   }
 }
 
 Awaitable<AsyncResult<std::vector<std::string>>> Store::ListParts(
     std::string table) {
+  std::vector<std::string> all;
+  const TimePoint started = Now();
+  while (true) {
+    wire::RequestTarget target(kPartsPath);
+    target.Field(kTableField, table);
+    if (!all.empty())
+      target.Field(kAfterField, all.back());
+    auto page = co_await ReadPartsPage(target.Build());
+    if (!page)
+      co_return page.error();
+    const bool again =
+        !page->m_parts.empty() &&
+        std::find(all.begin(), all.end(), page->m_parts.front()) != all.end();
+    if (again || Now() - started > decide::kMaxTableTime) {
+      co_return Failure{FailureCode::kCorrupt, "GET " + std::string(kPartsPath),
+                        ToString(m_endpoint),
+                        "the list of parts doesn't end; after '" +
+                            (all.empty() ? "" : all.back()) + "'"};
+    }
+    all.insert(all.end(), page->m_parts.begin(), page->m_parts.end());
+    if (!page->m_has_more || page->m_parts.empty())
+      co_return all;
+  }
+}
+
+Awaitable<AsyncResult<PartsPage>> Store::ReadPartsPage(std::string target) {
   wire::Request request;
-  request.m_path = "/rows-parts?table=" + table;
-  const std::string step = "GET /rows-parts";
+  request.m_path = std::move(target);
+  const std::string step = "GET " + wire::PathOf(request);
   auto response = co_await wire::Fetch(m_http, m_endpoint, std::move(request),
                                        Now() + kAnswerTimeout, kMaxAnswerBytes);
   if (!response)
     co_return response.error();
   if (response->m_status != kOk)
     co_return StatusFailure(step, m_endpoint, response->m_status);
-  auto parts = ReadParts(response->m_body);
-  if (!parts) {
+  auto page = DecodePartsPage(response->m_body);
+  if (!page) {
     co_return Failure{FailureCode::kCorrupt, step, ToString(m_endpoint),
                       "the answer is no list of parts"};
   }
-  co_return std::move(*parts);
+  co_return std::move(*page);
 }
 
 Awaitable<AsyncResult<Rows>> Store::ReadChanges(std::string table,
                                                 model::Revision revision,
                                                 Duration wait) {
-  bool has_more = false;
-  const std::string path = "/rows-feed?table=" + table +
-                           "&after_rev=" + std::to_string(revision.m_number) +
-                           "&wait_ms=" + std::to_string(ToMilliseconds(wait));
-  co_return co_await Read(std::move(table), path, wait, &has_more);
+  const std::string target =
+      wire::RequestTarget(kFeedPath)
+          .Field(kTableField, table)
+          .Field(kAfterField, revision.m_number)
+          .Field("wait_ms", static_cast<uint64_t>(ToMilliseconds(wait)))
+          .Build();
+  auto page = co_await Read(std::move(table), target, wait);
+  if (!page)
+    co_return page.error();
+  co_return std::move(page->m_rows);
 }
 
-Awaitable<AsyncResult<Rows>> Store::Read(std::string table,
-                                         std::string path,
-                                         Duration wait,
-                                         bool* has_more) {
-  const std::string label = "table=\"" + table + "\"";
-  m_metrics.Count("store_pages_total", label);
+Awaitable<AsyncResult<RowsPage>> Store::Read(std::string table,
+                                             std::string target,
+                                             Duration wait) {
+  m_metrics.Count("store_pages_total", TableLabel(table));
   wire::Request request;
-  request.m_path = std::move(path);
+  request.m_path = std::move(target);
   const std::string step = "GET " + wire::PathOf(request);
   const Duration requested_at = BootNow();
   const wire::ProgressTimeouts timeouts = {
@@ -229,22 +218,43 @@
   auto response = co_await wire::FetchByProgress(
       m_http, m_endpoint, std::move(request), timeouts, kMaxAnswerBytes);
   if (!response) {
-    m_metrics.Count("store_reads_failed_total", label);
+    CountFailure(table);
     co_return response.error();
   }
   if (response->m_status != kOk) {
-    m_metrics.Count("store_reads_failed_total", label);
+    CountFailure(table);
     co_return StatusFailure(step, m_endpoint, response->m_status);
   }
-  auto page = ReadPage(response->m_body, EraOf(*response));
+  auto page = DecodeRowsPage(response->m_body, EraOf(*response));
   if (!page) {
-    m_metrics.Count("store_reads_failed_total", label);
+    CountFailure(table);
     co_return Failure{FailureCode::kCorrupt, step, ToString(m_endpoint),
                       "the answer is no list of rows"};
   }
+  LogLeftOut(table, page->m_left_out);
   page->m_rows.m_asked_at = requested_at;
-  *has_more = page->m_has_more;
-  co_return std::move(page->m_rows);
+  co_return std::move(*page);
+}
+
+void Store::CountFailure(const std::string& table) {
+  m_metrics.Count("store_reads_failed_total", TableLabel(table));
+}
+
+void Store::LogLeftOut(const std::string& table,
+                       const std::vector<std::string>& keys) {
+  if (keys.empty())
+    return;
+  m_metrics.Count("store_rows_left_out_total", TableLabel(table),
+                  static_cast<double>(keys.size()));
+  if (Now() < m_next_left_out_line)
+    return;
+  m_next_left_out_line = Now() + kLeftOutLineInterval;
+  LogLine("rows_left_out")
+      .With("table", table)
+      .With("rows", static_cast<uint64_t>(keys.size()))
+      .With("key", wire::PercentEncode(keys.front()))
+      .With("reason", "the key is no text")
+      .Warn();
 }
 
 Awaitable<AsyncResult<bool>> Store::Write(std::string table,
--- a/src/libverbenalead/target/chunk_fetcher.cc
+++ b/src/libverbenalead/target/chunk_fetcher.cc
@@ -14,6 +14,7 @@
 #include "decide/transfer/transfer.h"
 #include "target/chunk_paths.h"
 #include "target/transfer_members.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::target {
 namespace {
@@ -607,11 +608,12 @@
     std::string host,
     std::shared_ptr<PendingFetch> arrival) {
   wire::Request request;
-  request.m_path =
-      ChunkPath(m_state.m_engine->m_model, transfer->m_version, chunk) + "?" +
-      kHeldField + "=" + std::to_string(transfer->m_core.m_have_count);
+  wire::RequestTarget target(
+      ChunkPath(m_state.m_engine->m_model, transfer->m_version, chunk));
+  target.Field(kHeldField, transfer->m_core.m_have_count);
   if (!IsInSameDataCenter(host))
-    request.m_path += std::string("&") + kRemoteField + "=1";
+    target.Field(kRemoteField, 1);
+  request.m_path = target.Build();
   const Endpoint endpoint(host, m_state.m_options.m_peers.port());
   auto opened = co_await m_peers.Open(endpoint, std::move(request),
                                       Now() + kPeerRequestTimeout);
--- a/src/libverbenalead/target/chunk_paths.cc
+++ b/src/libverbenalead/target/chunk_paths.cc
@@ -3,6 +3,7 @@
 #include <sstream>
 
 #include "base/catch_failure.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::target {
 
@@ -20,7 +21,10 @@
 }
 
 std::string DigestsPath(const std::string& model, uint64_t version) {
-  return "/v1/digests/" + model + "/" + std::to_string(version);
+  return wire::RequestTarget("/v1/digests")
+      .Segment(model)
+      .Segment(version)
+      .Build();
 }
 
 std::string FormatDigests(const CachedVersion& version) {
@@ -33,8 +37,11 @@
 std::string ChunkPath(const std::string& model,
                       uint64_t version,
                       uint32_t chunk) {
-  return "/v1/weights/" + model + "/" + std::to_string(version) + "/" +
-         std::to_string(chunk);
+  return wire::RequestTarget("/v1/weights")
+      .Segment(model)
+      .Segment(version)
+      .Segment(chunk)
+      .Build();
 }
 
 }  // namespace verbenalead::target
--- a/src/vlctl/apply.cc
+++ b/src/vlctl/apply.cc
@@ -10,6 +10,7 @@
 #include "model/resource_key.h"
 #include "vlctl/answer.h"
 #include "vlctl/commands.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::vlctl {
 namespace {
@@ -36,9 +37,10 @@
                         {"content-type", "application/json"}};
   if (resource.contains("revision"))
     headers["if-match"] = ToDisplayText(resource.at("revision"));
-  const std::string path = "/v1/resources/" +
-                           ToDisplayText(resource.at("kind")) + "/" +
-                           ToDisplayText(resource.at("name"));
+  const std::string path = wire::RequestTarget("/v1/resources")
+                               .Segment(ToDisplayText(resource.at("kind")))
+                               .Segment(ToDisplayText(resource.at("name")))
+                               .Build();
   json::object answer;
   const ExitCode code =
       ParseResponse(context.m_client.Call("PUT", path, headers,
--- a/src/vlctl/commands.cc
+++ b/src/vlctl/commands.cc
@@ -7,6 +7,7 @@
 
 #include "vlctl/answer.h"
 #include "vlctl/target_reports.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::vlctl {
 
@@ -15,7 +16,9 @@
 ExitCode Drain(const CommandContext& context, const std::string& target) {
   json::object answer;
   const ExitCode code = ParseResponse(
-      context.m_client.Call("POST", "/v1/drain/" + target), answer);
+      context.m_client.Call(
+          "POST", wire::RequestTarget("/v1/drain").Segment(target).Build()),
+      answer);
   if (code == kOk)
     fmt::print("{} takes nothing new\n", target);
   return code;
--- a/src/vlctl/delete.cc
+++ b/src/vlctl/delete.cc
@@ -5,6 +5,7 @@
 #include "base/new_id.h"
 #include "vlctl/answer.h"
 #include "vlctl/commands.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::vlctl {
 namespace json = boost::json;
@@ -17,10 +18,14 @@
       {"x-operation-id", operation.empty() ? NewId() : operation},
       {"x-operator", context.m_operator}};
   json::object answer;
-  const ExitCode code = ParseResponse(
-      context.m_client.Call("DELETE", "/v1/resources/" + kind + "/" + name,
-                            headers),
-      answer);
+  const ExitCode code =
+      ParseResponse(context.m_client.Call("DELETE",
+                                          wire::RequestTarget("/v1/resources")
+                                              .Segment(kind)
+                                              .Segment(name)
+                                              .Build(),
+                                          headers),
+                    answer);
   if (code == kOk)
     fmt::print("{}/{} deleted at revision {}\n", kind, name,
                ToDisplayText(answer.at("revision")));
--- a/src/vlctl/get.cc
+++ b/src/vlctl/get.cc
@@ -5,6 +5,7 @@
 
 #include "vlctl/answer.h"
 #include "vlctl/commands.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::vlctl {
 namespace {
@@ -22,14 +23,14 @@
 ExitCode Get(const CommandContext& context,
              const std::string& kind,
              const std::string& name) {
-  std::string path = "/v1/resources";
+  wire::RequestTarget target("/v1/resources");
   if (!kind.empty())
-    path += "/" + kind;
+    target.Segment(kind);
   if (!name.empty())
-    path += "/" + name;
+    target.Segment(name);
   json::object answer;
   const ExitCode code =
-      ParseResponse(context.m_client.Call("GET", path), answer);
+      ParseResponse(context.m_client.Call("GET", target.Build()), answer);
   if (code != kOk)
     return code;
   if (context.m_json) {
--- a/src/vlctl/rollout_commands.cc
+++ b/src/vlctl/rollout_commands.cc
@@ -11,6 +11,7 @@
 #include "model/json_fields.h"
 #include "vlctl/answer.h"
 #include "vlctl/target_reports.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::vlctl {
 namespace {
@@ -58,12 +59,19 @@
   std::string m_revision;
 };
 
+std::string PoolTarget(const std::string& pool) {
+  return wire::RequestTarget("/v1/resources")
+      .Segment("pool")
+      .Segment(pool)
+      .Build();
+}
+
 ExitCode ReadPool(const CommandContext& context,
                   const std::string& pool,
                   PoolSpec& out) {
   json::object answer;
-  const ExitCode code = ParseResponse(
-      context.m_client.Call("GET", "/v1/resources/pool/" + pool), answer);
+  const ExitCode code =
+      ParseResponse(context.m_client.Call("GET", PoolTarget(pool)), answer);
   if (code != kOk)
     return code;
   if (!answer.contains("spec") || !answer.at("spec").is_object())
@@ -83,10 +91,10 @@
                               {"if-match", spec.m_revision},
                               {"content-type", "application/json"}};
   json::object answer;
-  const ExitCode code = ParseResponse(
-      context.m_client.Call("PUT", "/v1/resources/pool/" + pool, headers,
-                            json::serialize(spec.m_spec)),
-      answer);
+  const ExitCode code =
+      ParseResponse(context.m_client.Call("PUT", PoolTarget(pool), headers,
+                                          json::serialize(spec.m_spec)),
+                    answer);
   if (code != kOk)
     return code;
   if (context.m_json)
--- a/src/vlctl/trace.cc
+++ b/src/vlctl/trace.cc
@@ -3,6 +3,7 @@
 
 #include "vlctl/answer.h"
 #include "vlctl/commands.h"
+#include "wire/request_target.h"
 
 namespace verbenalead::vlctl {
 
@@ -11,7 +12,9 @@
 ExitCode Trace(const CommandContext& context, const std::string& request) {
   json::object answer;
   const ExitCode code = ParseResponse(
-      context.m_client.Call("GET", "/v1/trace/" + request), answer);
+      context.m_client.Call(
+          "GET", wire::RequestTarget("/v1/trace").Segment(request).Build()),
+      answer);
   if (code != kOk)
     return code;
   if (context.m_json) {
--- a/testsuite/cases/odd_names_in_lists/run.py
+++ b/testsuite/cases/odd_names_in_lists/run.py
@@ -92,12 +92,18 @@
 
 
 def write_odd_rows(fleet, table, names, address):
-    """Writes rows, some of which read like a replica's and others not at all."""
-    replica = {"service": "ledger", "address": address, "zone": "a",
-               "version": "v1", "slots": 8, "state": "ready",
-               "cold_left_ms": 0, "born": 1, "sequence": 0}
+    """Writes rows, some of which read like a replica's and others not at all.
+
+    Some name the address of a true replica, which they must not hide.
+    """
+    named = [("ledger", address)] + [
+        (replica["service"], replica["address"]) for replica in fleet.replicas]
+    values = ["\u0000junk"] + [
+        {"service": service, "address": at, "zone": "a", "version": "v1",
+         "slots": 8, "state": "ready", "cold_left_ms": 0, "born": 1,
+         "sequence": 0} for service, at in named]
     for number, name in enumerate(names):
-        fleet.write(table, name, replica if number % 2 else "\u0000junk")
+        fleet.write(table, name, values[number % len(values)])
 
 
 def remove_rows(fleet, table, names):
--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -148,6 +148,7 @@
         ip = "127.0.2.%d" % number
         name = "replica-%d" % number
         replica = {"name": name, "target": "target-%d" % number,
+                   "service": service,
                    "address": "%s:%d" % (ip, self.replica_port)}
         settings = {"id": "i-%d" % number, "service": service,
                     "model": model, "data_center": data_center,
