A status that HTTP doesn't have is no answer

What callers saw: a replica in trouble sent status 000 and an empty body, and what stood behind it on the connection, a 200, was delivered as its answer. 600 and 999 were delivered as they were.

Cause: each status below 200 was taken for an interim answer and skipped, and each one above for a final answer. RFC 9110, 15: a status outside 100 to 599 is no valid one; 101 answers a request that is never made.

Change: the HTTP/1.1 client and the streams between processes fail with kCorrupt on any other status, so the attempt ends as broken and its connection isn't used again; a recorded answer with such a status isn't handed out.

--- a/src/libverbenalead/daemon/recorded_answer.cc
+++ b/src/libverbenalead/daemon/recorded_answer.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include "model/json_fields.h"
+#include "wire/status.h"
 
 namespace verbenalead::daemon {
 
@@ -36,8 +37,8 @@
   BOOST_LEAF_ASSIGN(answer.m_content_type,
                     model::TextField(object, "content_type"));
   BOOST_LEAF_ASSIGN(answer.m_body, model::TextField(object, "body"));
-  BOOST_LEAF_ASSIGN(answer.m_has_body,
-                    model::FlagFieldOr(object, "whole", false));
+  BOOST_LEAF_AUTO(whole, model::FlagFieldOr(object, "whole", false));
+  answer.m_has_body = whole && wire::IsFinalStatus(answer.m_status);
   BOOST_LEAF_ASSIGN(answer.m_request, model::TextField(object, "request"));
   BOOST_LEAF_ASSIGN(answer.m_target, model::TextField(object, "target"));
   BOOST_LEAF_ASSIGN(answer.m_version, model::TextField(object, "version"));
--- a/src/libverbenalead/http/client.cc
+++ b/src/libverbenalead/http/client.cc
@@ -13,6 +13,8 @@
 #include <type_traits>
 #include <vector>
 
+#include "wire/status.h"
+
 namespace verbenalead::http {
 namespace {
 
@@ -35,7 +37,6 @@
 constexpr size_t kMaxUnparsedBytes = 64 * 1024;
 /// Interim answers (status 1xx) before the final one; more are no answer.
 constexpr int kMaxInterimAnswers = 16;
-constexpr int kFirstFinalStatus = 200;
 
 using Stream = std::unique_ptr<beast::tcp_stream>;
 
@@ -135,8 +136,12 @@
     // skip them (RFC 9110, 15.2).
     for (int heads = 0; heads <= kMaxInterimAnswers; ++heads) {
       auto head = co_await ReadOneHead(deadline);
-      if (!head || head->m_status >= kFirstFinalStatus)
+      if (!head || wire::IsFinalStatus(head->m_status))
         co_return head;
+      // Failure: a server in trouble sends status 000. Symptom: it is passed on
+      // as an answer, or skipped, and what follows it is taken for the answer.
+      if (!wire::IsInterimStatus(head->m_status))
+        co_return Nonsense("status " + std::to_string(head->m_status));
     }
     co_return Nonsense("interim answers without end");
   }
--- a/src/libverbenalead/http/http_client_test.cc
+++ b/src/libverbenalead/http/http_client_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST_SUITE(ClientTest);
   CPPUNIT_TEST(InterimAnswersAreSkipped);
   CPPUNIT_TEST(InterimAnswersWithoutEndAreNoAnswer);
+  CPPUNIT_TEST(StatusThatHttpDoesNotHaveIsNoAnswer);
   CPPUNIT_TEST(BytesWithoutEndAreNoAnswer);
   CPPUNIT_TEST(ABodyThatNeverPausesEndsAtItsDeadline);
   CPPUNIT_TEST_SUITE_END();
@@ -65,6 +66,21 @@
     CPPUNIT_ASSERT(response.error().m_code == FailureCode::kCorrupt);
   }
 
+  // Guards against status 000, or the answer after it, passed on to the caller.
+  void StatusThatHttpDoesNotHaveIsNoAnswer() {
+    for (const std::string status :
+         {"000", "001", "099", "101", "600", "999"}) {
+      for (const std::string rest :
+           {"Content-Length: 0\r\n\r\n" + kFinal, "\r\n" + kFinal,
+            std::string("Content-Length: 4\r\n\r\nbody")}) {
+        const auto response =
+            Fetch({"HTTP/1.1 " + status + " X\r\nX-Stamp: s\r\n" + rest, ""});
+        CPPUNIT_ASSERT_MESSAGE(status, !response);
+        CPPUNIT_ASSERT(response.error().m_code == FailureCode::kCorrupt);
+      }
+    }
+  }
+
   // Guards against a process that runs out of memory.
   void BytesWithoutEndAreNoAnswer() {
     const std::string filler(16384, 'x');
--- a/src/libverbenalead/peer/session_reader.cc
+++ b/src/libverbenalead/peer/session_reader.cc
@@ -5,6 +5,8 @@
 #include <cstdlib>
 #include <utility>
 
+#include "wire/status.h"
+
 namespace verbenalead::peer {
 
 Session::Reader::Reader(std::shared_ptr<Session> session,
@@ -31,7 +33,10 @@
   }
   wire::ResponseHead head;
   head.m_headers = m_stream->m_headers;
-  head.m_status = std::atoi(wire::Get(head.m_headers, ":status").c_str());
+  const std::string status = wire::Get(head.m_headers, ":status");
+  head.m_status = std::atoi(status.c_str());
+  if (!wire::IsFinalStatus(head.m_status))
+    co_return Broken(FailureCode::kCorrupt, "status '" + status + "'");
   head.m_headers.erase(":status");
   co_return head;
 }
--- /dev/null
+++ b/testsuite/cases/status_that_http_does_not_have/run.py
@@ -0,0 +1,112 @@
+"""A replica in trouble sends an answer whose status HTTP doesn't have.
+
+It isn't an answer, and neither is what follows it on the connection: the caller
+must get a failure of the entry, never that status and never the bytes behind it.
+"""
+
+import socket
+import threading
+
+import harness
+import junk_replica
+import platform_fleet
+
+STATUSES = ("000", "001", "099", "101", "600", "999")
+FIELDS = "X-Verbenalead-Request-Id: %s\r\nX-Verbenalead-Server-Stamp: s\r\n"
+# What follows the status line and the fields, by the name of the form. The sound
+# answers behind an empty one bear the request's id as well.
+SOUND = "HTTP/1.1 200 OK\r\n" + FIELDS + "Content-Length: 4\r\n\r\nlate"
+EVENT = "id: 1\ndata: token 1\n\n"
+FORMS = {
+    "empty": FIELDS + "Content-Length: 0\r\n\r\n",
+    "body": FIELDS + "Content-Length: 4\r\n\r\nbody",
+    "events": FIELDS + "Content-Type: text/event-stream\r\n"
+              "Content-Length: %d\r\n\r\n%s" % (len(EVENT), EVENT),
+    "no length": FIELDS + "Connection: close\r\n\r\nbody",
+    "no id": "Content-Length: 4\r\n\r\nbody",
+    "empty, then an answer": FIELDS + "Content-Length: 0\r\n\r\n" + SOUND,
+    "no length, then an answer": FIELDS + "\r\n" + SOUND}
+FAILURES = (502, 503, 504)
+
+
+class RawReplica:
+    """Answers each connection with `status` and `form`."""
+
+    def __init__(self, address):
+        host, port = address.rsplit(":", 1)
+        self.status = STATUSES[0]
+        self.form = "empty"
+        self.requests = 0
+        self.listener = socket.create_server((host, int(port)))
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            connection, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(connection,),
+                             daemon=True).start()
+
+    def serve(self, connection):
+        try:
+            with connection:
+                request_id = junk_replica.JunkReplica.read_request_id(connection)
+                self.requests += 1
+                text = "HTTP/1.1 %s X\r\n" % self.status + FORMS[self.form]
+                connection.sendall(
+                    text.replace("%s", request_id).encode())
+                connection.settimeout(1)
+                while self.form != "no length" and connection.recv(4096):
+                    pass
+        except OSError:
+            pass
+
+
+def register(fleet, service, model, address):
+    row = {"service": service, "address": address, "zone": "a",
+           "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+           "born": 1, "sequence": 0}
+    if model:
+        row["models"] = [{"name": model, "version": 1, "adapters": []}]
+    fleet.write("servers", "i-raw-" + service, row)
+
+
+def body(cluster):
+    fleet = platform_fleet.PlatformFleet(cluster)
+    fleet.start_platform()
+    fleet.declare(1)
+    raw = {}
+    for number, (service, model) in enumerate((("ledger", ""),
+                                               ("pool", "model"))):
+        address = "127.0.2.%d:%d" % (90 + number, fleet.replica_port)
+        raw[service] = RawReplica(address)
+        register(fleet, service, model, address)
+    entry = fleet.add_entry()
+    fleet.wait_ready()
+    calls = {"look": fleet.look, "pay": fleet.pay, "draft": fleet.draft}
+    broken = []
+    number = 0
+    for status in STATUSES:
+        for form in FORMS:
+            for replica in raw.values():
+                replica.status = status
+                replica.form = form
+            # The second call at a plain replica is refused, as its replica has
+            # just failed, so they take turns.
+            names = ("look", "pay") if number % 2 else ("pay", "look")
+            got = []
+            for name in names + ("draft",):
+                call = calls[name]
+                number += 1
+                reply = call(entry, number)
+                got.append(reply.status)
+                if reply.status not in FAILURES:
+                    broken.append((status, form, name, reply.status))
+            print("%s, %s: %s" % (status, form, got), flush=True)
+    for service, replica in raw.items():
+        # Otherwise the calls were refused before they reached it.
+        print("%s: %d requests" % (service, replica.requests))
+        assert replica.requests >= len(STATUSES) * len(FORMS) / 3
+    assert not broken, broken
+
+
+harness.run_case(body)
