A success without signature or request id is no answer

Cause: an answer was judged foreign only if it named another request. Change: a success that isn't signed, or doesn't name the request, ends its attempt as broken, with kCorrupt, which is no evidence that the request crashes replicas; the same now holds for an answer that names another request. First tries, repeats, hedges and resumed streams read their heads in this one place. What such an answer states of weights isn't believed. Failures need no signature, as before.

--- a/src/libverbenalead/entry/attempt.cc
+++ b/src/libverbenalead/entry/attempt.cc
@@ -6,14 +6,39 @@
 constexpr int kMisdirected = 421;
 constexpr int kFirstServerError = 500;
 
+bool IsSuccess(int status) {
+  return status / 100 == 2;
+}
+
+/// Why the answer with this head isn't the replica's answer to `request_id`;
+/// null if it is.
+///
+/// Failure: a replica in trouble sends bytes in the form of a success. Symptom:
+/// the caller takes them for the answer. A replica signs each success and names
+/// the request in it, so a success without either isn't its answer.
+const char* ForeignReason(const wire::ResponseHead& head,
+                          const platform::AnswerMetadata& metadata,
+                          const std::string& request_id) {
+  if (!metadata.m_request_id.empty() && metadata.m_request_id != request_id)
+    return "the answer belongs to another request";
+  if (metadata.m_not_run || !IsSuccess(head.m_status))
+    return nullptr;
+  if (!metadata.m_signed)
+    return "a success without a signature";
+  if (metadata.m_request_id != request_id)
+    return "a success that names no request";
+  return nullptr;
+}
+
 /// Sets the result of the attempt from the head of its answer.
 void Judge(AttemptResult& result, const std::string& request_id) {
   using decide::AttemptEnd;
   result.m_metadata = platform::DecodeAnswer(result.m_head);
-  if (!result.m_metadata.m_request_id.empty() &&
-      result.m_metadata.m_request_id != request_id) {
+  if (const char* reason =
+          ForeignReason(result.m_head, result.m_metadata, request_id)) {
     result.m_end = AttemptEnd::kBroken;
-    result.m_reason = "the answer belongs to another request";
+    result.m_reason = reason;
+    result.m_failure = FailureCode::kCorrupt;
     return;
   }
   if (result.m_metadata.m_not_run) {
--- a/src/libverbenalead/entry/attempt.h
+++ b/src/libverbenalead/entry/attempt.h
@@ -41,8 +41,9 @@
                             AttemptResult& result);
 
 /// Waits until `deadline` for the head of the answer and classifies it. An
-/// answer that carries another id than `request_id` belongs to another request
-/// and counts as a broken attempt.
+/// answer that carries another id than `request_id` belongs to another request,
+/// and a success without the id or the replica's signature to none; both count
+/// as a broken attempt.
 Awaitable<void> ReadAnswerHead(std::string request_id,
                                TimePoint deadline,
                                AttemptResult& result);
--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -197,7 +197,7 @@
   if (m_result.m_may_have_run)
     ++m_record->m_progress.m_possible_runs;
   LogUnknownFields();
-  if (!m_result.m_metadata.m_weights)
+  if (!m_result.m_metadata.m_weights || m_result.m_end == AttemptEnd::kBroken)
     return;
   decide::ReplicaState* replica = CurrentReplica();
   if (replica) {
--- a/src/libverbenalead/entry/call_server_test.cc
+++ b/src/libverbenalead/entry/call_server_test.cc
@@ -20,6 +20,8 @@
   CPPUNIT_TEST(RetryIsCountedOnceItsFateIsKnown);
   CPPUNIT_TEST(RefusalHasStatusAndRetryAfter);
   CPPUNIT_TEST(AnswerToAnotherRequestIsDropped);
+  CPPUNIT_TEST(SuccessWithoutSignatureOrIdIsNoAnswer);
+  CPPUNIT_TEST(FailureWithoutSignatureIsDelivered);
   CPPUNIT_TEST(WithoutALeaseCallsAreUnavailable);
   CPPUNIT_TEST(UnknownKeyOrRouteIsRefused);
   CPPUNIT_TEST(RequestThatCrashesReplicasIsQuarantined);
@@ -130,6 +132,33 @@
     CPPUNIT_ASSERT_EQUAL(502, Call("/pay/1").m_status);
   }
 
+  // Guards against bytes of a replica in trouble delivered as its answer.
+  void SuccessWithoutSignatureOrIdIsNoAnswer() {
+    for (const char* field : {platform::kStamp, platform::kRequestId}) {
+      for (const char* path : {"/read/1", "/stream/1"}) {
+        wire::ScriptedAnswer odd = Answer(200, {Event(1)});
+        odd.m_head.m_headers.erase(field);
+        odd.m_head.m_headers[platform::kWeightVersion] = "99";
+        m_replicas.m_answers = {odd, Answer(200, {Event(2)})};
+        CPPUNIT_ASSERT_EQUAL(Event(2), Call(path).m_body);
+        m_replicas.m_answers = {odd};
+        CPPUNIT_ASSERT(Call("/pay/1").m_status >= 502);
+      }
+    }
+    CPPUNIT_ASSERT(m_state->m_crashes.m_crashes.empty());
+    for (const auto& [id, replica] :
+         GetOrCreateService(*m_state, "pool").m_pool.m_replicas)
+      CPPUNIT_ASSERT(replica.m_weights < 99);
+  }
+
+  // Guards against a failure of the replica that is lost: it isn't signed.
+  void FailureWithoutSignatureIsDelivered() {
+    wire::ScriptedAnswer failure = Answer(404, {"none"});
+    failure.m_head.m_headers.clear();
+    m_replicas.m_answers = {failure};
+    CPPUNIT_ASSERT_EQUAL(404, Call("/pay/1").m_status);
+  }
+
   // An entry is cut off from the store for longer than its lease, so it isn't
   // known whether a key or a route still exists. The caller gets a 503 and can
   // go to another entry; it is neither served nor rejected for its key.
--- a/testsuite/cases/status_that_http_does_not_have/run.py
+++ b/testsuite/cases/status_that_http_does_not_have/run.py
@@ -1,7 +1,8 @@
-"""A replica in trouble sends an answer whose status HTTP doesn't have.
+"""A replica in trouble sends bytes in the form of an answer that are none.
 
-It isn't an answer, and neither is what follows it on the connection: the caller
-must get a failure of the entry, never that status and never the bytes behind it.
+Their status is one that HTTP doesn't have, or they are a success that is neither
+signed nor names the request. Neither is what follows them on the connection an
+answer: the caller must get a failure of the entry, never that status and never the bytes behind it.
 """
 
 import socket
@@ -26,6 +27,8 @@
     "no id": "Content-Length: 4\r\n\r\nbody",
     "empty, then an answer": FIELDS + "Content-Length: 0\r\n\r\n" + SOUND,
     "no length, then an answer": FIELDS + "\r\n" + SOUND}
+PLAYS = [(status, form) for status in STATUSES for form in FORMS] + \
+    [("200", "no id"), ("200", "no id")]
 FAILURES = (502, 503, 504)
 
 
@@ -85,27 +88,26 @@
     calls = {"look": fleet.look, "pay": fleet.pay, "draft": fleet.draft}
     broken = []
     number = 0
-    for status in STATUSES:
-        for form in FORMS:
-            for replica in raw.values():
-                replica.status = status
-                replica.form = form
-            # The second call at a plain replica is refused, as its replica has
-            # just failed, so they take turns.
-            names = ("look", "pay") if number % 2 else ("pay", "look")
-            got = []
-            for name in names + ("draft",):
-                call = calls[name]
-                number += 1
-                reply = call(entry, number)
-                got.append(reply.status)
-                if reply.status not in FAILURES:
-                    broken.append((status, form, name, reply.status))
-            print("%s, %s: %s" % (status, form, got), flush=True)
+    for status, form in PLAYS:
+        for replica in raw.values():
+            replica.status = status
+            replica.form = form
+        # The second call at a plain replica is refused, as its replica has
+        # just failed, so they take turns.
+        names = ("look", "pay") if number % 2 else ("pay", "look")
+        got = []
+        for name in names + ("draft",):
+            call = calls[name]
+            number += 1
+            reply = call(entry, number)
+            got.append(reply.status)
+            if reply.status not in FAILURES:
+                broken.append((status, form, name, reply.status))
+        print("%s, %s: %s" % (status, form, got), flush=True)
     for service, replica in raw.items():
         # Otherwise the calls were refused before they reached it.
         print("%s: %d requests" % (service, replica.requests))
-        assert replica.requests >= len(STATUSES) * len(FORMS) / 3
+        assert replica.requests >= len(PLAYS) / 3
     assert not broken, broken
 
 
