The case of odd names covers rows written while processes are away, and tables of entries

Rows are written before the entries restart, and while all processes are away; odd names also stand in the tables of entries and declarations and as their parts.

--- a/testsuite/cases/odd_names_in_lists/run.py
+++ b/testsuite/cases/odd_names_in_lists/run.py
@@ -78,7 +78,8 @@
     return None
 
 
-def restart(cluster, fleet, all_processes):
+def restart(cluster, fleet, all_processes, meanwhile=lambda: None):
+    """Kills and starts processes; calls `meanwhile` while they are away."""
     names = [entry["name"] for entry in fleet.entries]
     if all_processes:
         names += [replica["target"] for replica in fleet.replicas
@@ -86,12 +87,13 @@
     for name in names:
         cluster.processes[name].kill()
     time.sleep(0.3)
+    meanwhile()
     fleet.store_requests()
     for name in names:
         cluster.restart(name)
 
 
-def write_odd_rows(fleet, table, names, address):
+def write_odd_rows(fleet, table, names, address, part=""):
     """Writes rows, some of which read like a replica's and others not at all.
 
     Some name the address of a true replica, which they must not hide.
@@ -103,7 +105,7 @@
          "slots": 8, "state": "ready", "cold_left_ms": 0, "born": 1,
          "sequence": 0} for service, at in named]
     for number, name in enumerate(names):
-        fleet.write(table, name, values[number % len(values)])
+        fleet.write(table, name, values[number % len(values)], part)
 
 
 def remove_rows(fleet, table, names):
@@ -143,8 +145,12 @@
         for page in PAGES:
             fleet.set_page(page)
             for all_processes in (True, False):
-                write_odd_rows(fleet, "servers", names, address)
-                restart(cluster, fleet, all_processes)
+                def write():
+                    write_odd_rows(fleet, "servers", names, address)
+                if not all_processes:
+                    write()
+                restart(cluster, fleet, all_processes,
+                        write if all_processes else lambda: None)
                 broken.append(check_served(
                     fleet, "%s, pages of %d, %s restarted" % (
                         what, page, "all" if all_processes else "entries")))
@@ -154,6 +160,12 @@
     write_odd_rows(fleet, "op", odd_keys, address)
     restart(cluster, fleet, True)
     broken.append(check_served(fleet, "odd names in the operator's table"))
+    for table, part in (("entries", "a"), ("declarations", "declarations")):
+        write_odd_rows(fleet, table, RECORDED + SYNTAX, address, part)
+    for part in RECORDED + SYNTAX:
+        write_odd_rows(fleet, "entries", ("x+",), address, part)
+    restart(cluster, fleet, True)
+    broken.append(check_served(fleet, "odd names in the tables of entries"))
     broken.append(check_feed(fleet))
     if listener.connections:
         broken.append("%d connections to the address of an odd row" %
--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -59,13 +59,13 @@
         self.configure()
 
     @staticmethod
-    def row(table, key, value):
-        return {"table": table, "part": "", "key": key,
+    def row(table, key, value, part=""):
+        return {"table": table, "part": part, "key": key,
                 "value": base64.b64encode(
                     json.dumps(value).encode()).decode()}
 
-    def write(self, table, key, value):
-        self.change(table, key, [self.row(table, key, value)], [])
+    def write(self, table, key, value, part=""):
+        self.change(table, key, [self.row(table, key, value, part)], [])
 
     def remove(self, table, key):
         self.change(table, key, [],
