Names in labels of metrics and in reasons of refusals are escaped

Found while looking for the class of RECOVER elsewhere: names of models, services, pools and replicas were put into labels as they are, and the id of a prompt part, which comes from the caller, into the JSON of a refusal. A quote in one would end the label or the text, and the whole page or body could not be read. Ordinary names and reasons read as before.

--- a/src/libverbenalead/base/metrics_test.cc
+++ b/src/libverbenalead/base/metrics_test.cc
@@ -1,9 +1,12 @@
 #include "base/metrics.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+
 #include <thread>
 #include <vector>
 
+#include "base/metric_label.h"
+
 namespace verbenalead {
 namespace {
 
@@ -14,6 +17,7 @@
 class MetricsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MetricsTest);
   CPPUNIT_TEST(WritesTheExpositionFormat);
+  CPPUNIT_TEST(NamesInLabelsAreEscaped);
   CPPUNIT_TEST(CountsFromSeveralThreads);
   CPPUNIT_TEST_SUITE_END();
 
@@ -34,6 +38,12 @@
     CPPUNIT_ASSERT(HasLine(text, "verbenalead_call_seconds_count 100"));
   }
 
+  // Guards against a page of metrics that can't be read for one name.
+  void NamesInLabelsAreEscaped() {
+    CPPUNIT_ASSERT_EQUAL(std::string("model=\"a\\\"b\\\\c\\nd\""),
+                         MetricLabel("model", "a\"b\\c\nd"));
+  }
+
   void CountsFromSeveralThreads() {
     Metrics metrics;
     std::vector<std::thread> threads;
--- a/src/libverbenalead/daemon/metered_runner.cc
+++ b/src/libverbenalead/daemon/metered_runner.cc
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include "base/metric_label.h"
+
 namespace verbenalead::daemon {
 
 Awaitable<void> MeteredRunner::Run(model::Call call,
@@ -9,7 +11,7 @@
                                    wire::ResponseWriter& writer) {
   ++m_running;
   const TimePoint start = Now();
-  const std::string labels = "pool=\"" + call.pool() + "\"";
+  const std::string labels = MetricLabel("pool", call.pool());
   co_await m_runner.Run(std::move(call), std::move(request), writer);
   m_metrics.Count("calls_total", labels);
   m_metrics.Observe("call_seconds", labels,
--- a/src/libverbenalead/entry/call_retries.cc
+++ b/src/libverbenalead/entry/call_retries.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/metric_label.h"
 
 namespace verbenalead::entry {
 namespace {
@@ -36,7 +37,7 @@
   const uint32_t entries = MaxExistingEntries(m_state);
   const decide::RetryDecision decision = decide::TryTakeRetry(
       window(), m_state.m_options.m_retries, entries, Now());
-  const std::string label = "service=\"" + m_service + "\"";
+  const std::string label = MetricLabel("service", m_service);
   m_state.m_metrics.Count(
       decision.m_allowed ? "repeats_total" : "repeats_denied_total", "");
   m_state.m_metrics.Set("repeats_in_window", label, decision.m_retries);
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -5,6 +5,7 @@
 
 #include "base/join_names.h"
 #include "base/log.h"
+#include "base/metric_label.h"
 #include "decide/attempts/hedge.h"
 #include "decide/rollout/expected_return.h"
 #include "entry/answer_buffer.h"
@@ -23,20 +24,6 @@
 constexpr char kCut[] = "cut";
 constexpr char kRefused[] = "refused";
 
-/// A label's value in the exposition format, with its quotes.
-std::string EscapeLabel(const std::string& value) {
-  std::string text = "\"";
-  for (const char c : value) {
-    if (c == '"' || c == '\\')
-      text += '\\';
-    if (c == '\n')
-      text += "\\n";
-    else
-      text += c;
-  }
-  return text + '"';
-}
-
 }  // namespace
 
 CallRun::CallRun(CallServices services,
@@ -489,8 +476,9 @@
   decide::NoteCall(use, *call.m_organisation, Now());
   m_state.m_metrics.Count(
       "calls_by_organisation_total",
-      "organisation=" +
-          EscapeLabel(decide::CounterLabel(use, *call.m_organisation)) + label);
+      MetricLabel("organisation",
+                  decide::CounterLabel(use, *call.m_organisation)) +
+          label);
 }
 
 void CallRun::LogClass(LogLine& line) const {
--- a/src/libverbenalead/entry/entry_state.cc
+++ b/src/libverbenalead/entry/entry_state.cc
@@ -4,6 +4,7 @@
 
 #include "base/boot_clock.h"
 #include "base/log.h"
+#include "base/metric_label.h"
 #include "entry/cold_replicas.h"
 
 namespace verbenalead::entry {
@@ -39,7 +40,7 @@
                     [version](const auto& replica) {
                       return replica.second.m_weights < version;
                     });
-  state.m_metrics.Set("weights_binding_version", "model=\"" + model + '"',
+  state.m_metrics.Set("weights_binding_version", MetricLabel("model", model),
                       static_cast<double>(version));
   LogLine("weights_binding")
       .With("model", model)
--- a/src/libverbenalead/entry/statements.cc
+++ b/src/libverbenalead/entry/statements.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "base/metric_label.h"
 #include "entry/rate_limits.h"
 
 namespace verbenalead::entry {
@@ -13,7 +14,7 @@
 constexpr char kLimitGauge[] = "replica_rate_limit";
 
 std::string ReplicaLabel(const std::string& id) {
-  return "replica=\"" + id + "\"";
+  return MetricLabel("replica", id);
 }
 
 /// Adds what `known` has to tell other entries.
--- a/src/libverbenalead/platform/call_headers.cc
+++ b/src/libverbenalead/platform/call_headers.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/json.hpp>
 #include <cctype>
 #include <charconv>
 
@@ -168,8 +169,9 @@
                              const std::string& call_id,
                              const std::string& reason,
                              Duration retry_after) {
-  wire::Response response =
-      wire::JsonResponse(status, "{\"reason\":\"" + reason + "\"}\n");
+  wire::Response response = wire::JsonResponse(
+      status,
+      boost::json::serialize(boost::json::object{{"reason", reason}}) + "\n");
   if (!call_id.empty())
     response.m_headers[kRequestId] = call_id;
   if (retry_after > Duration()) {
--- a/src/libverbenalead/platform/call_headers_test.cc
+++ b/src/libverbenalead/platform/call_headers_test.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(DetectsRequestsThatDidNotRun);
   CPPUNIT_TEST(NamesUnknownAnswerFields);
   CPPUNIT_TEST(SetsRetryAfter);
+  CPPUNIT_TEST(ReasonOfARefusalIsEscaped);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -133,6 +134,13 @@
     CPPUNIT_ASSERT(unknown == std::vector<std::string>{"x-new"});
   }
 
+  // Guards against a refusal that can't be read: its reason names a part of the
+  // prompt, whose id comes from the caller.
+  void ReasonOfARefusalIsEscaped() {
+    CPPUNIT_ASSERT_EQUAL(std::string("{\"reason\":\"part a\\\"b\"}\n"),
+                         EncodeRefusal(503, "", "part a\"b", 0s).m_body);
+  }
+
   void SetsRetryAfter() {
     const wire::Response response = EncodeRefusal(503, "abc", "full", 1250ms);
     CPPUNIT_ASSERT_EQUAL(std::string("1.25"),
--- a/src/libverbenalead/platform/store.cc
+++ b/src/libverbenalead/platform/store.cc
@@ -7,6 +7,7 @@
 #include "base/base64.h"
 #include "base/boot_clock.h"
 #include "base/log.h"
+#include "base/metric_label.h"
 #include "platform/names.h"
 #include "wire/request_target.h"
 
@@ -79,7 +80,7 @@
 }
 
 std::string TableLabel(const std::string& table) {
-  return "table=\"" + table + "\"";
+  return MetricLabel("table", table);
 }
 
 /// The target that reads the page after those in `cursor`.
