crash_causes: evidence and verdict are modules of their own

crash_causes.cc had 650 lines and three jobs. What is known of crashes, and the reports, stay there (366 lines); crash_evidence weighs the evidence against each part, in shorter functions; crash_verdict decides which part is blocked or isolated; recent_count.h has the count that all use. Comments of these and of poll_pace.h are reworded.

--- a/src/libverbenalead/decide/health/crash_causes.cc
+++ b/src/libverbenalead/decide/health/crash_causes.cc
@@ -1,53 +1,21 @@
 #include "decide/health/crash_causes.h"
 
 #include <algorithm>
-#include <cmath>
-#include <set>
-#include <tuple>
 #include <utility>
 
 #include "base/stable_hash.h"
+#include "decide/health/crash_verdict.h"
 
 namespace verbenalead::decide {
 namespace {
 
 using Kind = CrashReport::Kind;
 
-/// Weight of a crash under a request that had no head of an answer: it may have
-/// been waiting in the replica's queue.
-constexpr double kWeightWithoutHead = 0.6;
-/// Crashes closer to each other count as one. Replicas that fail together, with
-/// their rack or data centre, are no evidence against what they all had.
-constexpr Duration kSameFailure = 50ms;
 /// Data that is read this long after a suspected crash was sent after it. What
 /// the replica had sent before is read at once.
 constexpr Duration kInFlightData = 100ms;
-/// Different requests that must have crashed replicas before their common part
-/// is the likelier cause.
-constexpr size_t kMinRequests = 2;
-/// Time in which the weight of answers and of cut requests falls to 1/e.
-constexpr Duration kMemory = 10s;
-/// Share of its weight that a crash loses if one under the same request counts
-/// already.
-constexpr double kDiscountOfRepeated = 0.25;
 /// Age from which cut requests have no weight.
-constexpr Duration kMaxCutAge = 10 * kMemory;
-/// Whole answers that are assumed beside those that were seen, so that an entry
-/// without any takes one cut request in ten for usual.
-constexpr double kAssumedAnswers = 10;
-/// The crashes of a part must be less likely by chance than exp(-kMinSurprise),
-/// divided by the number of suspected parts.
-constexpr double kMinSurprise = 5;
-/// More of that for a part that has been answered before, and so is known not
-/// to crash every replica.
-constexpr double kMoreSurpriseAfterAnswer = 4;
-/// The same as kMinSurprise for a part that is isolated, which harms its sound
-/// requests little.
-constexpr double kMinSurpriseToIsolate = 4;
-/// Share of the crashes since its first one at which a part must have been
-/// present. The parts of sound requests are present at few crashes, unless most
-/// requests have them, which are soon answered.
-constexpr double kMinShareOfCrashes = 1.0 / 3;
+constexpr Duration kMaxCutAge = 10 * kCountMemory;
 /// Time for which reports of a crash may still come from entries that don't
 /// know that the replica has answered since.
 constexpr Duration kRecentAnswer = 5s;
@@ -89,8 +57,8 @@
   return causes.m_blocked.contains(part);
 }
 
-/// Adds what `more` says of other requests with the part at the same crash.
-/// Returns whether that is news.
+/// Merges `more`, which is about the same crash and part, into `known`. Returns
+/// whether `known` has changed.
 bool Merge(CrashCauses::Suspicion& known, const CrashCauses::Suspicion& more) {
   const CrashCauses::Suspicion before = known;
   known.m_had_head |= more.m_had_head;
@@ -102,21 +70,8 @@
          known.m_requests != before.m_requests;
 }
 
-/// Share of its weight that an event of `age` still has.
-double WeightAt(Duration age) {
-  return std::exp(-std::chrono::duration<double>(age) / kMemory);
-}
-
-double CountAt(const CrashCauses::RecentCount& recent, TimePoint now) {
-  return recent.m_count * WeightAt(now - recent.m_at);
-}
-
-void CountOne(CrashCauses::RecentCount& recent, TimePoint now) {
-  recent.m_count = CountAt(recent, now) + 1;
-  recent.m_at = now;
-}
-
-/// Adds one suspicion; false if it is known, or is no evidence.
+/// Adds one suspicion. Returns false if it is known already, or if an answer
+/// or a blocked part shows that it is no evidence.
 bool AddSuspicion(CrashCauses& causes,
                   const std::string& incarnation,
                   uint64_t part,
@@ -182,24 +137,24 @@
     Explain(causes, incarnation, part, suspicion.m_at);
 }
 
-/// Records that the other entries have been told of an answer at `at`. Reports
-/// are repeated for seconds, so the time of the report says nothing.
-void NoteTold(CrashCauses& causes, uint64_t part, TimePoint at) {
-  TimePoint& told = causes.m_told_answered[part];
-  told = std::max(told, at);
+/// Records that an answer at `at` has been reported. A report is repeated for
+/// seconds, so the time at which it arrives can't be used in place of `at`.
+void NoteReported(CrashCauses& causes, uint64_t part, TimePoint at) {
+  TimePoint& reported = causes.m_answers_reported[part];
+  reported = std::max(reported, at);
 }
 
-/// Tells the other entries, unless they were told lately, that the part was
-/// answered at `at`.
+/// Reports to the other entries that the part was answered at `at`, unless an
+/// answer was reported within kAnswerReportInterval.
 void ReportAnswer(CrashCauses& causes,
                   uint64_t part,
                   TimePoint at,
                   TimePoint now) {
-  const auto told = causes.m_told_answered.find(part);
-  if (told != causes.m_told_answered.end() &&
-      now - told->second < kAnswerReportInterval)
+  const auto reported = causes.m_answers_reported.find(part);
+  if (reported != causes.m_answers_reported.end() &&
+      now - reported->second < kAnswerReportInterval)
     return;
-  NoteTold(causes, part, now);
+  NoteReported(causes, part, now);
   AddReport(causes, {Kind::kAnswered, part, "", 0, false, at});
 }
 
@@ -221,245 +176,6 @@
   RemoveEmpty(causes);
 }
 
-/// The crashes that count against one part.
-struct Evidence {
-  uint64_t m_part = 0;
-  std::set<uint64_t> m_requests;
-  double m_weight = 0;
-  /// Weight beyond the limit.
-  double m_excess = 0;
-  /// Orders parts that were present at the same crashes: the likeliest cause
-  /// has the most. A request that crashes its replica seldom lets others begin,
-  /// so a part under which several requests a crash were cut is less likely.
-  double m_likelihood = 0;
-  /// How unlikely it is that so many requests with the part end with their
-  /// replicas by chance.
-  double m_surprise = 0;
-  /// Share of the crashes since the first one under the part.
-  double m_share = 0;
-  /// Requests with the part that this entry has sent lately.
-  double m_sent = 0;
-  std::vector<std::string> m_incarnations;
-};
-
-using Crashes = std::map<std::string, CrashCauses::Suspicion>;
-
-/// The weight of cut requests of this entry at the crash of `incarnation`.
-double CutAt(const CrashCauses& causes,
-             const std::string& incarnation,
-             TimePoint now) {
-  const auto found = causes.m_cut.find(incarnation);
-  if (found == causes.m_cut.end() || causes.m_explained.contains(incarnation))
-    return 0;
-  return found->second.m_count * WeightAt(now - found->second.m_at);
-}
-
-/// The weight of all cut requests of this entry whose crash isn't explained.
-double CutRequestsOf(const CrashCauses& causes, TimePoint now) {
-  double cut = 0;
-  for (const auto& [incarnation, requests] : causes.m_cut)
-    cut += CutAt(causes, incarnation, now);
-  return cut;
-}
-
-/// The chance that a request ends with its replica for another reason than the
-/// part that was present at `crashes`. The other requests at these crashes came
-/// down with it and count for nothing. If the part is known not to crash every
-/// replica, they count, and one request a crash doesn't.
-double ChanceOfCut(const CrashCauses& causes,
-                   const Crashes& crashes,
-                   bool was_answered,
-                   double all_cut,
-                   TimePoint now) {
-  double cut = all_cut;
-  for (const auto& [incarnation, suspicion] : crashes) {
-    const double here = CutAt(causes, incarnation, now);
-    const double one = WeightAt(now - suspicion.m_at);
-    cut -= was_answered ? std::min(here, one) : here;
-  }
-  cut = std::max(0.0, cut);
-  const double answered = CountAt(causes.m_whole_answers, now);
-  return (cut + 1) / (cut + answered + kAssumedAnswers);
-}
-
-/// When each crash was, and its weight.
-using Weights = std::vector<std::pair<TimePoint, double>>;
-
-double SumOf(const Weights& crashes) {
-  double sum = 0;
-  for (const auto& [at, weight] : crashes)
-    sum += weight;
-  return sum;
-}
-
-/// The weight of crashes, of which those close to each other count as one.
-double WeightOf(Weights crashes) {
-  std::sort(crashes.begin(), crashes.end());
-  double sum = 0;
-  TimePoint last = TimePoint::min();
-  for (const auto& [at, weight] : crashes) {
-    if (last != TimePoint::min() && at - last < kSameFailure)
-      continue;
-    last = at;
-    sum += weight;
-  }
-  return sum;
-}
-
-/// The number of crashes since `first` that aren't explained.
-size_t CrashesSince(const CrashCauses& causes, TimePoint first) {
-  return static_cast<size_t>(std::count_if(
-      causes.m_crashed.begin(), causes.m_crashed.end(), [&](const auto& crash) {
-        return crash.second >= first &&
-               !causes.m_explained.contains(crash.first);
-      }));
-}
-
-double RecentlySent(const CrashCauses& causes, uint64_t part, TimePoint now) {
-  const auto found = causes.m_sent.find(part);
-  return found == causes.m_sent.end() ? 0 : CountAt(found->second, now);
-}
-
-/// The weight of `crashes` under fewer different requests, as a share of their
-/// weight: a further crash under the same request counts less, since its cause
-/// may be the request itself.
-double ShareOfRepeated(double requests, double crashes) {
-  const double repeated = std::max(0.0, crashes - requests);
-  return (crashes - kDiscountOfRepeated * repeated) / crashes;
-}
-
-double LimitOf(const CrashCauses& causes, uint64_t part) {
-  return causes.m_answered.contains(part)
-             ? causes.m_limits.m_crashes_after_answer
-             : causes.m_limits.m_crashes;
-}
-
-Evidence EvidenceAgainst(const CrashCauses& causes,
-                         uint64_t part,
-                         const Crashes& crashes,
-                         double all_cut,
-                         Duration confirmation,
-                         TimePoint now) {
-  Evidence evidence;
-  evidence.m_part = part;
-  Weights weights;
-  for (const auto& [incarnation, suspicion] : crashes) {
-    if (now - suspicion.m_at < confirmation)
-      continue;
-    evidence.m_incarnations.push_back(incarnation);
-    evidence.m_requests.insert(suspicion.m_requests.begin(),
-                               suspicion.m_requests.end());
-    weights.emplace_back(suspicion.m_at,
-                         suspicion.m_had_head ? 1.0 : kWeightWithoutHead);
-  }
-  if (weights.empty())
-    return evidence;
-  const auto count = static_cast<double>(weights.size());
-  const TimePoint first =
-      std::min_element(weights.begin(), weights.end())->first;
-  const size_t all = CrashesSince(causes, first - kSameFailure);
-  evidence.m_share = count / static_cast<double>(std::max<size_t>(1, all));
-  evidence.m_sent = RecentlySent(causes, part, now);
-  const auto requests = static_cast<double>(evidence.m_requests.size());
-  const double of_requests = SumOf(weights) * ShareOfRepeated(requests, count);
-  const double weight = WeightOf(std::move(weights));
-  const double limit = LimitOf(causes, part);
-  evidence.m_likelihood = weight - limit - requests / count;
-  evidence.m_weight = std::min(weight, of_requests);
-  evidence.m_excess = evidence.m_weight - limit;
-  evidence.m_surprise =
-      -std::log(ChanceOfCut(causes, crashes, causes.m_answered.contains(part),
-                            all_cut, now)) *
-      evidence.m_weight;
-  return evidence;
-}
-
-bool ShareACrash(const Evidence& a, const Evidence& b) {
-  return std::any_of(a.m_incarnations.begin(), a.m_incarnations.end(),
-                     [&b](const std::string& incarnation) {
-                       return std::find(b.m_incarnations.begin(),
-                                        b.m_incarnations.end(),
-                                        incarnation) != b.m_incarnations.end();
-                     });
-}
-
-/// Whether `other` is at least as likely the cause as `evidence`. Of two that
-/// are equally likely, the one that fewer requests have is the likelier one:
-/// more of the others would have crashed replicas too.
-bool IsAsLikely(const Evidence& other, const Evidence& evidence) {
-  return std::tuple(other.m_likelihood, -other.m_sent) >=
-         std::tuple(evidence.m_likelihood, -evidence.m_sent);
-}
-
-/// Whether no part that was present at the same crashes is as likely the cause.
-/// Parts that always come together can't be told apart; at the higher limit one
-/// of them is blocked. If it isn't the cause, further crashes block the other.
-bool IsLikeliest(const Evidence& evidence,
-                 const std::vector<Evidence>& candidates,
-                 bool may_tie) {
-  return std::none_of(
-      candidates.begin(), candidates.end(), [&](const Evidence& other) {
-        const bool ties = may_tie && IsAsLikely(evidence, other);
-        return other.m_part != evidence.m_part && !ties &&
-               IsAsLikely(other, evidence) && ShareACrash(other, evidence);
-      });
-}
-
-/// The evidence against parts at several crashes, the likeliest cause first.
-/// Crashes count from `confirmation` on.
-std::vector<Evidence> Candidates(const CrashCauses& causes,
-                                 Duration confirmation,
-                                 TimePoint now) {
-  const double all_cut = CutRequestsOf(causes, now);
-  std::vector<Evidence> candidates;
-  for (const auto& [part, crashes] : causes.m_suspects) {
-    if (!IsBlockedPart(causes, part) && crashes.size() >= kMinRequests)
-      candidates.push_back(
-          EvidenceAgainst(causes, part, crashes, all_cut, confirmation, now));
-  }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Evidence& a, const Evidence& b) {
-              return std::tuple(a.m_likelihood, -a.m_sent) >
-                     std::tuple(b.m_likelihood, -b.m_sent);
-            });
-  return candidates;
-}
-
-double MinSurprise(const CrashCauses& causes, uint64_t part) {
-  const auto parts = static_cast<double>(causes.m_suspects.size());
-  const bool was_answered = causes.m_answered.contains(part);
-  return kMinSurprise + std::log(std::max(1.0, parts)) +
-         (was_answered ? kMoreSurpriseAfterAnswer : 0);
-}
-
-/// The part that is to be blocked next.
-std::optional<Evidence> NextCause(const CrashCauses& causes, TimePoint now) {
-  const std::vector<Evidence> candidates =
-      Candidates(causes, causes.m_limits.m_confirmation, now);
-  for (const Evidence& evidence : candidates) {
-    if (evidence.m_excess >= 0 && evidence.m_requests.size() >= kMinRequests &&
-        evidence.m_surprise >= MinSurprise(causes, evidence.m_part) &&
-        evidence.m_share >= kMinShareOfCrashes &&
-        IsLikeliest(
-            evidence, candidates,
-            evidence.m_weight >= causes.m_limits.m_crashes_after_answer))
-      return evidence;
-  }
-  return std::nullopt;
-}
-
-/// The parts to isolate, the likeliest cause first.
-std::vector<uint64_t> PartsToIsolate(const CrashCauses& causes, TimePoint now) {
-  std::vector<uint64_t> parts;
-  const std::vector<Evidence> candidates = Candidates(causes, Duration(), now);
-  for (const Evidence& evidence : candidates) {
-    if (evidence.m_surprise >= kMinSurpriseToIsolate &&
-        IsLikeliest(evidence, candidates, true))
-      parts.push_back(evidence.m_part);
-  }
-  return parts;
-}
-
 template <typename Times>
 void RemoveOlder(Times& times, TimePoint oldest) {
   std::erase_if(times,
@@ -472,10 +188,10 @@
   RemoveOlder(causes.m_explained, oldest);
   RemoveOlder(causes.m_crashed, oldest);
   RemoveOlder(causes.m_alive, oldest);
-  RemoveOlder(causes.m_told_answered, now - kAnswerReportInterval);
+  RemoveOlder(causes.m_answers_reported, now - kAnswerReportInterval);
   if (causes.m_sent.size() >= kMaxCrashCauses) {
     std::erase_if(causes.m_sent, [now](const auto& sent) {
-      return now - sent.second.m_at > kMemory;
+      return now - sent.second.m_at > kCountMemory;
     });
   }
   std::erase_if(causes.m_cut, [now](const auto& cut) {
@@ -576,7 +292,7 @@
       break;
     case Kind::kAnswered:
       ClearPart(causes, report.m_part, report.m_at);
-      NoteTold(causes, report.m_part, report.m_at);
+      NoteReported(causes, report.m_part, report.m_at);
       break;
     case Kind::kAlive:
       ApplyAlive(causes, report.m_incarnation, report.m_at);
@@ -586,7 +302,7 @@
         Block(causes, report.m_part, report.m_at);
       break;
   }
-  // The sender may not know of the answer.
+  // The sender may not have received the report of the answer.
   const bool counts_against_part =
       report.m_kind == Kind::kSuspect || report.m_kind == Kind::kBlocked;
   if (counts_against_part && answered != causes.m_answered.end())
--- a/src/libverbenalead/decide/health/crash_causes.h
+++ b/src/libverbenalead/decide/health/crash_causes.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "decide/health/crash_report.h"
+#include "decide/health/recent_count.h"
 
 namespace verbenalead::decide {
 
@@ -30,8 +31,8 @@
                          const CrashCauseLimits&) = default;
 };
 
-/// Which parts of prompts crash the replicas that begin to answer a request
-/// with them, as far as this entry knows.
+/// What this entry knows of crashes of replicas and of the parts of prompts
+/// that may cause them.
 ///
 /// Load: requests that differ, come from several callers to all entries, and
 /// share one part that crashes each replica that begins to answer them. A crash
@@ -40,19 +41,19 @@
 /// is a new one, and they crash replica after replica. If they are recorded by
 /// every part of every request at the replica, sound requests are refused too.
 ///
-/// A part is suspected for each crash at which a request with it was at the
-/// replica, however much of its answer had come: the crash may follow any event
-/// of an answer. A whole answer to any request with the part clears it, and
-/// nothing less does. A replica that sends data after its supposed crash has
-/// not crashed. Crashes under one and the same request count against that
-/// request (QuarantineState) and not against its parts.
+/// A part is suspected for each crash that ended a request with it, after any
+/// event of its answer. Only a complete answer to a request with the part
+/// clears it. A replica that sends data after its supposed crash has not
+/// crashed. Crashes under one and the same request count against that request
+/// (QuarantineState) and not against its parts.
 ///
-/// Two things tell the cause from parts of sound requests that came down with
-/// it. The likeliest part is blocked first, and the crashes at which it was
-/// present are then explained: they count against no other part. And a part is
-/// blocked only if its crashes are no chance: the requests that this entry had
-/// at other crashes, against those that were answered whole, give the chance
-/// that a request ends with its replica for another reason.
+/// Two rules separate the cause from the parts of sound requests that the same
+/// crashes ended. The likeliest part is blocked first, and the crashes at which
+/// it was present then count against no other part. And a part is blocked only
+/// if its crashes are unlikely to be a coincidence: the number of requests that
+/// other crashes ended, compared with those that were answered completely,
+/// gives the probability that a request ends with its replica for another
+/// reason (see crash_verdict.h).
 struct CrashCauses {
   struct Suspicion {
     TimePoint m_at{};
@@ -67,15 +68,10 @@
     TimePoint m_at{};
     uint32_t m_count = 0;
   };
-  /// A number of events that loses weight as they grow old.
-  struct RecentCount {
-    double m_count = 0;
-    TimePoint m_at{};
-  };
   CrashCauseLimits m_limits;
   /// By part and incarnation of the replica that crashed.
   std::map<uint64_t, std::map<std::string, Suspicion>> m_suspects;
-  /// When a request with the part was last answered whole.
+  /// When a request with the part was last answered completely.
   std::map<uint64_t, TimePoint> m_answered;
   /// Blocked parts, and since when.
   std::map<uint64_t, TimePoint> m_blocked;
@@ -92,11 +88,11 @@
   std::map<std::string, CutRequests> m_cut;
   /// Requests of this entry by part.
   std::map<uint64_t, RecentCount> m_sent;
-  /// Requests of this entry that were answered whole.
+  /// Requests of this entry that were answered completely.
   RecentCount m_whole_answers;
-  /// Parts of which the other entries have been told that they were answered,
-  /// and when.
-  std::map<uint64_t, TimePoint> m_told_answered;
+  /// When an answer to a request with the part was last reported to the other
+  /// entries, by part.
+  std::map<uint64_t, TimePoint> m_answers_reported;
   /// Reports for the other entries.
   std::vector<CrashReport> m_unsent;
 };
@@ -111,7 +107,7 @@
 /// Key of a part of the prompts of `service`; the same in every process.
 uint64_t PartKey(const std::string& service, const std::string& part);
 
-/// A request at the time of a replica's crash, without the end of its answer.
+/// A request that a replica's crash ended.
 struct CrashedRequest {
   uint64_t m_key = 0;
   /// Keys of the parts that it shares.
@@ -132,9 +128,9 @@
 void RecordSent(CrashCauses& causes,
                 const std::vector<uint64_t>& parts,
                 TimePoint now);
-/// Records that a request with `parts` has been answered whole, and no replica
-/// crashed under it: one that goes on at another replica after a crash may have
-/// got past what crashes them.
+/// Records that a request with `parts` has been answered completely by one
+/// replica. One that was resumed after a crash doesn't count: it was resumed
+/// past the event that crashes replicas.
 void RecordAnswer(CrashCauses& causes,
                   const std::vector<uint64_t>& parts,
                   TimePoint now);
@@ -167,11 +163,11 @@
 /// The part among `parts` that is isolated. Requests with it go to one replica,
 /// which others avoid.
 ///
-/// Load: requests with a part come several times a second and crash four
-/// replicas, each of which is away for seconds. Harm: all of them are away when
-/// the part is blocked, so no request is served. If the requests go to one
-/// replica, the others serve, and the part is told apart from the parts of
-/// sound requests, which no longer end with the same replicas.
+/// Load: requests with a part arrive several times a second and crash four
+/// replicas, each of which restarts within seconds. Harm: all of them are down
+/// when the part is blocked, so no request is served. If the requests go to one
+/// replica, the others serve, and the parts of sound requests are no longer
+/// present at the same crashes.
 std::optional<uint64_t> FindIsolated(const CrashCauses& causes,
                                      const std::vector<uint64_t>& parts);
 
--- a/src/libverbenalead/decide/store/poll_pace.h
+++ b/src/libverbenalead/decide/store/poll_pace.h
@@ -8,14 +8,15 @@
 
 namespace verbenalead::decide {
 
-/// Least time from a request for changes that is sent `now` to the next one, if
-/// it is answered. `answering`: the request before it was answered.
+/// Minimum time from a request for changes that is sent `now` to the next one,
+/// if it is answered. `answering`: the previous request was answered.
 ///
-/// Failure: the store is away, or rejects this process, for many seconds, and
-/// each request in vain is charged to the pace of reading changes. Symptom: the
-/// first changes after the return wait until the charge is worked off, and
-/// calls run by a configuration that has been replaced. Requests that read
-/// nothing aren't charged, so all of the burst is left at the first answer.
+/// Failure: the store is unavailable, or rejects this process, for many
+/// seconds, and each failed request counts against the pacer's burst. Symptom:
+/// after the store's return the first changes are delayed until the burst is
+/// available again, and calls run by a configuration that has been replaced.
+/// Failed requests aren't counted, so the whole burst is available at the first
+/// answer.
 inline Duration IntervalAfterRequest(BurstPacer& pacer,
                                      bool answering,
                                      TimePoint now) {
