Failed reads of entries pause; bad rows are logged once; small mends of the review

A row that names no replica was logged at each read at target processes, and at entries each time it was written again with the same value.

--- a/src/libverbenalead/entry/entry_registration.cc
+++ b/src/libverbenalead/entry/entry_registration.cc
@@ -80,6 +80,12 @@
       continue;
     }
     m_registered_at = Now();
+    // Failure: the table can't be read while the store accepts writes. Symptom:
+    // the row is written again and again, hundreds of times a second.
+    if (!rows) {
+      LogLine("entries_not_read").With(rows.error()).Warn();
+      co_await Sleep(kRetryDelay);
+    }
   }
 }
 
--- a/src/libverbenalead/entry/row_applier.cc
+++ b/src/libverbenalead/entry/row_applier.cc
@@ -278,12 +278,15 @@
   platform::Row& kept = m_replica_rows[row.m_key];
   if (kept == row)
     return;
+  // A row that can't be read may be written again with each heartbeat.
+  const bool is_news = kept.m_key.empty() || kept.m_value != row.m_value;
   kept = row;
   ++m_replica_generation;
   auto replica = CatchFailure(
       [&] { return platform::DecodeReplica(row.m_key, row.m_value); });
   if (!replica) {
-    LogLine("bad_replica_row").With(replica.error()).Warn();
+    if (is_news)
+      LogLine("bad_replica_row").With(replica.error()).Warn();
     m_replicas.erase(row.m_key);
     return;
   }
--- a/src/libverbenalead/platform/store.cc
+++ b/src/libverbenalead/platform/store.cc
@@ -164,8 +164,8 @@
     if (again || Now() - started > decide::kMaxTableTime) {
       co_return Failure{FailureCode::kCorrupt, "GET " + std::string(kPartsPath),
                         ToString(m_endpoint),
-                        "the list of parts doesn't end; after '" +
-                            (all.empty() ? "" : all.back()) + "'"};
+                        "the list of parts doesn't end, after part " +
+                            wire::PercentEncode(all.empty() ? "" : all.back())};
     }
     all.insert(all.end(), page->m_parts.begin(), page->m_parts.end());
     if (!page->m_has_more || page->m_parts.empty())
--- a/src/libverbenalead/platform/store.h
+++ b/src/libverbenalead/platform/store.h
@@ -19,8 +19,8 @@
 /// an open connection may stay silent forever. Requests are never retried here,
 /// because only the caller knows how urgent the answer is.
 ///
-/// Counts in `metrics`, by table: pages read (`store_pages_total`) reads that
-/// failed (`store_reads_failed_total`), and rows that were left out
+/// Counts in `metrics`, by table: pages read (`store_pages_total`), reads
+/// that failed (`store_reads_failed_total`), and rows that were left out
 /// (`store_rows_left_out_total`).
 ///
 /// Failures: kRefused means that the store rejected the request and did
--- a/src/libverbenalead/platform/store_pages.cc
+++ b/src/libverbenalead/platform/store_pages.cc
@@ -5,6 +5,7 @@
 #include "base/base64.h"
 #include "base/catch_failure.h"
 #include "base/lenient_json.h"
+#include "base/log.h"
 #include "platform/json_read.h"
 
 namespace verbenalead::platform {
@@ -31,8 +32,11 @@
   if (!text || !text->is_string())
     return row;
   auto bytes = CatchFailure([&] { return DecodeBase64(text->as_string()); });
-  if (bytes)
-    row.m_value = std::move(*bytes);
+  if (!bytes) {
+    LogLine("bad_row").With("key", row.m_key).With(bytes.error()).Warn();
+    return row;
+  }
+  row.m_value = std::move(*bytes);
   return row;
 }
 
--- a/src/libverbenalead/target/target_rows.cc
+++ b/src/libverbenalead/target/target_rows.cc
@@ -1,6 +1,7 @@
 #include "target/target_rows.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/catch_failure.h"
 #include "base/log.h"
@@ -154,8 +155,12 @@
 void ApplyReplicaRows(TargetState& state,
                       const platform::Rows& rows,
                       bool is_snapshot) {
+  const std::map<std::string, model::Revision> logged =
+      std::exchange(state.m_bad_replica_rows, {});
   if (is_snapshot)
     state.m_listed.clear();
+  else
+    state.m_bad_replica_rows = logged;
   for (const platform::Row& row : rows.m_rows) {
     state.m_listed.erase(row.m_key);
     if (row.m_deleted)
@@ -163,7 +168,10 @@
     auto replica = CatchFailure(
         [&] { return platform::DecodeReplica(row.m_key, row.m_value); });
     if (!replica) {
-      LogLine("bad_replica_row").With(replica.error()).Warn();
+      const auto found = logged.find(row.m_key);
+      if (found == logged.end() || found->second != row.m_revision)
+        LogLine("bad_replica_row").With(replica.error()).Warn();
+      state.m_bad_replica_rows[row.m_key] = row.m_revision;
       continue;
     }
     replica->m_revision = row.m_revision;
--- a/src/libverbenalead/target/target_state.h
+++ b/src/libverbenalead/target/target_state.h
@@ -58,6 +58,9 @@
   std::set<uint64_t> m_known_dates;
   /// Replicas that the store lists, by id, without malformed rows.
   std::map<std::string, model::Replica> m_listed;
+  /// Rows of the list that can't be read and have been logged, with their
+  /// revisions.
+  std::map<std::string, model::Revision> m_bad_replica_rows;
   /// `m_listed` without outdated rows, whose address another replica has taken
   /// over (`decide::LiveReplicas`).
   std::map<std::string, model::Replica> m_replicas;
