--- a/src/libverbenalead/http/http_client_test.cc
+++ b/src/libverbenalead/http/http_client_test.cc
@@ -70,7 +70,7 @@
   void StatusThatHttpDoesNotHaveIsNoAnswer() {
     for (const std::string status :
          {"000", "001", "099", "101", "600", "999"}) {
-      for (const std::string rest :
+      for (const std::string& rest :
            {"Content-Length: 0\r\n\r\n" + kFinal, "\r\n" + kFinal,
             std::string("Content-Length: 4\r\n\r\nbody")}) {
         const auto response =
--- a/testsuite/cases/status_that_http_does_not_have/run.py
+++ b/testsuite/cases/status_that_http_does_not_have/run.py
@@ -2,12 +2,10 @@
 
 Their status is one that HTTP doesn't have, or they are a success that is neither
 signed nor names the request. Neither is what follows them on the connection an
-answer: the caller must get a failure of the entry, never that status and never the bytes behind it.
+answer: the caller must get a failure of the entry, never that status and never
+the bytes behind it.
 """
 
-import socket
-import threading
-
 import harness
 import junk_replica
 import platform_fleet
@@ -32,35 +30,21 @@
 FAILURES = (502, 503, 504)
 
 
-class RawReplica:
+class RawReplica(junk_replica.JunkReplica):
     """Answers each connection with `status` and `form`."""
 
     def __init__(self, address):
-        host, port = address.rsplit(":", 1)
         self.status = STATUSES[0]
         self.form = "empty"
         self.requests = 0
-        self.listener = socket.create_server((host, int(port)))
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            connection, _ = self.listener.accept()
-            threading.Thread(target=self.serve, args=(connection,),
-                             daemon=True).start()
+        super().__init__(address, None)
 
-    def serve(self, connection):
-        try:
-            with connection:
-                request_id = junk_replica.JunkReplica.read_request_id(connection)
-                self.requests += 1
-                text = "HTTP/1.1 %s X\r\n" % self.status + FORMS[self.form]
-                connection.sendall(
-                    text.replace("%s", request_id).encode())
-                connection.settimeout(1)
-                while self.form != "no length" and connection.recv(4096):
-                    pass
-        except OSError:
+    def answer(self, connection, request_id):
+        self.requests += 1
+        text = "HTTP/1.1 %s X\r\n" % self.status + FORMS[self.form]
+        connection.sendall(text.replace("%s", request_id).encode())
+        connection.settimeout(1)
+        while self.form != "no length" and connection.recv(4096):
             pass
 
 
