--- a/src/libverbenalead/entry/declaration_table_test.cc
+++ b/src/libverbenalead/entry/declaration_table_test.cc
@@ -45,7 +45,8 @@
     m_state = std::make_unique<EntryState>(options);
     // The store's clock is the local one.
     decide::AnsweredAt(m_state->m_store_clock, BootNow(), {kEra, BootNow()});
-    m_store = std::make_unique<platform::Store>(m_http, Endpoint("store", 1));
+    m_store = std::make_unique<platform::Store>(m_http, Endpoint("store", 1),
+                                                m_state->m_metrics);
     m_reads_store = true;
     m_table = std::make_unique<DeclarationTable>(
         m_io.get_executor(), *m_state, *m_store,
--- a/src/libverbenalead/target/row_source_test.cc
+++ b/src/libverbenalead/target/row_source_test.cc
@@ -42,7 +42,8 @@
     options.m_service = "pool";
     m_state = std::make_unique<TargetState>(options);
     m_http = std::make_unique<RoutedClient>();
-    m_store = std::make_unique<platform::Store>(*m_http, Endpoint("store", 1));
+    m_store = std::make_unique<platform::Store>(*m_http, Endpoint("store", 1),
+                                                m_state->m_metrics);
     m_io = std::make_unique<boost::asio::io_context>();
     m_rows = std::make_unique<RowSource>(m_io->get_executor(), *m_state,
                                          *m_store, *m_http);
