--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 
 #include "base/log.h"
+#include "base/metrics.h"
 #include "base/sleep.h"
 #include "base/spawn.h"
 #include "http/client.h"
@@ -339,7 +340,8 @@
 
 Awaitable<void> RegisterPeriodically(std::shared_ptr<Replica> replica) {
   http::Client http;
-  platform::Store store(http, replica->m_store);
+  Metrics metrics;
+  platform::Store store(http, replica->m_store, metrics);
   while (true) {
     auto written = co_await store.Write(platform::kReplicaTable, "",
                                         replica->m_id, EncodeRow(*replica));
