--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -6,10 +6,14 @@
 
 import base64
 import json
+import os
 
 import harness
 
 KEY = "key-of-acme"
+# Rows of a page of the store. With STORE_PAGE_ROWS=1 any case reads its tables
+# row by row.
+PAGE_ROWS = int(os.environ.get("STORE_PAGE_ROWS", "500"))
 
 
 class PlatformFleet:
@@ -51,7 +55,7 @@
 
     def start_platform(self):
         self.cluster.start("store", "standin_platform_store",
-                           {"listen": self.store})
+                           {"listen": self.store, "page_rows": PAGE_ROWS})
         self.cluster.start("origin", "standin_platform_origin",
                            {"listen": self.origin})
         self.cluster.wait_listening(self.store)
