No answer of a call that ran promises that it has not run

What callers saw: a replica ran an unsafe call and ended it with 503, 429 or 408 of its own; the entry passed the status on.

Cause: the status of a replica's answer went to the caller without being compared with what the entry knew of the call. For 503 that was in GetAnswerHead, which passes on an answer that has failed and can't be retried. 408 and 429 came another way: Judge in entry/attempt.cc took all below 500 for a good answer, so a replica that ended each call with 429 was also taken for a healthy one.

Ruled out: that Not-Executed was read wrongly, or that a rejection was mixed up with a run. On the code before, rejections and 500, 504, 404, 409 were right on all routes.

Change: decide/attempts/not_run_promise says which statuses promise and whether a call may have run, attempts on their way included. entry/caller_response is the only place at which the head of an admitted call's response goes out; it replaces a false promise by 502, or by 504 after the deadline, without the replica's signature, whichever attempt the head comes from. The caller doesn't wait for the rest of the replica's answer, which is read for up to 0.2 s so that the connection is used again. Judge counts 408, 429 and 503 without Not-Executed as failed: such a replica is avoided like one that answers 500, a safe call is tried elsewhere, and its hedge isn't taken. Line answer_withheld, outcome `withheld`, counter answers_withheld_total.

The kind of the call doesn't count.

--- a/src/libverbenalead/decide/admission/call_progress.h
+++ b/src/libverbenalead/decide/admission/call_progress.h
@@ -17,6 +17,8 @@
   uint32_t m_sent_attempts = 0;
   /// Attempts that may have run, because nothing proves that they did not.
   uint32_t m_possible_runs = 0;
+  /// Attempts that were handed to the network and whose end isn't recorded yet.
+  uint32_t m_open_attempts = 0;
   /// The replica of the current attempt has begun its answer. While false, the
   /// attempt is still on its way to the replica and not included in
   /// `m_sent_attempts` and `m_possible_runs`.
--- a/src/libverbenalead/entry/attempt.cc
+++ b/src/libverbenalead/entry/attempt.cc
@@ -1,5 +1,7 @@
 #include "entry/attempt.h"
 
+#include "decide/attempts/not_run_promise.h"
+
 namespace verbenalead::entry {
 namespace {
 
@@ -49,9 +51,14 @@
     result.m_reason = "status " + std::to_string(result.m_head.m_status);
     return;
   }
-  result.m_end = result.m_head.m_status >= kFirstServerError
-                     ? AttemptEnd::kFailed
-                     : AttemptEnd::kGood;
+  const int status = result.m_head.m_status;
+  // A replica that rejects a call says so. One that ends a run with a status of
+  // rejections has failed, like one that ends it with 500.
+  const bool failed =
+      status >= kFirstServerError || decide::PromisesNotRun(status);
+  result.m_end = failed ? AttemptEnd::kFailed : AttemptEnd::kGood;
+  if (failed)
+    result.m_reason = "status " + std::to_string(status);
 }
 
 }  // namespace
--- a/src/libverbenalead/entry/call_attempt.cc
+++ b/src/libverbenalead/entry/call_attempt.cc
@@ -21,6 +21,10 @@
 /// Limit of the names that LogUnknownFields() logs and remembers.
 constexpr size_t kMaxLoggedFields = 64;
 
+/// Limits of what DiscardAnswer() reads.
+constexpr size_t kMaxDiscardedBytes = 64 * 1024;
+constexpr Duration kMaxDiscardTime = 200ms;
+
 constexpr char kBarredReason[] = "newer weights became mandatory";
 
 const char* ToString(AttemptEnd end) {
@@ -102,6 +106,7 @@
   const CallPlan& plan = m_record->m_plan;
   EntryState& state = m_services.m_state;
   m_sent_at = Now();
+  ++m_record->m_progress.m_open_attempts;
   m_known_weights = replica.m_weights;
   m_begin_by = WeightsDeadline(state, plan.m_model, m_known_weights);
   on_sent();
@@ -192,6 +197,7 @@
 void CallAttempt::ApplyHead() {
   if (m_result.m_has_head && IsOwnAnswer())
     NoteData();
+  --m_record->m_progress.m_open_attempts;
   if (m_result.m_end != AttemptEnd::kUnreachable)
     ++m_record->m_progress.m_sent_attempts;
   if (m_result.m_may_have_run)
@@ -321,6 +327,19 @@
   co_return piece;
 }
 
+Awaitable<void> CallAttempt::DiscardAnswer(
+    std::shared_ptr<CallAttempt> attempt) {
+  const TimePoint until = Now() + kMaxDiscardTime;
+  size_t bytes = 0;
+  while (bytes < kMaxDiscardedBytes) {
+    auto piece = co_await attempt->m_result.m_reader->ReadBody(until);
+    if (!piece || !piece->has_value())
+      break;
+    bytes += (*piece)->size();
+  }
+  attempt->End(attempt->m_result.m_end);
+}
+
 void CallAttempt::Cancel() {
   m_cancelled = true;
   m_services.m_slot_allocator.Cancel(m_ticket);
--- a/src/libverbenalead/entry/call_attempt.h
+++ b/src/libverbenalead/entry/call_attempt.h
@@ -36,6 +36,10 @@
   Awaitable<void> PrefetchBody();
   /// Returns the next piece of the body, as `wire::ResponseReader::ReadBody`.
   Awaitable<AsyncResult<std::optional<std::string>>> ReadBody();
+  /// Ends `attempt`, whose answer isn't passed on, after its replica has sent
+  /// the rest of it, or when that takes too long. So the connection can be used
+  /// for the next call.
+  static Awaitable<void> DiscardAnswer(std::shared_ptr<CallAttempt> attempt);
   /// Cancels the attempt, as its answer isn't needed any more: the coroutine
   /// that waits for a slot or for data of this attempt returns.
   void Cancel();
--- a/src/libverbenalead/entry/call_run.cc
+++ b/src/libverbenalead/entry/call_run.cc
@@ -6,7 +6,9 @@
 #include "base/join_names.h"
 #include "base/log.h"
 #include "base/metric_label.h"
+#include "base/spawn.h"
 #include "decide/attempts/hedge.h"
+#include "decide/attempts/not_run_promise.h"
 #include "decide/rollout/expected_return.h"
 #include "entry/answer_buffer.h"
 #include "entry/crash_blame.h"
@@ -18,11 +20,10 @@
 using decide::AttemptEnd;
 
 constexpr int kOk = 200;
-constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 constexpr char kCut[] = "cut";
 constexpr char kRefused[] = "refused";
+constexpr char kWithheld[] = "withheld";
 
 }  // namespace
 
@@ -36,7 +37,7 @@
                                             std::move(plan),
                                             request)),
       m_plan(m_record->m_plan),
-      m_caller(caller) {
+      m_caller(caller, m_state, *m_record) {
   decide::CallProgress& progress = m_record->m_progress;
   progress.m_kind = m_plan.m_route.m_kind;
   progress.m_resumable = m_plan.m_route.m_resumable;
@@ -78,14 +79,30 @@
     co_await Refuse(decide::Refusal::kFull);
     co_return;
   }
-  if (!co_await GetAnswerHead())
-    co_return;
-  const bool stream = m_record->m_progress.m_kind == model::CallKind::kStream &&
-                      result().m_head.m_status == kOk;
-  if (stream)
-    co_await AnswerStream();
-  else
-    co_await AnswerWhole();
+  bool ended = false;
+  while (!ended) {
+    const bool has_head = co_await GetAnswerHead();
+    if (!has_head)
+      co_return;
+    const int status = result().m_head.m_status;
+    ended = true;
+    if (!m_caller.MaySend(status))
+      co_await WithholdAnswer();
+    else if (m_record->m_progress.m_kind == model::CallKind::kStream &&
+             status == kOk)
+      co_await AnswerStream();
+    else
+      ended = co_await AnswerWhole();
+  }
+}
+
+Awaitable<void> CallRun::WithholdAnswer() {
+  StopHedge();
+  const int status = result().m_head.m_status;
+  m_reason = WithheldReason(status);
+  Spawn(m_executor, CallAttempt::DiscardAnswer(m_attempt), "discard_answer");
+  const bool delivered = co_await m_caller.Send(wire::Response(status, {}, ""));
+  LogCall(delivered ? kWithheld : "caller_gone", m_caller.sent_status());
 }
 
 Awaitable<bool> CallRun::GetAnswerHead() {
@@ -169,7 +186,7 @@
   co_return answers;
 }
 
-Awaitable<void> CallRun::AnswerWhole() {
+Awaitable<bool> CallRun::AnswerWhole() {
   StopHedge();
   wire::Response response{result().m_head.m_status, {}, ""};
   const AttemptEnd end = result().m_end;
@@ -191,7 +208,7 @@
     if (m_caller.disconnected()) {
       EndAttempt(AttemptEnd::kAbandoned);
       LogCall("caller_gone", 0);
-      co_return;
+      co_return true;
     }
     BlameCrash(m_state, *m_record, *m_attempt);
     const bool retry =
@@ -199,15 +216,9 @@
         decide::MayRetry(m_record->m_progress, AttemptEnd::kBroken) &&
         TryTakeRetryAfter(AttemptEnd::kBroken);
     EndAttempt(AttemptEnd::kBroken);
-    if (!retry) {
+    if (!retry)
       co_await EndWithoutAnswer();
-      co_return;
-    }
-    // Recursion: one coroutine for each further attempt, so its depth is
-    // bounded by the route's maximum of attempts.
-    if (co_await GetAnswerHead())
-      co_await AnswerWhole();
-    co_return;
+    co_return !retry;
   }
   response.m_body = body.Take();
   response.m_headers =
@@ -217,6 +228,7 @@
   const int status = response.m_status;
   const bool delivered = co_await m_caller.Send(std::move(response));
   LogCall(delivered ? "delivered" : "caller_gone", status);
+  co_return true;
 }
 
 Awaitable<void> CallRun::EndWithoutAnswer() {
@@ -224,9 +236,8 @@
     LogCall("caller_gone", 0);
     co_return;
   }
-  if (m_record->m_progress.m_possible_runs > 0) {
-    const bool expired = Left() <= Duration();
-    co_await SendRefusal(expired ? kGatewayTimeout : kBadGateway,
+  if (decide::MayHaveRun(m_record->m_progress)) {
+    co_await SendRefusal(m_caller.FailureStatus(),
                          "the call may have run; no answer of it came back",
                          Duration());
     co_return;
@@ -432,7 +443,7 @@
       .With("outcome", outcome)
       .With("ended_by", ended_by)
       .With("status", status)
-      .With("ran", m_record->m_progress.m_possible_runs > 0)
+      .With("ran", decide::MayHaveRun(m_record->m_progress))
       .With("attempts", static_cast<uint64_t>(m_record->m_attempts))
       .With("events", m_record->m_events.m_events)
       .With("prompt_tokens", uint64_t{m_plan.m_call.m_prompt_tokens})
--- a/src/libverbenalead/entry/call_run.h
+++ b/src/libverbenalead/entry/call_run.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/log.h"
+#include "entry/caller_response.h"
 #include "entry/hedge.h"
 #include "wire/response_writer.h"
 
@@ -35,7 +36,12 @@
   /// first is silent. False: no slot came free. `resumes`: this call resumes a
   /// stream at another replica.
   Awaitable<bool> SendAttempt(TimePoint wait_until, bool resumes);
-  Awaitable<void> AnswerWhole();
+  /// Passes a whole answer to the caller. False: the answer broke off, and the
+  /// call is to be retried.
+  Awaitable<bool> AnswerWhole();
+  /// Ends the call without the replica's answer, whose status would be a false
+  /// promise. The caller doesn't wait for the rest of that answer.
+  Awaitable<void> WithholdAnswer();
   Awaitable<void> AnswerStream();
   /// Passes events to the caller until the replica's answer ends or breaks off.
   /// True: the answer is complete.
@@ -108,7 +114,7 @@
   EntryState& m_state;
   const std::shared_ptr<CallRecord> m_record;
   const CallPlan& m_plan;
-  wire::ResponseWriter& m_caller;
+  CallerResponse m_caller;
   boost::asio::any_io_executor m_executor;
   /// The current attempt: the one whose answer is passed to the caller.
   std::shared_ptr<CallAttempt> m_attempt;
--- a/src/libverbenalead/entry/call_run_stream.cc
+++ b/src/libverbenalead/entry/call_run_stream.cc
@@ -35,7 +35,7 @@
       // events; it still needs a head.
       if (!m_head_sent)
         co_await m_caller.Start(m_head);
-      const bool delivered = co_await m_caller.Finish({});
+      const bool delivered = co_await m_caller.Finish();
       LogCall(delivered ? "delivered" : "caller_gone", kOk);
       co_return;
     }
--- a/testsuite/cases/status_that_http_does_not_have/run.py
+++ b/testsuite/cases/status_that_http_does_not_have/run.py
@@ -7,8 +7,8 @@
 """
 
 import harness
-import junk_replica
 import platform_fleet
+import raw_replica
 
 STATUSES = ("000", "001", "099", "101", "600", "999")
 FIELDS = "X-Verbenalead-Request-Id: %s\r\nX-Verbenalead-Server-Stamp: s\r\n"
@@ -30,33 +30,6 @@
 FAILURES = (502, 503, 504)
 
 
-class RawReplica(junk_replica.JunkReplica):
-    """Answers each connection with `status` and `form`."""
-
-    def __init__(self, address):
-        self.status = STATUSES[0]
-        self.form = "empty"
-        self.requests = 0
-        super().__init__(address, None)
-
-    def answer(self, connection, request_id):
-        self.requests += 1
-        text = "HTTP/1.1 %s X\r\n" % self.status + FORMS[self.form]
-        connection.sendall(text.replace("%s", request_id).encode())
-        connection.settimeout(1)
-        while self.form != "no length" and connection.recv(4096):
-            pass
-
-
-def register(fleet, service, model, address):
-    row = {"service": service, "address": address, "zone": "a",
-           "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-           "born": 1, "sequence": 0}
-    if model:
-        row["models"] = [{"name": model, "version": 1, "adapters": []}]
-    fleet.write("servers", "i-raw-" + service, row)
-
-
 def body(cluster):
     fleet = platform_fleet.PlatformFleet(cluster)
     fleet.start_platform()
@@ -65,8 +38,9 @@
     for number, (service, model) in enumerate((("ledger", ""),
                                                ("pool", "model"))):
         address = "127.0.2.%d:%d" % (90 + number, fleet.replica_port)
-        raw[service] = RawReplica(address)
-        register(fleet, service, model, address)
+        raw[service] = raw_replica.RawReplica(address)
+        raw_replica.register(fleet, "i-raw-" + service, service, model,
+                             address)
     entry = fleet.add_entry()
     fleet.wait_ready()
     calls = {"look": fleet.look, "pay": fleet.pay, "draft": fleet.draft}
@@ -74,8 +48,8 @@
     number = 0
     for status, form in PLAYS:
         for replica in raw.values():
-            replica.status = status
-            replica.form = form
+            replica.text = "HTTP/1.1 %s X\r\n" % status + FORMS[form]
+            replica.closes = form == "no length"
         # The second call at a plain replica is refused, as its replica has
         # just failed, so they take turns.
         names = ("look", "pay") if number % 2 else ("pay", "look")
@@ -90,8 +64,8 @@
         print("%s, %s: %s" % (status, form, got), flush=True)
     for service, replica in raw.items():
         # Otherwise the calls were refused before they reached it.
-        print("%s: %d requests" % (service, replica.requests))
-        assert replica.requests >= len(PLAYS) / 3
+        print("%s: %d requests" % (service, len(replica.calls)))
+        assert len(replica.calls) >= len(PLAYS) / 3
     assert not broken, broken
 
 
--- a/testsuite/junk_replica.py
+++ b/testsuite/junk_replica.py
@@ -51,17 +51,25 @@
 
     @staticmethod
     def read_request_id(connection):
+        """Reads a request with its body; returns its id, "" if it has none."""
         request = b""
         while b"\r\n\r\n" not in request:
             piece = connection.recv(4096)
             if not piece:
                 return ""
             request += piece
-        for line in request.decode(errors="replace").split("\r\n"):
+        head, _, body = request.partition(b"\r\n\r\n")
+        fields = {}
+        for line in head.decode(errors="replace").split("\r\n"):
             name, _, value = line.partition(":")
-            if name.lower() == "x-verbenalead-request-id":
-                return value.strip()
-        return ""
+            fields[name.lower()] = value.strip()
+        missing = int(fields.get("content-length", "0")) - len(body)
+        while missing > 0:
+            piece = connection.recv(4096)
+            if not piece:
+                return ""
+            missing -= len(piece)
+        return fields.get("x-verbenalead-request-id", "")
 
     def answer(self, connection, request_id):
         rest, piece = KINDS[self.kind]
--- a/testsuite/platform_fleet.py
+++ b/testsuite/platform_fleet.py
@@ -221,6 +221,11 @@
         """Makes `replica` turn all calls away and ask for a rest; "": none."""
         harness.call(replica["address"], "POST", "/rest", text)
 
+    def fail_runs(self, replica, status, percent):
+        """Makes `replica` end this share of its runs with `status`."""
+        harness.call(replica["address"], "POST", "/fail",
+                     "%d %d" % (status, percent))
+
     def cut_calls(self, replica, percent):
         """Makes `replica` close this share of the calls without an answer."""
         harness.call(replica["address"], "POST", "/cut", str(percent))
--- a/testsuite/standins/platform_replica/replica.h
+++ b/testsuite/standins/platform_replica/replica.h
@@ -67,6 +67,10 @@
   std::string m_rest;
   /// Percentage of the calls whose connections it closes without an answer.
   uint32_t m_cut_percent = 0;
+  /// Percentage of the runs that it ends with a status of its own, and that
+  /// status. Its answer doesn't state that the call was not executed.
+  uint32_t m_failed_percent = 0;
+  int m_failed_status = 500;
   /// End of the time for which it is cold, as its row, its reports and its
   /// answers say; it may be in the past.
   TimePoint m_cold_until{};
--- a/testsuite/standins/platform_replica/replica_handler.cc
+++ b/testsuite/standins/platform_replica/replica_handler.cc
@@ -50,11 +50,13 @@
   void MarkComplete() { m_how = "whole"; }
   /// The replica itself ended the response early.
   void MarkBrokenOff() { m_how = "broken_off"; }
+  /// The replica ended the run with a status of its own.
+  void MarkFailed(int status) { m_how = "failed_" + std::to_string(status); }
 
  private:
   Replica& m_replica;
   const std::string m_call;
-  const char* m_how = "caller_left";
+  std::string m_how = "caller_left";
 };
 
 /// Adds what the replica states of itself in all its answers.
@@ -192,12 +194,24 @@
   std::_Exit(1);
 }
 
-/// Whether the call that has just arrived is one of those that are cut off,
-/// which are spread evenly over the calls.
-bool IsCut(const Replica& replica) {
-  const uint64_t calls = replica.m_arrivals.size();
-  return calls * replica.m_cut_percent / 100 !=
-         (calls - 1) * replica.m_cut_percent / 100;
+/// Whether number `number`, from 1, is among the `percent` in 100 that are
+/// chosen, spread evenly.
+bool IsChosen(uint64_t number, uint32_t percent) {
+  return number * percent / 100 != (number - 1) * percent / 100;
+}
+
+/// Runs the call and ends it with the replica's own status.
+Awaitable<void> FailRun(std::shared_ptr<Replica> replica,
+                        const wire::Request& request,
+                        wire::ResponseWriter& writer) {
+  const int status = replica->m_failed_status;
+  RunScope running(*replica, request);
+  running.MarkFailed(status);
+  if (replica->m_call_duration > Duration())
+    co_await Sleep(replica->m_call_duration);
+  wire::Response response(status, AnswerHeaders(request, *replica),
+                          "failed: " + request.m_path);
+  co_await writer.Send(std::move(response));
 }
 
 Awaitable<void> Call(std::shared_ptr<Replica> replica,
@@ -217,7 +231,7 @@
     co_return;
   }
   CountColdCall(*replica);
-  if (IsCut(*replica))
+  if (IsChosen(replica->m_arrivals.size(), replica->m_cut_percent))
     co_return;
   if (!replica->m_rest.empty()) {
     wire::Response response = NotRun(503, *replica);
@@ -231,6 +245,10 @@
     co_await writer.Send(NotRun(503, *replica));
     co_return;
   }
+  if (IsChosen(replica->m_runs + 1, replica->m_failed_percent)) {
+    co_await FailRun(replica, request, writer);
+    co_return;
+  }
   if (engine) {
     co_await Stream(replica, request, writer);
     co_return;
@@ -272,6 +290,16 @@
   return boost::json::serialize(calls);
 }
 
+/// Reads the status with which runs fail, and the percentage of them; an empty
+/// text: none does.
+void SetFailures(Replica& replica, const std::string& text) {
+  char* rest = nullptr;
+  const auto status = static_cast<int>(std::strtol(text.c_str(), &rest, 10));
+  replica.m_failed_status = status;
+  replica.m_failed_percent =
+      static_cast<uint32_t>(std::strtoul(rest, nullptr, 10));
+}
+
 /// Sets what the replica states of itself from the body of a request to
 /// `path`. False: there is no such statement.
 bool SetStatement(Replica& replica,
@@ -288,6 +316,8 @@
         Now() + std::chrono::milliseconds(std::atoll(body.c_str()));
   else if (path == "/rest")
     replica.m_rest = body;
+  else if (path == "/fail")
+    SetFailures(replica, body);
   else if (path == "/cut")
     replica.m_cut_percent =
         static_cast<uint32_t>(std::strtoul(body.c_str(), nullptr, 10));
