Soak: replicas end some of their runs with a status of their own

None of our stand-ins ended a call that ran with 503, 429 or 408, so no soak could see that entries passed these on.

--- a/testsuite/cases/soak_judges/run.py
+++ b/testsuite/cases/soak_judges/run.py
@@ -6,7 +6,7 @@
 from soak.judge_evacuations import Arrival, Evacuation, find_late, \
     find_outside
 from soak.judge_limits import Limit, find_exceeded
-from soak import judge_retries
+from soak import judge_retries, promises
 from soak.judge_lost import Disturbance, ends_of_runs, find_lost
 from soak.judge_statements import find_ignored, heard_statements
 
@@ -124,6 +124,36 @@
     assert ends["c2"] == [None], ends
 
 
+def check_promises():
+    def problems(status, ends, body=b"", **headers):
+        found = []
+        outcome = stream(kind="pay", status=status, whole=True, body=body,
+                         headers={name.replace("_", "-"): value
+                                  for name, value in headers.items()})
+        promises.check_answer(outcome, ends, found)
+        promises.check_runs(outcome, len(ends), [], found)
+        return found
+
+    stamp = {"x_verbenalead_server_stamp": "s"}
+    own = {"body": b"failed: /pay/x", **stamp}
+    for status in (408, 421, 429, 503):
+        # The call ran, and its caller was told that it had not.
+        ends = ["failed_%d" % status]
+        assert problems(status, ends, **own)
+        assert problems(status, ends, retry_after="1")
+        assert not problems(502, ends)
+    assert not problems(503, [], retry_after="1")
+    assert problems(429, [])
+    for status in (404, 500, 504):
+        assert not problems(status, ["failed_%d" % status], **own)
+        # A stamp beside another status, or another body.
+        assert problems(502, ["failed_%d" % status], **own)
+        assert problems(status, ["failed_%d" % status], b"other", **stamp)
+        assert problems(status, ["whole"], **own)
+    assert not problems(200, ["whole"], b"ran: /pay/x", **stamp)
+    assert problems(200, ["failed_500"], **own)
+
+
 def exceeded(text, arrivals, end=20000):
     return find_exceeded([Limit("r", text, 1000, end)], {"r": arrivals})
 
@@ -209,6 +239,7 @@
     check_runs()
     check_statements()
     check_retries()
+    check_promises()
 
 
 harness.run_case(body)
--- a/testsuite/soak/fault_plan.py
+++ b/testsuite/soak/fault_plan.py
@@ -80,6 +80,32 @@
     return sorted(faults)
 
 
+# Statuses of their own with which replicas end runs. Some are those that
+# rejections have.
+OWN_STATUSES = (503, 503, 429, 408, 500, 504, 404)
+# Percentage of its runs that such a replica ends so, and the longest time.
+FAILED_PERCENT = 45
+LONGEST_FAILING = 6.5
+
+
+def draw_failures(seed, seconds):
+    """Returns when replicas end some of their runs with an own status.
+
+    Like the limits, these have a random sequence of their own. `kind` has the
+    status and the percentage behind spaces.
+    """
+    rng = random.Random("failures %d" % seed)
+    faults = []
+    for victim in rng.sample(range(6), 3):
+        at = rng.uniform(0.5, 3.0)
+        while at < seconds - LONGEST_FAILING / 2:
+            lasts = round(rng.uniform(1.0, LONGEST_FAILING), 2)
+            kind = "fail %d %d" % (rng.choice(OWN_STATUSES), FAILED_PERCENT)
+            faults.append(Fault(round(at, 2), kind, victim, lasts))
+            at += lasts + rng.choice((0.02, 0.5, 2.0))
+    return sorted(faults)
+
+
 # How long a data centre is evacuated, in seconds: shorter and longer than the
 # time after which no call may arrive there.
 EVACUATED_FOR = (1.0, 7.0, 13.0)
--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -87,7 +87,7 @@
             self.disturbances.append(
                 Disturbance(begin, begin + lasts, fault.kind))
         kind, _, argument = fault.kind.partition(" ")
-        if kind in ("limit", "rest", "store_returns", "evacuate"):
+        if kind in ("limit", "rest", "store_returns", "evacuate", "fail"):
             getattr(self, kind)(fault, argument)
         else:
             getattr(self, kind)(fault)
@@ -257,6 +257,18 @@
         if name not in self.stopping and not self.state(name, "/rest", ""):
             self.later(self.now() + RETRY, self.end_rest, name)
 
+    def fail(self, fault, text):
+        """The replica ends some of its runs with a status of its own."""
+        name = self.pick(self.replicas(), fault)
+        if name in self.stopping:
+            return
+        self.state(name, "/fail", text)
+        self.later(self.now() + fault.lasts, self.end_failures, name)
+
+    def end_failures(self, name):
+        if name not in self.stopping and not self.state(name, "/fail", ""):
+            self.later(self.now() + RETRY, self.end_failures, name)
+
     # The store.
 
     def store(self, fault, **faults):
--- a/testsuite/soak/promises.py
+++ b/testsuite/soak/promises.py
@@ -15,6 +15,10 @@
 # of 6 s starts then.
 LATEST = 13.5
 OWN_REFUSALS = (502, 503, 504)
+# Statuses that promise that a call has not run.
+PROMISES = (408, 421, 429, 503)
+# How runs end that a replica ends with a status of its own.
+FAILED = "failed_"
 
 
 def ends_of_runs(cluster, replicas):
@@ -28,8 +32,14 @@
     return ends
 
 
-def check_answer(outcome, problems):
-    """Checks the response of one call, without regard to its runs."""
+def own_statuses(ends):
+    """Statuses with which replicas themselves ended runs of a call."""
+    return {int(how[len(FAILED):]) for how in ends
+            if how and how.startswith(FAILED)}
+
+
+def check_answer(outcome, ends, problems):
+    """Checks the response of one call against how its runs ended."""
     if outcome.took > LATEST:
         problems.append("answered after %.1f s" % outcome.took)
     if outcome.status is None:
@@ -45,13 +55,18 @@
             problems.append("another body: %r" % outcome.body[:200])
         if not expected.startswith(outcome.body):
             problems.append("events missing or twice: %r" % outcome.body[:200])
+    elif stamped:
+        # A failure of a replica passes unchanged.
+        if outcome.status not in own_statuses(ends):
+            problems.append("a stamp beside a status that no replica gave")
+        if outcome.body != b"failed: /%s/x" % outcome.kind.encode():
+            problems.append("another body: %r" % outcome.body[:200])
     elif outcome.status == 401:
         if not outcome.guest:
             problems.append("a key that was never removed was refused")
     elif outcome.status not in OWN_REFUSALS:
         problems.append("status %d" % outcome.status)
-    elif outcome.status == 503 and not stamped and \
-            "retry-after" not in outcome.headers:
+    elif outcome.status == 503 and "retry-after" not in outcome.headers:
         problems.append("a refusal without the time to come back")
 
 
@@ -59,7 +74,7 @@
     """Checks the response of one call against how often the call ran."""
     if outcome.kind != "draft" and runs > 1:
         problems.append("ran %d times" % runs)
-    if outcome.status in (401, 503) and runs > 0:
+    if outcome.status in (401,) + PROMISES and runs > 0:
         problems.append("refused as not run, but ran %d times" % runs)
     if outcome.status == 200 and outcome.whole and runs == 0:
         problems.append("answered, though no replica ran it")
@@ -114,7 +129,7 @@
     for outcome in outcomes:
         problems = ["lost: its runs ended %s" % ends[outcome.call]] \
             if outcome in lost else []
-        check_answer(outcome, problems)
+        check_answer(outcome, ends[outcome.call], problems)
         check_runs(outcome, len(ends[outcome.call]), injector.barred, problems)
         for problem in problems:
             broken.append("%s (%s by %s, sent at %.2f s, status %s): %s" % (
--- a/testsuite/soak/run_soak.py
+++ b/testsuite/soak/run_soak.py
@@ -32,7 +32,8 @@
 
 def play(cluster, run):
     """Executes a run; returns a line for each broken promise."""
-    seed, seconds, planned, size, limits, statements, returns, regions = run
+    seed, seconds, planned, size, limits, statements, returns, regions, \
+        failures = run
     plan = fault_plan.draw(seed, seconds, planned)
     if limits:
         plan += fault_plan.draw_limits(seed, seconds)
@@ -40,6 +41,8 @@
         plan += fault_plan.draw_statements(seed, seconds)
     if returns:
         plan += fault_plan.draw_returns(seed, seconds)
+    if failures:
+        plan += fault_plan.draw_failures(seed, seconds)
     if regions:
         plan += fault_plan.draw_evacuations(seed, seconds)
     deployment = Deployment(cluster, size)
@@ -85,13 +88,13 @@
 
 
 Run = collections.namedtuple("Run", "seed seconds planned size limits "
-                             "statements returns regions")
+                             "statements returns regions failures")
 
 
 def run_of(seed, seconds, planned, limits=False, statements=False,
-           returns=False, regions=False):
+           returns=False, regions=False, failures=False):
     return Run(seed, seconds, planned, FULL if planned else SMALL, limits,
-               statements, returns, regions)
+               statements, returns, regions, failures)
 
 
 def kept_runs():
@@ -100,7 +103,8 @@
         lines = [line.split("#")[0].split() for line in file]
     return [run_of(int(line[0]), float(line[1]), "planned" in line[2:],
                    "limits" in line[2:], "statements" in line[2:],
-                   "returns" in line[2:], "regions" in line[2:])
+                   "returns" in line[2:], "regions" in line[2:],
+                   "failures" in line[2:])
             for line in lines if line]
 
 
@@ -125,6 +129,9 @@
     parser.add_argument("--regions", action="store_true",
                         help="a route names a region, and the operator "
                         "evacuates data centres")
+    parser.add_argument("--failures", action="store_true",
+                        help="replicas end some runs with a status of their "
+                        "own, such as 503")
     for field in Size._fields:
         parser.add_argument("--" + field, type=int, help="default: %d, with "
                             "--planned %d" % (getattr(SMALL, field),
@@ -145,7 +152,7 @@
     runs = kept_runs() if options.kept else [
         Run(first + number, options.seconds, options.planned, size,
             options.limits, options.statements, options.returns,
-            options.regions)
+            options.regions, options.failures)
         for number in range(options.seeds)]
     failed = [run.seed for run in runs if not play_alone(options.bin, run)]
     print("%d runs, failed: %s" % (len(runs), failed or "none"))
