--- a/src/libverbenalead/entry/call_promise_test.cc
+++ b/src/libverbenalead/entry/call_promise_test.cc
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(WithheldAnswerIsNotAwaited);
   CPPUNIT_TEST(HedgeWithAPromiseIsNotPromoted);
   CPPUNIT_TEST(RejectionBesideARunningHedgeIsNoPromise);
+  CPPUNIT_TEST(ResumedStreamEndsWithoutThePromise);
   CPPUNIT_TEST(ReplicaThatEndsRunsWithAPromiseHasFailed);
   CPPUNIT_TEST(NoSequenceOfAnswersMakesAFalsePromise);
   CPPUNIT_TEST_SUITE_END();
@@ -200,6 +201,22 @@
     AssertWithheld(Call(kIdempotent));
   }
 
+  // The replica that resumes the stream ends its run with a promise, before and
+  // after the caller has got an event.
+  void ResumedStreamEndsWithoutThePromise() {
+    for (const int status : {408, 429, 503}) {
+      Restart();
+      m_replicas.m_answers = {Answer(200, {}, true), Answer(status, {"no"})};
+      AssertWithheld(Call(kResumable));
+      m_replicas.m_answers = {Answer(200, {Event(1)}, true),
+                              Answer(status, {"no"})};
+      const wire::RecordingWriter caller = Call(kResumable);
+      CPPUNIT_ASSERT_EQUAL(200, caller.m_status);
+      CPPUNIT_ASSERT_EQUAL(Event(1), caller.m_body);
+      CPPUNIT_ASSERT(!caller.m_complete);
+    }
+  }
+
   void ReplicaThatEndsRunsWithAPromiseHasFailed() {
     for (const int status : {408, 429, 500, 503}) {
       Restart();
