--- a/testsuite/soak/injector.py
+++ b/testsuite/soak/injector.py
@@ -247,27 +247,23 @@
         self.later(self.now() + fault.lasts, self.kill, name, fault)
 
     def rest(self, fault, text):
-        name = self.pick(self.replicas(), fault)
-        if name in self.stopping:
-            return
-        self.state(name, "/rest", text)
-        self.later(self.now() + fault.lasts, self.end_rest, name)
-
-    def end_rest(self, name):
-        if name not in self.stopping and not self.state(name, "/rest", ""):
-            self.later(self.now() + RETRY, self.end_rest, name)
+        self.state_for(fault, "/rest", text)
 
     def fail(self, fault, text):
         """The replica ends some of its runs with a status of its own."""
+        self.state_for(fault, "/fail", text)
+
+    def state_for(self, fault, path, text):
+        """Sets a statement of a replica while the fault lasts."""
         name = self.pick(self.replicas(), fault)
         if name in self.stopping:
             return
-        self.state(name, "/fail", text)
-        self.later(self.now() + fault.lasts, self.end_failures, name)
+        self.state(name, path, text)
+        self.later(self.now() + fault.lasts, self.end_statement, name, path)
 
-    def end_failures(self, name):
-        if name not in self.stopping and not self.state(name, "/fail", ""):
-            self.later(self.now() + RETRY, self.end_failures, name)
+    def end_statement(self, name, path):
+        if name not in self.stopping and not self.state(name, path, ""):
+            self.later(self.now() + RETRY, self.end_statement, name, path)
 
     # The store.
 
