The case on own statuses ends runs at another replica for each status

An entry avoids a replica that fails, so the second and third status were played at one that got calls only because the others were nearly full; with fewer callers it got none, and the case failed for want of answers. Each status now has a replica that hasn't failed before.

--- a/testsuite/cases/own_status_of_a_run/run.py
+++ b/testsuite/cases/own_status_of_a_run/run.py
@@ -163,8 +163,11 @@
     return forms.broken
 
 
-def play_payments(fleet, entry, status):
-    """Callers repeat a payment once after a promise, under a new id."""
+def play_payments(fleet, entry, replica, status):
+    """Callers repeat a payment once after a promise, under a new id.
+
+    `replica` hasn't failed before, so that the entry doesn't avoid it yet.
+    """
     answers = {}
 
     def send(sender):
@@ -178,12 +181,12 @@
                 if reply.status not in PROMISES:
                     break
 
-    fleet.fail_runs(fleet.replicas[0], status, FAILED_PERCENT)
+    fleet.fail_runs(replica, status, FAILED_PERCENT)
     harness.in_parallel(SENDERS, send)
-    fleet.fail_runs(fleet.replicas[0], status, 0)
+    fleet.fail_runs(replica, status, 0)
     ran = collections.Counter()
-    for replica in fleet.replicas:
-        with open(fleet.cluster.path(replica["name"] + ".log"),
+    for each in fleet.replicas:
+        with open(fleet.cluster.path(each["name"] + ".log"),
                   errors="replace") as log:
             for line in log:
                 if "event=ran " in line:
@@ -228,8 +231,8 @@
         fleet.add_replica("ledger", "", work=20, slots=SLOTS)
     harness.wait_for("a payment",
                      lambda: fleet.pay(entry, 10 ** 6).status == 200)
-    for status in (503, 429, 408):
-        broken += play_payments(fleet, entry, status)
+    for status, replica in zip((503, 429, 408), fleet.replicas):
+        broken += play_payments(fleet, entry, replica, status)
     assert not broken, broken
     check_log(cluster, entry)
 
