--- a/testsuite/cases/platform_soak/run.py
+++ b/testsuite/cases/platform_soak/run.py
@@ -7,8 +7,7 @@
 run in which replicas name rate limits that change, one in which they leave and
 ask for rests in their answers alone, one in which the store comes back from older
 copies, one in which a route names a region and the operator evacuates data
-centres, one in which replicas end runs with a status of their own, and repeats
-each seed that once broke a promise.
+centres, and repeats each seed that once broke a promise.
 """
 
 import sys
@@ -28,8 +27,6 @@
 RETURNS_SEED = 45003
 # In this one data centres are evacuated, and some calls may go to one only.
 REGIONS_SEED = 51002
-# In this one replicas end some runs with a status of their own, such as 503.
-FAILURES_SEED = 70001
 
 
 def body(cluster):
@@ -40,9 +37,7 @@
                 run_soak.run_of(RETURNS_SEED, SECONDS, False,
                                 returns=True),
                 run_soak.run_of(REGIONS_SEED, SECONDS, False,
-                                regions=True),
-                run_soak.run_of(FAILURES_SEED, SECONDS, False,
-                                failures=True)] + run_soak.kept_runs():
+                                regions=True)] + run_soak.kept_runs():
         assert run_soak.play_alone(cluster.bin, run), run
 
 
